--- /dev/null
+++ b/src/tealcove/__init__.py
@@ -0,0 +1,1 @@
+"""A request scheduler for unlike engines."""
--- /dev/null
+++ b/src/tealcove/backends/__init__.py
@@ -0,0 +1,1 @@
+"""What the system knows of backend servers and says to them."""
--- /dev/null
+++ b/src/tealcove/backends/prefixes.py
@@ -0,0 +1,32 @@
+"""Chained hashes of a prompt's blocks, by which shared prefixes are found."""
+
+from __future__ import annotations
+
+import hashlib
+
+# The size of a token in bytes of UTF-8: an estimate that serves all the models.
+TOKEN_BYTES = 4
+BLOCK_TOKENS = 64
+BLOCK_BYTES = BLOCK_TOKENS * TOKEN_BYTES
+HASH_BYTES = 8
+# Blocks of a prompt that are hashed at the most; the rest counts as uncached.
+MOST_BLOCKS = 256
+
+
+def count_tokens(text: str) -> int:
+    """Estimate the tokens of a text, at least one."""
+    return max(1, -(-len(text.encode()) // TOKEN_BYTES))
+
+
+def chain(prompt: str) -> tuple[int, ...]:
+    """Return a hash per whole block; each covers the blocks before it too."""
+    content = prompt.encode()
+    blocks = min(len(content) // BLOCK_BYTES, MOST_BLOCKS)
+    hashes = []
+    previous = b""
+    for number in range(blocks):
+        block = content[number * BLOCK_BYTES : (number + 1) * BLOCK_BYTES]
+        digest = hashlib.blake2b(previous + block, digest_size=HASH_BYTES)
+        previous = digest.digest()
+        hashes.append(int.from_bytes(previous))
+    return tuple(hashes)
--- /dev/null
+++ b/src/tealcove/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Durable claims that keep non-idempotent work at most once."""
--- /dev/null
+++ b/src/tealcove/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The queue of a cell and the choice of backend server."""
--- /dev/null
+++ b/src/tealcove/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts across instances."""
--- /dev/null
+++ b/src/tealcove/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats, lifecycle and ranking of instances."""
--- /dev/null
+++ b/src/tealcove/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and the steward's orders to engines."""
--- /dev/null
+++ b/src/tealcove/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances over ZeroMQ."""
--- /dev/null
+++ b/src/tealcove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform's services and their clients."""
--- /dev/null
+++ b/src/tealcove/platform/table.py
@@ -0,0 +1,101 @@
+"""The platform's transactional table service, as an abstract base class."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from tealcove import errors
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A stored row; `version` goes up at each write and is never used again."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+
+
+class Absent(msgspec.Struct, frozen=True, tag="absent"):
+    """Condition: no row has this key."""
+
+    table: str
+    key: str
+
+
+class VersionIs(msgspec.Struct, frozen=True, tag="version_is"):
+    """Condition: the row exists at exactly this version."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Put(msgspec.Struct, frozen=True, tag="put"):
+    """Write a row, whether or not it exists."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+class Delete(msgspec.Struct, frozen=True, tag="delete"):
+    """Delete a row; no error when it's absent."""
+
+    table: str
+    key: str
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """Writes that apply all together, or not at all if a condition fails."""
+
+    conditions: tuple[Absent | VersionIs, ...]
+    writes: tuple[Put | Delete, ...]
+
+
+class Committed(msgspec.Struct, frozen=True):
+    """The version that all rows of the transaction now have."""
+
+    version: int
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """A condition that failed: its index, and the row that stands there now."""
+
+    index: int
+    row: Row | None
+
+
+class ConditionFailedError(errors.PlatformError):
+    """Conditions failed; nothing was written. `conflicts` names every one."""
+
+    def __init__(self, conflicts: tuple[Conflict, ...]) -> None:
+        super().__init__(
+            f"{len(conflicts)} conditions of the transaction failed",
+            "Read the rows again and decide anew.",
+        )
+        self.conflicts = conflicts
+
+
+class TableService(abc.ABC):
+    """Rows by table and key, with conditional transactions over many rows."""
+
+    @abc.abstractmethod
+    async def commit(self, transaction: Transaction) -> Committed:
+        """Apply a transaction.
+
+        Raises ConditionFailedError, PlatformUnavailableError (certainly not
+        applied) or OutcomeUnknownError (may have been applied).
+        """
+
+    @abc.abstractmethod
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return a row, or None; raises PlatformUnavailableError."""
+
+    @abc.abstractmethod
+    async def scan(
+        self, table: str, after: str = "", limit: int = 1000
+    ) -> tuple[Row, ...]:
+        """Return rows in order of key, those beyond `after`, at most `limit`."""
--- /dev/null
+++ b/src/tealcove/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Marks against requests that crash backend servers."""
--- /dev/null
+++ b/src/tealcove/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Declared resources, their API and their propagation."""
--- /dev/null
+++ b/src/tealcove/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, engines and plain services."""
