--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -120,7 +120,7 @@
     weights: str = ""
 
 
-class RoutingRuleSpec(Spec):
+class RoutingRuleSpec(Spec, kw_only=True):
     """Which requests go to which pool; the lowest `order` that matches wins."""
 
     order: Annotated[int, msgspec.Meta(ge=0)] = 100
