--- /dev/null
+++ b/src/tealcove/commands/serve.py
@@ -0,0 +1,31 @@
+"""`tealcove serve`: run one instance."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+
+from tealcove import settings as settings_module
+
+
+@cappa.command(
+    name="serve",
+    help="Run an instance until SIGTERM, then finish requests in progress.",
+)
+@dataclasses.dataclass
+class Serve:
+    """Arguments of `serve`."""
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, value_name="FILE", help="The instance's settings.")
+    ]
+
+    async def __call__(self) -> None:
+        """Read the settings and run the daemon."""
+        found = settings_module.load(self.settings)
+        # Imported here so that other commands start without the daemon's parts.
+        from tealcove import daemon
+
+        await daemon.serve(found)
--- /dev/null
+++ b/src/tealcove/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules that belong to no slice."""
