--- /dev/null
+++ b/src/tealcove/telemetry.py
@@ -0,0 +1,120 @@
+"""Metrics and traces by OpenTelemetry, each instance with providers of its own."""
+
+from __future__ import annotations
+
+import typing
+
+import opentelemetry.context
+import prometheus_client
+from opentelemetry import metrics, trace
+from opentelemetry.exporter import prometheus
+from opentelemetry.exporter.otlp.proto.http import trace_exporter
+from opentelemetry.sdk import metrics as sdk_metrics
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export, sampling
+from opentelemetry.trace.propagation import tracecontext
+
+from tealcove import settings, version
+
+SCOPE = "tealcove"
+TRACEPARENT = "traceparent"
+TRACES_PATH = "/v1/traces"
+
+PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+# What a request without a trace runs under.
+NO_CONTEXT = opentelemetry.context.Context()
+
+
+class Telemetry:
+    """The meter and the tracer of one instance.
+
+    `tracing` is false when no span is ever recorded; callers may then leave
+    out work that only serves spans. The tracer is a no-op one in that case.
+    """
+
+    def __init__(
+        self,
+        found: settings.Settings,
+        exporter: export.SpanExporter | None = None,
+    ) -> None:
+        resource = resources.Resource.create(
+            {
+                "service.name": SCOPE,
+                "service.instance.id": found.instance,
+                "cloud.availability_zone": found.data_centre,
+            }
+        )
+        # A registry of its own, since tests and the demo run several in a process.
+        self.registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(registry=self.registry)
+        self.meters = sdk_metrics.MeterProvider([reader], resource=resource)
+        self.meter: metrics.Meter = self.meters.get_meter(SCOPE, version.VERSION)
+        self.spans = span_provider(found.telemetry, resource, exporter)
+        self.tracing = self.spans is not None
+        provider = self.spans or trace.NoOpTracerProvider()
+        self.tracer: trace.Tracer = provider.get_tracer(SCOPE, version.VERSION)
+
+    def metrics_text(self) -> bytes:
+        """Return all metrics in the text form of Prometheus, for /metrics."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def shutdown(self) -> None:
+        """Send the spans that still wait; it blocks, so call it at the very end."""
+        if self.spans is not None:
+            self.spans.shutdown()
+        self.meters.shutdown()
+
+
+def span_provider(
+    found: settings.Telemetry,
+    resource: resources.Resource,
+    exporter: export.SpanExporter | None,
+) -> sdk_trace.TracerProvider | None:
+    """Return a provider that exports spans, or None if none would be exported."""
+    if found.trace_share == 0:
+        return None
+    if exporter is None and found.otlp_endpoint is not None:
+        endpoint = found.otlp_endpoint.rstrip("/") + TRACES_PATH
+        exporter = trace_exporter.OTLPSpanExporter(endpoint=endpoint)
+    if exporter is None:
+        return None
+    # The caller's own decision goes first, so that a trace is whole or absent.
+    sampler = sampling.ParentBased(sampling.TraceIdRatioBased(found.trace_share))
+    provider = sdk_trace.TracerProvider(
+        sampler=sampler, resource=resource, shutdown_on_exit=False
+    )
+    provider.add_span_processor(export.BatchSpanProcessor(exporter))
+    return provider
+
+
+def extract(headers: typing.Mapping[str, str]) -> opentelemetry.context.Context:
+    """Return the trace that a request's headers belong to."""
+    return context_of(headers.get(TRACEPARENT, ""))
+
+
+def inject(
+    headers: typing.MutableMapping[str, str],
+    context: opentelemetry.context.Context | None = None,
+) -> None:
+    """Add the header of the given or current trace, if there is one."""
+    written = traceparent(context)
+    if written:
+        headers[TRACEPARENT] = written
+
+
+def context_of(written: str) -> opentelemetry.context.Context:
+    """Return the trace that a `traceparent` value names; "" names none."""
+    if not written:
+        return NO_CONTEXT
+    return PROPAGATOR.extract({TRACEPARENT: written}, NO_CONTEXT)
+
+
+def traceparent(context: opentelemetry.context.Context | None = None) -> str:
+    """Return the `traceparent` value of the given or current trace, or ""."""
+    span = trace.get_current_span(context)
+    if not span.get_span_context().is_valid:
+        return ""
+    carrier: dict[str, str] = {}
+    PROPAGATOR.inject(carrier, context)
+    return carrier.get(TRACEPARENT, "")
