Keep resources in a log of changes, with a copy that only moves up

Cause: operators and automation change the same resources through several instances while the platform's replies get lost. Change: one transaction per change writes the resource, the change and the head; a lost reply is settled by the change's nonce once the head is at or beyond its revision; an Idempotency-Key's row lies in the same transaction. The copy is an immutable configuration that is replaced whole. Ruled out: conditions on the resource's row alone, because referential checks need the whole configuration at the revision that the change follows on. Measurement: none yet beyond the tests, which pass (6).

--- /dev/null
+++ b/src/tealcove/resources/accounts.py
@@ -0,0 +1,116 @@
+"""Client accounts packed small, so that 39,000 of them fit in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+import msgspec
+
+from tealcove import ids
+from tealcove.resources import kinds
+
+
+class PackedAccount(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A client account without field names and with binary hashes."""
+
+    name: str
+    revision: ids.Revision
+    generation: int
+    changed_by: str
+    tier: str
+    key_hashes: tuple[bytes, ...]
+    tokens_per_second: float | None
+    burst_tokens: float | None
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(PackedAccount)
+
+
+def pack(resource: kinds.Resource) -> bytes:
+    """Pack a resource of kind ClientAccount."""
+    spec = resource.spec
+    packed = PackedAccount(
+        name=resource.metadata.name,
+        revision=resource.metadata.revision,
+        generation=resource.metadata.generation,
+        changed_by=resource.metadata.changed_by,
+        tier=spec.tier,
+        key_hashes=tuple(bytes.fromhex(text) for text in spec.key_hashes),
+        tokens_per_second=spec.tokens_per_second,
+        burst_tokens=spec.burst_tokens,
+    )
+    return ENCODER.encode(packed)
+
+
+def unpack(content: bytes) -> kinds.Resource:
+    """Return the resource that was packed."""
+    packed = DECODER.decode(content)
+    metadata = kinds.Metadata(
+        name=packed.name,
+        revision=packed.revision,
+        generation=packed.generation,
+        changed_by=packed.changed_by,
+    )
+    spec = kinds.ClientAccountSpec(
+        tier=packed.tier,
+        key_hashes=tuple(digest.hex() for digest in packed.key_hashes),
+        tokens_per_second=packed.tokens_per_second,
+        burst_tokens=packed.burst_tokens,
+    )
+    return kinds.Resource(kind=kinds.Kind.CLIENT_ACCOUNT, metadata=metadata, spec=spec)
+
+
+class AccountTable(Mapping[str, kinds.Resource]):
+    """All client accounts by name and by key hash; never changed once built."""
+
+    def __init__(self, packed: dict[str, bytes], names: dict[bytes, str]) -> None:
+        self.packed = packed
+        self.names = names
+
+    @classmethod
+    def from_packed(cls, contents: list[msgspec.Raw]) -> AccountTable:
+        """Build a table from packed accounts, each read once."""
+        packed = {}
+        names = {}
+        for content in contents:
+            account = DECODER.decode(content)
+            packed[account.name] = bytes(content)
+            for digest in account.key_hashes:
+                names[digest] = account.name
+        return cls(packed, names)
+
+    def __getitem__(self, name: str) -> kinds.Resource:
+        return unpack(self.packed[name])
+
+    def __contains__(self, name: object) -> bool:
+        return name in self.packed
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.packed)
+
+    def __len__(self) -> int:
+        return len(self.packed)
+
+    def name_by_key_hash(self, key_hash: str) -> str | None:
+        """Return the account that a key belongs to, by its SHA-256 in hex."""
+        return self.names.get(bytes.fromhex(key_hash))
+
+    def with_changes(
+        self, changes: Mapping[str, kinds.Resource | None]
+    ) -> AccountTable:
+        """Return a table with some accounts written or (None) deleted."""
+        packed = dict(self.packed)
+        names = dict(self.names)
+        for name in changes:
+            content = packed.pop(name, None)
+            if content is not None:
+                for digest in DECODER.decode(content).key_hashes:
+                    names.pop(digest, None)
+        for name, resource in changes.items():
+            if resource is None:
+                continue
+            packed[name] = pack(resource)
+            for text in resource.spec.key_hashes:
+                names[bytes.fromhex(text)] = name
+        return AccountTable(packed, names)
--- /dev/null
+++ b/src/tealcove/resources/log.py
@@ -0,0 +1,157 @@
+"""The log of configuration changes in the platform's table, and its head."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from tealcove import errors, ids
+from tealcove.platform import objects, table
+from tealcove.resources import codec, copy, kinds, refusals, snapshots
+
+RESOURCES = "resources"
+CHANGES = "configuration-changes"
+HEADS = "configuration-head"
+IDEMPOTENCY = "configuration-idempotency"
+HEAD_KEY = "head"
+# Digits of a revision in a key, so that keys sort as their numbers do.
+REVISION_DIGITS = 16
+# Rows in one read of the log.
+PAGE = 500
+# How often a snapshot may vanish under a reader before it gives up.
+LOAD_ATTEMPTS = 5
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Where the log stands."""
+
+    revision: ids.Revision = copy.NOTHING
+    # Revision of the newest snapshot in the object store; 0: there is none.
+    snapshot: ids.Revision = copy.NOTHING
+    # The changes after this revision are kept one by one.
+    floor: ids.Revision = copy.NOTHING
+
+
+class HeadRow(msgspec.Struct, frozen=True):
+    """The head and the condition that it is still the same."""
+
+    head: Head
+    unchanged: table.Absent | table.VersionIs
+
+
+def change_key(revision: int) -> str:
+    """Return the key of a change's row."""
+    return f"{revision:0{REVISION_DIGITS}d}"
+
+
+def resource_key(kind: kinds.Kind, name: str) -> str:
+    """Return the key of a resource's row."""
+    return f"{kind.value}/{name}"
+
+
+def snapshot_name(revision: ids.Revision) -> str:
+    """Return the name of a snapshot in the object store."""
+    return f"configuration/{change_key(revision)}"
+
+
+def unchanged(
+    row: table.Row | None, name: str, key: str
+) -> table.Absent | table.VersionIs:
+    """Return the condition that a row is still as it was read."""
+    if row is None:
+        return table.Absent(name, key)
+    return table.VersionIs(name, key, row.version)
+
+
+class ConfigurationLog:
+    """Reads the log and brings a copy up to its head."""
+
+    def __init__(self, rows: table.TableService, store: objects.ObjectStore) -> None:
+        self.rows = rows
+        self.store = store
+        self.advancing = asyncio.Lock()
+
+    async def read_head(self) -> HeadRow:
+        """Return the head; raises PlatformUnavailableError."""
+        row = await self.rows.read(HEADS, HEAD_KEY)
+        condition = unchanged(row, HEADS, HEAD_KEY)
+        if row is None:
+            return HeadRow(Head(), condition)
+        return HeadRow(msgspec.json.decode(row.value, type=Head), condition)
+
+    async def change(self, revision: ids.Revision) -> codec.Change | None:
+        """Return one change, or None; raises PlatformUnavailableError."""
+        row = await self.rows.read(CHANGES, change_key(revision))
+        return None if row is None else codec.decode_change(row.value)
+
+    async def changes_after(self, revision: ids.Revision) -> list[codec.Change]:
+        """Return the next changes, some hundreds at most.
+
+        Raises CompactedError if the next one is no longer kept, and
+        PlatformUnavailableError.
+        """
+        found = await self.rows.scan(CHANGES, change_key(revision), PAGE)
+        changes = [codec.decode_change(row.value) for row in found]
+        if changes and changes[0].revision != revision + 1:
+            raise compacted(revision)
+        return changes
+
+    async def load(self, head: Head) -> copy.Configuration:
+        """Load the newest snapshot; raises PlatformUnavailableError.
+
+        A compaction may delete the snapshot between the read of the head and the
+        get, which shows as a missing object; the new head then names another.
+        """
+        for _ in range(LOAD_ATTEMPTS):
+            if head.snapshot == copy.NOTHING:
+                return copy.empty()
+            content = await self.store.get(snapshot_name(head.snapshot))
+            if content is not None:
+                return await asyncio.to_thread(snapshots.decode, content)
+            head = (await self.read_head()).head
+        raise errors.PlatformUnavailableError(
+            f"the snapshot at revision {head.snapshot} is missing",
+            "Check that the object store keeps what was put there.",
+        )
+
+    async def advance(self, own: copy.ConfigurationCopy, head: Head) -> None:
+        """Move a copy to the head's revision or beyond, in one step.
+
+        Raises PlatformUnavailableError; the copy then stays as it was.
+        """
+        async with self.advancing:
+            configuration = own.current
+            if configuration.revision >= head.revision:
+                return
+            if configuration.revision < head.floor:
+                configuration = await self.load(head)
+            configuration = await self.follow(configuration, head)
+            own.move(configuration)
+
+    async def follow(
+        self, configuration: copy.Configuration, head: Head
+    ) -> copy.Configuration:
+        """Apply changes until the head's revision is reached."""
+        while configuration.revision < head.revision:
+            try:
+                changes = await self.changes_after(configuration.revision)
+            except refusals.CompactedError:
+                head = (await self.read_head()).head
+                configuration = await self.load(head)
+                continue
+            if not changes:
+                raise errors.PlatformUnavailableError(
+                    f"the change after revision {configuration.revision} is missing",
+                    "Check that the table service shows all rows of a transaction.",
+                )
+            configuration = configuration.with_changes(changes)
+        return configuration
+
+
+def compacted(revision: ids.Revision) -> refusals.CompactedError:
+    """Return the error for changes that were compacted into a snapshot."""
+    return refusals.CompactedError(
+        f"the changes after revision {revision} are no longer kept one by one",
+        "List the resources, then watch from the revision that the list states.",
+    )
--- /dev/null
+++ b/src/tealcove/resources/refusals.py
@@ -0,0 +1,67 @@
+"""The reasons for which a change or a read of resources is refused."""
+
+from __future__ import annotations
+
+from tealcove import errors, ids
+
+
+class FieldError(errors.ResourceError):
+    """A refusal because of one field, as `spec.servers[0].port`."""
+
+    def __init__(self, problem: str, remedy: str, field: str) -> None:
+        super().__init__(f"{field}: {problem}", remedy)
+        self.field = field
+
+
+class InvalidFieldError(FieldError):
+    """A field that is unknown, missing, or has a wrong type or value."""
+
+
+class MissingReferenceError(FieldError):
+    """A field that names a resource which doesn't exist."""
+
+
+class DuplicateError(FieldError):
+    """A field whose value must be unique and is taken."""
+
+
+class InUseError(FieldError):
+    """A resource that can't go or change because others name it."""
+
+
+class NotFoundError(errors.ResourceError):
+    """No resource, or no kind, has this name."""
+
+
+class PreconditionRequiredError(errors.ResourceError):
+    """A change of an existing resource that doesn't name its revision."""
+
+
+class RevisionConflictError(errors.ResourceError):
+    """A change based on another revision than the current one.
+
+    `current` is 0 and `changed_by` is empty when the resource doesn't exist.
+    """
+
+    def __init__(
+        self, problem: str, remedy: str, current: ids.Revision, changed_by: str
+    ) -> None:
+        super().__init__(problem, remedy)
+        self.current = current
+        self.changed_by = changed_by
+
+
+class BusyError(errors.ResourceError):
+    """Other changes were faster at each attempt; nothing was applied."""
+
+
+class IdempotencyMismatchError(errors.ResourceError):
+    """An Idempotency-Key that this operator used for another change."""
+
+
+class CompactedError(errors.ResourceError):
+    """The changes after this revision are no longer kept one by one."""
+
+
+class UnauthorisedError(errors.ResourceError):
+    """A request without the key of a declared operator."""
--- /dev/null
+++ b/src/tealcove/resources/store.py
@@ -0,0 +1,245 @@
+"""Changes of resources: one transaction each, safe against lost replies."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import secrets
+
+import msgspec
+
+from tealcove import errors, ids
+from tealcove.platform import objects, table
+from tealcove.resources import codec, copy, decision, log, refusals
+
+NONCE_BYTES = 12
+# Attempts of one change, each lost to another writer or of unknown outcome.
+ATTEMPTS = 20
+# Seconds; the longest pause before the second attempt, doubled for each further.
+FIRST_PAUSE = 0.01
+LONGEST_PAUSE = 0.5
+
+
+class Recorded(msgspec.Struct, frozen=True, kw_only=True):
+    """The row by which a repeat of a change gets the same answer."""
+
+    fingerprint: str
+    revision: ids.Revision
+    created: bool
+    resource: codec.StoredResource | None
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """One transaction and what it leads to if it is applied."""
+
+    transaction: table.Transaction
+    outcome: decision.Outcome
+
+
+class Doubt(msgspec.Struct, frozen=True):
+    """An attempt whose reply was lost."""
+
+    outcome: decision.Outcome
+    error: errors.OutcomeUnknownError
+
+
+def fingerprint(request: decision.ChangeRequest) -> str:
+    """Return a digest that only the same change asked for again has."""
+    target = f"{request.kind.value}/{request.name} {request.if_match} "
+    return hashlib.sha256(target.encode() + request.edit.describe()).hexdigest()
+
+
+def idempotency_row(request: decision.ChangeRequest) -> str:
+    """Return the key of the row for a repeat, or "" if the caller gave no key."""
+    if request.idempotency_key is None:
+        return ""
+    digest = hashlib.sha256(request.idempotency_key.encode()).hexdigest()
+    return f"{request.operator}/{digest}"
+
+
+class ResourceStore:
+    """Writes resources through the platform's table, from any instance."""
+
+    def __init__(
+        self,
+        rows: table.TableService,
+        store: objects.ObjectStore,
+        own: copy.ConfigurationCopy,
+    ) -> None:
+        self.rows = rows
+        self.copy = own
+        self.log = log.ConfigurationLog(rows, store)
+        # Changes through one instance go one by one: they would only make each
+        # other's transactions fail on the head.
+        self.writing = asyncio.Lock()
+
+    async def change(self, request: decision.ChangeRequest) -> decision.Outcome:
+        """Apply a change exactly once, or raise and leave everything as it was.
+
+        Raises ResourceError, PlatformUnavailableError (nothing was applied), or
+        OutcomeUnknownError (the platform failed before it could be found out; a
+        repeat with the same Idempotency-Key finds out).
+        """
+        async with self.writing:
+            return await Writing(self, request).run()
+
+
+class Writing:
+    """One change on its way, over all its attempts."""
+
+    def __init__(self, store: ResourceStore, request: decision.ChangeRequest) -> None:
+        self.store = store
+        self.request = request
+        self.nonce = secrets.token_hex(NONCE_BYTES)
+        self.row = idempotency_row(request)
+        self.fingerprint = fingerprint(request)
+        self.doubt: Doubt | None = None
+
+    async def run(self) -> decision.Outcome:
+        """Try until the change is applied or refused."""
+        for number in range(ATTEMPTS):
+            if number:
+                await pause(number)
+            try:
+                outcome = await self.attempt()
+            except errors.PlatformUnavailableError as error:
+                if self.doubt is None:
+                    raise
+                raise self.unknown() from error
+            if outcome is not None:
+                return outcome
+        if self.doubt is not None:
+            raise self.unknown()
+        raise refusals.BusyError(
+            f"other changes were faster {ATTEMPTS} times in a row",
+            "Repeat the change; nothing of it was applied.",
+        )
+
+    def unknown(self) -> errors.OutcomeUnknownError:
+        """Return the error for a doubt that couldn't be settled."""
+        request = self.request
+        return errors.OutcomeUnknownError(
+            f"the platform didn't say whether the change of {request.kind.value}/"
+            f"{request.name} was applied",
+            "Repeat it with the same Idempotency-Key, or read the resource first.",
+        )
+
+    async def attempt(self) -> decision.Outcome | None:
+        """Make one attempt; None means another one is needed.
+
+        The head is read before a doubt is settled: an attempt with a lost reply
+        may still be on its way, and only a head at or beyond its revision shows
+        that it was applied or never will be.
+        """
+        head_row = await self.store.log.read_head()
+        settled = await self.settle(head_row.head)
+        if settled is not None:
+            return settled
+        recorded = await self.recorded()
+        if recorded is not None:
+            return recorded
+        await self.store.log.advance(self.store.copy, head_row.head)
+        configuration = self.store.copy.current
+        if configuration.revision != head_row.head.revision:
+            return None
+        outcome = decision.decide(self.request, configuration)
+        if self.request.dry_run:
+            return outcome
+        return await self.commit(await self.prepare(head_row, outcome))
+
+    async def settle(self, head: log.Head) -> decision.Outcome | None:
+        """Find out about an attempt with a lost reply."""
+        doubt = self.doubt
+        if doubt is None or head.revision < doubt.outcome.revision:
+            return None
+        change = await self.store.log.change(doubt.outcome.revision)
+        if change is None:
+            raise self.unknown() from doubt.error
+        self.doubt = None
+        return doubt.outcome if change.nonce == self.nonce else None
+
+    async def recorded(self) -> decision.Outcome | None:
+        """Return the answer that an earlier call with the same key got."""
+        if not self.row:
+            return None
+        row = await self.store.rows.read(log.IDEMPOTENCY, self.row)
+        if row is None:
+            return None
+        recorded = msgspec.json.decode(row.value, type=Recorded)
+        if recorded.fingerprint != self.fingerprint:
+            raise refusals.IdempotencyMismatchError(
+                f"this Idempotency-Key was used for another change, revision "
+                f"{recorded.revision}",
+                "Draw a new Idempotency-Key for each change.",
+            )
+        resource = None
+        if recorded.resource is not None:
+            resource = codec.finish_resource(recorded.resource)
+        return decision.Outcome(
+            revision=recorded.revision, created=recorded.created, resource=resource
+        )
+
+    async def prepare(
+        self, head_row: log.HeadRow, outcome: decision.Outcome
+    ) -> Attempt:
+        """Build the transaction of one attempt."""
+        request = self.request
+        key = log.resource_key(request.kind, request.name)
+        row = await self.store.rows.read(log.RESOURCES, key)
+        conditions = [head_row.unchanged, log.unchanged(row, log.RESOURCES, key)]
+        change = codec.Change(
+            revision=outcome.revision,
+            kind=request.kind,
+            name=request.name,
+            changed_by=request.operator,
+            nonce=self.nonce,
+            idempotency_row=self.row,
+            resource=outcome.resource,
+        )
+        head = msgspec.structs.replace(head_row.head, revision=outcome.revision)
+        change_key = log.change_key(outcome.revision)
+        writes = [
+            table.Put(log.HEADS, log.HEAD_KEY, codec.encode(head)),
+            table.Put(log.CHANGES, change_key, codec.encode(change)),
+        ]
+        if outcome.resource is None:
+            writes.append(table.Delete(log.RESOURCES, key))
+        else:
+            content = codec.encode(outcome.resource)
+            writes.append(table.Put(log.RESOURCES, key, content))
+        if self.row:
+            conditions.append(table.Absent(log.IDEMPOTENCY, self.row))
+            writes.append(self.record(outcome))
+        transaction = table.Transaction(tuple(conditions), tuple(writes))
+        return Attempt(transaction, outcome)
+
+    def record(self, outcome: decision.Outcome) -> table.Put:
+        """Return the write by which a repeat will get the same answer."""
+        content = {
+            "fingerprint": self.fingerprint,
+            "revision": outcome.revision,
+            "created": outcome.created,
+            "resource": outcome.resource,
+        }
+        return table.Put(log.IDEMPOTENCY, self.row, msgspec.json.encode(content))
+
+    async def commit(self, attempt: Attempt) -> decision.Outcome | None:
+        """Commit; None if the head moved or the reply was lost."""
+        try:
+            await self.store.rows.commit(attempt.transaction)
+        except table.ConditionFailedError as error:
+            if all(conflict.index != 0 for conflict in error.conflicts):
+                raise
+            return None
+        except errors.OutcomeUnknownError as error:
+            self.doubt = Doubt(attempt.outcome, error)
+            return None
+        self.doubt = None
+        return attempt.outcome
+
+
+async def pause(number: int) -> None:
+    """Wait before a further attempt, at random so that writers fall apart."""
+    longest = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** (number - 1))
+    await asyncio.sleep(random.uniform(0, longest))
--- /dev/null
+++ b/src/tealcove/resources/tests/builders.py
@@ -0,0 +1,108 @@
+"""Test data: specs, requests, and instances on one platform in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+from tealcove import ids
+from tealcove.platform import memory, objects, table
+from tealcove.resources import copy, decision, edits, kinds, store
+
+OPERATOR = "erwan"
+
+
+class YieldingTable(table.TableService):
+    """Lets other tasks run around each call, so that writers really race."""
+
+    def __init__(self, inner: table.TableService) -> None:
+        self.inner = inner
+
+    async def commit(self, transaction: table.Transaction) -> table.Committed:
+        await asyncio.sleep(0)
+        try:
+            return await self.inner.commit(transaction)
+        finally:
+            await asyncio.sleep(0)
+
+    async def read(self, table: str, key: str) -> table.Row | None:
+        await asyncio.sleep(0)
+        return await self.inner.read(table, key)
+
+    async def scan(
+        self, table: str, after: str = "", limit: int = 1000
+    ) -> tuple[table.Row, ...]:
+        await asyncio.sleep(0)
+        return await self.inner.scan(table, after, limit)
+
+
+class Instance:
+    """One instance's copy and store over a platform."""
+
+    def __init__(self, rows: table.TableService, kept: objects.ObjectStore) -> None:
+        self.copy = copy.ConfigurationCopy()
+        self.store = store.ResourceStore(rows, kept, self.copy)
+        self.log = self.store.log
+
+    async def catch_up(self) -> copy.Configuration:
+        """Bring the copy up to the head of the log."""
+        row = await self.log.read_head()
+        await self.log.advance(self.copy, row.head)
+        return self.copy.current
+
+
+def instance(platform: memory.MemoryPlatform) -> Instance:
+    """Return a new instance with an empty copy."""
+    return Instance(YieldingTable(platform.table), platform.objects)
+
+
+def tier(rank: int = 1) -> kinds.ServiceTierSpec:
+    """Return the spec of a service tier."""
+    return kinds.ServiceTierSpec(rank=rank)
+
+
+def key_hash(number: int) -> str:
+    """Return the hash of the key of account `number`."""
+    return hashlib.sha256(f"key {number}".encode()).hexdigest()
+
+
+def account(number: int = 0, tier: str = "gold") -> kinds.ClientAccountSpec:
+    """Return the spec of a client account with one key of its own."""
+    return kinds.ClientAccountSpec(tier=tier, key_hashes=(key_hash(number),))
+
+
+def server(number: int = 1) -> kinds.BackendServerSpec:
+    """Return a backend server with a name and an address of its own."""
+    return kinds.BackendServerSpec(
+        name=f"e{number}", host="127.0.0.1", port=9000 + number, data_centre="vannes"
+    )
+
+
+def put(
+    kind: kinds.Kind,
+    name: str,
+    spec: kinds.Spec,
+    if_match: int | None = None,
+    key: str | None = None,
+    operator: str = OPERATOR,
+) -> decision.ChangeRequest:
+    """Return a request to write a whole spec."""
+    return decision.ChangeRequest(
+        operator=operator,
+        kind=kind,
+        name=name,
+        edit=edits.Put(spec),
+        if_match=None if if_match is None else ids.Revision(if_match),
+        idempotency_key=None if key is None else ids.IdempotencyKey(key),
+    )
+
+
+def delete(kind: kinds.Kind, name: str, if_match: int) -> decision.ChangeRequest:
+    """Return a request to delete a resource."""
+    return decision.ChangeRequest(
+        operator=OPERATOR,
+        kind=kind,
+        name=name,
+        edit=edits.Delete(),
+        if_match=ids.Revision(if_match),
+    )
--- /dev/null
+++ b/src/tealcove/resources/tests/test_store.py
@@ -0,0 +1,137 @@
+"""Changes of resources race, and their replies get lost."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tealcove import errors
+from tealcove.platform import memory
+from tealcove.resources import kinds, log, refusals
+from tealcove.resources.tests import builders
+
+TIER = kinds.Kind.SERVICE_TIER
+
+
+@pytest.fixture
+def platform() -> memory.MemoryPlatform:
+    return memory.MemoryPlatform()
+
+
+async def test_create_change_delete(platform):
+    own = builders.instance(platform)
+    created = await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+    assert created.created
+    changed = await own.store.change(builders.put(TIER, "gold", builders.tier(2), 1))
+    assert changed.resource.metadata.generation == 2
+    assert changed.resource.metadata.changed_by == builders.OPERATOR
+    gone = await own.store.change(builders.delete(TIER, "gold", 2))
+    assert gone.revision == 3
+    other = builders.instance(platform)
+    configuration = await other.catch_up()
+    assert (configuration.revision, configuration.names(TIER)) == (3, [])
+    assert await platform.table.scan(log.RESOURCES) == ()
+
+
+async def test_conflict_names_the_current_revision_and_its_author(platform):
+    own = builders.instance(platform)
+    await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+    with pytest.raises(refusals.PreconditionRequiredError):
+        await own.store.change(builders.put(TIER, "gold", builders.tier(2)))
+    with pytest.raises(refusals.RevisionConflictError) as caught:
+        await own.store.change(builders.put(TIER, "gold", builders.tier(2), 7))
+    assert (caught.value.current, caught.value.changed_by) == (1, builders.OPERATOR)
+
+
+async def write_in_turn(own: builders.Instance, name: str, ranks: range) -> list[int]:
+    """Raise a tier's rank as automation does: read, change, on conflict again."""
+    applied = []
+    for rank in ranks:
+        while True:
+            current = (await own.catch_up()).get(TIER, "gold")
+            base = None if current is None else current.metadata.revision
+            request = builders.put(
+                TIER, "gold", builders.tier(rank), base, f"{name}-{rank}", name
+            )
+            try:
+                applied.append((await own.store.change(request)).revision)
+                break
+            except (
+                refusals.RevisionConflictError,
+                refusals.PreconditionRequiredError,
+            ):
+                continue
+    return applied
+
+
+async def test_each_racing_change_is_applied_exactly_once(platform):
+    """Symptom: a change applied twice, or one undone by an older one.
+
+    Events: three writers change one tier through three instances; the platform
+    applies writes whose replies it then loses.
+    Cause: a writer that takes a lost reply for a failure writes again over what
+    another wrote in between.
+    """
+    instances = [builders.instance(platform) for _ in range(3)]
+    platform.faults.lose_replies = 9
+    ranks = [range(0, 10), range(10, 20), range(20, 30)]
+    names = ["erwan", "nolwenn", "robot"]
+    applied = await asyncio.gather(
+        *(write_in_turn(*each) for each in zip(instances, names, ranks, strict=True))
+    )
+    revisions = sorted(revision for each in applied for revision in each)
+    assert revisions == list(range(1, 31))
+    changes = await instances[0].log.changes_after(0)
+    assert sorted(change.resource.spec.rank for change in changes) == list(range(30))
+    for own in instances:
+        await own.catch_up()
+        assert own.copy.current.get(TIER, "gold") == changes[-1].resource
+    row = await platform.table.read(log.RESOURCES, "service-tiers/gold")
+    assert b'"revision":30' in row.value
+
+
+async def test_repeat_with_the_same_key_answers_the_same(platform):
+    own, other = builders.instance(platform), builders.instance(platform)
+    request = builders.put(TIER, "gold", builders.tier(1), key="k1")
+    first = await own.store.change(request)
+    await own.store.change(builders.put(TIER, "gold", builders.tier(5), 1))
+    assert await other.store.change(request) == first
+    with pytest.raises(refusals.IdempotencyMismatchError):
+        await other.store.change(
+            builders.put(TIER, "gold", builders.tier(9), 2, key="k1")
+        )
+
+
+async def test_platform_that_dies_after_a_lost_reply(platform):
+    """Symptom: a change said to have failed is in force.
+
+    Events: the write is applied, its reply is lost, and the platform goes down
+    before the writer can look.
+    Cause: taking "unavailable now" for "not applied then".
+    """
+    own = builders.instance(platform)
+    platform.faults.lose_replies = 1
+    confirm = platform.gate.confirm_write
+
+    def confirm_and_die() -> None:
+        platform.faults.down = True
+        confirm()
+
+    platform.gate.confirm_write = confirm_and_die
+    request = builders.put(TIER, "gold", builders.tier(1), key="k1")
+    with pytest.raises(errors.OutcomeUnknownError):
+        await own.store.change(request)
+    platform.gate.confirm_write = confirm
+    platform.faults.down = False
+    assert (await own.store.change(request)).revision == 1
+    assert (await own.catch_up()).revision == 1
+
+
+async def test_platform_down_means_nothing_applied(platform):
+    own = builders.instance(platform)
+    platform.faults.down = True
+    with pytest.raises(errors.PlatformUnavailableError):
+        await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+    platform.faults.down = False
+    assert (await own.catch_up()).revision == 0
