Add the platform's HTTP clients, the in-memory platform and its stand-in

Cause: the other slices need the table service, object store, instance list and weight store over HTTP, with errors that tell "certainly not applied" from "outcome unknown". Change: PlatformClient (one aiohttp session), four services upon it, a MemoryPlatform with faults, and PlatformStandin that serves it. Ruled out: PUT and DELETE for writes, because aiohttp sends them a second time by itself when a reused connection breaks; a lost reply would go unnoticed.

--- /dev/null
+++ b/src/tealcove/platform/faults.py
@@ -0,0 +1,100 @@
+"""Faults of the in-memory platform that can be switched while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from tealcove import errors
+
+
+class RateLimitedError(errors.PlatformUnavailableError):
+    """The call was refused because there were too many in this second."""
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong at present; the default is nothing."""
+
+    # Every call is refused.
+    down: bool = False
+    # Seconds that every call takes before it has any effect.
+    slow: float = 0.0
+    # The next so many writes are applied and their replies lost.
+    lose_replies: int = 0
+    # Calls beyond these rates are refused; None: no limit.
+    writes_per_second: float | None = None
+    reads_per_second: float | None = None
+    # Seconds by which the instance list is behind.
+    list_lag: float = 0.0
+
+
+class Allowance:
+    """Counts the calls of one kind and refuses those beyond a rate."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.count = 0
+        self.second = 0
+        self.used = 0
+
+    def take(self, rate: float | None) -> None:
+        """Count one call; raises RateLimitedError beyond `rate` a second."""
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.used = 0
+        if rate is not None and self.used >= rate:
+            raise RateLimitedError(
+                f"the platform takes {rate:g} calls a second of this kind",
+                "Try again in the next second.",
+            )
+        self.used += 1
+        self.count += 1
+
+
+class Gate:
+    """Every call of the in-memory platform passes here and meets the faults."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.faults = Faults()
+        self.reads = Allowance(clock)
+        self.writes = Allowance(clock)
+
+    async def admit_read(self) -> None:
+        """Let a read in; raises PlatformUnavailableError."""
+        self.refuse_when_down()
+        self.reads.take(self.faults.reads_per_second)
+        await self.delay()
+
+    async def admit_write(self) -> None:
+        """Let a write in before it has any effect; raises PlatformUnavailableError."""
+        self.refuse_when_down()
+        self.writes.take(self.faults.writes_per_second)
+        await self.delay()
+
+    def confirm_write(self) -> None:
+        """Confirm an applied write; raises OutcomeUnknownError for a lost reply."""
+        if self.faults.lose_replies < 1:
+            return
+        self.faults.lose_replies -= 1
+        raise errors.OutcomeUnknownError(
+            "the platform's reply was lost after the write",
+            "Read the row to find out.",
+        )
+
+    async def delay(self) -> None:
+        """Wait while slow; raises PlatformUnavailableError if it went down since."""
+        if self.faults.slow > 0:
+            await asyncio.sleep(self.faults.slow)
+            self.refuse_when_down()
+
+    def refuse_when_down(self) -> None:
+        """Raise PlatformUnavailableError while the platform is down."""
+        if self.faults.down:
+            raise errors.PlatformUnavailableError(
+                "the platform is down", "Try again when it's up."
+            )
--- /dev/null
+++ b/src/tealcove/platform/tests/test_services.py
@@ -0,0 +1,161 @@
+"""The platform's clients over loopback sockets, with each class of error."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tealcove import errors
+from tealcove.platform import client, faults, services, table
+from tealcove.platform.tests import builders
+
+
+async def test_rows_commit_read_scan_delete():
+    async with builders.serving() as (_, platform):
+        rows = services.HttpTableService(platform)
+        for key in ("c", "a/ü ?&", "b"):
+            await rows.commit(builders.put(key, key.encode()))
+        stored = await rows.read("t", "a/ü ?&")
+        assert stored == table.Row("t", "a/ü ?&", "a/ü ?&".encode(), 2)
+        assert [row.key for row in await rows.scan("t", "a", 2)] == ["a/ü ?&", "b"]
+        assert [row.key for row in await rows.scan("t", "b")] == ["c"]
+        await rows.commit(table.Transaction((), (table.Delete("t", "b"),)))
+        assert await rows.read("t", "b") is None
+        assert [row.key for row in await rows.scan("t")] == ["a/ü ?&", "c"]
+        assert (await rows.commit(builders.put("b"))).version == 5
+
+
+async def test_conflict_names_every_failed_condition():
+    async with builders.serving() as (_, platform):
+        rows = services.HttpTableService(platform)
+        done = await rows.commit(builders.put("a"))
+        conditions = (
+            table.Absent("t", "a"),
+            table.VersionIs("t", "a", done.version),
+            table.VersionIs("t", "b", 1),
+        )
+        with pytest.raises(table.ConditionFailedError) as raised:
+            await rows.commit(builders.put("b", b"x", *conditions))
+        stored = await rows.read("t", "a")
+        assert raised.value.conflicts == (
+            table.Conflict(0, stored),
+            table.Conflict(2, None),
+        )
+        assert await rows.read("t", "b") is None
+
+
+async def test_objects_instances_and_weights():
+    async with builders.serving() as (standin, platform):
+        objects = services.HttpObjectStore(platform)
+        await objects.put("snapshots/7", b"\x00whole")
+        assert await objects.get("snapshots/7") == b"\x00whole"
+        await objects.delete("snapshots/7")
+        await objects.delete("snapshots/7")
+        assert await objects.get("snapshots/7") is None
+        standin.memory.instances.register(builders.entry("one"))
+        listed = await services.HttpInstanceList(platform).listed()
+        assert listed == (builders.entry("one"),)
+        weights = services.HttpWeightStore(platform)
+        assert await weights.reserve(100_000_000_000) == 0.0
+        assert await weights.reserve(1) > 0.0
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        faults.Faults(down=True),
+        faults.Faults(writes_per_second=0, reads_per_second=0),
+    ],
+    ids=["down", "rate limit"],
+)
+async def test_refused_calls_are_certainly_not_applied(fault):
+    """Symptom: a write reported as failed has been applied all the same.
+
+    Events: the platform answers 503 (down) or 429 (rate limit).
+    Cause: a refusal taken for a lost reply, or the other way round.
+    """
+    async with builders.serving() as (standin, platform):
+        rows = services.HttpTableService(platform)
+        standin.memory.faults = fault
+        with pytest.raises(errors.PlatformUnavailableError):
+            await rows.commit(builders.put("a"))
+        with pytest.raises(errors.PlatformUnavailableError):
+            await rows.read("t", "a")
+        with pytest.raises(errors.PlatformUnavailableError):
+            await services.HttpInstanceList(platform).listed()
+        standin.memory.faults = faults.Faults()
+        assert await rows.read("t", "a") is None
+
+
+async def test_refused_connection_is_certainly_not_applied():
+    """Symptom: non-idempotent work waits on a row that nobody wrote.
+
+    Events: the platform's process is gone; connections are refused.
+    Cause: a refusal before anything was sent, taken for an unknown outcome.
+    """
+    async with builders.serving() as (standin, platform):
+        rows = services.HttpTableService(platform)
+        await standin.stop()
+        with pytest.raises(errors.PlatformUnavailableError):
+            await rows.commit(builders.put("a"))
+        with pytest.raises(errors.PlatformUnavailableError):
+            await rows.read("t", "a")
+
+
+async def test_lost_reply_is_an_unknown_outcome_and_is_not_sent_again():
+    """Symptom: a write is applied twice, and its lost reply goes unnoticed.
+
+    Events: a connection is reused; the write is applied; the reply is lost.
+    Cause: aiohttp sends a PUT or DELETE again when a reused connection breaks.
+    """
+    async with builders.serving() as (standin, platform):
+        rows = services.HttpTableService(platform)
+        objects = services.HttpObjectStore(platform)
+        await rows.commit(builders.put("a", b"old"))
+        standin.memory.faults.lose_replies = 3
+        with pytest.raises(errors.OutcomeUnknownError):
+            await rows.commit(builders.put("a", b"new"))
+        await rows.read("t", "a")
+        with pytest.raises(errors.OutcomeUnknownError):
+            await objects.put("o", b"new")
+        await rows.read("t", "a")
+        with pytest.raises(errors.OutcomeUnknownError):
+            await objects.delete("o")
+        assert (await rows.read("t", "a")).value == b"new"
+        assert standin.memory.write_count == 4
+
+
+async def test_timeout_of_a_sent_write_is_an_unknown_outcome():
+    """Symptom: a write reported as not applied appears later.
+
+    Events: the platform is slow; the caller's timeout passes; then it applies.
+    Cause: a timeout after sending, taken for a refusal.
+    """
+    short = client.Timeouts(connect=10.0, total=1.0)
+    async with builders.serving(short) as (standin, platform):
+        rows = services.HttpTableService(platform)
+        released = asyncio.Event()
+        standin.memory.gate.delay = released.wait
+        with pytest.raises(errors.OutcomeUnknownError):
+            await rows.commit(builders.put("a"))
+        with pytest.raises(errors.PlatformUnavailableError):
+            await rows.read("t", "a")
+        released.set()
+        assert (await rows.read("t", "a")).value == b"value"
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (500, errors.OutcomeUnknownError),
+        (502, errors.OutcomeUnknownError),
+        (503, errors.PlatformUnavailableError),
+        (429, errors.PlatformUnavailableError),
+        (400, errors.PlatformError),
+    ],
+)
+def test_status_of_a_refused_write(status, error):
+    with pytest.raises(error) as raised:
+        client.reject(client.Reply(status, b""))
+    assert type(raised.value) is error
