--- /dev/null
+++ b/src/tealcove/standins/answers.py
@@ -0,0 +1,31 @@
+"""The text that an engine stand-in answers, which a test can work out too."""
+
+from __future__ import annotations
+
+import hashlib
+
+KEY_BYTES = 16
+# Three hex digits and a space are the four bytes that count as one token.
+DIGEST_BYTES = 2
+HEX_DIGITS = 3
+
+
+def key_of(prompt: str) -> bytes:
+    """Return the key from which all tokens of a prompt's answer follow."""
+    return hashlib.blake2b(prompt.encode(), digest_size=KEY_BYTES).digest()
+
+
+def token_text(key: bytes, index: int) -> str:
+    """Return the text of the token at `index`, which counts from 0."""
+    digest = hashlib.blake2b(index.to_bytes(8), key=key, digest_size=DIGEST_BYTES)
+    return digest.hexdigest()[:HEX_DIGITS] + " "
+
+
+def text_between(key: bytes, start: int, stop: int) -> str:
+    """Return the text of the tokens from `start` to before `stop`."""
+    return "".join(token_text(key, index) for index in range(start, stop))
+
+
+def expected_answer(prompt: str, max_tokens: int) -> str:
+    """Return the whole answer that every engine stand-in gives to a prompt."""
+    return text_between(key_of(prompt), 0, max_tokens)
--- /dev/null
+++ b/src/tealcove/standins/backend.py
@@ -0,0 +1,138 @@
+"""What the stand-ins of engines and of plain services have in common."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+from aiohttp import web
+
+from tealcove import ids
+from tealcove.standins import backend_load, backend_settings, server
+
+
+class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults of any backend server; a new set replaces the old one whole.
+
+    Fields that are numbers of answers count down as answers are spoilt.
+    """
+
+    # Below 1: a straggler, which takes longer for everything.
+    speed_factor: backend_settings.Positive = 1.0
+    # For this long nothing runs and nothing but the judge is answered.
+    freeze_seconds: backend_settings.Seconds = 0.0
+    # For this long the port is closed: connecting is refused.
+    refuse_seconds: backend_settings.Seconds = 0.0
+    # Answers that carry another request's id.
+    wrong_id: backend_settings.Count = 0
+    # The load report stays as it is now.
+    stale_load: bool = False
+    # None: as the settings or SIGTERM say.
+    state: backend_settings.BackendState | None = None
+
+
+class BackendStandin(server.StandinServer, abc.ABC):
+    """A backend server: its state, load report, faults and counts."""
+
+    FAULTS: type[Faults] = Faults
+
+    def __init__(
+        self,
+        settings: backend_settings.BackendSettings,
+        counts: msgspec.Struct,
+    ) -> None:
+        super().__init__(settings.name, settings.host, settings.port)
+        self.settings = settings
+        self.counts = counts
+        self.faults = self.FAULTS()
+        self.state = settings.state
+        self.leaving_since: ids.Instant | None = None
+        self.load = backend_load.LaggingLoad(settings.load_lag)
+
+    @abc.abstractmethod
+    def report(self) -> backend_load.LoadReport:
+        """Return the load of now."""
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the calls that every backend server answers."""
+        app.add_routes(
+            [
+                web.get("/load", self.show_load),
+                web.get("/health", self.show_health),
+                web.get("/standin/counts", self.show_counts),
+                web.get("/standin/faults", self.show_faults),
+                web.put("/standin/faults", self.put_faults),
+            ]
+        )
+
+    async def start(self) -> None:
+        """Listen; `port` tells where."""
+        await super().start()
+        now = server.present()
+        self.set_state(self.state, now)
+
+    def leave(self) -> None:
+        """Be leaving from now on."""
+        self.set_state(backend_settings.BackendState.LEAVING, server.present())
+
+    def set_state(self, state: backend_settings.BackendState, now: ids.Instant) -> None:
+        """Change the state that health tells at once and load later."""
+        leaving = state is backend_settings.BackendState.LEAVING
+        if not leaving:
+            self.leaving_since = None
+        elif self.leaving_since is None:
+            self.leaving_since = now
+        self.state = state
+        self.sample_load(now)
+
+    def note_if_leaving(self, request_id: str, now: ids.Instant) -> None:
+        """Note for the judge a request that was sent to a leaving server."""
+        if self.leaving_since is not None:
+            seconds = now - self.leaving_since
+            self.counts.sent_while_leaving.setdefault(request_id, seconds)
+
+    def sample_load(self, now: ids.Instant) -> None:
+        """Sample the load for reports of later."""
+        self.load.sample(self.report(), now)
+
+    async def apply_faults(self, faults: Faults) -> None:
+        """Replace the set of faults."""
+        now = server.present()
+        self.load.show(now)
+        self.faults = faults
+        self.load.stale = faults.stale_load
+        self.freeze(faults.freeze_seconds)
+        if faults.state is not None:
+            self.set_state(faults.state, now)
+        await self.refuse(faults.refuse_seconds)
+
+    def take_fault(self, field: str) -> bool:
+        """Count a fault down; whether there was one left."""
+        left = getattr(self.faults, field)
+        if left == 0:
+            return False
+        setattr(self.faults, field, left - 1)
+        return True
+
+    async def show_load(self, request: web.Request) -> web.Response:
+        """Answer the load as it was."""
+        now = server.present()
+        self.sample_load(now)
+        return server.json_response(self.load.show(now))
+
+    async def show_health(self, request: web.Request) -> web.Response:
+        """Answer the state of now."""
+        return server.json_response(backend_settings.Health(self.state))
+
+    async def show_counts(self, request: web.Request) -> web.Response:
+        """Answer the judge."""
+        return server.json_response(self.counts)
+
+    async def show_faults(self, request: web.Request) -> web.Response:
+        """Answer the faults that are on."""
+        return server.json_response(self.faults)
+
+    async def put_faults(self, request: web.Request) -> web.Response:
+        """Replace the faults."""
+        await self.apply_faults(await server.decode_body(request, self.FAULTS))
+        return server.json_response(self.faults)
--- /dev/null
+++ b/src/tealcove/standins/engine.py
@@ -0,0 +1,281 @@
+"""A stand-in for a model engine, as docs/BACKENDS.md describes one."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+
+from tealcove import ids
+from tealcove.standins import (
+    answers,
+    backend,
+    backend_load,
+    backend_settings,
+    engine_batch,
+    engine_cache,
+    engine_counts,
+    engine_orders,
+    engine_settings,
+    engine_stream,
+    server,
+)
+
+# Those who start an engine need one import only.
+EngineSettings = engine_settings.EngineSettings
+EngineFaults = engine_settings.EngineFaults
+expected_answer = answers.expected_answer
+
+REQUEST_ID = "X-Request-Id"
+BINARY = "application/octet-stream"
+CRASH_EXIT_CODE = 1
+
+
+class CompletionRequest(msgspec.Struct, frozen=True):
+    """The body of a completion."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    adapter: str | None = None
+    stream: bool = True
+
+
+class EngineStandin(backend.BackendStandin):
+    """One engine; it can be embedded, and started again after it died.
+
+    `on_crash` is called once a prompt with the crash marker has broken all
+    connections and closed the port. Counts stay over a restart, all else is lost.
+    """
+
+    FAULTS = EngineFaults
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        on_crash: Callable[[EngineStandin], None] | None = None,
+    ) -> None:
+        super().__init__(settings, engine_counts.EngineCounts())
+        self.on_crash = on_crash
+        self.wake = asyncio.Event()
+        self.ticking: asyncio.Task[None] | None = None
+        self.lose_memory()
+
+    def lose_memory(self) -> None:
+        """Begin with empty cache, no runs, and the models of the settings."""
+        settings = self.settings
+        self.events = engine_cache.EventLog(
+            settings.event_lag, settings.event_gap_share, settings.seed
+        )
+        self.cache = engine_cache.PrefixCache(settings.cache_blocks, self.events)
+        self.batch = engine_batch.Batch(settings, self.cache, self.counts, self.idle)
+        self.orders = engine_orders.Orders(settings, self.counts)
+        self.load = backend_load.LaggingLoad(settings.load_lag)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the calls of docs/BACKENDS.md."""
+        super().add_routes(app)
+        app.add_routes(
+            [
+                web.post("/v1/completions", self.complete),
+                web.get("/v1/completions/{id}", self.resume),
+                web.delete("/v1/completions/{id}", self.cancel),
+                web.get("/cache-events", self.show_cache_events),
+                web.post("/orders", self.take_order),
+                web.get("/state", self.show_state),
+                web.get("/kv/{id}", self.export_kv),
+                web.put("/kv/{id}", self.import_kv),
+            ]
+        )
+
+    async def start(self) -> None:
+        """Listen and compute; `port` tells where it listens."""
+        await super().start()
+        self.ticking = asyncio.create_task(self.tick())
+
+    async def stop(self) -> None:
+        """Close the port and all connections, and lose all but the counts."""
+        ticking, self.ticking = self.ticking, None
+        if ticking is not None and ticking is not asyncio.current_task():
+            ticking.cancel()
+        await super().stop()
+        self.batch.clear()
+        self.lose_memory()
+
+    async def crash(self) -> None:
+        """Die as an engine does that a prompt has crashed."""
+        await self.die()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
+    async def apply_faults(self, faults: EngineFaults) -> None:
+        """Replace the set of faults."""
+        self.advance(server.present())
+        self.batch.speed_factor = faults.speed_factor
+        self.events.dropping = faults.drop_cache_events
+        await super().apply_faults(faults)
+
+    async def tick(self) -> None:
+        """Compute in steps for all runs at once, until the engine crashes.
+
+        One task for all runs, since a timer for each token of each run would
+        take most of a core at a few engines.
+        """
+        while not self.batch.crashed:
+            if not self.batch.kept:
+                self.wake.clear()
+                await self.wake.wait()
+            step = self.batch.step_seconds()
+            await asyncio.sleep(max(self.settings.tick_seconds, step))
+            self.advance(server.present())
+        await self.crash()
+
+    def advance(self, now: ids.Instant) -> None:
+        """Account for the time up to now."""
+        if not self.thawed.is_set():
+            self.batch.skip_to(now)
+            return
+        self.batch.tick(now)
+        if self.load.is_due(now):
+            self.sample_load(now)
+
+    def report(self) -> backend_load.LoadReport:
+        """Return the load of now."""
+        return backend_load.LoadReport(
+            running=len(self.batch.running),
+            waiting=len(self.batch.waiting),
+            slots=self.settings.slots,
+            cached_blocks=len(self.cache.blocks),
+            cache_blocks=self.settings.cache_blocks,
+            state=self.state,
+        )
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Admit a request and stream its answer."""
+        request_id = request.headers.get(REQUEST_ID)
+        if not request_id:
+            raise web.HTTPBadRequest(text=f"Send the header {REQUEST_ID}.")
+        body = await server.decode_body(request, CompletionRequest)
+        self.check(body)
+        now = server.present()
+        engine_counts.add(self.counts.dispatches, request_id)
+        self.note_if_leaving(request_id, now)
+        run = engine_batch.Run(request_id, body.prompt, body.max_tokens)
+        self.batch.submit(run, now)
+        self.wake.set()
+        return await self.stream(request, run, 0)
+
+    def check(self, body: CompletionRequest) -> None:
+        """Refuse what can't run here; raises HTTPNotFound, HTTPBadRequest."""
+        if body.model not in self.orders.holding.models:
+            raise web.HTTPNotFound(text=f"Model {body.model!r} isn't loaded.")
+        adapter = body.adapter
+        if adapter is not None and adapter not in self.orders.holding.adapters:
+            raise web.HTTPNotFound(text=f"Adapter {adapter!r} isn't loaded.")
+        if body.max_tokens < 1 or not body.stream:
+            raise web.HTTPBadRequest(text="Ask for a stream of at least 1 token.")
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Stream an answer from a token on."""
+        try:
+            offset = max(0, int(request.query.get("offset", "0")))
+        except ValueError as error:
+            raise web.HTTPBadRequest(text="Send a whole number as offset.") from error
+        return await self.stream(request, self.newest_run(request), offset)
+
+    def newest_run(self, request: web.Request) -> engine_batch.Run:
+        """Return the run that a path names; raises HTTPNotFound."""
+        runs = self.batch.kept.get(request.match_info["id"])
+        if not runs:
+            raise web.HTTPNotFound(text="This request isn't known here.")
+        return runs[-1]
+
+    async def stream(
+        self, request: web.Request, run: engine_batch.Run, offset: int
+    ) -> web.StreamResponse:
+        """Stream a run to one connection."""
+        spoiling = self.take_spoiling()
+        shown = backend_settings.OTHER_ID if spoiling.wrong_id else run.request_id
+        response = web.StreamResponse(
+            headers={REQUEST_ID: shown, "Content-Type": "text/event-stream"}
+        )
+        run.attach()
+        try:
+            await response.prepare(request)
+            await engine_stream.Stream(run, offset, spoiling, response).write()
+            self.batch.deliver(run)
+        except engine_stream.CutError:
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            run.detach(server.present())
+        return response
+
+    def take_spoiling(self) -> engine_stream.Spoiling:
+        """Return the faults of the next answer and count them down."""
+        cut = self.faults.cut_after_tokens
+        if cut is not None and not self.take_fault("cut_times"):
+            cut = None
+        return engine_stream.Spoiling(
+            wrong_id=self.take_fault("wrong_id"),
+            wrong_event_id=self.take_fault("wrong_event_id"),
+            duplicate=self.take_fault("duplicate_chunk"),
+            reorder=self.take_fault("reorder_chunk"),
+            drop=self.take_fault("drop_chunk"),
+            cut_after=cut,
+        )
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel a request, also one that isn't known."""
+        self.advance(server.present())
+        self.batch.cancel_id(request.match_info["id"], server.present())
+        return web.Response(status=204)
+
+    async def show_cache_events(self, request: web.Request) -> web.Response:
+        """Answer the events after a number."""
+        try:
+            after = int(request.query.get("after", "0"))
+        except ValueError as error:
+            raise web.HTTPBadRequest(text="Send a whole number as after.") from error
+        return server.json_response(self.events.report(after, server.present()))
+
+    async def take_order(self, request: web.Request) -> web.Response:
+        """Carry out an order, or refuse an old fencing number."""
+        order = await server.decode_body(request, engine_orders.Order)
+        accepted = await self.orders.carry_out(order)
+        seen = engine_orders.Fencing(self.orders.holding.fencing)
+        return server.json_response(seen, status=200 if accepted else 412)
+
+    async def show_state(self, request: web.Request) -> web.Response:
+        """Answer what the engine holds."""
+        return server.json_response(self.orders.holding)
+
+    async def export_kv(self, request: web.Request) -> web.Response:
+        """Answer a request's cache as bytes."""
+        chain = self.newest_run(request).chain
+        return web.Response(body=msgspec.msgpack.encode(chain), content_type=BINARY)
+
+    async def import_kv(self, request: web.Request) -> web.Response:
+        """Take in a cache that another engine exported."""
+        content = await request.read()
+        try:
+            chain = msgspec.msgpack.decode(content, type=tuple[int, ...])
+        except msgspec.DecodeError as error:
+            raise web.HTTPBadRequest(text="Send what an engine exported.") from error
+        self.cache.store(chain, server.present())
+        return web.Response(status=204)
+
+
+def exit_process(engine: EngineStandin) -> None:
+    """End the process at once, as an engine does that a prompt has crashed."""
+    server.announce(engine, "crashed")
+    os._exit(CRASH_EXIT_CODE)
+
+
+async def serve(settings: EngineSettings) -> None:
+    """Run one engine until SIGTERM, then finish what runs."""
+    engine = EngineStandin(settings, exit_process)
+    await server.serve_until_signal(engine, engine.leave, settings.linger_seconds)
--- /dev/null
+++ b/src/tealcove/standins/engine_batch.py
@@ -0,0 +1,231 @@
+"""Continuous batching of an engine stand-in: slots, prefill, decode steps."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import enum
+
+from tealcove import ids
+from tealcove.backends import prefixes
+from tealcove.standins import (
+    answers,
+    engine_cache,
+    engine_counts,
+    engine_settings,
+)
+
+
+class RunState(enum.Enum):
+    """Where a run stands."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+
+
+class Run:
+    """One dispatch of a request; a second one of the same id is a second run."""
+
+    def __init__(self, request_id: str, prompt: str, max_tokens: int) -> None:
+        self.request_id = request_id
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.key = answers.key_of(prompt)
+        self.chain = prefixes.chain(prompt)
+        self.prompt_tokens = prefixes.count_tokens(prompt)
+        self.cached_tokens = 0
+        self.state = RunState.WAITING
+        # Prompt tokens and output tokens computed so far, with fractions.
+        self.prefilled = 0.0
+        self.decoded = 0.0
+        # The time up to which the run's work is accounted for.
+        self.advanced_to = ids.Instant(0.0)
+        # Connections that read the answer, and since when there are none.
+        self.readers = 0
+        self.unread_since: ids.Instant | None = None
+        self.delivered = False
+        # Set whenever there is something new for the readers.
+        self.changed = asyncio.Event()
+
+    @property
+    def uncached_tokens(self) -> int:
+        """Prompt tokens that have to be computed."""
+        return self.prompt_tokens - self.cached_tokens
+
+    @property
+    def produced(self) -> int:
+        """Whole output tokens that can be sent."""
+        return min(int(self.decoded), self.max_tokens)
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more will be computed."""
+        return self.state in (RunState.FINISHED, RunState.CANCELLED)
+
+    def attach(self) -> None:
+        """Note a connection that reads the answer."""
+        self.readers += 1
+        self.unread_since = None
+
+    def detach(self, now: ids.Instant) -> None:
+        """Note that a connection which read the answer is gone."""
+        self.readers -= 1
+        if self.readers == 0:
+            self.unread_since = now
+
+
+class Batch:
+    """All runs of one engine; knows no priorities and admits everything."""
+
+    def __init__(
+        self,
+        settings: engine_settings.EngineSettings,
+        cache: engine_cache.PrefixCache,
+        counts: engine_counts.EngineCounts,
+        idle: asyncio.Event,
+    ) -> None:
+        self.settings = settings
+        # Clear while any run's answer isn't written whole.
+        self.idle = idle
+        self.cache = cache
+        self.counts = counts
+        self.speed_factor = 1.0
+        self.waiting: collections.deque[Run] = collections.deque()
+        self.running: list[Run] = []
+        # Runs by request id, kept until their time to resume is over.
+        self.kept: dict[str, list[Run]] = {}
+        # Set once a run started whose prompt kills the engine.
+        self.crashed = False
+
+    def submit(self, run: Run, now: ids.Instant) -> None:
+        """Admit a run; it starts at once when a slot is free."""
+        self.idle.clear()
+        self.kept.setdefault(run.request_id, []).append(run)
+        self.waiting.append(run)
+        self.fill_slots(now)
+
+    def fill_slots(self, now: ids.Instant) -> None:
+        """Start waiting runs in order of arrival."""
+        while self.waiting and len(self.running) < self.settings.slots:
+            self.start(self.waiting.popleft(), now)
+
+    def start(self, run: Run, now: ids.Instant) -> None:
+        """Give a run a slot, and the part of its prompt that is cached."""
+        run.state = RunState.RUNNING
+        run.advanced_to = now
+        matched = self.cache.match(run.chain)
+        run.cached_tokens = matched * prefixes.BLOCK_TOKENS
+        self.running.append(run)
+        marker = self.settings.crash_marker
+        if marker and marker in run.prompt:
+            self.crashed = True
+
+    def step_seconds(self) -> float:
+        """Return the duration of a decode step at the present batch size."""
+        further = max(0, len(self.running) - 1)
+        slowdown = 1.0 + self.settings.batch_slowdown * further
+        return self.settings.decode_seconds_per_token * slowdown / self.speed_factor
+
+    def tick(self, now: ids.Instant) -> None:
+        """Account for the work done up to now and let go of what is over."""
+        step = self.step_seconds()
+        for run in list(self.running):
+            self.advance(run, step, now)
+        self.expire(now)
+        self.fill_slots(now)
+
+    def skip_to(self, now: ids.Instant) -> None:
+        """Let time pass without any work, as in a frozen process."""
+        for run in self.running:
+            run.advanced_to = now
+
+    def advance(self, run: Run, step: float, now: ids.Instant) -> None:
+        """Compute one run's share: first its prefill, then its tokens."""
+        seconds = now - run.advanced_to
+        run.advanced_to = now
+        seconds = self.prefill(run, seconds, now)
+        if seconds <= 0.0:
+            return
+        before = run.produced
+        run.decoded += seconds / step
+        if run.produced == before:
+            return
+        self.counts.decode_tokens += run.produced - before
+        run.changed.set()
+        if run.produced == run.max_tokens:
+            run.state = RunState.FINISHED
+            self.running.remove(run)
+
+    def prefill(self, run: Run, seconds: float, now: ids.Instant) -> float:
+        """Compute prompt tokens; return the seconds left for decoding."""
+        left = run.uncached_tokens - run.prefilled
+        if left <= 0.0 and run.decoded > 0.0:
+            return seconds
+        rate = self.settings.prefill_tokens_per_second * self.speed_factor
+        done = min(left, seconds * rate)
+        before = int(run.prefilled)
+        run.prefilled += done
+        if done == left:
+            run.prefilled = float(run.uncached_tokens)
+            self.cache.store(run.chain, now)
+        self.counts.prefill_tokens += int(run.prefilled) - before
+        return seconds - done / rate
+
+    def expire(self, now: ids.Instant) -> None:
+        """Let go of runs that nobody has read for the time to resume."""
+        oldest = now - self.settings.resume_seconds
+        for run in self.runs():
+            if run.unread_since is not None and run.unread_since <= oldest:
+                self.cancel(run, now)
+
+    def cancel_id(self, request_id: str, now: ids.Instant) -> None:
+        """Cancel all runs of a request; the slot is free at once."""
+        for run in list(self.kept.get(request_id, ())):
+            self.cancel(run, now)
+
+    def cancel(self, run: Run, now: ids.Instant) -> None:
+        """Forget a run, and give its slot to the next one at once."""
+        self.forget(run)
+        self.fill_slots(now)
+
+    def forget(self, run: Run) -> None:
+        """Drop a run; what it computed in vain counts as wasted."""
+        self.kept[run.request_id].remove(run)
+        if not self.kept[run.request_id]:
+            del self.kept[run.request_id]
+        if run.state is RunState.WAITING:
+            self.waiting.remove(run)
+        if run.state is RunState.RUNNING:
+            self.running.remove(run)
+        if run.delivered:
+            return
+        run.state = RunState.CANCELLED
+        self.counts.prefill_wasted += int(run.prefilled)
+        self.counts.cancelled += 1
+        run.changed.set()
+        self.note_idle()
+
+    def deliver(self, run: Run) -> None:
+        """Note that the last event of a run was written."""
+        if run.delivered:
+            return
+        run.delivered = True
+        engine_counts.add(self.counts.completed, run.request_id)
+        self.note_idle()
+
+    def note_idle(self) -> None:
+        """Tell those who wait for the last answer."""
+        if all(run.delivered for run in self.runs()):
+            self.idle.set()
+
+    def clear(self) -> None:
+        """Lose all runs, as a process that dies does."""
+        self.crashed = False
+        for run in self.runs():
+            self.forget(run)
+
+    def runs(self) -> list[Run]:
+        """Return all runs that are kept."""
+        return [run for runs in self.kept.values() for run in runs]
--- /dev/null
+++ b/src/tealcove/standins/engine_cache.py
@@ -0,0 +1,111 @@
+"""An engine's prefix cache in limited memory, and its late, gappy events."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import msgspec
+
+from tealcove import ids
+
+# Published events that are kept for readers; older ones are a gap to them.
+KEPT_EVENTS = 10_000
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Blocks that the cache took in ("stored") or gave up ("removed")."""
+
+    sequence: int
+    kind: str
+    blocks: tuple[int, ...]
+
+
+class EventsReport(msgspec.Struct, frozen=True):
+    """Events after the number asked for, and the last number published."""
+
+    events: tuple[CacheEvent, ...]
+    last: int
+
+
+class EventLog:
+    """Events by the time they may be published; some never are."""
+
+    def __init__(self, lag: float, gap_share: float, seed: int) -> None:
+        self.lag = lag
+        self.gap_share = gap_share
+        self.random = random.Random(seed)
+        self.sequence = 0
+        self.dropping = False
+        self.pending: collections.deque[tuple[ids.Instant, CacheEvent]]
+        self.pending = collections.deque()
+        self.published: collections.deque[CacheEvent]
+        self.published = collections.deque(maxlen=KEPT_EVENTS)
+
+    def record(self, kind: str, blocks: tuple[int, ...], now: ids.Instant) -> None:
+        """Give an event the next number, which is used up even if it gets lost."""
+        self.sequence += 1
+        if self.dropping or self.random.random() < self.gap_share:
+            return
+        event = CacheEvent(self.sequence, kind, blocks)
+        self.pending.append((ids.Instant(now + self.lag), event))
+
+    def report(self, after: int, now: ids.Instant) -> EventsReport:
+        """Return what is published by now of the events beyond `after`.
+
+        `last` is a number that was published, never one that got lost: a
+        reader that asks from there on sees the gap at the next event.
+        """
+        while self.pending and self.pending[0][0] <= now:
+            self.published.append(self.pending.popleft()[1])
+        events = tuple(event for event in self.published if event.sequence > after)
+        last = self.published[-1].sequence if self.published else 0
+        return EventsReport(events, last)
+
+
+class PrefixCache:
+    """Blocks by chained hash; the least recently used one goes first."""
+
+    def __init__(self, capacity: int, log: EventLog) -> None:
+        self.capacity = capacity
+        self.log = log
+        self.blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+
+    def match(self, chain: tuple[int, ...]) -> int:
+        """Return how many blocks from the start of a prompt are cached."""
+        matched = 0
+        for block in chain:
+            if block not in self.blocks:
+                break
+            matched += 1
+        self.touch(chain[:matched])
+        return matched
+
+    def touch(self, chain: tuple[int, ...]) -> None:
+        """Mark blocks as used, the first block last.
+
+        A block is of no use without those before it, so the end of a prefix
+        has to be given up before its start.
+        """
+        for block in reversed(chain):
+            self.blocks.move_to_end(block)
+
+    def store(self, chain: tuple[int, ...], now: ids.Instant) -> None:
+        """Take in a prompt's blocks, as many from its start as fit."""
+        fitting = chain[: self.capacity]
+        added = tuple(block for block in fitting if block not in self.blocks)
+        for block in added:
+            self.blocks[block] = None
+        self.touch(fitting)
+        if added:
+            self.log.record("stored", added, now)
+        self.evict(now)
+
+    def evict(self, now: ids.Instant) -> None:
+        """Give up the least recently used blocks beyond the capacity."""
+        removed = []
+        while len(self.blocks) > self.capacity:
+            block, _ = self.blocks.popitem(last=False)
+            removed.append(block)
+        if removed:
+            self.log.record("removed", tuple(removed), now)
--- /dev/null
+++ b/src/tealcove/standins/engine_orders.py
@@ -0,0 +1,105 @@
+"""Models, adapters and role of an engine, and the orders that change them."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+import msgspec
+
+from tealcove.standins import engine_counts, engine_settings
+
+
+class OrderKind(enum.Enum):
+    """What an order asks for."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    SET_ROLE = "set_role"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """The wanted state of one thing, given by a holder of the lease."""
+
+    fencing: int
+    order: OrderKind
+    name: str = ""
+    version: str = ""
+    role: str = ""
+
+
+class Fencing(msgspec.Struct, frozen=True):
+    """The highest fencing number seen."""
+
+    fencing: int
+
+
+class Holding(msgspec.Struct):
+    """What an engine holds; 0 is the fencing number before any order."""
+
+    models: dict[str, str]
+    adapters: dict[str, str]
+    role: str
+    fencing: int = 0
+
+
+class Orders:
+    """Carries out orders one after the other."""
+
+    def __init__(
+        self,
+        settings: engine_settings.EngineSettings,
+        counts: engine_counts.EngineCounts,
+    ) -> None:
+        self.settings = settings
+        self.counts = counts
+        self.lock = asyncio.Lock()
+        self.holding = Holding(
+            dict(settings.models), dict(settings.adapters), settings.role
+        )
+
+    async def carry_out(self, order: Order) -> bool:
+        """Carry an order out; False when its fencing number is refused."""
+        async with self.lock:
+            old = order.fencing < self.holding.fencing
+            accepted = not (old and self.settings.checks_fencing)
+            self.note(order, accepted)
+            if accepted:
+                self.holding.fencing = max(self.holding.fencing, order.fencing)
+                await self.apply(order)
+            return accepted
+
+    def note(self, order: Order, accepted: bool) -> None:
+        """Note an order for the judge."""
+        seen = engine_counts.OrderSeen(
+            fencing=order.fencing,
+            order=order.order.value,
+            name=order.name,
+            version=order.version,
+            role=order.role,
+            accepted=accepted,
+        )
+        self.counts.orders.append(seen)
+
+    async def apply(self, order: Order) -> None:
+        """Bring about the wanted state."""
+        match order.order:
+            case OrderKind.LOAD_MODEL:
+                await self.load(self.holding.models, order)
+            case OrderKind.LOAD_ADAPTER:
+                await self.load(self.holding.adapters, order)
+            case OrderKind.UNLOAD_MODEL:
+                self.holding.models.pop(order.name, None)
+            case OrderKind.UNLOAD_ADAPTER:
+                self.holding.adapters.pop(order.name, None)
+            case OrderKind.SET_ROLE:
+                self.holding.role = order.role
+
+    async def load(self, held: dict[str, str], order: Order) -> None:
+        """Load a version, which takes its time unless it's there already."""
+        if held.get(order.name) == order.version:
+            return
+        await asyncio.sleep(self.settings.load_seconds)
+        held[order.name] = order.version
--- /dev/null
+++ b/src/tealcove/standins/server.py
@@ -0,0 +1,188 @@
+"""The HTTP server under each backend stand-in: start, stop, die, freeze, refuse."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+
+from tealcove import ids
+
+MOST_BODY_BYTES = 16 * 1024 * 1024
+# A handler that is still there after its connection was broken is given up then.
+SHUTDOWN_SECONDS = 1.0
+JUDGE_PREFIX = "/standin/"
+JSON = "application/json"
+
+Decoded = TypeVar("Decoded")
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """A line on standard output: what happened to a stand-in that runs alone."""
+
+    event: str
+    name: str
+    port: int
+
+
+def present() -> ids.Instant:
+    """Return the present time of the running event loop."""
+    return ids.Instant(asyncio.get_running_loop().time())
+
+
+def json_response(value: object, status: int = 200) -> web.Response:
+    """Return a response whose body is a value in JSON."""
+    body = msgspec.json.encode(value)
+    return web.Response(body=body, status=status, content_type=JSON)
+
+
+async def decode_body(request: web.Request, shape: type[Decoded]) -> Decoded:
+    """Return a request's JSON body; raises HTTPBadRequest."""
+    try:
+        return msgspec.json.decode(await request.read(), type=shape)
+    except msgspec.DecodeError as error:
+        raise web.HTTPBadRequest(text=str(error)) from error
+
+
+class StandinServer:
+    """A server on one port that can be embedded, several in one event loop."""
+
+    def __init__(self, name: str, host: str, port: int) -> None:
+        self.name = name
+        self.host = host
+        # The port in use from the first start on, also over a restart.
+        self.port = port
+        self.runner: web.AppRunner | None = None
+        self.site: web.TCPSite | None = None
+        # Clear while the stand-in behaves as a stopped process.
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.thawing: asyncio.TimerHandle | None = None
+        # Clear while any request isn't answered whole.
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.refusing: asyncio.Task[None] | None = None
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the stand-in's own routes."""
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        """Listen; `port` tells where. Also starts a stand-in that died again."""
+        app = web.Application(
+            middlewares=[self.hold_while_frozen], client_max_size=MOST_BODY_BYTES
+        )
+        self.add_routes(app)
+        self.runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self.runner.setup()
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Open the port."""
+        self.site = web.TCPSite(self.runner, self.host, self.port, reuse_address=True)
+        await self.site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Close the port and all connections; does nothing when stopped."""
+        if self.refusing is not None:
+            self.refusing.cancel()
+            self.refusing = None
+        runner, self.runner = self.runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    async def die(self) -> None:
+        """Break all connections at once, as a process that is killed does."""
+        self.abort_connections()
+        await self.stop()
+
+    def abort_connections(self) -> None:
+        """Break every open connection without a word."""
+        if self.runner is None:
+            return
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    @web.middleware
+    async def hold_while_frozen(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Answer nothing while frozen, except to the judge."""
+        if not request.path.startswith(JUDGE_PREFIX):
+            await self.thawed.wait()
+        return await handler(request)
+
+    def freeze(self, seconds: float) -> None:
+        """Behave as a stopped process for a time; 0 ends it."""
+        if self.thawing is not None:
+            self.thawing.cancel()
+        self.thawed.clear()
+        loop = asyncio.get_running_loop()
+        self.thawing = loop.call_later(seconds, self.thawed.set)
+        if seconds <= 0.0:
+            self.thawed.set()
+
+    async def refuse(self, seconds: float) -> None:
+        """Close the port for a time; connections that are open stay open."""
+        if seconds <= 0.0 or self.refusing is not None:
+            return
+        await self.site.stop()
+        self.refusing = asyncio.create_task(self.listen_again(seconds))
+
+    async def listen_again(self, seconds: float) -> None:
+        """Open the port again after a time."""
+        await asyncio.sleep(seconds)
+        await self.listen()
+        self.refusing = None
+
+
+def announce(server: StandinServer, event: str) -> None:
+    """Print one JSON line for whoever started the process."""
+    line = msgspec.json.encode(Announcement(event, server.name, server.port))
+    sys.stdout.write(line.decode() + "\n")
+    sys.stdout.flush()
+
+
+async def wait_for_signal() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    with contextlib.suppress(asyncio.CancelledError):
+        await told.wait()
+
+
+async def serve_until_signal(
+    server: StandinServer,
+    leave: Callable[[], None],
+    linger_seconds: float,
+) -> None:
+    """Run a stand-in until SIGTERM, then let it finish what runs.
+
+    It goes on listening for `linger_seconds`: a request that was on its way
+    when the signal came would otherwise meet a closed port after it was
+    written, and its sender couldn't tell whether it ran.
+    """
+    await server.start()
+    announce(server, "listening")
+    await wait_for_signal()
+    leave()
+    await asyncio.sleep(linger_seconds)
+    await server.idle.wait()
+    await server.stop()
+    announce(server, "stopped")
