--- a/src/tealcove/commands/check.py
+++ b/src/tealcove/commands/check.py
@@ -3,36 +3,56 @@
 from __future__ import annotations
 
 import dataclasses
+import pathlib
 from typing import Annotated
 
 import cappa
 
-from tealcove import errors, settings
+from tealcove import errors, resourcefiles, settings, settingsfile
 from tealcove.commands import exits
 
+RESOURCE_KEY = "kind"
+
 
 @cappa.command(
     name="check",
-    help="Check settings files; prints a line for each and changes nothing.",
+    help="Check settings and resource files; changes nothing, asks no server.",
+    description=(
+        "A folder is read as resources. A file is read as resources if it holds a "
+        "list or has the key `kind`, and as an instance's settings otherwise."
+    ),
 )
 @dataclasses.dataclass
 class Check:
     """Arguments of `check`."""
 
-    files: Annotated[
-        list[str], cappa.Arg(value_name="FILE", required=True, help="Files to check.")
+    paths: Annotated[
+        list[str],
+        cappa.Arg(value_name="PATH", required=True, help="Files or folders to check."),
     ]
 
     async def __call__(self) -> None:
-        """Check every file, and fail if one of them is refused."""
+        """Check every path, and fail if one of them is refused."""
         refused = 0
-        for path in self.files:
+        for path in self.paths:
             try:
-                settings.load(path)
-            except errors.SettingsError as error:
+                print(f"{path}: {check_path(path)}")
+            except errors.TealcoveError as error:
                 print(error)
                 refused += 1
-            else:
-                print(f"{path}: settings, fine")
         if refused:
             raise cappa.Exit(code=exits.Code.FAILED)
+
+
+def check_path(path: str) -> str:
+    """Return what was found at a path; raises errors.SettingsError."""
+    if pathlib.Path(path).is_dir() or holds_resources(settingsfile.parse(path)):
+        return f"{len(resourcefiles.read([path]))} resources, fine"
+    return f"settings of {settings.load(path).instance}, fine"
+
+
+def holds_resources(content: object) -> bool:
+    """Tell resources from settings."""
+    return isinstance(content, list) or (
+        isinstance(content, dict) and RESOURCE_KEY in content
+    )
--- /dev/null
+++ b/src/tealcove/resourcefiles.py
@@ -0,0 +1,87 @@
+"""Reading resources from files and folders of JSON with comments."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import msgspec
+
+from tealcove import errors, settingsfile
+from tealcove.resources import kinds
+
+PATTERN = "*.json"
+
+
+class Declared(msgspec.Struct, frozen=True):
+    """A resource as an operator wrote it."""
+
+    kind: kinds.Kind
+    name: str
+    spec: kinds.Spec
+    # The file it comes from, for messages.
+    path: str
+
+
+class Written(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The keys of a resource in a file."""
+
+    kind: kinds.Kind
+    name: kinds.Name
+    spec: dict[str, typing.Any]
+
+
+def read(paths: list[str]) -> list[Declared]:
+    """Read files, and folders with all below; raises errors.SettingsError.
+
+    A file holds one resource or a list of them. A resource that stands in two
+    places is refused: which of the two wins would depend on the file names.
+    """
+    found: list[Declared] = []
+    for path in paths:
+        for file in files_of(path):
+            found.extend(read_file(file))
+    refuse_doubles(found)
+    return found
+
+
+def files_of(path: str) -> list[str]:
+    """Return a file itself, or the files below a folder in order of name."""
+    folder = pathlib.Path(path)
+    if not folder.is_dir():
+        return [path]
+    files = sorted(str(file) for file in folder.rglob(PATTERN))
+    if not files:
+        raise errors.SettingsError(
+            f"{path}: holds no {PATTERN} file", "Name a folder of resources."
+        )
+    return files
+
+
+def read_file(path: str) -> list[Declared]:
+    """Read one file; raises errors.SettingsError."""
+    content = settingsfile.parse(path)
+    if not isinstance(content, list):
+        return [declared(path, "$", content)]
+    return [declared(path, f"$[{n}]", item) for n, item in enumerate(content)]
+
+
+def declared(path: str, place: str, content: object) -> Declared:
+    """Check one resource; raises errors.SettingsError."""
+    written = settingsfile.convert(path, place, content, Written)
+    shape = kinds.SPECS[written.kind]
+    spec = settingsfile.convert(path, f"{place}.spec", written.spec, shape)
+    return Declared(kind=written.kind, name=written.name, spec=spec, path=path)
+
+
+def refuse_doubles(found: list[Declared]) -> None:
+    """Raise errors.SettingsError if a resource stands twice."""
+    seen: dict[tuple[kinds.Kind, str], str] = {}
+    for one in found:
+        key = (one.kind, one.name)
+        if key in seen:
+            raise errors.SettingsError(
+                f"{one.path}: {one.kind.value} {one.name} stands in {seen[key]} too",
+                "Remove one of the two.",
+            )
+        seen[key] = one.path
--- a/src/tealcove/settings.py
+++ b/src/tealcove/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tealcove import ids, settingsfile
+from tealcove import checked, ids, settingsfile
 from tealcove.resources import kinds
 
 # 0 lets the operating system choose a free port, which suits tests only.
@@ -36,7 +36,7 @@
     """Where callers and operators reach this instance."""
 
     # Bound, and told to callers as it stands, so it can't be 0.0.0.0.
-    host: settingsfile.IpNumber = settingsfile.IpNumber("127.0.0.1")
+    host: checked.IpNumber = checked.IpNumber("127.0.0.1")
     port: Port = 7000
     tls: Tls | None = None
 
@@ -44,16 +44,16 @@
 class Curve(Group):
     """Keys of CURVE in Z85 form (40 characters each)."""
 
-    public_key: settingsfile.CurveKey
-    secret_key: settingsfile.Secret
+    public_key: checked.CurveKey
+    secret_key: checked.Secret
     # Public keys of all instances, this one's too; others are refused.
-    allowed: tuple[settingsfile.CurveKey, ...]
+    allowed: tuple[checked.CurveKey, ...]
 
 
 class Peer(Group):
     """Where other instances reach this one."""
 
-    host: settingsfile.IpNumber = settingsfile.IpNumber("127.0.0.1")
+    host: checked.IpNumber = checked.IpNumber("127.0.0.1")
     port: Port = 7001
     # Absent: messages between instances are neither encrypted nor authenticated.
     curve: Curve | None = None
@@ -62,7 +62,7 @@
 class Platform(Group):
     """The platform's table service, object store and lists."""
 
-    url: settingsfile.Url = settingsfile.Url("http://127.0.0.1:7080")
+    url: checked.Url = checked.Url("http://127.0.0.1:7080")
     # A call that takes longer counts as failed, its outcome as unknown.
     timeout_seconds: Seconds = 2.0
     # PEM file of the authority that signed its certificate; absent: the system's.
@@ -149,7 +149,7 @@
     """Where traces go; metrics are always at /metrics."""
 
     # Absent: no traces are recorded.
-    otlp_endpoint: settingsfile.Url | None = None
+    otlp_endpoint: checked.Url | None = None
     # Part of the requests that are traced when their caller doesn't say.
     trace_share: Share = 1.0
 
@@ -182,7 +182,7 @@
     peer: Peer = Peer()
     platform: Platform = Platform()
     # Instances ("ip:peer port") to ask first; the platform's list adds others.
-    seeds: tuple[settingsfile.Address, ...] = ()
+    seeds: tuple[checked.Address, ...] = ()
     # Without an operator, nobody can use the administration API.
     operators: tuple[Operator, ...] = ()
     data_centres: tuple[DataCentre, ...] = ()
--- a/src/tealcove/settingsfile.py
+++ b/src/tealcove/settingsfile.py
@@ -2,113 +2,58 @@
 
 from __future__ import annotations
 
-import ipaddress
 import pathlib
 import re
 import typing
-import urllib.parse
 
 import msgspec
 import msgspec.inspect
 import pyjson5
 
-from tealcove import errors
+from tealcove import checked, errors
+from tealcove.resources import kinds
 
 T = typing.TypeVar("T")
 
-CURVE_KEY_LENGTH = 40
-LARGEST_PORT = 65535
+KEY_WORD = "key"
+TYPE_WORDS = {
+    "int": "a whole number",
+    "float": "a number",
+    "str": "a string",
+    "bool": "true or false",
+    "object": "an object in braces",
+    "array": "a list in brackets",
+    "int | null": "a whole number or null",
+    "float | null": "a number or null",
+    "str | null": "a string or null",
+    "object | null": "an object in braces, or null",
+}
+NAME_PATTERN = kinds.Name.__metadata__[0].pattern
+KEY_HASH_PATTERN = kinds.KeyHash.__metadata__[0].pattern
+PATTERNS = {
+    NAME_PATTERN: "a name of a-z, 0-9, dots, hyphens and underscores",
+    KEY_HASH_PATTERN: "a SHA-256 in hex, 64 characters of 0-9 and a-f",
+}
 UNKNOWN_FIELD = re.compile(r"unknown field `(.*)`")
+MISSING_FIELD = re.compile(r"missing required field `(.*)`")
+EXPECTED = re.compile(r"Expected `(?P<type>[^`]*)`(?:, got .*|(?P<bound> .*))?$")
+PATTERN = re.compile(r"matching regex '(.*)'")
 PLACE = re.compile(r"^(?P<problem>.*?)(?: - at `(?P<place>[^`]*)`)?$", re.DOTALL)
-STEP = re.compile(r"\.([A-Za-z_][A-Za-z_0-9]*)|\[")
-
-
-class Checked(str):
-    """A string that is checked when it's read; `example` tells a valid one."""
-
-    __slots__ = ()
-    example = ""
-
-    @classmethod
-    def check(cls, text: str) -> None:
-        """Raise ValueError if the text is none of this type."""
-        raise NotImplementedError
-
-
-class IpNumber(Checked):
-    """The IP number of one host; a name would need a name service."""
-
-    __slots__ = ()
-    example = "an IP number such as 10.0.0.7"
-
-    @classmethod
-    def check(cls, text: str) -> None:
-        """Refuse names and 0.0.0.0, which nobody else could connect to."""
-        if ipaddress.ip_address(text).is_unspecified:
-            raise ValueError(text)
-
-
-class Address(Checked):
-    """An IP number and a port."""
-
-    __slots__ = ()
-    example = "an IP number and a port such as 10.0.0.7:7001"
-
-    @classmethod
-    def check(cls, text: str) -> None:
-        """Refuse names and ports that don't exist."""
-        host, _, port = text.rpartition(":")
-        IpNumber.check(host.strip("[]"))
-        if not 0 < int(port) <= LARGEST_PORT:
-            raise ValueError(text)
-
-
-class Url(Checked):
-    """An HTTP URL whose host is an IP number."""
-
-    __slots__ = ()
-    example = "a URL with an IP number such as http://10.0.0.7:7080"
-
-    @classmethod
-    def check(cls, text: str) -> None:
-        """Refuse other schemes, names and ports that don't exist."""
-        parts = urllib.parse.urlsplit(text)
-        if parts.scheme not in ("http", "https") or parts.port == 0:
-            raise ValueError(text)
-        IpNumber.check(parts.hostname or "")
-
-
-class CurveKey(Checked):
-    """A public key of CURVE in Z85 form."""
-
-    __slots__ = ()
-    example = f"a public key of {CURVE_KEY_LENGTH} characters in Z85 form"
-
-    @classmethod
-    def check(cls, text: str) -> None:
-        """Refuse keys of another length."""
-        if len(text) != CURVE_KEY_LENGTH:
-            raise ValueError(text)
-
-
-class Secret(CurveKey):
-    """A secret key of CURVE, which no log line or message may show."""
-
-    __slots__ = ()
-    example = f"a secret key of {CURVE_KEY_LENGTH} characters in Z85 form"
-
-    def __repr__(self) -> str:
-        """Hide the key where a struct that holds it is printed."""
-        return "Secret(...)"
+# A step is `.key`, `[3]`, or `[...]` for any key of a mapping.
+STEP = re.compile(r"\.([A-Za-z_][A-Za-z_0-9]*)|\[(\d+|\.\.\.)\]")
 
 
 def read(path: str, shape: type[T]) -> T:
     """Read a file into a struct; raises errors.SettingsError."""
-    content = parse(path)
+    return convert(path, "$", parse(path), shape)
+
+
+def convert(path: str, place: str, content: object, shape: type[T]) -> T:
+    """Check the content of a place in a file; raises errors.SettingsError."""
     try:
-        return msgspec.convert(content, shape, dec_hook=decode_checked)
+        return msgspec.convert(content, shape, dec_hook=checked.decode_checked)
     except msgspec.ValidationError as failure:
-        raise explained(path, str(failure), shape) from None
+        raise explained(path, place, str(failure), content, shape) from None
 
 
 def parse(path: str) -> object:
@@ -138,63 +83,91 @@
     return f"line {line}: isn't JSON"
 
 
-def decode_checked(wanted: type, found: object) -> object:
-    """Decode the checked strings, for msgspec."""
-    if not issubclass(wanted, Checked):
-        raise NotImplementedError(wanted)
-    if not isinstance(found, str):
-        raise ValueError(f"Expected `str`, got `{type(found).__name__}`")
-    shown = "it" if issubclass(wanted, Secret) else f"`{found}`"
-    try:
-        wanted.check(found)
-    except ValueError:
-        raise ValueError(f"{shown} isn't {wanted.example}") from None
-    return wanted(found)
-
-
 def refused(path: str, place: str, problem: str, remedy: str) -> errors.SettingsError:
     """Return the error for one place in a file."""
     return errors.SettingsError(f"{path}: {place}: {problem}", f"{remedy}.")
 
 
-def explained(path: str, message: str, shape: type) -> errors.SettingsError:
+def explained(
+    path: str, root: str, message: str, content: object, shape: type
+) -> errors.SettingsError:
     """Turn msgspec's message into one line that says what to write."""
     parts = PLACE.match(message)
     assert parts is not None
     problem = parts["problem"]
-    place = parts["place"] or "$"
+    inner = parts["place"] or "$"
+    place = root + inner.removeprefix("$")
     unknown = UNKNOWN_FIELD.search(problem)
     if unknown is not None:
-        known = ", ".join(known_fields(shape, place))
+        known = ", ".join(known_fields(shape, inner))
         return refused(
             path, f"{place}.{unknown[1]}", "unknown key", f"Write one of: {known}"
         )
-    return refused(path, place, problem, remedy_for(problem))
-
-
-def remedy_for(problem: str) -> str:
-    """Say what to write in the place of what msgspec refused."""
-    _, refusal, wanted = problem.partition(" isn't ")
+    missing = MISSING_FIELD.search(problem)
+    if missing is not None:
+        remedy = "Write that key; it has no default"
+        return refused(path, f"{place}.{missing[1]}", "missing", remedy)
+    expected = EXPECTED.match(problem)
+    if expected is not None:
+        found = shown_value(content, inner)
+        return refused(path, place, f"{found}doesn't fit", f"Write {wanted(expected)}")
+    return refused(path, place, problem, remedy_for(problem, shape, inner))
+
+
+def wanted(expected: re.Match[str]) -> str:
+    """Say in words what msgspec expected."""
+    bound = expected["bound"] or ""
+    pattern = PATTERN.search(bound)
+    if pattern is not None:
+        return PATTERNS.get(pattern[1], f"a string that matches {pattern[1]}")
+    return TYPE_WORDS.get(expected["type"], expected["type"]) + bound
+
+
+def shown_value(content: object, inner: str) -> str:
+    """Return the refused value in quotes, or "it " for a key or a group.
+
+    A plain key that was written where its hash belongs must not reach a log.
+    """
+    if KEY_WORD in inner:
+        return "it "
+    for step in STEP.finditer(inner):
+        key: str | int = step[1] or int(step[2])
+        try:
+            content = content[key]  # type: ignore[index]
+        except (KeyError, IndexError, TypeError):
+            return "it "
+    if isinstance(content, dict | list):
+        return "it "
+    return f"`{msgspec.json.encode(content).decode()}` "
+
+
+def remedy_for(problem: str, shape: type, inner: str) -> str:
+    """Say what to write in the place of what was refused."""
+    _, refusal, example = problem.partition(" isn't ")
     if refusal:
-        return f"Write {wanted}"
-    if "missing required field" in problem:
-        return "Write that key; it has no default"
-    if problem.startswith("Expected"):
-        wanted = problem.removeprefix("Expected ").split(", got")[0]
-        return f"Write {wanted}"
-    return "Write one of the values that docs/SETTINGS.md lists"
+        return f"Write {example}"
+    current = type_at(shape, inner)
+    if isinstance(current, msgspec.inspect.EnumType):
+        return f"Write one of: {', '.join(str(one.value) for one in current.cls)}"
+    return "Write a value that docs/SETTINGS.md or docs/API.md allows"
 
 
-def known_fields(shape: type, place: str) -> tuple[str, ...]:
+def known_fields(shape: type, inner: str) -> tuple[str, ...]:
     """Return the keys that may stand at a place such as `$.http`."""
-    current = msgspec.inspect.type_info(shape)
-    for step in STEP.finditer(place):
-        current = inner_type(current, step[1])
+    current = type_at(shape, inner)
     if not isinstance(current, msgspec.inspect.StructType):
         return ()
     return tuple(field.encode_name for field in current.fields)
 
 
+def type_at(shape: type, inner: str) -> msgspec.inspect.Type | None:
+    """Return the type of a place such as `$.http`."""
+    current: msgspec.inspect.Type | None = msgspec.inspect.type_info(shape)
+    for step in STEP.finditer(inner):
+        current = inner_type(current, step[1])
+    return current
+
+
 def inner_type(
     current: msgspec.inspect.Type, key: str | None
 ) -> msgspec.inspect.Type | None:
