--- /dev/null
+++ b/src/tealcove/orders/tests/builders.py
@@ -0,0 +1,14 @@
+"""Test data of the orders slice."""
+
+from __future__ import annotations
+
+from tealcove.orders import lease
+from tealcove.platform import memory
+
+DURATION = 10.0
+MARGIN = 1.0
+
+
+def participant(platform: memory.MemoryPlatform, holder: str) -> lease.Lease:
+    """Return one side of the lease "pool" in the platform's table."""
+    return lease.Lease(platform.table, "pool", holder, DURATION, MARGIN)
--- a/src/tealcove/platform/client.py
+++ b/src/tealcove/platform/client.py
@@ -15,7 +15,9 @@
 
 CONTENT_TYPE = "application/msgpack"
 HTTP_OK = 200
-HTTP_NOT_FOUND = 404
+# The answer of a read that found nothing. It isn't 404, which a wrong address
+# gives too: an instance would take a platform it can't find for an empty one.
+HTTP_NO_CONTENT = 204
 HTTP_CONFLICT = 409
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_SERVER_ERROR = 500
@@ -66,7 +68,7 @@
         await self.session.close()
 
     async def read(self, path: str, params: dict[str, str]) -> Reply:
-        """Return the reply to a read: 200 or 404.
+        """Return the reply to a read: 200 or 204.
 
         Raises PlatformUnavailableError for everything else, since a read that
         failed in any way changed nothing and may be repeated.
@@ -75,7 +77,7 @@
             reply = await self.call("GET", path, params, None)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise unavailable(f"a read failed: {describe(error)}") from error
-        if reply.status not in (HTTP_OK, HTTP_NOT_FOUND):
+        if reply.status not in (HTTP_OK, HTTP_NO_CONTENT):
             raise unavailable(f"a read was answered by status {reply.status}")
         return reply
 
@@ -173,6 +175,10 @@
 
 
 def conflicts_of(reply: Reply) -> table.ConditionFailedError:
-    """Return the error that lists every conflict of a 409."""
-    found = decode_write(reply.content, tuple[table.Conflict, ...])
+    """Return the error that lists every conflict of a 409.
+
+    Raises PlatformUnavailableError if the list can't be understood, since a
+    refused transaction was certainly not applied.
+    """
+    found = decode_read(reply.content, tuple[table.Conflict, ...])
     return table.ConditionFailedError(found)
--- a/src/tealcove/platform/services.py
+++ b/src/tealcove/platform/services.py
@@ -58,7 +58,7 @@
 
 def decode_row(reply: client.Reply) -> table.Row | None:
     """Decode the reply to a read of one row."""
-    if reply.status == client.HTTP_NOT_FOUND:
+    if reply.status == client.HTTP_NO_CONTENT:
         return None
     return client.decode_read(reply.content, table.Row)
 
@@ -81,7 +81,7 @@
     async def get(self, name: str) -> bytes | None:
         """Return an object, or None; see the base class."""
         reply = await self.platform.read(OBJECT_PATH, {"name": name})
-        if reply.status == client.HTTP_NOT_FOUND:
+        if reply.status == client.HTTP_NO_CONTENT:
             return None
         return reply.content
 
--- a/src/tealcove/standins/platform.py
+++ b/src/tealcove/standins/platform.py
@@ -20,7 +20,6 @@
 
 GREATEST_BODY = 64 * 2**20
 JSON_TYPE = "application/json"
-NO_CONTENT = 204
 BAD_REQUEST = 400
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -101,11 +100,11 @@
         return packed(await self.memory.table.commit(transaction))
 
     async def read(self, request: web.Request) -> web.Response:
-        """Answer one row, or 404."""
+        """Answer one row, or 204."""
         query = request.query
         row = await self.memory.table.read(query["table"], query["key"])
         if row is None:
-            return web.Response(status=client.HTTP_NOT_FOUND)
+            return web.Response(status=client.HTTP_NO_CONTENT)
         return packed(row)
 
     async def scan(self, request: web.Request) -> web.Response:
@@ -129,10 +128,10 @@
         return web.Response()
 
     async def get_object(self, request: web.Request) -> web.Response:
-        """Answer an object, or 404."""
+        """Answer an object, or 204."""
         content = await self.memory.objects.get(request.query["name"])
         if content is None:
-            return web.Response(status=client.HTTP_NOT_FOUND)
+            return web.Response(status=client.HTTP_NO_CONTENT)
         return web.Response(body=content)
 
     async def list_instances(self, request: web.Request) -> web.Response:
@@ -150,7 +149,7 @@
         """Replace all faults by those of the JSON body."""
         body = await request.read()
         self.memory.faults = msgspec.json.decode(body, type=faults.Faults)
-        return web.Response(status=NO_CONTENT)
+        return web.Response(status=client.HTTP_NO_CONTENT)
 
     async def tell_counts(self, request: web.Request) -> web.Response:
         """Answer the numbers of reads and writes as JSON."""
@@ -164,12 +163,12 @@
         if entry.name != request.match_info["name"]:
             return web.Response(status=BAD_REQUEST, text="The names differ.")
         self.memory.instances.register(entry)
-        return web.Response(status=NO_CONTENT)
+        return web.Response(status=client.HTTP_NO_CONTENT)
 
     async def remove(self, request: web.Request) -> web.Response:
         """Remove an entry of the instance list."""
         self.memory.instances.remove(request.match_info["name"])
-        return web.Response(status=NO_CONTENT)
+        return web.Response(status=client.HTTP_NO_CONTENT)
 
 
 @web.middleware
