--- a/src/tealcove/commands/check.py
+++ b/src/tealcove/commands/check.py
@@ -8,8 +8,9 @@
 
 import cappa
 
-from tealcove import errors, resourcefiles, settings, settingsfile
+from tealcove import errors, plan, resourcefiles, settings, settingsfile
 from tealcove.commands import exits
+from tealcove.resources import copy
 
 RESOURCE_KEY = "kind"
 
@@ -18,8 +19,9 @@
     name="check",
     help="Check settings and resource files; changes nothing, asks no server.",
     description=(
-        "A folder is read as resources. A file is read as resources if it holds a "
-        "list or has the key `kind`, and as an instance's settings otherwise."
+        "A folder is read as resources, which must hold all that they name. A file "
+        "is read as resources if it holds a list or has the key `kind`, and as an "
+        "instance's settings otherwise."
     ),
 )
 @dataclasses.dataclass
@@ -46,8 +48,12 @@
 
 def check_path(path: str) -> str:
     """Return what was found at a path; raises errors.SettingsError."""
-    if pathlib.Path(path).is_dir() or holds_resources(settingsfile.parse(path)):
-        return f"{len(resourcefiles.read([path]))} resources, fine"
+    if pathlib.Path(path).is_dir():
+        declared = resourcefiles.read([path])
+        plan.check(copy.empty(), declared)
+        return f"{len(declared)} resources, fine together"
+    if holds_resources(settingsfile.parse(path)):
+        return f"{len(resourcefiles.read([path]))} resources, fine each for itself"
     return f"settings of {settings.load(path).instance}, fine"
 
 
--- /dev/null
+++ b/src/tealcove/plan.py
@@ -0,0 +1,82 @@
+"""The order in which resources are written, and a check of them all together."""
+
+from __future__ import annotations
+
+import typing
+
+from tealcove import errors, ids, resourcefiles
+from tealcove.resources import codec, copy, kinds, refusals, validation
+
+# A resource can only name others that exist, so these come first.
+ORDER = (
+    kinds.Kind.SERVICE_TIER,
+    kinds.Kind.MODEL,
+    kinds.Kind.ADAPTER,
+    kinds.Kind.ENGINE_POOL,
+    kinds.Kind.SERVICE_POOL,
+    kinds.Kind.CLIENT_ACCOUNT,
+    kinds.Kind.ROUTING_RULE,
+)
+NOBODY = "nobody"
+
+
+def in_order(
+    declared: typing.Iterable[resourcefiles.Declared],
+) -> list[resourcefiles.Declared]:
+    """Return resources so that each comes after those that it names."""
+    return sorted(declared, key=lambda one: (ORDER.index(one.kind), one.name))
+
+
+def built(resources: typing.Iterable[kinds.Resource]) -> copy.Configuration:
+    """Return a configuration that holds resources as they were read."""
+    return add_all(copy.empty(), resources)
+
+
+def add_all(
+    configuration: copy.Configuration, resources: typing.Iterable[kinds.Resource]
+) -> copy.Configuration:
+    """Return the configuration with resources written."""
+    changes = [
+        codec.Change(
+            revision=ids.Revision(configuration.revision + number),
+            kind=resource.kind,
+            name=resource.metadata.name,
+            changed_by=NOBODY,
+            nonce="",
+            resource=resource,
+        )
+        for number, resource in enumerate(resources, 1)
+    ]
+    return configuration.with_changes(changes)
+
+
+def check(
+    configuration: copy.Configuration,
+    declared: typing.Iterable[resourcefiles.Declared],
+) -> copy.Configuration:
+    """Check resources as the servers would, one after the other; writes nothing.
+
+    Returns the configuration that they lead to; raises errors.SettingsError.
+    """
+    for one in in_order(declared):
+        resource = as_resource(one)
+        try:
+            validation.check(configuration, resource)
+        except refusals.FieldError as refusal:
+            raise errors.SettingsError(
+                f"{one.path}: {one.kind.value} {one.name}: {refusal.problem}",
+                refusal.remedy,
+            ) from None
+        configuration = add_all(configuration, [resource])
+    return configuration
+
+
+def as_resource(declared: resourcefiles.Declared) -> kinds.Resource:
+    """Return a declared resource with metadata that only stand in."""
+    metadata = kinds.Metadata(
+        name=declared.name,
+        revision=copy.NOTHING,
+        generation=0,
+        changed_by=NOBODY,
+    )
+    return kinds.Resource(kind=declared.kind, metadata=metadata, spec=declared.spec)
