Share state, faults and shutdown among the backend stand-ins

Cause: engine and service held the same code twice, and a stand-in that ran alone lost its counts when it ended.

--- a/src/tealcove/standins/backend.py
+++ b/src/tealcove/standins/backend.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import abc
+import asyncio
+import signal
+import sys
 
 import msgspec
 from aiohttp import web
@@ -31,6 +34,16 @@
     state: backend_settings.BackendState | None = None
 
 
+class Announcement(msgspec.Struct, frozen=True):
+    """A line on standard output: what happened to a stand-in that runs alone."""
+
+    event: str
+    name: str
+    port: int
+    # Told at the end, when nobody can ask for them any more.
+    counts: object = None
+
+
 class BackendStandin(server.StandinServer, abc.ABC):
     """A backend server: its state, load report, faults and counts."""
 
@@ -136,3 +149,31 @@
         """Replace the faults."""
         await self.apply_faults(await server.decode_body(request, self.FAULTS))
         return server.json_response(self.faults)
+
+
+def announce(event: str, backend: BackendStandin, counts: object = None) -> None:
+    """Print one JSON line for whoever started the process."""
+    line = Announcement(event, backend.name, backend.port, counts)
+    sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+    sys.stdout.flush()
+
+
+async def serve_until_signal(backend: BackendStandin) -> None:
+    """Run a stand-in until SIGTERM or SIGINT, then let it finish what runs.
+
+    It goes on listening for a while: a request that was on its way when the
+    signal came would otherwise meet a closed port after it was written, and
+    its sender couldn't tell whether it ran.
+    """
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    await backend.start()
+    announce("listening", backend)
+    await told.wait()
+    backend.leave()
+    await asyncio.sleep(backend.settings.linger_seconds)
+    await backend.idle.wait()
+    await backend.stop()
+    announce("stopped", backend, backend.counts)
--- a/src/tealcove/standins/engine.py
+++ b/src/tealcove/standins/engine.py
@@ -126,6 +126,7 @@
         """
         while not self.batch.crashed:
             if not self.batch.kept:
+                self.sample_load(server.present())
                 self.wake.clear()
                 await self.wake.wait()
             step = self.batch.step_seconds()
@@ -207,6 +208,7 @@
             await response.prepare(request)
             await engine_stream.Stream(run, offset, spoiling, response).write()
             self.batch.deliver(run)
+            await response.write_eof()
         except engine_stream.CutError:
             if request.transport is not None:
                 request.transport.abort()
@@ -271,11 +273,10 @@
 
 def exit_process(engine: EngineStandin) -> None:
     """End the process at once, as an engine does that a prompt has crashed."""
-    server.announce(engine, "crashed")
+    backend.announce("crashed", engine, engine.counts)
     os._exit(CRASH_EXIT_CODE)
 
 
 async def serve(settings: EngineSettings) -> None:
     """Run one engine until SIGTERM, then finish what runs."""
-    engine = EngineStandin(settings, exit_process)
-    await server.serve_until_signal(engine, engine.leave, settings.linger_seconds)
+    await backend.serve_until_signal(EngineStandin(settings, exit_process))
--- a/src/tealcove/standins/engine_batch.py
+++ b/src/tealcove/standins/engine_batch.py
@@ -15,6 +15,9 @@
     engine_settings,
 )
 
+# Looking for runs to let go of at each step would cost more than the step.
+EXPIRY_SECONDS = 0.05
+
 
 class RunState(enum.Enum):
     """Where a run stands."""
@@ -96,6 +99,7 @@
         self.running: list[Run] = []
         # Runs by request id, kept until their time to resume is over.
         self.kept: dict[str, list[Run]] = {}
+        self.next_expiry = ids.Instant(0.0)
         # Set once a run started whose prompt kills the engine.
         self.crashed = False
 
@@ -175,6 +179,9 @@
 
     def expire(self, now: ids.Instant) -> None:
         """Let go of runs that nobody has read for the time to resume."""
+        if now < self.next_expiry:
+            return
+        self.next_expiry = ids.Instant(now + EXPIRY_SECONDS)
         oldest = now - self.settings.resume_seconds
         for run in self.runs():
             if run.unread_since is not None and run.unread_since <= oldest:
--- a/src/tealcove/standins/engine_stream.py
+++ b/src/tealcove/standins/engine_stream.py
@@ -138,10 +138,9 @@
         return content
 
     async def write_last(self) -> None:
-        """Write the last event and the end of the stream."""
+        """Write the last event and the mark of the end."""
         usage = Usage(
             self.run.prompt_tokens, self.run.cached_tokens, self.run.max_tokens
         )
         final = event(Final(self.id, self.run.max_tokens, "stop", usage))
         await self.response.write(final + self.held_back + DONE)
-        await self.response.write_eof()
--- a/src/tealcove/standins/server.py
+++ b/src/tealcove/standins/server.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
-import contextlib
-import signal
-import sys
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -24,14 +22,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-class Announcement(msgspec.Struct, frozen=True):
-    """A line on standard output: what happened to a stand-in that runs alone."""
-
-    event: str
-    name: str
-    port: int
-
-
 def present() -> ids.Instant:
     """Return the present time of the running event loop."""
     return ids.Instant(asyncio.get_running_loop().time())
@@ -51,7 +41,7 @@
         raise web.HTTPBadRequest(text=str(error)) from error
 
 
-class StandinServer:
+class StandinServer(abc.ABC):
     """A server on one port that can be embedded, several in one event loop."""
 
     def __init__(self, name: str, host: str, port: int) -> None:
@@ -70,9 +60,9 @@
         self.idle.set()
         self.refusing: asyncio.Task[None] | None = None
 
+    @abc.abstractmethod
     def add_routes(self, app: web.Application) -> None:
         """Add the stand-in's own routes."""
-        raise NotImplementedError
 
     async def start(self) -> None:
         """Listen; `port` tells where. Also starts a stand-in that died again."""
@@ -137,52 +127,17 @@
             self.thawed.set()
 
     async def refuse(self, seconds: float) -> None:
-        """Close the port for a time; connections that are open stay open."""
-        if seconds <= 0.0 or self.refusing is not None:
-            return
-        await self.site.stop()
-        self.refusing = asyncio.create_task(self.listen_again(seconds))
+        """Close the port for a time; 0 ends it. Open connections stay open."""
+        if self.refusing is not None:
+            self.refusing.cancel()
+            self.refusing = None
+            await self.listen()
+        if seconds > 0.0:
+            await self.site.stop()
+            self.refusing = asyncio.create_task(self.listen_again(seconds))
 
     async def listen_again(self, seconds: float) -> None:
         """Open the port again after a time."""
         await asyncio.sleep(seconds)
-        await self.listen()
         self.refusing = None
-
-
-def announce(server: StandinServer, event: str) -> None:
-    """Print one JSON line for whoever started the process."""
-    line = msgspec.json.encode(Announcement(event, server.name, server.port))
-    sys.stdout.write(line.decode() + "\n")
-    sys.stdout.flush()
-
-
-async def wait_for_signal() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    loop = asyncio.get_running_loop()
-    told = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
-    with contextlib.suppress(asyncio.CancelledError):
-        await told.wait()
-
-
-async def serve_until_signal(
-    server: StandinServer,
-    leave: Callable[[], None],
-    linger_seconds: float,
-) -> None:
-    """Run a stand-in until SIGTERM, then let it finish what runs.
-
-    It goes on listening for `linger_seconds`: a request that was on its way
-    when the signal came would otherwise meet a closed port after it was
-    written, and its sender couldn't tell whether it ran.
-    """
-    await server.start()
-    announce(server, "listening")
-    await wait_for_signal()
-    leave()
-    await asyncio.sleep(linger_seconds)
-    await server.idle.wait()
-    await server.stop()
-    announce(server, "stopped")
+        await self.listen()
--- a/src/tealcove/standins/service.py
+++ b/src/tealcove/standins/service.py
@@ -71,8 +71,8 @@
         super().__init__(settings, ServiceCounts())
         self.slots = asyncio.Semaphore(settings.slots)
         self.running = 0
-        # Calls that arrived and aren't answered, with those that wait.
-        self.unanswered = 0
+        # Calls that arrived and haven't ended, with those that wait.
+        self.calls: set[asyncio.Task[None]] = set()
 
     def add_routes(self, app: web.Application) -> None:
         """Add the calls of docs/BACKENDS.md."""
@@ -83,7 +83,7 @@
         """Return the load of now."""
         return backend_load.LoadReport(
             running=self.running,
-            waiting=self.unanswered - self.running,
+            waiting=len(self.calls) - self.running,
             slots=self.settings.slots,
             cached_blocks=0,
             cache_blocks=0,
@@ -98,22 +98,26 @@
         not send it a second time.
         """
         body = await request.read()
-        self.unanswered += 1
-        self.idle.clear()
-        try:
-            return await self.answer_whole(request, body)
-        finally:
-            self.unanswered -= 1
-            if self.unanswered == 0:
-                self.idle.set()
-
-    async def answer_whole(self, request: web.Request, body: bytes) -> web.Response:
-        """Count a call, run it and answer it."""
         call = self.count(request, body)
-        await asyncio.shield(asyncio.create_task(self.run(call)))
-        await self.thawed.wait()
+        task = asyncio.create_task(self.run(call))
+        self.calls.add(task)
+        self.idle.clear()
+        task.add_done_callback(self.end)
+        await asyncio.shield(task)
         return self.respond(request, call)
 
+    def end(self, task: asyncio.Task[None]) -> None:
+        """Note that a call ended."""
+        self.calls.discard(task)
+        if not self.calls:
+            self.idle.set()
+
+    async def stop(self) -> None:
+        """Close the port and all connections; calls that run are lost."""
+        for task in self.calls:
+            task.cancel()
+        await super().stop()
+
     def count(self, request: web.Request, body: bytes) -> Answer:
         """Count a call that arrived, and return its answer."""
         digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
@@ -131,10 +135,13 @@
         """Take a slot for as long as a call lasts."""
         async with self.slots:
             self.running += 1
-            self.sample_load(server.present())
-            seconds = self.settings.seconds_per_call / self.faults.speed_factor
-            await asyncio.sleep(seconds)
-            self.running -= 1
+            try:
+                self.sample_load(server.present())
+                seconds = self.settings.seconds_per_call / self.faults.speed_factor
+                await asyncio.sleep(seconds)
+                await self.thawed.wait()
+            finally:
+                self.running -= 1
         engine_counts.add(self.counts.completed, call.request_id)
         self.sample_load(server.present())
 
@@ -156,5 +163,4 @@
 
 async def serve(settings: ServiceSettings) -> None:
     """Run one service until SIGTERM, then finish what runs."""
-    service = ServiceStandin(settings)
-    await server.serve_until_signal(service, service.leave, settings.linger_seconds)
+    await backend.serve_until_signal(ServiceStandin(settings))
