Serve the resource API, follow the log, compact it, check references

Cause: operators and automation change resources over HTTP through any instance, and instances must come to the same revision without the platform. Change: routes under /admin/v1 with merge patch, dry run, If-Match, Idempotency-Key, pages and a watch that resumes; errors as problem+json with remedy and field. A reader polls the head, hears of revisions from peers and takes a peer's whole copy while the platform is down. Names and key hashes no longer match with a line feed at their end. Ruled out: a watch fed from the copy alone, since a copy that a peer gave holds no changes; it reads the table's log. A chosen compactor, which would need a lease.

--- a/src/tealcove/resources/accounts.py
+++ b/src/tealcove/resources/accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterator, Mapping
 
 import msgspec
@@ -64,21 +65,30 @@
 class AccountTable(Mapping[str, kinds.Resource]):
     """All client accounts by name and by key hash; never changed once built."""
 
-    def __init__(self, packed: dict[str, bytes], names: dict[bytes, str]) -> None:
+    def __init__(
+        self,
+        packed: dict[str, bytes],
+        names: dict[bytes, str],
+        counts_by_tier: Mapping[str, int],
+    ) -> None:
         self.packed = packed
         self.names = names
+        # Kept so that deleting an unused tier needn't unpack every account.
+        self.counts_by_tier = counts_by_tier
 
     @classmethod
     def from_packed(cls, contents: list[msgspec.Raw]) -> AccountTable:
         """Build a table from packed accounts, each read once."""
         packed = {}
         names = {}
+        counts: collections.Counter[str] = collections.Counter()
         for content in contents:
             account = DECODER.decode(content)
             packed[account.name] = bytes(content)
+            counts[account.tier] += 1
             for digest in account.key_hashes:
                 names[digest] = account.name
-        return cls(packed, names)
+        return cls(packed, names, counts)
 
     def __getitem__(self, name: str) -> kinds.Resource:
         return unpack(self.packed[name])
@@ -102,15 +112,21 @@
         """Return a table with some accounts written or (None) deleted."""
         packed = dict(self.packed)
         names = dict(self.names)
+        counts = collections.Counter(self.counts_by_tier)
+        # All old keys go before any new one comes: a key may have moved from one
+        # account to another.
         for name in changes:
             content = packed.pop(name, None)
             if content is not None:
-                for digest in DECODER.decode(content).key_hashes:
+                old = DECODER.decode(content)
+                counts[old.tier] -= 1
+                for digest in old.key_hashes:
                     names.pop(digest, None)
         for name, resource in changes.items():
             if resource is None:
                 continue
             packed[name] = pack(resource)
+            counts[resource.spec.tier] += 1
             for text in resource.spec.key_hashes:
                 names[bytes.fromhex(text)] = name
-        return AccountTable(packed, names)
+        return AccountTable(packed, names, counts)
--- /dev/null
+++ b/src/tealcove/resources/api.py
@@ -0,0 +1,204 @@
+"""The resource API over HTTP, under /admin/v1."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from tealcove import clock, errors, ids
+from tealcove.resources import (
+    copy,
+    decision,
+    documents,
+    edits,
+    headers,
+    kinds,
+    problems,
+    refusals,
+    status,
+    store,
+    watch,
+)
+
+PREFIX = "/admin/v1"
+MERGE_PATCH = ("application/merge-patch+json", "application/json")
+OPERATOR = web.RequestKey("operator", str)
+
+# Returns the operator's name, or raises refusals.UnauthorisedError.
+Authorise = Callable[[web.Request], str]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class ResourceApi:
+    """Handlers of the resource API; each instance has them all."""
+
+    def __init__(
+        self,
+        resources: store.ResourceStore,
+        own: copy.ConfigurationCopy,
+        authorise: Authorise,
+        source: status.StatusSource,
+        now: Callable[[], ids.Instant] = clock.now,
+    ) -> None:
+        self.store = resources
+        self.copy = own
+        self.authorise = authorise
+        self.status = source
+        self.now = now
+        self.ending = asyncio.Event()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes to mount in an application."""
+        one = PREFIX + "/{kind}/{name}"
+        return [
+            web.get(f"{PREFIX}/status", self.answering(self.show_status)),
+            web.get(PREFIX + "/{kind}", self.answering(self.list_or_watch)),
+            web.get(one, self.answering(self.get)),
+            web.put(one, self.answering(self.put)),
+            web.patch(one, self.answering(self.patch)),
+            web.delete(one, self.answering(self.delete)),
+        ]
+
+    def end_watches(self) -> None:
+        """End all watches, which resume at another instance; for a leaving one."""
+        self.ending.set()
+
+    def answering(self, handler: Handler) -> Handler:
+        """Return a handler that authorises and answers errors as problems."""
+
+        async def answer(request: web.Request) -> web.StreamResponse:
+            try:
+                request[OPERATOR] = self.authorise(request)
+                return await handler(request)
+            except web.HTTPRequestEntityTooLarge:
+                return problems.response(refusals.TooLargeError())
+            except errors.TealcoveError as error:
+                return problems.response(error)
+
+        return answer
+
+    async def show_status(self, request: web.Request) -> web.Response:
+        """Answer GET /admin/v1/status."""
+        revision = self.copy.revision
+        in_force = self.status.in_force(revision, self.now())
+        return json_response(documents.Overall(revision=revision, in_force=in_force))
+
+    async def list_or_watch(self, request: web.Request) -> web.StreamResponse:
+        """Answer GET /admin/v1/{kind}."""
+        kind = kind_of(request)
+        if headers.flag(request, "watch"):
+            return await self.watch(request, kind)
+        configuration = self.copy.current
+        names = configuration.names(kind)
+        start = bisect.bisect_right(names, request.query.get("after", ""))
+        end = start + headers.limit(request)
+        resources = (configuration.get(kind, name) for name in names[start:end])
+        page = documents.Page(
+            revision=configuration.revision,
+            items=tuple(self.document(resource) for resource in resources),
+            next=names[end - 1] if end < len(names) else None,
+        )
+        return json_response(page)
+
+    async def watch(self, request: web.Request, kind: kinds.Kind) -> web.StreamResponse:
+        """Stream changes after `revision`, by default after the one in force."""
+        revision = headers.number(request, "revision", self.copy.revision)
+        one = watch.Watch(
+            self.store.log, self.copy, kind, ids.Revision(revision), self.ending
+        )
+        return await one.run(request)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Answer GET /admin/v1/{kind}/{name}."""
+        kind, name = kind_of(request), request.match_info["name"]
+        resource = self.copy.current.get(kind, name)
+        if resource is None:
+            raise decision.not_found(kind, name)
+        return self.shown(resource)
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Answer PUT /admin/v1/{kind}/{name}."""
+        kind, name = kind_of(request), request.match_info["name"]
+        content = await request.read()
+        return await self.change(request, documents.read_put(content, kind, name))
+
+    async def patch(self, request: web.Request) -> web.Response:
+        """Answer PATCH /admin/v1/{kind}/{name}."""
+        if request.content_type not in MERGE_PATCH:
+            raise refusals.BadRequestError(
+                f"a patch of type {request.content_type} isn't taken",
+                f"Send a merge patch as {MERGE_PATCH[0]}.",
+            )
+        content = await request.read()
+        return await self.change(request, documents.read_patch(content))
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Answer DELETE /admin/v1/{kind}/{name}."""
+        return await self.change(request, edits.Delete())
+
+    async def change(self, request: web.Request, edit: edits.Edit) -> web.Response:
+        """Apply a change and answer with what it led to."""
+        asked = decision.ChangeRequest(
+            operator=request[OPERATOR],
+            kind=kind_of(request),
+            name=request.match_info["name"],
+            edit=edit,
+            if_match=headers.if_match(request),
+            must_be_new=headers.must_be_new(request),
+            idempotency_key=headers.idempotency_key(request),
+            dry_run=headers.flag(request, "dry_run"),
+        )
+        outcome = await self.store.change(asked)
+        if outcome.resource is None:
+            return json_response(
+                documents.Deleted(
+                    kind=asked.kind, name=asked.name, revision=outcome.revision
+                )
+            )
+        if asked.dry_run:
+            return json_response(documents.document(outcome.resource, None))
+        return self.shown(outcome.resource, 201 if outcome.created else 200)
+
+    def document(self, resource: kinds.Resource) -> documents.Document:
+        """Return a resource with its present status."""
+        shown_status = documents.status_of(resource, self.status, self.now())
+        return documents.document(resource, shown_status)
+
+    def shown(self, resource: kinds.Resource, code: int = 200) -> web.Response:
+        """Return the response that shows a resource."""
+        response = json_response(self.document(resource), code)
+        response.headers["ETag"] = f'"{resource.metadata.revision}"'
+        return response
+
+
+def routes(
+    resources: store.ResourceStore,
+    own: copy.ConfigurationCopy,
+    authorise: Authorise,
+    source: status.StatusSource,
+) -> list[web.RouteDef]:
+    """Return the routes of a resource API whose watches nobody needs to end."""
+    return ResourceApi(resources, own, authorise, source).routes()
+
+
+def kind_of(request: web.Request) -> kinds.Kind:
+    """Return the kind in the path; raises NotFoundError."""
+    text = request.match_info["kind"]
+    try:
+        return kinds.Kind(text)
+    except ValueError as error:
+        known = ", ".join(kind.value for kind in kinds.Kind)
+        raise refusals.NotFoundError(
+            f"there is no kind {text}", f"Use one of {known}."
+        ) from error
+
+
+def json_response(body: msgspec.Struct, code: int = 200) -> web.Response:
+    """Return a response with a JSON body."""
+    return web.Response(
+        status=code, body=msgspec.json.encode(body), content_type="application/json"
+    )
--- a/src/tealcove/resources/codec.py
+++ b/src/tealcove/resources/codec.py
@@ -58,7 +58,7 @@
     named = FIELD_NAME.search(problem)
     if named is not None:
         path = f"{path}.{named.group(1)}"
-    return refusals.InvalidFieldError(problem, FIELD_REMEDY, path)
+    return refusals.InvalidFieldError(problem, FIELD_REMEDY, path.lstrip("."))
 
 
 def decode_spec(kind: kinds.Kind, document: bytes | msgspec.Raw) -> kinds.Spec:
--- /dev/null
+++ b/src/tealcove/resources/compaction.py
@@ -0,0 +1,127 @@
+"""Compaction of the change log into snapshots in the object store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+import msgspec
+
+from tealcove import errors, ids
+from tealcove.platform import table
+from tealcove.resources import codec, copy, log, snapshots
+
+LOG = logbook.Logger(__name__)
+
+# Rows deleted in one transaction.
+DELETED_AT_ONCE = 100
+# Attempts to name a new snapshot in the head, each lost to a change.
+ATTEMPTS = 10
+
+
+class CompactionSettings(msgspec.Struct, frozen=True):
+    """When the log is compacted, in changes."""
+
+    # A new snapshot is made so many changes after the one before.
+    every: int = 500
+    # So many changes before the snapshot are kept one by one, for those who watch
+    # and for repeats with an Idempotency-Key; at least 1.
+    retained: int = 1000
+
+
+class Compactor:
+    """Compacts the log now and then; it may run on several instances at once.
+
+    Any step may be left out or done twice: the snapshot is put before the head
+    names it, the head names it before changes go, and what a compactor that
+    died left behind, the next one deletes. Only a snapshot that was put but
+    never named may stay in the object store; it is never read.
+    """
+
+    def __init__(
+        self,
+        changes: log.ConfigurationLog,
+        own: copy.ConfigurationCopy,
+        settings: CompactionSettings | None = None,
+    ) -> None:
+        self.log = changes
+        self.copy = own
+        self.settings = settings or CompactionSettings()
+        self.due = asyncio.Event()
+
+    def written(self, revision: ids.Revision) -> None:
+        """Note a change by this instance; each so-and-so-many-th one is a cause.
+
+        So no one has to be chosen to compact, and mostly one instance does it.
+        """
+        if revision % self.settings.every == 0:
+            self.due.set()
+
+    async def run(self) -> None:
+        """Compact whenever it is due, until cancelled."""
+        while True:
+            await self.due.wait()
+            self.due.clear()
+            try:
+                await self.compact()
+            except errors.TealcoveError as error:
+                LOG.warning("The log wasn't compacted, the next time will: {}", error)
+
+    async def compact(self) -> None:
+        """Make a snapshot of the copy, name it, and delete old changes.
+
+        Raises PlatformError; what was done so far does no harm.
+        """
+        configuration = self.copy.current
+        head_row = await self.log.read_head()
+        previous = head_row.head.snapshot
+        if configuration.revision > previous:
+            content = await asyncio.to_thread(snapshots.encode, configuration)
+            name = log.snapshot_name(configuration.revision)
+            await self.log.store.put(name, content)
+            await self.publish(configuration.revision)
+            await self.drop_snapshot(previous)
+        await self.drop_changes()
+
+    async def publish(self, revision: ids.Revision) -> None:
+        """Name a snapshot in the head, unless a newer one is named there."""
+        for _ in range(ATTEMPTS):
+            head_row = await self.log.read_head()
+            if head_row.head.snapshot >= revision:
+                return
+            floor = max(head_row.head.floor, revision - self.settings.retained)
+            head = msgspec.structs.replace(
+                head_row.head, snapshot=revision, floor=ids.Revision(floor)
+            )
+            write = table.Put(log.HEADS, log.HEAD_KEY, codec.encode(head))
+            transaction = table.Transaction((head_row.unchanged,), (write,))
+            try:
+                await self.log.rows.commit(transaction)
+            except (table.ConditionFailedError, errors.OutcomeUnknownError):
+                continue
+            return
+        raise errors.PlatformError(
+            f"the head changed {ATTEMPTS} times before it named a snapshot",
+            "Nothing: the next compaction will name one.",
+        )
+
+    async def drop_snapshot(self, revision: ids.Revision) -> None:
+        """Delete a snapshot that the head no longer names."""
+        head = (await self.log.read_head()).head
+        if revision not in (copy.NOTHING, head.snapshot):
+            await self.log.store.delete(log.snapshot_name(revision))
+
+    async def drop_changes(self) -> None:
+        """Delete the changes up to the floor, and their rows for repeats."""
+        head = (await self.log.read_head()).head
+        while True:
+            rows = await self.log.rows.scan(log.CHANGES, "", DELETED_AT_ONCE)
+            old = [row for row in rows if row.key <= log.change_key(head.floor)]
+            if not old:
+                return
+            deletes = [table.Delete(log.CHANGES, row.key) for row in old]
+            for row in old:
+                repeat = codec.decode_change(row.value).idempotency_row
+                if repeat:
+                    deletes.append(table.Delete(log.IDEMPOTENCY, repeat))
+            await self.log.rows.commit(table.Transaction((), tuple(deletes)))
--- a/src/tealcove/resources/copy.py
+++ b/src/tealcove/resources/copy.py
@@ -107,7 +107,7 @@
     resources: dict[kinds.Kind, Mapping[str, kinds.Resource]] = {}
     for kind in kinds.Kind:
         resources[kind] = {}
-    resources[kinds.Kind.CLIENT_ACCOUNT] = accounts.AccountTable({}, {})
+    resources[kinds.Kind.CLIENT_ACCOUNT] = accounts.AccountTable({}, {}, {})
     return Configuration(NOTHING, resources)
 
 
--- a/src/tealcove/resources/decision.py
+++ b/src/tealcove/resources/decision.py
@@ -17,6 +17,8 @@
     edit: edits.Edit
     # The resource's revision that the change is based on; None: it must not exist.
     if_match: ids.Revision | None = None
+    # Whether the caller said so by If-None-Match: *, and not by leaving If-Match out.
+    must_be_new: bool = False
     idempotency_key: ids.IdempotencyKey | None = None
     dry_run: bool = False
 
@@ -44,16 +46,17 @@
             raise not_found(request.kind, request.name)
         return
     metadata = current.metadata
-    if request.if_match is None:
+    if request.if_match is None and not request.must_be_new:
         raise refusals.PreconditionRequiredError(
             f"{target} exists at revision {metadata.revision}, changed by "
             f"{metadata.changed_by}",
             f'Read it, then repeat with If-Match: "{metadata.revision}".',
         )
     if request.if_match != metadata.revision:
+        wanted = "new" if request.if_match is None else f"at {request.if_match}"
         raise refusals.RevisionConflictError(
             f"{target} is at revision {metadata.revision}, changed by "
-            f"{metadata.changed_by}, not at {request.if_match}",
+            f"{metadata.changed_by}, not {wanted}",
             f'Read it again, then repeat with If-Match: "{metadata.revision}".',
             metadata.revision,
             metadata.changed_by,
--- /dev/null
+++ b/src/tealcove/resources/documents.py
@@ -0,0 +1,135 @@
+"""The bodies of the resource API's requests and responses."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from tealcove import ids
+from tealcove.resources import codec, edits, kinds, refusals, status
+
+
+class ResourceStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a resource's last change is in force."""
+
+    generation: int
+    revision: ids.Revision
+    in_force: status.InForce
+
+
+class Document(msgspec.Struct, frozen=True, kw_only=True):
+    """A resource as the API shows it."""
+
+    kind: kinds.Kind
+    metadata: kinds.Metadata
+    spec: kinds.Spec
+    # None: a dry run, which is in force nowhere.
+    status: ResourceStatus | None
+
+
+class Page(msgspec.Struct, frozen=True, kw_only=True):
+    """A part of a list; `next` is what to pass as `after`, None at the end."""
+
+    # The revision of this part; watching from that of the first part misses nothing.
+    revision: ids.Revision
+    items: tuple[Document, ...]
+    next: str | None
+
+
+class Deleted(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a deletion."""
+
+    kind: kinds.Kind
+    name: str
+    revision: ids.Revision
+    deleted: bool = True
+
+
+class Overall(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to GET /admin/v1/status."""
+
+    revision: ids.Revision
+    in_force: status.InForce
+
+
+class WrittenMetadata(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Metadata in a body; all but the name is the system's and not looked at."""
+
+    name: str | None = None
+    revision: int | None = None
+    generation: int | None = None
+    changed_by: str | None = None
+
+
+class Written(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The body of a PUT: a resource as GET shows it, or only its spec."""
+
+    spec: msgspec.Raw
+    kind: kinds.Kind | None = None
+    metadata: WrittenMetadata | None = None
+    status: msgspec.Raw | None = None
+
+
+class Patch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a PATCH; only the spec can be changed."""
+
+    spec: dict[str, Any]
+
+
+def document(resource: kinds.Resource, shown_status: ResourceStatus | None) -> Document:
+    """Return a resource with its status."""
+    return Document(
+        kind=resource.kind,
+        metadata=resource.metadata,
+        spec=resource.spec,
+        status=shown_status,
+    )
+
+
+def status_of(
+    resource: kinds.Resource, source: status.StatusSource, now: ids.Instant
+) -> ResourceStatus:
+    """Return where a resource's last change is in force."""
+    metadata = resource.metadata
+    return ResourceStatus(
+        generation=metadata.generation,
+        revision=metadata.revision,
+        in_force=source.in_force(metadata.revision, now),
+    )
+
+
+def decode(content: bytes, shape: type[Any]) -> Any:
+    """Decode a body; raises BadRequestError, InvalidFieldError."""
+    try:
+        return msgspec.json.decode(content, type=shape)
+    except msgspec.ValidationError as error:
+        raise codec.field_error(error, "") from error
+    except msgspec.DecodeError as error:
+        raise refusals.BadRequestError(
+            f"the body isn't JSON: {error}", "Send the resource as JSON."
+        ) from error
+
+
+def read_put(content: bytes, kind: kinds.Kind, name: str) -> edits.Put:
+    """Read the body of a PUT to a resource; raises ResourceError."""
+    written = decode(content, Written)
+    if written.kind not in (None, kind):
+        raise mismatch("kind", written.kind.value, kind.value)
+    if written.metadata is not None and written.metadata.name not in (None, name):
+        raise mismatch("metadata.name", written.metadata.name, name)
+    return edits.Put(codec.decode_spec(kind, written.spec))
+
+
+def read_patch(content: bytes) -> edits.MergePatch:
+    """Read the body of a PATCH; raises ResourceError."""
+    return edits.MergePatch(decode(content, Patch).spec)
+
+
+def mismatch(field: str, written: str, wanted: str) -> refusals.InvalidFieldError:
+    """Return the error for a body that isn't of the resource in the path."""
+    return refusals.InvalidFieldError(
+        f"is {written}, but the path says {wanted}",
+        "Send the resource to its own path, or leave the field out.",
+        field,
+    )
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -9,11 +9,11 @@
 
 from tealcove import ids
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, lt=1)]
-KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
 # Servers of one pool that one dispatcher's queue serves at the most.
 CELL_SERVERS = 16
--- /dev/null
+++ b/src/tealcove/resources/reader.py
@@ -0,0 +1,149 @@
+"""Keeps an instance's copy at the highest revision that it hears of."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from tealcove import clock, errors, ids
+from tealcove.resources import copy, log, snapshots
+
+LOG = logbook.Logger(__name__)
+
+
+class PeerSource(abc.ABC):
+    """Other instances, as a source of the configuration."""
+
+    @abc.abstractmethod
+    async def fetch(self, revision: ids.Revision) -> bytes:
+        """Return a peer's `snapshots.encode(copy.current)`; raises PeerError.
+
+        The peer's revision should be `revision` or higher; a lower one is of use
+        only if it's higher than this instance's own.
+        """
+
+
+class ReaderSettings(msgspec.Struct, frozen=True):
+    """How a copy is kept up to date, in seconds."""
+
+    # Between two reads of the head.
+    poll_interval: float = 1.0
+    # Between two reads of the head where others are designated to read it.
+    relaxed_interval: float = 10.0
+    # With the platform out of reach since the start, time given to all peers to
+    # tell their revisions before the highest is taken for the highest there is.
+    settle: float = 1.0
+    # Without platform and peers for so long, an instance counts as isolated.
+    isolated_after: float = 30.0
+
+
+class ConfigurationReader:
+    """Moves the copy along the log, or to a peer's copy while the platform is down."""
+
+    def __init__(
+        self,
+        changes: log.ConfigurationLog,
+        own: copy.ConfigurationCopy,
+        peers: PeerSource,
+        now: ids.Instant,
+        settings: ReaderSettings | None = None,
+    ) -> None:
+        self.log = changes
+        self.copy = own
+        self.peers = peers
+        self.settings = settings or ReaderSettings()
+        # Whether this instance reads the head often; the caller may clear it where
+        # others read it and tell the revision by heartbeat.
+        self.designated = True
+        self.highest = copy.NOTHING
+        self.platform_reached: ids.Instant | None = None
+        self.first_heard: ids.Instant | None = None
+        self.last_contact = now
+        self.news = asyncio.Event()
+
+    def heard(self, revision: ids.Revision, peer: str, now: ids.Instant) -> None:
+        """Note the revision that is in force at a peer."""
+        self.last_contact = now
+        if self.first_heard is None:
+            self.first_heard = now
+        if revision > self.highest:
+            LOG.debug("Peer {} is at revision {}", peer, revision)
+            self.highest = revision
+            if revision > self.copy.revision:
+                self.news.set()
+
+    def ready(self, now: ids.Instant) -> bool:
+        """Tell whether the copy is at the highest revision heard of.
+
+        Meant for the start of an instance. Until the platform was reached once,
+        it waits a while for all peers: one that is behind may be heard first.
+        """
+        if self.copy.revision < self.highest:
+            return False
+        if self.platform_reached is not None:
+            return True
+        if self.first_heard is None:
+            return False
+        return now - self.first_heard >= self.settings.settle
+
+    def isolated(self, now: ids.Instant) -> bool:
+        """Tell whether neither platform nor peers were reached for too long."""
+        return now - self.last_contact > self.settings.isolated_after
+
+    async def run(self, now: Callable[[], ids.Instant] = clock.now) -> None:
+        """Follow the log until cancelled."""
+        while True:
+            self.news.clear()
+            await self.poll(now())
+            await self.wait()
+
+    async def wait(self) -> None:
+        """Wait for the next poll, which news of a higher revision brings forward."""
+        settings = self.settings
+        interval = settings.poll_interval
+        if not self.designated and self.platform_reached is not None:
+            interval = settings.relaxed_interval
+        try:
+            await asyncio.wait_for(self.news.wait(), interval)
+        except TimeoutError:
+            return
+
+    async def poll(self, now: ids.Instant) -> None:
+        """Catch up once, by the platform or else by a peer; logs what fails."""
+        try:
+            await self.follow_platform(now)
+            return
+        except errors.TealcoveError as error:
+            LOG.warning("The configuration can't be read: {}", error)
+        try:
+            await self.follow_peer()
+        except errors.TealcoveError as error:
+            LOG.warning("No peer gave its configuration: {}", error)
+
+    async def follow_platform(self, now: ids.Instant) -> None:
+        """Move the copy to the head; raises PlatformError, ResourceError."""
+        head = (await self.log.read_head()).head
+        self.last_contact = max(self.last_contact, now)
+        self.highest = max(self.highest, head.revision)
+        await self.log.advance(self.copy, head)
+        self.platform_reached = now
+        if self.copy.revision > head.revision:
+            head = (await self.log.read_head()).head
+        if self.copy.revision > head.revision:
+            LOG.error(
+                "The platform's head {} is older than revision {} in force here: the "
+                "table was put back to an older state. Restore the newer one.",
+                head.revision,
+                self.copy.revision,
+            )
+
+    async def follow_peer(self) -> None:
+        """Move the copy to a peer's; raises PeerError, ResourceError."""
+        if self.highest <= self.copy.revision:
+            return
+        content = await self.peers.fetch(self.highest)
+        self.copy.move(await asyncio.to_thread(snapshots.decode, content))
--- /dev/null
+++ b/src/tealcove/resources/references.py
@@ -0,0 +1,45 @@
+"""Which fields of a resource name other resources."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from tealcove.resources import kinds
+
+POOLS = (kinds.Kind.ENGINE_POOL, kinds.Kind.SERVICE_POOL)
+# A caller names an adapter where it would name a model.
+MODELS = (kinds.Kind.MODEL, kinds.Kind.ADAPTER)
+
+
+class Reference(msgspec.Struct, frozen=True):
+    """A field that names a resource of one of some kinds."""
+
+    field: str
+    kinds: tuple[kinds.Kind, ...]
+    name: str
+
+
+def each(
+    field: str, wanted: tuple[kinds.Kind, ...], names: tuple[str, ...]
+) -> Iterator[Reference]:
+    """Yield a reference for each name in a list."""
+    for number, name in enumerate(names):
+        yield Reference(f"{field}[{number}]", wanted, name)
+
+
+def references(resource: kinds.Resource) -> Iterator[Reference]:
+    """Yield each reference that a resource makes."""
+    spec = resource.spec
+    if isinstance(spec, kinds.ClientAccountSpec):
+        yield Reference("spec.tier", (kinds.Kind.SERVICE_TIER,), spec.tier)
+    elif isinstance(spec, kinds.EnginePoolSpec):
+        yield from each("spec.models", (kinds.Kind.MODEL,), spec.models)
+        yield from each("spec.adapters", (kinds.Kind.ADAPTER,), spec.adapters)
+    elif isinstance(spec, kinds.AdapterSpec):
+        yield Reference("spec.model", (kinds.Kind.MODEL,), spec.model)
+    elif isinstance(spec, kinds.RoutingRuleSpec):
+        yield Reference("spec.pool", POOLS, spec.pool)
+        yield from each("spec.models", MODELS, spec.models)
+        yield from each("spec.accounts", (kinds.Kind.CLIENT_ACCOUNT,), spec.accounts)
--- a/src/tealcove/resources/refusals.py
+++ b/src/tealcove/resources/refusals.py
@@ -65,3 +65,17 @@
 
 class UnauthorisedError(errors.ResourceError):
     """A request without the key of a declared operator."""
+
+
+class BadRequestError(errors.ResourceError):
+    """A header, query or body that isn't what the API takes."""
+
+
+class TooLargeError(errors.ResourceError):
+    """A body beyond the limit of this instance."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "the body is larger than this instance takes",
+            "Send a smaller resource, or raise the limit in the settings.",
+        )
--- a/src/tealcove/resources/store.py
+++ b/src/tealcove/resources/store.py
@@ -11,7 +11,7 @@
 
 from tealcove import errors, ids
 from tealcove.platform import objects, table
-from tealcove.resources import codec, copy, decision, log, refusals
+from tealcove.resources import codec, compaction, copy, decision, log, refusals
 
 NONCE_BYTES = 12
 # Attempts of one change, each lost to another writer or of unknown outcome.
@@ -34,6 +34,7 @@
     """One transaction and what it leads to if it is applied."""
 
     transaction: table.Transaction
+    change: codec.Change
     outcome: decision.Outcome
 
 
@@ -66,10 +67,12 @@
         rows: table.TableService,
         store: objects.ObjectStore,
         own: copy.ConfigurationCopy,
+        compaction_settings: compaction.CompactionSettings | None = None,
     ) -> None:
         self.rows = rows
         self.copy = own
         self.log = log.ConfigurationLog(rows, store)
+        self.compactor = compaction.Compactor(self.log, own, compaction_settings)
         # Changes through one instance go one by one: they would only make each
         # other's transactions fail on the head.
         self.writing = asyncio.Lock()
@@ -84,6 +87,13 @@
         async with self.writing:
             return await Writing(self, request).run()
 
+    def applied(self, change: codec.Change) -> None:
+        """Put an own change in force here at once, so that its caller can read it."""
+        configuration = self.copy.current
+        if configuration.revision + 1 == change.revision:
+            self.copy.move(configuration.with_changes([change]))
+        self.compactor.written(change.revision)
+
 
 class Writing:
     """One change on its way, over all its attempts."""
@@ -212,7 +222,7 @@
             conditions.append(table.Absent(log.IDEMPOTENCY, self.row))
             writes.append(self.record(outcome))
         transaction = table.Transaction(tuple(conditions), tuple(writes))
-        return Attempt(transaction, outcome)
+        return Attempt(transaction, change, outcome)
 
     def record(self, outcome: decision.Outcome) -> table.Put:
         """Return the write by which a repeat will get the same answer."""
@@ -236,6 +246,7 @@
             self.doubt = Doubt(attempt.outcome, error)
             return None
         self.doubt = None
+        self.store.applied(attempt.change)
         return attempt.outcome
 
 
--- a/src/tealcove/resources/tests/builders.py
+++ b/src/tealcove/resources/tests/builders.py
@@ -56,6 +56,19 @@
     return Instance(YieldingTable(platform.table), platform.objects)
 
 
+def die_after_next_write(platform: memory.MemoryPlatform) -> None:
+    """Make the platform lose the next write's reply and go down at once."""
+    confirm = platform.gate.confirm_write
+
+    def confirm_and_die() -> None:
+        platform.gate.confirm_write = confirm
+        platform.faults.down = True
+        confirm()
+
+    platform.faults.lose_replies = 1
+    platform.gate.confirm_write = confirm_and_die
+
+
 def tier(rank: int = 1) -> kinds.ServiceTierSpec:
     """Return the spec of a service tier."""
     return kinds.ServiceTierSpec(rank=rank)
--- a/src/tealcove/resources/tests/test_store.py
+++ b/src/tealcove/resources/tests/test_store.py
@@ -111,18 +111,10 @@
     Cause: taking "unavailable now" for "not applied then".
     """
     own = builders.instance(platform)
-    platform.faults.lose_replies = 1
-    confirm = platform.gate.confirm_write
-
-    def confirm_and_die() -> None:
-        platform.faults.down = True
-        confirm()
-
-    platform.gate.confirm_write = confirm_and_die
+    builders.die_after_next_write(platform)
     request = builders.put(TIER, "gold", builders.tier(1), key="k1")
     with pytest.raises(errors.OutcomeUnknownError):
         await own.store.change(request)
-    platform.gate.confirm_write = confirm
     platform.faults.down = False
     assert (await own.store.change(request)).revision == 1
     assert (await own.catch_up()).revision == 1
