Serve a request end to end through separate processes

Change: mesh of ZeroMQ sockets, heartbeats and ranking, dispatcher role with one queue per cell, tickets and grants, the entry's HTTP side, engines over HTTP, and the daemon that puts them together; a small deployment of processes for tests. Ruled out: reused connections to engines (a reused connection that closes leaves open whether the request was dispatched), so each has its own.

--- /dev/null
+++ b/src/tealcove/backends/engine.py
@@ -0,0 +1,130 @@
+"""What the system asks of a model engine, as an abstract base class."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+
+from tealcove import errors, ids
+
+
+class NotDispatchedError(errors.BackendError):
+    """No byte of the request was written to any backend server."""
+
+
+class BrokenStreamError(errors.BackendError):
+    """The answer ended early; the backend server may still be working on it."""
+
+
+class WrongAnswerError(errors.BackendError):
+    """The answer belongs to another request; nothing of it may be passed on."""
+
+
+class RefusedCallError(errors.BackendError):
+    """The backend server answered that it can't carry out the call."""
+
+
+class Server(msgspec.Struct, frozen=True):
+    """A backend server's name and address."""
+
+    name: ids.BackendServerId
+    host: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{self.host}:{self.port}"
+
+
+class Completion(msgspec.Struct, frozen=True):
+    """A request to generate text; `max_tokens` counts output tokens."""
+
+    request_id: ids.RequestId
+    model: str
+    adapter: str | None
+    prompt: str
+    max_tokens: int
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Tokens that a completed request used."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """Tokens `index` to `index + count` of an answer; the last has `finish`."""
+
+    index: int
+    text: str = ""
+    count: int = 1
+    finish: str | None = None
+    usage: Usage | None = None
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What an engine said of itself some time ago."""
+
+    running: int
+    waiting: int
+    slots: int
+    state: str = "serving"
+    cached_blocks: int = 0
+    cache_blocks: int = 0
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A change of an engine's prefix cache."""
+
+    sequence: int
+    kind: str
+    blocks: tuple[int, ...]
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Events after a sequence number; some numbers never appear."""
+
+    events: tuple[CacheEvent, ...]
+    last: int
+
+
+class EngineClient(abc.ABC):
+    """Calls to model engines."""
+
+    @abc.abstractmethod
+    def generate(
+        self, server: Server, call: Completion, dispatched: Callable[[], None]
+    ) -> AsyncIterator[Chunk]:
+        """Dispatch a request and yield its answer as it comes.
+
+        Calls `dispatched` once the server is connected, before the first byte is
+        written. Raises NotDispatchedError (only if it wasn't called),
+        BrokenStreamError, WrongAnswerError or RefusedCallError.
+        """
+
+    @abc.abstractmethod
+    def resume(
+        self, server: Server, request_id: ids.RequestId, offset: int
+    ) -> AsyncIterator[Chunk]:
+        """Yield the rest of an answer from a token on; errors as `generate`."""
+
+    @abc.abstractmethod
+    async def cancel(self, server: Server, request_id: ids.RequestId) -> None:
+        """Stop a request; raises BackendError when the engine can't be reached."""
+
+    @abc.abstractmethod
+    async def load(self, server: Server) -> LoadReport:
+        """Return the engine's lagging load report; raises BackendError."""
+
+    @abc.abstractmethod
+    async def state(self, server: Server) -> str:
+        """Return "serving" or "leaving", of now; raises BackendError."""
+
+    @abc.abstractmethod
+    async def cache_events(self, server: Server, after: int) -> CacheEvents:
+        """Return what changed in the cache; raises BackendError."""
--- /dev/null
+++ b/src/tealcove/backends/http_engine.py
@@ -0,0 +1,267 @@
+"""Model engines over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from collections.abc import AsyncIterator, Callable
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from tealcove import errors, ids, telemetry
+from tealcove.backends import engine
+
+REQUEST_ID_HEADER = "X-Request-Id"
+CONNECT_TIMEOUT = 2.0
+# An engine that sends nothing for this long while it generates counts as gone.
+SILENCE_TIMEOUT = 30.0
+CONTROL_TIMEOUT = 2.0
+DATA_PREFIX = b"data:"
+END = b"[DONE]"
+LARGEST_LINE = 1 << 20
+
+T = TypeVar("T")
+
+
+class Event(msgspec.Struct):
+    """An event of an engine's stream, as it stands on the wire."""
+
+    id: str
+    index: int
+    text: str = ""
+    count: int = 1
+    finish: str | None = None
+    usage: engine.Usage | None = None
+
+
+class CompletionBody(msgspec.Struct, omit_defaults=True):
+    """The body of a request to an engine, as it stands on the wire."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    adapter: str | None = None
+    stream: bool = True
+
+
+class Health(msgspec.Struct):
+    """The body of an engine's answer about its health."""
+
+    state: str
+
+
+class HttpEngineClient(engine.EngineClient):
+    """One session to all engines; each request has a connection of its own."""
+
+    def __init__(self) -> None:
+        self.session: aiohttp.ClientSession | None = None
+        self.event_decoder = msgspec.json.Decoder(Event)
+
+    async def start(self) -> None:
+        """Open the session."""
+        # A connection is never used again. Reuse after a cancelled or unread
+        # answer is how one caller gets another's answer, and a reused connection
+        # that the server closes meanwhile makes it unclear whether the request
+        # was dispatched.
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT, sock_read=SILENCE_TIMEOUT
+        )
+        tracing = aiohttp.TraceConfig()
+        tracing.on_connection_create_end.append(tell_dispatched)
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            read_bufsize=LARGEST_LINE,
+            trace_configs=[tracing],
+        )
+
+    async def stop(self) -> None:
+        """Close the session."""
+        await self.session.close()
+
+    async def generate(
+        self,
+        server: engine.Server,
+        call: engine.Completion,
+        dispatched: Callable[[], None],
+    ) -> AsyncIterator[engine.Chunk]:
+        """See EngineClient."""
+        body = CompletionBody(
+            model=call.model,
+            prompt=call.prompt,
+            max_tokens=call.max_tokens,
+            adapter=call.adapter,
+        )
+        request = self.session.post(
+            f"{server.url}/v1/completions",
+            data=msgspec.json.encode(body),
+            headers=request_headers(call.request_id),
+            trace_request_ctx=dispatched,
+        )
+        async for chunk in self.read(server, call.request_id, request):
+            yield chunk
+
+    async def resume(
+        self, server: engine.Server, request_id: ids.RequestId, offset: int
+    ) -> AsyncIterator[engine.Chunk]:
+        """See EngineClient."""
+        request = self.session.get(
+            f"{server.url}/v1/completions/{request_id}",
+            params={"offset": str(offset)},
+            headers=request_headers(request_id),
+        )
+        async for chunk in self.read(server, request_id, request):
+            yield chunk
+
+    async def read(
+        self,
+        server: engine.Server,
+        request_id: ids.RequestId,
+        request: aiohttp.client._RequestContextManager,
+    ) -> AsyncIterator[engine.Chunk]:
+        """Yield the chunks of one HTTP answer, and map its failures."""
+        try:
+            async with request as response:
+                await self.check_head(server, request_id, response)
+                async for chunk in self.read_events(server, request_id, response):
+                    yield chunk
+        except aiohttp.ClientConnectorError as error:
+            raise engine.NotDispatchedError(
+                f"{server.name} can't be reached: {error}",
+                "Nothing was sent to it; see whether the process runs.",
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise engine.BrokenStreamError(
+                f"The answer of {server.name} broke off: {error!r}",
+                "Resume it from the next token on.",
+            ) from error
+
+    async def check_head(
+        self,
+        server: engine.Server,
+        request_id: ids.RequestId,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Check status and echoed id before any byte of the body counts."""
+        if response.status != 200:
+            text = (await response.text())[:200]
+            raise engine.RefusedCallError(
+                f"{server.name} answered {response.status}: {text}",
+                "See whether the pool's engines have the model.",
+            )
+        if response.headers.get(REQUEST_ID_HEADER) != request_id:
+            raise wrong_answer(server, request_id)
+
+    async def read_events(
+        self,
+        server: engine.Server,
+        request_id: ids.RequestId,
+        response: aiohttp.ClientResponse,
+    ) -> AsyncIterator[engine.Chunk]:
+        """Yield a chunk for each event; each names the request it's of."""
+        async for line in response.content:
+            if not line.startswith(DATA_PREFIX):
+                continue
+            data = line[len(DATA_PREFIX) :].strip()
+            if data == END:
+                return
+            yield self.decode(server, request_id, data)
+        raise engine.BrokenStreamError(
+            f"The answer of {server.name} ended without its closing event",
+            "Resume it from the next token on.",
+        )
+
+    def decode(
+        self, server: engine.Server, request_id: ids.RequestId, data: bytes
+    ) -> engine.Chunk:
+        """Return the chunk of an event."""
+        try:
+            event = self.event_decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            raise engine.BrokenStreamError(
+                f"{server.name} sent an event that can't be read: {error}",
+                "Resume the answer from the next token on.",
+            ) from error
+        if event.id != request_id:
+            raise wrong_answer(server, request_id)
+        return engine.Chunk(
+            event.index, event.text, event.count, event.finish, event.usage
+        )
+
+    async def cancel(self, server: engine.Server, request_id: ids.RequestId) -> None:
+        """See EngineClient."""
+        await self.control("DELETE", server, f"/v1/completions/{request_id}")
+
+    async def load(self, server: engine.Server) -> engine.LoadReport:
+        """See EngineClient."""
+        body = await self.control("GET", server, "/load")
+        return decode_control(server, body, engine.LoadReport)
+
+    async def state(self, server: engine.Server) -> str:
+        """See EngineClient."""
+        body = await self.control("GET", server, "/health")
+        return decode_control(server, body, Health).state
+
+    async def cache_events(
+        self, server: engine.Server, after: int
+    ) -> engine.CacheEvents:
+        """See EngineClient."""
+        body = await self.control("GET", server, f"/cache-events?after={after}")
+        return decode_control(server, body, engine.CacheEvents)
+
+    async def control(self, method: str, server: engine.Server, path: str) -> bytes:
+        """Make a short call that is safe to repeat."""
+        try:
+            async with asyncio.timeout(CONTROL_TIMEOUT):
+                async with self.session.request(
+                    method, f"{server.url}{path}"
+                ) as response:
+                    response.raise_for_status()
+                    return await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise errors.BackendError(
+                f"{method} {path} of {server.name} failed: {error!r}",
+                "See whether the process runs and can be reached.",
+            ) from error
+
+
+async def tell_dispatched(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    """Tell that the request's first byte is about to be written."""
+    dispatched: Callable[[], None] | None = context.trace_request_ctx
+    if dispatched is not None:
+        dispatched()
+
+
+def request_headers(request_id: ids.RequestId) -> dict[str, str]:
+    """Return the headers that go with every call about a request."""
+    headers = {REQUEST_ID_HEADER: request_id, "Content-Type": "application/json"}
+    telemetry.inject(headers)
+    return headers
+
+
+def wrong_answer(
+    server: engine.Server, request_id: ids.RequestId
+) -> engine.WrongAnswerError:
+    """Return the error for an answer that names another request."""
+    return engine.WrongAnswerError(
+        f"{server.name} answered {request_id} with another request's answer",
+        "Nothing of it was passed on; report it to the engine's maker.",
+    )
+
+
+def decode_control(server: engine.Server, body: bytes, expected: type[T]) -> T:
+    """Decode the body of a short call; raises BackendError."""
+    try:
+        return msgspec.json.decode(body, type=expected)
+    except msgspec.MsgspecError as error:
+        raise errors.BackendError(
+            f"{server.name} sent a body that can't be read: {error}",
+            "Compare the engine's version with docs/BACKENDS.md.",
+        ) from error
--- /dev/null
+++ b/src/tealcove/daemon.py
@@ -0,0 +1,213 @@
+"""One instance: its roles put together, from start to a graceful end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+
+import logbook
+from aiohttp import web
+
+from tealcove import errors, ids, logs, settings, telemetry
+from tealcove.backends import http_engine
+from tealcove.dispatch import cells, fair, requester, role
+from tealcove.entry import http
+from tealcove.membership import heart, members, messages
+from tealcove.peers import endpoint, mesh
+from tealcove.platform import client, services
+from tealcove.resources import copy, log, refusals
+
+LOG = logbook.Logger("daemon")
+
+# A connection of the operating system's that waits to be accepted.
+BACKLOG = 1024
+
+
+class Instance:
+    """All that one process does; several may live in one process."""
+
+    def __init__(self, found: settings.Settings) -> None:
+        self.settings = found
+        self.incarnation = ids.new_incarnation()
+        self.telemetry = telemetry.Telemetry(found)
+        self.configuration = copy.ConfigurationCopy()
+        self.engines = http_engine.HttpEngineClient()
+        self.platform: client.PlatformClient | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+        self.runner: web.AppRunner | None = None
+        self.http_port = found.http.port
+
+    async def start(self) -> None:
+        """Start all roles; accepts requests once the configuration is here."""
+        found = self.settings
+        self.platform = client.PlatformClient(
+            found.platform.url, client.Timeouts(total=found.platform.timeout_seconds)
+        )
+        self.rows = services.HttpTableService(self.platform)
+        self.objects = services.HttpObjectStore(self.platform)
+        await self.start_mesh()
+        await self.engines.start()
+        self.start_roles()
+        await self.start_http()
+        self.members.update_own(http_port=self.http_port)
+        self.heart.start()
+        self.tasks.append(asyncio.create_task(self.follow_configuration()))
+
+    async def start_mesh(self) -> None:
+        """Listen for peers."""
+        found = self.settings
+        listen = endpoint.Endpoint(str(found.peer.host), found.peer.port)
+        instance = ids.InstanceId(found.instance)
+        self.mesh = mesh.Mesh(instance, self.incarnation, listen)
+        await self.mesh.start()
+        own = messages.Heartbeat(
+            instance=instance,
+            incarnation=self.incarnation,
+            lifecycle=messages.Lifecycle.JOINING,
+            data_centre=ids.DataCentreId(found.data_centre),
+            host=str(found.http.host),
+            http_port=found.http.port,
+            peer_port=self.mesh.listen.port,
+            revision=ids.Revision(0),
+        )
+        beat = found.heartbeat
+        self.members = members.Members(own, beat.suspect_after, beat.forget_after)
+        self.heart = heart.Heart(
+            self.mesh,
+            self.members,
+            services.HttpInstanceList(self.platform),
+            tuple(endpoint.parse(seed) for seed in found.seeds),
+            beat.interval,
+        )
+
+    def start_roles(self) -> None:
+        """Start the dispatcher and the entry."""
+        self.dispatcher = role.Dispatcher(
+            self.mesh,
+            self.members,
+            self.find_cell,
+            fair.FairScheduler,
+            self.engines,
+            self.settings.dispatch.load_poll_interval,
+        )
+        self.dispatcher.start()
+        self.tickets = requester.Requester(
+            self.mesh, self.members, self.settings.dispatch.ticket_timeout
+        )
+        self.tickets.start()
+        self.entry = http.Entry(
+            self.settings, self.configuration, self.members, self.engines, self.tickets
+        )
+        self.configuration.subscribe(self.take_configuration)
+
+    async def start_http(self) -> None:
+        """Listen for callers and operators."""
+        limits = self.settings.limits
+        app = web.Application(client_max_size=limits.body_bytes)
+        app.add_routes(self.entry.routes())
+        app.add_routes(
+            [
+                web.get("/healthz", self.healthz),
+                web.get("/readyz", self.readyz),
+                web.get("/metrics", self.metrics),
+            ]
+        )
+        # A caller that leaves ends its handler, which frees what it held.
+        self.runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        await self.runner.setup()
+        host = self.settings.http.host
+        site = web.TCPSite(self.runner, host, self.http_port, backlog=BACKLOG)
+        await site.start()
+        self.http_port = self.runner.addresses[0][1]
+
+    async def healthz(self, request: web.Request) -> web.Response:
+        """Say that the process runs."""
+        return web.Response(text="ok\n")
+
+    async def readyz(self, request: web.Request) -> web.Response:
+        """Say whether the instance accepts requests."""
+        lifecycle = self.members.own.lifecycle
+        ready = lifecycle is messages.Lifecycle.SERVING
+        return web.Response(status=200 if ready else 503, text=f"{lifecycle.value}\n")
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Show all metrics in Prometheus' text form."""
+        return web.Response(body=self.telemetry.metrics_text())
+
+    def find_cell(self, cell_id: ids.CellId) -> cells.Cell | None:
+        """Return a cell by the configuration in force."""
+        name = cell_id.rpartition("/")[0]
+        pool = self.configuration.current.pool(name)
+        if pool is None:
+            return None
+        for cell in cells.divide(ids.PoolId(name), pool.spec.servers):
+            if cell.cell_id == cell_id:
+                return cell
+        return None
+
+    def take_configuration(
+        self, previous: copy.Configuration, current: copy.Configuration
+    ) -> None:
+        """Put a new revision in force in all roles, and tell the peers."""
+        self.dispatcher.reconfigure()
+        self.members.update_own(revision=current.revision)
+        self.heart.tell_all()
+
+    async def follow_configuration(self) -> None:
+        """Keep the copy at the platform's head revision."""
+        changes = log.ConfigurationLog(self.rows, self.objects)
+        while True:
+            with contextlib.suppress(errors.PlatformError, refusals.CompactedError):
+                found = await changes.read_head()
+                await changes.advance(self.configuration, found.head)
+                self.serve_now()
+            await asyncio.sleep(self.settings.configuration.poll_interval)
+
+    def serve_now(self) -> None:
+        """Begin to accept requests, if the instance was still joining."""
+        if self.members.own.lifecycle is messages.Lifecycle.JOINING:
+            self.members.update_own(lifecycle=messages.Lifecycle.SERVING)
+            self.heart.tell_all()
+
+    async def leave(self) -> None:
+        """Leave gracefully: no request in progress is cut off.
+
+        Callers keep an answer of /v1/entry-points for a while, so the instance
+        still accepts until the last answer that names it has run out.
+        """
+        self.members.update_own(lifecycle=messages.Lifecycle.LEAVING)
+        self.heart.tell_all()
+        LOG.info("leaving")
+        shutdown = self.settings.shutdown
+        await asyncio.sleep(shutdown.entry_points_ttl)
+        self.members.update_own(lifecycle=messages.Lifecycle.GONE)
+        if self.entry.in_progress:
+            await asyncio.wait(self.entry.in_progress, timeout=shutdown.drain_seconds)
+
+    async def stop(self) -> None:
+        """End all tasks and close all sockets."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.runner.cleanup()
+        await self.heart.stop()
+        await self.dispatcher.stop()
+        await self.mesh.stop()
+        await self.engines.stop()
+        await self.platform.close()
+        self.telemetry.shutdown()
+
+
+async def serve(found: settings.Settings) -> None:
+    """Run an instance until SIGTERM or SIGINT, then let it leave gracefully."""
+    logs.install(found)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, stopping.set)
+    instance = Instance(found)
+    await instance.start()
+    await stopping.wait()
+    await instance.leave()
+    await instance.stop()
--- /dev/null
+++ b/src/tealcove/dispatch/cells.py
@@ -0,0 +1,43 @@
+"""The division of a pool into cells, the same on every instance."""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+
+from tealcove import ids
+from tealcove.resources import kinds
+
+
+class Cell(msgspec.Struct, frozen=True):
+    """Backend servers of one pool that share one queue."""
+
+    cell_id: ids.CellId
+    pool: ids.PoolId
+    servers: tuple[kinds.BackendServerSpec, ...]
+
+    @property
+    def data_centre(self) -> ids.DataCentreId | None:
+        """The data centre that most of the servers are in."""
+        if not self.servers:
+            return None
+        counts = collections.Counter(server.data_centre for server in self.servers)
+        return ids.DataCentreId(counts.most_common(1)[0][0])
+
+
+def divide(
+    pool: ids.PoolId, servers: tuple[kinds.BackendServerSpec, ...]
+) -> tuple[Cell, ...]:
+    """Return the cells of a pool, neighbours by data centre together."""
+    ordered = sorted(servers, key=lambda server: (server.data_centre, server.name))
+    count = max(1, -(-len(ordered) // kinds.CELL_SERVERS))
+    size = -(-len(ordered) // count)
+    return tuple(
+        Cell(
+            cell_id=ids.CellId(f"{pool}/{number}"),
+            pool=pool,
+            servers=tuple(ordered[number * size : (number + 1) * size]),
+        )
+        for number in range(count)
+    )
--- /dev/null
+++ b/src/tealcove/dispatch/scheduler.py
@@ -0,0 +1,63 @@
+"""What decides for a cell, as an abstract base class."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.dispatch import cells, messages
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """A message that the dispatcher owes an entry."""
+
+    entry: ids.InstanceId
+    message: messages.Grant | messages.Refusal | messages.Preempt | messages.Queued
+
+
+class Scheduler(abc.ABC):
+    """Decides which ticket of a cell gets which backend server, and when.
+
+    Each method is told what has happened and the present time, and returns what
+    the entries are to be told.
+    """
+
+    @abc.abstractmethod
+    def configure(self, cell: cells.Cell, now: ids.Instant) -> list[Outgoing]:
+        """Take over a new form of the cell, such as a server that leaves."""
+
+    @abc.abstractmethod
+    def enqueue(self, ticket: messages.Ticket, now: ids.Instant) -> list[Outgoing]:
+        """Take in a ticket, or a running request that another dispatcher granted."""
+
+    @abc.abstractmethod
+    def withdraw(self, ticket_id: ids.TicketId, now: ids.Instant) -> list[Outgoing]:
+        """Forget a ticket; a slot that it was granted is free again."""
+
+    @abc.abstractmethod
+    def progress(self, progress: messages.Progress, now: ids.Instant) -> list[Outgoing]:
+        """Learn that a request's first token has come."""
+
+    @abc.abstractmethod
+    def done(self, done: messages.Done, now: ids.Instant) -> list[Outgoing]:
+        """Learn how a request ended; its slot is free again."""
+
+    @abc.abstractmethod
+    def report(
+        self,
+        server: ids.BackendServerId,
+        load: engine.LoadReport | None,
+        now: ids.Instant,
+    ) -> list[Outgoing]:
+        """Take in a load report; None when the server couldn't be reached."""
+
+    @abc.abstractmethod
+    def lose_entry(self, entry: ids.InstanceId, now: ids.Instant) -> list[Outgoing]:
+        """Learn that an entry is gone, with all its callers."""
+
+    @abc.abstractmethod
+    def tick(self, now: ids.Instant) -> list[Outgoing]:
+        """Decide what only the passing of time decides."""
--- /dev/null
+++ b/src/tealcove/entry/answer.py
@@ -0,0 +1,96 @@
+"""The answer of an engine, put together from chunks in any order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from tealcove.backends import engine
+
+# Chunks that came early and wait for those before them, at the most.
+MOST_EARLY = 256
+
+
+class GapError(Exception):
+    """The stream can't be put in order any more; resume at `next_index`."""
+
+
+class Answer:
+    """Chunks in order; callers read along from any index while it grows."""
+
+    def __init__(self) -> None:
+        self.chunks: list[engine.Chunk] = []
+        self.next_index = 0
+        self.early: dict[int, engine.Chunk] = {}
+        self.usage: engine.Usage | None = None
+        self.finish: str | None = None
+        self.ended = False
+        self.failure: Exception | None = None
+        self.grown = asyncio.Event()
+
+    def add(self, chunk: engine.Chunk) -> None:
+        """Take in a chunk; a repeated one is dropped, an early one kept back.
+
+        Raises GapError when a chunk overlaps what is there, or too many are early.
+        """
+        if chunk.finish is None and chunk.index + chunk.count <= self.next_index:
+            return
+        if chunk.index < self.next_index:
+            raise GapError
+        self.early[chunk.index] = chunk
+        if len(self.early) > MOST_EARLY:
+            raise GapError
+        while not self.is_whole and self.next_index in self.early:
+            self.append(self.early.pop(self.next_index))
+
+    def append(self, chunk: engine.Chunk) -> None:
+        """Add the chunk that comes next."""
+        if chunk.finish is not None:
+            self.finish = chunk.finish
+            self.usage = chunk.usage
+        else:
+            self.chunks.append(chunk)
+            self.next_index += chunk.count
+        self.wake()
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the closing event came, and all tokens before it."""
+        return self.finish is not None
+
+    def text(self) -> str:
+        """Return the whole text."""
+        return "".join(chunk.text for chunk in self.chunks)
+
+    def end(self, failure: Exception | None = None) -> None:
+        """Say that nothing more will come, and why when it isn't whole."""
+        if self.ended:
+            return
+        self.ended = True
+        self.failure = failure
+        self.wake()
+
+    def wake(self) -> None:
+        """Let those who read along go on."""
+        self.grown.set()
+        self.grown = asyncio.Event()
+
+    async def read(self) -> AsyncIterator[engine.Chunk]:
+        """Yield the chunks from the first on; raises `failure` at a bad end."""
+        position = 0
+        while True:
+            while position < len(self.chunks):
+                yield self.chunks[position]
+                position += 1
+            if self.ended:
+                break
+            await self.grown.wait()
+        if self.failure is not None:
+            raise self.failure
+
+    async def wait(self) -> None:
+        """Wait for the end; raises `failure` at a bad one."""
+        while not self.ended:
+            await self.grown.wait()
+        if self.failure is not None:
+            raise self.failure
--- /dev/null
+++ b/src/tealcove/entry/lifecycle.py
@@ -0,0 +1,60 @@
+"""The states of a request at its entry, and the steps between them."""
+
+from __future__ import annotations
+
+import enum
+
+import transitions
+
+
+class State(enum.Enum):
+    """How far a request has come."""
+
+    ACCEPTED = "accepted"
+    # In a dispatcher's queue, or between a grant and the connection.
+    WAITING = "waiting"
+    # From just before the first byte is written to a backend server, for good.
+    DISPATCHED = "dispatched"
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+    INTERRUPTED = "interrupted"
+    UNKNOWN = "unknown"
+
+
+class Lifecycle:
+    """The state of one request; a step that isn't allowed raises MachineError.
+
+    No step leads from `dispatched` to `not_run` or back to `waiting`: a request
+    that was told "not run", or dispatched a second time, after a backend server
+    may have seen it would break the two promises that callers build on.
+    """
+
+    state: State
+
+    def __init__(self) -> None:
+        MACHINE.add_model(self)
+
+    def close(self) -> None:
+        """Let go of the shared machine, which would keep the object for ever."""
+        MACHINE.remove_model(self)
+
+
+def step(trigger: str, sources: list[State], to: State) -> dict[str, object]:
+    """Return a transition in the form that the machine takes."""
+    return {"trigger": trigger, "source": sources, "dest": to}
+
+
+MACHINE = transitions.Machine(
+    model=None,
+    states=State,
+    initial=State.ACCEPTED,
+    auto_transitions=False,
+    transitions=[
+        step("wait", [State.ACCEPTED, State.WAITING], State.WAITING),
+        step("dispatch", [State.WAITING], State.DISPATCHED),
+        step("complete", [State.DISPATCHED], State.COMPLETED),
+        step("give_up", [State.ACCEPTED, State.WAITING], State.NOT_RUN),
+        step("interrupt", [State.DISPATCHED], State.INTERRUPTED),
+        step("lose", [State.DISPATCHED], State.UNKNOWN),
+    ],
+)
--- /dev/null
+++ b/src/tealcove/membership/members.py
@@ -0,0 +1,140 @@
+"""What an instance knows of its peers, learnt from their heartbeats."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from tealcove import ids
+from tealcove.membership import messages, ranking
+from tealcove.peers import endpoint
+
+
+class Member(msgspec.Struct):
+    """A peer, as its last heartbeat described it."""
+
+    heartbeat: messages.Heartbeat
+    heard: ids.Instant
+
+    @property
+    def endpoint(self) -> endpoint.Endpoint:
+        """Where the peer listens for messages."""
+        return endpoint.Endpoint(self.heartbeat.host, self.heartbeat.peer_port)
+
+
+class Members:
+    """The members of the deployment, this instance among them."""
+
+    def __init__(
+        self, own: messages.Heartbeat, suspect_after: float, forget_after: float
+    ) -> None:
+        self.own = own
+        self.suspect_after = suspect_after
+        self.forget_after = forget_after
+        self.peers: dict[ids.InstanceId, Member] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self.last_serving: tuple[tuple[ids.InstanceId, ids.Incarnation], ...] = ()
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Name a function to call when the set of serving instances changes."""
+        self.listeners.append(listener)
+
+    def update_own(self, **changes: object) -> None:
+        """Change what this instance's own heartbeats say."""
+        self.own = msgspec.structs.replace(self.own, **changes)
+
+    def hear(self, heartbeat: messages.Heartbeat, now: ids.Instant) -> None:
+        """Take in a heartbeat of a peer."""
+        if heartbeat.instance == self.own.instance:
+            return
+        known = self.peers.get(heartbeat.instance)
+        if known is not None and self.is_outdated(known, heartbeat, now):
+            return
+        self.peers[heartbeat.instance] = Member(heartbeat, now)
+        self.tell_changes(now)
+
+    def is_outdated(
+        self, known: Member, heartbeat: messages.Heartbeat, now: ids.Instant
+    ) -> bool:
+        """Tell whether a heartbeat is of an incarnation that was replaced.
+
+        A replaced instance's last heartbeats may arrive after its successor's
+        first ones; taken in, they would turn members to and fro between the two.
+        """
+        if heartbeat.incarnation == known.heartbeat.incarnation:
+            return False
+        if known.heartbeat.lifecycle is messages.Lifecycle.GONE:
+            return False
+        return not self.is_suspect(known, now)
+
+    def is_suspect(self, member: Member, now: ids.Instant) -> bool:
+        """Tell whether a peer has been silent for too long."""
+        return now - member.heard > self.suspect_after
+
+    def sweep(self, now: ids.Instant) -> list[Member]:
+        """Forget peers that are long silent and return them."""
+        forgotten = [
+            member
+            for member in self.peers.values()
+            if now - member.heard > self.forget_after
+        ]
+        for member in forgotten:
+            del self.peers[member.heartbeat.instance]
+        self.tell_changes(now)
+        return forgotten
+
+    def tell_changes(self, now: ids.Instant) -> None:
+        """Call the listeners when the set of serving instances has changed."""
+        serving = tuple(sorted((h.instance, h.incarnation) for h in self.serving(now)))
+        if serving == self.last_serving:
+            return
+        self.last_serving = serving
+        for listener in self.listeners:
+            listener()
+
+    def alive(self, now: ids.Instant) -> list[messages.Heartbeat]:
+        """Return this instance and the peers that aren't suspect or gone."""
+        alive = [
+            member.heartbeat
+            for member in self.peers.values()
+            if not self.is_suspect(member, now)
+            and member.heartbeat.lifecycle is not messages.Lifecycle.GONE
+        ]
+        return [self.own, *alive]
+
+    def serving(self, now: ids.Instant) -> list[messages.Heartbeat]:
+        """Return the instances that take new work."""
+        return [
+            heartbeat
+            for heartbeat in self.alive(now)
+            if heartbeat.lifecycle is messages.Lifecycle.SERVING
+        ]
+
+    def find(self, instance: ids.InstanceId) -> messages.Heartbeat | None:
+        """Return the last heartbeat of an instance, suspect or not."""
+        if instance == self.own.instance:
+            return self.own
+        member = self.peers.get(instance)
+        return None if member is None else member.heartbeat
+
+    def endpoint_of(self, instance: ids.InstanceId) -> endpoint.Endpoint | None:
+        """Return where an instance listens for messages, if it's known."""
+        heartbeat = self.find(instance)
+        if heartbeat is None:
+            return None
+        return endpoint.Endpoint(heartbeat.host, heartbeat.peer_port)
+
+    def rank(
+        self,
+        key: str,
+        now: ids.Instant,
+        near: ids.DataCentreId | None = None,
+    ) -> list[ids.InstanceId]:
+        """Rank the serving instances for a key, those in `near` first."""
+        serving = self.serving(now)
+        ranked = ranking.rank(key, [heartbeat.instance for heartbeat in serving])
+        if near is None:
+            return ranked
+        local = {h.instance for h in serving if h.data_centre == near}
+        return sorted(ranked, key=lambda instance: instance not in local)
--- /dev/null
+++ b/src/tealcove/membership/messages.py
@@ -0,0 +1,35 @@
+"""Messages of membership."""
+
+from __future__ import annotations
+
+import enum
+
+from tealcove import ids
+from tealcove.peers import message
+
+
+class Lifecycle(enum.Enum):
+    """How far an instance has come in its life."""
+
+    JOINING = "joining"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Heartbeat(message.Message):
+    """What an instance tells each peer several times a second."""
+
+    instance: ids.InstanceId
+    incarnation: ids.Incarnation
+    lifecycle: Lifecycle
+    data_centre: ids.DataCentreId
+    host: str
+    http_port: int
+    peer_port: int
+    # The revision of the configuration that is in force on the instance.
+    revision: ids.Revision
+    # Addresses "ip:port" of the peers that the sender heard lately.
+    known: tuple[str, ...] = ()
+    # Digests of quarantined requests, with the seconds that each has left.
+    quarantined: tuple[tuple[str, float], ...] = ()
--- /dev/null
+++ b/src/tealcove/membership/ranking.py
@@ -0,0 +1,25 @@
+"""Rendezvous hashing: the same order of instances on every instance."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+from tealcove import ids
+
+WEIGHT_BYTES = 8
+
+
+def weight(key: str, instance: ids.InstanceId) -> int:
+    """Return the weight of an instance for a key, alike on every instance."""
+    text = f"{key}|{instance}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=WEIGHT_BYTES).digest())
+
+
+def rank(key: str, instances: Iterable[ids.InstanceId]) -> list[ids.InstanceId]:
+    """Return the instances, first choice first.
+
+    When an instance goes, only the keys that it was first for move; all others
+    keep their order (rendezvous hashing, Thaler and Ravishankar 1998).
+    """
+    return sorted(instances, key=lambda instance: weight(key, instance), reverse=True)
--- /dev/null
+++ b/src/tealcove/peers/mesh.py
@@ -0,0 +1,177 @@
+"""The ZeroMQ sockets of an instance: one to listen, one to each peer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+import logbook
+import zmq
+import zmq.asyncio
+
+from tealcove import errors, ids
+from tealcove.peers import endpoint, message
+
+log = logbook.Logger("peers")
+
+# Messages that wait for one peer at the most. Beyond it they are dropped, as a
+# network would: every sender here repeats what matters, and a queue without a
+# bound would grow for as long as a peer is frozen.
+HIGH_WATER_MARK = 10_000
+# Messages taken in one go before other tasks get their turn.
+BATCH = 200
+
+M = TypeVar("M", bound=message.Message)
+Handler = Callable[[ids.InstanceId, M], None]
+
+
+class Security:
+    """CURVE keys of this instance; see docs/OPERATING.md for their making."""
+
+    def __init__(self, public_key: str, secret_key: str, server_key: str) -> None:
+        self.public_key = public_key
+        self.secret_key = secret_key
+        self.server_key = server_key
+
+    def secure_listener(self, socket: zmq.Socket) -> None:
+        """Let the socket accept only peers that know its public key."""
+        socket.curve_publickey = self.public_key.encode()
+        socket.curve_secretkey = self.secret_key.encode()
+        socket.curve_server = True
+
+    def secure_link(self, socket: zmq.Socket) -> None:
+        """Let the socket connect only to a peer that holds the secret key."""
+        socket.curve_publickey = self.public_key.encode()
+        socket.curve_secretkey = self.secret_key.encode()
+        socket.curve_serverkey = self.server_key.encode()
+
+
+class Mesh:
+    """Sends messages to peers and hands received ones to their handlers."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        listen: endpoint.Endpoint,
+        security: Security | None = None,
+    ) -> None:
+        self.instance = instance
+        self.identity = f"{instance}|{incarnation}".encode()
+        self.listen = listen
+        self.security = security
+        self.codec = message.Codec()
+        self.handlers: dict[type[message.Message], Handler] = {}
+        self.links: dict[endpoint.Endpoint, zmq.Socket] = {}
+        self.context = zmq.asyncio.Context()
+        self.plain_context = zmq.Context.shadow(self.context.underlying)
+        self.router: zmq.asyncio.Socket | None = None
+        self.receiver: asyncio.Task[None] | None = None
+        self.dropped = 0
+        self.sent = 0
+        self.sent_bytes = 0
+
+    def handle(self, message_type: type[M], handler: Handler[M]) -> None:
+        """Name the function that gets each received message of a type."""
+        self.codec.register(message_type)
+        self.handlers[message_type] = handler
+
+    async def start(self) -> None:
+        """Listen; `listen.port` becomes the real port when it was 0."""
+        self.router = self.context.socket(zmq.ROUTER)
+        self.router.linger = 0
+        # A peer that reconnects after a cut still has its old connection here.
+        # Without handover the new one is refused until the old one times out,
+        # and the peer would seem dead for minutes.
+        self.router.router_handover = True
+        self.router.rcvhwm = HIGH_WATER_MARK
+        if self.security is not None:
+            self.security.secure_listener(self.router)
+        if self.listen.port == 0:
+            port = self.router.bind_to_random_port(f"tcp://{self.listen.host}")
+            self.listen = endpoint.Endpoint(self.listen.host, port)
+        else:
+            self.router.bind(self.listen.url())
+        self.receiver = asyncio.create_task(self.receive())
+
+    async def stop(self) -> None:
+        """Close all sockets; what wasn't sent is dropped."""
+        if self.receiver is not None:
+            self.receiver.cancel()
+            await asyncio.gather(self.receiver, return_exceptions=True)
+        for socket in self.links.values():
+            socket.close(0)
+        self.links.clear()
+        if self.router is not None:
+            self.router.close(0)
+        self.context.term()
+
+    def send(self, peer: endpoint.Endpoint, sent: message.Message) -> bool:
+        """Send without waiting; False when the peer's queue is full."""
+        content = self.codec.encode(sent)
+        if peer == self.listen:
+            self.deliver(self.instance, content)
+            return True
+        try:
+            self.link(peer).send(content, zmq.NOBLOCK)
+        except zmq.Again:
+            self.dropped += 1
+            return False
+        self.sent += 1
+        self.sent_bytes += len(content)
+        return True
+
+    def link(self, peer: endpoint.Endpoint) -> zmq.Socket:
+        """Return the socket to a peer, made at the first use."""
+        socket = self.links.get(peer)
+        if socket is not None:
+            return socket
+        socket = self.plain_context.socket(zmq.DEALER)
+        socket.linger = 0
+        socket.identity = self.identity
+        socket.sndhwm = HIGH_WATER_MARK
+        socket.reconnect_ivl = 50
+        socket.reconnect_ivl_max = 1000
+        if self.security is not None:
+            self.security.secure_link(socket)
+        socket.connect(peer.url())
+        self.links[peer] = socket
+        return socket
+
+    def forget(self, peer: endpoint.Endpoint) -> None:
+        """Close the socket to a peer that is gone."""
+        socket = self.links.pop(peer, None)
+        if socket is not None:
+            socket.close(0)
+
+    async def receive(self) -> None:
+        """Take in messages until the instance stops."""
+        plain = zmq.Socket.shadow(self.router.underlying)
+        while True:
+            await self.router.poll(flags=zmq.POLLIN)
+            self.take_batch(plain)
+            await asyncio.sleep(0)
+
+    def take_batch(self, plain: zmq.Socket) -> None:
+        """Hand over what has arrived, up to a bound."""
+        for _ in range(BATCH):
+            try:
+                frames = plain.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            identity = frames[0].decode(errors="replace")
+            sender = ids.InstanceId(identity.partition("|")[0])
+            self.deliver(sender, frames[-1])
+
+    def deliver(self, sender: ids.InstanceId, content: bytes) -> None:
+        """Decode one message and call its handler."""
+        try:
+            received = self.codec.decode(content)
+            self.handlers[type(received)](sender, received)
+        except errors.PeerError as error:
+            log.warning("{} (from {})", error, sender)
+        except Exception:
+            # One bad message must not end the task that takes in all others:
+            # the instance would look frozen to its peers from then on.
+            log.exception("the handler of a message from {} failed", sender)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole deployments, as separate processes."""
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,64 @@
+"""Callers of a deployment, for tests."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from tealcove.standins import answers
+from tests import deployment
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """What a caller got; `outcome` is "cut" when the connection broke."""
+
+    status: int
+    outcome: str
+    text: str = ""
+    reason: str = ""
+    request_id: str = ""
+
+
+def headers(tier: str = "high", **more: str) -> dict[str, str]:
+    """Return the headers of a caller of a tier's account."""
+    key = f"{deployment.CALLER_KEY}-{tier}"
+    return {"Authorization": f"Bearer {key}", **more}
+
+
+async def complete(
+    session: aiohttp.ClientSession,
+    url: str,
+    prompt: str,
+    max_tokens: int = 8,
+    tier: str = "high",
+    extra: dict[str, str] | None = None,
+) -> Reply:
+    """Send one buffered completion and return its one final answer."""
+    body = {"model": "m", "prompt": prompt, "max_tokens": max_tokens}
+    try:
+        async with session.post(
+            f"{url}/v1/completions", json=body, headers=headers(tier, **(extra or {}))
+        ) as response:
+            content = await response.json(content_type=None)
+            return reply(response, content)
+    except (aiohttp.ClientError, OSError):
+        return Reply(status=0, outcome="cut")
+
+
+def reply(response: aiohttp.ClientResponse, content: dict[str, object]) -> Reply:
+    """Return what a response says."""
+    request_id = response.headers.get("X-Request-Id", "")
+    if response.status == 200:
+        text = content["choices"][0]["text"]
+        return Reply(200, "completed", text=text, request_id=request_id)
+    return Reply(
+        response.status,
+        content.get("outcome", ""),
+        reason=content.get("reason", ""),
+        request_id=request_id,
+    )
+
+
+def is_own(found: Reply, prompt: str, max_tokens: int) -> bool:
+    """Tell whether an answer is the whole one of this very prompt."""
+    return found.text == answers.expected_answer(prompt, max_tokens)
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,289 @@
+"""A small deployment of separate processes on loopback addresses, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+
+from tealcove.platform import client, services
+from tealcove.resources import copy, decision, edits, kinds, store
+
+READY_TIMEOUT = 60.0
+POLL = 0.02
+HTTP_PORT = 7000
+PEER_PORT = 7001
+CALLER_KEY = "caller-key"
+OPERATOR_KEY = "operator-key"
+
+# Each deployment of a test run gets a loopback network of its own, so that tests
+# which run side by side can't meet on a port.
+NETWORKS = itertools.count(1)
+
+
+def hash_key(key: str) -> str:
+    """Return the hash of a bearer key, as resources and settings hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+async def until(check: Callable[[], Awaitable[bool]]) -> None:
+    """Wait until a check holds; the timeout is far beyond any healthy wait."""
+    async with asyncio.timeout(READY_TIMEOUT):
+        while True:
+            if await check():
+                return
+            await asyncio.sleep(POLL)
+
+
+class Process:
+    """A process of the deployment, with its address."""
+
+    def __init__(self, name: str, arguments: list[str], host: str, port: int) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.host = host
+        self.port = port
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """The base URL of its HTTP side."""
+        return f"http://{self.host}:{self.port}"
+
+    async def start(self, log: pathlib.Path) -> None:
+        """Start it; its standard error is appended to a log file."""
+        with log.open("ab") as sink:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tealcove.cli",
+                *self.arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.process is not None and self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """End it without any chance to react."""
+        self.send(signal.SIGKILL)
+
+    def freeze(self) -> None:
+        """Stop it from running, as a long pause does."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self.send(signal.SIGCONT)
+
+    async def end(self) -> None:
+        """Kill it and wait until it's gone."""
+        self.thaw()
+        self.kill()
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Deployment:
+    """Platform, engines, services and instances; use as a context manager."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+        network = next(NETWORKS) % 250
+        self.network = f"127.{10 + int(worker)}.{network}"
+        self.platform = self.standin("platform", "platform", 1, {})
+        self.processes = {"platform": self.platform}
+        self.engines: list[Process] = []
+        self.services: list[Process] = []
+        self.instances: list[Process] = []
+        self.session: aiohttp.ClientSession | None = None
+        self.resources = copy.ConfigurationCopy()
+        self.client: client.PlatformClient | None = None
+
+    async def __aenter__(self) -> Deployment:
+        self.session = aiohttp.ClientSession()
+        await self.start(self.platform)
+        await self.wait_for_port(self.platform)
+        self.client = client.PlatformClient(self.platform.url)
+        self.store = store.ResourceStore(
+            services.HttpTableService(self.client),
+            services.HttpObjectStore(self.client),
+            self.resources,
+        )
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        for process in self.processes.values():
+            await process.end()
+        await self.session.close()
+        await self.client.close()
+
+    def write(self, name: str, content: object) -> str:
+        """Write a settings file and return its path."""
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(content))
+        return str(path)
+
+    def standin(
+        self, role: str, name: str, number: int, found: dict[str, object]
+    ) -> Process:
+        """Return a stand-in at its own address."""
+        host = f"{self.network}.{number}"
+        path = self.write(name, {"host": host, "port": HTTP_PORT, **found})
+        arguments = ["standin", role, "--settings", path]
+        return Process(name, arguments, host, HTTP_PORT)
+
+    async def start(self, process: Process) -> None:
+        """Start a process and remember it for the end."""
+        self.processes[process.name] = process
+        await process.start(self.folder / f"{process.name}.log")
+
+    async def wait_for_port(self, process: Process) -> None:
+        """Wait until something listens at the process's address."""
+
+        async def listens() -> bool:
+            try:
+                _, writer = await asyncio.open_connection(process.host, process.port)
+            except OSError:
+                return False
+            writer.close()
+            return True
+
+        await until(listens)
+
+    async def add_engine(self, **found: object) -> Process:
+        """Start another model engine."""
+        number = len(self.engines)
+        name = f"engine-{number}"
+        models = {"models": {"m": "1"}}
+        engine = self.standin("engine", name, 50 + number, {**models, **found})
+        self.engines.append(engine)
+        await self.start(engine)
+        return engine
+
+    async def add_service(self, **found: object) -> Process:
+        """Start another plain service."""
+        number = len(self.services)
+        name = f"service-{number}"
+        service = self.standin("service", name, 100 + number, found)
+        self.services.append(service)
+        await self.start(service)
+        return service
+
+    async def add_instance(self, **found: object) -> Process:
+        """Start another instance of the system."""
+        number = len(self.instances)
+        name = f"instance-{number}"
+        host = f"{self.network}.{150 + number}"
+        content = {
+            "instance": name,
+            "data_centre": "dc-1",
+            "http": {"host": host, "port": HTTP_PORT},
+            "peer": {"host": host, "port": PEER_PORT},
+            "platform": {"url": self.platform.url},
+            "seeds": [f"{self.network}.{150 + n}:{PEER_PORT}" for n in range(8)],
+            "operators": [{"name": "ops", "key_hash": hash_key(OPERATOR_KEY)}],
+            "configuration": {"poll_interval": 0.1},
+            "shutdown": {"entry_points_ttl": 0.5},
+            **found,
+        }
+        path = self.write(name, content)
+        arguments = ["serve", "--settings", path]
+        instance = Process(name, arguments, host, HTTP_PORT)
+        self.instances.append(instance)
+        await self.start(instance)
+        return instance
+
+    async def wait_until_ready(self, instance: Process) -> None:
+        """Wait until an instance accepts requests."""
+        await self.wait_for_port(instance)
+
+        async def is_ready() -> bool:
+            async with self.session.get(f"{instance.url}/readyz") as response:
+                return response.status == 200
+
+        await until(is_ready)
+
+    async def wait_for_members(self) -> None:
+        """Wait until every instance names all instances as entry points."""
+
+        async def all_known() -> bool:
+            found = [await self.entry_points(i) for i in self.instances]
+            return all(len(names) == len(self.instances) for names in found)
+
+        await until(all_known)
+
+    async def entry_points(self, instance: Process) -> list[str]:
+        """Return the names of the instances that one tells callers to use."""
+        url = f"{instance.url}/v1/entry-points"
+        async with self.session.get(url) as response:
+            found = await response.json()
+        return [point["instance"] for point in found["entry_points"]]
+
+    async def put(self, kind: kinds.Kind, name: str, spec: kinds.Spec) -> None:
+        """Write a resource straight into the platform's table."""
+        current = self.resources.current.get(kind, name)
+        revision = None if current is None else current.metadata.revision
+        change = decision.ChangeRequest(
+            operator="ops",
+            kind=kind,
+            name=name,
+            edit=edits.Put(spec),
+            if_match=revision,
+        )
+        await self.store.change(change)
+
+    def servers(
+        self, processes: list[Process], slots: int
+    ) -> tuple[kinds.BackendServerSpec, ...]:
+        """Return the specs of backend servers that run."""
+        return tuple(
+            kinds.BackendServerSpec(
+                name=process.name,
+                host=process.host,
+                port=process.port,
+                data_centre="dc-1",
+                slots=slots,
+            )
+            for process in processes
+        )
+
+    async def declare(self, slots: int = 8) -> None:
+        """Declare three tiers with an account each, the engines and a rule."""
+        for rank, tier in enumerate(("high", "middle", "low")):
+            await self.put(
+                kinds.Kind.SERVICE_TIER, tier, kinds.ServiceTierSpec(rank=rank)
+            )
+            key_hash = hash_key(f"{CALLER_KEY}-{tier}")
+            account = kinds.ClientAccountSpec(tier=tier, key_hashes=(key_hash,))
+            await self.put(kinds.Kind.CLIENT_ACCOUNT, f"account-{tier}", account)
+        await self.put(kinds.Kind.MODEL, "m", kinds.ModelSpec(version="1"))
+        servers = self.servers(self.engines, slots)
+        pool = kinds.EnginePoolSpec(servers=servers, models=("m",))
+        await self.put(kinds.Kind.ENGINE_POOL, "engines", pool)
+        rule = kinds.RoutingRuleSpec(pool="engines", path_prefix="/v1/")
+        await self.put(kinds.Kind.ROUTING_RULE, "engines", rule)
+
+    async def counts(self, process: Process) -> dict[str, object]:
+        """Return what a stand-in counted: the judge of every proof."""
+        async with self.session.get(f"{process.url}/standin/counts") as response:
+            return await response.json()
+
+    async def set_faults(self, process: Process, faults: dict[str, object]) -> None:
+        """Switch the faults of a stand-in."""
+        url = f"{process.url}/standin/faults"
+        async with self.session.put(url, json=faults) as response:
+            response.raise_for_status()
