Follow the configuration through platform or peers, serve the resource API

Cause: the daemon read the log by itself: an instance started during an outage of the platform could never serve, and operators had no API. Change: the configuration's role puts reader, store, API and compaction together; a peer's copy is fetched over the mesh; status counts heartbeats; an instance serves once its copy is at the highest revision heard of, and stops accepting when it is isolated; operators are told by key hashes. Ruled out: an HTTP route for the copy (it would need keys of its own; the mesh is what CURVE secures).

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -3,25 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 
 import logbook
 from aiohttp import web
 
-from tealcove import errors, ids, logs, settings, telemetry
+from tealcove import clock, ids, logs, settings, telemetry
 from tealcove.backends import http_engine
 from tealcove.dispatch import cells, fair, requester, role
 from tealcove.entry import http
 from tealcove.membership import heart, members, messages
 from tealcove.peers import endpoint, mesh
 from tealcove.platform import client, services
-from tealcove.resources import copy, log, refusals
+from tealcove.resources import copy
+from tealcove.resources import role as configuration
 
 LOG = logbook.Logger("daemon")
 
 # A connection of the operating system's that waits to be accepted.
 BACKLOG = 1024
+# Seconds between two looks at whether requests may be accepted.
+READINESS_INTERVAL = 0.1
 
 
 class Instance:
@@ -31,7 +33,6 @@
         self.settings = found
         self.incarnation = ids.new_incarnation()
         self.telemetry = telemetry.Telemetry(found)
-        self.configuration = copy.ConfigurationCopy()
         self.engines = http_engine.HttpEngineClient()
         self.platform: client.PlatformClient | None = None
         self.tasks: list[asyncio.Task[None]] = []
@@ -52,7 +53,8 @@
         await self.start_http()
         self.members.update_own(http_port=self.http_port)
         self.heart.start()
-        self.tasks.append(asyncio.create_task(self.follow_configuration()))
+        self.configuration.start(self.heart)
+        self.tasks.append(asyncio.create_task(self.watch_readiness()))
 
     async def start_mesh(self) -> None:
         """Listen for peers."""
@@ -82,7 +84,10 @@
         )
 
     def start_roles(self) -> None:
-        """Start the dispatcher and the entry."""
+        """Start configuration, dispatcher and entry."""
+        self.configuration = configuration.ConfigurationRole(
+            self.settings, self.rows, self.objects, self.mesh, self.members
+        )
         self.dispatcher = role.Dispatcher(
             self.mesh,
             self.members,
@@ -97,15 +102,20 @@
         )
         self.tickets.start()
         self.entry = http.Entry(
-            self.settings, self.configuration, self.members, self.engines, self.tickets
+            self.settings,
+            self.configuration.copy,
+            self.members,
+            self.engines,
+            self.tickets,
         )
-        self.configuration.subscribe(self.take_configuration)
+        self.configuration.copy.subscribe(self.take_configuration)
 
     async def start_http(self) -> None:
         """Listen for callers and operators."""
         limits = self.settings.limits
         app = web.Application(client_max_size=limits.body_bytes)
         app.add_routes(self.entry.routes())
+        app.add_routes(self.configuration.routes())
         app.add_routes(
             [
                 web.get("/healthz", self.healthz),
@@ -138,7 +148,7 @@
     def find_cell(self, cell_id: ids.CellId) -> cells.Cell | None:
         """Return a cell by the configuration in force."""
         name = cell_id.rpartition("/")[0]
-        pool = self.configuration.current.pool(name)
+        pool = self.configuration.copy.current.pool(name)
         if pool is None:
             return None
         for cell in cells.divide(ids.PoolId(name), pool.spec.servers):
@@ -154,22 +164,31 @@
         self.members.update_own(revision=current.revision)
         self.heart.tell_all()
 
-    async def follow_configuration(self) -> None:
-        """Keep the copy at the platform's head revision."""
-        changes = log.ConfigurationLog(self.rows, self.objects)
+    async def watch_readiness(self) -> None:
+        """Accept requests while the configuration may be relied on."""
         while True:
-            with contextlib.suppress(errors.PlatformError, refusals.CompactedError):
-                found = await changes.read_head()
-                await changes.advance(self.configuration, found.head)
-                self.serve_now()
-            await asyncio.sleep(self.settings.configuration.poll_interval)
-
-    def serve_now(self) -> None:
-        """Begin to accept requests, if the instance was still joining."""
-        if self.members.own.lifecycle is messages.Lifecycle.JOINING:
-            self.members.update_own(lifecycle=messages.Lifecycle.SERVING)
+            self.set_readiness(clock.now())
+            await asyncio.sleep(READINESS_INTERVAL)
+
+    def set_readiness(self, now: ids.Instant) -> None:
+        """Move between joining and serving; tell the peers of a change."""
+        lifecycle = self.members.own.lifecycle
+        if lifecycle not in (messages.Lifecycle.JOINING, messages.Lifecycle.SERVING):
+            return
+        wanted = messages.Lifecycle.JOINING
+        if self.may_serve(lifecycle, now):
+            wanted = messages.Lifecycle.SERVING
+        if wanted is not lifecycle:
+            LOG.info("{}", wanted.value)
+            self.members.update_own(lifecycle=wanted)
             self.heart.tell_all()
 
+    def may_serve(self, lifecycle: messages.Lifecycle, now: ids.Instant) -> bool:
+        """Tell whether to accept: fully up to date at first, not isolated later."""
+        if lifecycle is messages.Lifecycle.SERVING:
+            return not self.configuration.reader.isolated(now)
+        return self.configuration.may_serve(now)
+
     async def leave(self) -> None:
         """Leave gracefully: no request in progress is cut off.
 
@@ -190,6 +209,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.configuration.stop()
         await self.runner.cleanup()
         await self.heart.stop()
         await self.dispatcher.stop()
--- /dev/null
+++ b/src/tealcove/resources/operators.py
@@ -0,0 +1,41 @@
+"""Who may use the administration API: the operators named in the settings."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from aiohttp import web
+
+from tealcove import settings
+from tealcove.resources import refusals
+
+BEARER = "Bearer "
+
+
+class Operators:
+    """Knows operators by the hashes of their bearer keys."""
+
+    def __init__(self, declared: tuple[settings.Operator, ...]) -> None:
+        self.declared = declared
+
+    def authorise(self, request: web.Request) -> str:
+        """Return the operator's name; raises UnauthorisedError.
+
+        Every hash is compared, in constant time, so that how long it takes says
+        nothing about a key.
+        """
+        header = request.headers.get("Authorization", "")
+        key = header.removeprefix(BEARER)
+        found_hash = hashlib.sha256(key.encode()).hexdigest()
+        name = ""
+        for operator in self.declared:
+            if hmac.compare_digest(operator.key_hash, found_hash):
+                name = operator.name
+        if not name or not header.startswith(BEARER):
+            raise refusals.UnauthorisedError(
+                "the key is no operator's",
+                'Send "Authorization: Bearer <key>" with a key of the settings\' '
+                "operators; keys of client accounts don't serve here.",
+            )
+        return name
--- /dev/null
+++ b/src/tealcove/resources/role.py
@@ -0,0 +1,106 @@
+"""The configuration's side of an instance: reader, store, API and compaction."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from tealcove import clock, ids, settings
+from tealcove.membership import force, heart, members
+from tealcove.membership import messages as membership_messages
+from tealcove.peers import mesh
+from tealcove.platform import objects, table
+from tealcove.resources import (
+    api,
+    compaction,
+    copy,
+    log,
+    operators,
+    peers,
+    reader,
+    store,
+)
+
+COMPACTION_KEY = "compaction"
+
+
+class ConfigurationRole:
+    """Keeps the copy current, and serves the resource API from it."""
+
+    def __init__(
+        self,
+        found: settings.Settings,
+        rows: table.TableService,
+        store_of_objects: objects.ObjectStore,
+        transport: mesh.Mesh,
+        known: members.Members,
+    ) -> None:
+        self.members = known
+        self.copy = copy.ConfigurationCopy()
+        self.source = peers.MeshPeerSource(transport, known, self.copy)
+        self.status = force.HeartbeatStatus(known)
+        self.changes = log.ConfigurationLog(rows, store_of_objects)
+        self.reader = reader.ConfigurationReader(
+            self.changes,
+            self.copy,
+            self.source,
+            clock.now(),
+            reader.ReaderSettings(
+                poll_interval=found.configuration.poll_interval,
+                isolated_after=found.configuration.isolated_after,
+            ),
+        )
+        self.compactor = compaction.Compactor(self.changes, self.copy)
+        self.api = api.ResourceApi(
+            store.ResourceStore(rows, store_of_objects, self.copy),
+            self.copy,
+            operators.Operators(found.operators).authorise,
+            self.status,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the handlers of the resource API."""
+        return self.api.routes()
+
+    def start(self, beats: heart.Heart) -> None:
+        """Begin to follow the log and to learn from heartbeats."""
+        self.source.start()
+        self.copy.subscribe(self.compact_now_and_then)
+        beats.listeners.append(self.hear)
+        self.tasks.append(asyncio.create_task(self.reader.run()))
+        self.tasks.append(asyncio.create_task(self.compactor.run()))
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        self.api.end_watches()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def hear(self, heartbeat: membership_messages.Heartbeat) -> None:
+        """Learn of a peer's revision."""
+        now = clock.now()
+        self.reader.heard(heartbeat.revision, heartbeat.instance, now)
+        self.status.note(now)
+
+    def may_serve(self, now: ids.Instant) -> bool:
+        """Tell whether requests may be decided by the copy.
+
+        An instance that reaches neither platform nor peers can't know whether
+        its configuration still holds; accepting by it would bring an older
+        configuration back to life.
+        """
+        return self.reader.ready(now) and not self.reader.isolated(now)
+
+    def compact_now_and_then(
+        self, previous: copy.Configuration, current: copy.Configuration
+    ) -> None:
+        """Let one instance, by the ranking, compact the log when it is due."""
+        every = self.compactor.settings.every
+        if previous.revision // every == current.revision // every:
+            return
+        ranked = self.members.rank(COMPACTION_KEY, clock.now())
+        if ranked and ranked[0] == self.members.own.instance:
+            self.compactor.due.set()
