Prove that a killed entry and a frozen dispatcher lose nothing

Change: a test with six instances and six engines, 400 requests of three tiers; the dispatcher of the only cell is frozen, another instance killed, the frozen one goes on. Test deployments hold a loopback network each, since two runs side by side had met on one.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 
@@ -24,9 +25,9 @@
 CALLER_KEY = "caller-key"
 OPERATOR_KEY = "operator-key"
 
-# Each deployment of a test run gets a loopback network of its own, so that tests
-# which run side by side can't meet on a port.
-NETWORKS = itertools.count(1)
+# Each deployment gets a loopback network of its own, held by a socket bound in
+# it, so that tests which run side by side can't meet on a port.
+HOLD_PORT = 6999
 
 
 def hash_key(key: str) -> str:
@@ -43,6 +44,20 @@
             await asyncio.sleep(POLL)
 
 
+def hold_network() -> tuple[str, socket.socket]:
+    """Return the first three numbers of a free network, and what holds it."""
+    for second, third in itertools.product(range(10, 250), range(1, 250)):
+        network = f"127.{second}.{third}"
+        holder = socket.socket()
+        try:
+            holder.bind((f"{network}.254", HOLD_PORT))
+        except OSError:
+            holder.close()
+            continue
+        return network, holder
+    raise RuntimeError("no free loopback network")
+
+
 class Process:
     """A process of the deployment, with its address."""
 
@@ -101,9 +116,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
-        network = next(NETWORKS) % 250
-        self.network = f"127.{10 + int(worker)}.{network}"
+        self.network, self.network_holder = hold_network()
         self.platform = self.standin("platform", "platform", 1, {})
         self.processes = {"platform": self.platform}
         self.engines: list[Process] = []
@@ -130,6 +143,7 @@
             await process.end()
         await self.session.close()
         await self.client.close()
+        self.network_holder.close()
 
     def write(self, name: str, content: object) -> str:
         """Write a settings file and return its path."""
--- /dev/null
+++ b/tests/test_entry_death.py
@@ -0,0 +1,108 @@
+"""Entries and dispatchers that die or freeze under load."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import random
+
+from tests import callers, deployment
+
+REQUESTS = 400
+LONGEST = 60
+
+
+async def test_entry_killed_and_dispatcher_frozen(tmp_path: pathlib.Path) -> None:
+    """Every request gets one whole answer of its own, or its connection is cut.
+
+    Symptom: callers wait for ever, get another's answer, or an engine runs a
+    request twice, after an instance dies.
+    Sequence: requests of all tiers flow through six instances; the dispatcher of
+    the cell is frozen, another instance is killed, the frozen one goes on.
+    Cause: tickets and grants in the memory of the frozen or dead instance.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        for _ in range(6):
+            await running.add_engine(decode_seconds_per_token=0.004)
+        for _ in range(6):
+            await running.add_instance()
+        await running.declare()
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+        frozen = await dispatcher_of(running)
+        killed = next(i for i in running.instances if i is not frozen)
+        choose = random.Random(1)
+        lengths = [choose.choice((2, 4, LONGEST)) for _ in range(REQUESTS)]
+        targets = [running.instances[n % 6] for n in range(REQUESTS)]
+        calls = [
+            asyncio.create_task(send(running, n, targets[n], lengths[n]))
+            for n in range(REQUESTS)
+        ]
+        await some_done(calls, 40)
+        frozen.freeze()
+        await some_done([c for c, t in zip(calls, targets) if t is not frozen], 100)
+        killed.kill()
+        await some_done([c for c, t in zip(calls, targets) if t is not frozen], 250)
+        frozen.thaw()
+        replies = await asyncio.gather(*calls)
+        check_replies(replies, targets, lengths, killed)
+        assert await dispatches(running) <= {1}
+
+
+async def dispatcher_of(running: deployment.Deployment) -> deployment.Process:
+    """Return the instance that the ranking names for the pool's only cell."""
+    from tealcove.membership import ranking
+
+    names = [instance.name for instance in running.instances]
+    first = ranking.rank("engines/0", names)[0]
+    return next(i for i in running.instances if i.name == first)
+
+
+async def send(
+    running: deployment.Deployment,
+    number: int,
+    target: deployment.Process,
+    length: int,
+) -> callers.Reply:
+    """Send one of the many requests."""
+    tier = ("high", "middle", "low")[number % 3]
+    await asyncio.sleep(number * 0.01)
+    return await callers.complete(
+        running.session, target.url, f"prompt {number}", length, tier
+    )
+
+
+async def some_done(calls: list[asyncio.Task[callers.Reply]], count: int) -> None:
+    """Wait until so many calls are done."""
+
+    async def enough() -> bool:
+        return sum(call.done() for call in calls) >= count
+
+    await deployment.until(enough)
+
+
+def check_replies(
+    replies: list[callers.Reply],
+    targets: list[deployment.Process],
+    lengths: list[int],
+    killed: deployment.Process,
+) -> None:
+    """Check that only callers of the killed instance were cut off."""
+    for number, reply in enumerate(replies):
+        if reply.outcome == "cut":
+            assert targets[number] is killed
+        elif reply.outcome == "completed":
+            assert callers.is_own(reply, f"prompt {number}", lengths[number])
+    outcomes = collections.Counter(reply.outcome for reply in replies)
+    assert set(outcomes) <= {"completed", "cut"}, outcomes
+
+
+async def dispatches(running: deployment.Deployment) -> set[int]:
+    """Return how often single requests were dispatched, over all engines."""
+    total: collections.Counter[str] = collections.Counter()
+    for engine in running.engines:
+        counts = await running.counts(engine)
+        total.update(counts["dispatches"])
+    return set(total.values())
