Let the settings name the scheduler of a cell

Cause: measurements compare policies in otherwise equal processes, and the scheduler class was fixed in the daemon. Change: setting dispatch.policy, "module:Class"; the default is the fair one. A name that leads to no Scheduler is a SettingsError that names the setting. Ruled out: an entry-point registry; one class name in the settings is enough. Measurement: none; no behaviour changes with the default.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -10,7 +10,7 @@
 
 from tealcove import clock, ids, logs, settings, telemetry
 from tealcove.backends import http_engine
-from tealcove.dispatch import cells, fair, requester, role
+from tealcove.dispatch import cells, policy, requester, role
 from tealcove.entry import http
 from tealcove.membership import heart, members, messages
 from tealcove.peers import endpoint, mesh
@@ -92,7 +92,7 @@
             self.mesh,
             self.members,
             self.find_cell,
-            fair.FairScheduler,
+            policy.find(self.settings.dispatch.policy),
             self.engines,
             self.settings.dispatch.load_poll_interval,
         )
--- /dev/null
+++ b/src/tealcove/dispatch/policy.py
@@ -0,0 +1,28 @@
+"""Finds the scheduler that the settings name."""
+
+from __future__ import annotations
+
+import importlib
+
+from tealcove import errors
+from tealcove.dispatch import scheduler
+
+
+def find(name: str) -> type[scheduler.Scheduler]:
+    """Return the scheduler class of "module:Class"; raises SettingsError."""
+    module_name, _, class_name = name.partition(":")
+    try:
+        found = getattr(importlib.import_module(module_name), class_name)
+    except (ImportError, AttributeError, ValueError) as error:
+        raise refused(name, "can't be imported") from error
+    if not (isinstance(found, type) and issubclass(found, scheduler.Scheduler)):
+        raise refused(name, "isn't a scheduler")
+    return found
+
+
+def refused(name: str, problem: str) -> errors.SettingsError:
+    """Return the error for a name that leads to no scheduler."""
+    return errors.SettingsError(
+        f"$.dispatch.policy: {name!r} {problem}",
+        'Write "module:Class" of a tealcove.dispatch.scheduler.Scheduler',
+    )
--- a/src/tealcove/settings.py
+++ b/src/tealcove/settings.py
@@ -105,6 +105,8 @@
     load_poll_interval: Seconds = 0.5
     # Kept free between the predicted end of a request and its deadline, in seconds.
     deadline_margin: Delay = 0.05
+    # "module:Class" of the Scheduler that decides for a cell.
+    policy: str = "tealcove.dispatch.fair:FairScheduler"
 
 
 class Limits(Group):
