--- a/src/tealcove/resources/tests/builders.py
+++ b/src/tealcove/resources/tests/builders.py
@@ -7,7 +7,7 @@
 
 from tealcove import ids
 from tealcove.platform import memory, objects, table
-from tealcove.resources import copy, decision, edits, kinds, store
+from tealcove.resources import codec, copy, decision, edits, kinds, store
 
 OPERATOR = "erwan"
 
@@ -119,3 +119,23 @@
         edit=edits.Delete(),
         if_match=ids.Revision(if_match),
     )
+
+
+def change(
+    revision: int, kind: kinds.Kind, name: str, spec: kinds.Spec
+) -> codec.Change:
+    """Return a change that writes a resource."""
+    metadata = kinds.Metadata(
+        name=name,
+        revision=ids.Revision(revision),
+        generation=1,
+        changed_by=OPERATOR,
+    )
+    return codec.Change(
+        revision=ids.Revision(revision),
+        kind=kind,
+        name=name,
+        changed_by=OPERATOR,
+        nonce="",
+        resource=kinds.Resource(kind=kind, metadata=metadata, spec=spec),
+    )
--- a/src/tealcove/resources/tests/test_store.py
+++ b/src/tealcove/resources/tests/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tealcove import errors
-from tealcove.platform import memory
+from tealcove.platform import memory, table
 from tealcove.resources import kinds, log, refusals
 from tealcove.resources.tests import builders
 
@@ -127,3 +127,56 @@
         await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
     platform.faults.down = False
     assert (await own.catch_up()).revision == 0
+
+
+class LateTable(builders.YieldingTable):
+    """Applies one write only after it has given up on its reply."""
+
+    def __init__(self, inner: table.TableService) -> None:
+        super().__init__(inner)
+        self.late: table.Transaction | None = None
+        self.given_up = False
+
+    async def commit(self, transaction: table.Transaction) -> table.Committed:
+        if self.given_up:
+            return await super().commit(transaction)
+        self.given_up = True
+        self.late = transaction
+        raise errors.OutcomeUnknownError("no reply in time", "Read the row.")
+
+    async def read(self, table: str, key: str) -> table.Row | None:
+        found = await super().read(table, key)
+        if self.late is not None and table == log.RESOURCES:
+            late, self.late = self.late, None
+            await self.inner.commit(late)
+        return found
+
+
+async def test_write_that_arrives_after_its_time_out(platform):
+    """Symptom: an operator is told of a conflict with a change of their own.
+
+    Events: the time-out of a write passes; the writer finds the head unmoved and
+    tries again; then the first write arrives.
+    Cause: taking a write that isn't there yet for one that never will be.
+    """
+    own = builders.Instance(LateTable(platform.table), platform.objects)
+    outcome = await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+    assert (outcome.revision, outcome.created) == (1, True)
+    assert (await own.catch_up()).revision == 1
+
+
+async def test_foreign_change_of_a_row_is_not_written_over(platform):
+    """The resource's own version guards it where the head doesn't move."""
+    own = builders.instance(platform)
+    await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+
+    class Racing(builders.YieldingTable):
+        async def commit(self, transaction: table.Transaction) -> table.Committed:
+            foreign = table.Put(log.RESOURCES, "service-tiers/gold", b"{}")
+            await platform.table.commit(table.Transaction((), (foreign,)))
+            return await platform.table.commit(transaction)
+
+    own.store.rows = Racing(platform.table)
+    with pytest.raises(table.ConditionFailedError):
+        await own.store.change(builders.put(TIER, "gold", builders.tier(2), 1))
+    assert (await own.catch_up()).revision == 1
