Mark requests that crash backend servers, and share the marks

Cause: nothing remembered which requests ran on a backend server that died, so one bad request could kill server after server. Change: marks by digest of content: one crash makes a suspect, two a quarantine for a time; a whole run alone clears. Marks merge in any order, spread by a message of their own on change, by a checksum in heartbeats when instances differ, and through the platform's table in batches. A grant says whether the request runs alone; the entry's tickets tell listeners how each run ended. Ruled out: whole marks in heartbeats, whose size would grow with every crash; a count of crashes in place of their runs, which can't tell a second witness from a second crash. Conclusion: not yet wired into entry and dispatcher.

--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -78,6 +78,8 @@
     server: ids.BackendServerId
     host: str
     port: int
+    # Nothing else runs on the server: the request is suspected of a crash.
+    alone: bool = False
 
 
 class Refusal(message.Message):
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -40,6 +41,18 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def alone(self) -> bool:
+        """Tell whether the request has its server for itself."""
+        if not self.answer.done() or self.answer.cancelled():
+            return False
+        found = self.answer.result()
+        return isinstance(found, messages.Grant) and found.alone
+
+
+# Gets a ticket, how its request ended, whether it ran alone, and the time.
+Listener = Callable[[messages.Ticket, messages.Done, bool, ids.Instant], None]
+
 
 class Requester:
     """All tickets of this entry that wait or run."""
@@ -51,6 +64,8 @@
         self.members = known
         self.ticket_timeout = ticket_timeout
         self.holds: dict[ids.TicketId, Hold] = {}
+        # Functions that learn how each dispatched request ended.
+        self.listeners: list[Listener] = []
 
     def start(self) -> None:
         """Begin to take grants."""
@@ -126,8 +141,15 @@
             self.tell(hold, withdrawal(hold.ticket))
 
     def finish(self, hold: Hold, done: messages.Done) -> None:
-        """Tell the dispatcher that a dispatched request has ended."""
+        """Tell the dispatcher that a dispatched request has ended.
+
+        The listeners go first: a mark against a request that crashed its server
+        must reach the dispatcher before the news that the slot is free, or the
+        next copy of the request would be granted a slot at once.
+        """
         self.holds.pop(hold.ticket.ticket_id, None)
+        for listener in self.listeners:
+            listener(hold.ticket, done, hold.alone, clock.now())
         self.tell(hold, done)
 
     def tell(self, hold: Hold, sent: message.Message) -> None:
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -31,5 +31,6 @@
     revision: ids.Revision
     # Addresses "ip:port" of the peers that the sender heard lately.
     known: tuple[str, ...] = ()
-    # Digests of quarantined requests, with the seconds that each has left.
-    quarantined: tuple[tuple[str, float], ...] = ()
+    # Checksum of the marks against crashing requests that the sender knows. The
+    # marks themselves go by messages of their own, so that heartbeats stay small.
+    marks: int = 0
--- /dev/null
+++ b/src/tealcove/quarantine/content.py
@@ -0,0 +1,24 @@
+"""Digests of the content of requests, alike at every entry."""
+
+from __future__ import annotations
+
+import hashlib
+
+DIGEST_BYTES = 16
+# Stands between method, path and body, none of which can make up for it.
+SEPARATOR = b"\0"
+
+
+def digest_prompt(prompt: str) -> str:
+    """Return the digest of a request to a model engine."""
+    return digest(prompt.encode())
+
+
+def digest_call(method: str, path: str, body: bytes) -> str:
+    """Return the digest of a call to a plain service."""
+    return digest(SEPARATOR.join((method.encode(), path.encode(), body)))
+
+
+def digest(content: bytes) -> str:
+    """Return the digest of bytes in hex."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
--- /dev/null
+++ b/src/tealcove/quarantine/marks.py
@@ -0,0 +1,183 @@
+"""What is known of requests whose backend server crashed, by digest."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+
+import msgspec
+
+from tealcove import ids
+
+# Marks that an instance holds at the most; the one that ends first makes room.
+MOST_MARKS = 1000
+# Crashes of one digest that are remembered; two are enough for a quarantine.
+MOST_CRASHES = 16
+CRASHES_TO_QUARANTINE = 2
+# A mark that ends sooner than this, in seconds, isn't shared any more. Without
+# it two instances would hand an ending mark to each other for ever: each would
+# have dropped its own just before the other's copy arrives.
+LEAST_SHARED = 5.0
+CHECKSUM_BYTES = 8
+
+
+class Verdict(enum.Enum):
+    """What is held of a digest."""
+
+    CLEAR = "clear"
+    # It may have crashed a backend server: it runs alone.
+    SUSPECT = "suspect"
+    # It crashed two backend servers: it doesn't run.
+    QUARANTINED = "quarantined"
+
+
+class Crash(msgspec.Struct, frozen=True, order=True):
+    """A run of a digest during which its backend server crashed.
+
+    The request id names the run, so that a crash which both the entry and the
+    dispatcher notice counts once.
+    """
+
+    request_id: ids.RequestId
+    server: ids.BackendServerId
+    # Whether nothing else ran on the server.
+    alone: bool = False
+
+
+class SharedMark(msgspec.Struct, frozen=True):
+    """A mark as it travels; `remaining` is in seconds."""
+
+    digest: str
+    crashes: tuple[Crash, ...]
+    cleared: tuple[ids.RequestId, ...]
+    remaining: float
+
+
+class Mark(msgspec.Struct):
+    """The crashes of a digest, and those that a whole run alone has cleared."""
+
+    crashes: set[Crash]
+    cleared: set[ids.RequestId]
+    until: ids.Instant
+
+    def verdict(self) -> Verdict:
+        """Judge the digest by the crashes that aren't cleared."""
+        count = self.count()
+        if count >= CRASHES_TO_QUARANTINE:
+            return Verdict.QUARANTINED
+        return Verdict.SUSPECT if count else Verdict.CLEAR
+
+    def count(self) -> int:
+        """Count the crashes that may be this digest's doing.
+
+        Copies that ran side by side on one server saw the same crash. Counted
+        twice, one crash would quarantine every prompt that is sent often.
+        """
+        open_ones = [c for c in self.crashes if c.request_id not in self.cleared]
+        alone = sum(1 for crash in open_ones if crash.alone)
+        return alone + len({crash.server for crash in open_ones if not crash.alone})
+
+    def text(self) -> str:
+        """Return what two instances with the same knowledge agree on."""
+        crashes = [f"{c.request_id}@{c.server}" for c in sorted(self.crashes)]
+        return f"{crashes}{sorted(self.cleared)}"
+
+
+class Marks:
+    """The marks that an instance knows; merging in any order ends alike."""
+
+    def __init__(self, quarantine_seconds: float) -> None:
+        self.quarantine_seconds = quarantine_seconds
+        self.marks: dict[str, Mark] = {}
+
+    def verdict(self, digest: str, now: ids.Instant) -> Verdict:
+        """Judge a digest."""
+        mark = self.marks.get(digest)
+        if mark is None or mark.until <= now:
+            return Verdict.CLEAR
+        return mark.verdict()
+
+    def remaining(self, digest: str, now: ids.Instant) -> float:
+        """Return the seconds until a digest's mark ends."""
+        mark = self.marks.get(digest)
+        return 0.0 if mark is None else max(0.0, mark.until - now)
+
+    def add_crash(self, digest: str, crash: Crash, now: ids.Instant) -> bool:
+        """Take in a crash that was seen here; False when it was known."""
+        return self.merge(
+            SharedMark(digest, (crash,), (), self.quarantine_seconds), now
+        )
+
+    def clear(self, digest: str, now: ids.Instant) -> bool:
+        """Clear a digest that ran whole alone; False when nothing was open."""
+        mark = self.marks.get(digest)
+        if mark is None or mark.until <= now:
+            return False
+        added = {crash.request_id for crash in mark.crashes} - mark.cleared
+        mark.cleared |= added
+        return bool(added)
+
+    def holds_against(self, digest: str, run: ids.RequestId) -> bool:
+        """Tell whether a run is counted as a crash of its digest."""
+        mark = self.marks.get(digest)
+        return mark is not None and any(c.request_id == run for c in mark.crashes)
+
+    def merge(self, shared: SharedMark, now: ids.Instant) -> bool:
+        """Take in what a peer or the platform knows; False when it was known.
+
+        Only a crash that is new here moves the end of a mark. If any message
+        did, the delay of each would prolong the mark, and instances that repeat
+        it to each other would keep it for ever.
+        """
+        mark = self.marks.get(shared.digest)
+        if mark is None or mark.until <= now:
+            mark = Mark(set(), set(), ids.Instant(now))
+        crashes = set(shared.crashes) - mark.crashes
+        cleared = set(shared.cleared) - mark.cleared
+        if not crashes and not cleared:
+            return False
+        if len(mark.crashes) + len(crashes) > MOST_CRASHES:
+            mark.crashes = {c for c in mark.crashes if c.request_id not in mark.cleared}
+        if len(mark.crashes) + len(crashes) > MOST_CRASHES:
+            return False
+        if crashes:
+            mark.until = ids.Instant(max(mark.until, now + shared.remaining))
+        mark.crashes |= crashes
+        mark.cleared |= cleared
+        self.marks[shared.digest] = mark
+        self.make_room()
+        return True
+
+    def make_room(self) -> None:
+        """Drop the mark that ends first when there are too many."""
+        if len(self.marks) > MOST_MARKS:
+            first = min(self.marks, key=lambda digest: self.marks[digest].until)
+            del self.marks[first]
+
+    def sweep(self, now: ids.Instant) -> None:
+        """Forget the marks that have ended."""
+        for digest, mark in list(self.marks.items()):
+            if mark.until <= now:
+                del self.marks[digest]
+
+    def shared(self, digest: str, now: ids.Instant) -> SharedMark | None:
+        """Return a mark as it travels; None when it's not worth sharing."""
+        mark = self.marks.get(digest)
+        if mark is None or mark.until - now < LEAST_SHARED:
+            return None
+        return SharedMark(
+            digest=digest,
+            crashes=tuple(sorted(mark.crashes)),
+            cleared=tuple(sorted(mark.cleared)),
+            remaining=mark.until - now,
+        )
+
+    def checksum(self, now: ids.Instant) -> int:
+        """Return a number that is the same on instances that know the same."""
+        found = 0
+        for digest, mark in self.marks.items():
+            if mark.until - now >= LEAST_SHARED:
+                text = f"{digest}{mark.text()}".encode()
+                part = hashlib.blake2b(text, digest_size=CHECKSUM_BYTES).digest()
+                found ^= int.from_bytes(part)
+        return found
--- /dev/null
+++ b/src/tealcove/quarantine/tests/test_keeping.py
@@ -0,0 +1,90 @@
+"""Marks in the platform's table, and crashes that only a dispatcher sees."""
+
+from __future__ import annotations
+
+import pytest
+
+from tealcove import errors, ids
+from tealcove.platform import faults, memory
+from tealcove.quarantine import keeping, marks, watch
+from tealcove.quarantine.tests import builders
+
+D = builders.DIGEST
+T0 = builders.at(1000.0)
+WALL = 5e8
+
+
+async def test_marks_outlast_a_restart_of_every_instance() -> None:
+    platform = memory.MemoryPlatform()
+    before = builders.new_marks()
+    keeper = keeping.Keeper(platform.table, before)
+    for number, server in enumerate(("s1", "s2")):
+        before.add_crash(D, builders.crash(f"r{number}", server), T0)
+    keeper.add(D)
+    await keeper.step(T0, WALL)
+    after = builders.new_marks()
+    later = keeping.Keeper(platform.table, after)
+    await later.step(builders.at(7.0), WALL + 100.0)
+    assert after.verdict(D, builders.at(7.0)) is marks.Verdict.QUARANTINED
+    assert after.remaining(D, builders.at(7.0)) == builders.SECONDS - 100.0
+
+
+async def test_what_an_outage_kept_back_is_written_later() -> None:
+    """Lost marks.
+
+    Symptom: a crashing request runs again after all instances were replaced.
+    Sequence: the platform is down when the request crashes its servers, and
+    comes back. Cause: the mark was written once only.
+    """
+    platform = memory.MemoryPlatform()
+    held = builders.new_marks()
+    keeper = keeping.Keeper(platform.table, held)
+    await keeper.step(T0, WALL)
+    held.add_crash(D, builders.crash("r1", "s1"), T0)
+    keeper.add(D)
+    platform.faults = faults.Faults(down=True)
+    with pytest.raises(errors.PlatformError):
+        await keeper.step(T0, WALL)
+    platform.faults = faults.Faults()
+    await keeper.step(T0, WALL)
+    assert len(await platform.table.scan(keeping.TABLE)) == 1
+
+
+async def test_ended_rows_are_deleted_and_idle_keepers_write_nothing() -> None:
+    platform = memory.MemoryPlatform()
+    held = builders.new_marks()
+    held.add_crash(D, builders.crash("r1", "s1"), T0)
+    keeper = keeping.Keeper(platform.table, held)
+    keeper.add(D)
+    await keeper.step(T0, WALL)
+    writes = platform.write_count
+    await keeper.step(T0, WALL)
+    assert platform.write_count == writes
+    after = builders.new_marks()
+    await keeping.Keeper(platform.table, after).step(T0, WALL + 2 * builders.SECONDS)
+    assert after.marks == {}
+    assert await platform.table.scan(keeping.TABLE) == ()
+
+
+def test_the_dispatcher_speaks_for_entries_that_are_gone() -> None:
+    """A request that kills its server and outlives the count.
+
+    Symptom: more than two servers die of one request. Sequence: its entry is
+    killed while the server crashes, and the caller sends it elsewhere. Cause:
+    nobody is left who saw the connection break.
+    """
+    alive = {"e1", "e2"}
+    found = watch.Watch(lambda instance: instance in alive)
+    server = ids.BackendServerId("s1")
+    for number, entry in ((1, "e1"), (2, "e2"), (3, "e1")):
+        ticket = builders.ticket(number, entry)
+        found.granted(ticket, builders.grant(number, "s1"), T0)
+    found.ended(ids.TicketId("t3"))
+    alive.remove("e1")
+    for _ in range(watch.MISSED_REPORTS - 1):
+        assert found.reported(server, False, T0) == []
+    lost = found.reported(server, False, T0)
+    assert [one.ticket.ticket_id for one in lost] == ["t1"]
+    assert found.reported(server, False, T0) == []
+    found.sweep(T0 + 11.0)
+    assert found.tickets == {}
