Secure the mesh by CURVE and the HTTP side by TLS

Cause: settings named keys and certificates that nothing used. Change: one key pair of the deployment for listeners and links, with an authenticator that lets in only allowed public keys; TLS contexts for callers and the platform. Ruled out: a key pair for each listener (a link to a seed would have to know which); CURVE without an authenticator: the test with a stranger that knows the public key fails when every key is let in. Rotating the deployment's key splits the mesh while old and new instances run side by side; docs/OPERATING.md has to say so.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -4,16 +4,17 @@
 
 import asyncio
 import signal
+import ssl
 
 import logbook
 from aiohttp import web
 
-from tealcove import clock, ids, logs, settings, telemetry
+from tealcove import clock, errors, ids, logs, settings, telemetry
 from tealcove.backends import http_engine
 from tealcove.dispatch import cells, policy, requester, role
 from tealcove.entry import http
 from tealcove.membership import heart, members, messages
-from tealcove.peers import endpoint, mesh
+from tealcove.peers import endpoint, mesh, security
 from tealcove.platform import client, services
 from tealcove.resources import copy
 from tealcove.resources import role as configuration
@@ -43,7 +44,9 @@
         """Start all roles; accepts requests once the configuration is here."""
         found = self.settings
         self.platform = client.PlatformClient(
-            found.platform.url, client.Timeouts(total=found.platform.timeout_seconds)
+            found.platform.url,
+            client.Timeouts(total=found.platform.timeout_seconds),
+            platform_tls(found),
         )
         self.rows = services.HttpTableService(self.platform)
         self.objects = services.HttpObjectStore(self.platform)
@@ -61,7 +64,9 @@
         found = self.settings
         listen = endpoint.Endpoint(str(found.peer.host), found.peer.port)
         instance = ids.InstanceId(found.instance)
-        self.mesh = mesh.Mesh(instance, self.incarnation, listen)
+        curve = found.peer.curve
+        secured = None if curve is None else security.Security(curve)
+        self.mesh = mesh.Mesh(instance, self.incarnation, listen, secured)
         await self.mesh.start()
         own = messages.Heartbeat(
             instance=instance,
@@ -127,7 +132,13 @@
         self.runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
         await self.runner.setup()
         host = self.settings.http.host
-        site = web.TCPSite(self.runner, host, self.http_port, backlog=BACKLOG)
+        site = web.TCPSite(
+            self.runner,
+            host,
+            self.http_port,
+            backlog=BACKLOG,
+            ssl_context=http_tls(self.settings),
+        )
         await site.start()
         self.http_port = self.runner.addresses[0][1]
 
@@ -219,6 +230,29 @@
         self.telemetry.shutdown()
 
 
+def http_tls(found: settings.Settings) -> ssl.SSLContext | None:
+    """Return what secures the HTTP side, or None; raises SettingsError."""
+    tls = found.http.tls
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except OSError as error:
+        raise errors.SettingsError(
+            f"http.tls: {tls.certificate} and {tls.key} can't be used: {error}",
+            "Write the paths of a certificate and its key in PEM form.",
+        ) from error
+    return context
+
+
+def platform_tls(found: settings.Settings) -> ssl.SSLContext | None:
+    """Return what the platform's certificate is checked by, or None."""
+    if found.platform.ca is None:
+        return None
+    return ssl.create_default_context(cafile=found.platform.ca)
+
+
 async def serve(found: settings.Settings) -> None:
     """Run an instance until SIGTERM or SIGINT, then let it leave gracefully."""
     logs.install(found)
--- a/src/tealcove/peers/mesh.py
+++ b/src/tealcove/peers/mesh.py
@@ -11,7 +11,7 @@
 import zmq.asyncio
 
 from tealcove import errors, ids
-from tealcove.peers import endpoint, message
+from tealcove.peers import endpoint, message, security
 
 log = logbook.Logger("peers")
 
@@ -26,27 +26,6 @@
 Handler = Callable[[ids.InstanceId, M], None]
 
 
-class Security:
-    """CURVE keys of this instance; see docs/OPERATING.md for their making."""
-
-    def __init__(self, public_key: str, secret_key: str, server_key: str) -> None:
-        self.public_key = public_key
-        self.secret_key = secret_key
-        self.server_key = server_key
-
-    def secure_listener(self, socket: zmq.Socket) -> None:
-        """Let the socket accept only peers that know its public key."""
-        socket.curve_publickey = self.public_key.encode()
-        socket.curve_secretkey = self.secret_key.encode()
-        socket.curve_server = True
-
-    def secure_link(self, socket: zmq.Socket) -> None:
-        """Let the socket connect only to a peer that holds the secret key."""
-        socket.curve_publickey = self.public_key.encode()
-        socket.curve_secretkey = self.secret_key.encode()
-        socket.curve_serverkey = self.server_key.encode()
-
-
 class Mesh:
     """Sends messages to peers and hands received ones to their handlers."""
 
@@ -55,12 +34,12 @@
         instance: ids.InstanceId,
         incarnation: ids.Incarnation,
         listen: endpoint.Endpoint,
-        security: Security | None = None,
+        secured: security.Security | None = None,
     ) -> None:
         self.instance = instance
         self.identity = f"{instance}|{incarnation}".encode()
         self.listen = listen
-        self.security = security
+        self.security = secured
         self.codec = message.Codec()
         self.handlers: dict[type[message.Message], Handler] = {}
         self.links: dict[endpoint.Endpoint, zmq.Socket] = {}
@@ -87,6 +66,7 @@
         self.router.router_handover = True
         self.router.rcvhwm = HIGH_WATER_MARK
         if self.security is not None:
+            self.security.start(self.context)
             self.security.secure_listener(self.router)
         if self.listen.port == 0:
             port = self.router.bind_to_random_port(f"tcp://{self.listen.host}")
@@ -105,6 +85,8 @@
         self.links.clear()
         if self.router is not None:
             self.router.close(0)
+        if self.security is not None:
+            self.security.stop()
         self.context.term()
 
     def send(self, peer: endpoint.Endpoint, sent: message.Message) -> bool:
--- /dev/null
+++ b/src/tealcove/peers/tests/test_mesh.py
@@ -0,0 +1,106 @@
+"""Messages between instances."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from tealcove import errors
+from tealcove.peers import endpoint, mesh
+from tealcove.peers.tests import builders
+
+PATIENCE = 30.0
+
+
+async def until(check: Callable[[], bool]) -> None:
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            if check():
+                return
+            await asyncio.sleep(0.01)
+
+
+async def wait_for(received: list[str], wanted: str) -> None:
+    await until(lambda: wanted in received)
+
+
+async def test_notes_arrive_in_order_with_their_sender() -> None:
+    received: list[str] = []
+    one = await builders.start_mesh("one", [])
+    two = await builders.start_mesh("two", received)
+    for number in range(100):
+        assert one.send(two.listen, builders.Note(text=str(number)))
+    await wait_for(received, "one: 99")
+    assert received == [f"one: {number}" for number in range(100)]
+    await one.stop()
+    await two.stop()
+
+
+async def test_a_note_to_oneself_needs_no_socket() -> None:
+    received: list[str] = []
+    one = await builders.start_mesh("one", received)
+    one.send(one.listen, builders.Note(text="self"))
+    assert received == ["one: self"]
+    await one.stop()
+
+
+async def test_a_bad_message_does_not_end_the_receiver() -> None:
+    """An instance would look frozen to all its peers.
+
+    Symptom: heartbeats of healthy peers are no longer taken in.
+    Sequence: a peer of another version sends bytes that can't be read, and a
+    handler fails on a message.
+    Cause: an exception that leaves the receiving task ends it.
+    """
+    received: list[str] = []
+    one = await builders.start_mesh("one", [])
+    two = await builders.start_mesh("two", received)
+    one.link(two.listen).send(b"\xc1")
+    one.send(two.listen, builders.Note(text="after"))
+    await wait_for(received, "one: after")
+    two.handlers[builders.Note] = lambda sender, note: received.clear() or 1 / 0
+    one.send(two.listen, builders.Note(text="fails"))
+    await until(lambda: not received)
+    two.handlers[builders.Note] = lambda sender, note: received.append(note.text)
+    one.send(two.listen, builders.Note(text="again"))
+    await wait_for(received, "again")
+    await one.stop()
+    await two.stop()
+
+
+async def test_only_known_keys_are_let_in() -> None:
+    """A stranger who knows the public key mustn't send grants.
+
+    Symptom: messages of a process that is none of the deployment's are obeyed.
+    Sequence: the stranger connects with the right server key and a key of its own.
+    Cause: CURVE without authentication lets in every client.
+    """
+    received: list[str] = []
+    curve = builders.keys()
+    one = await builders.start_mesh("one", [], curve)
+    two = await builders.start_mesh("two", received, curve)
+    stranger = await builders.start_mesh("stranger", [], builders.keys())
+    stranger.security.secure_link = lambda socket: pretend(socket, stranger, one)
+    stranger.send(two.listen, builders.Note(text="obey"))
+    one.send(two.listen, builders.Note(text="hello"))
+    await wait_for(received, "one: hello")
+    one.send(two.listen, builders.Note(text="last"))
+    await wait_for(received, "one: last")
+    assert received == ["one: hello", "one: last"]
+    for each in (one, two, stranger):
+        await each.stop()
+
+
+def pretend(socket: object, stranger: mesh.Mesh, one: mesh.Mesh) -> None:
+    """Connect with the deployment's public key, but the stranger's own pair."""
+    socket.curve_publickey = stranger.security.public_key
+    socket.curve_secretkey = stranger.security.secret_key
+    socket.curve_serverkey = one.security.public_key
+
+
+def test_addresses_are_checked() -> None:
+    assert endpoint.parse("10.0.0.1:7001") == endpoint.Endpoint("10.0.0.1", 7001)
+    with pytest.raises(errors.PeerError, match="ip:port"):
+        endpoint.parse("nowhere")
