Stop heartbeats to addresses where nobody answers

Change: addresses that are neither seeds, listed nor members end after the time to forget; background tasks log what ended them; only every fourth heartbeat names the known peers. Ruled out: dropping seeds too (after a long cut they alone join the halves).

--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
 import logbook
 import msgspec
 
-from tealcove import clock, errors, ids
+from tealcove import clock, errors, ids, tasks
 from tealcove.membership import members, messages
 from tealcove.peers import endpoint, mesh
 from tealcove.platform import instances
@@ -19,6 +20,17 @@
 LIST_INTERVAL = 2.0
 
 
+# Every so-many-th heartbeat names the peers that the sender knows.
+KNOWN_EVERY = 4
+
+
+class Beat(msgspec.Struct):
+    """The task that sends heartbeats to one address, and its start."""
+
+    task: asyncio.Task[None]
+    since: ids.Instant
+
+
 class Heart:
     """One task for each peer that beats, and one that looks for new peers."""
 
@@ -35,7 +47,7 @@
         self.instance_list = instance_list
         self.seeds = seeds
         self.interval = interval
-        self.beats: dict[endpoint.Endpoint, asyncio.Task[None]] = {}
+        self.beats: dict[endpoint.Endpoint, Beat] = {}
         self.tasks: list[asyncio.Task[None]] = []
         self.listed: tuple[instances.ListedInstance, ...] = ()
         # Functions that see each heartbeat taken in, such as the configuration
@@ -47,17 +59,14 @@
         self.transport.handle(messages.Heartbeat, self.hear)
         for seed in self.seeds:
             self.beat_to(seed)
-        self.tasks.append(asyncio.create_task(self.sweep()))
-        self.tasks.append(asyncio.create_task(self.read_list()))
+        self.tasks.append(tasks.start(self.sweep(), "membership sweep"))
+        self.tasks.append(tasks.start(self.read_list(), "instance list"))
 
     async def stop(self) -> None:
         """Tell all peers that this instance is gone, and end the tasks."""
         self.members.update_own(lifecycle=messages.Lifecycle.GONE)
         self.tell_all()
-        tasks = [*self.tasks, *self.beats.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop([*self.tasks, *(beat.task for beat in self.beats.values())])
 
     def hear(self, sender: ids.InstanceId, heartbeat: messages.Heartbeat) -> None:
         """Take in a heartbeat and whatever peers it names."""
@@ -72,16 +81,20 @@
         """Send heartbeats to a peer from now on."""
         if peer == self.transport.listen or peer in self.beats:
             return
-        self.beats[peer] = asyncio.create_task(self.beat(peer))
+        task = tasks.start(self.beat(peer), f"heartbeats to {peer}")
+        self.beats[peer] = Beat(task, clock.now())
 
     async def beat(self, peer: endpoint.Endpoint) -> None:
         """Tell one peer how this instance is, until the peer is forgotten."""
-        while True:
-            self.transport.send(peer, self.current())
+        for number in itertools.count():
+            with_known = number % KNOWN_EVERY == 0
+            self.transport.send(peer, self.current(with_known))
             await asyncio.sleep(self.interval)
 
-    def current(self) -> messages.Heartbeat:
-        """Return the heartbeat of now."""
+    def current(self, with_known: bool) -> messages.Heartbeat:
+        """Return the heartbeat of now, with the addresses of peers or without."""
+        if not with_known:
+            return self.members.own
         now = clock.now()
         known = tuple(
             str(member.endpoint)
@@ -94,25 +107,40 @@
         """Send a heartbeat to all peers now, since something has changed."""
         self.members.tell_changes(clock.now())
         for peer in self.beats:
-            self.transport.send(peer, self.current())
+            self.transport.send(peer, self.members.own)
 
     async def sweep(self) -> None:
         """Forget peers that are long silent."""
         while True:
             await asyncio.sleep(self.interval)
-            for member in self.members.sweep(clock.now()):
-                self.stop_beat(member.endpoint)
+            now = clock.now()
+            self.members.sweep(now)
+            self.stop_beats(now)
 
-    def stop_beat(self, peer: endpoint.Endpoint) -> None:
-        """End the heartbeats to a forgotten peer, unless it's a seed.
+    def stop_beats(self, now: ids.Instant) -> None:
+        """End the heartbeats to addresses where nobody has answered for long.
 
-        A seed is kept: after a cut between data centres that outlasts the time
-        to forget, the seeds are what brings the two halves together again.
+        Seeds and listed instances are kept: after a cut between data centres that
+        outlasts the time to forget, they bring the two halves together again.
+        All others end, or a deployment that replaces hundreds of instances a day
+        would go on sending to every address it ever had.
         """
-        if peer in self.seeds or peer not in self.beats:
-            return
-        self.beats.pop(peer).cancel()
-        self.transport.forget(peer)
+        kept = {*self.seeds, *self.listed_endpoints()}
+        kept.update(member.endpoint for member in self.members.peers.values())
+        for peer, beat in list(self.beats.items()):
+            if peer in kept or now - beat.since <= self.members.forget_after:
+                continue
+            del self.beats[peer]
+            beat.task.cancel()
+            self.transport.forget(peer)
+
+    def listed_endpoints(self) -> list[endpoint.Endpoint]:
+        """Return where the platform's list says that instances are."""
+        return [
+            endpoint.Endpoint(listed.host, listed.peer_port)
+            for listed in self.listed
+            if listed.kind is instances.ListedKind.INSTANCE
+        ]
 
     async def read_list(self) -> None:
         """Learn of peers from the platform's list."""
@@ -126,6 +154,5 @@
 
     def greet_listed(self) -> None:
         """Send heartbeats to every instance on the list."""
-        for listed in self.listed:
-            if listed.kind is instances.ListedKind.INSTANCE:
-                self.beat_to(endpoint.Endpoint(listed.host, listed.peer_port))
+        for peer in self.listed_endpoints():
+            self.beat_to(peer)
--- /dev/null
+++ b/src/tealcove/membership/tests/builders.py
@@ -0,0 +1,39 @@
+"""Test data of membership."""
+
+from __future__ import annotations
+
+from tealcove import ids
+from tealcove.membership import members, messages
+
+SUSPECT_AFTER = 1.0
+FORGET_AFTER = 10.0
+
+
+def heartbeat(
+    number: int,
+    incarnation: str = "first",
+    lifecycle: messages.Lifecycle = messages.Lifecycle.SERVING,
+    data_centre: str = "dc-1",
+    revision: int = 1,
+) -> messages.Heartbeat:
+    """Return a heartbeat of instance `i-<number>`."""
+    return messages.Heartbeat(
+        instance=ids.InstanceId(f"i-{number}"),
+        incarnation=ids.Incarnation(incarnation),
+        lifecycle=lifecycle,
+        data_centre=ids.DataCentreId(data_centre),
+        host="127.0.0.1",
+        http_port=7000 + number,
+        peer_port=8000 + number,
+        revision=ids.Revision(revision),
+    )
+
+
+def known(number: int = 0) -> members.Members:
+    """Return what a serving instance knows at its start."""
+    return members.Members(heartbeat(number), SUSPECT_AFTER, FORGET_AFTER)
+
+
+def names(found: list[messages.Heartbeat]) -> set[str]:
+    """Return the names of the instances."""
+    return {each.instance for each in found}
--- /dev/null
+++ b/src/tealcove/membership/tests/test_members.py
@@ -0,0 +1,119 @@
+"""Who takes part, by the heartbeats."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tealcove import ids
+from tealcove.membership import force, messages, ranking
+from tealcove.membership.tests import builders
+
+INSTANCES = 5
+
+
+def test_only_keys_of_the_gone_instance_move() -> None:
+    names = [ids.InstanceId(f"i-{number}") for number in range(8)]
+    keys = [f"pool/{number}" for number in range(200)]
+    before = {key: ranking.rank(key, names)[0] for key in keys}
+    after = {key: ranking.rank(key, names[1:])[0] for key in keys}
+    moved = {key for key in keys if before[key] != after[key]}
+    assert moved == {key for key in keys if before[key] == "i-0"}
+
+
+def test_the_near_data_centre_ranks_first() -> None:
+    found = builders.known()
+    now = ids.Instant(0.0)
+    for number in range(1, 6):
+        centre = "dc-2" if number < 3 else "dc-1"
+        found.hear(builders.heartbeat(number, data_centre=centre), now)
+    ranked = found.rank("pool/0", now, ids.DataCentreId("dc-2"))
+    assert set(ranked[:2]) == {"i-1", "i-2"}
+    assert len(ranked) == 6
+
+
+def test_a_late_heartbeat_of_a_replaced_incarnation_is_dropped() -> None:
+    """Members flap between the old and the new process of one name.
+
+    Symptom: tickets go to the address of a process that is gone.
+    Sequence: instance 1 is replaced; the old one's last heartbeat comes late.
+    Cause: the heartbeat that arrives last isn't the newest.
+    """
+    found = builders.known()
+    found.hear(builders.heartbeat(1, "first"), ids.Instant(0.0))
+    gone = builders.heartbeat(1, "first", messages.Lifecycle.GONE)
+    found.hear(gone, ids.Instant(0.1))
+    found.hear(builders.heartbeat(1, "second"), ids.Instant(0.2))
+    found.hear(builders.heartbeat(1, "first"), ids.Instant(0.3))
+    assert found.find(ids.InstanceId("i-1")).incarnation == "second"
+
+
+def test_status_counts_serving_instances_and_knows_since_when() -> None:
+    found = builders.known()
+    found.update_own(revision=ids.Revision(7))
+    status = force.HeartbeatStatus(found)
+    found.hear(builders.heartbeat(1, revision=6), ids.Instant(0.0))
+    at_seven = status.in_force(ids.Revision(7), ids.Instant(0.0))
+    assert (at_seven.instances, at_seven.of, at_seven.since) == (1, 2, None)
+    found.hear(builders.heartbeat(1, revision=7), ids.Instant(0.5))
+    status.note(ids.Instant(0.5))
+    at_seven = status.in_force(ids.Revision(7), ids.Instant(0.9))
+    assert (at_seven.instances, at_seven.of) == (2, 2)
+    assert round(at_seven.since, 3) == 0.4
+
+
+class MembershipMachine(stateful.RuleBasedStateMachine):
+    """Heartbeats, silence and replacements in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.members = builders.known()
+        self.now = ids.Instant(0.0)
+        self.heard: dict[str, float] = {}
+        self.lifecycles: dict[str, messages.Lifecycle] = {}
+        self.changes = 0
+        self.members.listen(self.count)
+
+    def count(self) -> None:
+        """Count the calls of a listener."""
+        self.changes += 1
+
+    @stateful.rule(
+        number=st.integers(1, INSTANCES), lifecycle=st.sampled_from(messages.Lifecycle)
+    )
+    def hear(self, number: int, lifecycle: messages.Lifecycle) -> None:
+        """Take in a heartbeat."""
+        beat = builders.heartbeat(number, lifecycle=lifecycle)
+        self.members.hear(beat, self.now)
+        self.heard[beat.instance] = self.now
+        self.lifecycles[beat.instance] = lifecycle
+
+    @stateful.rule(seconds=st.floats(0.0, 12.0))
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass in silence, with a sweep at its end."""
+        self.now = ids.Instant(self.now + seconds)
+        self.members.sweep(self.now)
+
+    @stateful.invariant()
+    def serving_are_those_heard_lately(self) -> None:
+        """Only an instance that said so lately takes new work, and this one."""
+        wanted = {"i-0"}
+        for name, instant in self.heard.items():
+            fresh = self.now - instant <= builders.SUSPECT_AFTER
+            if fresh and self.lifecycles[name] is messages.Lifecycle.SERVING:
+                wanted.add(name)
+        assert builders.names(self.members.serving(self.now)) == wanted
+        assert set(self.members.rank("pool/0", self.now)) == wanted
+
+    @stateful.invariant()
+    def long_silent_peers_are_forgotten(self) -> None:
+        """No peer stays for ever."""
+        for name in self.members.peers:
+            assert self.now - self.heard[name] <= builders.FORGET_AFTER
+
+
+MembershipMachine.TestCase.settings = hypothesis.settings(
+    max_examples=50, deadline=None, derandomize=True
+)
+TestMembership = MembershipMachine.TestCase
