Add an open-loop load tool, baselines and their arithmetic

Engines count dispatches by prompt too, since a caller that sends again to another entry gets another request id. Conclusion: ready to compare revisions.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against real processes; see docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,166 @@
+"""Policies to compare with: each grants at once, and knows no tiers."""
+
+from __future__ import annotations
+
+import abc
+import itertools
+import random
+
+import msgspec
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.dispatch import cells, messages, scheduler
+from tealcove.resources import kinds
+
+RETRY_AFTER = 1.0
+SEED = 1
+
+
+class Server(msgspec.Struct):
+    """A backend server and its last load report."""
+
+    spec: kinds.BackendServerSpec
+    load: engine.LoadReport | None = None
+    reachable: bool = True
+
+    @property
+    def name(self) -> ids.BackendServerId:
+        """The server's name."""
+        return ids.BackendServerId(self.spec.name)
+
+    def takes_work(self) -> bool:
+        """Tell whether the server is there; how busy it is doesn't matter."""
+        wanted = self.spec.state is kinds.ServerState.SERVING
+        leaving = self.load is not None and self.load.state == "leaving"
+        return wanted and self.reachable and not leaving
+
+
+class ImmediateScheduler(scheduler.Scheduler):
+    """Grants every ticket at once and leaves the waiting to the engines."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ids.BackendServerId, Server] = {}
+        self.random = random.Random(SEED)
+
+    @abc.abstractmethod
+    def choose(self, servers: list[Server]) -> Server:
+        """Return one of the servers, of which there is at least one."""
+
+    def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        known = self.servers
+        self.servers = {}
+        for spec in cell.servers:
+            server = known.get(ids.BackendServerId(spec.name), Server(spec))
+            server.spec = spec
+            self.servers[server.name] = server
+        return []
+
+    def enqueue(
+        self, ticket: messages.Ticket, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        if ticket.running_on is not None:
+            return []
+        return [scheduler.Outgoing(ticket.entry, self.answer(ticket))]
+
+    def answer(self, ticket: messages.Ticket) -> messages.Grant | messages.Refusal:
+        """Return a grant, or a refusal when no server is there."""
+        found = [
+            server
+            for server in self.servers.values()
+            if server.takes_work() and server.name not in ticket.excluded
+        ]
+        if not found:
+            return messages.Refusal(
+                ticket_id=ticket.ticket_id,
+                reason=messages.RefusalReason.NO_BACKEND_SERVER,
+                retry_after=RETRY_AFTER,
+            )
+        chosen = self.choose(found)
+        return messages.Grant(
+            ticket_id=ticket.ticket_id,
+            cell=ticket.cell,
+            server=chosen.name,
+            host=chosen.spec.host,
+            port=chosen.spec.port,
+        )
+
+    def withdraw(
+        self, ticket_id: ids.TicketId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        return []
+
+    def progress(
+        self, progress: messages.Progress, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        return []
+
+    def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        server = self.servers.get(done.server)
+        if server is not None and done.outcome is messages.Outcome.NOT_SENT:
+            server.reachable = False
+        return []
+
+    def report(
+        self,
+        server: ids.BackendServerId,
+        load: engine.LoadReport | None,
+        now: ids.Instant,
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        state = self.servers.get(server)
+        if state is not None:
+            state.reachable = load is not None
+            state.load = load
+        return []
+
+    def lose_entry(
+        self, entry: ids.InstanceId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        return []
+
+    def tick(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        return []
+
+
+class RandomScheduler(ImmediateScheduler):
+    """Any server, by chance."""
+
+    def choose(self, servers: list[Server]) -> Server:
+        """See ImmediateScheduler."""
+        return self.random.choice(servers)
+
+
+class RoundRobinScheduler(ImmediateScheduler):
+    """One server after the other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.counter = itertools.count()
+
+    def choose(self, servers: list[Server]) -> Server:
+        """See ImmediateScheduler."""
+        return servers[next(self.counter) % len(servers)]
+
+
+class LeastLoadScheduler(ImmediateScheduler):
+    """The server whose last report says the least work per slot."""
+
+    def choose(self, servers: list[Server]) -> Server:
+        """See ImmediateScheduler."""
+        least = min(load_per_slot(server) for server in servers)
+        return self.random.choice([s for s in servers if load_per_slot(s) == least])
+
+
+def load_per_slot(server: Server) -> float:
+    """Return the reported work by slot; a server without a report has none."""
+    if server.load is None:
+        return 0.0
+    return (server.load.running + server.load.waiting) / server.load.slots
--- /dev/null
+++ b/bench/engine.py
@@ -0,0 +1,55 @@
+"""The engine stand-in as a process that also counts dispatches by prompt.
+
+A caller that sends again to another entry gets another request id, so counts by
+request id alone can't show that its work was dispatched a second time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import sys
+
+import msgspec
+from aiohttp import web
+
+from tealcove import settingsfile
+from tealcove.standins import backend, engine, engine_counts
+
+DIGEST_BYTES = 8
+
+
+class Counts(engine_counts.EngineCounts):
+    """The stand-in's counts, and dispatches by digest of the prompt."""
+
+    prompts: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+class CountingEngine(engine.EngineStandin):
+    """Counts each admitted prompt."""
+
+    def __init__(self, settings: engine.EngineSettings) -> None:
+        super().__init__(settings, engine.exit_process)
+        self.counts = Counts()
+        self.lose_memory()
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Count the prompt, then admit the request."""
+        body = msgspec.json.decode(await request.read(), type=engine.CompletionRequest)
+        engine_counts.add(self.counts.prompts, digest(body.prompt))
+        return await super().complete(request)
+
+
+def digest(prompt: str) -> str:
+    """Return the name of a prompt in the counts."""
+    return hashlib.blake2b(prompt.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+async def serve(path: str) -> None:
+    """Run until SIGTERM."""
+    settings = settingsfile.read(path, engine.EngineSettings)
+    await backend.serve_until_signal(CountingEngine(settings))
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(sys.argv[1]))
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,266 @@
+"""A plan's deployment as separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+import msgspec
+import psutil
+from tests import deployment
+
+from bench import engine, plans, tap
+from tealcove.resources import kinds
+
+# A step of an engine stand-in; more steps cost more processor time than they tell.
+TICK_SECONDS = 0.01
+CRASH_MARKER = "crash-marker"
+ENTRY_POINTS_TTL = 2.0
+SERVICE_SLOTS = 16
+
+POLICIES = {
+    "tealcove": "bench.tap:TappedFairScheduler",
+    "random": "bench.baselines:RandomScheduler",
+    "round robin": "bench.baselines:RoundRobinScheduler",
+    "least reported load": "bench.baselines:LeastLoadScheduler",
+}
+
+
+class EngineProcess(deployment.Process):
+    """An engine stand-in that counts by prompt too."""
+
+    async def start(self, log: pathlib.Path) -> None:
+        """Start it; its output is appended to a log file."""
+        with log.open("ab") as sink:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bench.engine",
+                *self.arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+            )
+
+
+class LogLine(msgspec.Struct):
+    """What is read of a line of an instance's log."""
+
+    channel: str
+    message: str
+    level: str = ""
+
+
+class Announcement(msgspec.Struct):
+    """What is read of an engine's last line."""
+
+    event: str
+    counts: engine.Counts | None = None
+
+
+class Fleet(deployment.Deployment):
+    """A plan's platform, engines, services and instances; a context manager."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        plan: plans.Plan,
+        policy: str,
+        more: dict[str, object] | None = None,
+    ) -> None:
+        super().__init__(folder)
+        self.plan = plan
+        self.policy = policy
+        self.more = more or {}
+        self.data_centres: dict[str, str] = {}
+
+    async def start_all(self) -> None:
+        """Start all processes, declare the resources, wait until all serve."""
+        for found in self.plan.engines:
+            await self.add_planned_engine(found)
+        for number in range(self.plan.services):
+            await self.add_service(slots=SERVICE_SLOTS)
+            name = self.services[-1].name
+            self.data_centres[name] = self.cycle(number)
+        await self.declare_plan()
+        for number in range(self.instance_count()):
+            await self.add_planned_instance(number)
+        for process in (*self.engines, *self.services):
+            await self.wait_for_port(process)
+        for instance in self.instances:
+            await self.wait_until_ready(instance)
+        await self.wait_for_members()
+
+    def instance_count(self) -> int:
+        """Return how many instances the plan has."""
+        return len(self.plan.data_centres) * self.plan.instances_per_data_centre
+
+    def cycle(self, number: int) -> str:
+        """Return the data centre of the process with this number."""
+        return self.plan.data_centres[number % len(self.plan.data_centres)]
+
+    async def add_planned_engine(self, found: plans.Engine) -> None:
+        """Start an engine of the plan."""
+        number = len(self.engines)
+        name = f"engine-{number}"
+        host = f"{self.network}.{50 + number}"
+        content = {
+            "name": name,
+            "host": host,
+            "port": deployment.HTTP_PORT,
+            "generation": found.generation,
+            "slots": found.slots,
+            "prefill_tokens_per_second": plans.PREFILL_TOKENS_PER_SECOND * found.speed,
+            "decode_seconds_per_token": plans.DECODE_SECONDS_PER_TOKEN / found.speed,
+            "batch_slowdown": plans.BATCH_SLOWDOWN,
+            "cache_blocks": self.plan.cache_blocks,
+            "tick_seconds": TICK_SECONDS,
+            "crash_marker": CRASH_MARKER,
+            "models": {"m": "1"},
+            "seed": number,
+        }
+        path = self.write(name, content)
+        started = EngineProcess(name, [path], host, deployment.HTTP_PORT)
+        self.data_centres[name] = found.data_centre
+        self.engines.append(started)
+        await self.start(started)
+
+    async def add_planned_instance(self, number: int) -> None:
+        """Start an instance of the plan."""
+        names = self.plan.data_centres
+        centres = [
+            {
+                "name": name,
+                "delays": {other: self.plan.delay for other in names if other != name},
+            }
+            for name in names
+        ]
+        found = {
+            "data_centre": self.cycle(number),
+            "data_centres": centres,
+            "dispatch": {"policy": POLICIES.get(self.policy, self.policy)},
+            "shutdown": {"entry_points_ttl": ENTRY_POINTS_TTL},
+        }
+        await self.add_instance(**{**found, **self.more})
+
+    async def declare_plan(self) -> None:
+        """Declare the plan's tiers, accounts, pools and rules."""
+        plan = self.plan
+        for rank, tier in enumerate(plan.tiers):
+            spec = kinds.ServiceTierSpec(rank=rank)
+            await self.put(kinds.Kind.SERVICE_TIER, tier, spec)
+        for account in plan.accounts:
+            key_hash = deployment.hash_key(key_of(account.name))
+            spec = kinds.ClientAccountSpec(tier=account.tier, key_hashes=(key_hash,))
+            await self.put(kinds.Kind.CLIENT_ACCOUNT, account.name, spec)
+        await self.put(kinds.Kind.MODEL, "m", kinds.ModelSpec(version="1"))
+        pool = kinds.EnginePoolSpec(
+            servers=self.planned_servers(self.engines, self.engine_slots()),
+            models=("m",),
+            short_share=plan.short_share,
+        )
+        await self.put(kinds.Kind.ENGINE_POOL, "engines", pool)
+        slots = [SERVICE_SLOTS] * plan.services
+        services = kinds.ServicePoolSpec(
+            servers=self.planned_servers(self.services, slots)
+        )
+        await self.put(kinds.Kind.SERVICE_POOL, "services", services)
+        rule = kinds.RoutingRuleSpec(pool="engines", path_prefix="/v1/")
+        await self.put(kinds.Kind.ROUTING_RULE, "engines", rule)
+        rule = kinds.RoutingRuleSpec(pool="services", path_prefix=plan.service_path)
+        await self.put(kinds.Kind.ROUTING_RULE, "services", rule)
+
+    def engine_slots(self) -> list[int]:
+        """Return the slots of each engine."""
+        return [found.slots for found in self.plan.engines]
+
+    def planned_servers(
+        self, processes: list[deployment.Process], slots: list[int]
+    ) -> tuple[kinds.BackendServerSpec, ...]:
+        """Return the specs of backend servers in their data centres."""
+        generations = [found.generation for found in self.plan.engines]
+        return tuple(
+            kinds.BackendServerSpec(
+                name=process.name,
+                host=process.host,
+                port=process.port,
+                data_centre=self.data_centres[process.name],
+                slots=count,
+                generation=generations[number] if process in self.engines else "",
+            )
+            for number, (process, count) in enumerate(
+                zip(processes, slots, strict=True)
+            )
+        )
+
+    async def crash_engine(self, number: int) -> None:
+        """Let an engine die by a prompt sent straight to it."""
+        body = {"model": "m", "prompt": CRASH_MARKER, "max_tokens": 1}
+        url = f"{self.engines[number].url}/v1/completions"
+        headers = {"X-Request-Id": CRASH_MARKER}
+        async with self.session.post(url, json=body, headers=headers) as response:
+            await response.read()
+
+    async def engine_counts(self) -> list[engine.Counts]:
+        """Return the counts of all engines, also of those that crashed."""
+        found = []
+        for process in self.engines:
+            if process.process.returncode is None:
+                counts = await self.counts(process)
+                found.append(msgspec.convert(counts, engine.Counts))
+            found.extend(self.counts_at_crash(process))
+        return found
+
+    def counts_at_crash(self, process: deployment.Process) -> list[engine.Counts]:
+        """Return what an engine told when it crashed."""
+        text = (self.folder / f"{process.name}.log").read_bytes()
+        lines = [line for line in text.splitlines() if line.startswith(b'{"event"')]
+        told = [msgspec.json.decode(line, type=Announcement) for line in lines]
+        return [one.counts for one in told if one.counts is not None]
+
+    def log_lines(self) -> list[LogLine]:
+        """Return the lines that the instances logged."""
+        found = []
+        for instance in self.instances:
+            text = (self.folder / f"{instance.name}.log").read_bytes()
+            for line in text.splitlines():
+                if line.startswith(b"{"):
+                    found.append(msgspec.json.decode(line, type=LogLine))
+        return found
+
+    def notes(self) -> list[tap.Note]:
+        """Return what the tapped schedulers noted."""
+        return [
+            msgspec.json.decode(line.message, type=tap.Note)
+            for line in self.log_lines()
+            if line.channel == tap.CHANNEL
+        ]
+
+    def complaints(self) -> list[str]:
+        """Return the instances' warnings and errors."""
+        return [
+            f"{line.channel}: {line.message}"
+            for line in self.log_lines()
+            if line.level in ("warning", "error")
+        ]
+
+    def cpu_seconds(self) -> dict[str, float]:
+        """Return the processor time that each running process has spent."""
+        found = {}
+        for name, process in self.processes.items():
+            if process.process is None or process.process.returncode is not None:
+                continue
+            times = psutil.Process(process.process.pid).cpu_times()
+            found[name] = times.user + times.system
+        return found
+
+    def leave(self, number: int) -> None:
+        """Ask an instance to leave gracefully."""
+        self.instances[number].send(signal.SIGTERM)
+
+
+def key_of(account: str) -> str:
+    """Return an account's bearer key."""
+    return f"{deployment.CALLER_KEY}-{account}"
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,327 @@
+"""One run: an open-loop load on a plan's deployment, and what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import pathlib
+import sys
+import tempfile
+import time
+from typing import Annotated
+
+import aiohttp
+import cappa
+import msgspec
+import psutil
+
+from bench import arrivals, callers, fleet, plans, score, tap
+
+# Callers of an account in each data centre.
+CALLERS = 2
+# Seconds into the run at which a scenario strikes, and for how long.
+STRIKE = 4.0
+STRIKE_SECONDS = 3.0
+STRAGGLER_SPEED = 0.2
+PROGRESS_INTERVAL = 5.0
+
+
+class Scenario(enum.Enum):
+    """What goes wrong during a run."""
+
+    NONE = "none"
+    BURST = "burst"
+    STRAGGLER = "straggler"
+    ENGINE_CRASH = "engine crash"
+    PLATFORM_OUTAGE = "platform outage"
+    ENTRY_KILLED = "entry killed"
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """What was run."""
+
+    plan: str
+    policy: str
+    load: float
+    seed: int
+    seconds: float
+    scenario: Scenario = Scenario.NONE
+    # Only the highest tier sends anything.
+    alone: bool = False
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of a run; shares are parts of 1, times seconds."""
+
+    run: Run
+    goodput: dict[str, score.Share]
+    goodput_by_length: dict[str, score.Share]
+    ends: dict[str, dict[str, int]]
+    # Good work in the window and its bound, as multiples of the capacity.
+    work: float
+    bound: float
+    prefill_tokens: int
+    prefill_wasted: int
+    second_dispatches: int
+    # Requests whose callers got no final answer.
+    unanswered: int
+    wrong: int
+    sent_again: int
+    latency: dict[str, list[float]]
+    # From a decision to refuse or stop a request to its answer: p50, p95, worst.
+    refusal: list[float]
+    refusals: int
+    # How late requests were sent: p99. A late tool measures itself.
+    lag: float
+    # Cores used, by kind of process.
+    cores: dict[str, float]
+    # Microseconds of a core that a call of the scheduler takes.
+    scheduler_call: float
+    complaints: list[str]
+
+
+class Stage:
+    """A run in progress."""
+
+    def __init__(self, run: Run, folder: pathlib.Path) -> None:
+        self.run = run
+        self.plan = plans.PLANS[run.plan]
+        self.fleet = fleet.Fleet(folder, self.plan, run.policy)
+        burst = None
+        if run.scenario is Scenario.BURST:
+            burst = arrivals.Burst(STRIKE, STRIKE + STRIKE_SECONDS)
+        tiers = self.plan.tiers[:1] if run.alone else self.plan.tiers
+        self.requests = arrivals.generate(
+            self.plan, run.load, run.seconds, run.seed, tiers, burst
+        )
+        self.sent: list[callers.Sent] = []
+        self.cores: dict[str, float] = {}
+
+    async def play(self) -> Result:
+        """Start everything, send the load, and judge."""
+        async with self.fleet:
+            await self.fleet.start_all()
+            connector = aiohttp.TCPConnector(limit=0)
+            timeout = aiohttp.ClientTimeout(total=None)
+            async with aiohttp.ClientSession(
+                connector=connector, timeout=timeout
+            ) as session:
+                await self.send_all(session)
+            counts = await self.fleet.engine_counts()
+            return self.judge(counts)
+
+    async def send_all(self, session: aiohttp.ClientSession) -> None:
+        """Send each request at its time, whatever became of those before."""
+        people = self.callers(session)
+        before = self.fleet.cpu_seconds()
+        own = psutil.Process().cpu_times()
+        start = time.monotonic() + 0.2
+        strike = asyncio.create_task(self.strike(start))
+        progress = asyncio.create_task(self.show_progress(start))
+        tasks = []
+        for number, request in enumerate(self.requests):
+            await asyncio.sleep(max(0.0, start + request.at - time.monotonic()))
+            group = people[request.account, request.data_centre]
+            sending = self.send(group[number % len(group)], request, start)
+            tasks.append(asyncio.create_task(sending))
+        self.note_cores(before, own, time.monotonic() - start)
+        await asyncio.gather(*tasks)
+        await strike
+        progress.cancel()
+
+    def callers(
+        self, session: aiohttp.ClientSession
+    ) -> dict[tuple[str, str], list[callers.Caller]]:
+        """Return the callers by account and data centre."""
+        known = [instance.url for instance in self.fleet.instances]
+        return {
+            (account.name, data_centre): [
+                callers.Caller(
+                    self.plan,
+                    session,
+                    data_centre,
+                    fleet.key_of(account.name),
+                    known,
+                    seed=self.run.seed * CALLERS + number,
+                )
+                for number in range(CALLERS)
+            ]
+            for account in self.plan.accounts
+            for data_centre in self.plan.data_centres
+        }
+
+    async def send(
+        self, caller: callers.Caller, request: arrivals.Request, start: float
+    ) -> None:
+        """Send one request and keep its end."""
+        self.sent.append(await caller.send(request, start))
+
+    async def strike(self, start: float) -> None:
+        """Bring about what the scenario says."""
+        scenario = self.run.scenario
+        if scenario in (Scenario.NONE, Scenario.BURST):
+            return
+        await asyncio.sleep(start + STRIKE - time.monotonic())
+        print(f"  {scenario.value}", file=sys.stderr)
+        found = self.fleet
+        if scenario is Scenario.STRAGGLER:
+            faults = {"speed_factor": STRAGGLER_SPEED}
+            await found.set_faults(found.engines[0], faults)
+        if scenario is Scenario.ENGINE_CRASH:
+            await self.crash_engine()
+        if scenario is Scenario.PLATFORM_OUTAGE:
+            await found.set_faults(found.platform, {"down": True})
+            await asyncio.sleep(STRIKE_SECONDS)
+            await found.set_faults(found.platform, {})
+        if scenario is Scenario.ENTRY_KILLED:
+            victims = found.instances
+            victims[self.run.seed % len(victims)].kill()
+
+    async def crash_engine(self) -> None:
+        """Let the fastest engine die, and start again later."""
+        # It dies without an answer.
+        with contextlib.suppress(aiohttp.ClientError):
+            await self.fleet.crash_engine(0)
+        await self.fleet.engines[0].process.wait()
+        await asyncio.sleep(STRIKE_SECONDS)
+        await self.fleet.start(self.fleet.engines[0])
+
+    async def show_progress(self, start: float) -> None:
+        """Tell now and then how far the run is."""
+        while True:
+            await asyncio.sleep(PROGRESS_INTERVAL)
+            passed = time.monotonic() - start
+            total = len(self.requests)
+            print(
+                f"  {passed:5.1f} s: {len(self.sent)} of {total} ended", file=sys.stderr
+            )
+
+    def note_cores(self, before: dict[str, float], own: object, seconds: float) -> None:
+        """Work out the cores that each kind of process used while load came in."""
+        now = psutil.Process().cpu_times()
+        spent = now.user + now.system - own.user - own.system
+        cores = {"callers": spent / seconds}
+        for name, value in self.fleet.cpu_seconds().items():
+            kind = name.partition("-")[0]
+            used = max(0.0, value - before.get(name, 0.0)) / seconds
+            cores[kind] = cores.get(kind, 0.0) + used
+        self.cores = {kind: round(value, 3) for kind, value in cores.items()}
+
+    def judge(self, counts: list[fleet.engine.Counts]) -> Result:
+        """Return what the callers saw and the engines counted."""
+        window = score.Window(min(STRIKE, self.run.seconds / 3), self.run.seconds)
+        work, bound = score.achieved(self.plan, self.sent, window)
+        notes = self.fleet.notes()
+        refusals = self.refusal_times(notes)
+        tiers = sorted({s.tier for s in self.sent}, key=self.plan.tiers.index)
+        by_tier = {t: [s for s in self.sent if s.tier == t] for t in tiers}
+        lengths = {n: [s for s in self.sent if s.length is n] for n in plans.Length}
+        return Result(
+            run=self.run,
+            goodput={t: score.goodput(found) for t, found in by_tier.items()},
+            goodput_by_length={n.value: score.goodput(f) for n, f in lengths.items()},
+            ends={t: score.ends(found) for t, found in by_tier.items()},
+            work=work,
+            bound=bound,
+            prefill_tokens=sum(c.prefill_tokens for c in counts),
+            prefill_wasted=sum(c.prefill_wasted for c in counts),
+            second_dispatches=second_dispatches(counts),
+            unanswered=sum(
+                s.end in (callers.End.LEFT, callers.End.CUT) for s in self.sent
+            ),
+            wrong=sum(s.end is callers.End.WRONG for s in self.sent),
+            sent_again=sum(s.sends > 1 for s in self.sent),
+            latency={n.value: latency(found) for n, found in lengths.items()},
+            refusal=quantiles(refusals),
+            refusals=len(refusals),
+            lag=score.percentile((s.lag for s in self.sent), 99),
+            cores=self.cores,
+            scheduler_call=call_cost(notes),
+            complaints=self.fleet.complaints()[:20],
+        )
+
+    def refusal_times(self, notes: list[tap.Note]) -> list[float]:
+        """Return the seconds from each decision against a request to its answer."""
+        decided = {n.request: n.at for n in notes if isinstance(n, tap.Decision)}
+        ended = (callers.End.NOT_RUN, callers.End.INTERRUPTED)
+        return [
+            s.answered - decided[s.request_id]
+            for s in self.sent
+            if s.request_id in decided and s.end in ended
+        ]
+
+
+def second_dispatches(counts: list[fleet.engine.Counts]) -> int:
+    """Return how many prompts were sent to engines more than once, over all."""
+    seen: dict[str, int] = {}
+    for found in counts:
+        for prompt, times in found.prompts.items():
+            seen[prompt] = seen.get(prompt, 0) + times
+    return sum(times - 1 for times in seen.values())
+
+
+def latency(sent: list[callers.Sent]) -> list[float]:
+    """Return p50 and p95 of the completed requests' times, if there are any."""
+    found = [s.seconds for s in sent if s.end is callers.End.COMPLETED]
+    return [score.percentile(found, percent) for percent in (50, 95) if found]
+
+
+def quantiles(found: list[float]) -> list[float]:
+    """Return p50, p95 and the worst; nothing when there was none."""
+    return [score.percentile(found, percent) for percent in (50, 95, 100) if found]
+
+
+def call_cost(notes: list[tap.Note]) -> float:
+    """Return the mean microseconds of a call of the scheduler."""
+    costs = [n for n in notes if isinstance(n, tap.Cost)]
+    if not costs:
+        return 0.0
+    last = max(costs, key=lambda cost: cost.calls)
+    return last.seconds / max(1, last.calls) * 1e6
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Run one load and write what came of it as JSON."""
+
+    plan: Annotated[str, cappa.Arg(long=True)] = plans.ETIQUETTE_ARMOR.name
+    policy: Annotated[str, cappa.Arg(long=True)] = "tealcove"
+    load: Annotated[float, cappa.Arg(long=True)] = 1.0
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 14.0
+    scenario: Annotated[str, cappa.Arg(long=True)] = Scenario.NONE.value
+    alone: Annotated[bool, cappa.Arg(long=True)] = False
+    # Where the result goes; standard output without it.
+    out: Annotated[str, cappa.Arg(long=True)] = ""
+
+
+async def play(run: Run, folder: pathlib.Path) -> Result:
+    """Run once with all files in a folder."""
+    return await Stage(run, folder).play()
+
+
+def main() -> None:
+    """Run as the command line says."""
+    found = cappa.parse(Arguments)
+    run = Run(
+        plan=found.plan,
+        policy=found.policy,
+        load=found.load,
+        seed=found.seed,
+        seconds=found.seconds,
+        scenario=Scenario(found.scenario),
+        alone=found.alone,
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        result = asyncio.run(play(run, pathlib.Path(folder)))
+    text = msgspec.json.format(msgspec.json.encode(result))
+    if found.out:
+        pathlib.Path(found.out).write_bytes(text)
+    else:
+        print(text.decode())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,169 @@
+"""Runs of `bench.load` for many policies, loads, seeds and scenarios."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import pathlib
+import sys
+import tempfile
+import time
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from bench import fleet, load, plans
+
+LOADS = "0.7,1.0,1.5,3.0"
+SEEDS = "1,2,3"
+SCENARIO_LOAD = 1.5
+ALL = "all"
+BEST = "tealcove"
+
+
+class Labelled(msgspec.Struct, frozen=True):
+    """A result and the revision of the source that gave it."""
+
+    label: str
+    result: load.Result
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Run a table of loads and add the results to a JSON file."""
+
+    out: Annotated[str, cappa.Arg(long=True)]
+    # Names the source that runs, such as a commit.
+    label: Annotated[str, cappa.Arg(long=True)]
+    plans: Annotated[str, cappa.Arg(long=True)] = ALL
+    policies: Annotated[str, cappa.Arg(long=True)] = ALL
+    loads: Annotated[str, cappa.Arg(long=True)] = LOADS
+    seeds: Annotated[str, cappa.Arg(long=True)] = SEEDS
+    seconds: Annotated[float, cappa.Arg(long=True)] = 14.0
+    # Instead of all loads: each scenario at 1.5 times the capacity.
+    scenarios: Annotated[bool, cappa.Arg(long=True)] = False
+    # Instead of all tiers: the highest one by itself.
+    alone: Annotated[bool, cappa.Arg(long=True)] = False
+    jobs: Annotated[int, cappa.Arg(long=True)] = 2
+
+
+def choose(text: str, every: list[str]) -> list[str]:
+    """Return the names of a list parted by commas."""
+    return every if text == ALL else text.split(",")
+
+
+def runs(found: Arguments) -> list[load.Run]:
+    """Return what is to be run."""
+    table = itertools.product(
+        [int(seed) for seed in found.seeds.split(",")],
+        choose(found.plans, list(plans.PLANS)),
+        scenarios(found),
+        choose(found.policies, list(fleet.POLICIES)),
+    )
+    return [
+        load.Run(
+            plan=plan,
+            policy=policy,
+            load=multiple,
+            seed=seed,
+            seconds=found.seconds,
+            scenario=scenario,
+            alone=found.alone,
+        )
+        for seed, plan, (multiple, scenario), policy in table
+    ]
+
+
+def scenarios(found: Arguments) -> list[tuple[float, load.Scenario]]:
+    """Return the loads, each with what goes wrong under it."""
+    if found.scenarios:
+        wrong = [s for s in load.Scenario if s is not load.Scenario.NONE]
+        return [(SCENARIO_LOAD, scenario) for scenario in wrong]
+    loads = [float(multiple) for multiple in found.loads.split(",")]
+    return [(multiple, load.Scenario.NONE) for multiple in loads]
+
+
+async def play(run: load.Run, folder: str) -> load.Result | None:
+    """Run once in a process of its own; None when it failed."""
+    out = pathlib.Path(folder) / f"{time.monotonic_ns()}.json"
+    arguments = [
+        "-m",
+        "bench.load",
+        f"--plan={run.plan}",
+        f"--policy={run.policy}",
+        f"--load={run.load}",
+        f"--seed={run.seed}",
+        f"--seconds={run.seconds}",
+        f"--scenario={run.scenario.value}",
+        f"--out={out}",
+    ]
+    if run.alone:
+        arguments.append("--alone")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, stderr=asyncio.subprocess.PIPE
+    )
+    _, told = await process.communicate()
+    if process.returncode != 0:
+        print(told.decode(errors="replace")[-2000:], file=sys.stderr)
+        return None
+    return msgspec.json.decode(out.read_bytes(), type=load.Result)
+
+
+def describe(result: load.Result) -> str:
+    """Return one line about a result."""
+    run = result.run
+    shares = "/".join(f"{share.value:.2f}" for share in result.goodput.values())
+    return (
+        f"{run.plan} {run.policy} x{run.load} seed {run.seed} {run.scenario.value}"
+        f"{' alone' if run.alone else ''}: goodput {shares}"
+        f" work {result.work:.2f} of {result.bound:.2f}"
+        f" wasted {result.prefill_wasted / max(1, result.prefill_tokens):.1%}"
+        f" twice {result.second_dispatches} unanswered {result.unanswered}"
+    )
+
+
+def store(path: pathlib.Path, label: str, result: load.Result) -> None:
+    """Add a result to the file, in place of an earlier one of the same run."""
+    kept: list[Labelled] = []
+    if path.exists():
+        kept = msgspec.json.decode(path.read_bytes(), type=list[Labelled])
+    kept = [one for one in kept if (one.label, one.result.run) != (label, result.run)]
+    kept.append(Labelled(label, result))
+    lines = [msgspec.json.encode(one) for one in kept]
+    path.write_bytes(b"[\n" + b",\n".join(lines) + b"\n]\n")
+
+
+async def play_all(found: Arguments) -> int:
+    """Run everything, a few at once; return how many runs failed."""
+    todo = runs(found)
+    path = pathlib.Path(found.out)
+    free = asyncio.Semaphore(found.jobs)
+    failed = 0
+
+    async def play_one(number: int, run: load.Run, folder: str) -> None:
+        nonlocal failed
+        async with free:
+            result = await play(run, folder)
+        if result is None:
+            failed += 1
+            print(f"{number + 1}/{len(todo)} failed: {run}", flush=True)
+            return
+        store(path, found.label, result)
+        print(f"{number + 1}/{len(todo)} {describe(result)}", flush=True)
+
+    with tempfile.TemporaryDirectory() as folder:
+        await asyncio.gather(
+            *(play_one(number, run, folder) for number, run in enumerate(todo))
+        )
+    return failed
+
+
+def main() -> None:
+    """Run as the command line says; exit code 1 when a run failed."""
+    sys.exit(1 if asyncio.run(play_all(cappa.parse(Arguments))) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/tap.py
@@ -0,0 +1,131 @@
+"""The scheduler under measurement, with a note of what it decides and when."""
+
+from __future__ import annotations
+
+import time
+
+import logbook
+import msgspec
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.dispatch import cells, fair, messages, scheduler
+
+# The log channel of the notes; `bench.fleet` reads them.
+CHANNEL = "tap"
+NOTE_INTERVAL = 1.0
+
+log = logbook.Logger(CHANNEL)
+
+
+class Decision(msgspec.Struct, frozen=True, tag=True):
+    """A request that won't run, or no further; `at` is the machine's clock."""
+
+    request: str
+    kind: str
+    at: float
+
+
+class Cost(msgspec.Struct, frozen=True, tag=True):
+    """Calls of the scheduler since it began, and the seconds they took."""
+
+    calls: int
+    seconds: float
+
+
+Note = Decision | Cost
+
+
+class TappedFairScheduler(fair.FairScheduler):
+    """Decides as its base class; all processes of a run share its clock."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests: dict[ids.TicketId, ids.RequestId] = {}
+        self.calls = 0
+        self.seconds = 0.0
+        self.depth = 0
+        self.began = 0.0
+        self.next_note = 0.0
+
+    def enter(self) -> None:
+        """Begin to count a call, unless it's made by another one."""
+        self.depth += 1
+        if self.depth == 1:
+            self.began = time.monotonic()
+
+    def leave(self, decided: list[scheduler.Outgoing]) -> list[scheduler.Outgoing]:
+        """Count a call and note the requests that it ended."""
+        self.depth -= 1
+        if self.depth:
+            return decided
+        now = time.monotonic()
+        self.calls += 1
+        self.seconds += now - self.began
+        for out in decided:
+            if isinstance(out.message, messages.Refusal | messages.Preempt):
+                request = self.requests.get(out.message.ticket_id, "")
+                note(Decision(request, type(out.message).__name__, now))
+        if now >= self.next_note:
+            self.next_note = now + NOTE_INTERVAL
+            note(Cost(self.calls, self.seconds))
+        return decided
+
+    def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().configure(cell, now))
+
+    def enqueue(
+        self, ticket: messages.Ticket, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.requests[ticket.ticket_id] = ticket.request_id
+        self.enter()
+        return self.leave(super().enqueue(ticket, now))
+
+    def withdraw(
+        self, ticket_id: ids.TicketId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().withdraw(ticket_id, now))
+
+    def progress(
+        self, progress: messages.Progress, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().progress(progress, now))
+
+    def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().done(done, now))
+
+    def report(
+        self,
+        server: ids.BackendServerId,
+        load: engine.LoadReport | None,
+        now: ids.Instant,
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().report(server, load, now))
+
+    def lose_entry(
+        self, entry: ids.InstanceId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().lose_entry(entry, now))
+
+    def tick(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.enter()
+        return self.leave(super().tick(now))
+
+
+def note(found: Note) -> None:
+    """Write a note into the instance's log."""
+    log.info("{}", msgspec.json.encode(found).decode())
