Forward calls to plain services, each written once at most

Cause: beside the engines stand plain services, and some of their calls may not be repeated. The entry knew only requests for completions.

Change: exchange.py keeps the life that all requests share; generation.py (engines) and forward.py (services) carry it out. Joining by key needs the same method, path and body too. An error after the end of a request is no longer told as not_run.

Ruled out: trusting force_close against a second write. aiohttp's retry of GET, HEAD, OPTIONS, PUT and DELETE doesn't look at whether the connection was new. Bodies that end where the connection does are refused: a fragment would pass for the whole.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from tealcove import clock, errors, ids, logs, settings, telemetry
-from tealcove.backends import http_engine
+from tealcove.backends import http_engine, http_service
 from tealcove.dispatch import cells, policy, requester, role
 from tealcove.entry import http
 from tealcove.membership import heart, members, messages
@@ -35,6 +35,7 @@
         self.incarnation = ids.new_incarnation()
         self.telemetry = telemetry.Telemetry(found)
         self.engines = http_engine.HttpEngineClient()
+        self.services = http_service.HttpServiceClient()
         self.platform: client.PlatformClient | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.runner: web.AppRunner | None = None
@@ -52,6 +53,7 @@
         self.objects = services.HttpObjectStore(self.platform)
         await self.start_mesh()
         await self.engines.start()
+        await self.services.start()
         self.start_roles()
         await self.start_http()
         self.members.update_own(http_port=self.http_port)
@@ -111,6 +113,7 @@
             self.configuration.copy,
             self.members,
             self.engines,
+            self.services,
             self.tickets,
         )
         self.configuration.copy.subscribe(self.take_configuration)
@@ -119,7 +122,6 @@
         """Listen for callers and operators."""
         limits = self.settings.limits
         app = web.Application(client_max_size=limits.body_bytes)
-        app.add_routes(self.entry.routes())
         app.add_routes(self.configuration.routes())
         app.add_routes(
             [
@@ -128,6 +130,8 @@
                 web.get("/metrics", self.metrics),
             ]
         )
+        # The entry comes last: it takes every path that no other role serves.
+        app.add_routes(self.entry.routes())
         # A caller that leaves ends its handler, which frees what it held.
         self.runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
         await self.runner.setup()
@@ -224,8 +228,10 @@
         await self.runner.cleanup()
         await self.heart.stop()
         await self.dispatcher.stop()
+        await self.tickets.stop()
         await self.mesh.stop()
         await self.engines.stop()
+        await self.services.stop()
         await self.platform.close()
         self.telemetry.shutdown()
 
--- /dev/null
+++ b/src/tealcove/entry/acceptance.py
@@ -0,0 +1,171 @@
+"""What is decided of a request when it's accepted: where it goes, what holds."""
+
+from __future__ import annotations
+
+import contextlib
+import zlib
+
+import msgspec
+from aiohttp import web
+
+from tealcove import clock, ids
+from tealcove.backends import prefixes
+from tealcove.dispatch import cells
+from tealcove.entry import call, caller, exchange, problem
+from tealcove.quarantine import content
+from tealcove.resources import copy, kinds
+
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "Tealcove-Deadline"
+IDEMPOTENT_HEADER = "Tealcove-Idempotent"
+NO = "no"
+LONGEST_DEADLINE = 3600.0
+LONGEST_KEY = 255
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A request as it came, its body whole, and who sent it."""
+
+    request_id: ids.RequestId
+    caller: caller.Caller
+    http: web.Request
+    body: bytes
+
+
+def accept_generation(
+    received: Received, engine_call: call.EngineCall, configuration: copy.Configuration
+) -> exchange.Request:
+    """Accept a request for an engine; raises ProblemError (rejected)."""
+    rule = find_rule(received, engine_call.model, configuration)
+    pool = None if rule is None else configuration.engine_pools.get(rule.spec.pool)
+    if pool is None:
+        raise problem.rejected(
+            404,
+            "No routing rule leads to a pool of engines",
+            f"model {engine_call.model!r}; ask the operator for a rule.",
+        )
+    work = exchange.Work(
+        prompt_tokens=prefixes.count_tokens(engine_call.prompt),
+        output_tokens=engine_call.max_tokens,
+        prefix=prefixes.chain(engine_call.prompt),
+        model=engine_call.model,
+        adapter=engine_call.adapter,
+    )
+    cell = divide(pool)[0]
+    return accept(received, rule, cell, work, content.digest_prompt(engine_call.prompt))
+
+
+def accept_call(
+    received: Received, configuration: copy.Configuration
+) -> exchange.Request:
+    """Accept a call to a plain service; raises ProblemError (rejected)."""
+    check_path(received.http.path)
+    rule = find_rule(received, None, configuration)
+    pool = None if rule is None else configuration.service_pools.get(rule.spec.pool)
+    if pool is None:
+        raise problem.rejected(
+            404,
+            "No routing rule leads to a plain service",
+            "See the path, or ask the operator for a rule.",
+        )
+    found = divide(pool)
+    number = zlib.crc32(received.request_id.encode()) % len(found)
+    return accept(received, rule, found[number], exchange.Work(), fingerprint(received))
+
+
+def accept(
+    received: Received,
+    rule: kinds.Resource,
+    cell: cells.Cell,
+    work: exchange.Work,
+    content_digest: str,
+) -> exchange.Request:
+    """Return the accepted request; raises ProblemError for headers out of order."""
+    headers = received.http.headers
+    said_no = headers.get(IDEMPOTENT_HEADER, "").lower() == NO
+    idempotent = rule.spec.idempotent and not said_no
+    return exchange.Request(
+        request_id=received.request_id,
+        caller=received.caller,
+        cell=cell.cell_id,
+        near=cell.data_centre,
+        idempotent=idempotent,
+        deadline=read_deadline(headers.get(DEADLINE_HEADER), received.caller),
+        work=work,
+        digest=content_digest,
+        fingerprint=fingerprint(received),
+        key=read_key(headers.get(KEY_HEADER), idempotent),
+    )
+
+
+def find_rule(
+    received: Received, model: str | None, configuration: copy.Configuration
+) -> kinds.Resource | None:
+    """Return the routing rule of a request."""
+    http = received.http
+    return configuration.route(http.path, http.method, model, received.caller.account)
+
+
+def divide(pool: kinds.Resource) -> tuple[cells.Cell, ...]:
+    """Return the cells of a pool."""
+    return cells.divide(ids.PoolId(pool.metadata.name), pool.spec.servers)
+
+
+def check_path(path: str) -> None:
+    """Refuse a path that a service could read as another one.
+
+    The rules match the path as it stands. A service that resolves `..` would
+    take a call under a rule that wasn't meant for it, such as an idempotent one.
+    """
+    parts = path.split("/")
+    if not path.startswith("/") or "." in parts or ".." in parts:
+        raise problem.rejected(
+            400,
+            "The path can't be used",
+            "Begin it with `/` and leave out the parts `.` and `..`.",
+        )
+
+
+def read_deadline(text: str | None, who: caller.Caller) -> ids.Instant:
+    """Return when the caller stops waiting; the header gives seconds."""
+    now = clock.now()
+    if text is None:
+        return ids.Instant(now + who.default_deadline)
+    with contextlib.suppress(ValueError):
+        seconds = float(text)
+        if 0 < seconds <= LONGEST_DEADLINE:
+            return ids.Instant(now + seconds)
+    raise problem.rejected(
+        400,
+        f"The header {DEADLINE_HEADER} can't be used",
+        f"Write seconds, above 0 and at most {LONGEST_DEADLINE:g}.",
+    )
+
+
+def read_key(key: str | None, idempotent: bool) -> ids.IdempotencyKey | None:
+    """Return the caller's key; a non-idempotent request can't go without."""
+    if key is None and not idempotent:
+        raise problem.rejected(
+            400,
+            f"A non-idempotent request needs the header {KEY_HEADER}",
+            "Write a key of your own that no other request has, and send the same "
+            "one when you send this request again.",
+        )
+    if key is not None and not 0 < len(key) <= LONGEST_KEY:
+        raise problem.rejected(
+            400,
+            f"The header {KEY_HEADER} can't be used",
+            f"Write 1 to {LONGEST_KEY} characters.",
+        )
+    return None if key is None else ids.IdempotencyKey(key)
+
+
+def fingerprint(received: Received) -> str:
+    """Return the digest of all that makes two requests the same."""
+    http = received.http
+    return content.digest_call(http.method, target(http), received.body)
+
+
+def target(http: web.Request) -> str:
+    """Return the path and query as the caller wrote them."""
+    return http.rel_url.raw_path_qs
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -1,9 +1,9 @@
-"""One request at its entry, from acceptance to its one final answer."""
+"""The life that all requests share, from acceptance to the one final answer."""
 
 from __future__ import annotations
 
+import abc
 import asyncio
-import contextlib
 
 import logbook
 import msgspec
@@ -11,47 +11,51 @@
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, call, caller, lifecycle, problem
+from tealcove.entry import answer, caller, lifecycle, problem, reply
 
 log = logbook.Logger("entry")
 
-# A broken stream is taken up again so often, and with this pause in seconds.
-RESUME_ATTEMPTS = 20
-RESUME_PAUSE = 0.1
 # Servers that may refuse the connection before the request is given up.
 CONNECT_ATTEMPTS = 3
 RETRY_AFTER = 1.0
 
 
+class Work(msgspec.Struct, frozen=True, kw_only=True):
+    """How much work a request is; a call to a plain service counts as one unit."""
+
+    prompt_tokens: int = 1
+    output_tokens: int = 1
+    # Hashes of the prompt's blocks; see `tealcove.backends.prefixes`.
+    prefix: tuple[int, ...] = ()
+    model: str = ""
+    adapter: str | None = None
+
+
 class Request(msgspec.Struct, frozen=True, kw_only=True):
     """What the entry knows of a request when it accepts it."""
 
     request_id: ids.RequestId
     caller: caller.Caller
-    call: call.EngineCall
     cell: ids.CellId
     near: ids.DataCentreId | None
     idempotent: bool
     deadline: ids.Instant
-    prompt_tokens: int
-    prefix: tuple[int, ...]
+    work: Work
+    # Of the content alone, by which crashing requests are known again.
     digest: str
+    # Of method, path and body: what a key must always come with.
+    fingerprint: str
     key: ids.IdempotencyKey | None = None
 
 
-class Exchange:
+class Exchange(abc.ABC):
     """The task that carries one request; callers read its `answer`."""
 
-    def __init__(
-        self,
-        request: Request,
-        engines: engine.EngineClient,
-        tickets: requester.Requester,
-    ) -> None:
+    answer: answer.Answer | reply.Reply
+
+    def __init__(self, request: Request, tickets: requester.Requester) -> None:
         self.request = request
-        self.engines = engines
         self.tickets = tickets
-        self.answer = answer.Answer()
         self.state = lifecycle.Lifecycle()
         # Callers that read the answer; the entry cancels the task when none is left.
         self.readers = 0
@@ -60,6 +64,22 @@
         self.dispatched_at = ids.Instant(0.0)
         self.first_token_at: ids.Instant | None = None
 
+    @abc.abstractmethod
+    async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
+        """Dispatch the request once and fill `answer`.
+
+        Must call `note_dispatch` before the first byte is written. Raises
+        NotDispatchedError only if it didn't, BackendError for any other failure.
+        """
+
+    @abc.abstractmethod
+    def usage(self) -> engine.Usage:
+        """Return the work that was done."""
+
+    async def stop_leftover(self, server: engine.Server) -> None:
+        """Stop what the server may still be working on, if that can be done."""
+        return
+
     async def run(self) -> None:
         """Carry the request to its end; the answer always ends with it."""
         try:
@@ -68,7 +88,7 @@
         except problem.ProblemError as error:
             self.answer.end(error)
         except asyncio.CancelledError:
-            self.answer.end(problem.interrupted("cancelled"))
+            self.answer.end(self.fail("cancelled"))
             raise
         except Exception:
             log.exception("request failed", extra={"request": self.request.request_id})
@@ -82,6 +102,7 @@
             self.state.wait()
             hold = self.new_hold()
             granted = await self.obtain(hold)
+            self.check_deadline(hold)
             server = engine.Server(granted.server, granted.host, granted.port)
             try:
                 await self.use(hold, server)
@@ -107,12 +128,12 @@
             tier_rank=request.caller.tier_rank,
             account=request.caller.account,
             idempotent=request.idempotent,
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.call.max_tokens,
-            prefix=request.prefix,
+            prompt_tokens=request.work.prompt_tokens,
+            output_tokens=request.work.output_tokens,
+            prefix=request.work.prefix,
             remaining=0.0,
-            model=request.call.model,
-            adapter=request.call.adapter,
+            model=request.work.model,
+            adapter=request.work.adapter,
             digest=request.digest,
             excluded=self.excluded,
         )
@@ -130,11 +151,20 @@
             raise problem.not_run(found.reason, found.retry_after)
         return found
 
+    def check_deadline(self, hold: requester.Hold) -> None:
+        """Give a grant back that came too late, such as to a frozen entry."""
+        if clock.now() < self.request.deadline:
+            return
+        self.tickets.leave(hold)
+        self.state.give_up()
+        raise problem.not_run(messages.RefusalReason.DEADLINE, RETRY_AFTER)
+
     async def use(self, hold: requester.Hold, server: engine.Server) -> None:
         """Run the request on a granted server, and report how it ended."""
         outcome = messages.Outcome.FAILED
         try:
-            await self.generate_unless_preempted(hold, server)
+            await self.carry_out_unless_preempted(hold, server)
+            self.state.complete()
             outcome = messages.Outcome.COMPLETED
         except engine.NotDispatchedError:
             outcome = messages.Outcome.NOT_SENT
@@ -152,99 +182,47 @@
             raise self.fail("backend_server_failed", detail=error.problem) from error
         finally:
             self.tickets.finish(hold, self.describe_end(hold, server, outcome))
-            await self.stop_leftover(server, outcome)
+            if outcome not in (messages.Outcome.COMPLETED, messages.Outcome.NOT_SENT):
+                await self.stop_leftover(server)
 
-    async def generate_unless_preempted(
+    async def carry_out_unless_preempted(
         self, hold: requester.Hold, server: engine.Server
     ) -> None:
         """Run the request, or stop it when its slot is needed more elsewhere."""
-        generating = asyncio.create_task(self.generate(hold, server))
+        running = asyncio.create_task(self.carry_out(hold, server))
         try:
             await asyncio.wait(
-                (generating, hold.preempted), return_when=asyncio.FIRST_COMPLETED
+                (running, hold.preempted), return_when=asyncio.FIRST_COMPLETED
             )
-            if not generating.done():
+            if not running.done():
                 raise PreemptedError(hold.preempted.result().retry_after)
-            generating.result()
+            running.result()
         finally:
-            generating.cancel()
-            await asyncio.gather(generating, return_exceptions=True)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
 
-    async def generate(self, hold: requester.Hold, server: engine.Server) -> None:
-        """Dispatch once, and take a broken stream up again where it broke."""
-        request = self.request
-        completion = engine.Completion(
-            request_id=request.request_id,
-            model=request.call.model,
-            adapter=request.call.adapter,
-            prompt=request.call.prompt,
-            max_tokens=request.call.max_tokens,
-        )
-
-        def dispatched() -> None:
-            self.state.dispatch()
-            self.dispatched_at = clock.now()
-            self.tickets.mark_running(hold, server.name)
-
-        with contextlib.suppress(engine.BrokenStreamError, answer.GapError):
-            stream = self.engines.generate(server, completion, dispatched)
-            await self.collect(hold, stream)
-        for _ in range(RESUME_ATTEMPTS):
-            if self.answer.is_whole:
-                return
-            await self.resume(hold, server)
-        if not self.answer.is_whole:
-            raise CrashError(server.name)
-
-    async def resume(self, hold: requester.Hold, server: engine.Server) -> None:
-        """Take the stream up from the first token that is missing.
-
-        This is no second dispatch: the engine goes on with the same run.
-        """
-        self.answer.early.clear()
-        offset = self.answer.next_index
-        stream = self.engines.resume(server, self.request.request_id, offset)
-        try:
-            await self.collect(hold, stream)
-        except (
-            engine.BrokenStreamError,
-            engine.NotDispatchedError,
-            answer.GapError,
-        ):
-            await asyncio.sleep(RESUME_PAUSE)
-
-    async def collect(self, hold: requester.Hold, stream: object) -> None:
-        """Put the chunks of a stream into the answer."""
-        async with contextlib.aclosing(stream) as chunks:
-            async for chunk in chunks:
-                self.answer.add(chunk)
-                if self.first_token_at is None:
-                    self.note_first_token(hold)
-
-    def note_first_token(self, hold: requester.Hold) -> None:
-        """Tell the dispatcher that the prefill is over."""
-        self.first_token_at = clock.now()
-        progress = messages.Progress(
-            ticket_id=hold.ticket.ticket_id,
-            cell=hold.ticket.cell,
-            first_token_seconds=self.first_token_at - self.dispatched_at,
-        )
-        self.tickets.tell(hold, progress)
+    def note_dispatch(self, hold: requester.Hold, server: engine.Server) -> None:
+        """Take the step that can't be taken back, before the first byte goes out."""
+        self.state.dispatch()
+        self.dispatched_at = clock.now()
+        self.tickets.mark_running(hold, server.name)
 
     def fail(
         self, reason: str, retry_after: float | None = None, detail: str = ""
     ) -> problem.ProblemError:
         """Take the step to a bad end and return the answer that tells of it."""
-        if self.state.state is not lifecycle.State.DISPATCHED:
-            if self.state.state in (lifecycle.State.ACCEPTED, lifecycle.State.WAITING):
-                self.state.give_up()
+        if self.state.state in lifecycle.UNSENT:
+            self.state.give_up()
+        if self.state.state is lifecycle.State.NOT_RUN:
             return problem.not_run(
                 messages.RefusalReason.NO_BACKEND_SERVER, retry_after, detail
             )
         if self.request.idempotent:
-            self.state.interrupt()
+            if self.state.state is lifecycle.State.DISPATCHED:
+                self.state.interrupt()
             return problem.interrupted(reason, detail, retry_after)
-        self.state.lose()
+        if self.state.state is lifecycle.State.DISPATCHED:
+            self.state.lose()
         return problem.unknown(reason, detail)
 
     def describe_end(
@@ -254,9 +232,7 @@
         outcome: messages.Outcome,
     ) -> messages.Done:
         """Return the message that frees the slot and teaches the server's speed."""
-        if outcome is messages.Outcome.COMPLETED:
-            self.state.complete()
-        usage = self.answer.usage
+        usage = self.usage()
         now = clock.now()
         first = self.first_token_at or now
         return messages.Done(
@@ -264,22 +240,13 @@
             cell=hold.ticket.cell,
             server=server.name,
             outcome=outcome,
-            prompt_tokens=usage.prompt_tokens if usage else self.request.prompt_tokens,
-            cached_tokens=usage.cached_tokens if usage else 0,
-            output_tokens=self.answer.next_index,
+            prompt_tokens=usage.prompt_tokens,
+            cached_tokens=usage.cached_tokens,
+            output_tokens=usage.completion_tokens,
             first_token_seconds=first - self.dispatched_at,
             total_seconds=now - self.dispatched_at,
         )
 
-    async def stop_leftover(
-        self, server: engine.Server, outcome: messages.Outcome
-    ) -> None:
-        """Cancel what the engine may still be working on."""
-        if outcome in (messages.Outcome.COMPLETED, messages.Outcome.NOT_SENT):
-            return
-        with contextlib.suppress(errors.BackendError):
-            await asyncio.shield(self.engines.cancel(server, self.request.request_id))
-
 
 class CrashError(errors.BackendError):
     """The server that ran the request can't be reached any more."""
--- /dev/null
+++ b/src/tealcove/entry/forward.py
@@ -0,0 +1,103 @@
+"""A call to a plain service, forwarded once and answered whole."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Mapping
+
+import multidict
+
+from tealcove import clock
+from tealcove.backends import engine, service
+from tealcove.dispatch import requester
+from tealcove.entry import exchange, reply
+
+# Headers that are about one connection (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# The key of an account is ours alone; length and address are those of our own
+# connection; `Expect` was answered when the body was read.
+NOT_FORWARDED = HOP_BY_HOP | {"authorization", "content-length", "expect", "host"}
+# aiohttp takes a limit of 0 for none.
+LEAST_SECONDS = 0.001
+REQUEST_ID = "x-request-id"
+CONTENT_ENCODING = "content-encoding"
+# Codings that aiohttp's server undoes when it reads a request's body.
+UNDONE_CODINGS = frozenset({"br", "deflate", "gzip", "zstd"})
+
+
+class ServiceExchange(exchange.Exchange):
+    """Forwards one call; a response that breaks off is never taken for whole."""
+
+    def __init__(
+        self,
+        request: exchange.Request,
+        tickets: requester.Requester,
+        call: service.Call,
+        services: service.ServiceClient,
+    ) -> None:
+        super().__init__(request, tickets)
+        self.call = call
+        self.services = services
+        self.answer = reply.Reply()
+
+    async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
+        """See Exchange."""
+
+        def dispatched() -> None:
+            self.note_dispatch(hold, server)
+
+        remaining = max(LEAST_SECONDS, self.request.deadline - clock.now())
+        stream = self.services.call(server, self.call, remaining, dispatched)
+        async with contextlib.aclosing(stream) as parts:
+            async for part in parts:
+                await self.take(part)
+
+    async def take(self, part: service.Head | bytes) -> None:
+        """Put a part of the response into the answer."""
+        if isinstance(part, service.Head):
+            self.first_token_at = clock.now()
+            self.answer.begin(part)
+        else:
+            await self.answer.add(part)
+
+    def usage(self) -> engine.Usage:
+        """See Exchange."""
+        work = self.request.work
+        return engine.Usage(work.prompt_tokens, 0, work.output_tokens)
+
+
+def forwarded_headers(headers: Mapping[str, str]) -> service.Headers:
+    """Return the headers of a caller that go on to the service."""
+    kept = end_to_end(headers, NOT_FORWARDED)
+    return tuple(pair for pair in kept if not is_undone_coding(*pair))
+
+
+def returned_headers(head: service.Head, request_id: str) -> service.Headers:
+    """Return the headers of a service that go back to the caller."""
+    headers = multidict.CIMultiDict(head.headers)
+    kept = end_to_end(headers, HOP_BY_HOP | {REQUEST_ID, "content-length"})
+    return (*kept, ("X-Request-Id", request_id))
+
+
+def end_to_end(headers: Mapping[str, str], dropped: frozenset[str]) -> service.Headers:
+    """Return headers without those dropped and those that `Connection` names."""
+    named = headers.get("Connection", "").split(",")
+    hop = dropped | {name.strip().lower() for name in named}
+    return tuple(pair for pair in headers.items() if pair[0].lower() not in hop)
+
+
+def is_undone_coding(name: str, value: str) -> bool:
+    """Tell whether a header names a coding that the body no longer has."""
+    return name.lower() == CONTENT_ENCODING and value.lower() in UNDONE_CODINGS
--- /dev/null
+++ b/src/tealcove/entry/generation.py
@@ -0,0 +1,101 @@
+"""A request for a completion, run on a model engine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from tealcove import clock, errors
+from tealcove.backends import engine
+from tealcove.dispatch import messages, requester
+from tealcove.entry import answer, call, exchange
+
+# A broken stream is taken up again so often, and with this pause in seconds.
+RESUME_ATTEMPTS = 20
+RESUME_PAUSE = 0.1
+
+
+class EngineExchange(exchange.Exchange):
+    """Generates once, and takes a broken stream up again where it broke."""
+
+    def __init__(
+        self,
+        request: exchange.Request,
+        tickets: requester.Requester,
+        engine_call: call.EngineCall,
+        engines: engine.EngineClient,
+    ) -> None:
+        super().__init__(request, tickets)
+        self.call = engine_call
+        self.engines = engines
+        self.answer = answer.Answer()
+
+    async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
+        """See Exchange."""
+        completion = engine.Completion(
+            request_id=self.request.request_id,
+            model=self.call.model,
+            adapter=self.call.adapter,
+            prompt=self.call.prompt,
+            max_tokens=self.call.max_tokens,
+        )
+
+        def dispatched() -> None:
+            self.note_dispatch(hold, server)
+
+        with contextlib.suppress(engine.BrokenStreamError, answer.GapError):
+            stream = self.engines.generate(server, completion, dispatched)
+            await self.collect(hold, stream)
+        for _ in range(RESUME_ATTEMPTS):
+            if self.answer.is_whole:
+                return
+            await self.resume(hold, server)
+        if not self.answer.is_whole:
+            raise exchange.CrashError(server.name)
+
+    async def resume(self, hold: requester.Hold, server: engine.Server) -> None:
+        """Take the stream up from the first token that is missing.
+
+        This is no second dispatch: the engine goes on with the same run.
+        """
+        self.answer.early.clear()
+        offset = self.answer.next_index
+        stream = self.engines.resume(server, self.request.request_id, offset)
+        try:
+            await self.collect(hold, stream)
+        except (
+            engine.BrokenStreamError,
+            engine.NotDispatchedError,
+            answer.GapError,
+        ):
+            await asyncio.sleep(RESUME_PAUSE)
+
+    async def collect(self, hold: requester.Hold, stream: object) -> None:
+        """Put the chunks of a stream into the answer."""
+        async with contextlib.aclosing(stream) as chunks:
+            async for chunk in chunks:
+                self.answer.add(chunk)
+                if self.first_token_at is None:
+                    self.note_first_token(hold)
+
+    def note_first_token(self, hold: requester.Hold) -> None:
+        """Tell the dispatcher that the prefill is over."""
+        self.first_token_at = clock.now()
+        progress = messages.Progress(
+            ticket_id=hold.ticket.ticket_id,
+            cell=hold.ticket.cell,
+            first_token_seconds=self.first_token_at - self.dispatched_at,
+        )
+        self.tickets.tell(hold, progress)
+
+    def usage(self) -> engine.Usage:
+        """See Exchange."""
+        told = self.answer.usage
+        prompt = told.prompt_tokens if told else self.request.work.prompt_tokens
+        cached = told.cached_tokens if told else 0
+        return engine.Usage(prompt, cached, self.answer.next_index)
+
+    async def stop_leftover(self, server: engine.Server) -> None:
+        """See Exchange."""
+        with contextlib.suppress(errors.BackendError):
+            await asyncio.shield(self.engines.cancel(server, self.request.request_id))
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -3,26 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import hashlib
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
 
 from tealcove import clock, ids, settings
-from tealcove.backends import engine, prefixes
-from tealcove.dispatch import cells, messages, requester
-from tealcove.entry import call, caller, exchange, openai, points, problem
+from tealcove.backends import engine, service
+from tealcove.dispatch import messages, requester
+from tealcove.entry import (
+    acceptance,
+    call,
+    caller,
+    exchange,
+    forward,
+    generation,
+    points,
+    problem,
+    sending,
+)
 from tealcove.membership import members
 from tealcove.membership import messages as membership_messages
-from tealcove.resources import copy, kinds
-
-KEY_HEADER = "Idempotency-Key"
-DEADLINE_HEADER = "Tealcove-Deadline"
-IDEMPOTENT_HEADER = "Tealcove-Idempotent"
-NO = "no"
-DIGEST_BYTES = 16
-LONGEST_DEADLINE = 3600.0
+from tealcove.resources import copy
 
 
 class Entry:
@@ -34,12 +36,14 @@
         configuration: copy.ConfigurationCopy,
         known: members.Members,
         engines: engine.EngineClient,
+        services: service.ServiceClient,
         tickets: requester.Requester,
     ) -> None:
         self.settings = found
         self.configuration = configuration
         self.members = known
         self.engines = engines
+        self.services = services
         self.tickets = tickets
         # Requests in progress by client account and idempotency key: the same
         # key joins the request that lives in place of starting another.
@@ -47,11 +51,12 @@
         self.in_progress: set[asyncio.Task[None]] = set()
 
     def routes(self) -> list[web.RouteDef]:
-        """Return the handlers to mount."""
+        """Return the handlers to mount; the last takes what no other one does."""
         return [
             web.post("/v1/completions", self.completions),
             web.post("/v1/chat/completions", self.chat),
             web.get("/v1/entry-points", self.entry_points),
+            web.route("*", "/{path:.*}", self.forward),
         ]
 
     async def entry_points(self, request: web.Request) -> web.Response:
@@ -65,27 +70,65 @@
 
     async def completions(self, request: web.Request) -> web.StreamResponse:
         """Serve `POST /v1/completions`."""
-        return await self.serve(request, call.parse_completion)
+        return await self.generate(request, call.parse_completion)
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Serve `POST /v1/chat/completions`."""
-        return await self.serve(request, call.parse_chat)
+        return await self.generate(request, call.parse_chat)
+
+    async def generate(
+        self, request: web.Request, parse: Callable[[bytes], call.EngineCall]
+    ) -> web.StreamResponse:
+        """Answer one request for an engine; problems become its final answer."""
+        request_id = ids.new_request_id()
+        try:
+            received = await self.receive(request, request_id)
+            engine_call = parse(received.body)
+            accepted = acceptance.accept_generation(
+                received, engine_call, self.configuration.current
+            )
+            running = self.join(accepted) or self.start(
+                generation.EngineExchange(
+                    accepted, self.tickets, engine_call, self.engines
+                )
+            )
+            with Reading(running):
+                return await sending.send_generation(request, running)
+        except problem.ProblemError as error:
+            return problem.respond(error.problem, request_id)
 
-    async def serve(self, request: web.Request, parse: object) -> web.StreamResponse:
-        """Answer one request; problems become its final answer."""
+    async def forward(self, request: web.Request) -> web.StreamResponse:
+        """Answer one call to a plain service, of any method and path."""
         request_id = ids.new_request_id()
         try:
-            self.check_accepting()
-            who = caller.identify(
-                request.headers.get("Authorization"), self.configuration.current
+            received = await self.receive(request, request_id)
+            accepted = acceptance.accept_call(received, self.configuration.current)
+            running = self.join(accepted) or self.start(
+                forward.ServiceExchange(
+                    accepted, self.tickets, service_call(received), self.services
+                )
             )
-            engine_call = parse(await request.read())
-            accepted = self.accept(request, request_id, who, engine_call)
-            running = self.start(accepted)
-            return await self.answer(request, running, engine_call)
+            with Reading(running):
+                return await sending.send_reply(request, running)
         except problem.ProblemError as error:
             return problem.respond(error.problem, request_id)
 
+    async def receive(
+        self, request: web.Request, request_id: ids.RequestId
+    ) -> acceptance.Received:
+        """Return the request with its caller and body; raises ProblemError."""
+        self.check_accepting()
+        header = request.headers.get("Authorization")
+        who = caller.identify(header, self.configuration.current)
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            limit = self.settings.limits.body_bytes
+            raise problem.rejected(
+                413, "The body is too long", f"Send at most {limit} bytes."
+            ) from error
+        return acceptance.Received(request_id, who, request, body)
+
     def check_accepting(self) -> None:
         """Refuse new requests when this instance isn't serving."""
         lifecycle = self.members.own.lifecycle
@@ -94,67 +137,22 @@
         if lifecycle is membership_messages.Lifecycle.GONE:
             raise problem.not_run(messages.RefusalReason.LEAVING, 0.0)
 
-    def accept(
-        self,
-        request: web.Request,
-        request_id: ids.RequestId,
-        who: caller.Caller,
-        engine_call: call.EngineCall,
-    ) -> exchange.Request:
-        """Decide where a request goes and what holds for it."""
-        configuration = self.configuration.current
-        rule = configuration.route(
-            request.path, request.method, engine_call.model, who.account
-        )
-        pool = None if rule is None else configuration.pool(rule.spec.pool)
-        if pool is None or pool.kind is not kinds.Kind.ENGINE_POOL:
-            raise problem.rejected(
-                404,
-                "No routing rule leads to a pool of engines",
-                f"model {engine_call.model!r}; ask the operator for a rule.",
-            )
-        name = ids.PoolId(pool.metadata.name)
-        cell = cells.divide(name, pool.spec.servers)[0]
-        prefix = prefixes.chain(engine_call.prompt)
-        return exchange.Request(
-            request_id=request_id,
-            caller=who,
-            call=engine_call,
-            cell=cell.cell_id,
-            near=cell.data_centre,
-            idempotent=rule.spec.idempotent
-            and request.headers.get(IDEMPOTENT_HEADER, "").lower() != NO,
-            deadline=self.deadline(request, who),
-            prompt_tokens=prefixes.count_tokens(engine_call.prompt),
-            prefix=prefix,
-            digest=hashlib.blake2b(
-                engine_call.prompt.encode(), digest_size=DIGEST_BYTES
-            ).hexdigest(),
-            key=request.headers.get(KEY_HEADER),
-        )
-
-    def deadline(self, request: web.Request, who: caller.Caller) -> ids.Instant:
-        """Return when the caller stops waiting; the header gives seconds."""
-        text = request.headers.get(DEADLINE_HEADER)
-        if text is None:
-            return ids.Instant(clock.now() + who.default_deadline)
-        with contextlib.suppress(ValueError):
-            seconds = float(text)
-            if 0 < seconds <= LONGEST_DEADLINE:
-                return ids.Instant(clock.now() + seconds)
-        raise problem.rejected(
-            400,
-            f"The header {DEADLINE_HEADER} can't be used",
-            f"Write seconds, above 0 and at most {LONGEST_DEADLINE:g}.",
-        )
+    def join(self, accepted: exchange.Request) -> exchange.Exchange | None:
+        """Return the request that lives under the same key, if there is one.
+
+        Raises ProblemError when it's another request under the same key: its
+        answer is not this caller's.
+        """
+        running = self.live.get(slot_of(accepted))
+        if running is None:
+            return None
+        if running.request.fingerprint != accepted.fingerprint:
+            raise problem.other_request()
+        return running
 
-    def start(self, accepted: exchange.Request) -> exchange.Exchange:
-        """Begin a request, or join the one that lives under the same key."""
-        slot = (accepted.caller.account, accepted.key or accepted.request_id)
-        running = self.live.get(slot)
-        if running is not None:
-            return running
-        running = exchange.Exchange(accepted, self.engines, self.tickets)
+    def start(self, running: exchange.Exchange) -> exchange.Exchange:
+        """Begin a request."""
+        slot = slot_of(running.request)
         self.live[slot] = running
         task = asyncio.create_task(running.run())
         running.task = task
@@ -162,74 +160,42 @@
 
         def finished(ended: asyncio.Task[None]) -> None:
             self.in_progress.discard(ended)
-            self.live.pop(slot, None)
+            if self.live.get(slot) is running:
+                del self.live[slot]
 
         task.add_done_callback(finished)
         return running
 
-    async def answer(
-        self,
-        request: web.Request,
-        running: exchange.Exchange,
-        engine_call: call.EngineCall,
-    ) -> web.StreamResponse:
-        """Send the answer of a request to one caller."""
-        running.readers += 1
-        try:
-            if engine_call.stream:
-                return await self.stream(request, running)
-            return await self.buffer(running)
-        finally:
-            running.readers -= 1
-            if running.readers == 0 and running.request.idempotent:
-                # Nobody waits for the result: let the engine have its slot back.
-                running.task.cancel()
-
-    async def buffer(self, running: exchange.Exchange) -> web.Response:
-        """Return the answer when it's whole."""
-        await running.answer.wait()
-        form = self.form(running)
-        found = running.answer
-        body = form.whole(found.text(), found.finish, found.usage)
-        return web.Response(
-            body=body,
-            content_type="application/json",
-            headers={"X-Request-Id": running.request.request_id},
-        )
 
-    async def stream(
-        self, request: web.Request, running: exchange.Exchange
-    ) -> web.StreamResponse:
-        """Send the answer as it grows; a broken one breaks the connection."""
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-cache",
-                "X-Request-Id": running.request.request_id,
-            }
-        )
-        form = self.form(running)
-        try:
-            async for chunk in running.answer.read():
-                if not response.prepared:
-                    await response.prepare(request)
-                await response.write(form.event(chunk.text))
-        except problem.ProblemError:
-            if not response.prepared:
-                raise
-            # The chunked body stays without its end, so that no client library
-            # takes the fragment for the whole answer.
-            request.transport.abort()
-            return response
-        if not response.prepared:
-            await response.prepare(request)
-        found = running.answer
-        await response.write(form.closing_event(found.finish, found.usage))
-        await response.write(openai.DONE_EVENT)
-        await response.write_eof()
-        return response
-
-    def form(self, running: exchange.Exchange) -> openai.Form:
-        """Return what renders a request's answer."""
-        found = running.request
-        return openai.Form(found.request_id, found.call.model, found.call.chat)
+class Reading:
+    """Counts a caller of a request while it waits for the answer."""
+
+    def __init__(self, running: exchange.Exchange) -> None:
+        self.running = running
+
+    def __enter__(self) -> None:
+        self.running.readers += 1
+
+    def __exit__(self, *details: object) -> None:
+        running = self.running
+        running.readers -= 1
+        if running.readers == 0 and running.request.idempotent:
+            # Nobody waits for the result: let the server have its slot back.
+            running.task.cancel()
+
+
+def slot_of(accepted: exchange.Request) -> tuple[str, str]:
+    """Return under what a request can be joined."""
+    return (accepted.caller.account, accepted.key or accepted.request_id)
+
+
+def service_call(received: acceptance.Received) -> service.Call:
+    """Return the call as it goes on to the service."""
+    http = received.http
+    return service.Call(
+        request_id=received.request_id,
+        method=http.method,
+        target=acceptance.target(http),
+        headers=forward.forwarded_headers(http.headers),
+        body=received.body,
+    )
--- a/src/tealcove/entry/lifecycle.py
+++ b/src/tealcove/entry/lifecycle.py
@@ -13,6 +13,8 @@
     ACCEPTED = "accepted"
     # In a dispatcher's queue, or between a grant and the connection.
     WAITING = "waiting"
+    # Non-idempotent, and its claim is in the platform's table.
+    CLAIMED = "claimed"
     # From just before the first byte is written to a backend server, for good.
     DISPATCHED = "dispatched"
     COMPLETED = "completed"
@@ -21,12 +23,17 @@
     UNKNOWN = "unknown"
 
 
+# Nothing was written to any backend server yet.
+UNSENT = (State.ACCEPTED, State.WAITING, State.CLAIMED)
+
+
 class Lifecycle:
     """The state of one request; a step that isn't allowed raises MachineError.
 
     No step leads from `dispatched` to `not_run` or back to `waiting`: a request
     that was told "not run", or dispatched a second time, after a backend server
-    may have seen it would break the two promises that callers build on.
+    may have seen it would break the two promises that callers build on. A
+    non-idempotent request takes `dispatch_claimed`, which only a claim allows.
     """
 
     state: State
@@ -39,9 +46,9 @@
         MACHINE.remove_model(self)
 
 
-def step(trigger: str, sources: list[State], to: State) -> dict[str, object]:
+def step(trigger: str, sources: tuple[State, ...], to: State) -> dict[str, object]:
     """Return a transition in the form that the machine takes."""
-    return {"trigger": trigger, "source": sources, "dest": to}
+    return {"trigger": trigger, "source": list(sources), "dest": to}
 
 
 MACHINE = transitions.Machine(
@@ -50,11 +57,13 @@
     initial=State.ACCEPTED,
     auto_transitions=False,
     transitions=[
-        step("wait", [State.ACCEPTED, State.WAITING], State.WAITING),
-        step("dispatch", [State.WAITING], State.DISPATCHED),
-        step("complete", [State.DISPATCHED], State.COMPLETED),
-        step("give_up", [State.ACCEPTED, State.WAITING], State.NOT_RUN),
-        step("interrupt", [State.DISPATCHED], State.INTERRUPTED),
-        step("lose", [State.DISPATCHED], State.UNKNOWN),
+        step("wait", UNSENT, State.WAITING),
+        step("claim", (State.WAITING,), State.CLAIMED),
+        step("dispatch", (State.WAITING,), State.DISPATCHED),
+        step("dispatch_claimed", (State.CLAIMED,), State.DISPATCHED),
+        step("complete", (State.DISPATCHED,), State.COMPLETED),
+        step("give_up", UNSENT, State.NOT_RUN),
+        step("interrupt", (State.DISPATCHED,), State.INTERRUPTED),
+        step("lose", (State.DISPATCHED,), State.UNKNOWN),
     ],
 )
--- a/src/tealcove/entry/problem.py
+++ b/src/tealcove/entry/problem.py
@@ -107,6 +107,15 @@
     return ProblemError(problem)
 
 
+def other_request() -> ProblemError:
+    """Return the end of a request whose key belongs to another one."""
+    return rejected(
+        422,
+        "The Idempotency-Key belongs to another request",
+        "Method, path or body differ from those sent first; take a new key.",
+    )
+
+
 def respond(problem: Problem, request_id: str = "") -> web.Response:
     """Return the HTTP response for a problem."""
     headers = {}
--- /dev/null
+++ b/src/tealcove/entry/tests/builders.py
@@ -0,0 +1,145 @@
+"""An entry whose tickets are granted at once, before a service in the test."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+
+from tealcove import ids, plan, settings
+from tealcove.backends import http_service
+from tealcove.dispatch import messages, requester
+from tealcove.entry import caller, http
+from tealcove.membership import members
+from tealcove.membership import messages as membership_messages
+from tealcove.resources import copy, kinds
+
+KEY = "key-of-a"
+LONGEST_BODY = 1 << 20
+GENEROUS_SECONDS = 20.0
+POLL = 0.005
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def heartbeat() -> membership_messages.Heartbeat:
+    """Return what a serving instance says of itself."""
+    return membership_messages.Heartbeat(
+        instance=ids.InstanceId("i"),
+        incarnation=ids.Incarnation("1"),
+        lifecycle=membership_messages.Lifecycle.SERVING,
+        data_centre=ids.DataCentreId("d"),
+        host="127.0.0.1",
+        http_port=1,
+        peer_port=2,
+        revision=ids.Revision(1),
+    )
+
+
+class InstantTickets(requester.Requester):
+    """Grants the one server to every ticket and notes how each ended."""
+
+    def __init__(self, known: members.Members, port: int) -> None:
+        super().__init__(None, known, 1.0)
+        self.port = port
+        self.ended: list[messages.Outcome] = []
+
+    async def obtain(self, hold: requester.Hold) -> messages.Grant:
+        return messages.Grant(
+            ticket_id=hold.ticket.ticket_id,
+            cell=hold.ticket.cell,
+            server=ids.BackendServerId("s"),
+            host="127.0.0.1",
+            port=self.port,
+        )
+
+    def finish(self, hold: requester.Hold, done: messages.Done) -> None:
+        self.ended.append(done.outcome)
+
+    def leave(self, hold: requester.Hold) -> None:
+        self.ended.append(messages.Outcome.NOT_SENT)
+
+
+def resource(kind: kinds.Kind, name: str, spec: kinds.Spec) -> kinds.Resource:
+    """Return a resource as a copy holds it."""
+    metadata = kinds.Metadata(
+        name=name, revision=ids.Revision(1), generation=1, changed_by="ops"
+    )
+    return kinds.Resource(kind=kind, metadata=metadata, spec=spec)
+
+
+def configuration() -> copy.ConfigurationCopy:
+    """Return one account, a pool of one service, and rules for two paths."""
+    server = kinds.BackendServerSpec(
+        name="s", host="127.0.0.1", port=1, data_centre="d"
+    )
+    account = kinds.ClientAccountSpec(tier="t", key_hashes=(caller.hash_key(KEY),))
+    found = [
+        resource(kinds.Kind.SERVICE_TIER, "t", kinds.ServiceTierSpec(rank=0)),
+        resource(kinds.Kind.CLIENT_ACCOUNT, "a", account),
+        resource(
+            kinds.Kind.SERVICE_POOL, "p", kinds.ServicePoolSpec(servers=(server,))
+        ),
+        resource(
+            kinds.Kind.ROUTING_RULE,
+            "r",
+            kinds.RoutingRuleSpec(pool="p", path_prefix="/app/"),
+        ),
+    ]
+    held = copy.ConfigurationCopy()
+    held.move(plan.built(found))
+    return held
+
+
+class Running:
+    """An entry that listens, and a caller of it."""
+
+    def __init__(self, session: aiohttp.ClientSession, entry: http.Entry) -> None:
+        self.session = session
+        self.entry = entry
+
+    def call(
+        self, method: str, path: str, **more: object
+    ) -> aiohttp.client._RequestContextManager:
+        headers = {"Authorization": f"Bearer {KEY}", **more.pop("headers", {})}
+        return self.session.request(method, path, headers=headers, **more)
+
+    async def until_joined(self) -> None:
+        """Wait until two callers wait for the one request in progress."""
+        (running,) = self.entry.live.values()
+        async with asyncio.timeout(GENEROUS_SECONDS):
+            while running.readers < 2:  # noqa: ASYNC110
+                await asyncio.sleep(POLL)
+
+
+@contextlib.asynccontextmanager
+async def listening(routes: list[web.RouteDef]) -> AsyncIterator[int]:
+    """Serve routes on a free port."""
+    app = web.Application(client_max_size=LONGEST_BODY)
+    app.add_routes(routes)
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    try:
+        yield runner.addresses[0][1]
+    finally:
+        await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def running(handler: Handler) -> AsyncIterator[Running]:
+    """Run an entry before a service that consists of one handler."""
+    services = http_service.HttpServiceClient()
+    await services.start()
+    known = members.Members(heartbeat(), 1.0, 10.0)
+    async with listening([web.route("*", "/{path:.*}", handler)]) as service_port:
+        tickets = InstantTickets(known, service_port)
+        found = settings.Settings("i", "d")
+        entry = http.Entry(found, configuration(), known, None, services, tickets)
+        async with listening(entry.routes()) as port:
+            url = f"http://127.0.0.1:{port}"
+            async with aiohttp.ClientSession(url, auto_decompress=False) as session:
+                yield Running(session, entry)
+    await services.stop()
