Lend out the limits of client accounts from a home instance

Cause: a limit counted at each entry alone is worth as many times its tokens as there are entries; one counted in one place costs a round trip for each request. Change: the account's home (first in rank) lends entries shares by the second, by their demand; entries spend them without asking, on debt of one request at the most. Counts are totals, so a lost message is made up for by the next one. Entries give back what they don't need, the home lends it to those that run low. A new home lends nothing of its own until the entries have told what they hold; an instance that isn't the home by its own ranking doesn't answer; sides of a cut lend by the instances that they hear. Ruled out: recalling credit from the home's side, which an entry may spend while the recall is under way: the burst would be spent twice. Conclusion: not yet wired into the entry.

--- /dev/null
+++ b/src/tealcove/limits/home.py
@@ -0,0 +1,86 @@
+"""The books of all accounts whose home this instance is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tealcove import ids
+from tealcove.limits import book, limit, messages, presence
+
+# For so many seconds after the set of serving instances has changed, a new book
+# begins with nothing to lend: the former home may have lent the burst already,
+# and its entries have yet to tell.
+SETTLE_SECONDS = 10.0
+# Seconds between two looks for books that can be closed.
+SWEEP_INTERVAL = 5.0
+
+FindLimit = Callable[[ids.AccountId], limit.Limit | None]
+
+
+class Home:
+    """Lends out the limits of the accounts that rank this instance first."""
+
+    def __init__(
+        self, lender: str, present: presence.Presence, find_limit: FindLimit
+    ) -> None:
+        self.lender = lender
+        self.presence = present
+        self.find_limit = find_limit
+        self.books: dict[ids.AccountId, book.Book] = {}
+        self.swept = ids.Instant(0.0)
+
+    def answer(
+        self, entry: ids.InstanceId, report: messages.UsageReport, now: ids.Instant
+    ) -> messages.Lending:
+        """Enter a report and return what the entry may spend from now on."""
+        part = self.presence.part(now)
+        shares = []
+        for usage in report.usages:
+            share = self.enter(entry, usage, part, now)
+            if share is not None:
+                shares.append(share)
+        self.sweep(now)
+        return messages.Lending(lender=self.lender, shares=tuple(shares))
+
+    def enter(
+        self,
+        entry: ids.InstanceId,
+        usage: messages.Usage,
+        part: float,
+        now: ids.Instant,
+    ) -> messages.Share | None:
+        """Enter the use of one account; None when there's nothing to lend."""
+        found = self.find_limit(usage.account)
+        if found is None:
+            return None
+        held = self.open(usage.account, found, now)
+        held.grow(part, now)
+        held.take(entry, usage, self.lender, now)
+        held.strike_silent(now)
+        held.divide(part)
+        if usage.closing:
+            return None
+        return held.lend(entry, usage.account)
+
+    def open(
+        self, account: ids.AccountId, found: limit.Limit, now: ids.Instant
+    ) -> book.Book:
+        """Return the book of an account, with the limit now in force."""
+        held = self.books.get(account)
+        if held is None:
+            settled = now - self.presence.changed >= SETTLE_SECONDS
+            free = found.burst if settled else 0.0
+            held = book.Book(found, free, now, {})
+            self.books[account] = held
+        held.limit = found
+        return held
+
+    def sweep(self, now: ids.Instant) -> None:
+        """Close the books that nobody needs."""
+        if now - self.swept < SWEEP_INTERVAL:
+            return
+        self.swept = now
+        for account, held in list(self.books.items()):
+            held.strike_silent(now)
+            if held.is_idle(now):
+                del self.books[account]
--- /dev/null
+++ b/src/tealcove/limits/presence.py
@@ -0,0 +1,85 @@
+"""Which instances serve: the homes of accounts, and how many are out of reach."""
+
+from __future__ import annotations
+
+from tealcove import ids
+from tealcove.membership import members, messages, ranking
+
+# Seconds for which instances that fell silent count as cut off: regions lose
+# each other for an hour now and then.
+LOST_SECONDS = 3900.0
+# Up to this part of the instances may be silent and count as dead. More of them
+# are taken to live on beyond a cut, and to have homes of their own there.
+MOST_DEAD_PART = 0.25
+# Homes that are remembered between two changes of the set of instances; ranking
+# hashes once for each instance, too often for each account and report.
+MOST_HOMES = 5000
+
+
+class Presence:
+    """The serving instances, as the limits need to know them."""
+
+    def __init__(self, known: members.Members, now: ids.Instant) -> None:
+        self.members = known
+        self.stale = True
+        known.listen(self.mark_stale)
+        self.homes: dict[ids.AccountId, ids.InstanceId] = {}
+        # When the set of serving instances last changed.
+        self.changed = now
+        self.serving: set[ids.InstanceId] = set()
+        self.lost: dict[ids.InstanceId, ids.Instant] = {}
+
+    def mark_stale(self) -> None:
+        """Have the set of serving instances looked at again."""
+        self.stale = True
+
+    def follow(self, now: ids.Instant) -> None:
+        """Take in the set of serving instances, if it has changed."""
+        if not self.stale:
+            return
+        self.stale = False
+        serving = {heartbeat.instance for heartbeat in self.members.serving(now)}
+        if serving == self.serving:
+            return
+        for instance in self.serving - serving:
+            if self.fell_silent(instance):
+                self.lost[instance] = now
+        for instance in serving:
+            self.lost.pop(instance, None)
+        self.serving = serving
+        self.changed = now
+        self.homes.clear()
+
+    def fell_silent(self, instance: ids.InstanceId) -> bool:
+        """Tell whether an instance went without saying that it would."""
+        heartbeat = self.members.find(instance)
+        if heartbeat is None:
+            return True
+        return heartbeat.lifecycle is messages.Lifecycle.SERVING
+
+    def count(self) -> int:
+        """Return the number of serving instances, at least 1."""
+        return max(1, len(self.serving))
+
+    def home(self, account: ids.AccountId) -> ids.InstanceId | None:
+        """Return the home of an account; None when no instance serves."""
+        found = self.homes.get(account)
+        if found is not None or not self.serving:
+            return found
+        found = ranking.rank(f"account/{account}", self.serving)[0]
+        if len(self.homes) >= MOST_HOMES:
+            self.homes.clear()
+        self.homes[account] = found
+        return found
+
+    def part(self, now: ids.Instant) -> float:
+        """Return the part of a limit that homes on this side may lend out.
+
+        Were it always the whole, a deployment cut in two would give each account
+        twice its limit.
+        """
+        lost = sum(1 for since in self.lost.values() if now - since < LOST_SECONDS)
+        total = self.count() + lost
+        if lost <= MOST_DEAD_PART * total:
+            return 1.0
+        return self.count() / total
--- /dev/null
+++ b/src/tealcove/limits/role.py
@@ -0,0 +1,208 @@
+"""The limits of client accounts, as an entry uses them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from tealcove import clock, errors, ids
+from tealcove.limits import allowance, home, messages, presence
+from tealcove.membership import members
+from tealcove.peers import mesh
+
+# Seconds between two reports on the accounts in use, all those of one home in
+# one message; and the least between two reports on one account that runs low.
+REPORT_INTERVAL = 1.0
+URGENT_INTERVAL = 0.1
+# An account that wasn't used for so long is closed, at entry and home.
+IDLE_SECONDS = 10.0
+# How long the first request of an account waits for its home's answer. Without
+# it, a burst after a pause would meet an entry that has only a provisional share.
+FIRST_WAIT = 0.2
+
+
+class OverLimitError(errors.TealcoveError):
+    """The account has used up its limit; `retry_after` is in seconds."""
+
+    def __init__(self, account: ids.AccountId, retry_after: float) -> None:
+        super().__init__(
+            f"The limit of {account} is used up",
+            "Send fewer tokens a second, or ask the operator for a higher limit.",
+        )
+        self.retry_after = retry_after
+
+
+class Charge:
+    """The predicted tokens of one admitted request, until its end is known."""
+
+    def __init__(self, held: allowance.Allowance | None, tokens: float) -> None:
+        self.allowance = held
+        self.tokens = tokens
+
+    def settle(self, tokens: float) -> None:
+        """Put what was really used in place of the prediction, once.
+
+        A request that was not run has used 0. Later calls do nothing, so that
+        two ways to one end can't both give the tokens back.
+        """
+        if self.allowance is not None:
+            self.allowance.correct(tokens - self.tokens)
+            self.allowance = None
+
+
+class Limits:
+    """Admits requests of limited accounts; one without a limit costs nothing."""
+
+    def __init__(
+        self,
+        transport: mesh.Mesh,
+        known: members.Members,
+        find_limit: home.FindLimit,
+        now: ids.Instant,
+    ) -> None:
+        self.transport = transport
+        self.members = known
+        self.find_limit = find_limit
+        self.presence = presence.Presence(known, now)
+        self.home = home.Home(known.own.incarnation, self.presence, find_limit)
+        self.allowances: dict[ids.AccountId, allowance.Allowance] = {}
+        self.asked: dict[ids.AccountId, ids.Instant] = {}
+        self.answered: dict[ids.AccountId, asyncio.Event] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to report and to answer reports."""
+        self.transport.handle(
+            messages.UsageReport,
+            lambda sender, report: self.take_report(sender, report, clock.now()),
+        )
+        self.transport.handle(
+            messages.Lending,
+            lambda sender, lending: self.take_lending(sender, lending, clock.now()),
+        )
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End the task."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Report again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL)
+            self.report_all(clock.now())
+
+    async def admit(self, account: ids.AccountId, tokens: float) -> Charge:
+        """Charge an account; raises OverLimitError.
+
+        Only the first request after a pause of the account waits, and only for
+        a moment, for its home's answer.
+        """
+        if account not in self.allowances and self.find_limit(account) is not None:
+            self.open(account, clock.now())
+            event = self.answered.setdefault(account, asyncio.Event())
+            self.report((account,), clock.now())
+        event = self.answered.get(account)
+        if event is not None:
+            await self.wait_for(account, event)
+        return self.charge(account, tokens, clock.now())
+
+    async def wait_for(self, account: ids.AccountId, event: asyncio.Event) -> None:
+        """Wait a moment for an account's first lending."""
+        try:
+            async with asyncio.timeout(FIRST_WAIT):
+                await event.wait()
+        except TimeoutError:
+            self.answered.pop(account, None)
+
+    def charge(self, account: ids.AccountId, tokens: float, now: ids.Instant) -> Charge:
+        """Charge an account without waiting; raises OverLimitError."""
+        held = self.allowances.get(account)
+        if held is None:
+            if self.find_limit(account) is None:
+                return Charge(None, 0.0)
+            held = self.open(account, now)
+        admitted = held.spend(tokens, now)
+        if held.is_low() and now - self.asked.get(account, 0.0) >= URGENT_INTERVAL:
+            self.report((account,), now)
+        if not admitted:
+            raise OverLimitError(account, held.retry_after())
+        return Charge(held, tokens)
+
+    def open(self, account: ids.AccountId, now: ids.Instant) -> allowance.Allowance:
+        """Begin to use an account, with an equal share until its home answers."""
+        limit = self.find_limit(account)
+        rate = limit.rate / self.presence.count()
+        held = allowance.Allowance(limit, rate, now, now, now)
+        held.lent = rate * allowance.KEEP_SECONDS
+        # Low from the start, so that the first request asks the home for more.
+        held.had = held.lent / allowance.LOW_PART
+        self.allowances[account] = held
+        return held
+
+    def report_all(self, now: ids.Instant) -> None:
+        """Report on all accounts in use, and close those that are idle."""
+        for account in list(self.allowances):
+            if self.find_limit(account) is None:
+                del self.allowances[account]
+        self.report(tuple(self.allowances), now)
+        self.home.sweep(now)
+
+    def report(self, accounts: tuple[ids.AccountId, ...], now: ids.Instant) -> None:
+        """Send each home one message about its accounts among some."""
+        self.presence.follow(now)
+        by_home = collections.defaultdict(list)
+        for account in accounts:
+            instance = self.presence.home(account)
+            if instance is not None:
+                by_home[instance].append(self.describe(account, now))
+        for instance, usages in by_home.items():
+            peer = self.members.endpoint_of(instance)
+            if peer is not None:
+                report = messages.UsageReport(usages=tuple(usages))
+                self.transport.send(peer, report)
+
+    def describe(self, account: ids.AccountId, now: ids.Instant) -> messages.Usage:
+        """Return an account's part of a report; forgets it when it's idle."""
+        held = self.allowances[account]
+        held.limit = self.find_limit(account) or held.limit
+        closing = now - held.used >= IDLE_SECONDS
+        self.asked[account] = now
+        if closing:
+            del self.allowances[account]
+            del self.asked[account]
+        return held.report(account, now, closing)
+
+    def take_report(
+        self, sender: ids.InstanceId, report: messages.UsageReport, now: ids.Instant
+    ) -> None:
+        """Answer an entry, if this instance is the home by its own ranking.
+
+        Two instances that both answered would lend the limit twice. The entry
+        that gets no answer goes on with its last share.
+        """
+        self.presence.follow(now)
+        own = self.members.own.instance
+        usages = tuple(
+            usage for usage in report.usages if self.presence.home(usage.account) == own
+        )
+        if not usages:
+            return
+        lending = self.home.answer(sender, messages.UsageReport(usages=usages), now)
+        peer = self.members.endpoint_of(sender)
+        if peer is not None and lending.shares:
+            self.transport.send(peer, lending)
+
+    def take_lending(
+        self, sender: ids.InstanceId, lending: messages.Lending, now: ids.Instant
+    ) -> None:
+        """Take over what homes lend."""
+        for share in lending.shares:
+            held = self.allowances.get(share.account)
+            if held is not None:
+                held.take(lending.lender, share, now)
+            event = self.answered.pop(share.account, None)
+            if event is not None:
+                event.set()
