Ask again where a dispatcher may have forgotten a ticket

Cause: a ticket waited to its deadline when its grant was lost with a link, or when the dispatcher was replaced under its name before anyone suspected it: the ranking then names the same instance and nobody asks again. Change: holders are known by incarnation; tickets are told again every 2 s; the waits are futures instead of a task per ticket and a poll per 0.25 s. Ruled out: acknowledged messages (the dispatcher would have to keep and repeat them; a repeated ticket carries the same and also heals a forgotten slot). Measured: 4 tests; each fails with its mechanism taken out: without the next in rank 2 fail, without the repeat 1, without the incarnation 1.

--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -7,14 +7,13 @@
 
 import msgspec
 
-from tealcove import clock, ids
+from tealcove import clock, ids, tasks
 from tealcove.dispatch import messages
 from tealcove.membership import members
 from tealcove.peers import mesh, message
 
-# Seconds between two looks at whether the dispatcher of a waiting ticket is
-# still the one that the ranking names.
-CHECK_INTERVAL = 0.25
+# Seconds after which the dispatcher is told of a ticket again.
+REFRESH_INTERVAL = 2.0
 
 
 class Hold:
@@ -26,20 +25,28 @@
         deadline: ids.Instant,
         near: ids.DataCentreId | None,
     ) -> None:
+        loop = asyncio.get_running_loop()
         self.ticket = ticket
         self.deadline = deadline
         self.near = near
         self.since = clock.now()
         self.holder: ids.InstanceId | None = None
-        # Set when the ranking may name another dispatcher than it did.
-        self.moved = False
-        self.queued = asyncio.Event()
+        # The holder's incarnation when it was asked; its successor under the same
+        # name knows nothing of the ticket.
+        self.incarnation: ids.Incarnation | None = None
+        # Done when the ranking names another dispatcher than the one asked.
+        self.moved: asyncio.Future[None] = loop.create_future()
+        # Done once the dispatcher that was asked last has answered anything.
+        self.heard: asyncio.Future[None] = loop.create_future()
         self.answer: asyncio.Future[messages.Grant | messages.Refusal] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.preempted: asyncio.Future[messages.Preempt] = (
-            asyncio.get_running_loop().create_future()
+            loop.create_future()
         )
+        self.preempted: asyncio.Future[messages.Preempt] = loop.create_future()
+
+    def hear(self) -> None:
+        """Note that the dispatcher that was asked last is there."""
+        if not self.heard.done():
+            self.heard.set_result(None)
 
     @property
     def alone(self) -> bool:
@@ -66,6 +73,7 @@
         self.holds: dict[ids.TicketId, Hold] = {}
         # Functions that learn how each dispatched request ended.
         self.listeners: list[Listener] = []
+        self.refreshing: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begin to take grants."""
@@ -74,6 +82,11 @@
         self.transport.handle(messages.Refusal, self.take_refusal)
         self.transport.handle(messages.Preempt, self.take_preempt)
         self.members.listen(self.follow_ranking)
+        self.refreshing = tasks.start(self.refresh(), "ticket refresh")
+
+    async def stop(self) -> None:
+        """End the task."""
+        await tasks.stop([self.refreshing])
 
     async def obtain(self, hold: Hold) -> messages.Grant | messages.Refusal:
         """Wait for a slot, asking the next in rank when a dispatcher is silent.
@@ -103,36 +116,31 @@
         """Send the ticket to a dispatcher and withdraw it from the one before."""
         if hold.holder is not None and hold.holder != holder:
             self.tell(hold, withdrawal(hold.ticket))
+        loop = asyncio.get_running_loop()
+        self.name_holder(hold, holder)
+        hold.moved = loop.create_future()
+        hold.heard = loop.create_future()
+        self.tell(hold, current(hold, now))
+
+    def name_holder(self, hold: Hold, holder: ids.InstanceId) -> None:
+        """Remember which process has a ticket."""
+        heartbeat = self.members.find(holder)
         hold.holder = holder
-        hold.moved = False
-        hold.queued.clear()
-        asked = msgspec.structs.replace(
-            hold.ticket,
-            remaining=max(0.0, hold.deadline - now),
-            waited=now - hold.since,
-        )
-        self.tell(hold, asked)
+        hold.incarnation = None if heartbeat is None else heartbeat.incarnation
 
     async def is_heard(self, hold: Hold) -> bool:
         """Tell whether the dispatcher answered the ticket in time."""
-        queued = asyncio.create_task(hold.queued.wait())
-        try:
-            await asyncio.wait(
-                (queued, hold.answer),
-                timeout=self.ticket_timeout,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        finally:
-            queued.cancel()
-        return hold.queued.is_set() or hold.answer.done()
+        await asyncio.wait((hold.heard,), timeout=self.ticket_timeout)
+        return hold.heard.done()
 
     async def wait_while_held(self, hold: Hold) -> None:
         """Wait for the answer while the dispatcher stays the one to ask."""
-        while not hold.answer.done():
-            now = clock.now()
-            if now >= hold.deadline or hold.moved:
-                return
-            await asyncio.wait((hold.answer,), timeout=CHECK_INTERVAL)
+        timeout = max(0.0, hold.deadline - clock.now())
+        await asyncio.wait(
+            (hold.answer, hold.moved),
+            timeout=timeout,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
 
     def leave(self, hold: Hold) -> None:
         """Give up a ticket, or a grant that wasn't used."""
@@ -165,16 +173,43 @@
         told to the new dispatcher too: it would promise their slots twice.
         """
         now = clock.now()
-        for hold in self.holds.values():
+        for hold in list(self.holds.values()):
             ranked = self.members.rank(hold.ticket.cell, now, hold.near)
-            if not ranked or ranked[0] == hold.holder:
+            if not ranked or self.is_held_by(hold, ranked[0]):
                 continue
             if hold.ticket.running_on is None:
-                hold.moved = True
+                move(hold)
                 continue
             self.tell(hold, withdrawal(hold.ticket))
-            hold.holder = ranked[0]
-            self.tell(hold, hold.ticket)
+            self.name_holder(hold, ranked[0])
+            self.tell(hold, current(hold, now))
+
+    def is_held_by(self, hold: Hold, instance: ids.InstanceId) -> bool:
+        """Tell whether the process now under a name is the one that was asked.
+
+        A dispatcher that was restarted within the time to suspect it never looks
+        gone; without this, tickets that it forgot would wait to their deadlines.
+        """
+        heartbeat = self.members.find(instance)
+        return (
+            instance == hold.holder
+            and heartbeat is not None
+            and heartbeat.incarnation == hold.incarnation
+        )
+
+    async def refresh(self) -> None:
+        """Tell dispatchers again and again of the tickets that they should have.
+
+        A message between instances may be lost, such as a grant while a link is
+        set up anew. The dispatcher answers a repeated ticket as it did the first,
+        and takes back slots whose tickets are no longer told of.
+        """
+        while True:
+            await asyncio.sleep(REFRESH_INTERVAL)
+            now = clock.now()
+            for hold in list(self.holds.values()):
+                if now - hold.since >= REFRESH_INTERVAL and hold.holder is not None:
+                    self.tell(hold, current(hold, now))
 
     def mark_running(self, hold: Hold, server: ids.BackendServerId) -> None:
         """Remember where a ticket's request runs, for a new dispatcher."""
@@ -184,7 +219,7 @@
         """Note that a dispatcher has a ticket."""
         hold = self.holds.get(queued.ticket_id)
         if hold is not None and hold.holder == sender:
-            hold.queued.set()
+            hold.hear()
 
     def take_grant(self, sender: ids.InstanceId, grant: messages.Grant) -> None:
         """Use the first grant of a ticket, and return every other one.
@@ -195,6 +230,7 @@
         hold = self.holds.get(grant.ticket_id)
         if hold is not None and hold.holder == sender and not hold.answer.done():
             hold.answer.set_result(grant)
+            hold.hear()
             return
         if hold is not None and hold.holder == sender:
             return
@@ -209,6 +245,7 @@
         if hold is not None and hold.holder == sender and not hold.answer.done():
             self.holds.pop(refusal.ticket_id)
             hold.answer.set_result(refusal)
+            hold.hear()
 
     def take_preempt(self, sender: ids.InstanceId, preempt: messages.Preempt) -> None:
         """Pass on the order to stop a running request."""
@@ -217,6 +254,21 @@
             hold.preempted.set_result(preempt)
 
 
+def current(hold: Hold, now: ids.Instant) -> messages.Ticket:
+    """Return a ticket with the times that hold now."""
+    return msgspec.structs.replace(
+        hold.ticket,
+        remaining=max(0.0, hold.deadline - now),
+        waited=now - hold.since,
+    )
+
+
+def move(hold: Hold) -> None:
+    """Let a waiting ticket be taken to another dispatcher."""
+    if not hold.moved.done():
+        hold.moved.set_result(None)
+
+
 def withdrawal(ticket: messages.Ticket) -> messages.Withdrawal:
     """Return the message that gives a ticket up."""
     return messages.Withdrawal(ticket_id=ticket.ticket_id, cell=ticket.cell)
--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -0,0 +1,159 @@
+"""The entry's side of tickets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tealcove import clock, ids
+from tealcove.dispatch import messages, requester
+from tealcove.dispatch.tests import transport
+from tealcove.membership import members
+from tealcove.membership.tests import builders
+
+PATIENCE = 30.0
+CELL = ids.CellId("engines/0")
+
+
+class Asking:
+    """A requester among three instances, with one ticket on its way."""
+
+    def __init__(self) -> None:
+        self.mesh = transport.NotingMesh()
+        self.members = members.Members(
+            builders.heartbeat(0, lifecycle=builders.messages.Lifecycle.JOINING),
+            1000.0,
+            2000.0,
+        )
+        for number in (1, 2):
+            self.members.hear(builders.heartbeat(number), clock.now())
+        self.requester = requester.Requester(self.mesh, self.members, 0.05)
+        self.requester.start()
+        ticket = messages.Ticket(
+            ticket_id=ids.new_ticket_id(),
+            request_id=ids.new_request_id(),
+            cell=CELL,
+            entry=self.members.own.instance,
+            tier_rank=0,
+            account=ids.AccountId("a"),
+            idempotent=True,
+            prompt_tokens=1,
+            output_tokens=1,
+            prefix=(),
+            remaining=0.0,
+        )
+        deadline = ids.Instant(clock.now() + 1000.0)
+        self.hold = requester.Hold(ticket, deadline, None)
+        self.obtaining = asyncio.create_task(self.requester.obtain(self.hold))
+        ranked = self.members.rank(CELL, clock.now())
+        self.first, self.second = ranked
+
+    def port(self, instance: ids.InstanceId) -> int:
+        """Return the peer port of an instance."""
+        return self.members.find(instance).peer_port
+
+    async def asked(self, instance: ids.InstanceId, times: int) -> None:
+        """Wait until an instance was sent the ticket so many times."""
+        port = self.port(instance)
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                if len(self.mesh.to(port, messages.Ticket)) >= times:
+                    return
+                await asyncio.sleep(0.005)
+
+    def queue_at(self, instance: ids.InstanceId) -> None:
+        """Let an instance answer that it has the ticket."""
+        queued = messages.Queued(ticket_id=self.hold.ticket.ticket_id)
+        self.requester.take_queued(instance, queued)
+
+    def grant_from(self, instance: ids.InstanceId) -> None:
+        """Let an instance grant a slot."""
+        grant = messages.Grant(
+            ticket_id=self.hold.ticket.ticket_id,
+            cell=CELL,
+            server=ids.BackendServerId("s"),
+            host="127.0.0.1",
+            port=1,
+        )
+        self.requester.take_grant(instance, grant)
+
+    def returned_to(self, instance: ids.InstanceId) -> int:
+        """Return how many withdrawals an instance was sent."""
+        return len(self.mesh.to(self.port(instance), messages.Withdrawal))
+
+
+@pytest.fixture
+async def asking() -> Asking:
+    """Return a ticket that was just sent, and end it afterwards."""
+    found = Asking()
+    yield found
+    found.obtaining.cancel()
+    await found.requester.stop()
+
+
+async def test_a_silent_dispatcher_is_passed_over(asking: Asking) -> None:
+    """Callers wait for a frozen dispatcher until they give up.
+
+    Symptom: requests of all entries hang although backend servers are idle.
+    Sequence: the first in rank is frozen; its grant comes after the second's.
+    Cause: a ticket that nobody takes over, or two grants of which both are used.
+    """
+    await asking.asked(asking.second, 1)
+    asking.queue_at(asking.second)
+    asking.grant_from(asking.second)
+    grant = await asking.obtaining
+    assert grant.server == "s"
+    before = asking.returned_to(asking.first)
+    asking.grant_from(asking.first)
+    assert asking.returned_to(asking.first) == before + 1
+    assert asking.hold.answer.result() is grant
+
+
+async def test_a_restarted_dispatcher_is_asked_again(asking: Asking) -> None:
+    """Tickets wait to their deadlines at a dispatcher that forgot them.
+
+    Symptom: some requests end with `deadline` after a restart, servers idle.
+    Sequence: the dispatcher has the ticket queued; it's replaced by a process of
+    the same name before anyone suspects it.
+    Cause: the ranking names the same instance as before, so nobody asks again.
+    """
+    # Asking again after some seconds would hide the fault.
+    await asking.requester.stop()
+    await asking.asked(asking.first, 1)
+    asking.queue_at(asking.first)
+    number = int(asking.first.removeprefix("i-"))
+    late = ids.Instant(clock.now() + 1500.0)
+    asking.members.hear(builders.heartbeat(number, "second"), late)
+    await asking.asked(asking.first, 2)
+    asking.queue_at(asking.first)
+    asking.grant_from(asking.first)
+    assert isinstance(await asking.obtaining, messages.Grant)
+
+
+async def test_a_lost_grant_is_asked_for_again(asking: Asking) -> None:
+    """A slot stays promised to a request that doesn't know of it.
+
+    Symptom: a request ends with `deadline` while a slot looks taken.
+    Sequence: the dispatcher queues and grants; the grant is lost with a link.
+    Cause: messages between instances aren't repeated by the transport.
+    """
+    await asking.asked(asking.first, 1)
+    asking.queue_at(asking.first)
+    await asking.asked(asking.first, 2)
+    asking.grant_from(asking.first)
+    assert isinstance(await asking.obtaining, messages.Grant)
+
+
+async def test_a_refusal_of_a_former_dispatcher_is_no_answer(asking: Asking) -> None:
+    await asking.asked(asking.second, 1)
+    asking.queue_at(asking.second)
+    refusal = messages.Refusal(
+        ticket_id=asking.hold.ticket.ticket_id,
+        reason=messages.RefusalReason.OVERLOAD,
+        retry_after=1.0,
+    )
+    asking.requester.take_refusal(asking.first, refusal)
+    assert not asking.hold.answer.done()
+    asking.requester.take_refusal(asking.second, refusal)
+    assert await asking.obtaining is refusal
