Pass each request through quarantine and account limits at its entry

Cause: marks and limits stood alone. Change: an exchange enters a gate before it asks for a slot: quarantined content and accounts over their limit get not_run with Retry-After; the predicted tokens are charged, and settled with those used at the end. An entry whose resume is refused by the server marks the request at once and not after all attempts, and takes a server that forgot its run for one that crashed. Ruled out: a check before the exchange begins, which would have to wait for an account's first share between joining a key and holding it.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -12,11 +12,14 @@
 from tealcove import clock, errors, ids, logs, settings, telemetry
 from tealcove.backends import http_engine, http_service
 from tealcove.dispatch import cells, policy, requester, role
-from tealcove.entry import http
+from tealcove.entry import gate, http
+from tealcove.limits import limit
+from tealcove.limits import role as limits_role
 from tealcove.membership import heart, members, messages
 from tealcove.peers import endpoint, mesh, security
 from tealcove.platform import client, services
-from tealcove.resources import copy
+from tealcove.quarantine import role as quarantine_role
+from tealcove.resources import copy, kinds
 from tealcove.resources import role as configuration
 
 LOG = logbook.Logger("daemon")
@@ -95,6 +98,18 @@
         self.configuration = configuration.ConfigurationRole(
             self.settings, self.rows, self.objects, self.mesh, self.members
         )
+        self.quarantine = quarantine_role.Quarantine(
+            self.mesh,
+            self.members,
+            self.heart,
+            self.rows,
+            self.settings.quarantine.seconds,
+        )
+        self.quarantine.start()
+        self.limits = limits_role.Limits(
+            self.mesh, self.members, self.find_limit, clock.now()
+        )
+        self.limits.start()
         self.dispatcher = role.Dispatcher(
             self.mesh,
             self.members,
@@ -108,6 +123,7 @@
             self.mesh, self.members, self.settings.dispatch.ticket_timeout
         )
         self.tickets.start()
+        self.tickets.listeners.append(self.quarantine.ended)
         self.entry = http.Entry(
             self.settings,
             self.configuration.copy,
@@ -115,6 +131,7 @@
             self.engines,
             self.services,
             self.tickets,
+            gate.Gate(self.quarantine, self.limits),
         )
         self.configuration.copy.subscribe(self.take_configuration)
 
@@ -160,6 +177,12 @@
         """Show all metrics in Prometheus' text form."""
         return web.Response(body=self.telemetry.metrics_text())
 
+    def find_limit(self, account: ids.AccountId) -> limit.Limit | None:
+        """Return an account's limit by the configuration in force, if it has one."""
+        current = self.configuration.copy.current
+        found = current.get(kinds.Kind.CLIENT_ACCOUNT, account)
+        return None if found is None else limit.of_spec(found.spec)
+
     def find_cell(self, cell_id: ids.CellId) -> cells.Cell | None:
         """Return a cell by the configuration in force."""
         name = cell_id.rpartition("/")[0]
@@ -228,6 +251,8 @@
         await self.runner.cleanup()
         await self.heart.stop()
         await self.dispatcher.stop()
+        await self.quarantine.stop()
+        await self.limits.stop()
         await self.tickets.stop()
         await self.mesh.stop()
         await self.engines.stop()
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -11,7 +11,8 @@
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, caller, lifecycle, problem, reply
+from tealcove.entry import answer, caller, gate, lifecycle, problem, reply
+from tealcove.limits import role as limits_role
 
 log = logbook.Logger("entry")
 
@@ -60,6 +61,9 @@
         # Callers that read the answer; the entry cancels the task when none is left.
         self.readers = 0
         self.task: asyncio.Task[None] | None = None
+        # Absent: everything may pass.
+        self.gate: gate.Gate | None = None
+        self.charge: limits_role.Charge | None = None
         self.excluded: tuple[ids.BackendServerId, ...] = ()
         self.dispatched_at = ids.Instant(0.0)
         self.first_token_at: ids.Instant | None = None
@@ -76,6 +80,10 @@
     def usage(self) -> engine.Usage:
         """Return the work that was done."""
 
+    def predicted_tokens(self) -> int:
+        """Return what an account's limit is charged with; calls cost nothing."""
+        return 0
+
     async def stop_leftover(self, server: engine.Server) -> None:
         """Stop what the server may still be working on, if that can be done."""
         return
@@ -83,6 +91,7 @@
     async def run(self) -> None:
         """Carry the request to its end; the answer always ends with it."""
         try:
+            await self.enter()
             await self.find_server()
             self.answer.end()
         except problem.ProblemError as error:
@@ -94,8 +103,36 @@
             log.exception("request failed", extra={"request": self.request.request_id})
             self.answer.end(self.fail("internal_error"))
         finally:
+            self.settle()
             self.state.close()
 
+    async def enter(self) -> None:
+        """Pass the gate; raises ProblemError."""
+        if self.gate is None:
+            return
+        request = self.request
+        tokens = self.predicted_tokens()
+        try:
+            self.charge = await self.gate.enter(request.caller, request.digest, tokens)
+        except problem.ProblemError:
+            self.state.give_up()
+            raise
+
+    def settle(self) -> None:
+        """Charge the account with what was used in place of the prediction."""
+        if self.charge is None:
+            return
+        used = 0
+        if self.state.state is not lifecycle.State.NOT_RUN:
+            usage = self.usage()
+            used = usage.prompt_tokens + usage.completion_tokens
+        self.charge.settle(used)
+
+    def note_lost(self, hold: requester.Hold, server: engine.Server) -> None:
+        """Have the request suspected: its server refuses connections."""
+        if self.gate is not None:
+            self.gate.lost(hold.ticket, server.name, hold.alone)
+
     async def find_server(self) -> None:
         """Ask for a slot until a server could be connected to."""
         for _ in range(CONNECT_ATTEMPTS):
--- /dev/null
+++ b/src/tealcove/entry/gate.py
@@ -0,0 +1,46 @@
+"""What an accepted request passes before it may ask for a slot."""
+
+from __future__ import annotations
+
+from tealcove import clock, ids
+from tealcove.dispatch import messages
+from tealcove.entry import caller, problem
+from tealcove.limits import role as limits_role
+from tealcove.quarantine import role as quarantine_role
+
+QUARANTINED = (
+    "Backend servers crashed while they ran a request of this content. "
+    "Don't send it again before the time in Retry-After is over."
+)
+
+
+class Gate:
+    """Refuses quarantined content and accounts that are over their limit."""
+
+    def __init__(
+        self, quarantine: quarantine_role.Quarantine, limits: limits_role.Limits
+    ) -> None:
+        self.quarantine = quarantine
+        self.limits = limits
+
+    async def enter(
+        self, who: caller.Caller, digest: str, tokens: int
+    ) -> limits_role.Charge:
+        """Return the charge of the predicted tokens; raises ProblemError (not run)."""
+        if self.quarantine.is_quarantined(digest):
+            remaining = self.quarantine.remaining(digest, clock.now())
+            raise problem.not_run(
+                messages.RefusalReason.QUARANTINED, remaining, QUARANTINED
+            )
+        try:
+            return await self.limits.admit(who.account, tokens)
+        except limits_role.OverLimitError as error:
+            raise problem.not_run(
+                messages.RefusalReason.ACCOUNT_LIMIT, error.retry_after, str(error)
+            ) from error
+
+    def lost(
+        self, ticket: messages.Ticket, server: ids.BackendServerId, alone: bool
+    ) -> None:
+        """Learn that a server refuses connections while it should run a request."""
+        self.quarantine.lost(ticket, server, alone, clock.now())
--- a/src/tealcove/entry/generation.py
+++ b/src/tealcove/entry/generation.py
@@ -63,12 +63,17 @@
         stream = self.engines.resume(server, self.request.request_id, offset)
         try:
             await self.collect(hold, stream)
-        except (
-            engine.BrokenStreamError,
-            engine.NotDispatchedError,
-            answer.GapError,
-        ):
+        except engine.NotDispatchedError:
+            # Told at once: until the attempts are over, the caller may send the
+            # same request to another entry, and kill another server with it.
+            self.note_lost(hold, server)
             await asyncio.sleep(RESUME_PAUSE)
+        except (engine.BrokenStreamError, answer.GapError):
+            await asyncio.sleep(RESUME_PAUSE)
+        except engine.RefusedCallError as error:
+            # The server knows nothing of a request that it ran: it has crashed
+            # and was restarted before anybody could see that it was gone.
+            raise exchange.CrashError(server.name) from error
 
     async def collect(self, hold: requester.Hold, stream: object) -> None:
         """Put the chunks of a stream into the answer."""
@@ -95,6 +100,10 @@
         cached = told.cached_tokens if told else 0
         return engine.Usage(prompt, cached, self.answer.next_index)
 
+    def predicted_tokens(self) -> int:
+        """See Exchange."""
+        return self.request.work.prompt_tokens + self.request.work.output_tokens
+
     async def stop_leftover(self, server: engine.Server) -> None:
         """See Exchange."""
         with contextlib.suppress(errors.BackendError):
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -17,6 +17,7 @@
     caller,
     exchange,
     forward,
+    gate,
     generation,
     points,
     problem,
@@ -38,6 +39,7 @@
         engines: engine.EngineClient,
         services: service.ServiceClient,
         tickets: requester.Requester,
+        admission: gate.Gate | None = None,
     ) -> None:
         self.settings = found
         self.configuration = configuration
@@ -45,6 +47,7 @@
         self.engines = engines
         self.services = services
         self.tickets = tickets
+        self.gate = admission
         # Requests in progress by client account and idempotency key: the same
         # key joins the request that lives in place of starting another.
         self.live: dict[tuple[str, str], exchange.Exchange] = {}
@@ -154,6 +157,7 @@
         """Begin a request."""
         slot = slot_of(running.request)
         self.live[slot] = running
+        running.gate = self.gate
         task = asyncio.create_task(running.run())
         running.task = task
         self.in_progress.add(task)
--- a/src/tealcove/limits/role.py
+++ b/src/tealcove/limits/role.py
@@ -5,7 +5,7 @@
 import asyncio
 import collections
 
-from tealcove import clock, errors, ids
+from tealcove import clock, errors, ids, tasks
 from tealcove.limits import allowance, home, messages, presence
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -80,13 +80,12 @@
             messages.Lending,
             lambda sender, lending: self.take_lending(sender, lending, clock.now()),
         )
-        self.task = asyncio.create_task(self.run())
+        self.task = tasks.start(self.run(), "reports on accounts")
 
     async def stop(self) -> None:
         """End the task."""
         if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+            await tasks.stop([self.task])
 
     async def run(self) -> None:
         """Report again and again, until cancelled."""
--- a/src/tealcove/settings.py
+++ b/src/tealcove/settings.py
@@ -109,6 +109,13 @@
     policy: str = "tealcove.dispatch.fair:FairScheduler"
 
 
+class Quarantine(Group):
+    """How long a request that crashes backend servers isn't run."""
+
+    # After its second crash; a suspect after its first one runs alone as long.
+    seconds: Seconds = 600.0
+
+
 class Limits(Group):
     """What callers may use of an instance before they are refused."""
 
@@ -190,6 +197,7 @@
     data_centres: tuple[DataCentre, ...] = ()
     heartbeat: Heartbeat = Heartbeat()
     dispatch: Dispatch = Dispatch()
+    quarantine: Quarantine = Quarantine()
     limits: Limits = Limits()
     shutdown: Shutdown = Shutdown()
     configuration: Configuration = Configuration()
