Add the client and the commands that talk to a deployment

Cause: operators and scripts need get, apply, delete, watch, wait, request and entry-points, with exit codes that they can use. Ruled out: dry run of each resource at the server, which refuses resources that name others of the same apply; keys on the command line, where other users of the machine see them.

--- a/src/tealcove/cli.py
+++ b/src/tealcove/cli.py
@@ -9,7 +9,20 @@
 import cappa
 
 from tealcove import errors, version
-from tealcove.commands import check, exits, serve, standin
+from tealcove.commands import (
+    apply,
+    check,
+    delete,
+    demo,
+    entrypoints,
+    exits,
+    get,
+    request,
+    serve,
+    standin,
+    wait,
+    watch,
+)
 
 
 @cappa.command(
@@ -24,22 +37,44 @@
 class Tealcove:
     """The command and its subcommands."""
 
-    command: cappa.Subcommands[serve.Serve | check.Check | standin.Standin]
+    command: cappa.Subcommands[
+        serve.Serve
+        | check.Check
+        | demo.Demo
+        | get.Get
+        | apply.Apply
+        | delete.Delete
+        | watch.Watch
+        | wait.Wait
+        | request.Request
+        | entrypoints.EntryPoints
+        | standin.Standin
+    ]
 
 
-def main(argv: list[str] | None = None) -> None:
-    """Run the command line; raises SystemExit when it fails."""
+async def run(argv: list[str] | None = None) -> exits.Code:
+    """Run a command line and return its exit code.
+
+    Raises SystemExit for wrong usage, help, and commands that say so themselves.
+    """
     try:
-        asyncio.run(
-            cappa.invoke_async(
-                Tealcove, argv=argv, version=version.VERSION, completion=False
-            )
+        await cappa.invoke_async(
+            Tealcove, argv=argv, version=version.VERSION, completion=False
         )
     except errors.TealcoveError as error:
         print(f"tealcove: {error}", file=sys.stderr)
-        raise SystemExit(int(exits.code_for(error))) from None
+        return exits.code_for(error)
+    return exits.Code.OK
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the command line; raises SystemExit when it fails."""
+    try:
+        code = asyncio.run(run(argv))
     except KeyboardInterrupt:
-        raise SystemExit(int(exits.Code.FAILED)) from None
+        code = exits.Code.FAILED
+    if code is not exits.Code.OK:
+        raise SystemExit(int(code))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/tealcove/client.py
@@ -0,0 +1,219 @@
+"""What operators and callers can ask of a deployment, from Python."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import typing
+
+import aiohttp
+import msgspec
+
+from tealcove import connection, ids, resourcefiles
+from tealcove.entry import points
+from tealcove.resources import codec, documents, kinds
+
+ADMIN = "/admin/v1"
+STATUS = f"{ADMIN}/status"
+ENTRY_POINTS = "/v1/entry-points"
+PAGE_SIZE = 500
+KEY_BYTES = 16
+WATCH_RETRY_SECONDS = 0.5
+# Above the pause in which a watched instance writes at least one line.
+WATCH_SILENCE_SECONDS = 30.0
+STATUS_INTERVAL_SECONDS = 0.2
+NOT_JSON = "An instance of another version may answer; compare their versions."
+
+
+class Held(msgspec.Struct, frozen=True, kw_only=True):
+    """A resource as an instance shows it."""
+
+    kind: kinds.Kind
+    metadata: kinds.Metadata
+    spec: dict[str, typing.Any]
+    status: documents.ResourceStatus | None = None
+
+    def resource(self) -> kinds.Resource:
+        """Return it with its spec in the type of its kind."""
+        return kinds.Resource(
+            kind=self.kind,
+            metadata=self.metadata,
+            spec=codec.convert_spec(self.kind, self.spec),
+        )
+
+
+class Page(msgspec.Struct, frozen=True):
+    """A part of a list."""
+
+    items: tuple[Held, ...]
+    next: str | None
+
+
+class Event(msgspec.Struct, frozen=True):
+    """A change that a watch tells of."""
+
+    type: str
+    revision: ids.Revision
+    name: str = ""
+    resource: Held | None = None
+    problem: connection.Problem | None = None
+
+
+PUT = "put"
+DELETED = "deleted"
+ERROR = "error"
+
+
+class Client(connection.Connection):
+    """Resources and entry points, at whichever instance answers."""
+
+    async def entry_points(self) -> points.EntryPoints:
+        """Return the addresses to use, and turn to them too from now on."""
+        found = decode(await self.call("GET", ENTRY_POINTS), points.EntryPoints)
+        self.learn(point.url for point in found.entry_points)
+        return found
+
+    async def get(self, kind: kinds.Kind, name: str) -> Held | None:
+        """Return a resource, or None."""
+        try:
+            return decode(await self.call("GET", path_of(kind, name)), Held)
+        except connection.RefusedError as refusal:
+            if refusal.status == connection.HTTP_NOT_FOUND:
+                return None
+            raise
+
+    async def list(self, kind: kinds.Kind) -> list[Held]:
+        """Return all resources of a kind, in order of name."""
+        found: list[Held] = []
+        after: str | None = ""
+        while after is not None:
+            params = {"limit": str(PAGE_SIZE), "after": after}
+            body = await self.call("GET", f"{ADMIN}/{kind.value}", params=params)
+            page = decode(body, Page)
+            found.extend(page.items)
+            after = page.next
+        return found
+
+    async def put(
+        self,
+        declared: resourcefiles.Declared,
+        based_on: ids.Revision | None,
+        dry_run: bool = False,
+    ) -> Held:
+        """Write a resource that is at revision `based_on`; None: it's new.
+
+        Raises ConflictError if it isn't so any more.
+        """
+        body = msgspec.json.encode({"spec": declared.spec})
+        path = path_of(declared.kind, declared.name)
+        params = {"dry_run": "true"} if dry_run else {}
+        answer = await self.call(
+            "PUT", path, data=body, headers=write_headers(based_on), params=params
+        )
+        return decode(answer, Held)
+
+    async def delete(
+        self, kind: kinds.Kind, name: str, based_on: ids.Revision
+    ) -> ids.Revision:
+        """Delete a resource that is at revision `based_on`; raises ConflictError."""
+        path = path_of(kind, name)
+        answer = await self.call("DELETE", path, headers=write_headers(based_on))
+        return decode(answer, documents.Deleted).revision
+
+    async def status(self) -> documents.Overall:
+        """Return the revision that one instance is at, and where it's in force."""
+        return decode(await self.call("GET", STATUS), documents.Overall)
+
+    async def newest_revision(self) -> ids.Revision:
+        """Return the highest revision that any serving instance is at."""
+        await self.entry_points()
+        asked = [self.status_at(server) for server in self.servers]
+        found = [one.revision for one in await asyncio.gather(*asked) if one]
+        if not found:
+            raise self.unavailable()
+        return max(found)
+
+    async def status_at(self, server: str) -> documents.Overall | None:
+        """Return the status of one instance; None if it can't be reached."""
+        try:
+            body = await self.call_at(server, "GET", STATUS, {})
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+        return decode(body, documents.Overall)
+
+    async def in_force(
+        self, revision: ids.Revision
+    ) -> typing.AsyncIterator[documents.Overall]:
+        """Yield the status again and again, until the revision is in force."""
+        while True:
+            found = await self.status()
+            yield found
+            counted = found.in_force
+            if found.revision >= revision and counted.instances == counted.of:
+                return
+            await asyncio.sleep(STATUS_INTERVAL_SECONDS)
+
+    async def watch(
+        self, kind: kinds.Kind, after: ids.Revision
+    ) -> typing.AsyncIterator[Event]:
+        """Yield each change after a revision, for ever.
+
+        A watch whose instance goes away is taken up at another one, from the last
+        revision seen. Raises RefusedError when changes were compacted meanwhile.
+        """
+        while True:
+            try:
+                async for event in self.watch_once(kind, after):
+                    after = max(after, event.revision)
+                    if event.type in (PUT, DELETED):
+                        yield event
+            except (aiohttp.ClientError, TimeoutError):
+                # Cut off: the next attempt goes to the same or another instance.
+                self.put_last(self.servers[0])
+            await asyncio.sleep(WATCH_RETRY_SECONDS)
+
+    async def watch_once(
+        self, kind: kinds.Kind, after: ids.Revision
+    ) -> typing.AsyncIterator[Event]:
+        """Yield the events of one stream until it ends."""
+        params = {"watch": "true", "revision": str(after)}
+        path = f"{ADMIN}/{kind.value}"
+        response = await self.open("GET", path, None, params=params)
+        async with response:
+            if response.status >= connection.HTTP_FIRST_ERROR:
+                raise connection.refusal(response.status, await response.read())
+            while True:
+                async with asyncio.timeout(WATCH_SILENCE_SECONDS):
+                    line = await response.content.readline()
+                if not line:
+                    return
+                event = decode(line, Event)
+                if event.type == ERROR and event.problem is not None:
+                    raise connection.RefusedError(response.status, event.problem)
+                yield event
+
+
+def path_of(kind: kinds.Kind, name: str) -> str:
+    """Return the path of a resource."""
+    return f"{ADMIN}/{kind.value}/{name}"
+
+
+def write_headers(based_on: ids.Revision | None) -> dict[str, str]:
+    """Return the headers that make a write conditional and safe to repeat."""
+    key = secrets.token_hex(KEY_BYTES)
+    if based_on is None:
+        return {"Idempotency-Key": key, "If-None-Match": "*"}
+    return {"Idempotency-Key": key, "If-Match": f'"{based_on}"'}
+
+
+T = typing.TypeVar("T")
+
+
+def decode(body: bytes, shape: type[T]) -> T:
+    """Decode an answer; raises ClientError if it isn't what was asked for."""
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except msgspec.DecodeError as failure:
+        raise connection.ClientError(
+            f"The answer isn't understood: {failure}", NOT_JSON
+        ) from failure
--- /dev/null
+++ b/src/tealcove/commands/apply.py
@@ -0,0 +1,110 @@
+"""`tealcove apply`: make resources as files declare them."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from tealcove import client, plan, resourcefiles
+from tealcove.commands import output, servers, wait
+from tealcove.resources import kinds
+
+
+class Step(msgspec.Struct, frozen=True):
+    """What is to be written; `now` is None for a new resource."""
+
+    declared: resourcefiles.Declared
+    now: client.Held | None
+
+    @property
+    def title(self) -> str:
+        """Name the resource."""
+        return f"{self.declared.kind.value}/{self.declared.name}"
+
+    @property
+    def changed(self) -> bool:
+        """Tell whether anything is to be written."""
+        return self.now is None or self.declared.spec != self.now.resource().spec
+
+    def diff(self) -> str:
+        """Show what changes, defaults included."""
+        before = None if self.now is None else self.now.resource().spec
+        return output.diff(self.title, before, self.declared.spec)
+
+
+@cappa.command(
+    name="apply",
+    help="Make resources as files and folders declare them.",
+    description=(
+        "Shows a diff of each resource that changes. A resource that somebody else "
+        "changes between the reading and the writing is left alone (exit code 3). "
+        "Resources that no file names are left as they are."
+    ),
+)
+@dataclasses.dataclass(kw_only=True)
+class Apply(servers.Servers):
+    """Arguments of `apply`."""
+
+    paths: Annotated[
+        list[str],
+        cappa.Arg(value_name="PATH", required=True, help="Files or folders."),
+    ]
+    dry_run: Annotated[
+        bool,
+        cappa.Arg(long=True, default=False, help="Check and show, but write nothing."),
+    ]
+    wait: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            default=False,
+            help="Wait until the changes are in force on every serving instance.",
+        ),
+    ]
+    timeout: Annotated[
+        float, cappa.Arg(long=True, default=30.0, help="Seconds for --wait.")
+    ]
+
+    async def __call__(self) -> None:
+        """Read all, check all, then write one after the other."""
+        declared = plan.in_order(resourcefiles.read(self.paths))
+        async with self.connect() as link:
+            await link.entry_points()
+            steps = await compare(link, declared)
+            if self.dry_run:
+                print(f"{len(steps)} of {len(declared)} would change.")
+                return
+            revision = None
+            for number, step in enumerate(steps, 1):
+                revision = await write(link, step)
+                output.progress(f"{number} of {len(steps)}: {step.title} written")
+            print(f"{len(steps)} of {len(declared)} changed.")
+            if revision is not None:
+                print(f"revision {revision}")
+                if self.wait:
+                    await wait.until_in_force(link, revision, self.timeout)
+
+
+async def compare(
+    link: client.Client, declared: list[resourcefiles.Declared]
+) -> list[Step]:
+    """Return what is to be written, after showing it and checking it as a whole."""
+    held: dict[tuple[kinds.Kind, str], client.Held] = {}
+    for kind in kinds.Kind:
+        for one in await link.list(kind):
+            held[kind, one.metadata.name] = one
+    plan.check(plan.built(one.resource() for one in held.values()), declared)
+    steps = [Step(one, held.get((one.kind, one.name))) for one in declared]
+    changing = [step for step in steps if step.changed]
+    for step in changing:
+        print(step.diff())
+    return changing
+
+
+async def write(link: client.Client, step: Step) -> int:
+    """Write a resource if it's still as it was read; returns its new revision."""
+    based_on = None if step.now is None else step.now.metadata.revision
+    return (await link.put(step.declared, based_on)).metadata.revision
--- a/src/tealcove/commands/exits.py
+++ b/src/tealcove/commands/exits.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from tealcove import errors
+from tealcove import connection, errors
 
 
 class Code(enum.IntEnum):
@@ -22,6 +22,9 @@
 
 
 BY_ERROR: tuple[tuple[type[errors.TealcoveError], Code], ...] = (
+    (connection.ConflictError, Code.CONFLICT),
+    (connection.UnavailableError, Code.UNAVAILABLE),
+    (connection.TimedOutError, Code.TIMEOUT),
     (errors.PlatformUnavailableError, Code.UNAVAILABLE),
 )
 
--- a/src/tealcove/connection.py
+++ b/src/tealcove/connection.py
@@ -14,12 +14,13 @@
 T = typing.TypeVar("T")
 
 HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
 # Answers after which another instance is worth a try.
 PASSED_OVER = (HTTP_UNAVAILABLE, HTTP_GATEWAY_TIMEOUT)
 HTTP_FIRST_ERROR = 400
+# An "in use" is status 409 too, but no conflict with another change.
+CONFLICT_TYPE = "urn:tealcove:problem:revision-conflict"
 CALL_SECONDS = 10.0
 CONNECT_SECONDS = 2.0
 SSL_ANY = True
@@ -42,21 +43,27 @@
 
 
 class Problem(msgspec.Struct, frozen=True):
-    """What an instance says of a call that it refused (RFC 9457)."""
+    """What an instance says of a call that it refused (RFC 9457).
+
+    `outcome` and `reason` come with requests, the last four with resources.
+    """
 
     title: str = ""
     detail: str = ""
     outcome: str = ""
     reason: str = ""
+    type: str = ""
+    field: str = ""
     remedy: str = ""
+    current_revision: int | None = None
 
 
 class RefusedError(ClientError):
     """An instance refused the call, for good."""
 
     def __init__(self, status: int, problem: Problem) -> None:
-        detail = problem.detail or problem.reason
-        said = f"{problem.title}: {detail}" if detail else problem.title
+        parts = (problem.title, problem.reason, problem.detail)
+        said = ": ".join(part for part in parts if part)
         remedy = problem.remedy or "Correct the call; docs/API.md explains it."
         said = said.rstrip(".") or f"Refused with status {status}"
         super().__init__(said, remedy)
@@ -190,7 +197,7 @@
         problem = msgspec.json.decode(body, type=Problem)
     except msgspec.DecodeError:
         problem = Problem(title=f"Status {status}")
-    if status == HTTP_CONFLICT:
+    if problem.type == CONFLICT_TYPE:
         return ConflictError(status, problem)
     return RefusedError(status, problem)
 
--- a/src/tealcove/settingsfile.py
+++ b/src/tealcove/settingsfile.py
@@ -28,8 +28,9 @@
     "str | null": "a string or null",
     "object | null": "an object in braces, or null",
 }
-NAME_PATTERN = kinds.Name.__metadata__[0].pattern
-KEY_HASH_PATTERN = kinds.KeyHash.__metadata__[0].pattern
+# As msgspec's messages show them, which is with quotes and escapes.
+NAME_PATTERN = repr(kinds.Name.__metadata__[0].pattern)
+KEY_HASH_PATTERN = repr(kinds.KeyHash.__metadata__[0].pattern)
 PATTERNS = {
     NAME_PATTERN: "a name of a-z, 0-9, dots, hyphens and underscores",
     KEY_HASH_PATTERN: "a SHA-256 in hex, 64 characters of 0-9 and a-f",
@@ -37,7 +38,7 @@
 UNKNOWN_FIELD = re.compile(r"unknown field `(.*)`")
 MISSING_FIELD = re.compile(r"missing required field `(.*)`")
 EXPECTED = re.compile(r"Expected `(?P<type>[^`]*)`(?:, got .*|(?P<bound> .*))?$")
-PATTERN = re.compile(r"matching regex '(.*)'")
+PATTERN = re.compile(r"matching regex ('.*')")
 PLACE = re.compile(r"^(?P<problem>.*?)(?: - at `(?P<place>[^`]*)`)?$", re.DOTALL)
 # A step is `.key`, `[3]`, or `[...]` for any key of a mapping.
 STEP = re.compile(r"\.([A-Za-z_][A-Za-z_0-9]*)|\[(\d+|\.\.\.)\]")
--- a/src/tealcove/tests/test_settings.py
+++ b/src/tealcove/tests/test_settings.py
@@ -5,9 +5,11 @@
 import json
 import pathlib
 
+import msgspec
+import msgspec.inspect
 import pytest
 
-from tealcove import errors, resourcefiles, settings
+from tealcove import errors, resourcefiles, settings, settingsfile
 
 SAMPLES = pathlib.Path(__file__).parents[3] / "samples"
 LEAST = {"instance": "a", "data_centre": "b"}
@@ -119,3 +121,26 @@
     path.write_text(json.dumps([tier, tier]))
     with pytest.raises(errors.SettingsError, match="service-tiers high stands in"):
         resourcefiles.read([str(tmp_path)])
+
+
+def test_page_lists_every_setting():
+    page = (SAMPLES.parent / "docs" / "SETTINGS.md").read_text()
+    for name, default in leaves(msgspec.inspect.type_info(settings.Settings)):
+        row = next(line for line in page.splitlines() if line.startswith(f"| `{name}`"))
+        if isinstance(default, int | float | str):
+            assert f"`{json.dumps(default)}`" in row
+
+
+def leaves(found, prefix=""):
+    """Yield the dotted name and the default of each setting."""
+    for field in found.fields:
+        name = prefix + field.encode_name
+        inner = settingsfile.inner_type(found, field.encode_name)
+        if isinstance(inner, msgspec.inspect.VarTupleType):
+            item = settingsfile.inner_type(inner, None)
+            if isinstance(item, msgspec.inspect.StructType):
+                name, inner = f"{name}[]", item
+        if isinstance(inner, msgspec.inspect.StructType):
+            yield from leaves(inner, f"{name}.")
+        else:
+            yield name, field.default
--- /dev/null
+++ b/src/tealcove/tests/test_telemetry.py
@@ -0,0 +1,93 @@
+"""Logs as JSON lines, metrics as text, traces that cross instances."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+
+import logbook
+from opentelemetry import trace
+from opentelemetry.sdk.trace.export import in_memory_span_exporter
+
+from tealcove import logs, settings, telemetry
+from tealcove.tests import builders
+
+PARENT = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+
+
+def test_log_lines():
+    stream = io.StringIO()
+    own = settings.Log(debug=("entry",))
+    handler = logs.JsonHandler(settings.Settings("a", "b", log=own), stream)
+    with handler.applicationbound():
+        logbook.Logger("entry").debug("taken", extra={logs.REQUEST: "req-1"})
+        logbook.Logger("other").debug("hidden")
+        try:
+            raise ValueError("two\nlines")
+        except ValueError:
+            logbook.Logger("other").exception("broken")
+    first, second = (json.loads(line) for line in stream.getvalue().splitlines())
+    assert first.pop("time").endswith("Z")
+    assert first == {
+        "level": "debug",
+        "channel": "entry",
+        "message": "taken",
+        "request": "req-1",
+        "instance": "a",
+        "data_centre": "b",
+    }
+    assert second["level"] == "error"
+    assert "ValueError: two\nlines" in second["error"]
+
+
+def test_other_libraries_log_through_the_handler():
+    stream = io.StringIO()
+    root = logging.getLogger()
+    level, handlers = root.level, list(root.handlers)
+    handler = logs.install(settings.Settings("a", "b"), stream)
+    try:
+        logging.getLogger("aiohttp.access").info("GET /?key=secret")
+        logging.getLogger("aiohttp.server").warning("odd")
+    finally:
+        handler.pop_application()
+        root.handlers[:] = handlers
+        root.setLevel(level)
+    (line,) = stream.getvalue().splitlines()
+    assert json.loads(line)["message"] == "odd"
+
+
+def test_metrics_of_instances_are_apart():
+    first, second = builders.telemetry(), builders.telemetry()
+    first.meter.create_counter("tealcove.requests").add(3, {"tier": "high"})
+    assert b'tier="high"} 3.0' in first.metrics_text()
+    assert b"tealcove_requests" not in second.metrics_text()
+
+
+def test_trace_goes_on_over_headers():
+    exporter = in_memory_span_exporter.InMemorySpanExporter()
+    found = builders.telemetry(exporter)
+    headers = {}
+    context = telemetry.extract({telemetry.TRACEPARENT: PARENT})
+    with found.tracer.start_as_current_span("entry", context=context):
+        telemetry.inject(headers)
+    found.shutdown()
+    (span,) = exporter.get_finished_spans()
+    assert trace.format_trace_id(span.context.trace_id) == PARENT.split("-")[1]
+    assert headers[telemetry.TRACEPARENT].split("-")[2] == trace.format_span_id(
+        span.context.span_id
+    )
+
+
+def test_without_tracing_nothing_is_recorded_and_the_parent_passes():
+    exporter = in_memory_span_exporter.InMemorySpanExporter()
+    for found in (builders.telemetry(exporter, trace_share=0), builders.telemetry()):
+        assert not found.tracing
+        headers = {}
+        with found.tracer.start_as_current_span("entry"):
+            telemetry.inject(headers)
+        assert headers == {}
+        context = telemetry.extract({telemetry.TRACEPARENT: PARENT})
+        with found.tracer.start_as_current_span("entry", context=context):
+            assert telemetry.traceparent() == PARENT
+    assert exporter.get_finished_spans() == ()
