--- a/src/tealcove/resources/compaction.py
+++ b/src/tealcove/resources/compaction.py
@@ -73,22 +73,29 @@
         Raises PlatformError; what was done so far does no harm.
         """
         configuration = self.copy.current
-        head_row = await self.log.read_head()
-        previous = head_row.head.snapshot
-        if configuration.revision > previous:
+        named = (await self.log.read_head()).head.snapshot
+        if configuration.revision > named:
             content = await asyncio.to_thread(snapshots.encode, configuration)
             name = log.snapshot_name(configuration.revision)
             await self.log.store.put(name, content)
-            await self.publish(configuration.revision)
-            await self.drop_snapshot(previous)
+            unnamed = await self.publish(configuration.revision)
+            if unnamed != copy.NOTHING:
+                await self.log.store.delete(log.snapshot_name(unnamed))
         await self.drop_changes()
 
-    async def publish(self, revision: ids.Revision) -> None:
-        """Name a snapshot in the head, unless a newer one is named there."""
+    async def publish(self, revision: ids.Revision) -> ids.Revision:
+        """Name a snapshot in the head, unless a newer one is named there.
+
+        Returns the snapshot that isn't named any more, or NOTHING.
+        """
+        replaced = copy.NOTHING
         for _ in range(ATTEMPTS):
             head_row = await self.log.read_head()
-            if head_row.head.snapshot >= revision:
-                return
+            if head_row.head.snapshot == revision:
+                return replaced
+            if head_row.head.snapshot > revision:
+                return revision
+            replaced = head_row.head.snapshot
             floor = max(head_row.head.floor, revision - self.settings.retained)
             head = msgspec.structs.replace(
                 head_row.head, snapshot=revision, floor=ids.Revision(floor)
@@ -99,18 +106,12 @@
                 await self.log.rows.commit(transaction)
             except (table.ConditionFailedError, errors.OutcomeUnknownError):
                 continue
-            return
+            return replaced
         raise errors.PlatformError(
             f"the head changed {ATTEMPTS} times before it named a snapshot",
             "Nothing: the next compaction will name one.",
         )
 
-    async def drop_snapshot(self, revision: ids.Revision) -> None:
-        """Delete a snapshot that the head no longer names."""
-        head = (await self.log.read_head()).head
-        if revision not in (copy.NOTHING, head.snapshot):
-            await self.log.store.delete(log.snapshot_name(revision))
-
     async def drop_changes(self) -> None:
         """Delete the changes up to the floor, and their rows for repeats."""
         head = (await self.log.read_head()).head
--- a/src/tealcove/resources/log.py
+++ b/src/tealcove/resources/log.py
@@ -129,6 +129,18 @@
             configuration = await self.follow(configuration, head)
             own.move(configuration)
 
+    async def check_age(self, own: copy.ConfigurationCopy) -> None:
+        """Raise TableRestoredError if the table is older than a copy.
+
+        It shows when operators restore the table from a backup. A change on top
+        of it would get a revision that other copies take for one they have, and
+        they would differ from then on without any sign of it.
+        """
+        revision = own.revision
+        head = (await self.read_head()).head
+        if head.revision < revision:
+            raise refusals.TableRestoredError(head.revision, revision)
+
     async def follow(
         self, configuration: copy.Configuration, head: Head
     ) -> copy.Configuration:
--- a/src/tealcove/resources/reader.py
+++ b/src/tealcove/resources/reader.py
@@ -132,14 +132,7 @@
         await self.log.advance(self.copy, head)
         self.platform_reached = now
         if self.copy.revision > head.revision:
-            head = (await self.log.read_head()).head
-        if self.copy.revision > head.revision:
-            LOG.error(
-                "The platform's head {} is older than revision {} in force here: the "
-                "table was put back to an older state. Restore the newer one.",
-                head.revision,
-                self.copy.revision,
-            )
+            await self.log.check_age(self.copy)
 
     async def follow_peer(self) -> None:
         """Move the copy to a peer's; raises PeerError, ResourceError."""
--- a/src/tealcove/resources/refusals.py
+++ b/src/tealcove/resources/refusals.py
@@ -79,3 +79,14 @@
             "the body is larger than this instance takes",
             "Send a smaller resource, or raise the limit in the settings.",
         )
+
+
+class TableRestoredError(errors.PlatformError):
+    """The platform's table is older than the configuration in force."""
+
+    def __init__(self, head: ids.Revision, in_force: ids.Revision) -> None:
+        super().__init__(
+            f"the platform's table is at revision {head}, but {in_force} is in force",
+            "Restore the newer state of the table, or restart all instances to go "
+            "back on purpose.",
+        )
--- a/src/tealcove/resources/tests/test_compaction.py
+++ b/src/tealcove/resources/tests/test_compaction.py
@@ -77,6 +77,24 @@
     await write(own, range(5, 9))
     own.store.compactor.settings = SETTINGS
     await own.store.compactor.compact()
-    await late.store.compactor.publish(late.copy.revision)
+    assert await late.store.compactor.publish(late.copy.revision) == 5
     assert (await own.log.read_head()).head.snapshot == 9
     assert (await builders.instance(platform).catch_up()).revision == 9
+
+
+async def test_two_compactors_leave_one_snapshot(platform):
+    """Each deletes what it replaced in the head, also if it read another before."""
+    own, other = builders.instance(platform), builders.instance(platform)
+    await write(own, range(3))
+    await own.store.compactor.compact()
+    publish = other.store.compactor.publish
+
+    async def publish_late(revision):
+        await write(own, range(3, 4))
+        await own.store.compactor.compact()
+        return await publish(revision)
+
+    await write(other, range(4, 6))
+    other.store.compactor.publish = publish_late
+    await other.store.compactor.compact()
+    assert list(platform.objects.contents) == [log.snapshot_name(6)]
--- a/src/tealcove/resources/tests/test_store.py
+++ b/src/tealcove/resources/tests/test_store.py
@@ -180,3 +180,48 @@
     with pytest.raises(table.ConditionFailedError):
         await own.store.change(builders.put(TIER, "gold", builders.tier(2), 1))
     assert (await own.catch_up()).revision == 1
+
+
+class LosingTable(builders.YieldingTable):
+    """Loses one write on its way, and another writer takes its revision."""
+
+    def __init__(self, platform: memory.MemoryPlatform) -> None:
+        super().__init__(platform.table)
+        self.other = builders.instance(platform)
+        self.lost = False
+
+    async def commit(self, transaction: table.Transaction) -> table.Committed:
+        if self.lost:
+            return await super().commit(transaction)
+        self.lost = True
+        await self.other.store.change(builders.put(TIER, "tin", builders.tier(9)))
+        raise errors.OutcomeUnknownError("no reply in time", "Read the row.")
+
+
+async def test_write_that_never_arrives(platform):
+    """Symptom: a change is confirmed and in force nowhere.
+
+    Events: a write is lost on its way, not its reply; another writer's change
+    gets the revision that it would have had.
+    Cause: taking any change at that revision for the own one.
+    """
+    own = builders.Instance(LosingTable(platform), platform.objects)
+    outcome = await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+    assert outcome.revision == 2
+    assert (await own.catch_up()).names(TIER) == ["gold", "tin"]
+
+
+async def test_table_that_was_put_back_takes_no_change(platform):
+    """Symptom: copies that differ at one revision.
+
+    Events: operators restore the table from a backup; instances stay up with
+    later revisions; somebody writes.
+    Cause: giving revisions out a second time.
+    """
+    own = builders.instance(platform)
+    await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
+    backup = memory.MemoryPlatform()
+    own.store.rows = own.log.rows = backup.table
+    with pytest.raises(refusals.TableRestoredError):
+        await own.store.change(builders.put(TIER, "tin", builders.tier(2)))
+    assert await backup.table.scan(log.CHANGES) == ()
