--- a/src/tealcove/tests/test_cli.py
+++ b/src/tealcove/tests/test_cli.py
@@ -226,6 +226,17 @@
     assert failed.value.code == exits.Code.FAILED
 
 
+def test_each_command_has_a_page():
+    pages = test_settings.SAMPLES.parent / "docs" / "commands"
+    (subcommand,) = [
+        argument
+        for argument in cappa.collect(cli.Tealcove).arguments
+        if isinstance(argument, cappa.Subcommand)
+    ]
+    for name in subcommand.options:
+        assert (pages / f"{name}.md").read_text().startswith(f"# tealcove {name}\n")
+
+
 def test_every_client_error_has_its_exit_code():
     conflict = connection.ConflictError(409, connection.Problem(title="t"))
     assert exits.code_for(conflict) is exits.Code.CONFLICT
