Show the system at work in one process: tealcove demo

Cause: a newcomer had nothing to run; `tealcove demo` ended in an ImportError. Ruled out: a broken stream as a lost answer (a stream that has begun can't say "interrupted" in any other way); calls without an id as second dispatches (the dispatcher asks plain services for cache events too, which is a fault of its own).

--- /dev/null
+++ b/src/tealcove/demonstration/__init__.py
@@ -0,0 +1,1 @@
+"""What `tealcove demo` shows, in one process on loopback."""
--- /dev/null
+++ b/src/tealcove/demonstration/mix.py
@@ -0,0 +1,212 @@
+"""The engines of the demo, and the mix of requests that they are too few for."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import random
+
+import msgspec
+
+from tealcove.backends import prefixes
+
+# Of the fastest engine; the others are slower by one factor throughout.
+PREFILL_TOKENS_PER_SECOND = 16_000.0
+DECODE_SECONDS_PER_TOKEN = 0.005
+BATCH_SLOWDOWN = 0.02
+
+# Arrivals as a multiple of what the engines could complete at the very best.
+LOAD = 1.3
+# Calls to the plain service, which come on top, a second.
+SERVICE_RATE = 8.0
+LONG_SHARE = 0.25
+STREAM_SHARE = 0.6
+CHAT_SHARE = 0.3
+# Prompt templates of each client account, whose text its requests share.
+TEMPLATES = 3
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """A model engine; `speed` is a part of the fastest one's."""
+
+    name: str
+    generation: str
+    speed: float
+    slots: int
+
+
+class Account(msgspec.Struct, frozen=True):
+    """A client account and its part of the requests."""
+
+    name: str
+    tier: str
+    share: float
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """The size of a kind of request, in tokens, and its deadline in seconds."""
+
+    prompt_tokens: int
+    # Tokens of the prompt that all requests of one template share.
+    shared_tokens: int
+    output_tokens: int
+    deadline: float
+
+
+class Way(enum.Enum):
+    """What a request asks for."""
+
+    COMPLETION = "completion"
+    CHAT = "chat"
+    # Calls of the plain service: one that may be repeated and one that may not.
+    LOOKUP = "lookup"
+    QUOTE = "quote"
+
+
+ENGINE_WAYS = (Way.COMPLETION, Way.CHAT)
+
+ENGINES = (
+    Engine("engine-1", "g1", 0.5, 4),
+    Engine("engine-2", "g1", 0.5, 6),
+    Engine("engine-3", "g2", 0.65, 4),
+    Engine("engine-4", "g2", 0.65, 6),
+    Engine("engine-5", "g3", 0.8, 8),
+    Engine("engine-6", "g4", 1.0, 6),
+)
+# The highest first.
+TIERS = ("high", "middle", "low")
+ACCOUNTS = (
+    Account("label-press", "high", 0.2),
+    Account("show-floor", "high", 0.1),
+    Account("sales-office", "middle", 0.2),
+    Account("recipe-desk", "middle", 0.15),
+    Account("archive", "low", 0.2),
+    Account("old-ledger", "low", 0.15),
+)
+SHORT = Shape(prompt_tokens=32, shared_tokens=0, output_tokens=4, deadline=2.0)
+# A hundred times longer.
+LONG = Shape(
+    prompt_tokens=3200,
+    shared_tokens=32 * prefixes.BLOCK_TOKENS,
+    output_tokens=400,
+    deadline=7.0,
+)
+SERVICE_DEADLINE = 2.0
+
+
+class Request(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller is going to send, `at` seconds into the run."""
+
+    key: str
+    at: float
+    account: str
+    tier: str
+    way: Way
+    # The prompt, or the content of a call to the plain service.
+    content: str
+    max_tokens: int = 0
+    stream: bool = False
+    deadline: float
+
+    @property
+    def for_engine(self) -> bool:
+        """Whether an engine answers it, and not the plain service."""
+        return self.way in ENGINE_WAYS
+
+
+def slot_seconds(engine: Engine, shape: Shape) -> float:
+    """Return how long a request holds a slot of the full engine, its cache warm."""
+    uncached = shape.prompt_tokens - shape.shared_tokens
+    prefill = uncached / (PREFILL_TOKENS_PER_SECOND * engine.speed)
+    slowdown = 1.0 + BATCH_SLOWDOWN * (engine.slots - 1)
+    step = DECODE_SECONDS_PER_TOKEN / engine.speed * slowdown
+    return prefill + shape.output_tokens * step
+
+
+def capacity() -> float:
+    """Return a bound on the requests of the mix that the engines end a second.
+
+    Every slot is taken all the time and each shared text is always cached.
+    """
+    total = 0.0
+    for engine in ENGINES:
+        long = LONG_SHARE * slot_seconds(engine, LONG)
+        short = (1.0 - LONG_SHARE) * slot_seconds(engine, SHORT)
+        total += engine.slots / (long + short)
+    return total
+
+
+def requests(seed: int, seconds: float) -> list[Request]:
+    """Return all requests in order of time; the same for the same arguments."""
+    drawn = random.Random(seed)
+    found = [engine_request(drawn, at) for at in times(drawn, engine_rate(), seconds)]
+    calls = [service_call(drawn, at) for at in times(drawn, SERVICE_RATE, seconds)]
+    return sorted(found + calls, key=lambda request: request.at)
+
+
+def engine_rate() -> float:
+    """Return the requests for engines a second."""
+    return LOAD * capacity()
+
+
+def times(drawn: random.Random, rate: float, seconds: float) -> list[float]:
+    """Return the arrivals of a Poisson process."""
+    found: list[float] = []
+    at = drawn.expovariate(rate)
+    while at < seconds:
+        found.append(at)
+        at += drawn.expovariate(rate)
+    return found
+
+
+def engine_request(drawn: random.Random, at: float) -> Request:
+    """Draw a request for an engine."""
+    account = draw_account(drawn)
+    shape = LONG if drawn.random() < LONG_SHARE else SHORT
+    key = draw_key(drawn)
+    template = drawn.randrange(TEMPLATES)
+    shared = text(f"{account.name}/{template}", shape.shared_tokens)
+    own = text(key, shape.prompt_tokens - shape.shared_tokens)
+    return Request(
+        key=key,
+        at=at,
+        account=account.name,
+        tier=account.tier,
+        way=Way.CHAT if drawn.random() < CHAT_SHARE else Way.COMPLETION,
+        content=shared + own,
+        max_tokens=shape.output_tokens,
+        stream=drawn.random() < STREAM_SHARE,
+        deadline=shape.deadline,
+    )
+
+
+def service_call(drawn: random.Random, at: float) -> Request:
+    """Draw a call to the plain service."""
+    account = draw_account(drawn)
+    key = draw_key(drawn)
+    return Request(
+        key=key,
+        at=at,
+        account=account.name,
+        tier=account.tier,
+        way=drawn.choice((Way.LOOKUP, Way.QUOTE)),
+        content=key,
+        deadline=SERVICE_DEADLINE,
+    )
+
+
+def draw_account(drawn: random.Random) -> Account:
+    """Draw who sends a request."""
+    shares = [account.share for account in ACCOUNTS]
+    return drawn.choices(ACCOUNTS, shares)[0]
+
+
+def draw_key(drawn: random.Random) -> str:
+    """Draw a key that no other request has."""
+    return f"{drawn.getrandbits(64):016x}"
+
+
+def text(name: str, tokens: int) -> str:
+    """Return a text of so many tokens that no other name has."""
+    size = tokens * prefixes.TOKEN_BYTES
+    return hashlib.shake_128(name.encode()).hexdigest(size)[:size]
