--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -117,6 +117,8 @@
             policy.find(self.settings.dispatch.policy),
             self.engines,
             self.settings.dispatch.load_poll_interval,
+            self.quarantine,
+            lambda: self.heart.listed,
         )
         self.dispatcher.start()
         self.tickets = requester.Requester(
@@ -189,7 +191,7 @@
         pool = self.configuration.copy.current.pool(name)
         if pool is None:
             return None
-        for cell in cells.divide(ids.PoolId(name), pool.spec.servers):
+        for cell in cells.of_pool(ids.PoolId(name), pool.spec):
             if cell.cell_id == cell_id:
                 return cell
         return None
--- a/src/tealcove/dispatch/cells.py
+++ b/src/tealcove/dispatch/cells.py
@@ -16,6 +16,9 @@
     cell_id: ids.CellId
     pool: ids.PoolId
     servers: tuple[kinds.BackendServerSpec, ...]
+    # See kinds.EnginePoolSpec; plain services have no long work.
+    short_share: float = 0.0
+    short_tokens: int = 0
 
     @property
     def data_centre(self) -> ids.DataCentreId | None:
@@ -26,6 +29,21 @@
         return ids.DataCentreId(counts.most_common(1)[0][0])
 
 
+def of_pool(
+    pool: ids.PoolId, spec: kinds.EnginePoolSpec | kinds.ServicePoolSpec
+) -> tuple[Cell, ...]:
+    """Return the cells of a pool with the pool's settings."""
+    found = divide(pool, spec.servers)
+    if not isinstance(spec, kinds.EnginePoolSpec):
+        return found
+    return tuple(
+        msgspec.structs.replace(
+            cell, short_share=spec.short_share, short_tokens=spec.short_tokens
+        )
+        for cell in found
+    )
+
+
 def divide(
     pool: ids.PoolId, servers: tuple[kinds.BackendServerSpec, ...]
 ) -> tuple[Cell, ...]:
--- /dev/null
+++ b/src/tealcove/dispatch/choice.py
@@ -0,0 +1,94 @@
+"""Which backend server a ticket gets: the one that ends it soonest, in time."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from tealcove import ids
+from tealcove.dispatch import messages, queue, servers
+
+# Seconds kept free between the predicted end of a request and its deadline.
+DEADLINE_MARGIN = 0.05
+
+
+class Estimate(msgspec.Struct, frozen=True):
+    """Predicted work of a ticket at the best of several servers."""
+
+    # Seconds with nothing else running, and with all slots taken.
+    idle: float
+    loaded: float
+    # Tokens that have to be computed: uncached prompt and output.
+    tokens: float
+
+
+def estimate(ticket: messages.Ticket, found: Iterable[servers.ServerState]) -> Estimate:
+    """Return the best of some servers; zeros when there are none."""
+    idle = loaded = math.inf
+    cached = 0.0
+    for server in found:
+        idle = min(idle, server.seconds(ticket, 0.0))
+        loaded = min(loaded, server.seconds(ticket, server.spec.slots - 1.0))
+        cached = max(cached, server.cached_tokens(ticket))
+    if idle == math.inf:
+        idle = loaded = 0.0
+    return Estimate(idle, loaded, ticket.prompt_tokens - cached + ticket.output_tokens)
+
+
+def choose(
+    waiting: queue.Waiting,
+    found: Iterable[servers.ServerState],
+    now: ids.Instant,
+    crowd: int,
+    short_share: float,
+) -> servers.ServerState | None:
+    """Return the server with a free slot that ends a ticket soonest, in time.
+
+    `crowd` is how many tickets wait: they will soon fill the batch, so that a
+    prediction for the batch of now would be too good.
+    """
+    best = None
+    best_seconds = waiting.deadline - DEADLINE_MARGIN - now
+    for server in found:
+        if not has_room(server, waiting, short_share):
+            continue
+        if server.name in waiting.ticket.excluded:
+            continue
+        if server.pace is servers.Pace.PROBED:
+            if is_probe(server, waiting, now):
+                return server
+            continue
+        others = min(server.spec.slots - 1, len(server.running) + crowd)
+        seconds = server.seconds(waiting.ticket, others)
+        if seconds <= best_seconds:
+            best, best_seconds = server, seconds
+    return best
+
+
+def has_room(
+    server: servers.ServerState, waiting: queue.Waiting, short_share: float
+) -> bool:
+    """Tell whether a server has a slot free that a ticket may take."""
+    if waiting.lane.is_short:
+        return server.free() > 0
+    return server.free_long(short_share) > 0
+
+
+def is_probe(
+    server: servers.ServerState, waiting: queue.Waiting, now: ids.Instant
+) -> bool:
+    """Tell whether a ticket may try out a server that was too slow.
+
+    It has to be work that may be lost: short, safe to send again, and in time if
+    the server has recovered. Its own speed is no measure: by that no ticket
+    would ever be in time there, and the server would never be tried.
+    """
+    if now < server.probe_at or not server.is_empty():
+        return False
+    if not (waiting.lane.is_short and waiting.lane.idempotent):
+        return False
+    ticket = waiting.ticket
+    usual = server.baseline.predict(ticket.prompt_tokens, ticket.output_tokens, 0.0)
+    return now + usual + DEADLINE_MARGIN <= waiting.deadline
--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -2,122 +2,169 @@
 
 from __future__ import annotations
 
-import msgspec
+from collections.abc import Iterable
 
 from tealcove import ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, messages, scheduler, speed
-from tealcove.resources import kinds
-
-RETRY_AFTER = 1.0
-
-
-class Waiting(msgspec.Struct):
-    """A ticket in the queue."""
-
-    ticket: messages.Ticket
-    arrived: ids.Instant
-    deadline: ids.Instant
-
-
-class Running(msgspec.Struct):
-    """A ticket that holds a slot."""
-
-    ticket: messages.Ticket
-    started: ids.Instant
-
-
-class ServerState(msgspec.Struct):
-    """A backend server, as its dispatcher sees it."""
-
-    spec: kinds.BackendServerSpec
-    speed: speed.Speed
-    running: dict[ids.TicketId, Running]
-    reachable: bool = True
-    leaving: bool = False
-
-    def takes_work(self) -> bool:
-        """Tell whether new work may go to the server."""
-        wanted = self.spec.state is kinds.ServerState.SERVING
-        free = len(self.running) < self.spec.slots
-        return wanted and free and self.reachable and not self.leaving
+from tealcove.dispatch import (
+    cells,
+    cellstate,
+    choice,
+    filling,
+    isolation,
+    messages,
+    pressure,
+    scheduler,
+    servers,
+    stragglers,
+    suspicion,
+)
+
+# Seconds between two looks at all servers' pace and all free slots.
+REVIEW_INTERVAL = 0.25
+# A slot whose entry is gone is kept for so long: the engine may still work on
+# the request, since it waits for the entry to resume the stream.
+ORPHAN_SECONDS = 5.0
+# A ticket that its entry hasn't told of for so long is forgotten: entries repeat
+# all their tickets every requester.REFRESH_INTERVAL, so several repeats are missing.
+UNTOLD_SECONDS = 8.0
 
 
 class FairScheduler(scheduler.Scheduler):
-    """One queue by tier; the server that ends the work soonest gets it."""
+    """Tier, then fair among client accounts, then least slack.
+
+    Every event ends with the same steps: free slots are granted, tickets whose
+    time runs out get a slot by force, and what is too late is refused.
+    """
 
     def __init__(self) -> None:
-        self.cell: cells.Cell | None = None
-        self.servers: dict[ids.BackendServerId, ServerState] = {}
-        self.queue: dict[ids.TicketId, Waiting] = {}
+        self.state = cellstate.CellState()
+        self.pressure = pressure.Pressure(self.state)
+        self.isolation = isolation.Isolation(self.state)
+        self.filling = filling.Filling(self.state)
+        self.is_gathering = False
+        self.gather_until = ids.Instant(0.0)
+        self.next_review = ids.Instant(0.0)
+
+    def suspect_by(self, suspicion: suspicion.Suspicion) -> None:
+        """See Scheduler."""
+        self.state.suspicion = suspicion
+
+    def gather(self, until: ids.Instant) -> None:
+        """See Scheduler."""
+        self.is_gathering = True
+        self.gather_until = until
 
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        self.cell = cell
-        names = {server.name for server in cell.servers}
-        for spec in cell.servers:
-            name = ids.BackendServerId(spec.name)
-            if name in self.servers:
-                self.servers[name].spec = spec
-            else:
-                self.servers[name] = ServerState(spec, speed.Speed(), {})
-        for name in list(self.servers):
-            if name not in names:
-                del self.servers[name]
-        return self.assign(now)
+        fleet = self.state.fleet
+        for ticket_id in fleet.configure(cell):
+            # The server is no longer the cell's; its work goes on without a slot.
+            fleet.end(ticket_id, now)
+        stragglers.judge(fleet.servers.values(), now)
+        return self.decide(fleet.servers.values(), now)
 
     def enqueue(
         self, ticket: messages.Ticket, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
         if ticket.running_on is not None:
-            server = self.servers.get(ticket.running_on)
-            if server is not None:
-                server.running[ticket.ticket_id] = Running(ticket, now)
-            return []
-        if ticket.ticket_id in self.queue or self.holds(ticket.ticket_id):
+            self.state.adopt(ticket, now)
             return []
-        deadline = ids.Instant(now + ticket.remaining)
-        self.queue[ticket.ticket_id] = Waiting(ticket, now, deadline)
-        queued = scheduler.Outgoing(
-            ticket.entry, messages.Queued(ticket_id=ticket.ticket_id)
+        server = self.state.fleet.where.get(ticket.ticket_id)
+        if server is not None:
+            # The entry asks again: it didn't get the grant.
+            server.running[ticket.ticket_id].told = now
+            return [self.state.tell_grant(ticket, server)]
+        queued = messages.Queued(ticket_id=ticket.ticket_id)
+        answer = scheduler.Outgoing(ticket.entry, queued)
+        known = self.state.queue.tickets.get(ticket.ticket_id)
+        if known is not None:
+            known.told = now
+            return [answer]
+        usable = self.state.fleet.usable(ticket)
+        found = choice.estimate(ticket, usable)
+        reason = self.reason_against(ticket, found)
+        if not usable and reason is None and not self.is_return_likely(ticket):
+            reason = messages.RefusalReason.NO_BACKEND_SERVER
+        if reason is not None:
+            return [self.state.tell_refusal(ticket, reason)]
+        waiting = self.state.wait(ticket, found, now)
+        outgoing = [answer]
+        if not waiting.lane.is_suspect and not self.is_gathering:
+            outgoing.extend(self.filling.place(waiting, now))
+        return [*outgoing, *self.decide((), now)]
+
+    def reason_against(
+        self, ticket: messages.Ticket, found: choice.Estimate
+    ) -> messages.RefusalReason | None:
+        """Return why a ticket isn't queued, if so."""
+        if self.state.suspicion.is_quarantined(ticket.digest):
+            return messages.RefusalReason.QUARANTINED
+        # Time spent waiting elsewhere counts: work that an idle fleet could have
+        # ended in time is not refused for its deadline.
+        if found.idle > ticket.remaining + ticket.waited:
+            return messages.RefusalReason.DEADLINE
+        return None
+
+    def is_return_likely(self, ticket: messages.Ticket) -> bool:
+        """Tell whether a server that can't be reached just now may come back."""
+        return any(
+            name not in ticket.excluded and not server.leaving and not server.reachable
+            for name, server in self.state.fleet.servers.items()
         )
-        return [queued, *self.assign(now)]
-
-    def holds(self, ticket_id: ids.TicketId) -> bool:
-        """Tell whether a ticket was granted a slot that it still has."""
-        return any(ticket_id in server.running for server in self.servers.values())
 
     def withdraw(
         self, ticket_id: ids.TicketId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        self.queue.pop(ticket_id, None)
-        for server in self.servers.values():
-            server.running.pop(ticket_id, None)
-        return self.assign(now)
+        waiting = self.state.queue.tickets.get(ticket_id)
+        if waiting is not None:
+            self.state.leave(waiting)
+        return self.end(ticket_id, 0.0, now)
 
     def progress(
         self, progress: messages.Progress, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
+        server = self.state.fleet.where.get(progress.ticket_id)
+        if server is not None:
+            server.running[progress.ticket_id].has_first_token = True
         return []
 
     def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        server = self.servers.get(done.server)
+        server = self.state.fleet.servers.get(done.server)
         if server is not None:
-            server.running.pop(done.ticket_id, None)
             if done.outcome is messages.Outcome.COMPLETED:
-                server.speed.observe(
-                    done.prompt_tokens - done.cached_tokens,
-                    done.output_tokens,
-                    done.first_token_seconds,
-                    done.total_seconds,
-                )
-            if done.outcome is messages.Outcome.NOT_SENT:
+                running = server.running.get(done.ticket_id)
+                stragglers.learn(server, running, done, now)
+            if done.outcome in (messages.Outcome.NOT_SENT, messages.Outcome.CRASHED):
                 server.reachable = False
-        return self.assign(now)
+            if done.outcome is messages.Outcome.CRASHED:
+                server.index.reset()
+        tokens = done.prompt_tokens - done.cached_tokens + done.output_tokens
+        return self.end(done.ticket_id, tokens, now)
+
+    def end(
+        self, ticket_id: ids.TicketId, tokens: float, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Take back a slot and grant it again, first to whom it was promised."""
+        ended = self.state.end(ticket_id, now, tokens)
+        if ended is None:
+            return self.decide((), now)
+        server, running = ended
+        outgoing = []
+        promised = self.state.queue.tickets.get(running.preempted_for)
+        if promised is not None:
+            found = choice.choose(promised, (server,), now, 0, 0.0)
+            if found is not None:
+                outgoing.append(self.state.grant(promised, found, now))
+        freed = (server,)
+        if not running.ticket.idempotent:
+            # The limit on such work is the cell's, so any free slot may do now.
+            freed = self.state.fleet.servers.values()
+        return [*outgoing, *self.decide(freed, now)]
 
     def report(
         self,
@@ -126,94 +173,83 @@
         now: ids.Instant,
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        state = self.servers.get(server)
-        if state is None:
+        found = self.state.fleet.servers.get(server)
+        if found is None:
             return []
-        state.reachable = load is not None
+        found.reachable = load is not None
         if load is not None:
-            state.leaving = load.state == "leaving"
-        return self.assign(now)
+            found.leaving = load.state == "leaving"
+            found.take_report(load, now)
+        return self.decide((found,), now)
+
+    def cached(
+        self, server: ids.BackendServerId, events: engine.CacheEvents, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        found = self.state.fleet.servers.get(server)
+        if found is not None:
+            found.index.take_events(events)
+        return []
+
+    def last_event(self, server: ids.BackendServerId) -> int:
+        """See Scheduler."""
+        found = self.state.fleet.servers.get(server)
+        return 0 if found is None else found.index.last
 
     def lose_entry(
         self, entry: ids.InstanceId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        for ticket_id, waiting in list(self.queue.items()):
+        for waiting in list(self.state.queue.tickets.values()):
             if waiting.ticket.entry == entry:
-                del self.queue[ticket_id]
-        for server in self.servers.values():
-            for ticket_id, running in list(server.running.items()):
-                if running.ticket.entry == entry:
-                    del server.running[ticket_id]
-        return self.assign(now)
+                self.state.leave(waiting)
+        for server in self.state.fleet.servers.values():
+            for running in server.running.values():
+                if running.ticket.entry == entry and running.ends_by is None:
+                    ends_by = min(running.deadline, now + ORPHAN_SECONDS)
+                    running.ends_by = ids.Instant(ends_by)
+        return self.decide((), now)
 
     def tick(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        return self.assign(now)
-
-    def assign(self, now: ids.Instant) -> list[scheduler.Outgoing]:
-        """Refuse what can't end in time and grant free slots."""
-        outgoing = self.refuse_late(now)
-        for waiting in sorted(self.queue.values(), key=order):
-            server = self.choose(waiting.ticket)
-            if server is not None:
-                outgoing.append(self.grant(waiting, server, now))
+        if now < self.next_review:
+            return self.decide((), now)
+        self.next_review = ids.Instant(now + REVIEW_INTERVAL)
+        found = self.state.fleet.servers.values()
+        self.drop_untold(now)
+        for server in found:
+            self.drop_orphans(server, now)
+        stragglers.judge(found, now)
+        return self.decide(found, now)
+
+    def drop_orphans(self, server: servers.ServerState, now: ids.Instant) -> None:
+        """Take back slots whose end nobody will tell of."""
+        for ticket_id, running in list(server.running.items()):
+            is_orphan = running.ends_by is not None and running.ends_by <= now
+            if running.ends_by is not None and not server.reachable:
+                # The entry that would have told of the crash is gone as well.
+                alone = server.isolated == ticket_id
+                self.state.suspicion.lost(running.ticket, server.name, alone, now)
+                is_orphan = True
+            if is_orphan or now - running.told > UNTOLD_SECONDS:
+                self.state.end(ticket_id, now, running.charged)
+
+    def drop_untold(self, now: ids.Instant) -> None:
+        """Forget queued tickets whose withdrawal must have got lost."""
+        for waiting in list(self.state.queue.tickets.values()):
+            if now - waiting.told > UNTOLD_SECONDS:
+                self.state.leave(waiting)
+
+    def decide(
+        self, freed: Iterable[servers.ServerState], now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Grant the slots of some servers, then look at what time has run out."""
+        if self.is_gathering and now >= self.gather_until:
+            self.is_gathering = False
+            freed = self.state.fleet.servers.values()
+        outgoing = []
+        if not self.is_gathering:
+            outgoing.extend(self.isolation.advance(now))
+            outgoing.extend(self.filling.fill(freed, now))
+        outgoing.extend(self.pressure.advance(now, self.is_gathering))
         return outgoing
-
-    def refuse_late(self, now: ids.Instant) -> list[scheduler.Outgoing]:
-        """Refuse every ticket that no server could end in time."""
-        late = [w for w in self.queue.values() if self.is_late(w, now)]
-        return [self.refuse(w, messages.RefusalReason.DEADLINE) for w in late]
-
-    def is_late(self, waiting: Waiting, now: ids.Instant) -> bool:
-        """Tell whether even the fastest server would end it too late."""
-        needed = min(
-            (self.predict(waiting.ticket, s) for s in self.servers.values()),
-            default=0.0,
-        )
-        return now + needed > waiting.deadline
-
-    def refuse(
-        self, waiting: Waiting, reason: messages.RefusalReason
-    ) -> scheduler.Outgoing:
-        """Take a ticket out of the queue for good."""
-        ticket = waiting.ticket
-        del self.queue[ticket.ticket_id]
-        refusal = messages.Refusal(
-            ticket_id=ticket.ticket_id, reason=reason, retry_after=RETRY_AFTER
-        )
-        return scheduler.Outgoing(ticket.entry, refusal)
-
-    def predict(self, ticket: messages.Ticket, server: ServerState) -> float:
-        """Return the seconds that a server would need for a ticket."""
-        return server.speed.predict(ticket.prompt_tokens, ticket.output_tokens)
-
-    def choose(self, ticket: messages.Ticket) -> ServerState | None:
-        """Return the free server that would end the work soonest."""
-        free = [
-            server
-            for name, server in self.servers.items()
-            if server.takes_work() and name not in ticket.excluded
-        ]
-        return min(free, key=lambda s: self.predict(ticket, s), default=None)
-
-    def grant(
-        self, waiting: Waiting, server: ServerState, now: ids.Instant
-    ) -> scheduler.Outgoing:
-        """Give a slot to a ticket."""
-        ticket = waiting.ticket
-        del self.queue[ticket.ticket_id]
-        server.running[ticket.ticket_id] = Running(ticket, now)
-        grant = messages.Grant(
-            ticket_id=ticket.ticket_id,
-            cell=ticket.cell,
-            server=ids.BackendServerId(server.spec.name),
-            host=server.spec.host,
-            port=server.spec.port,
-        )
-        return scheduler.Outgoing(ticket.entry, grant)
-
-
-def order(waiting: Waiting) -> tuple[int, float]:
-    """Return the key of the queue's order: tier, then deadline."""
-    return (waiting.ticket.tier_rank, waiting.deadline)
--- /dev/null
+++ b/src/tealcove/dispatch/filling.py
@@ -0,0 +1,104 @@
+"""Grants free slots in the queue's order."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable
+
+from tealcove import ids
+from tealcove.dispatch import (
+    cellstate,
+    choice,
+    queue,
+    scheduler,
+    servers,
+    stragglers,
+)
+
+# Tickets of one account that are tried when the first ones don't fit the free
+# slots; without this bound each event could cost a walk through the whole queue.
+LOOK_AHEAD = 4
+
+
+class Filling:
+    """Gives each free slot to the first ticket in order that it fits."""
+
+    def __init__(self, state: cellstate.CellState) -> None:
+        self.state = state
+
+    def fill(
+        self, freed: Iterable[servers.ServerState], now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Grant free slots in the queue's order until none fits any more."""
+        outgoing = []
+        for rank in self.state.queue.ranks():
+            free = [server for server in freed if server.free() > 0]
+            while free:
+                granted = self.fill_one(rank, free, now)
+                if granted is None:
+                    break
+                outgoing.append(granted)
+                free = [server for server in free if server.free() > 0]
+        return outgoing
+
+    def fill_one(
+        self, rank: int, free: list[servers.ServerState], now: ids.Instant
+    ) -> scheduler.Outgoing | None:
+        """Grant one slot to the next ticket of a tier that fits."""
+        lanes = self.open_lanes(rank, free)
+        accounts = self.state.queue.tiers[rank].accounts.values()
+        waiting_accounts = [account for account in accounts if account.count]
+        for account in sorted(waiting_accounts, key=account_order):
+            for waiting in itertools.islice(account.heads(lanes), LOOK_AHEAD):
+                server = self.choose(waiting, free, now)
+                if server is not None:
+                    return self.grant(waiting, server, now)
+        return None
+
+    def open_lanes(
+        self, rank: int, free: list[servers.ServerState]
+    ) -> list[queue.Lane]:
+        """Return the lanes that some of the free slots are open to."""
+        fleet = self.state.fleet
+        long_open = any(s.free_long(fleet.short_share) > 0 for s in free)
+        return [
+            lane
+            for lane in queue.SHARED
+            if (lane.is_short or long_open)
+            and not fleet.keeps_back(rank, lane.idempotent)
+        ]
+
+    def place(
+        self, waiting: queue.Waiting, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Grant a new ticket one of the slots that nobody before it could use."""
+        fleet = self.state.fleet
+        if fleet.keeps_back(waiting.ticket.tier_rank, waiting.lane.idempotent):
+            return []
+        free = [server for server in fleet.servers.values() if server.free() > 0]
+        server = self.choose(waiting, free, now)
+        return [] if server is None else [self.grant(waiting, server, now)]
+
+    def choose(
+        self,
+        waiting: queue.Waiting,
+        free: list[servers.ServerState],
+        now: ids.Instant,
+    ) -> servers.ServerState | None:
+        """Return the server for a ticket, among some with free slots."""
+        crowd = len(self.state.queue)
+        share = self.state.fleet.short_share
+        return choice.choose(waiting, free, now, crowd, share)
+
+    def grant(
+        self, waiting: queue.Waiting, server: servers.ServerState, now: ids.Instant
+    ) -> scheduler.Outgoing:
+        """Grant a slot; a server that is probed has had its probe."""
+        if server.pace is servers.Pace.PROBED:
+            stragglers.note_probe(server, now)
+        return self.state.grant(waiting, server, now)
+
+
+def account_order(account: queue.Account) -> tuple[float, float]:
+    """Return the order of accounts: least start tag, then the oldest ticket."""
+    return (account.tag, account.oldest())
--- /dev/null
+++ b/src/tealcove/dispatch/fleet.py
@@ -0,0 +1,108 @@
+"""The backend servers of a cell together, and who holds their slots."""
+
+from __future__ import annotations
+
+import collections
+
+from tealcove import ids
+from tealcove.dispatch import cells, messages, servers
+
+# Part of a cell's slots that non-idempotent work of lower tiers can't take; at
+# least one slot. Such work can't be preempted, so if it held all slots a higher
+# tier would have to be refused while lower work is being served.
+STOPPABLE_SHARE = 0.25
+TOP_RANK = 0
+
+
+class Fleet:
+    """All servers of a cell by name, and all tickets that hold a slot."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ids.BackendServerId, servers.ServerState] = {}
+        self.where: dict[ids.TicketId, servers.ServerState] = {}
+        # Running requests by tier: all, and those that a higher tier may stop.
+        self.running: collections.Counter[int] = collections.Counter()
+        self.stoppable: collections.Counter[int] = collections.Counter()
+        self.unstoppable_lower = 0
+        self.slots = 0
+        self.short_share = 0.0
+        self.short_tokens = 0
+
+    def configure(self, cell: cells.Cell) -> list[ids.TicketId]:
+        """Take over the cell's servers; return tickets that ran on dropped ones."""
+        self.short_share = cell.short_share
+        self.short_tokens = cell.short_tokens
+        names = set()
+        for spec in cell.servers:
+            name = ids.BackendServerId(spec.name)
+            names.add(name)
+            if name in self.servers:
+                self.servers[name].spec = spec
+            else:
+                self.servers[name] = servers.ServerState(spec)
+        lost: list[ids.TicketId] = []
+        for name in list(self.servers):
+            if name not in names:
+                lost.extend(self.servers.pop(name).running)
+        self.slots = sum(spec.slots for spec in cell.servers)
+        return lost
+
+    def start(
+        self, server: servers.ServerState, running: servers.Running, now: ids.Instant
+    ) -> None:
+        """Give a slot to a ticket."""
+        server.start(running, now)
+        self.where[running.ticket.ticket_id] = server
+        self.count(running, 1)
+
+    def end(
+        self, ticket_id: ids.TicketId, now: ids.Instant
+    ) -> tuple[servers.ServerState, servers.Running] | None:
+        """Take a ticket's slot back; None when it holds none."""
+        server = self.where.pop(ticket_id, None)
+        if server is None:
+            return None
+        running = server.end(ticket_id, now)
+        self.count(running, -1)
+        if running.preempted_at is None:
+            self.stoppable[running.ticket.tier_rank] -= running.ticket.idempotent
+        return server, running
+
+    def count(self, running: servers.Running, change: int) -> None:
+        """Keep the counts by tier; a preempted request is stoppable no more."""
+        ticket = running.ticket
+        self.running[ticket.tier_rank] += change
+        if change > 0:
+            self.stoppable[ticket.tier_rank] += ticket.idempotent
+        if not ticket.idempotent and ticket.tier_rank > TOP_RANK:
+            self.unstoppable_lower += change
+
+    def note_preempted(self, running: servers.Running, now: ids.Instant) -> None:
+        """Remember that an entry was told to stop a request."""
+        if running.preempted_at is None:
+            self.stoppable[running.ticket.tier_rank] -= 1
+        running.preempted_at = now
+
+    def runs_below(self, rank: int) -> bool:
+        """Tell whether work of a lower tier runs."""
+        return any(count > 0 and r > rank for r, count in self.running.items())
+
+    def can_stop_below(self, rank: int) -> bool:
+        """Tell whether work of a lower tier runs that may be stopped."""
+        return any(count > 0 and r > rank for r, count in self.stoppable.items())
+
+    def keeps_back(self, rank: int, idempotent: bool) -> bool:
+        """Tell whether non-idempotent work has to leave the free slots alone."""
+        if idempotent or rank <= TOP_RANK:
+            return False
+        kept = max(1, int(self.slots * STOPPABLE_SHARE))
+        # A cell of one slot would otherwise never run such work.
+        return self.unstoppable_lower >= max(1, self.slots - kept)
+
+    def usable(self, ticket: messages.Ticket) -> list[servers.ServerState]:
+        """Return the servers that a ticket might run on."""
+        return [
+            server
+            for name, server in self.servers.items()
+            if server.is_usable and name not in ticket.excluded
+        ]
--- /dev/null
+++ b/src/tealcove/dispatch/isolation.py
@@ -0,0 +1,111 @@
+"""Runs requests that may crash their backend server alone, one at a time."""
+
+from __future__ import annotations
+
+import math
+
+from tealcove import ids
+from tealcove.dispatch import (
+    cellstate,
+    choice,
+    messages,
+    queue,
+    scheduler,
+    servers,
+)
+
+
+class Isolation:
+    """The suspect of a cell that has a server to itself, or waits for one.
+
+    The server chosen for it gets nothing else from then on, until the suspect has
+    ended: if it crashes the server, no other request is lost with it.
+    """
+
+    def __init__(self, state: cellstate.CellState) -> None:
+        self.state = state
+        self.server: servers.ServerState | None = None
+        self.ticket_id: ids.TicketId | None = None
+        # The suspicion's version by which the queued tickets were judged.
+        self.judged = 0
+
+    def advance(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """Take the next step that the present state of the servers allows."""
+        outgoing = self.judge_again()
+        self.release()
+        if self.server is None:
+            self.choose(now)
+        waiting = self.state.suspects.get(self.ticket_id)
+        if waiting is None or not self.server.is_empty():
+            return outgoing
+        return [*outgoing, self.state.grant(waiting, self.server, now)]
+
+    def judge_again(self) -> list[scheduler.Outgoing]:
+        """Look at the queued tickets again once the suspicion has changed.
+
+        Without this, copies of a crashing request that were queued before the
+        first crash would run beside others, and go on after the second one.
+        """
+        suspicion = self.state.suspicion
+        if suspicion.version == self.judged:
+            return []
+        self.judged = suspicion.version
+        outgoing = []
+        for waiting in list(self.state.queue.tickets.values()):
+            digest = waiting.ticket.digest
+            if suspicion.is_quarantined(digest):
+                reason = messages.RefusalReason.QUARANTINED
+                outgoing.append(self.state.refuse(waiting, reason))
+            elif suspicion.is_suspect(digest) != waiting.lane.is_suspect:
+                self.state.change_lane(waiting)
+        return outgoing
+
+    def release(self) -> None:
+        """Give the server back once the suspect neither waits nor runs."""
+        if self.server is None:
+            return
+        if self.ticket_id in self.server.running:
+            return
+        is_queued = self.ticket_id in self.state.suspects
+        is_kept = self.state.fleet.servers.get(self.server.name) is self.server
+        if is_queued and is_kept and self.server.is_usable:
+            return
+        self.server.isolated = None
+        self.server = self.ticket_id = None
+
+    def choose(self, now: ids.Instant) -> None:
+        """Pick the next suspect and the server that is empty first."""
+        for waiting in sorted(self.state.suspects.values(), key=order):
+            server = self.find_server(waiting, now)
+            if server is not None:
+                self.server, self.ticket_id = server, waiting.ticket.ticket_id
+                server.isolated = self.ticket_id
+                return
+
+    def find_server(
+        self, waiting: queue.Waiting, now: ids.Instant
+    ) -> servers.ServerState | None:
+        """Return the server that ends a suspect soonest, in time."""
+        best = None
+        best_end = waiting.deadline - choice.DEADLINE_MARGIN
+        for server in self.state.fleet.usable(waiting.ticket):
+            if server.foreign or server.pace is servers.Pace.PROBED:
+                continue
+            end = empty_at(server, now) + server.seconds(waiting.ticket, 0.0)
+            if end <= best_end:
+                best, best_end = server, end
+        return best
+
+
+def empty_at(server: servers.ServerState, now: ids.Instant) -> float:
+    """Return when the last running request is predicted to end."""
+    ends = [now]
+    for running in server.running.values():
+        seconds = running.expected if running.expected != math.inf else 0.0
+        ends.append(running.started + seconds)
+    return max(ends)
+
+
+def order(waiting: queue.Waiting) -> tuple[int, float]:
+    """Return the order of suspects: tier, then least slack."""
+    return (waiting.ticket.tier_rank, waiting.start_by)
--- /dev/null
+++ b/src/tealcove/dispatch/prefixindex.py
@@ -0,0 +1,94 @@
+"""What a dispatcher believes to be in a backend server's prefix cache."""
+
+from __future__ import annotations
+
+import collections
+
+from tealcove.backends import engine
+
+# Until the server's load report names its capacity, in blocks.
+DEFAULT_CAPACITY = 1024
+# What a block counts that an event which got lost may have removed.
+UNCERTAIN_WEIGHT = 0.5
+
+
+class PrefixIndex:
+    """Blocks by chained hash; the least recently used one goes first.
+
+    Each block is kept with the number of gaps in the cache events that were seen
+    before it was last confirmed. A gap may hide a removal, so it makes all blocks
+    of earlier numbers uncertain in one step.
+    """
+
+    def __init__(self) -> None:
+        self.capacity = DEFAULT_CAPACITY
+        self.blocks: collections.OrderedDict[int, int] = collections.OrderedDict()
+        self.gaps = 0
+        # The last sequence number that was taken in.
+        self.last = 0
+
+    def match(self, prefix: tuple[int, ...]) -> float:
+        """Return the expected number of cached blocks from a prompt's start.
+
+        Each block's hash covers those before it, and the end of a prefix is given
+        up before its start, so the end of what is cached can be bisected.
+        """
+        low, high = 0, len(prefix)
+        while low < high:
+            middle = (low + high) // 2
+            if prefix[middle] in self.blocks:
+                low = middle + 1
+            else:
+                high = middle
+        if low == 0:
+            return 0.0
+        certain = self.blocks[prefix[low - 1]] == self.gaps
+        return float(low) if certain else low * UNCERTAIN_WEIGHT
+
+    def note_grant(self, prefix: tuple[int, ...]) -> None:
+        """Take in the blocks of a prompt that the server is about to compute."""
+        fitting = prefix[: self.capacity]
+        for block in reversed(fitting):
+            self.blocks[block] = self.gaps
+            self.blocks.move_to_end(block)
+        self.evict()
+
+    def take_events(self, events: engine.CacheEvents) -> None:
+        """Take in what the server published after `last`."""
+        if events.last < self.last:
+            # The server counts from the start again: it has lost its cache.
+            self.reset()
+            return
+        for event in events.events:
+            self.take_event(event)
+
+    def take_event(self, event: engine.CacheEvent) -> None:
+        """Take in one event; a number left out before it is a gap."""
+        if event.sequence <= self.last:
+            return
+        if event.sequence != self.last + 1:
+            self.gaps += 1
+        self.last = event.sequence
+        if event.kind == "removed":
+            for block in event.blocks:
+                self.blocks.pop(block, None)
+            return
+        for block in reversed(event.blocks):
+            self.blocks[block] = self.gaps
+        self.evict()
+
+    def set_capacity(self, capacity: int) -> None:
+        """Follow the capacity that the server reports."""
+        if capacity > 0 and capacity != self.capacity:
+            self.capacity = capacity
+            self.evict()
+
+    def evict(self) -> None:
+        """Drop what the server must have dropped too."""
+        while len(self.blocks) > self.capacity:
+            self.blocks.popitem(last=False)
+
+    def reset(self) -> None:
+        """Forget everything, as a server that was started anew has."""
+        self.blocks.clear()
+        self.last = 0
--- /dev/null
+++ b/src/tealcove/dispatch/pressure.py
@@ -0,0 +1,146 @@
+"""Finds slots by force for tickets whose time runs out, and refuses the rest."""
+
+from __future__ import annotations
+
+from tealcove import ids
+from tealcove.dispatch import (
+    cellstate,
+    choice,
+    messages,
+    queue,
+    scheduler,
+    servers,
+    shedding,
+)
+
+# A refusal is put off when present speeds give a ticket more time than this.
+MORE_TIME = 0.01
+
+
+class Pressure:
+    """The tickets near their last instant to start."""
+
+    def __init__(self, state: cellstate.CellState) -> None:
+        self.state = state
+        self.at_risk: dict[ids.TicketId, queue.Waiting] = {}
+
+    def advance(self, now: ids.Instant, is_gathering: bool) -> list[scheduler.Outgoing]:
+        """Stop lower work for tickets at risk and refuse what is too late.
+
+        While running work of another dispatcher is still being told of, a ticket
+        at risk gets a free slot all the same: it may turn out to be taken, but
+        without it the ticket would surely be too late.
+        """
+        outgoing: list[scheduler.Outgoing] = []
+        for waiting in self.state.risks.due(now):
+            self.at_risk[waiting.ticket.ticket_id] = waiting
+        if self.at_risk:
+            outgoing.extend(self.rescue_all(now, is_gathering))
+        for waiting in self.state.expiries.due(now):
+            outgoing.extend(self.expire(waiting, now))
+        return outgoing
+
+    def rescue_all(
+        self, now: ids.Instant, is_gathering: bool
+    ) -> list[scheduler.Outgoing]:
+        """Look for a slot for each ticket at risk, highest tier first."""
+        outgoing = []
+        ahead = 0
+        for ticket_id, waiting in sorted(self.at_risk.items(), key=rank_of):
+            if not waiting.is_queued:
+                del self.at_risk[ticket_id]
+                continue
+            found = self.rescue(waiting, ahead, now, is_gathering)
+            ahead += 1
+            if found is not None:
+                outgoing.append(found)
+        return outgoing
+
+    def rescue(
+        self,
+        waiting: queue.Waiting,
+        ahead: int,
+        now: ids.Instant,
+        is_gathering: bool,
+    ) -> scheduler.Outgoing | None:
+        """Find a slot for one ticket, at the cost of lower tiers only."""
+        rank = waiting.ticket.tier_rank
+        fleet = self.state.fleet
+        if waiting.lane.is_suspect or now < waiting.look_again:
+            return None
+        has_lower = fleet.runs_below(rank) or self.state.queue.has_below(rank)
+        if not (has_lower or is_gathering):
+            return None
+        if fleet.keeps_back(rank, waiting.lane.idempotent):
+            return None
+        waiting.look_again = ids.Instant(now + shedding.STOP_SECONDS)
+        server = choice.choose(waiting, fleet.servers.values(), now, 0, 0.0)
+        if server is not None:
+            return self.state.grant(waiting, server, now)
+        if not fleet.can_stop_below(rank):
+            return None
+        if shedding.frees_itself(waiting, fleet, ahead, now):
+            return None
+        victim = shedding.find_victim(waiting, fleet, now)
+        return None if victim is None else self.stop(victim, waiting, now)
+
+    def stop(
+        self, victim: servers.Running, waiting: queue.Waiting, now: ids.Instant
+    ) -> scheduler.Outgoing:
+        """Have a running request stopped for a ticket."""
+        self.state.fleet.note_preempted(victim, now)
+        victim.preempted_for = waiting.ticket.ticket_id
+        waiting.is_promised = True
+        waiting.look_again = ids.Instant(now + shedding.STOP_TIMEOUT)
+        ticket = victim.ticket
+        after = shedding.retry_after(
+            self.state.queue, self.state.fleet, ticket.tier_rank
+        )
+        preempt = messages.Preempt(ticket_id=ticket.ticket_id, retry_after=after)
+        return scheduler.Outgoing(ticket.entry, preempt)
+
+    def expire(
+        self, waiting: queue.Waiting, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Refuse a ticket that can't end in time any more."""
+        if not waiting.is_queued:
+            # Shed a moment ago, together with its tier.
+            return []
+        if waiting.is_promised and now < waiting.look_again:
+            self.state.expiries.add(waiting.look_again, waiting)
+            return []
+        usable = self.state.fleet.usable(waiting.ticket)
+        if not usable:
+            reason = messages.RefusalReason.NO_BACKEND_SERVER
+            return [self.state.refuse(waiting, reason)]
+        found = choice.estimate(waiting.ticket, usable)
+        latest = cellstate.start_by(waiting.deadline, found)
+        if latest > now + MORE_TIME:
+            # Its servers have turned out faster than when it was queued.
+            self.state.expiries.add(latest, waiting)
+            return []
+        return self.shed(waiting)
+
+    def shed(self, waiting: queue.Waiting) -> list[scheduler.Outgoing]:
+        """Refuse a ticket, for overload only if nothing lower is served.
+
+        What is queued of lower tiers is refused first. Where lower work still
+        runs, it can't be stopped, or stopping it can't help in time any more:
+        then it is the ticket's deadline that can't be met.
+        """
+        rank = waiting.ticket.tier_rank
+        by_deadline = not waiting.had_slack or waiting.lane.is_suspect
+        if by_deadline or self.state.fleet.runs_below(rank):
+            return [self.state.refuse(waiting, messages.RefusalReason.DEADLINE)]
+        overload = messages.RefusalReason.OVERLOAD
+        outgoing = []
+        if self.state.queue.has_below(rank):
+            for lower in self.state.queue.below(rank):
+                outgoing.append(self.state.refuse(lower, overload))
+        return [*outgoing, self.state.refuse(waiting, overload)]
+
+
+def rank_of(item: tuple[ids.TicketId, queue.Waiting]) -> tuple[int, float]:
+    """Return the order in which tickets at risk are looked after."""
+    waiting = item[1]
+    return (waiting.ticket.tier_rank, waiting.start_by)
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -3,19 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
 import logbook
+import msgspec
 
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, messages, scheduler
+from tealcove.dispatch import cells, messages, scheduler, suspicion
 from tealcove.membership import members
 from tealcove.peers import mesh
+from tealcove.platform import instances
 
 log = logbook.Logger("dispatch")
 
 TICK_INTERVAL = 0.05
+# Seconds for which a newly served cell grants nothing that isn't urgent, so that
+# entries can tell of the work that another dispatcher has granted: two heartbeats.
+GATHER_SECONDS = 0.5
+# Another dispatcher may have served the cell if the members changed within so
+# long, or if its first ticket has waited elsewhere.
+SETTLED_AFTER = 5.0
+WAITED_ELSEWHERE = 0.1
+# A tick that comes later than this means that the process was frozen.
+FROZEN_AFTER = 0.75
+# Load reports between two readings of the cache events.
+REPORTS_PER_EVENTS = 2
+LEAVING = "leaving"
+# Ends of a request that tell of a server which can't be reached.
+LOST = (messages.Outcome.NOT_SENT, messages.Outcome.CRASHED)
 
 FindCell = Callable[[ids.CellId], cells.Cell | None]
 
@@ -27,6 +44,8 @@
         self.cell = cell
         self.decider = decider
         self.polls: dict[ids.BackendServerId, asyncio.Task[None]] = {}
+        # When a server was last found to be lost; older readings don't count.
+        self.lost: dict[ids.BackendServerId, ids.Instant] = {}
 
 
 class Dispatcher:
@@ -45,6 +64,8 @@
         new_scheduler: Callable[[], scheduler.Scheduler],
         engines: engine.EngineClient,
         poll_interval: float,
+        suspects: suspicion.Suspicion | None = None,
+        listed: Callable[[], tuple[instances.ListedInstance, ...]] = tuple,
     ) -> None:
         self.transport = transport
         self.members = known
@@ -52,6 +73,12 @@
         self.new_scheduler = new_scheduler
         self.engines = engines
         self.poll_interval = poll_interval
+        self.suspicion = suspects or suspicion.NoSuspicion()
+        # The platform's lagging list, as it was last read.
+        self.listed = listed
+        self.members_changed = clock.now()
+        # The entries that tickets came from, as they were then.
+        self.entries: dict[ids.InstanceId, ids.Incarnation] = {}
         self.held: dict[ids.CellId, HeldCell] = {}
         self.ticker: asyncio.Task[None] | None = None
 
@@ -61,6 +88,7 @@
         self.transport.handle(messages.Withdrawal, self.take_withdrawal)
         self.transport.handle(messages.Progress, self.take_progress)
         self.transport.handle(messages.Done, self.take_done)
+        self.members.listen(self.note_change)
         self.ticker = asyncio.create_task(self.tick())
 
     async def stop(self) -> None:
@@ -74,7 +102,10 @@
 
     def take_ticket(self, sender: ids.InstanceId, ticket: messages.Ticket) -> None:
         """Queue a ticket, or refuse it when its cell isn't known here."""
-        held = self.hold(ticket.cell)
+        held = self.hold(ticket)
+        heartbeat = self.members.find(ticket.entry)
+        if heartbeat is not None:
+            self.entries[ticket.entry] = heartbeat.incarnation
         if held is None:
             refusal = messages.Refusal(
                 ticket_id=ticket.ticket_id,
@@ -105,22 +136,46 @@
         """Learn that a slot is free."""
         held = self.held.get(done.cell)
         if held is not None:
+            if done.outcome in LOST:
+                held.lost[done.server] = clock.now()
             self.send(held.decider.done(done, clock.now()))
 
-    def hold(self, cell_id: ids.CellId) -> HeldCell | None:
-        """Return a cell, served from now on; None when it doesn't exist."""
-        held = self.held.get(cell_id)
+    def hold(self, ticket: messages.Ticket) -> HeldCell | None:
+        """Return a ticket's cell, served from now on; None: it doesn't exist."""
+        held = self.held.get(ticket.cell)
         if held is not None:
             return held
-        cell = self.find_cell(cell_id)
+        cell = self.find_cell(ticket.cell)
         if cell is None:
             return None
+        now = clock.now()
         held = HeldCell(cell, self.new_scheduler())
-        self.held[cell_id] = held
-        self.send(held.decider.configure(cell, clock.now()))
+        held.decider.suspect_by(self.suspicion)
+        self.held[ticket.cell] = held
+        if self.may_be_served_elsewhere(ticket, now):
+            held.decider.gather(ids.Instant(now + GATHER_SECONDS))
+        self.send(held.decider.configure(cell, now))
         self.poll_servers(held)
         return held
 
+    def may_be_served_elsewhere(
+        self, ticket: messages.Ticket, now: ids.Instant
+    ) -> bool:
+        """Tell whether another dispatcher may have granted slots of a cell.
+
+        If not, as long as the members have stayed the same, a ticket of a cell
+        would always have come here, so that the first one has nothing to wait for.
+        """
+        if not self.members.peers:
+            return False
+        is_settled = now - self.members_changed > SETTLED_AFTER
+        is_new = ticket.running_on is None and ticket.waited < WAITED_ELSEWHERE
+        return not (is_settled and is_new)
+
+    def note_change(self) -> None:
+        """Remember that the set of serving instances has just changed."""
+        self.members_changed = clock.now()
+
     def reconfigure(self) -> None:
         """Bring every held cell to the configuration now in force."""
         for cell_id, held in list(self.held.items()):
@@ -145,24 +200,92 @@
                 held.polls[name] = asyncio.create_task(poll)
 
     async def poll(self, held: HeldCell, server: engine.Server) -> None:
-        """Read a server's load report again and again."""
-        while True:
-            try:
-                load = await self.engines.load(server)
-            except errors.BackendError as error:
-                log.debug("no load report: {}", error)
-                load = None
-            self.send(held.decider.report(server.name, load, clock.now()))
+        """Read a server's load, health and cache events again and again."""
+        for number in itertools.count():
+            began = clock.now()
+            load = await self.read_load(server)
+            if began > held.lost.get(server.name, began - 1.0):
+                self.send(held.decider.report(server.name, load, clock.now()))
+            if load is not None and number % REPORTS_PER_EVENTS == 0:
+                await self.read_events(held, server)
             await asyncio.sleep(self.poll_interval)
 
+    async def read_load(self, server: engine.Server) -> engine.LoadReport | None:
+        """Return a load report, "leaving" as soon as anybody says so."""
+        try:
+            load = await self.engines.load(server)
+            state = await self.engines.state(server)
+        except errors.BackendError as error:
+            log.debug("no load report: {}", error)
+            return None
+        if state == LEAVING or self.is_listed_as_leaving(server):
+            return msgspec.structs.replace(load, state=LEAVING)
+        return load
+
+    def is_listed_as_leaving(self, server: engine.Server) -> bool:
+        """Tell whether the platform's list has a server as leaving."""
+        return any(
+            listed.kind is instances.ListedKind.BACKEND_SERVER
+            and listed.state is instances.ListedState.LEAVING
+            and (listed.host, listed.http_port) == (server.host, server.port)
+            for listed in self.listed()
+        )
+
+    async def read_events(self, held: HeldCell, server: engine.Server) -> None:
+        """Read what changed in a server's prefix cache; the next try may do."""
+        after = held.decider.last_event(server.name)
+        try:
+            events = await self.engines.cache_events(server, after)
+        except errors.BackendError as error:
+            log.debug("no cache events: {}", error)
+            return
+        self.send(held.decider.cached(server.name, events, clock.now()))
+
     async def tick(self) -> None:
         """Let the schedulers see time pass."""
+        before = clock.now()
         while True:
             await asyncio.sleep(TICK_INTERVAL)
             now = clock.now()
+            if now - before > FROZEN_AFTER:
+                self.note_frozen(now)
+            before = now
+            self.drop_lost_entries(now)
             for held in self.held.values():
                 self.send(held.decider.tick(now))
 
+    def note_frozen(self, now: ids.Instant) -> None:
+        """Let the entries tell again what runs.
+
+        While this process was frozen, the next in rank may have granted slots
+        that are counted as free here.
+        """
+        for held in self.held.values():
+            held.decider.gather(ids.Instant(now + GATHER_SECONDS))
+
+    def drop_lost_entries(self, now: ids.Instant) -> None:
+        """Tell the schedulers which entries are silent or were replaced."""
+        for entry, incarnation in list(self.entries.items()):
+            if self.is_present(entry, incarnation, now):
+                continue
+            del self.entries[entry]
+            for held in self.held.values():
+                self.send(held.decider.lose_entry(entry, now))
+
+    def is_present(
+        self, entry: ids.InstanceId, incarnation: ids.Incarnation, now: ids.Instant
+    ) -> bool:
+        """Tell whether an entry is the process that it was, and not silent.
+
+        An entry that leaves is present until it's silent: it finishes its work.
+        """
+        if entry == self.members.own.instance:
+            return True
+        member = self.members.peers.get(entry)
+        if member is None or member.heartbeat.incarnation != incarnation:
+            return False
+        return not self.members.is_suspect(member, now)
+
     def send(self, outgoing: list[scheduler.Outgoing]) -> None:
         """Tell the entries what was decided."""
         for out in outgoing:
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -8,7 +8,7 @@
 
 from tealcove import ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, messages
+from tealcove.dispatch import cells, messages, suspicion
 
 
 class Outgoing(msgspec.Struct, frozen=True):
@@ -25,6 +25,31 @@
     the entries are to be told.
     """
 
+    def suspect_by(self, suspicion: suspicion.Suspicion) -> None:
+        """Ask this from now on which requests may crash their server.
+
+        A scheduler that takes no care of these keeps this empty default.
+        """
+        return
+
+    def gather(self, until: ids.Instant) -> None:
+        """Grant nothing before an instant that isn't urgent.
+
+        Called when another dispatcher may have held the cell: the entries are
+        about to tell of running requests, whose slots would be granted twice.
+        """
+        return
+
+    def cached(
+        self, server: ids.BackendServerId, events: engine.CacheEvents, now: ids.Instant
+    ) -> list[Outgoing]:
+        """Learn what changed in a server's prefix cache."""
+        return []
+
+    def last_event(self, server: ids.BackendServerId) -> int:
+        """Return the number of the last cache event that was taken in."""
+        return 0
+
     @abc.abstractmethod
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[Outgoing]:
         """Take over a new form of the cell, such as a server that leaves."""
--- /dev/null
+++ b/src/tealcove/dispatch/shedding.py
@@ -0,0 +1,91 @@
+"""Whose work is stopped or refused when a cell has too much of it."""
+
+from __future__ import annotations
+
+import math
+
+from tealcove import ids
+from tealcove.dispatch import choice, fleet, queue, servers
+
+# Seconds from the order to stop a request until its slot can be granted again.
+STOP_SECONDS = 0.05
+# An order to stop that isn't answered in this time is taken for lost.
+STOP_TIMEOUT = 0.2
+# How long before a ticket's last instant to start a slot is looked for by force.
+LEAD = 0.3
+# A request beyond this part of its predicted time is stopped only if no other is
+# left: it would free its slot soon anyway.
+LATE_PART = 0.7
+SHORTEST_RETRY = 0.5
+LONGEST_RETRY = 60.0
+
+
+def retry_after(waiting: queue.Queue, servers_of_cell: fleet.Fleet, rank: int) -> float:
+    """Return the seconds after which the backlog ahead of a tier is worked off."""
+    backlog = waiting.seconds_before(rank) / max(1, servers_of_cell.slots)
+    return min(LONGEST_RETRY, max(SHORTEST_RETRY, backlog))
+
+
+def frees_itself(
+    waiting: queue.Waiting,
+    servers_of_cell: fleet.Fleet,
+    ahead: int,
+    now: ids.Instant,
+) -> bool:
+    """Tell whether enough slots are predicted to fall free in time anyway.
+
+    `ahead` is the number of tickets that would take such a slot first.
+    """
+    by = waiting.start_by - 2 * STOP_SECONDS
+    if now >= by:
+        return False
+    ends = 0
+    for server in servers_of_cell.usable(waiting.ticket):
+        if server.pace is not servers.Pace.NORMAL:
+            continue
+        for running in server.running.values():
+            ends += running.started + running.expected <= by
+    return ends > ahead
+
+
+def find_victim(
+    waiting: queue.Waiting, servers_of_cell: fleet.Fleet, now: ids.Instant
+) -> servers.Running | None:
+    """Return the running request to stop for a ticket; None when none may be.
+
+    Lowest tier first; there, work that isn't nearly done, and least prefill spent
+    first. Only on servers that would still end the waiting ticket in time.
+    """
+    best = None
+    best_key: tuple[int, bool, float] | None = None
+    left = waiting.deadline - choice.DEADLINE_MARGIN - STOP_SECONDS - now
+    for server in servers_of_cell.usable(waiting.ticket):
+        if server.isolated is not None or server.pace is servers.Pace.PROBED:
+            continue
+        others = max(0, len(server.running) - 1)
+        if server.seconds(waiting.ticket, others) > left:
+            continue
+        for running in server.running.values():
+            if not may_stop(running, waiting, now):
+                continue
+            key = victim_key(running, now)
+            if best_key is None or key < best_key:
+                best, best_key = running, key
+    return best
+
+
+def may_stop(
+    running: servers.Running, waiting: queue.Waiting, now: ids.Instant
+) -> bool:
+    """Tell whether a request may be stopped for a ticket."""
+    ticket = running.ticket
+    if not ticket.idempotent or ticket.tier_rank <= waiting.ticket.tier_rank:
+        return False
+    return running.preempted_at is None and running.ends_by is None
+
+
+def victim_key(running: servers.Running, now: ids.Instant) -> tuple[int, bool, float]:
+    """Return the order in which requests are stopped, least first."""
+    expected = running.expected
+    is_late = expected != math.inf and now - running.started > LATE_PART * expected
+    return (-running.ticket.tier_rank, is_late, running.prefill_spent(now))
--- /dev/null
+++ b/src/tealcove/dispatch/stragglers.py
@@ -0,0 +1,125 @@
+"""Finds backend servers that are slower than they should be.
+
+Judged from completed requests and from running ones that are late against their
+prediction, never from load reports: these lag, and a frozen server's look fine.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from tealcove import ids
+from tealcove.dispatch import messages, servers, speeds
+
+# Times slower than expected from which a server gets less work, or only probes.
+SLOW_FACTOR = 2.0
+PROBE_FACTOR = 5.0
+# A running request counts as late beyond its prediction times this ...
+LATE_FACTOR = 1.5
+# ... plus these seconds, since short requests vary more.
+LATE_GRACE = 0.5
+# Seconds between probes; doubled while they are slow, up to the longest.
+PROBE_INTERVAL = 1.0
+LONGEST_PROBE_INTERVAL = 30.0
+# How much of the old estimate the observation of a probe leaves in place: two
+# good probes are enough to bring a server back.
+PROBE_KEEP = 0.25
+KEEP = 0.9
+# What an observation leaves in place of a server's usual speed.
+USUAL_KEEP = 0.995
+# The request by which speeds are compared, in tokens.
+SAMPLE_PROMPT = 256
+SAMPLE_OUTPUT = 64
+
+
+def learn(
+    server: servers.ServerState,
+    running: servers.Running | None,
+    done: messages.Done,
+    now: ids.Instant,
+) -> None:
+    """Learn a server's speed from a completed request."""
+    others = max(0, len(server.running) - 1)
+    if running is not None:
+        others = server.others(running, now)
+    is_probe = server.pace is servers.Pace.PROBED
+    if server.speed.observations == 0 and server.prior is not None:
+        server.speed = speeds.copy(server.prior)
+    for speed, keep in (
+        (server.speed, PROBE_KEEP if is_probe else KEEP),
+        (server.usual, USUAL_KEEP),
+    ):
+        speed.observe(
+            done.prompt_tokens - done.cached_tokens,
+            done.output_tokens,
+            others,
+            done.first_token_seconds,
+            done.total_seconds,
+            keep,
+        )
+
+
+def judge(found: Iterable[servers.ServerState], now: ids.Instant) -> None:
+    """Bring priors, slowness and pace of all servers up to date.
+
+    Servers of one named generation are held against their median; one without a
+    generation only against its own usual speed, since it may differ by design.
+    """
+    by_generation: dict[str, list[servers.ServerState]] = {}
+    for server in found:
+        by_generation.setdefault(server.spec.generation, []).append(server)
+    for generation, members in by_generation.items():
+        reference = None
+        if generation:
+            reference = speeds.median(server.speed for server in members)
+        for server in members:
+            server.prior = reference
+            server.slowness = measure(server, now)
+            set_pace(server, now)
+
+
+def measure(server: servers.ServerState, now: ids.Instant) -> float:
+    """Return how many times slower than expected a server is."""
+    late = max((lateness(r, now) for r in server.running.values()), default=1.0)
+    if server.speed.observations == 0:
+        return late
+    expected = sample(server.baseline)
+    return max(1.0, late, sample(server.speed) / expected)
+
+
+def sample(speed: speeds.Speed) -> float:
+    """Return the seconds of the request by which speeds are compared."""
+    return max(1e-6, speed.predict(SAMPLE_PROMPT, SAMPLE_OUTPUT, 0.0))
+
+
+def lateness(running: servers.Running, now: ids.Instant) -> float:
+    """Return how many times longer than predicted a request runs already."""
+    expected = running.expected
+    if not running.has_first_token:
+        expected = running.expected_first
+    elapsed = now - running.started - LATE_GRACE
+    if expected == math.inf or elapsed <= expected * LATE_FACTOR:
+        return 1.0
+    # A prediction of next to nothing would make any delay a huge factor.
+    return elapsed / max(expected, LATE_GRACE)
+
+
+def set_pace(server: servers.ServerState, now: ids.Instant) -> None:
+    """Decide how much work a server may get."""
+    if server.slowness >= PROBE_FACTOR:
+        if server.pace is not servers.Pace.PROBED:
+            server.probe_interval = PROBE_INTERVAL
+            server.probe_at = ids.Instant(now + PROBE_INTERVAL)
+        server.pace = servers.Pace.PROBED
+    elif server.slowness >= SLOW_FACTOR:
+        server.pace = servers.Pace.SLOW
+    else:
+        server.pace = servers.Pace.NORMAL
+
+
+def note_probe(server: servers.ServerState, now: ids.Instant) -> None:
+    """Set the time of the next probe, further away each time."""
+    server.probe_at = ids.Instant(now + server.probe_interval)
+    doubled = 2 * server.probe_interval
+    server.probe_interval = min(LONGEST_PROBE_INTERVAL, doubled)
