Ask only engines for cache events

Cause: a dispatcher read /cache-events of every backend server. A plain service answers any path, so it took the question for a call: the demo's one counted 13 of them in 13 s, without a request's id. Change: only cells of engine pools are asked; the demo counts calls that nobody sent as a fault. Ruled out: an error of the engine client for plain services (the call has already reached the service by then).

--- a/src/tealcove/demonstration/report.py
+++ b/src/tealcove/demonstration/report.py
@@ -12,6 +12,7 @@
 from tealcove.standins import engine_counts, service
 
 PLAIN_SERVICE = "plain service"
+NO_ID = ""
 
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,6 +57,8 @@
     not_run_but_dispatched: int
     # Rejected although in order, or an end that isn't known with all servers alive.
     unexpected: int
+    # Calls without a request's id that reached the plain service: nobody sent them.
+    strays: int
 
     def any(self) -> bool:
         """Tell whether there was one."""
@@ -151,8 +154,7 @@
     dispatches: collections.Counter[str] = collections.Counter()
     for counts in (plain, *engines):
         dispatches.update(counts.dispatches)
-    # The plain service counts calls that carry no id, and so aren't requests, too.
-    dispatches.pop("", None)
+    strays = dispatches.pop(NO_ID, 0)
     ends = collections.Counter(one.answer.end for one in sent)
     not_run = [one for one in sent if one.answer.end is callers.End.NOT_RUN]
     repeated_keys = sum(count - 1 for count in plain.keys.values())
@@ -165,4 +167,5 @@
             one.answer.request_id in dispatches for one in not_run
         ),
         unexpected=sum(ends[end] for end in UNEXPECTED),
+        strays=strays,
     )
--- a/src/tealcove/demonstration/table.py
+++ b/src/tealcove/demonstration/table.py
@@ -85,7 +85,7 @@
         f"second dispatches: {faults.second_dispatches}",
         f"answers lost: {faults.lost}, mixed up: {faults.mixed_up}, "
         f"told not run but dispatched: {faults.not_run_but_dispatched}, "
-        f"unexpected: {faults.unexpected}",
+        f"unexpected: {faults.unexpected}, calls nobody sent: {faults.strays}",
         BAD if faults.any() else GOOD,
     ]
     return "\n".join(lines)
--- a/src/tealcove/demonstration/tests/test_demo.py
+++ b/src/tealcove/demonstration/tests/test_demo.py
@@ -4,6 +4,7 @@
 
 import json
 
+import msgspec
 import pytest
 
 from tealcove import cli, demo
@@ -13,7 +14,12 @@
 SEED = 5
 SECONDS = 1.0
 NO_FAULTS = report.Faults(
-    lost=0, mixed_up=0, second_dispatches=0, not_run_but_dispatched=0, unexpected=0
+    lost=0,
+    mixed_up=0,
+    second_dispatches=0,
+    not_run_but_dispatched=0,
+    unexpected=0,
+    strays=0,
 )
 
 
@@ -38,13 +44,7 @@
 async def test_exit_code_and_json(monkeypatch, capsys, second_dispatches, code):
     async def play(seed, seconds, tell):
         tell("progress")
-        faults = report.Faults(
-            lost=0,
-            mixed_up=0,
-            second_dispatches=second_dispatches,
-            not_run_but_dispatched=0,
-            unexpected=0,
-        )
+        faults = msgspec.structs.replace(NO_FAULTS, second_dispatches=second_dispatches)
         return report.Report(
             seed=seed,
             arrival_seconds=seconds,
--- a/src/tealcove/demonstration/tests/test_report.py
+++ b/src/tealcove/demonstration/tests/test_report.py
@@ -83,3 +83,14 @@
 )
 def test_second_dispatches_are_faults(engines, plain):
     assert report.find_faults([], engines, plain).second_dispatches == 1
+
+
+def test_call_without_a_request_is_a_fault():
+    """A plain service gets calls that no caller has sent.
+
+    The dispatcher polls it for the cache events of an engine. Cause: the reading
+    didn't ask what kind of servers the cell has.
+    """
+    plain = service.ServiceCounts(dispatches={"": 3, "req-1": 1})
+    found = report.find_faults([], [], plain)
+    assert (found.strays, found.second_dispatches) == (3, 0)
--- a/src/tealcove/dispatch/cells.py
+++ b/src/tealcove/dispatch/cells.py
@@ -20,6 +20,11 @@
     short_share: float = 0.0
     short_tokens: int = 0
 
+    @property
+    def has_engines(self) -> bool:
+        """Whether the servers are model engines, and not a plain service's."""
+        return self.short_tokens > 0
+
     @property
     def data_centre(self) -> ids.DataCentreId | None:
         """The data centre that most of the servers are in."""
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -206,7 +206,9 @@
             load = await self.read_load(server)
             if began > held.lost.get(server.name, began - 1.0):
                 self.send(held.decider.report(server.name, load, clock.now()))
-            if load is not None and number % REPORTS_PER_EVENTS == 0:
+            # A plain service would take the question for a call of one of its paths.
+            may_ask = load is not None and held.cell.has_engines
+            if may_ask and number % REPORTS_PER_EVENTS == 0:
                 await self.read_events(held, server)
             await asyncio.sleep(self.poll_interval)
 
