Let only the role say when the log is compacted

Cause: the store's own compactor stood beside the one that the role starts by ranking; nobody ran the store's. Change: the store no longer makes one. Conclusion: one place decides on compaction.

--- a/src/tealcove/resources/compaction.py
+++ b/src/tealcove/resources/compaction.py
@@ -47,18 +47,11 @@
         self.log = changes
         self.copy = own
         self.settings = settings or CompactionSettings()
+        # Set by whoever finds that a compaction is due.
         self.due = asyncio.Event()
 
-    def written(self, revision: ids.Revision) -> None:
-        """Note a change by this instance; each so-and-so-many-th one is a cause.
-
-        So no one has to be chosen to compact, and mostly one instance does it.
-        """
-        if revision % self.settings.every == 0:
-            self.due.set()
-
     async def run(self) -> None:
-        """Compact whenever it is due, until cancelled."""
+        """Compact whenever `due` is set, until cancelled."""
         while True:
             await self.due.wait()
             self.due.clear()
--- a/src/tealcove/resources/store.py
+++ b/src/tealcove/resources/store.py
@@ -11,7 +11,7 @@
 
 from tealcove import errors, ids
 from tealcove.platform import objects, table
-from tealcove.resources import codec, compaction, copy, decision, log, refusals
+from tealcove.resources import codec, copy, decision, log, refusals
 
 NONCE_BYTES = 12
 # Attempts of one change, each lost to another writer or of unknown outcome.
@@ -67,12 +67,10 @@
         rows: table.TableService,
         store: objects.ObjectStore,
         own: copy.ConfigurationCopy,
-        compaction_settings: compaction.CompactionSettings | None = None,
     ) -> None:
         self.rows = rows
         self.copy = own
         self.log = log.ConfigurationLog(rows, store)
-        self.compactor = compaction.Compactor(self.log, own, compaction_settings)
         # Changes through one instance go one by one: they would only make each
         # other's transactions fail on the head.
         self.writing = asyncio.Lock()
@@ -92,7 +90,6 @@
         configuration = self.copy.current
         if configuration.revision + 1 == change.revision:
             self.copy.move(configuration.with_changes([change]))
-        self.compactor.written(change.revision)
 
 
 class Writing:
--- a/src/tealcove/resources/tests/builders.py
+++ b/src/tealcove/resources/tests/builders.py
@@ -7,7 +7,7 @@
 
 from tealcove import ids
 from tealcove.platform import memory, objects, table
-from tealcove.resources import codec, copy, decision, edits, kinds, store
+from tealcove.resources import codec, compaction, copy, decision, edits, kinds, store
 
 OPERATOR = "erwan"
 
@@ -43,6 +43,7 @@
         self.copy = copy.ConfigurationCopy()
         self.store = store.ResourceStore(rows, kept, self.copy)
         self.log = self.store.log
+        self.compactor = compaction.Compactor(self.log, self.copy)
 
     async def catch_up(self) -> copy.Configuration:
         """Bring the copy up to the head of the log."""
