--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -170,7 +170,7 @@
 ) -> servers.Running:
     """Return what is remembered of a ticket while it holds a slot."""
     ticket = waiting.ticket
-    uncached = ticket.prompt_tokens - server.cached_tokens(ticket)
+    uncached = server.uncached_tokens(ticket)
     first = expected = math.inf
     if server.is_known:
         others = server.spec.slots - 1.0
--- a/src/tealcove/dispatch/choice.py
+++ b/src/tealcove/dispatch/choice.py
@@ -26,15 +26,20 @@
 
 def estimate(ticket: messages.Ticket, found: Iterable[servers.ServerState]) -> Estimate:
     """Return the best of some servers; zeros when there are none."""
-    idle = loaded = math.inf
-    cached = 0.0
+    idle = loaded = least = math.inf
+    output = ticket.output_tokens
     for server in found:
-        idle = min(idle, server.seconds(ticket, 0.0))
-        loaded = min(loaded, server.seconds(ticket, server.spec.slots - 1.0))
-        cached = max(cached, server.cached_tokens(ticket))
-    if idle == math.inf:
-        idle = loaded = 0.0
-    return Estimate(idle, loaded, ticket.prompt_tokens - cached + ticket.output_tokens)
+        uncached = server.uncached_tokens(ticket)
+        alone, crowded = server.bounds(uncached, output)
+        if uncached < least:
+            least = uncached
+        if alone < idle:
+            idle = alone
+        if crowded < loaded:
+            loaded = crowded
+    if least == math.inf:
+        return Estimate(0.0, 0.0, ticket.prompt_tokens + output)
+    return Estimate(idle, loaded, least + output)
 
 
 def choose(
--- a/src/tealcove/dispatch/filling.py
+++ b/src/tealcove/dispatch/filling.py
@@ -101,4 +101,4 @@
 
 def account_order(account: queue.Account) -> tuple[float, float]:
     """Return the order of accounts: least start tag, then the oldest ticket."""
-    return (account.tag, account.oldest())
+    return (account.tag, account.since)
--- a/src/tealcove/dispatch/prefixindex.py
+++ b/src/tealcove/dispatch/prefixindex.py
@@ -33,15 +33,19 @@
         Each block's hash covers those before it, and the end of a prefix is given
         up before its start, so the end of what is cached can be bisected.
         """
-        low, high = 0, len(prefix)
+        # Most servers have either nothing of a prompt or all of its shared start.
+        if not prefix or prefix[0] not in self.blocks:
+            return 0.0
+        blocks = self.blocks
+        low, high = 1, len(prefix)
+        if prefix[-1] in blocks:
+            low = high
         while low < high:
             middle = (low + high) // 2
-            if prefix[middle] in self.blocks:
+            if prefix[middle] in blocks:
                 low = middle + 1
             else:
                 high = middle
-        if low == 0:
-            return 0.0
         certain = self.blocks[prefix[low - 1]] == self.gaps
         return float(low) if certain else low * UNCERTAIN_WEIGHT
 
--- a/src/tealcove/dispatch/queue.py
+++ b/src/tealcove/dispatch/queue.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Iterator
 
 import msgspec
@@ -63,23 +64,26 @@
     # Heaps of (order, number, ticket); the number keeps tickets from being compared.
     lanes: dict[Lane, list[tuple[tuple[float, float], int, Waiting]]]
     count: int = 0
+    # The earliest arrival since it last had nothing queued.
+    since: float = math.inf
 
     def heads(self, lanes: list[Lane]) -> Iterator[Waiting]:
         """Yield the tickets of some lanes in order; removed ones are skipped.
 
-        Each lane's heap is sorted only as far as the caller reads on.
+        Each lane's heap is sorted only as far as the caller reads on, which most
+        often is the first ticket.
         """
-        heaps = [self.lanes[lane] for lane in lanes if self.lanes[lane]]
+        heaps = [heap for lane in lanes if (heap := self.lanes[lane])]
         for heap in heaps:
             while heap and not heap[0][2].is_queued:
                 heapq.heappop(heap)
-        ordered = heapq.merge(*(ascend(heap) for heap in heaps))
-        return (entry[2] for entry in ordered if entry[2].is_queued)
-
-    def oldest(self) -> float:
-        """Return when the first of the heads arrived."""
-        heads = (heap[0][2].arrived for heap in self.lanes.values() if heap)
-        return min(heads, default=0.0)
+        first = min((heap[0] for heap in heaps if heap), default=None)
+        if first is None:
+            return
+        yield first[2]
+        for entry in heapq.merge(*(ascend(heap) for heap in heaps)):
+            if entry[2].is_queued and entry is not first:
+                yield entry[2]
 
 
 def ascend(heap: list[tuple]) -> Iterator[tuple]:
@@ -132,6 +136,7 @@
         entry = (waiting.order, next(self.numbers), waiting)
         heapq.heappush(account.lanes[waiting.lane], entry)
         account.count += 1
+        account.since = min(account.since, waiting.arrived)
         tier.count += 1
         tier.seconds += waiting.seconds
         waiting.is_queued = True
@@ -150,6 +155,7 @@
         tier.count -= 1
         tier.seconds -= waiting.seconds
         if account.count == 0:
+            account.since = math.inf
             for heap in account.lanes.values():
                 heap.clear()
             if account.tag <= tier.virtual:
--- a/src/tealcove/dispatch/servers.py
+++ b/src/tealcove/dispatch/servers.py
@@ -132,6 +132,9 @@
 
     def free(self) -> int:
         """Return the slots that may be granted now."""
+        if len(self.running) >= self.spec.slots:
+            # By far the most frequent case under load, and asked for each ticket.
+            return 0
         if not self.is_usable or self.isolated is not None:
             return 0
         return self.allowed() - len(self.running) - self.foreign
@@ -215,15 +218,33 @@
 
     def cached_tokens(self, ticket: messages.Ticket) -> float:
         """Return how much of a prompt is expected to be cached."""
-        blocks = self.index.match(ticket.prefix)
-        return min(blocks * prefixes.BLOCK_TOKENS, float(ticket.prompt_tokens))
+        tokens = self.index.match(ticket.prefix) * prefixes.BLOCK_TOKENS
+        return tokens if tokens < ticket.prompt_tokens else ticket.prompt_tokens
+
+    def uncached_tokens(self, ticket: messages.Ticket) -> float:
+        """Return how much of a prompt is expected to have to be computed."""
+        return ticket.prompt_tokens - self.cached_tokens(ticket)
 
     def seconds(self, ticket: messages.Ticket, others: float) -> float:
         """Return the seconds to a ticket's last token, beside so many others."""
-        uncached = ticket.prompt_tokens - self.cached_tokens(ticket)
-        predicted = self.model.predict(uncached, ticket.output_tokens, others)
+        uncached = self.uncached_tokens(ticket)
+        return self.seconds_for(uncached, ticket.output_tokens, others)
+
+    def bounds(self, uncached: float, output: float) -> tuple[float, float]:
+        """Return the seconds to the last token alone, and in a full batch."""
+        others = self.spec.slots - 1.0
+        if self.pace is not Pace.NORMAL:
+            alone = self.seconds_for(uncached, output, 0.0)
+            return alone, self.seconds_for(uncached, output, others)
+        model = self.model
+        alone = model.predict(uncached, output, 0.0)
+        return alone, alone + model.decode.slope * others * max(0.0, output - 1.0)
+
+    def seconds_for(self, uncached: float, output: float, others: float) -> float:
+        """Return the seconds to the last of so many tokens."""
+        predicted = self.model.predict(uncached, output, others)
         if self.pace is Pace.NORMAL:
             return predicted
         # Running work that is late tells of a slow server before any completion.
-        usual = self.baseline.predict(uncached, ticket.output_tokens, 0.0)
+        usual = self.baseline.predict(uncached, output, 0.0)
         return max(predicted, usual * self.slowness)
--- a/src/tealcove/dispatch/speeds.py
+++ b/src/tealcove/dispatch/speeds.py
@@ -40,8 +40,11 @@
 
         `uncached` and `output` are tokens, `others` requests in the same batch.
         """
-        step = self.decode.at(others)
-        return self.prefill.at(uncached) + step * max(0.0, output - 1.0)
+        # Written out, since a ticket costs this twice for each server of its cell.
+        prefill, decode = self.prefill, self.decode
+        first = prefill.intercept + prefill.slope * uncached
+        step = decode.intercept + decode.slope * others
+        return first + step * (output - 1.0) if output > 1.0 else first
 
     def observe(
         self,
--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_order.py
@@ -0,0 +1,98 @@
+"""The queue's order: tier, fair share among client accounts, least slack."""
+
+from __future__ import annotations
+
+from tealcove.dispatch import fair, messages
+from tealcove.dispatch.tests import builders
+
+NOW = builders.instant(1)
+
+
+def full_server() -> tuple[fair.FairScheduler, list[messages.Grant]]:
+    """Return a scheduler whose only slot is taken."""
+    found = builders.opened(builders.server("s0", slots=1))
+    return found, builders.fill(found, 1, NOW, tier_rank=0)
+
+
+def drain(found: fair.FairScheduler, grants: list[messages.Grant]) -> list[str]:
+    """End what runs again and again; return the tickets in order of grants."""
+    order = []
+    while grants:
+        grant = grants.pop()
+        held = found.state.fleet.where[grant.ticket_id].running[grant.ticket_id]
+        used = builders.done(
+            grant,
+            prompt_tokens=held.ticket.prompt_tokens,
+            output_tokens=held.ticket.output_tokens,
+        )
+        grants = builders.granted(found.done(used, NOW))
+        order.extend(grant.ticket_id for grant in grants)
+    return order
+
+
+def enqueue(found: fair.FairScheduler, **changes: object) -> str:
+    ticket = builders.ticket(**changes)
+    found.enqueue(ticket, NOW)
+    return ticket.ticket_id
+
+
+def test_tiers_go_first_and_least_slack_within_an_account() -> None:
+    found, grants = full_server()
+    low = enqueue(found, tier_rank=2, remaining=5)
+    late = enqueue(found, tier_rank=1, remaining=20)
+    soon = enqueue(found, tier_rank=1, remaining=10)
+    # Later to end, but with more work to do before.
+    long = enqueue(found, tier_rank=1, remaining=16, output_tokens=1000)
+    assert drain(found, grants) == [long, soon, late, low]
+
+
+def test_accounts_share_by_tokens_and_not_by_requests() -> None:
+    found, grants = full_server()
+    account_of = {}
+    for _ in range(9):
+        account_of[enqueue(found, account="many")] = "many"
+    for _ in range(3):
+        big = enqueue(found, account="big", prompt_tokens=200, output_tokens=400)
+        account_of[big] = "big"
+    order = [account_of[ticket_id] for ticket_id in drain(found, grants)]
+    # 600 tokens of the one for every 200 of the other, in both halves.
+    assert [order[:4].count("big"), order[:8].count("big")] == [1, 2]
+
+
+def test_a_pause_earns_an_account_no_credit() -> None:
+    found, grants = full_server()
+    names = {}
+    for _ in range(6):
+        names[enqueue(found, account="steady")] = "steady"
+    for _ in range(3):
+        grants = builders.granted(found.done(builders.done(grants.pop()), NOW))
+    for _ in range(3):
+        names[enqueue(found, account="returned")] = "returned"
+    order = [names[ticket_id] for ticket_id in drain(found, grants)]
+    assert order[:4].count("returned") == 2
+
+
+def test_unused_tokens_are_given_back_to_the_account() -> None:
+    found, grants = full_server()
+    names = {}
+    for _ in range(3):
+        names[enqueue(found, account="modest", output_tokens=1000)] = "modest"
+        names[enqueue(found, account="other", output_tokens=300)] = "other"
+    order = []
+    while grants:
+        done = builders.done(grants.pop(), output_tokens=100)
+        grants = builders.granted(found.done(done, NOW))
+        order.extend(names[grant.ticket_id] for grant in grants)
+    assert order[:4].count("modest") == 2
+
+
+def test_age_counts_where_a_ticket_comes_from_another_dispatcher() -> None:
+    """A takeover puts the oldest requests last.
+
+    Events: the dispatcher dies; the entries send their tickets to the next in
+    rank, the newest first. Cause: the age began anew with each dispatcher.
+    """
+    found, grants = full_server()
+    young = enqueue(found, account="a", waited=0.5)
+    old = enqueue(found, account="b", waited=4.0)
+    assert drain(found, grants) == [old, young]
