--- a/bench/load.py
+++ b/bench/load.py
@@ -50,6 +50,8 @@
     scenario: Scenario = Scenario.NONE
     # Only the highest tier sends anything.
     alone: bool = False
+    # In place of the plan's share of slots that long work can't take.
+    short_share: float | None = None
 
 
 class Result(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,6 +96,8 @@
         self.run = run
         self.plan = plans.PLANS[run.plan]
         self.fleet = fleet.Fleet(folder, self.plan, run.policy)
+        if run.short_share is not None:
+            self.fleet.short_share = run.short_share
         burst = None
         if run.scenario is Scenario.BURST:
             burst = arrivals.Burst(STRIKE, STRIKE + STRIKE_SECONDS)
@@ -315,6 +319,7 @@
     seconds: Annotated[float, cappa.Arg(long=True)] = 14.0
     scenario: Annotated[str, cappa.Arg(long=True)] = Scenario.NONE.value
     alone: Annotated[bool, cappa.Arg(long=True)] = False
+    short_share: Annotated[float | None, cappa.Arg(long=True)] = None
     # Where the result goes; standard output without it.
     out: Annotated[str, cappa.Arg(long=True)] = ""
 
@@ -335,6 +340,7 @@
         seconds=found.seconds,
         scenario=Scenario(found.scenario),
         alone=found.alone,
+        short_share=found.short_share,
     )
     with tempfile.TemporaryDirectory() as folder:
         result = asyncio.run(play(run, pathlib.Path(folder)))
