--- a/src/tealcove/dispatch/choice.py
+++ b/src/tealcove/dispatch/choice.py
@@ -12,6 +12,8 @@
 
 # Seconds kept free between the predicted end of a request and its deadline.
 DEADLINE_MARGIN = 0.05
+# A ticket with less time than this, in seconds, isn't used to try out a server.
+PROBE_SLACK = 0.5
 
 
 class Estimate(msgspec.Struct, frozen=True):
@@ -61,9 +63,9 @@
             continue
         if server.name in waiting.ticket.excluded:
             continue
+        if server.pace is not servers.Pace.NORMAL and is_probe(server, waiting, now):
+            return server
         if server.pace is servers.Pace.PROBED:
-            if is_probe(server, waiting, now):
-                return server
             continue
         others = min(server.spec.slots - 1, len(server.running) + crowd)
         seconds = server.seconds(waiting.ticket, others)
@@ -94,6 +96,8 @@
         return False
     if not (waiting.lane.is_short and waiting.lane.idempotent):
         return False
+    if now > waiting.start_by - PROBE_SLACK:
+        return False
     ticket = waiting.ticket
     usual = server.baseline.predict(ticket.prompt_tokens, ticket.output_tokens, 0.0)
     return now + usual + DEADLINE_MARGIN <= waiting.deadline
--- a/src/tealcove/dispatch/filling.py
+++ b/src/tealcove/dispatch/filling.py
@@ -94,9 +94,14 @@
         self, waiting: queue.Waiting, server: servers.ServerState, now: ids.Instant
     ) -> scheduler.Outgoing:
         """Grant a slot; a server that is probed has had its probe."""
-        if server.pace is servers.Pace.PROBED:
-            stragglers.note_probe(server, now)
-        return self.state.grant(waiting, server, now)
+        is_probe = server.pace is not servers.Pace.NORMAL and choice.is_probe(
+            server, waiting, now
+        )
+        outgoing = self.state.grant(waiting, server, now)
+        if is_probe:
+            running = server.running[waiting.ticket.ticket_id]
+            stragglers.note_probe(server, running, now)
+        return outgoing
 
 
 def account_order(account: queue.Account) -> tuple[float, float]:
--- a/src/tealcove/dispatch/line.py
+++ b/src/tealcove/dispatch/line.py
@@ -44,15 +44,23 @@
     ) -> None:
         """Take in an observation; `keep` says how fast it may push out the old."""
         # A light observation fades the others by its own weight only.
-        fade = 1.0 - (1.0 - keep) * min(1.0, weight)
-        self.weight *= fade
-        self.sum_x *= fade
-        self.sum_y *= fade
-        self.sum_xx *= fade
-        self.sum_xy *= fade
+        self.fade(1.0 - (1.0 - keep) * min(1.0, weight))
         self.add(x, y, weight)
         self.solve()
 
+    def doubt(self, weight: float) -> None:
+        """Let all observations together count so much at the most."""
+        if self.weight > weight:
+            self.fade(weight / self.weight)
+
+    def fade(self, factor: float) -> None:
+        """Let all observations count less."""
+        self.weight *= factor
+        self.sum_x *= factor
+        self.sum_y *= factor
+        self.sum_xx *= factor
+        self.sum_xy *= factor
+
     def add(self, x: float, y: float, weight: float) -> None:
         """Add an observation to the sums."""
         self.weight += weight
--- a/src/tealcove/dispatch/servers.py
+++ b/src/tealcove/dispatch/servers.py
@@ -24,7 +24,7 @@
     """How a server does against what is expected of it."""
 
     NORMAL = "normal"
-    # Gets less work, by as much as it is slower.
+    # Gets less work, by as much as it is slower, and probes.
     SLOW = "slow"
     # Gets one short request now and then, to see whether it has recovered.
     PROBED = "probed"
@@ -46,6 +46,8 @@
     # Tokens charged to the client account.
     charged: float = 0.0
     has_first_token: bool = False
+    # Whether it tries out a server that was too slow.
+    is_probe: bool = False
     # The server's batch integral at the start; see ServerState.
     batch_at_start: float = 0.0
     # When the entry was asked to stop it, and for which ticket.
--- a/src/tealcove/dispatch/stragglers.py
+++ b/src/tealcove/dispatch/stragglers.py
@@ -22,9 +22,9 @@
 # Seconds between probes; doubled while they are slow, up to the longest.
 PROBE_INTERVAL = 1.0
 LONGEST_PROBE_INTERVAL = 30.0
-# How much of the old estimate the observation of a probe leaves in place: two
-# good probes are enough to bring a server back.
-PROBE_KEEP = 0.25
+# What all older observations count together against a probe's 1: so two good
+# probes are enough to bring a server back.
+DOUBTED_WEIGHT = 0.25
 KEEP = 0.9
 # What an observation leaves in place of a server's usual speed.
 USUAL_KEEP = 0.995
@@ -43,11 +43,14 @@
     others = max(0, len(server.running) - 1)
     if running is not None:
         others = server.others(running, now)
-    is_probe = server.pace is servers.Pace.PROBED
+    is_probe = running is not None and running.is_probe
+    if is_probe or server.pace is servers.Pace.PROBED:
+        server.speed.prefill.doubt(DOUBTED_WEIGHT)
+        server.speed.decode.doubt(DOUBTED_WEIGHT)
     if server.speed.observations == 0 and server.prior is not None:
         server.speed = speeds.copy(server.prior)
     for speed, keep in (
-        (server.speed, PROBE_KEEP if is_probe else KEEP),
+        (server.speed, KEEP),
         (server.usual, USUAL_KEEP),
     ):
         speed.observe(
@@ -107,19 +110,23 @@
 
 def set_pace(server: servers.ServerState, now: ids.Instant) -> None:
     """Decide how much work a server may get."""
+    before = server.pace
     if server.slowness >= PROBE_FACTOR:
-        if server.pace is not servers.Pace.PROBED:
-            server.probe_interval = PROBE_INTERVAL
-            server.probe_at = ids.Instant(now + PROBE_INTERVAL)
         server.pace = servers.Pace.PROBED
     elif server.slowness >= SLOW_FACTOR:
         server.pace = servers.Pace.SLOW
     else:
         server.pace = servers.Pace.NORMAL
+    if before is servers.Pace.NORMAL and server.pace is not servers.Pace.NORMAL:
+        server.probe_interval = PROBE_INTERVAL
+        server.probe_at = ids.Instant(now + PROBE_INTERVAL)
 
 
-def note_probe(server: servers.ServerState, now: ids.Instant) -> None:
+def note_probe(
+    server: servers.ServerState, running: servers.Running, now: ids.Instant
+) -> None:
     """Set the time of the next probe, further away each time."""
+    running.is_probe = True
     server.probe_at = ids.Instant(now + server.probe_interval)
     doubled = 2 * server.probe_interval
     server.probe_interval = min(LONGEST_PROBE_INTERVAL, doubled)
--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_prefixindex.py
@@ -0,0 +1,67 @@
+"""What is believed to be in a server's cache."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies as st
+
+from tealcove.backends import engine
+from tealcove.dispatch import prefixindex
+
+
+def event(sequence: int, kind: str, *blocks: int) -> engine.CacheEvents:
+    return engine.CacheEvents((engine.CacheEvent(sequence, kind, blocks),), sequence)
+
+
+def test_grants_count_at_once_and_events_late() -> None:
+    index = prefixindex.PrefixIndex()
+    index.note_grant((1, 2, 3))
+    assert index.match((1, 2, 3, 4)) == 3
+    index.take_events(event(1, "removed", 3))
+    index.take_events(event(2, "stored", 7))
+    assert index.match((1, 2, 3, 4)) == 2
+    assert index.match((7, 8)) == 1
+    assert index.match((5,)) == index.match(()) == 0
+
+
+def test_a_gap_makes_what_was_known_before_it_uncertain() -> None:
+    """Prompts go to a server that has dropped their prefix long ago.
+
+    Events: the event of the removal got lost. Cause: the missing number in the
+    sequence was passed over.
+    """
+    index = prefixindex.PrefixIndex()
+    index.take_events(event(1, "stored", 1, 2))
+    index.take_events(event(3, "stored", 8, 9))
+    assert index.match((1, 2)) == 2 * prefixindex.UNCERTAIN_WEIGHT
+    assert index.match((8, 9)) == 2
+    index.note_grant((1, 2))
+    assert index.match((1, 2)) == 2
+
+
+def test_old_numbers_change_nothing_and_a_new_count_forgets_all() -> None:
+    index = prefixindex.PrefixIndex()
+    index.take_events(event(1, "stored", 1))
+    index.take_events(event(2, "stored", 2))
+    index.take_events(engine.CacheEvents((engine.CacheEvent(1, "removed", (1,)),), 2))
+    assert index.match((1,)) == 1
+    index.take_events(event(1, "stored", 5))
+    assert (index.match((1,)), index.last) == (0, 0)
+
+
+@hypothesis.given(
+    st.lists(st.lists(st.integers(0, 30), unique=True, max_size=12)),
+    st.integers(1, 10),
+)
+def test_memory_stays_within_the_server_s_capacity(
+    prompts: list[list[int]], capacity: int
+) -> None:
+    index = prefixindex.PrefixIndex()
+    index.set_capacity(capacity)
+    for number, blocks in enumerate(prompts):
+        index.note_grant(tuple(blocks))
+        assert index.match(tuple(blocks)) == min(len(blocks), capacity)
+        index.take_events(event(number + 1, "stored", *blocks))
+        assert len(index.blocks) <= capacity
+    index.set_capacity(0)
+    assert index.capacity == capacity
