Give engines orders, and read what they hold

Cause: a steward needs to load models, set roles and read the state of engines. Change: EngineClient has holding, order, export_cache and import_cache. An order asks whether it may still be sent after the connection stands, right before its body is written; each way of failing says whether it may still be carried out. Ruled out: a check before the connection is opened only (a process paused while it connects would order under a lapsed lease).

--- a/src/tealcove/backends/engine.py
+++ b/src/tealcove/backends/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import enum
 from collections.abc import AsyncIterator, Callable
 
 import msgspec
@@ -26,6 +27,41 @@
     """The backend server answered that it can't carry out the call."""
 
 
+class OldNumberError(RefusedCallError):
+    """The engine has seen an order with a higher fencing number."""
+
+
+class OrderKind(enum.Enum):
+    """What an order asks for."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    SET_ROLE = "set_role"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """The wanted state of one thing; giving it twice does no harm."""
+
+    fencing: ids.FencingNumber
+    order: OrderKind
+    # Of a model or an adapter.
+    name: str = ""
+    version: str = ""
+    role: str = ""
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """What an engine holds: versions by name, and its role."""
+
+    models: dict[str, str]
+    adapters: dict[str, str]
+    role: str
+    # The highest number that it has seen in an order.
+    fencing: ids.FencingNumber = ids.FencingNumber(0)
+
+
 class Server(msgspec.Struct, frozen=True):
     """A backend server's name and address."""
 
@@ -128,3 +164,33 @@
     @abc.abstractmethod
     async def cache_events(self, server: Server, after: int) -> CacheEvents:
         """Return what changed in the cache; raises BackendError."""
+
+    @abc.abstractmethod
+    async def holding(self, server: Server) -> Holding:
+        """Return models, adapters and role of now; raises BackendError."""
+
+    @abc.abstractmethod
+    async def order(
+        self,
+        server: Server,
+        order: Order,
+        may_send: Callable[[], bool],
+        timeout: float,
+    ) -> None:
+        """Return once an order is carried out, or raise after `timeout` seconds.
+
+        `may_send` is asked once the server is connected, right before the order
+        is written. Raises NotDispatchedError (it wasn't written whole),
+        OldNumberError or RefusedCallError (it won't be carried out). After any
+        other BackendError it may still be carried out later.
+        """
+
+    @abc.abstractmethod
+    async def export_cache(self, server: Server, request_id: ids.RequestId) -> bytes:
+        """Return a request's KV cache; raises RefusedCallError, BackendError."""
+
+    @abc.abstractmethod
+    async def import_cache(
+        self, server: Server, request_id: ids.RequestId, content: bytes
+    ) -> None:
+        """Give an engine a KV cache that another exported; raises BackendError."""
--- a/src/tealcove/backends/http_engine.py
+++ b/src/tealcove/backends/http_engine.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from tealcove import errors, ids, telemetry
-from tealcove.backends import engine
+from tealcove.backends import engine, http_orders, wire
 
 REQUEST_ID_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT = 2.0
@@ -25,39 +25,12 @@
 T = TypeVar("T")
 
 
-class Event(msgspec.Struct):
-    """An event of an engine's stream, as it stands on the wire."""
-
-    id: str
-    index: int
-    text: str = ""
-    count: int = 1
-    finish: str | None = None
-    usage: engine.Usage | None = None
-
-
-class CompletionBody(msgspec.Struct, omit_defaults=True):
-    """The body of a request to an engine, as it stands on the wire."""
-
-    model: str
-    prompt: str
-    max_tokens: int
-    adapter: str | None = None
-    stream: bool = True
-
-
-class Health(msgspec.Struct):
-    """The body of an engine's answer about its health."""
-
-    state: str
-
-
 class HttpEngineClient(engine.EngineClient):
     """One session to all engines; each request has a connection of its own."""
 
     def __init__(self) -> None:
         self.session: aiohttp.ClientSession | None = None
-        self.event_decoder = msgspec.json.Decoder(Event)
+        self.event_decoder = msgspec.json.Decoder(wire.Event)
 
     async def start(self) -> None:
         """Open the session."""
@@ -89,7 +62,7 @@
         dispatched: Callable[[], None],
     ) -> AsyncIterator[engine.Chunk]:
         """See EngineClient."""
-        body = CompletionBody(
+        body = wire.CompletionBody(
             model=call.model,
             prompt=call.prompt,
             max_tokens=call.max_tokens,
@@ -203,7 +176,7 @@
     async def state(self, server: engine.Server) -> str:
         """See EngineClient."""
         body = await self.control("GET", server, "/health")
-        return decode_control(server, body, Health).state
+        return decode_control(server, body, wire.Health).state
 
     async def cache_events(
         self, server: engine.Server, after: int
@@ -212,15 +185,53 @@
         body = await self.control("GET", server, f"/cache-events?after={after}")
         return decode_control(server, body, engine.CacheEvents)
 
-    async def control(self, method: str, server: engine.Server, path: str) -> bytes:
+    async def holding(self, server: engine.Server) -> engine.Holding:
+        """See EngineClient."""
+        body = await self.control("GET", server, "/state")
+        return decode_control(server, body, engine.Holding)
+
+    async def order(
+        self,
+        server: engine.Server,
+        order: engine.Order,
+        may_send: Callable[[], bool],
+        timeout: float,
+    ) -> None:
+        """See EngineClient."""
+        await http_orders.send(self.session, server, order, may_send, timeout)
+
+    async def export_cache(
+        self, server: engine.Server, request_id: ids.RequestId
+    ) -> bytes:
+        """See EngineClient."""
+        return await self.control("GET", server, f"/kv/{request_id}")
+
+    async def import_cache(
+        self, server: engine.Server, request_id: ids.RequestId, content: bytes
+    ) -> None:
+        """See EngineClient."""
+        await self.control("PUT", server, f"/kv/{request_id}", content)
+
+    async def control(
+        self,
+        method: str,
+        server: engine.Server,
+        path: str,
+        content: bytes | None = None,
+    ) -> bytes:
         """Make a short call that is safe to repeat."""
         try:
             async with asyncio.timeout(CONTROL_TIMEOUT):
                 async with self.session.request(
-                    method, f"{server.url}{path}"
+                    method, f"{server.url}{path}", data=content
                 ) as response:
                     response.raise_for_status()
                     return await response.read()
+        except aiohttp.ClientResponseError as error:
+            raise engine.RefusedCallError(
+                f"{method} {path} of {server.name} was answered {error.status}",
+                "Compare the engine with docs/BACKENDS.md.",
+            ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise errors.BackendError(
                 f"{method} {path} of {server.name} failed: {error!r}",
