Prove that leaving servers get nothing and graceful ends cut off nothing

Cause: two points of 'what must always hold' had no proof. Ruled out: a bound in seconds (no timed verdicts): twelve requests in a row must avoid the server, then the session goes on.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -16,7 +16,8 @@
 import aiohttp
 import msgspec
 
-from tealcove.platform import client, services
+from tealcove.membership import ranking
+from tealcove.platform import client, instances, services
 from tealcove.resources import copy, decision, edits, kinds, store
 from tests import callers
 
@@ -306,6 +307,28 @@
 
         await until(enough)
 
+    async def until_running(self, engines: list[Process]) -> None:
+        """Wait until engines have work in progress."""
+
+        async def are_busy() -> bool:
+            found = [await self.counts(engine) for engine in engines]
+            return sum(len(c["dispatches"]) - len(c["completed"]) for c in found) > 0
+
+        await until(are_busy)
+
+    async def dispatcher(self, cell: str) -> Process:
+        """Return the instance that the ranking names for a cell."""
+        names = [instance.name for instance in self.instances]
+        first = ranking.rank(cell, names)[0]
+        return next(i for i in self.instances if i.name == first)
+
+    async def list_instance(self, listed: instances.ListedInstance) -> None:
+        """Put an entry on the platform's list."""
+        url = f"{self.platform.url}/standin/instances/{listed.name}"
+        body = msgspec.json.encode(listed)
+        async with self.session.put(url, data=body) as response:
+            response.raise_for_status()
+
     async def until_served(self, instance: Process) -> None:
         """Wait until an instance completes a short request."""
 
--- a/tests/test_entry_death.py
+++ b/tests/test_entry_death.py
@@ -31,7 +31,7 @@
         for instance in running.instances:
             await running.wait_until_ready(instance)
         await running.wait_for_members()
-        frozen = await dispatcher_of(running)
+        frozen = await running.dispatcher("engines/0")
         killed = next(i for i in running.instances if i is not frozen)
         choose = random.Random(1)
         lengths = [choose.choice((2, 4, LONGEST)) for _ in range(REQUESTS)]
@@ -52,15 +52,6 @@
         assert await dispatches(running) <= {1}
 
 
-async def dispatcher_of(running: deployment.Deployment) -> deployment.Process:
-    """Return the instance that the ranking names for the pool's only cell."""
-    from tealcove.membership import ranking
-
-    names = [instance.name for instance in running.instances]
-    first = ranking.rank("engines/0", names)[0]
-    return next(i for i in running.instances if i.name == first)
-
-
 async def send(
     running: deployment.Deployment,
     number: int,
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,211 @@
+"""Leaving backend servers and instances."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+
+import msgspec
+import syrupy
+
+from tealcove.platform import instances
+from tealcove.resources import kinds
+from tests import callers, deployment
+
+LENGTH = 4
+# So many requests in a row that avoid a server show that it's no longer chosen:
+# it is the faster one of two idle servers.
+ENOUGH = 12
+
+
+async def test_leaving_backend_servers(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """A server that leaves goes on getting work until it's gone.
+
+    Symptom: requests end as `interrupted` whenever a server is replaced.
+    Sequence: the faster of two engines is told to leave: by its own health, by
+    the pool's spec, by the platform's list; requests go on.
+    Cause: only one of the three is looked at, or the lagging load report.
+    """
+    session = []
+    async with deployment.Deployment(tmp_path) as running:
+        fast = await running.add_engine(decode_seconds_per_token=0.002, load_lag=600.0)
+        await running.add_engine(decode_seconds_per_token=0.01)
+        instance = await running.add_instance()
+        await running.declare()
+        await running.wait_until_ready(instance)
+        for name, leave, come_back in (
+            ("health", leave_by_health, come_back_by_health),
+            ("spec", leave_by_spec, come_back_by_spec),
+            ("list", leave_by_list, come_back_by_list),
+        ):
+            await until_used(running, instance, fast)
+            session.append(f"{name}: the faster engine is used")
+            await leave(running, fast)
+            await until_avoided(running, instance, fast)
+            session.append(f"{name}: the leaving engine gets nothing")
+            await come_back(running, fast)
+    assert session == snapshot
+
+
+async def leave_by_health(
+    running: deployment.Deployment, engine: deployment.Process
+) -> None:
+    """Let the engine itself say that it leaves."""
+    await running.set_faults(engine, {"state": "leaving"})
+
+
+async def come_back_by_health(
+    running: deployment.Deployment, engine: deployment.Process
+) -> None:
+    """Let it serve again."""
+    await running.set_faults(engine, {"state": "serving"})
+
+
+async def leave_by_spec(
+    running: deployment.Deployment, engine: deployment.Process
+) -> None:
+    """Let the operator say so."""
+    await set_state(running, engine, kinds.ServerState.LEAVING)
+
+
+async def come_back_by_spec(
+    running: deployment.Deployment, engine: deployment.Process
+) -> None:
+    """Let the operator take it back."""
+    await set_state(running, engine, kinds.ServerState.SERVING)
+
+
+async def set_state(
+    running: deployment.Deployment,
+    engine: deployment.Process,
+    state: kinds.ServerState,
+) -> None:
+    """Write the pool with one server's state changed."""
+    pool = running.resources.current.pool("engines").spec
+    servers = tuple(
+        msgspec.structs.replace(server, state=state)
+        if server.name == engine.name
+        else server
+        for server in pool.servers
+    )
+    changed = msgspec.structs.replace(pool, servers=servers)
+    await running.put(kinds.Kind.ENGINE_POOL, "engines", changed)
+
+
+async def leave_by_list(
+    running: deployment.Deployment, engine: deployment.Process
+) -> None:
+    """Let the platform's list say so."""
+    await running.list_instance(
+        instances.ListedInstance(
+            name=engine.name,
+            kind=instances.ListedKind.BACKEND_SERVER,
+            state=instances.ListedState.LEAVING,
+            host=engine.host,
+            http_port=engine.port,
+            peer_port=0,
+            data_centre="dc-1",
+        )
+    )
+
+
+async def come_back_by_list(
+    running: deployment.Deployment, engine: deployment.Process
+) -> None:
+    """Leave it so: the session ends here."""
+
+
+async def dispatched_to(
+    running: deployment.Deployment,
+    instance: deployment.Process,
+    engine: deployment.Process,
+) -> bool:
+    """Send a request and tell whether the engine got it."""
+    before = len((await running.counts(engine))["dispatches"])
+    reply = await callers.complete(running.session, instance.url, "p", LENGTH)
+    assert reply.outcome == "completed"
+    return len((await running.counts(engine))["dispatches"]) > before
+
+
+async def until_used(
+    running: deployment.Deployment,
+    instance: deployment.Process,
+    engine: deployment.Process,
+) -> None:
+    """Wait until the engine gets a request."""
+
+    async def is_used() -> bool:
+        return await dispatched_to(running, instance, engine)
+
+    await deployment.until(is_used)
+
+
+async def until_avoided(
+    running: deployment.Deployment,
+    instance: deployment.Process,
+    engine: deployment.Process,
+) -> None:
+    """Wait until many requests in a row avoid the engine."""
+    avoided = 0
+
+    async def is_avoided() -> bool:
+        nonlocal avoided
+        used = await dispatched_to(running, instance, engine)
+        avoided = 0 if used else avoided + 1
+        return avoided >= ENOUGH
+
+    await deployment.until(is_avoided)
+
+
+async def test_graceful_shutdown_of_every_part(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """Requests in progress are cut off when a part is replaced.
+
+    Symptom: callers see broken connections at each roll-out.
+    Sequence: requests run through three instances; the dispatcher of the cell,
+    then another entry, then an engine get SIGTERM, each with work in progress.
+    Cause: a process that exits before its work is handed over or done.
+    """
+    session = []
+    async with deployment.Deployment(tmp_path) as running:
+        for _ in range(2):
+            await running.add_engine(decode_seconds_per_token=0.01)
+        for _ in range(3):
+            await running.add_instance()
+        await running.declare()
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+        dispatcher = await running.dispatcher("engines/0")
+        others = [i for i in running.instances if i is not dispatcher]
+        leaving = [("dispatcher", dispatcher), ("entry", others[0])]
+        leaving.append(("engine", running.engines[0]))
+        for name, process in leaving:
+            calls = start_requests(running, others[1], name)
+            if process in running.instances:
+                calls += start_requests(running, process, f"through the {name}")
+            await running.until_running(running.engines)
+            process.send(signal.SIGTERM)
+            code = await process.process.wait()
+            session.append(f"{name}: exit code {code}")
+            for prompt, call in calls:
+                reply = await call
+                session.append(callers.describe(reply, prompt, 100))
+        names = await running.entry_points(others[1])
+        assert names == [others[1].name]
+    assert session == snapshot
+
+
+def start_requests(
+    running: deployment.Deployment, instance: deployment.Process, name: str
+) -> list[tuple[str, asyncio.Task[callers.Reply]]]:
+    """Send six requests that take about a second each."""
+    prompts = [f"{name}, {number}" for number in range(6)]
+    return [
+        (p, running.spawn(callers.complete(running.session, instance.url, p, 100)))
+        for p in prompts
+    ]
