Let a steward keep a server from new work, and a ticket avoid engines without its model

Cause: a server that changes version or role has to be drained first, and an engine that still loads answers 404, which the caller would get. Change: a message Hold, repeated by the steward, makes the dispatcher give a server nothing new; its report says what still runs. Holds end by themselves. Dispatchers read which models and adapters an engine has, and a ticket excludes those that lack its own. Reading of servers moved from role.py to reading.py. Ruled out: holding by the load report alone (it lags, so an empty server isn't known to be empty); a state in the configuration (needs the platform). Measurement: 64 tests of dispatch and the 3 of test_leaving and test_path pass.

--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from tealcove import ids
 from tealcove.backends import engine
 from tealcove.dispatch import (
@@ -11,6 +13,7 @@
     cellstate,
     choice,
     filling,
+    holds,
     isolation,
     messages,
     pressure,
@@ -196,6 +199,27 @@
         found = self.state.fleet.servers.get(server)
         return 0 if found is None else found.index.last
 
+    def hold_back(
+        self, server: ids.BackendServerId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        found = self.state.fleet.servers.get(server)
+        if found is not None:
+            found.leaving = True
+        return []
+
+    def report_hold(self, report: holds.HoldReport) -> holds.HoldReport:
+        """See Scheduler."""
+        found = self.state.fleet.servers.get(report.server)
+        if found is None:
+            return report
+        return msgspec.structs.replace(
+            report,
+            is_held=report.is_held or found.leaving,
+            running=len(found.running),
+            is_gathering=self.is_gathering,
+        )
+
     def lose_entry(
         self, entry: ids.InstanceId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
--- /dev/null
+++ b/src/tealcove/dispatch/reading.py
@@ -0,0 +1,95 @@
+"""What a dispatcher reads of its backend servers, and what others say of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from tealcove import clock, errors, ids
+from tealcove.backends import engine
+from tealcove.dispatch import holds, messages
+from tealcove.platform import instances
+
+log = logbook.Logger("dispatch")
+
+LEAVING = "leaving"
+
+Holdings = dict[ids.BackendServerId, engine.Holding]
+
+
+class Reader:
+    """Reads backend servers; any failure means that nothing was learnt."""
+
+    def __init__(
+        self,
+        engines: engine.EngineClient,
+        listed: Callable[[], tuple[instances.ListedInstance, ...]],
+        held: holds.Holds,
+    ) -> None:
+        self.engines = engines
+        # The platform's lagging list, as it was last read.
+        self.listed = listed
+        self.holds = held
+
+    async def load(self, server: engine.Server) -> engine.LoadReport | None:
+        """Return a load report, "leaving" as soon as anybody says so."""
+        try:
+            load = await self.engines.load(server)
+            state = await self.engines.state(server)
+        except errors.BackendError as error:
+            log.debug("no load report: {}", error)
+            return None
+        is_held = self.holds.is_held(server.host, server.port, clock.now())
+        if is_held or state == LEAVING or self.is_listed_as_leaving(server):
+            return msgspec.structs.replace(load, state=LEAVING)
+        return load
+
+    def is_listed_as_leaving(self, server: engine.Server) -> bool:
+        """Tell whether the platform's list has a server as leaving."""
+        return any(
+            listed.kind is instances.ListedKind.BACKEND_SERVER
+            and listed.state is instances.ListedState.LEAVING
+            and (listed.host, listed.http_port) == (server.host, server.port)
+            for listed in self.listed()
+        )
+
+    async def holding(self, server: engine.Server) -> engine.Holding | None:
+        """Return which models and adapters an engine has."""
+        try:
+            return await self.engines.holding(server)
+        except errors.BackendError as error:
+            log.debug("no state: {}", error)
+            return None
+
+    async def events(
+        self, server: engine.Server, after: int
+    ) -> engine.CacheEvents | None:
+        """Return what changed in an engine's prefix cache."""
+        try:
+            return await self.engines.cache_events(server, after)
+        except errors.BackendError as error:
+            log.debug("no cache events: {}", error)
+            return None
+
+
+def without_lacking(ticket: messages.Ticket, found: Holdings) -> messages.Ticket:
+    """Return a ticket that excludes the engines which lack its model or adapter.
+
+    A pool that is given another model, or a new engine, needs its time to load:
+    an engine answers 404 until then, and the caller would get that for an answer.
+    """
+    lacking = tuple(
+        server for server, holding in found.items() if lacks(holding, ticket)
+    )
+    if not lacking:
+        return ticket
+    return msgspec.structs.replace(ticket, excluded=(*ticket.excluded, *lacking))
+
+
+def lacks(holding: engine.Holding, ticket: messages.Ticket) -> bool:
+    """Tell whether an engine can't compute a ticket's request."""
+    if ticket.model and ticket.model not in holding.models:
+        return True
+    return ticket.adapter is not None and ticket.adapter not in holding.adapters
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -7,11 +7,10 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 
-from tealcove import clock, errors, ids
+from tealcove import clock, ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, messages, scheduler, suspicion
+from tealcove.dispatch import cells, holds, messages, reading, scheduler, suspicion
 from tealcove.membership import members
 from tealcove.peers import mesh
 from tealcove.platform import instances
@@ -28,9 +27,8 @@
 WAITED_ELSEWHERE = 0.1
 # A tick that comes later than this means that the process was frozen.
 FROZEN_AFTER = 0.75
-# Load reports between two readings of the cache events.
+# Load reports between two readings of an engine's state and cache events.
 REPORTS_PER_EVENTS = 2
-LEAVING = "leaving"
 # Ends of a request that tell of a server which can't be reached.
 LOST = (messages.Outcome.NOT_SENT, messages.Outcome.CRASHED)
 
@@ -44,6 +42,8 @@
         self.cell = cell
         self.decider = decider
         self.polls: dict[ids.BackendServerId, asyncio.Task[None]] = {}
+        # What each engine has loaded, as far as it's known.
+        self.holdings: reading.Holdings = {}
         # When a server was last found to be lost; older readings don't count.
         self.lost: dict[ids.BackendServerId, ids.Instant] = {}
 
@@ -71,11 +71,10 @@
         self.members = known
         self.find_cell = find_cell
         self.new_scheduler = new_scheduler
-        self.engines = engines
+        self.holds = holds.Holds()
+        self.reader = reading.Reader(engines, listed, self.holds)
         self.poll_interval = poll_interval
         self.suspicion = suspects or suspicion.NoSuspicion()
-        # The platform's lagging list, as it was last read.
-        self.listed = listed
         self.members_changed = clock.now()
         # The entries that tickets came from, as they were then.
         self.entries: dict[ids.InstanceId, ids.Incarnation] = {}
@@ -88,6 +87,7 @@
         self.transport.handle(messages.Withdrawal, self.take_withdrawal)
         self.transport.handle(messages.Progress, self.take_progress)
         self.transport.handle(messages.Done, self.take_done)
+        self.transport.handle(holds.Hold, self.take_hold)
         self.members.listen(self.note_change)
         self.ticker = asyncio.create_task(self.tick())
 
@@ -114,7 +114,24 @@
             )
             self.send([scheduler.Outgoing(ticket.entry, refusal)])
             return
-        self.send(held.decider.enqueue(ticket, clock.now()))
+        fitting = reading.without_lacking(ticket, held.holdings)
+        self.send(held.decider.enqueue(fitting, clock.now()))
+
+    def take_hold(self, sender: ids.InstanceId, hold: holds.Hold) -> None:
+        """Keep a server from new work, or end that, and report to the steward."""
+        now = clock.now()
+        self.holds.take(hold, now)
+        held = self.held.get(hold.cell)
+        report = holds.HoldReport(
+            cell=hold.cell, server=hold.server, is_held=hold.seconds > 0, running=0
+        )
+        if held is not None:
+            if report.is_held:
+                self.send(held.decider.hold_back(hold.server, now))
+            report = held.decider.report_hold(report)
+        peer = self.members.endpoint_of(sender)
+        if peer is not None:
+            self.transport.send(peer, report)
 
     def take_withdrawal(
         self, sender: ids.InstanceId, withdrawal: messages.Withdrawal
@@ -155,6 +172,8 @@
         if self.may_be_served_elsewhere(ticket, now):
             held.decider.gather(ids.Instant(now + GATHER_SECONDS))
         self.send(held.decider.configure(cell, now))
+        for server in self.holds.of_cell(cell, now):
+            self.send(held.decider.hold_back(server, now))
         self.poll_servers(held)
         return held
 
@@ -193,6 +212,7 @@
         for name in list(held.polls):
             if name not in wanted:
                 held.polls.pop(name).cancel()
+                held.holdings.pop(name, None)
         for name, spec in wanted.items():
             if name not in held.polls:
                 server = engine.Server(name, spec.host, spec.port)
@@ -203,45 +223,24 @@
         """Read a server's load, health and cache events again and again."""
         for number in itertools.count():
             began = clock.now()
-            load = await self.read_load(server)
+            load = await self.reader.load(server)
             if began > held.lost.get(server.name, began - 1.0):
                 self.send(held.decider.report(server.name, load, clock.now()))
             # A plain service would take the question for a call of one of its paths.
             may_ask = load is not None and held.cell.has_engines
             if may_ask and number % REPORTS_PER_EVENTS == 0:
-                await self.read_events(held, server)
+                await self.read_engine(held, server)
             await asyncio.sleep(self.poll_interval)
 
-    async def read_load(self, server: engine.Server) -> engine.LoadReport | None:
-        """Return a load report, "leaving" as soon as anybody says so."""
-        try:
-            load = await self.engines.load(server)
-            state = await self.engines.state(server)
-        except errors.BackendError as error:
-            log.debug("no load report: {}", error)
-            return None
-        if state == LEAVING or self.is_listed_as_leaving(server):
-            return msgspec.structs.replace(load, state=LEAVING)
-        return load
-
-    def is_listed_as_leaving(self, server: engine.Server) -> bool:
-        """Tell whether the platform's list has a server as leaving."""
-        return any(
-            listed.kind is instances.ListedKind.BACKEND_SERVER
-            and listed.state is instances.ListedState.LEAVING
-            and (listed.host, listed.http_port) == (server.host, server.port)
-            for listed in self.listed()
-        )
-
-    async def read_events(self, held: HeldCell, server: engine.Server) -> None:
-        """Read what changed in a server's prefix cache; the next try may do."""
+    async def read_engine(self, held: HeldCell, server: engine.Server) -> None:
+        """Read what an engine has loaded and what changed in its prefix cache."""
+        holding = await self.reader.holding(server)
+        if holding is not None:
+            held.holdings[server.name] = holding
         after = held.decider.last_event(server.name)
-        try:
-            events = await self.engines.cache_events(server, after)
-        except errors.BackendError as error:
-            log.debug("no cache events: {}", error)
-            return
-        self.send(held.decider.cached(server.name, events, clock.now()))
+        events = await self.reader.events(server, after)
+        if events is not None:
+            self.send(held.decider.cached(server.name, events, clock.now()))
 
     async def tick(self) -> None:
         """Let the schedulers see time pass."""
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -8,7 +8,7 @@
 
 from tealcove import ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, messages, suspicion
+from tealcove.dispatch import cells, holds, messages, suspicion
 
 
 class Outgoing(msgspec.Struct, frozen=True):
@@ -50,6 +50,19 @@
         """Return the number of the last cache event that was taken in."""
         return 0
 
+    def hold_back(
+        self, server: ids.BackendServerId, now: ids.Instant
+    ) -> list[Outgoing]:
+        """Give a server no new work until a load report says that it serves.
+
+        A scheduler that keeps this default learns it by the next load report.
+        """
+        return []
+
+    def report_hold(self, report: holds.HoldReport) -> holds.HoldReport:
+        """Return the report with what this scheduler knows of the server."""
+        return report
+
     @abc.abstractmethod
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[Outgoing]:
         """Take over a new form of the cell, such as a server that leaves."""
