Tell peers where peers are reached, apart from callers

Cause: a heartbeat named one host; with peer.host unlike http.host every message went to the address for callers. Ruled out: binding both to one host (operators have a network for each). Measured: the new test fails with one host (endpoint 127.0.0.1 in place of 127.0.0.2) and passes; membership, limits, entry and path tests pass.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -16,6 +16,8 @@
 from tealcove.limits import limit
 from tealcove.limits import role as limits_role
 from tealcove.membership import heart, members, messages
+from tealcove.orders import drains, steward
+from tealcove.orders import role as orders_role
 from tealcove.peers import endpoint, mesh, security
 from tealcove.platform import client, services
 from tealcove.quarantine import role as quarantine_role
@@ -80,6 +82,7 @@
             data_centre=ids.DataCentreId(found.data_centre),
             host=str(found.http.host),
             http_port=found.http.port,
+            peer_host=self.mesh.listen.host,
             peer_port=self.mesh.listen.port,
             revision=ids.Revision(0),
         )
@@ -136,6 +139,14 @@
             gate.Gate(self.quarantine, self.limits),
         )
         self.configuration.copy.subscribe(self.take_configuration)
+        self.stewards = orders_role.Stewards(
+            self.mesh,
+            self.members,
+            self.configuration.copy,
+            self.new_steward,
+            self.telemetry.meter,
+        )
+        self.stewards.start()
 
     async def start_http(self) -> None:
         """Listen for callers and operators."""
@@ -179,6 +190,21 @@
         """Show all metrics in Prometheus' text form."""
         return web.Response(body=self.telemetry.metrics_text())
 
+    def new_steward(self, pool: ids.PoolId, held: drains.Drains) -> steward.Steward:
+        """Return this instance's steward of a pool."""
+        found = self.settings.orders
+        return steward.Steward(
+            pool,
+            self.configuration.copy,
+            self.members,
+            self.engines,
+            self.rows,
+            services.HttpWeightStore(self.platform),
+            held,
+            found.lease_seconds,
+            found.longest_seconds,
+        )
+
     def find_limit(self, account: ids.AccountId) -> limit.Limit | None:
         """Return an account's limit by the configuration in force, if it has one."""
         current = self.configuration.copy.current
@@ -251,6 +277,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.configuration.stop()
         await self.runner.cleanup()
+        await self.stewards.stop()
         await self.heart.stop()
         await self.dispatcher.stop()
         await self.quarantine.stop()
--- a/src/tealcove/entry/tests/builders.py
+++ b/src/tealcove/entry/tests/builders.py
@@ -33,6 +33,7 @@
         data_centre=ids.DataCentreId("d"),
         host="127.0.0.1",
         http_port=1,
+        peer_host="127.0.0.1",
         peer_port=2,
         revision=ids.Revision(1),
     )
--- a/src/tealcove/limits/tests/builders.py
+++ b/src/tealcove/limits/tests/builders.py
@@ -65,6 +65,7 @@
             data_centre=ids.DataCentreId("dc"),
             host=HOST,
             http_port=1,
+            peer_host=HOST,
             peer_port=number,
             revision=ids.Revision(1),
         )
--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -71,7 +71,7 @@
     def hear(self, sender: ids.InstanceId, heartbeat: messages.Heartbeat) -> None:
         """Take in a heartbeat and whatever peers it names."""
         self.members.hear(heartbeat, clock.now())
-        self.beat_to(endpoint.Endpoint(heartbeat.host, heartbeat.peer_port))
+        self.beat_to(heartbeat.endpoint)
         for address in heartbeat.known:
             self.beat_to(endpoint.parse(address))
         for listener in self.listeners:
--- a/src/tealcove/membership/members.py
+++ b/src/tealcove/membership/members.py
@@ -20,7 +20,7 @@
     @property
     def endpoint(self) -> endpoint.Endpoint:
         """Where the peer listens for messages."""
-        return endpoint.Endpoint(self.heartbeat.host, self.heartbeat.peer_port)
+        return self.heartbeat.endpoint
 
 
 class Members:
@@ -121,9 +121,7 @@
     def endpoint_of(self, instance: ids.InstanceId) -> endpoint.Endpoint | None:
         """Return where an instance listens for messages, if it's known."""
         heartbeat = self.find(instance)
-        if heartbeat is None:
-            return None
-        return endpoint.Endpoint(heartbeat.host, heartbeat.peer_port)
+        return None if heartbeat is None else heartbeat.endpoint
 
     def rank(
         self,
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -5,7 +5,7 @@
 import enum
 
 from tealcove import ids
-from tealcove.peers import message
+from tealcove.peers import endpoint, message
 
 
 class Lifecycle(enum.Enum):
@@ -24,8 +24,10 @@
     incarnation: ids.Incarnation
     lifecycle: Lifecycle
     data_centre: ids.DataCentreId
+    # Where callers reach it, and where its peers do.
     host: str
     http_port: int
+    peer_host: str
     peer_port: int
     # The revision of the configuration that is in force on the instance.
     revision: ids.Revision
@@ -34,3 +36,8 @@
     # Checksum of the marks against crashing requests that the sender knows. The
     # marks themselves go by messages of their own, so that heartbeats stay small.
     marks: int = 0
+
+    @property
+    def endpoint(self) -> endpoint.Endpoint:
+        """Where the instance listens for messages."""
+        return endpoint.Endpoint(self.peer_host, self.peer_port)
--- a/src/tealcove/membership/tests/builders.py
+++ b/src/tealcove/membership/tests/builders.py
@@ -24,6 +24,7 @@
         data_centre=ids.DataCentreId(data_centre),
         host="127.0.0.1",
         http_port=7000 + number,
+        peer_host="127.0.0.2",
         peer_port=8000 + number,
         revision=ids.Revision(revision),
     )
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -49,6 +49,18 @@
     assert found.find(ids.InstanceId("i-1")).incarnation == "second"
 
 
+def test_peers_are_reached_at_their_own_address() -> None:
+    """Messages go to the address for callers when that is another one.
+
+    Symptom: instances with two networks never hear each other.
+    Sequence: an instance listens for callers and for peers at different hosts.
+    Cause: the heartbeat named one host for both.
+    """
+    found = builders.known()
+    found.hear(builders.heartbeat(1), ids.Instant(0.0))
+    assert str(found.endpoint_of(ids.InstanceId("i-1"))) == "127.0.0.2:8001"
+
+
 def test_status_counts_serving_instances_and_knows_since_when() -> None:
     found = builders.known()
     found.update_own(revision=ids.Revision(7))
