Render the results of measurements as tables and a plot

Cause: the figures belong in one page with the way they were found. Change: bench.report fills docs/MEASUREMENTS.md from the JSON results and draws goodput, work and waste over the load. The plan of Étiquette Armor keeps an eighth of the slots for short work in place of a quarter. Ruled out: a quarter: short requests are 3% of the work, and the kept slots idle.

--- a/bench/plans.py
+++ b/bench/plans.py
@@ -170,7 +170,7 @@
     shapes=shapes(short=(40, 4, 1.5), shared=32, long_deadline=8.0),
     long_share=0.25,
     templates=4,
-    short_share=0.25,
+    short_share=0.125,
     cache_blocks=512,
 )
 
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,285 @@
+"""Tables and a plot from the results of `bench.policy` and `bench.cost`."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import re
+from collections.abc import Callable, Iterable
+from typing import Annotated
+
+import cappa
+import msgspec
+from matplotlib import axes, figure
+
+from bench import cost, fleet, load, plans, policy, score
+
+PAGE = "docs/MEASUREMENTS.md"
+OWN = "tealcove"
+
+Results = list[load.Result]
+
+
+def read(path: str, label: str) -> Results:
+    """Return the results of one revision."""
+    found = msgspec.json.decode(
+        pathlib.Path(path).read_bytes(), type=list[policy.Labelled]
+    )
+    return [one.result for one in found if one.label == label]
+
+
+def select(results: Results, **wanted: object) -> Results:
+    """Return the results whose run has these values."""
+    return [
+        result
+        for result in results
+        if all(getattr(result.run, name) == value for name, value in wanted.items())
+    ]
+
+
+def wasted(result: load.Result) -> float:
+    """Return the wasted part of the prefill computed."""
+    return result.prefill_wasted / max(1, result.prefill_tokens)
+
+
+def of_bound(result: load.Result) -> float:
+    """Return the good work as a part of its bound."""
+    return result.work / result.bound if result.bound else 1.0
+
+
+def tier_goodput(results: Results, tier: str) -> str:
+    """Return the spread of one tier's goodput."""
+    return score.spread(r.goodput[tier].value for r in results if tier in r.goodput)
+
+
+def row(cells: Iterable[str]) -> str:
+    """Return a line of a table."""
+    return "| " + " | ".join(cells) + " |\n"
+
+
+def header(names: list[str]) -> str:
+    """Return the first two lines of a table."""
+    return row(names) + row(["---"] * len(names))
+
+
+def cells(results: Results, plan: plans.Plan) -> list[str]:
+    """Return the columns that all tables of runs share."""
+    return [
+        *(tier_goodput(results, tier) for tier in plan.tiers),
+        score.spread(of_bound(result) for result in results),
+        score.spread(wasted(result) for result in results),
+        str(sum(result.second_dispatches for result in results)),
+        str(sum(result.unanswered for result in results)),
+        str(len(results)),
+    ]
+
+
+def columns(plan: plans.Plan) -> list[str]:
+    """Return the names of the columns that all tables of runs share."""
+    return [
+        *(f"goodput {tier}" for tier in plan.tiers),
+        "work of bound",
+        "wasted prefill",
+        "second dispatches",
+        "unanswered",
+        "runs",
+    ]
+
+
+def load_table(results: Results) -> str:
+    """Return the policies at each load."""
+    text = ""
+    for plan in plans.PLANS.values():
+        text += f"\n{plan.name}\n\n" + header(["load", "policy", *columns(plan)])
+        of_plan = select(
+            results, plan=plan.name, scenario=load.Scenario.NONE, alone=False
+        )
+        for multiple in sorted({r.run.load for r in of_plan}):
+            for name in fleet.POLICIES:
+                found = select(of_plan, load=multiple, policy=name)
+                if found:
+                    text += row([f"{multiple:g}", name, *cells(found, plan)])
+    return text
+
+
+def scenario_table(results: Results) -> str:
+    """Return what went wrong, and what it did to each policy."""
+    text = ""
+    for plan in plans.PLANS.values():
+        text += f"\n{plan.name}\n\n" + header(["scenario", "policy", *columns(plan)])
+        for scenario in load.Scenario:
+            for name in fleet.POLICIES:
+                found = select(
+                    results, plan=plan.name, scenario=scenario, policy=name, alone=False
+                )
+                if found and scenario is not load.Scenario.NONE:
+                    text += row([scenario.value, name, *cells(found, plan)])
+    return text
+
+
+def wanted_table(results: Results) -> str:
+    """Return the wanted figures beside the measured ones, at 1.5 times capacity."""
+    text = header(["wanted at 1.5 times the capacity", *plans.PLANS])
+    judged = [
+        ("highest tier, of what alone would fit: 0.99", of_alone),
+        ("all tiers, work of the bound: 0.90", bound_figure),
+        ("wasted prefill: below 0.05", wasted_figure),
+        ("wasted prefill, of the best baseline's: below 0.5", of_baseline),
+        ("refusal to its answer, worst: 0.1 s", refusal_figure),
+        ("second dispatches: 0", lambda r, p: count(r, p, "second_dispatches")),
+        ("callers without a final answer: 0", lambda r, p: count(r, p, "unanswered")),
+        ("wrong answers: 0", lambda r, p: count(r, p, "wrong")),
+    ]
+    for name, judge in judged:
+        text += row([name, *(judge(results, plan) for plan in plans.PLANS.values())])
+    return text
+
+
+def at_overload(results: Results, plan: plans.Plan, **more: object) -> Results:
+    """Return the runs at 1.5 times the capacity without a scenario."""
+    wanted = {"scenario": load.Scenario.NONE, "alone": False, **more}
+    return select(results, plan=plan.name, load=policy.SCENARIO_LOAD, **wanted)
+
+
+def of_alone(results: Results, plan: plans.Plan) -> str:
+    """Return the highest tier's goodput over that of the tier alone, by seed."""
+    tier = plan.tiers[0]
+    found = []
+    for mixed in at_overload(results, plan, policy=OWN):
+        for alone in at_overload(
+            results, plan, policy=OWN, alone=True, seed=mixed.run.seed
+        ):
+            fits = max(1, alone.goodput[tier].part)
+            found.append(mixed.goodput[tier].part / fits)
+    return score.spread(found)
+
+
+def bound_figure(results: Results, plan: plans.Plan) -> str:
+    """Return the work of the bound."""
+    return score.spread(map(of_bound, at_overload(results, plan, policy=OWN)))
+
+
+def wasted_figure(results: Results, plan: plans.Plan) -> str:
+    """Return the wasted part of prefill."""
+    return score.spread(map(wasted, at_overload(results, plan, policy=OWN)))
+
+
+def of_baseline(results: Results, plan: plans.Plan) -> str:
+    """Return the wasted part over the least of any baseline's, mean over mean."""
+    means = {}
+    for name in fleet.POLICIES:
+        found = [wasted(r) for r in at_overload(results, plan, policy=name)]
+        if found:
+            means[name] = sum(found) / len(found)
+    own = means.pop(OWN, 0.0)
+    return f"{own / min(means.values()):.3f}" if means else "-"
+
+
+def refusal_figure(results: Results, plan: plans.Plan) -> str:
+    """Return p95 and the worst time from a refusal's decision to its answer."""
+    found = [r for r in at_overload(results, plan, policy=OWN) if r.refusals]
+    p95 = score.spread(r.refusal[1] for r in found)
+    worst = max((r.refusal[2] for r in found), default=0.0)
+    total = sum(r.refusals for r in found)
+    return f"p95 {p95}, worst {worst:.3f} of {total}"
+
+
+def count(results: Results, plan: plans.Plan, name: str) -> str:
+    """Return a sum over all runs of the system under any load and scenario."""
+    found = select(results, plan=plan.name, policy=OWN)
+    return f"{sum(getattr(r, name) for r in found)} in {len(found)} runs"
+
+
+def cost_table(path: str) -> str:
+    """Return the figures of all runs of `bench.cost`."""
+    found = msgspec.json.decode(pathlib.Path(path).read_bytes(), type=list[cost.Cost])
+    names = list(dict.fromkeys(name for one in found for name in one.figures))
+    text = header(["figure", *(one.label for one in found)])
+    for name in names:
+        values = [one.figures.get(name) for one in found]
+        text += row([name, *("-" if v is None else f"{v:g}" for v in values)])
+    return text
+
+
+def plot(results: Results, path: str) -> None:
+    """Draw goodput by tier, work and waste over the load, with their spread."""
+    drawn = figure.Figure(figsize=(18, 7))
+    lines = drawn.subplots(2, 5, sharex=True)
+    for line, plan in zip(lines, plans.PLANS.values(), strict=True):
+        of_plan = select(
+            results, plan=plan.name, scenario=load.Scenario.NONE, alone=False
+        )
+        for axis, tier in zip(line, plan.tiers, strict=False):
+            axis.set_title(f"{plan.name}: goodput, {tier}")
+            draw(axis, of_plan, lambda r, tier=tier: r.goodput[tier].value)
+        line[3].set_title("good work of the bound")
+        draw(line[3], of_plan, of_bound)
+        line[4].set_title("wasted prefill")
+        draw(line[4], of_plan, wasted)
+    for axis in lines[1]:
+        axis.set_xlabel("load, of the capacity")
+    lines[0][0].legend()
+    drawn.tight_layout()
+    drawn.savefig(path, dpi=80)
+
+
+def draw(
+    axis: axes.Axes, results: Results, value: Callable[[load.Result], float]
+) -> None:
+    """Draw one figure of each policy: means as lines, the range as bars."""
+    axis.set_ylim(0, 1.05)
+    for name in fleet.POLICIES:
+        own = select(results, policy=name)
+        loads = sorted({r.run.load for r in own})
+        found = [[value(r) for r in select(own, load=x)] for x in loads]
+        means = [sum(values) / len(values) for values in found]
+        low = [mean - min(f) for mean, f in zip(means, found, strict=True)]
+        high = [max(f) - mean for mean, f in zip(means, found, strict=True)]
+        if loads:
+            axis.errorbar(
+                loads, means, yerr=[low, high], label=name, marker="o", capsize=3
+            )
+
+
+def fill(page: str, tables: dict[str, str]) -> str:
+    """Return a page with the text between its marks replaced."""
+
+    def replaced(found: re.Match[str]) -> str:
+        name = found.group(2)
+        if name not in tables:
+            return found.group(0)
+        return f"<!-- {name} -->\n{tables[name]}<!-- end -->"
+
+    marked = re.compile(r"(<!-- ([a-z ]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+    return marked.sub(replaced, page)
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Write the tables into a page and draw the plot."""
+
+    label: Annotated[str, cappa.Arg(long=True)]
+    results: Annotated[str, cappa.Arg(long=True)] = "docs/measurements/policy.json"
+    costs: Annotated[str, cappa.Arg(long=True)] = "docs/measurements/cost.json"
+    page: Annotated[str, cappa.Arg(long=True)] = PAGE
+    plot: Annotated[str, cappa.Arg(long=True)] = "docs/measurements/policy.png"
+
+
+def main() -> None:
+    """Write as the command line says."""
+    found = cappa.parse(Arguments)
+    results = read(found.results, found.label)
+    tables = {
+        "loads": load_table(results),
+        "scenarios": scenario_table(results),
+        "wanted": wanted_table(results),
+    }
+    if pathlib.Path(found.costs).exists():
+        tables["cost"] = cost_table(found.costs)
+    page = pathlib.Path(found.page)
+    page.write_text(fill(page.read_text("utf-8"), tables), "utf-8")
+    plot(results, found.plot)
+
+
+if __name__ == "__main__":
+    main()
