Bring a pool's engines to what is declared, under a lease

Change: the first in rank takes a pool's lease, reads what its engines hold and plans orders: loads first, what disturbs work at one empty engine at a time and never at the last server of a model, unloading last. Each order is written down before, under a row that a successor's first write closes to its predecessor, and the lease is looked at right before the order is written to the engine. Holds carry the fencing number, so that a woken steward can't undo its successor's. ModelSpec and AdapterSpec get weight_bytes for the weight store. Ruled out: intents in a row for each server (a predecessor could still write one where none stood); challenging a living holder that isn't first in rank. The steward's own tests are still to come. Conclusion: unproven until then.

--- a/src/tealcove/dispatch/holds.py
+++ b/src/tealcove/dispatch/holds.py
@@ -16,6 +16,10 @@
     server: ids.BackendServerId
     host: str
     port: int
+    # The steward's fencing number; an older one's holds and releases don't count.
+    number: ids.FencingNumber
+    # Which of the steward's holds this is; its report names the same.
+    sequence: int
     # Seconds until the hold ends by itself; 0 ends it now.
     seconds: float
 
@@ -25,6 +29,7 @@
 
     cell: ids.CellId
     server: ids.BackendServerId
+    sequence: int
     # Whether the server gets no new work, because of the hold or by itself.
     is_held: bool
     # Requests that this dispatcher has granted the server and that haven't ended.
@@ -49,11 +54,18 @@
 
     def __init__(self) -> None:
         self.until: dict[Address, ids.Instant] = {}
+        self.numbers: dict[Address, ids.FencingNumber] = {}
 
     def take(self, hold: Hold, now: ids.Instant) -> None:
-        """Put a hold in force, or end it."""
-        self.until = {a: until for a, until in self.until.items() if until > now}
+        """Put a hold in force, or end it.
+
+        A steward that was frozen gives back, when it wakes, what its successor
+        holds by now: the engine would get work while its version changes.
+        """
         address = Address(hold.host, hold.port)
+        if hold.number < self.numbers.get(address, hold.number):
+            return
+        self.numbers[address] = hold.number
         self.until.pop(address, None)
         if hold.seconds > 0:
             self.until[address] = ids.Instant(now + hold.seconds)
@@ -70,3 +82,14 @@
         """Tell whether a server gets no new work."""
         until = self.until.get(Address(host, port))
         return until is not None and now < until
+
+
+def answer(hold: Hold, is_held: bool) -> HoldReport:
+    """Return a report on a hold of a dispatcher that has granted nothing."""
+    return HoldReport(
+        cell=hold.cell,
+        server=hold.server,
+        sequence=hold.sequence,
+        is_held=is_held,
+        running=0,
+    )
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -122,11 +122,10 @@
         now = clock.now()
         self.holds.take(hold, now)
         held = self.held.get(hold.cell)
-        report = holds.HoldReport(
-            cell=hold.cell, server=hold.server, is_held=hold.seconds > 0, running=0
-        )
+        is_held = self.holds.is_held(hold.host, hold.port, now)
+        report = holds.answer(hold, is_held)
         if held is not None:
-            if report.is_held:
+            if is_held:
                 self.send(held.decider.hold_back(hold.server, now))
             report = held.decider.report_hold(report)
         peer = self.members.endpoint_of(sender)
--- a/src/tealcove/dispatch/tests/test_holds.py
+++ b/src/tealcove/dispatch/tests/test_holds.py
@@ -9,14 +9,22 @@
 from tealcove.dispatch.tests import builders
 
 
-def hold(name: str, seconds: float) -> holds.Hold:
+def hold(name: str, seconds: float, number: int = 1) -> holds.Hold:
     return holds.Hold(
-        cell=builders.CELL, server=name, host=name, port=1, seconds=seconds
+        number=number,
+        cell=builders.CELL,
+        server=name,
+        host=name,
+        port=1,
+        sequence=1,
+        seconds=seconds,
     )
 
 
 def report(name: str) -> holds.HoldReport:
-    return holds.HoldReport(cell=builders.CELL, server=name, is_held=False, running=0)
+    return holds.HoldReport(
+        cell=builders.CELL, server=name, sequence=1, is_held=False, running=0
+    )
 
 
 def test_hold_ends_by_itself_or_when_told():
@@ -34,6 +42,13 @@
     assert found.of_cell(cell, builders.instant(1)) == ["s"]
 
 
+def test_release_of_replaced_steward_is_ignored():
+    found = holds.Holds()
+    found.take(hold("a", 3.0, number=2), builders.instant(0))
+    found.take(hold("a", 0.0, number=1), builders.instant(1))
+    assert found.is_held("a", 1, builders.instant(1))
+
+
 def test_held_server_finishes_its_work_and_gets_none():
     """A server's version is changed under running requests.
 
--- /dev/null
+++ b/src/tealcove/orders/intents.py
@@ -0,0 +1,170 @@
+"""The orders of a pool that may still be carried out, kept in the platform's table.
+
+One row for each pool holds the number of the steward in charge and its open
+orders. Every write is conditional on the row that the writer last wrote. So once
+a new steward has written the row, its predecessor can't open another order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from tealcove import errors, ids
+from tealcove.backends import engine
+from tealcove.platform import table
+
+TABLE = "intents"
+ATTEMPTS = 3
+
+
+class ReplacedError(errors.PlatformError):
+    """Another steward has taken over the pool's orders."""
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """An order that is about to be given or was, its end not known."""
+
+    order: engine.Order
+
+
+class Record(msgspec.Struct, frozen=True):
+    """What the row holds."""
+
+    number: ids.FencingNumber
+    open: dict[ids.BackendServerId, Intent]
+
+
+class Intents:
+    """The row of one pool, as one steward sees and writes it."""
+
+    def __init__(self, rows: table.TableService, pool: ids.PoolId) -> None:
+        self.rows = rows
+        self.pool = pool
+        self.number = ids.FencingNumber(0)
+        self.row: table.Row | None = None
+        self.open: dict[ids.BackendServerId, Intent] = {}
+        # Until when each engine may still carry out an order whose end isn't known.
+        self.unsettled: dict[ids.BackendServerId, ids.Instant] = {}
+        # Two writes at once would each fail the condition of the other.
+        self.lock = asyncio.Lock()
+
+    async def take_over(
+        self, number: ids.FencingNumber, now: ids.Instant, longest_order: float
+    ) -> None:
+        """Begin to write under a number; raises ReplacedError, PlatformError.
+
+        Whatever stands open may still be carried out for as long as the longest
+        order takes, counted from now on.
+        """
+        async with self.lock:
+            self.row = await self.rows.read(TABLE, self.pool)
+            record = Record(ids.FencingNumber(0), {})
+            if self.row is not None:
+                record = decode(self.row)
+            if record.number > number:
+                raise replaced(self.pool, record.number)
+            await self.write_first(number, record.open)
+            until = ids.Instant(now + longest_order)
+            self.unsettled = dict.fromkeys(record.open, until)
+
+    async def write_first(
+        self, number: ids.FencingNumber, found: dict[ids.BackendServerId, Intent]
+    ) -> None:
+        """Write the row under a number, which counts once that has succeeded."""
+        self.number = number
+        try:
+            await self.write(found)
+        except BaseException:
+            self.number = ids.FencingNumber(0)
+            raise
+
+    def inherited(self) -> frozenset[ids.BackendServerId]:
+        """Return the engines with an open order of a predecessor."""
+        return frozenset(
+            server
+            for server, found in self.open.items()
+            if found.order.fencing < self.number
+        )
+
+    async def begin(self, server: ids.BackendServerId, order: engine.Order) -> None:
+        """Write an order down before it's given; raises as `write` does."""
+        async with self.lock:
+            await self.write({**self.open, server: Intent(order)})
+
+    def doubt(self, server: ids.BackendServerId, until: ids.Instant) -> None:
+        """Note that an order may still be carried out until an instant."""
+        self.unsettled[server] = until
+
+    async def end(self, server: ids.BackendServerId) -> None:
+        """Clear an engine's order, which can't be carried out any more."""
+        self.unsettled.pop(server, None)
+        async with self.lock:
+            rest = {name: found for name, found in self.open.items() if name != server}
+            await self.write(rest)
+
+    async def settle(self, now: ids.Instant) -> None:
+        """Clear the orders whose time is over; raises as `write` does."""
+        for server, until in list(self.unsettled.items()):
+            if now >= until:
+                await self.end(server)
+
+    async def write(self, wanted: dict[ids.BackendServerId, Intent]) -> None:
+        """Write the row; raises ReplacedError or PlatformError."""
+        value = msgspec.json.encode(Record(self.number, wanted))
+        for _ in range(ATTEMPTS):
+            try:
+                self.row = await self.commit(value)
+            except table.ConditionFailedError as error:
+                self.follow(error.conflicts[0].row)
+            except errors.OutcomeUnknownError:
+                self.follow(await self.rows.read(TABLE, self.pool))
+            if self.row is not None and self.row.value == value:
+                self.open = wanted
+                return
+        raise errors.PlatformUnavailableError(
+            f"the orders of pool {self.pool} couldn't be written down",
+            "Nothing was ordered; it is tried again.",
+        )
+
+    async def commit(self, value: bytes) -> table.Row:
+        """Write the row once, on condition that it's the one last seen."""
+        condition = (
+            table.Absent(TABLE, self.pool)
+            if self.row is None
+            else table.VersionIs(TABLE, self.pool, self.row.version)
+        )
+        put = table.Put(TABLE, self.pool, value)
+        done = await self.rows.commit(table.Transaction((condition,), (put,)))
+        return table.Row(TABLE, self.pool, value, done.version)
+
+    def follow(self, row: table.Row | None) -> None:
+        """Take over the row as it stands, unless it's another steward's.
+
+        A write whose reply was lost may have been applied: then the row is ours.
+        """
+        found = ids.FencingNumber(0) if row is None else decode(row).number
+        known = ids.FencingNumber(0) if self.row is None else decode(self.row).number
+        if found not in (known, self.number):
+            raise replaced(self.pool, found)
+        self.row = row
+
+
+def replaced(pool: ids.PoolId, number: ids.FencingNumber) -> ReplacedError:
+    """Return the error for a row that isn't ours any more."""
+    return ReplacedError(
+        f"the orders of pool {pool} are under number {number}",
+        "Leave them to that steward.",
+    )
+
+
+def decode(row: table.Row) -> Record:
+    """Return the record in a row; raises PlatformError."""
+    try:
+        return msgspec.json.decode(row.value, type=Record)
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformError(
+            f"the orders of pool {row.key} can't be understood: {error}",
+            "Find out who wrote the row, and delete it when no order is on its way.",
+        ) from error
--- /dev/null
+++ b/src/tealcove/orders/plan.py
@@ -0,0 +1,191 @@
+"""The next orders for a pool, from what is wanted and what its engines hold."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.orders import wanted
+from tealcove.resources import kinds
+
+# The parts of a request's computation, and the roles that compute each.
+PREFILL = frozenset({kinds.EngineRole.BOTH.value, kinds.EngineRole.PREFILL.value})
+DECODE = frozenset({kinds.EngineRole.BOTH.value, kinds.EngineRole.DECODE.value})
+
+NO_NUMBER = ids.FencingNumber(0)
+
+
+class Task(msgspec.Struct, frozen=True):
+    """An order for one engine, its number still to be filled in."""
+
+    server: ids.BackendServerId
+    order: engine.Order
+    # Whether the engine has to be empty when it's given.
+    drains: bool
+
+    @property
+    def loads(self) -> bool:
+        """Whether weights are loaded, which the weight store has to allow."""
+        kind = self.order.order
+        return kind in (engine.OrderKind.LOAD_MODEL, engine.OrderKind.LOAD_ADAPTER)
+
+
+class Seen(msgspec.Struct, frozen=True):
+    """The engines of a pool as they are, as far as it's known.
+
+    Engines that can't be reached or that leave are in none of the fields.
+    """
+
+    holdings: dict[ids.BackendServerId, engine.Holding]
+    # Engines with a task in progress.
+    busy: frozenset[ids.BackendServerId] = frozenset()
+    # Engines that get no new work, or that a dispatcher hasn't taken back yet.
+    held: frozenset[ids.BackendServerId] = frozenset()
+    # Engines at which an earlier order may still be carried out.
+    unsettled: frozenset[ids.BackendServerId] = frozenset()
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What to begin now, and what can't be begun for want of other servers."""
+
+    tasks: tuple[Task, ...]
+    blocked: tuple[Task, ...]
+    # Engines that need no further task for which they'd have to be empty.
+    finished: frozenset[ids.BackendServerId]
+
+
+def make(target: wanted.Wanted, seen: Seen) -> Plan:
+    """Return the next tasks.
+
+    Loads of what an engine doesn't have yet begin at once, everywhere. What
+    disturbs work goes to one engine at a time, and only if others go on serving
+    all that it serves. Unloading waits until nothing is left to load.
+    """
+    open_tasks = {
+        name: list(missing(name, target, holding))
+        for name, holding in sorted(seen.holdings.items())
+        if name in target.servers
+    }
+    loading = any(task.loads for tasks in open_tasks.values() for task in tasks)
+    free = {n: t for n, t in open_tasks.items() if is_free(n, seen)}
+    begun = [tasks[0] for tasks in free.values() if tasks and not tasks[0].drains]
+    blocked: list[Task] = []
+    for task in draining(free, loading, seen):
+        if seen.held - {task.server}:
+            break
+        if may_leave(task.server, target, seen):
+            begun.append(task)
+            break
+        blocked.append(task)
+    finished = frozenset(
+        name
+        for name, tasks in open_tasks.items()
+        if name not in seen.busy and not any(task.drains for task in tasks)
+    )
+    return Plan(tuple(begun), tuple(blocked), finished)
+
+
+def is_free(name: ids.BackendServerId, seen: Seen) -> bool:
+    """Tell whether a task may begin at an engine."""
+    return name not in seen.busy and name not in seen.unsettled
+
+
+def draining(
+    free: dict[ids.BackendServerId, list[Task]], loading: bool, seen: Seen
+) -> list[Task]:
+    """Return the tasks that need an empty engine, held engines' first.
+
+    An engine that is held already has more to do before it's taken back; another
+    one in its place would make two that do no work.
+    """
+    found = [tasks[0] for tasks in free.values() if tasks and tasks[0].drains]
+    found = [task for task in found if not (loading and is_unload(task))]
+    return sorted(found, key=lambda task: (task.server not in seen.held, task.server))
+
+
+def is_unload(task: Task) -> bool:
+    """Tell whether a task takes something away for good."""
+    kind = task.order.order
+    return kind in (engine.OrderKind.UNLOAD_MODEL, engine.OrderKind.UNLOAD_ADAPTER)
+
+
+def missing(
+    name: ids.BackendServerId, target: wanted.Wanted, holding: engine.Holding
+) -> Iterator[Task]:
+    """Yield what an engine lacks, in the order in which it is to be done."""
+    kinds_of_order = engine.OrderKind
+    loads = [
+        *loads_of(kinds_of_order.LOAD_MODEL, target.models, holding.models),
+        *loads_of(kinds_of_order.LOAD_ADAPTER, target.adapters, holding.adapters),
+    ]
+    # What disturbs nobody comes first; `sorted` keeps the order otherwise.
+    for order, replaces in sorted(loads, key=lambda load: load[1]):
+        yield Task(name, order, replaces)
+    role = target.servers[name].role
+    if holding.role != role:
+        order = engine.Order(NO_NUMBER, kinds_of_order.SET_ROLE, role=role)
+        yield Task(name, order, True)
+    unloads = [
+        *unloads_of(kinds_of_order.UNLOAD_ADAPTER, target.adapters, holding.adapters),
+        *unloads_of(kinds_of_order.UNLOAD_MODEL, target.models, holding.models),
+    ]
+    for order in unloads:
+        yield Task(name, order, True)
+
+
+def loads_of(
+    kind: engine.OrderKind, versions: wanted.Versions, held: wanted.Versions
+) -> Iterator[tuple[engine.Order, bool]]:
+    """Yield orders to load, each with whether another version is replaced."""
+    for name, version in sorted(versions.items()):
+        if held.get(name) != version:
+            yield engine.Order(NO_NUMBER, kind, name, version), name in held
+
+
+def unloads_of(
+    kind: engine.OrderKind, versions: wanted.Versions, held: wanted.Versions
+) -> Iterator[engine.Order]:
+    """Yield orders to unload what isn't wanted."""
+    for name in sorted(held.keys() - versions.keys()):
+        yield engine.Order(NO_NUMBER, kind, name)
+
+
+def may_leave(server: ids.BackendServerId, target: wanted.Wanted, seen: Seen) -> bool:
+    """Tell whether others go on serving all that an engine serves."""
+    holding = seen.holdings.get(server)
+    if holding is None:
+        return False
+    others = [
+        found
+        for name, found in seen.holdings.items()
+        if name != server
+        and name in target.servers
+        and name not in seen.held
+        and name not in seen.unsettled
+    ]
+    for model in target.models.keys() & holding.models.keys():
+        having = [other for other in others if model in other.models]
+        for part in (PREFILL, DECODE):
+            if holding.role in part and not any(o.role in part for o in having):
+                return False
+    return not any(
+        lacks_adapter(name, others)
+        for name in target.adapters.keys() & holding.adapters.keys()
+    )
+
+
+def lacks_adapter(name: str, others: Iterable[engine.Holding]) -> bool:
+    """Tell whether none of some engines has an adapter."""
+    return not any(name in other.adapters for other in others)
+
+
+def count(versions: wanted.Versions, held: Iterable[wanted.Versions]) -> dict[str, int]:
+    """Return how many engines have the wanted version, by name."""
+    all_held = list(held)
+    return {
+        name: sum(one.get(name) == version for one in all_held)
+        for name, version in versions.items()
+    }
--- /dev/null
+++ b/src/tealcove/orders/role.py
@@ -0,0 +1,93 @@
+"""The stewards of an instance: one for each engine pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry import metrics
+
+from tealcove import clock, ids
+from tealcove.dispatch import holds
+from tealcove.membership import members
+from tealcove.orders import drains, steward
+from tealcove.peers import mesh
+from tealcove.resources import copy, kinds
+
+NewSteward = Callable[[ids.PoolId, drains.Drains], steward.Steward]
+
+
+class Stewards:
+    """Has a steward for each engine pool of the configuration in force."""
+
+    def __init__(
+        self,
+        transport: mesh.Mesh,
+        known: members.Members,
+        own: copy.ConfigurationCopy,
+        new_steward: NewSteward,
+        meter: metrics.Meter,
+    ) -> None:
+        self.transport = transport
+        self.members = known
+        self.copy = own
+        self.new_steward = new_steward
+        self.found: dict[ids.PoolId, steward.Steward] = {}
+        meter.create_observable_gauge(
+            "tealcove.orders.servers",
+            [self.observe],
+            description="Engines that have the declared version, at the steward",
+        )
+        meter.create_observable_gauge(
+            "tealcove.orders.blocked",
+            [self.observe_blocked],
+            description="Orders that would take the last server of a model away",
+        )
+
+    def start(self) -> None:
+        """Begin to look after the pools."""
+        self.transport.handle(holds.HoldReport, self.take_report)
+        self.copy.subscribe(self.take_configuration)
+        self.take_configuration(self.copy.current, self.copy.current)
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for one in self.found.values():
+            await one.stop()
+
+    def take_configuration(
+        self, previous: copy.Configuration, current: copy.Configuration
+    ) -> None:
+        """Have a steward for each pool; that of a deleted one does nothing."""
+        pools = {ids.PoolId(name) for name in current.names(kinds.Kind.ENGINE_POOL)}
+        for pool in pools - self.found.keys():
+            held = drains.Drains(self.transport, self.members)
+            self.found[pool] = self.new_steward(pool, held)
+            self.found[pool].start()
+
+    def take_report(self, sender: ids.InstanceId, report: holds.HoldReport) -> None:
+        """Hand a dispatcher's report to the steward of the cell's pool."""
+        pool = ids.PoolId(report.cell.rpartition("/")[0])
+        found = self.found.get(pool)
+        if found is not None:
+            found.drains.take(sender, report, clock.now())
+
+    def observe(
+        self, options: metrics.CallbackOptions
+    ) -> Iterable[metrics.Observation]:
+        """Yield how many engines have what is declared."""
+        for pool, one in list(self.found.items()):
+            for share in one.progress.shares:
+                labels = {
+                    "pool": pool,
+                    "kind": share.kind,
+                    "name": share.name,
+                    "version": share.version,
+                }
+                yield metrics.Observation(share.servers, labels)
+
+    def observe_blocked(
+        self, options: metrics.CallbackOptions
+    ) -> Iterable[metrics.Observation]:
+        """Yield how many orders wait for another server."""
+        for pool, one in list(self.found.items()):
+            yield metrics.Observation(len(one.progress.blocked), {"pool": pool})
--- /dev/null
+++ b/src/tealcove/orders/steward.py
@@ -0,0 +1,272 @@
+"""The steward of one pool: brings its engines to what is declared."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+
+import logbook
+
+from tealcove import clock, errors, ids, tasks
+from tealcove.backends import engine
+from tealcove.membership import members, messages
+from tealcove.orders import drains, giving, intents, lease, observing, plan, wanted
+from tealcove.platform import table, weights
+from tealcove.resources import copy, kinds
+
+log = logbook.Logger("orders")
+
+# Seconds between two looks at the engines while the lease is held.
+ROUND_INTERVAL = 0.5
+# Seconds between two looks at whether an engine has become empty.
+DRAIN_INTERVAL = 0.1
+# The second in rank looks at the lease once in so many durations.
+RESERVE_DURATIONS = 2
+
+
+class Steward:
+    """One instance's side of the stewardship of a pool.
+
+    Two tasks: one keeps the lease, one plans and starts a task for each engine
+    that gets an order. The lease goes on being renewed during a long order.
+    """
+
+    def __init__(
+        self,
+        pool: ids.PoolId,
+        own: copy.ConfigurationCopy,
+        known: members.Members,
+        engines: engine.EngineClient,
+        rows: table.TableService,
+        store: weights.WeightStore,
+        held: drains.Drains,
+        lease_seconds: float,
+        longest_order: float,
+    ) -> None:
+        self.pool = pool
+        self.copy = own
+        self.members = known
+        self.engines = engines
+        self.weights = store
+        self.drains = held
+        holder = lease.holder_name(known.own.instance, known.own.incarnation)
+        self.lease = lease.Lease(rows, pool, holder, lease_seconds)
+        self.intents = intents.Intents(rows, pool)
+        self.giver = giving.Giver(engines, self.intents, self.lease, longest_order)
+        self.longest_order = longest_order
+        self.reserve_at = ids.Instant(clock.now() + RESERVE_DURATIONS * lease_seconds)
+        self.progress = observing.Progress(pool)
+        self.seen = plan.Seen({})
+        # The lease takes one step at a time, giving it up included.
+        self.stepping = asyncio.Lock()
+        self.changes: dict[ids.BackendServerId, asyncio.Task[None]] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to look after the pool if this instance is chosen."""
+        self.tasks = [
+            tasks.start(self.keep_lease(), f"lease of {self.pool}"),
+            tasks.start(self.keep_holds(), f"holds of {self.pool}"),
+            tasks.start(self.work(), f"orders to {self.pool}"),
+        ]
+
+    async def stop(self) -> None:
+        """End all tasks; the lease is given up if no order is on its way."""
+        was_idle = not self.changes
+        await tasks.stop([*self.tasks, *self.changes.values()])
+        self.drains.release_all(clock.now())
+        if was_idle:
+            await self.release()
+
+    async def keep_lease(self) -> None:
+        """Take and renew the lease when it's this instance's turn."""
+        while True:
+            now = clock.now()
+            if self.may_step(now):
+                await self.step()
+            await asyncio.sleep(self.lease.interval)
+
+    async def step(self) -> None:
+        """Let the lease take one step."""
+        async with self.stepping:
+            try:
+                await self.lease.step(clock.now())
+            except errors.PlatformError as error:
+                log.error("lease of {}: {}", self.pool, error)
+
+    async def release(self) -> None:
+        """Give the lease up, if it's held here."""
+        async with self.stepping:
+            await self.lease.release(clock.now())
+
+    async def keep_holds(self) -> None:
+        """Repeat the holds, however long a look at the engines takes."""
+        while True:
+            self.drains.tell(clock.now())
+            await asyncio.sleep(ROUND_INTERVAL)
+
+    def may_step(self, now: ids.Instant) -> bool:
+        """Tell whether to renew the lease or to look whether it's free.
+
+        The first in rank looks all the time, the second one seldom: it takes a
+        lease that lapsed and that the first one, who may be cut off from the
+        platform, doesn't take. All others leave it alone, so that reads don't
+        grow with the number of instances.
+        """
+        if not self.is_active():
+            return False
+        ranked = self.members.rank(f"steward/{self.pool}", now)
+        own = self.members.own.instance
+        if self.lease.state is lease.LeaseState.HELD or ranked[0] == own:
+            return True
+        if own not in ranked[:2] or now < self.reserve_at:
+            return False
+        period = RESERVE_DURATIONS * self.lease.duration
+        self.reserve_at = ids.Instant(now + period)
+        return True
+
+    def is_active(self) -> bool:
+        """Tell whether the pool needs a steward and this instance may be it."""
+        found = self.copy.current.get(kinds.Kind.ENGINE_POOL, self.pool)
+        if found is None or not found.spec.models:
+            return False
+        return self.members.own.lifecycle is messages.Lifecycle.SERVING
+
+    async def work(self) -> None:
+        """Look at the pool again and again."""
+        while True:
+            try:
+                await self.round()
+            except errors.TealcoveError as error:
+                log.warning("pool {}: {}", self.pool, error)
+            await asyncio.sleep(ROUND_INTERVAL)
+
+    async def round(self) -> None:
+        """Take one look at the pool and begin what is to be done."""
+        now = clock.now()
+        if not self.lease.held(now) or not self.is_active():
+            await self.retire(now)
+            return
+        if self.intents.number != self.lease.number:
+            number = self.lease.number
+            self.drains.number = number
+            await self.intents.take_over(number, now, self.longest_order)
+            log.info("steward of {}, number {}", self.pool, number)
+        await self.intents.settle(clock.now())
+        target = wanted.of_pool(self.copy.current, self.pool)
+        if target is None:
+            return
+        before = frozenset(self.changes)
+        holdings = await observing.read(self.engines, target)
+        self.carry_on(target, holdings, before)
+
+    async def retire(self, now: ids.Instant) -> None:
+        """Give no more orders; a leaving holder lets its successor begin."""
+        self.progress.clear()
+        self.drains.release_all(now)
+        if not self.changes:
+            await self.release()
+
+    def carry_on(
+        self,
+        target: wanted.Wanted,
+        holdings: observing.Holdings,
+        before: frozenset[ids.BackendServerId],
+    ) -> None:
+        """Begin the next changes and take back the engines that are done.
+
+        `before` are the engines that were changing when the holdings were read.
+        """
+        now = clock.now()
+        self.seen = plan.Seen(
+            holdings,
+            before | self.changes.keys(),
+            self.drains.held,
+            frozenset(self.intents.unsettled),
+        )
+        if target.checks_fencing:
+            self.raise_numbers(target)
+        found = plan.make(target, self.seen)
+        self.progress.note(target, holdings, found)
+        for server in found.finished | self.lost():
+            self.drains.release(server, now)
+        for task in found.tasks:
+            one = target.servers[task.server]
+            if task.drains:
+                self.drains.begin(one, now)
+            self.begin(task.server, self.change(task, one))
+
+    def lost(self) -> frozenset[ids.BackendServerId]:
+        """Return held engines that can't be reached any more or aren't the pool's.
+
+        They'd keep all others from being changed if they stayed held.
+        """
+        return self.drains.held - self.seen.holdings.keys() - self.seen.busy
+
+    def raise_numbers(self, target: wanted.Wanted) -> None:
+        """Settle what the predecessor left open at engines that check numbers."""
+        for server in self.intents.inherited() & self.seen.holdings.keys():
+            if server not in self.changes:
+                address = target.servers[server].server
+                holding = self.seen.holdings[server]
+                self.begin(server, self.giver.raise_number(address, holding))
+
+    def begin(
+        self, server: ids.BackendServerId, work: Coroutine[object, object, None]
+    ) -> None:
+        """Run one change of an engine in the background."""
+        change = tasks.start(self.run(server, work), f"change of {server}")
+        self.changes[server] = change
+
+    async def run(
+        self, server: ids.BackendServerId, work: Coroutine[object, object, None]
+    ) -> None:
+        """Run a change to its end, whatever it is."""
+        try:
+            await work
+        except errors.TealcoveError as error:
+            log.warning("{}: {}", server, error)
+        finally:
+            self.changes.pop(server, None)
+
+    async def change(self, task: plan.Task, one: wanted.WantedServer) -> None:
+        """Empty an engine if needed, wait for the turn to load, and order."""
+        if task.drains and not await self.empty(task):
+            return
+        if task.loads:
+            target = wanted.of_pool(self.copy.current, self.pool)
+            size = 0 if target is None else target.sizes.get(task.order.name, 0)
+            await asyncio.sleep(await self.weights.reserve(size))
+        # All of this may have taken long, and much may have changed meanwhile.
+        if self.is_still_wanted(task, clock.now()):
+            await self.giver.give(one.server, task.order)
+
+    async def empty(self, task: plan.Task) -> bool:
+        """Wait until nothing runs on an engine; False: it's no longer wanted."""
+        while self.is_still_wanted(task, clock.now(), is_empty=False):
+            if self.drains.is_granted_nothing(task.server, clock.now()):
+                found = self.drains.found[task.server].target.server
+                load = await self.engines.load(found)
+                if load.running + load.waiting == 0:
+                    return True
+            await asyncio.sleep(DRAIN_INTERVAL)
+        return False
+
+    def is_still_wanted(
+        self, task: plan.Task, now: ids.Instant, is_empty: bool = True
+    ) -> bool:
+        """Tell whether a task may still be carried out as it was planned."""
+        target = wanted.of_pool(self.copy.current, self.pool)
+        if target is None or not self.giver.may_give() or not self.is_active():
+            return False
+        one = target.servers.get(task.server)
+        if one is None or not target.fulfils(task.order):
+            return False
+        is_role = task.order.order is engine.OrderKind.SET_ROLE
+        if is_role and task.order.role != one.role:
+            return False
+        if not task.drains:
+            return True
+        if is_empty and not self.drains.is_granted_nothing(task.server, now):
+            return False
+        return plan.may_leave(task.server, target, self.seen)
--- /dev/null
+++ b/src/tealcove/orders/wanted.py
@@ -0,0 +1,91 @@
+"""What the configuration wants of the engines of a pool."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.dispatch import cells
+from tealcove.resources import copy, kinds
+
+Versions = dict[str, str]
+
+
+class WantedServer(msgspec.Struct, frozen=True):
+    """An engine of the pool, and the cell that gives it work."""
+
+    server: engine.Server
+    cell: cells.Cell
+    role: str
+
+
+class Wanted(msgspec.Struct, frozen=True):
+    """Models and adapters of all engines of a pool, and the role of each."""
+
+    models: Versions
+    adapters: Versions
+    servers: dict[ids.BackendServerId, WantedServer]
+    checks_fencing: bool
+    # Bytes to load, by name of a model or adapter.
+    sizes: dict[str, int]
+
+    def fulfils(self, order: engine.Order) -> bool:
+        """Tell whether an order to load or unload brings about what's wanted."""
+        match order.order:
+            case engine.OrderKind.LOAD_MODEL:
+                return self.models.get(order.name) == order.version
+            case engine.OrderKind.LOAD_ADAPTER:
+                return self.adapters.get(order.name) == order.version
+            case engine.OrderKind.UNLOAD_MODEL:
+                return order.name not in self.models
+            case engine.OrderKind.UNLOAD_ADAPTER:
+                return order.name not in self.adapters
+            case _:
+                return True
+
+
+def of_pool(current: copy.Configuration, pool: ids.PoolId) -> Wanted | None:
+    """Return what is wanted of a pool's engines; None: nothing.
+
+    A pool that names no model is left alone. Taken at its word, all its engines
+    would be emptied, which is what an operator wants who forgot the field least.
+    """
+    resource = current.get(kinds.Kind.ENGINE_POOL, pool)
+    if resource is None or not resource.spec.models:
+        return None
+    spec = resource.spec
+    models = find(current, kinds.Kind.MODEL, spec.models)
+    adapters = find(current, kinds.Kind.ADAPTER, spec.adapters)
+    return Wanted(
+        models={name: found.version for name, found in models.items()},
+        adapters={name: found.version for name, found in adapters.items()},
+        servers=servers_of(pool, spec),
+        checks_fencing=spec.checks_fencing,
+        sizes={
+            name: found.weight_bytes
+            for name, found in [*models.items(), *adapters.items()]
+        },
+    )
+
+
+def find(
+    current: copy.Configuration, kind: kinds.Kind, names: tuple[str, ...]
+) -> dict[str, kinds.ModelSpec | kinds.AdapterSpec]:
+    """Return the specs of some models or adapters that exist, by name."""
+    found = {name: current.get(kind, name) for name in names}
+    return {name: one.spec for name, one in found.items() if one is not None}
+
+
+def servers_of(
+    pool: ids.PoolId, spec: kinds.EnginePoolSpec
+) -> dict[ids.BackendServerId, WantedServer]:
+    """Return the engines of a pool that aren't to leave."""
+    servers = {}
+    for cell in cells.of_pool(pool, spec):
+        for one in cell.servers:
+            if one.state is kinds.ServerState.SERVING:
+                name = ids.BackendServerId(one.name)
+                address = engine.Server(name, one.host, one.port)
+                servers[name] = WantedServer(address, cell, one.role.value)
+    return servers
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -13,6 +13,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, lt=1)]
+ByteCount = Annotated[int, msgspec.Meta(ge=0)]
 KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
 # Servers of one pool that one dispatcher's queue serves at the most.
@@ -110,6 +111,8 @@
 
     version: str
     weights: str = ""
+    # Size of the weights, by which loads get their turn at the weight store.
+    weight_bytes: ByteCount = 0
 
 
 class AdapterSpec(Spec):
@@ -118,6 +121,8 @@
     model: Name
     version: str
     weights: str = ""
+    # Size of the weights, by which loads get their turn at the weight store.
+    weight_bytes: ByteCount = 0
 
 
 class RoutingRuleSpec(Spec, kw_only=True):
--- a/src/tealcove/settings.py
+++ b/src/tealcove/settings.py
@@ -154,6 +154,15 @@
     batch_interval: Seconds = 0.02
 
 
+class Orders(Group):
+    """How an instance takes charge of a pool's engines and orders them."""
+
+    # Duration of the lease of a pool; its holder's successor waits for so long.
+    lease_seconds: Seconds = 8.0
+    # No engine carries an order out later than this after it was sent.
+    longest_seconds: Seconds = 300.0
+
+
 class Telemetry(Group):
     """Where traces go; metrics are always at /metrics."""
 
@@ -202,6 +211,7 @@
     shutdown: Shutdown = Shutdown()
     configuration: Configuration = Configuration()
     claims: Claims = Claims()
+    orders: Orders = Orders()
     telemetry: Telemetry = Telemetry()
     log: Log = Log()
 
