Measure what each role costs by size

Cause: the capacity page needs slopes: what an instance costs by members, listed servers, accounts, changes, requests, engines of a cell, claims, leases, marks.

--- /dev/null
+++ b/bench/slopes/size.py
@@ -0,0 +1,78 @@
+"""The full size, and the arithmetic that leads from measured sizes to it."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+INSTANCES = 580
+DATA_CENTRES = 16
+ENGINES = 2600
+ACCOUNTS = 39_000
+REQUESTS_A_SECOND = 16_000.0
+TOKENS_A_SECOND = 7e6
+CHANGES_A_DAY = 4400.0
+SECONDS_A_DAY = 86_400.0
+# The budget of control for one instance.
+CORE_PERCENT = 2.4
+MEMORY_MB = 32.0
+BYTES_A_SECOND = 18_000.0
+MICROSECONDS = 1e6
+# The platform's calls a second, for everything.
+READS_A_SECOND = 2000.0
+WRITES_A_SECOND = 500.0
+
+
+class Line(msgspec.Struct, frozen=True):
+    """A cost that grows evenly with the size."""
+
+    fixed: float
+    slope: float
+
+    def at(self, size: float) -> float:
+        """Return the cost at a size."""
+        return self.fixed + self.slope * size
+
+
+def fit(sizes: Sequence[float], costs: Sequence[float]) -> Line:
+    """Return the line of least squares; raises StatisticsError below two sizes."""
+    found = statistics.linear_regression(sizes, costs)
+    return Line(found.intercept, found.slope)
+
+
+def distance(size: float, sizes: Sequence[float]) -> float:
+    """Return how many times larger a size is than the largest measured one."""
+    return max(1.0, size / max(sizes))
+
+
+def per_instance(total: float, instances: int = INSTANCES) -> float:
+    """Return one instance's even part of what the deployment does in all."""
+    return total / instances
+
+
+class Result(msgspec.Struct, frozen=True):
+    """A measured cost at one size: the middle of some runs, and their ends."""
+
+    middle: float
+    least: float
+    most: float
+
+
+def repeat(measure: Callable[[], float], runs: int) -> Result:
+    """Measure several times."""
+    return summary([measure() for _ in range(runs)])
+
+
+def summary(found: Sequence[float]) -> Result:
+    """Return the middle and the ends of some figures."""
+    return Result(statistics.median(found), min(found), max(found))
+
+
+def text(result: Result, digits: int = 1) -> str:
+    """Return a result as it's printed."""
+    middle, least, most = (
+        f"{value:.{digits}f}" for value in (result.middle, result.least, result.most)
+    )
+    return f"{middle} ({least} - {most})"
