Wait for a calm second before each measured run

Change: a run starts after a second in which at most half of the machine was busy, after two minutes at the latest; five attempts in place of three; one at a time. Ruled out: a higher bound on lateness, since it would let such runs in. Conclusion: tables are made of undisturbed runs, and take longer.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -13,6 +13,7 @@
 
 import cappa
 import msgspec
+import psutil
 
 from bench import fleet, load, plans
 
@@ -23,7 +24,11 @@
 # A tool that sends so late measures the machine's other work: once 1 in 100
 # requests was later than this, in seconds, the run is thrown away and repeated.
 MOST_LAG = 0.03
-ATTEMPTS = 3
+ATTEMPTS = 5
+# A run waits for a second in which no more than this part of the machine was
+# busy, but for so many seconds at the most.
+CALM = 0.5
+LONGEST_WAIT = 120
 
 
 class Labelled(msgspec.Struct, frozen=True):
@@ -51,7 +56,7 @@
     alone: Annotated[bool, cappa.Arg(long=True)] = False
     # In place of the plans' shares of slots that long work can't take.
     short_share: Annotated[float | None, cappa.Arg(long=True)] = None
-    jobs: Annotated[int, cappa.Arg(long=True)] = 2
+    jobs: Annotated[int, cappa.Arg(long=True)] = 1
 
 
 def choose(text: str, every: list[str]) -> list[str]:
@@ -94,6 +99,7 @@
 async def play(run: load.Run, folder: str) -> load.Result | None:
     """Run until a run wasn't disturbed; None when none succeeded."""
     for _ in range(ATTEMPTS):
+        await calm()
         result = await play_once(run, folder)
         if result is not None and result.lag <= MOST_LAG:
             return result
@@ -102,6 +108,14 @@
     return None
 
 
+async def calm() -> None:
+    """Wait for a calm second, at most LONGEST_WAIT of them."""
+    for _ in range(LONGEST_WAIT):
+        busy = await asyncio.to_thread(psutil.cpu_percent, 1.0)
+        if busy <= 100.0 * CALM:
+            return
+
+
 async def play_once(run: load.Run, folder: str) -> load.Result | None:
     """Run once in a process of its own; None when it failed."""
     out = pathlib.Path(folder) / f"{time.monotonic_ns()}.json"
