Trace each hop of a request, and count what operators need

Cause: the tracer and the meter existed, but no span and no counter was ever made, so that a trace ended at the entry and /metrics was empty. Change: an entry's request, its ticket, the dispatcher's work on it (on its own instance, by a `traceparent` in the ticket) and its run on a backend server are spans of one trace; the backend server gets that span as its parent. Few metrics: requests by tier and outcome, first token and total time by tier; what roles count in plain numbers is read when /metrics is asked for. Ruled out: a label for client accounts (39,000 of them); exception texts in spans, since they may hold a part of an answer; a `traceparent` in tickets of traces that aren't recorded; exemplars, which nobody reads here. Nothing is done for a streamed chunk.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -8,8 +8,9 @@
 
 import logbook
 from aiohttp import web
+from opentelemetry.sdk.trace import export
 
-from tealcove import clock, errors, ids, logs, settings, telemetry
+from tealcove import clock, errors, gauges, ids, logs, settings, telemetry
 from tealcove.backends import http_engine, http_service
 from tealcove.dispatch import cells, policy, requester, role
 from tealcove.entry import gate, http
@@ -35,10 +36,14 @@
 class Instance:
     """All that one process does; several may live in one process."""
 
-    def __init__(self, found: settings.Settings) -> None:
+    def __init__(
+        self,
+        found: settings.Settings,
+        exporter: export.SpanExporter | None = None,
+    ) -> None:
         self.settings = found
         self.incarnation = ids.new_incarnation()
-        self.telemetry = telemetry.Telemetry(found)
+        self.telemetry = telemetry.Telemetry(found, exporter)
         self.engines = http_engine.HttpEngineClient()
         self.services = http_service.HttpServiceClient()
         self.platform: client.PlatformClient | None = None
@@ -60,6 +65,7 @@
         await self.engines.start()
         await self.services.start()
         self.start_roles()
+        self.show_roles()
         await self.start_http()
         self.members.update_own(http_port=self.http_port)
         self.heart.start()
@@ -122,6 +128,7 @@
             self.settings.dispatch.load_poll_interval,
             self.quarantine,
             lambda: self.heart.listed,
+            source=self.telemetry,
         )
         self.dispatcher.start()
         self.tickets = requester.Requester(
@@ -137,6 +144,7 @@
             self.services,
             self.tickets,
             gate.Gate(self.quarantine, self.limits),
+            source=self.telemetry,
         )
         self.configuration.copy.subscribe(self.take_configuration)
         self.stewards = orders_role.Stewards(
@@ -148,6 +156,15 @@
         )
         self.stewards.start()
 
+    def show_roles(self) -> None:
+        """Add what the roles count to the metrics."""
+        shown = gauges.Gauges(self.telemetry.meter)
+        shown.add_mesh(self.mesh)
+        shown.add_platform(self.platform)
+        shown.add_members(self.members)
+        shown.add_configuration(self.configuration.copy)
+        shown.add_dispatcher(self.dispatcher)
+
     async def start_http(self) -> None:
         """Listen for callers and operators."""
         limits = self.settings.limits
--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -58,6 +58,10 @@
         self.is_gathering = True
         self.gather_until = until
 
+    def depth(self) -> tuple[int, int]:
+        """See Scheduler."""
+        return len(self.state.queue), len(self.state.fleet.where)
+
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
         fleet = self.state.fleet
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -62,6 +62,8 @@
     excluded: tuple[ids.BackendServerId, ...] = ()
     # Set when the request already runs there, and a new dispatcher is told.
     running_on: ids.BackendServerId | None = None
+    # The trace that it's a hop of; empty when that isn't recorded.
+    traceparent: str = ""
 
 
 class Queued(message.Message):
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -8,9 +8,17 @@
 
 import logbook
 
-from tealcove import clock, ids
+from tealcove import clock, ids, telemetry
 from tealcove.backends import engine
-from tealcove.dispatch import cells, holds, messages, reading, scheduler, suspicion
+from tealcove.dispatch import (
+    cells,
+    holds,
+    messages,
+    reading,
+    scheduler,
+    spans,
+    suspicion,
+)
 from tealcove.membership import members
 from tealcove.peers import mesh
 from tealcove.platform import instances
@@ -66,6 +74,7 @@
         poll_interval: float,
         suspects: suspicion.Suspicion | None = None,
         listed: Callable[[], tuple[instances.ListedInstance, ...]] = tuple,
+        source: telemetry.Source | None = None,
     ) -> None:
         self.transport = transport
         self.members = known
@@ -75,6 +84,10 @@
         self.reader = reading.Reader(engines, listed, self.holds)
         self.poll_interval = poll_interval
         self.suspicion = suspects or suspicion.NoSuspicion()
+        self.spans = spans.Spans(source)
+        # How often this instance decided so, for the metrics.
+        self.granted = 0
+        self.preempted = 0
         self.members_changed = clock.now()
         # The entries that tickets came from, as they were then.
         self.entries: dict[ids.InstanceId, ids.Incarnation] = {}
@@ -102,6 +115,7 @@
 
     def take_ticket(self, sender: ids.InstanceId, ticket: messages.Ticket) -> None:
         """Queue a ticket, or refuse it when its cell isn't known here."""
+        self.spans.begin(ticket)
         held = self.hold(ticket)
         heartbeat = self.members.find(ticket.entry)
         if heartbeat is not None:
@@ -136,6 +150,7 @@
         self, sender: ids.InstanceId, withdrawal: messages.Withdrawal
     ) -> None:
         """Forget a ticket."""
+        self.spans.end(withdrawal.ticket_id, spans.WITHDRAWN)
         held = self.held.get(withdrawal.cell)
         if held is not None:
             self.send(held.decider.withdraw(withdrawal.ticket_id, clock.now()))
@@ -289,8 +304,20 @@
     def send(self, outgoing: list[scheduler.Outgoing]) -> None:
         """Tell the entries what was decided."""
         for out in outgoing:
+            self.note(out.message)
             peer = self.members.endpoint_of(out.entry)
             if peer is None:
                 log.warning("no address of {} for {}", out.entry, out.message)
                 continue
             self.transport.send(peer, out.message)
+
+    def note(
+        self,
+        sent: messages.Grant | messages.Refusal | messages.Preempt | messages.Queued,
+    ) -> None:
+        """Count a decision and close the ticket's span."""
+        self.spans.answer(sent)
+        if isinstance(sent, messages.Grant):
+            self.granted += 1
+        elif isinstance(sent, messages.Preempt):
+            self.preempted += 1
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -63,6 +63,13 @@
         """Return the report with what this scheduler knows of the server."""
         return report
 
+    def depth(self) -> tuple[int, int]:
+        """Return how many tickets are queued, and how many hold a slot.
+
+        A scheduler that keeps this default shows neither in the metrics.
+        """
+        return 0, 0
+
     @abc.abstractmethod
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[Outgoing]:
         """Take over a new form of the cell, such as a server that leaves."""
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -11,7 +11,7 @@
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, caller, gate, lifecycle, problem, reply
+from tealcove.entry import answer, caller, gate, hops, lifecycle, problem, reply
 from tealcove.limits import role as limits_role
 
 log = logbook.Logger("entry")
@@ -63,6 +63,7 @@
         self.task: asyncio.Task[None] | None = None
         # Absent: everything may pass.
         self.gate: gate.Gate | None = None
+        self.hops = hops.Hops()
         self.charge: limits_role.Charge | None = None
         self.excluded: tuple[ids.BackendServerId, ...] = ()
         self.dispatched_at = ids.Instant(0.0)
@@ -179,7 +180,8 @@
     async def obtain(self, hold: requester.Hold) -> messages.Grant:
         """Return the grant of a slot; raises ProblemError for a refusal."""
         try:
-            found = await self.tickets.obtain(hold)
+            with self.hops.ticket(hold):
+                found = await self.tickets.obtain(hold)
         except asyncio.CancelledError:
             self.tickets.leave(hold)
             raise
@@ -200,7 +202,8 @@
         """Run the request on a granted server, and report how it ended."""
         outcome = messages.Outcome.FAILED
         try:
-            await self.carry_out_unless_preempted(hold, server)
+            with self.hops.server(server):
+                await self.carry_out_unless_preempted(hold, server)
             self.state.complete()
             outcome = messages.Outcome.COMPLETED
         except engine.NotDispatchedError:
@@ -242,6 +245,7 @@
         """Take the step that can't be taken back, before the first byte goes out."""
         self.state.dispatch()
         self.dispatched_at = clock.now()
+        self.hops.event(hops.DISPATCHED)
         self.tickets.mark_running(hold, server.name)
 
     def fail(
--- a/src/tealcove/entry/generation.py
+++ b/src/tealcove/entry/generation.py
@@ -8,7 +8,7 @@
 from tealcove import clock, errors
 from tealcove.backends import engine
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, call, exchange
+from tealcove.entry import answer, call, exchange, hops
 
 # A broken stream is taken up again so often, and with this pause in seconds.
 RESUME_ATTEMPTS = 20
@@ -86,6 +86,7 @@
     def note_first_token(self, hold: requester.Hold) -> None:
         """Tell the dispatcher that the prefill is over."""
         self.first_token_at = clock.now()
+        self.hops.event(hops.FIRST_TOKEN)
         progress = messages.Progress(
             ticket_id=hold.ticket.ticket_id,
             cell=hold.ticket.cell,
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import clock, ids, settings
+from tealcove import clock, ids, settings, telemetry
 from tealcove.backends import engine, service
 from tealcove.dispatch import messages, requester
 from tealcove.entry import (
@@ -19,6 +19,8 @@
     forward,
     gate,
     generation,
+    hops,
+    observer,
     points,
     problem,
     sending,
@@ -40,6 +42,7 @@
         services: service.ServiceClient,
         tickets: requester.Requester,
         admission: gate.Gate | None = None,
+        source: telemetry.Source | None = None,
     ) -> None:
         self.settings = found
         self.configuration = configuration
@@ -48,6 +51,8 @@
         self.services = services
         self.tickets = tickets
         self.gate = admission
+        self.observer = observer.Observer(source)
+        self.hops = hops.Hops(source)
         # Requests in progress by client account and idempotency key: the same
         # key joins the request that lives in place of starting another.
         self.live: dict[tuple[str, str], exchange.Exchange] = {}
@@ -84,37 +89,41 @@
     ) -> web.StreamResponse:
         """Answer one request for an engine; problems become its final answer."""
         request_id = ids.new_request_id()
-        try:
-            received = await self.receive(request, request_id)
-            engine_call = parse(received.body)
-            accepted = acceptance.accept_generation(
-                received, engine_call, self.configuration.current
-            )
-            running = self.join(accepted) or self.start(
-                generation.EngineExchange(
-                    accepted, self.tickets, engine_call, self.engines
+        with self.observer.request(request, request_id) as seen:
+            try:
+                received = await self.receive(request, request_id)
+                engine_call = parse(received.body)
+                accepted = acceptance.accept_generation(
+                    received,
+                    engine_call,
+                    self.configuration.current,
+                )
+                running = self.join(accepted) or self.start(
+                    generation.EngineExchange(
+                        accepted, self.tickets, engine_call, self.engines
+                    )
                 )
-            )
-            with Reading(running):
-                return await sending.send_generation(request, running)
-        except problem.ProblemError as error:
-            return problem.respond(error.problem, request_id)
+                with Reading(seen.join(running)):
+                    return await sending.send_generation(request, running)
+            except problem.ProblemError as error:
+                return seen.refuse(error.problem)
 
     async def forward(self, request: web.Request) -> web.StreamResponse:
         """Answer one call to a plain service, of any method and path."""
         request_id = ids.new_request_id()
-        try:
-            received = await self.receive(request, request_id)
-            accepted = acceptance.accept_call(received, self.configuration.current)
-            running = self.join(accepted) or self.start(
-                forward.ServiceExchange(
-                    accepted, self.tickets, service_call(received), self.services
+        with self.observer.request(request, request_id) as seen:
+            try:
+                received = await self.receive(request, request_id)
+                accepted = acceptance.accept_call(received, self.configuration.current)
+                running = self.join(accepted) or self.start(
+                    forward.ServiceExchange(
+                        accepted, self.tickets, service_call(received), self.services
+                    )
                 )
-            )
-            with Reading(running):
-                return await sending.send_reply(request, running)
-        except problem.ProblemError as error:
-            return problem.respond(error.problem, request_id)
+                with Reading(seen.join(running)):
+                    return await sending.send_reply(request, running)
+            except problem.ProblemError as error:
+                return seen.refuse(error.problem)
 
     async def receive(
         self, request: web.Request, request_id: ids.RequestId
@@ -158,6 +167,7 @@
         slot = slot_of(running.request)
         self.live[slot] = running
         running.gate = self.gate
+        running.hops = self.hops
         task = asyncio.create_task(running.run())
         running.task = task
         self.in_progress.add(task)
--- /dev/null
+++ b/src/tealcove/entry/observer.py
@@ -0,0 +1,150 @@
+"""What the entry tells of its requests: a span for each, and few metrics."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+
+import opentelemetry.context
+from aiohttp import web
+from opentelemetry import trace
+
+from tealcove import clock, ids, telemetry
+from tealcove.entry import exchange, problem
+
+COMPLETED = problem.Outcome.COMPLETED.value
+# The caller left before the answer was sent; not one of the answers' outcomes.
+CALLER_GONE = "caller_gone"
+BROKEN = "broken"
+REQUEST_SPAN = "request"
+# Seconds; the bounds of OpenTelemetry's default are meant for milliseconds.
+BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300)
+
+
+class Seen:
+    """One caller's request, from its arrival to the end of its answer."""
+
+    def __init__(self, request_id: ids.RequestId, now: ids.Instant) -> None:
+        self.request_id = request_id
+        self.began = now
+        self.running: exchange.Exchange | None = None
+        self.problem: problem.Problem | None = None
+
+    def join(self, running: exchange.Exchange) -> exchange.Exchange:
+        """Note which running request the caller waits for; returns it."""
+        self.running = running
+        return running
+
+    def refuse(self, found: problem.Problem) -> web.Response:
+        """Return the response of a problem, and note it."""
+        self.problem = found
+        return problem.respond(found, self.request_id)
+
+    def tier(self) -> str:
+        """Return the tier; "" for callers that aren't known."""
+        return "" if self.running is None else self.running.request.caller.tier
+
+    def end(self) -> tuple[str, str]:
+        """Return outcome and reason of the answer that was sent."""
+        found = self.problem
+        if found is None and self.running is not None:
+            # A streamed answer that broke off has its problem here.
+            failure = self.running.answer.failure
+            if isinstance(failure, problem.ProblemError):
+                found = failure.problem
+        if found is None:
+            return COMPLETED, ""
+        return found.outcome.value, found.reason
+
+
+class Observer:
+    """The spans and metrics of an entry.
+
+    Client accounts are in spans only: as labels they would make as many series
+    as there are accounts, on each instance.
+    """
+
+    def __init__(self, source: telemetry.Source | None = None) -> None:
+        self.source = source or telemetry.Source()
+        meter = self.source.meter
+        self.requests = meter.create_counter(
+            "tealcove.requests", description="Requests answered, by how they ended."
+        )
+        self.first_tokens = meter.create_histogram(
+            "tealcove.request.time_to_first_token",
+            unit="s",
+            description="From a request's arrival to its first token.",
+            explicit_bucket_boundaries_advisory=BOUNDS,
+        )
+        self.durations = meter.create_histogram(
+            "tealcove.request.duration",
+            unit="s",
+            description="From a completed request's arrival to the end of its answer.",
+            explicit_bucket_boundaries_advisory=BOUNDS,
+        )
+
+    @contextlib.contextmanager
+    def request(self, http: web.Request, request_id: ids.RequestId) -> Iterator[Seen]:
+        """Watch one caller's request, inside its span."""
+        seen = Seen(request_id, clock.now())
+        with self.trace(http, seen) as span:
+            outcome, reason = BROKEN, ""
+            try:
+                yield seen
+                outcome, reason = seen.end()
+            except BaseException:
+                if http.transport is None or http.transport.is_closing():
+                    outcome = CALLER_GONE
+                raise
+            finally:
+                self.count(seen, outcome, reason, clock.now())
+                if span is not None:
+                    describe(span, seen, outcome, reason)
+
+    @contextlib.contextmanager
+    def trace(self, http: web.Request, seen: Seen) -> Iterator[trace.Span | None]:
+        """Go on with the caller's trace, with a span of our own if it's recorded."""
+        if self.source.tracing:
+            with self.source.span(
+                REQUEST_SPAN,
+                context=telemetry.extract(http.headers),
+                kind=trace.SpanKind.SERVER,
+            ) as span:
+                yield span if span.is_recording() else None
+            return
+        if telemetry.TRACEPARENT not in http.headers:
+            yield None
+            return
+        # Passed on to the backend server as it came.
+        token = opentelemetry.context.attach(telemetry.extract(http.headers))
+        try:
+            yield None
+        finally:
+            opentelemetry.context.detach(token)
+
+    def count(self, seen: Seen, outcome: str, reason: str, now: ids.Instant) -> None:
+        """Add a request that has ended to the metrics."""
+        tier = seen.tier()
+        self.requests.add(1, {"tier": tier, "outcome": outcome, "reason": reason})
+        if seen.running is None:
+            return
+        first = seen.running.first_token_at
+        if first is not None:
+            # A caller that joined a running request may come after the token.
+            self.first_tokens.record(max(0.0, first - seen.began), {"tier": tier})
+        if outcome == COMPLETED:
+            self.durations.record(now - seen.began, {"tier": tier})
+
+
+def describe(span: trace.Span, seen: Seen, outcome: str, reason: str) -> None:
+    """Put into a request's span what identifies it; no key and no content."""
+    span.set_attribute("tealcove.request_id", seen.request_id)
+    span.set_attribute("tealcove.outcome", outcome)
+    if reason:
+        span.set_attribute("tealcove.reason", reason)
+    if seen.running is None:
+        return
+    request = seen.running.request
+    span.set_attribute("tealcove.tier", request.caller.tier)
+    span.set_attribute("tealcove.account", request.caller.account)
+    span.set_attribute("tealcove.pool", request.cell.rpartition("/")[0])
--- /dev/null
+++ b/src/tealcove/gauges.py
@@ -0,0 +1,121 @@
+"""Metrics that are read off an instance's roles when /metrics is asked for.
+
+Roles count in plain numbers, so that a grant or a message costs an addition and
+nothing of OpenTelemetry.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterable, Sequence
+
+from opentelemetry import metrics
+
+from tealcove import clock
+from tealcove.dispatch import role
+from tealcove.membership import members
+from tealcove.peers import mesh
+from tealcove.platform import client
+from tealcove.resources import copy
+
+Read = Callable[[], float]
+ReadAll = Callable[[], Iterable[metrics.Observation]]
+
+
+class Gauges:
+    """Adds the instruments of each role to a meter."""
+
+    def __init__(self, meter: metrics.Meter) -> None:
+        self.meter = meter
+
+    def count(self, name: str, description: str, read: Read, unit: str = "") -> None:
+        """Add a number that only grows."""
+        self.meter.create_observable_counter(name, one(read), unit, description)
+
+    def level(self, name: str, description: str, read: ReadAll) -> None:
+        """Add numbers that go up and down."""
+
+        def observe(_: metrics.CallbackOptions) -> Iterable[metrics.Observation]:
+            return read()
+
+        self.meter.create_observable_gauge(name, [observe], "", description)
+
+    def add_mesh(self, transport: mesh.Mesh) -> None:
+        """Show the messages between instances."""
+        self.count(
+            "tealcove.mesh.sent", "Messages sent to peers.", lambda: transport.sent
+        )
+        self.count(
+            "tealcove.mesh.sent_bytes",
+            "Bytes of messages sent to peers.",
+            lambda: transport.sent_bytes,
+            "By",
+        )
+        self.count(
+            "tealcove.mesh.dropped",
+            "Messages dropped since a peer's queue was full.",
+            lambda: transport.dropped,
+        )
+
+    def add_platform(self, platform: client.PlatformClient) -> None:
+        """Show the calls to the platform."""
+        self.count(
+            "tealcove.platform.calls", "Calls to the platform.", lambda: platform.calls
+        )
+        self.count(
+            "tealcove.platform.failures",
+            "Calls to the platform that got no usable reply.",
+            lambda: platform.failures,
+        )
+
+    def add_members(self, known: members.Members) -> None:
+        """Show the instances that are alive, this one too."""
+
+        def read() -> list[metrics.Observation]:
+            alive = known.alive(clock.now())
+            found = collections.Counter(one.lifecycle.value for one in alive)
+            return [
+                metrics.Observation(number, {"lifecycle": lifecycle})
+                for lifecycle, number in found.items()
+            ]
+
+        self.level("tealcove.members", "Instances alive, by lifecycle.", read)
+
+    def add_configuration(self, resources: copy.ConfigurationCopy) -> None:
+        """Show which revision is in force here."""
+        self.level(
+            "tealcove.configuration.revision",
+            "Revision of the resources in force on this instance.",
+            lambda: [metrics.Observation(resources.current.revision)],
+        )
+
+    def add_dispatcher(self, dispatcher: role.Dispatcher) -> None:
+        """Show the cells that this instance holds, and its decisions."""
+
+        def read(index: int) -> list[metrics.Observation]:
+            return [
+                metrics.Observation(held.decider.depth()[index], {"cell": cell})
+                for cell, held in list(dispatcher.held.items())
+            ]
+
+        self.level(
+            "tealcove.tickets.queued", "Tickets that wait, by cell.", lambda: read(0)
+        )
+        self.level(
+            "tealcove.tickets.running",
+            "Tickets that hold a slot, by cell.",
+            lambda: read(1),
+        )
+        self.count("tealcove.grants", "Slots granted.", lambda: dispatcher.granted)
+        self.count(
+            "tealcove.preemptions",
+            "Running requests told to stop for a higher tier.",
+            lambda: dispatcher.preempted,
+        )
+
+
+def one(
+    read: Read,
+) -> Sequence[Callable[[metrics.CallbackOptions], Iterable[metrics.Observation]]]:
+    """Return the callbacks of an instrument with a single number."""
+    return [lambda _: [metrics.Observation(read())]]
--- a/src/tealcove/platform/client.py
+++ b/src/tealcove/platform/client.py
@@ -24,6 +24,7 @@
 HTTP_UNAVAILABLE = 503
 # By these statuses the platform says that it did nothing with the call.
 REFUSALS = (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE)
+USABLE = (HTTP_OK, HTTP_NO_CONTENT, HTTP_CONFLICT)
 
 
 class Timeouts(msgspec.Struct, frozen=True):
@@ -58,6 +59,9 @@
         chosen = timeouts or Timeouts()
         self.url = url.rstrip("/")
         self.encoder = msgspec.msgpack.Encoder()
+        # For the metrics; a failure is a call without a usable reply.
+        self.calls = 0
+        self.failures = 0
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(ssl=tls or True),
             timeout=aiohttp.ClientTimeout(total=chosen.total, connect=chosen.connect),
@@ -111,15 +115,22 @@
         self, method: str, path: str, params: dict[str, str], content: bytes | None
     ) -> Reply:
         """Send one request and return the whole reply; raises aiohttp's errors."""
-        async with self.session.request(
-            method,
-            self.url + path,
-            params=params,
-            data=content,
-            headers={"Content-Type": CONTENT_TYPE},
-            allow_redirects=False,
-        ) as response:
-            return Reply(response.status, await response.read())
+        self.calls += 1
+        is_usable = False
+        try:
+            async with self.session.request(
+                method,
+                self.url + path,
+                params=params,
+                data=content,
+                headers={"Content-Type": CONTENT_TYPE},
+                allow_redirects=False,
+            ) as response:
+                reply = Reply(response.status, await response.read())
+            is_usable = reply.status in USABLE
+            return reply
+        finally:
+            self.failures += not is_usable
 
 
 def decode_read(content: bytes, kind: type[T]) -> T:
--- a/src/tealcove/telemetry.py
+++ b/src/tealcove/telemetry.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
+from collections.abc import Iterator
 
 import opentelemetry.context
 import prometheus_client
@@ -24,20 +26,55 @@
 PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 # What a request without a trace runs under.
 NO_CONTEXT = opentelemetry.context.Context()
+NO_SPAN = contextlib.nullcontext()
 
 
-class Telemetry:
-    """The meter and the tracer of one instance.
+class Source:
+    """A meter and a tracer; without arguments, nothing is measured or traced.
 
     `tracing` is false when no span is ever recorded; callers may then leave
     out work that only serves spans. The tracer is a no-op one in that case.
     """
 
+    def __init__(self) -> None:
+        self.meter: metrics.Meter = metrics.NoOpMeter(SCOPE)
+        self.tracer: trace.Tracer = trace.NoOpTracer()
+        self.tracing = False
+
+    def step(
+        self, name: str, **attributes: str
+    ) -> contextlib.AbstractContextManager[trace.Span | None]:
+        """Return a span within the current one; None when that isn't recorded."""
+        if not self.tracing or not trace.get_current_span().is_recording():
+            return NO_SPAN
+        return self.span(name, attributes=attributes)
+
+    @contextlib.contextmanager
+    def span(self, name: str, **options: typing.Any) -> Iterator[trace.Span]:
+        """Make a span the current one; it ends as an error by an exception.
+
+        Of the exception it gets the type alone: its text may hold a part of a
+        backend server's answer, which belongs to a caller.
+        """
+        with self.tracer.start_as_current_span(
+            name, record_exception=False, set_status_on_exception=False, **options
+        ) as span:
+            try:
+                yield span
+            except BaseException as error:
+                span.set_status(trace.StatusCode.ERROR, type(error).__name__)
+                raise
+
+
+class Telemetry(Source):
+    """The meter and the tracer of one instance, and where they send to."""
+
     def __init__(
         self,
         found: settings.Settings,
         exporter: export.SpanExporter | None = None,
     ) -> None:
+        super().__init__()
         resource = resources.Resource.create(
             {
                 "service.name": SCOPE,
@@ -48,12 +85,17 @@
         # A registry of its own, since tests and the demo run several in a process.
         self.registry = prometheus_client.CollectorRegistry()
         reader = prometheus.PrometheusMetricReader(registry=self.registry)
-        self.meters = sdk_metrics.MeterProvider([reader], resource=resource)
-        self.meter: metrics.Meter = self.meters.get_meter(SCOPE, version.VERSION)
+        # Nobody reads exemplars here, and their upkeep costs time at every count.
+        self.meters = sdk_metrics.MeterProvider(
+            [reader],
+            resource=resource,
+            exemplar_filter=sdk_metrics.AlwaysOffExemplarFilter(),
+        )
+        self.meter = self.meters.get_meter(SCOPE, version.VERSION)
         self.spans = span_provider(found.telemetry, resource, exporter)
         self.tracing = self.spans is not None
         provider = self.spans or trace.NoOpTracerProvider()
-        self.tracer: trace.Tracer = provider.get_tracer(SCOPE, version.VERSION)
+        self.tracer = provider.get_tracer(SCOPE, version.VERSION)
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text form of Prometheus, for /metrics."""
