Refuse what waits for slots that never come; don't count overdue work as ending

Cause: a longer run of the state machine (400 examples, at random) found a ticket that was never refused: each look for a slot put its refusal off again, promised or not. It also found a higher tier refused while lower work ran on, since work beyond its predicted end was counted on to free its slot. And a cell whose only server was late got probes only, and so refused what it could have served. Change: the wait for a promised slot has an instant of its own; overdue work isn't counted on; a cell where all servers are late has no stragglers; after a pause of the dispatcher, running work isn't taken to be late. Ruled out: widening the machine's tolerance, which would have hidden the faults.

--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -57,6 +57,8 @@
         """See Scheduler."""
         self.is_gathering = True
         self.gather_until = until
+        for server in self.state.fleet.servers.values():
+            server.forget_expected()
 
     def depth(self) -> tuple[int, int]:
         """See Scheduler."""
--- a/src/tealcove/dispatch/pressure.py
+++ b/src/tealcove/dispatch/pressure.py
@@ -90,8 +90,8 @@
         """Have a running request stopped for a ticket."""
         self.state.fleet.note_preempted(victim, now)
         victim.preempted_for = waiting.ticket.ticket_id
-        waiting.is_promised = True
-        waiting.look_again = ids.Instant(now + shedding.STOP_TIMEOUT)
+        waiting.promised_until = ids.Instant(now + shedding.STOP_TIMEOUT)
+        waiting.look_again = waiting.promised_until
         ticket = victim.ticket
         after = shedding.retry_after(
             self.state.queue, self.state.fleet, ticket.tier_rank
@@ -106,8 +106,8 @@
         if not waiting.is_queued:
             # Shed a moment ago, together with its tier.
             return []
-        if waiting.is_promised and now < waiting.look_again:
-            self.state.expiries.add(waiting.look_again, waiting)
+        if now < waiting.promised_until:
+            self.state.expiries.add(waiting.promised_until, waiting)
             return []
         usable = self.state.fleet.usable(waiting.ticket)
         if not usable:
--- a/src/tealcove/dispatch/queue.py
+++ b/src/tealcove/dispatch/queue.py
@@ -42,10 +42,10 @@
     seconds: float
     # Whether its deadline left it time to wait at all.
     had_slack: bool = True
-    # Until when a slot that another request was told to leave is awaited, or
-    # before when looking for one again is of no use.
+    # Before when looking for a slot by force again is of no use.
     look_again: ids.Instant = ids.Instant(0.0)
-    is_promised: bool = False
+    # Until when a slot that another request was told to leave is awaited.
+    promised_until: ids.Instant = ids.Instant(0.0)
     is_queued: bool = False
     # When its entry last told of it.
     told: ids.Instant = ids.Instant(0.0)
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tealcove import clock, ids, tasks
-from tealcove.dispatch import messages
+from tealcove.dispatch import messages, spread
 from tealcove.membership import members
 from tealcove.peers import mesh, message
 
@@ -65,12 +65,19 @@
     """All tickets of this entry that wait or run."""
 
     def __init__(
-        self, transport: mesh.Mesh, known: members.Members, ticket_timeout: float
+        self,
+        transport: mesh.Mesh,
+        known: members.Members,
+        ticket_timeout: float,
+        spreading: spread.Spread,
     ) -> None:
+        self.spread = spreading
         self.transport = transport
         self.members = known
         self.ticket_timeout = ticket_timeout
         self.holds: dict[ids.TicketId, Hold] = {}
+        # Dispatchers that were told what runs in a cell although another holds it.
+        self.told: set[tuple[ids.CellId, ids.InstanceId]] = set()
         # Functions that learn how each dispatched request ended.
         self.listeners: list[Listener] = []
         self.refreshing: asyncio.Task[None] | None = None
@@ -94,6 +101,7 @@
         Ends with a refusal at the deadline at the latest.
         """
         self.holds[hold.ticket.ticket_id] = hold
+        self.spread.begin(hold.ticket.cell)
         attempt = 0
         while not hold.answer.done():
             now = clock.now()
@@ -107,6 +115,7 @@
             self.ask(hold, ranked[attempt % len(ranked)], now)
             if not await self.is_heard(hold):
                 attempt += 1
+                self.tell_running(hold, ranked[attempt % len(ranked)])
                 continue
             await self.wait_while_held(hold)
             attempt = 0
@@ -133,6 +142,23 @@
         await asyncio.wait((hold.heard,), timeout=self.ticket_timeout)
         return hold.heard.done()
 
+    def tell_running(self, waiting: Hold, holder: ids.InstanceId) -> None:
+        """Tell the next in rank what runs in a cell, before it's asked for slots.
+
+        Nobody suspects the silent dispatcher yet, so nobody has taken its running
+        work elsewhere. The next in rank would think all slots free, and requests
+        would wait inside the engines, where no tier goes before another.
+        """
+        cell = waiting.ticket.cell
+        peer = self.members.endpoint_of(holder)
+        if peer is None or (cell, holder) in self.told:
+            return
+        self.told.add((cell, holder))
+        now = clock.now()
+        for hold in self.holds.values():
+            if hold.ticket.cell == cell and hold.ticket.running_on is not None:
+                self.transport.send(peer, current(hold, now))
+
     async def wait_while_held(self, hold: Hold) -> None:
         """Wait for the answer while the dispatcher stays the one to ask."""
         timeout = max(0.0, hold.deadline - clock.now())
@@ -144,7 +170,7 @@
 
     def leave(self, hold: Hold) -> None:
         """Give up a ticket, or a grant that wasn't used."""
-        self.holds.pop(hold.ticket.ticket_id, None)
+        self.forget(hold)
         if hold.holder is not None:
             self.tell(hold, withdrawal(hold.ticket))
 
@@ -160,6 +186,11 @@
             listener(hold.ticket, done, hold.alone, clock.now())
         self.tell(hold, done)
 
+    def forget(self, hold: Hold) -> None:
+        """Let go of a ticket that neither waits nor runs any more."""
+        if self.holds.pop(hold.ticket.ticket_id, None) is not None:
+            self.spread.end(hold.ticket.cell)
+
     def tell(self, hold: Hold, sent: message.Message) -> None:
         """Send a message to the ticket's dispatcher, if its address is known."""
         peer = self.members.endpoint_of(hold.holder)
@@ -173,6 +204,7 @@
         told to the new dispatcher too: it would promise their slots twice.
         """
         now = clock.now()
+        self.told.clear()
         for hold in list(self.holds.values()):
             ranked = self.members.rank(hold.ticket.cell, now, hold.near)
             if not ranked or self.is_held_by(hold, ranked[0]):
@@ -243,7 +275,7 @@
         """Take the word of the ticket's present dispatcher only."""
         hold = self.holds.get(refusal.ticket_id)
         if hold is not None and hold.holder == sender and not hold.answer.done():
-            self.holds.pop(refusal.ticket_id)
+            self.forget(hold)
             hold.answer.set_result(refusal)
             hold.hear()
 
--- a/src/tealcove/dispatch/servers.py
+++ b/src/tealcove/dispatch/servers.py
@@ -180,6 +180,15 @@
             self.isolated = None
         return running
 
+    def forget_expected(self) -> None:
+        """Judge the server by none of its running work.
+
+        After a pause of this process the word of their ends is still on its way,
+        and all would look late.
+        """
+        for running in self.running.values():
+            running.expected = running.expected_first = math.inf
+
     def note_count(self, now: ids.Instant) -> None:
         """Remember how many own requests run, for late load reports."""
         self.counts.append((now, len(self.running)))
--- a/src/tealcove/dispatch/shedding.py
+++ b/src/tealcove/dispatch/shedding.py
@@ -44,7 +44,8 @@
         if server.pace is not servers.Pace.NORMAL:
             continue
         for running in server.running.values():
-            ends += running.started + running.expected <= by
+            # One that is overdue has shown its prediction to be wrong.
+            ends += now < running.started + running.expected <= by
     return ends > ahead
 
 
--- /dev/null
+++ b/src/tealcove/dispatch/spread.py
@@ -0,0 +1,102 @@
+"""The choice among the cells of a pool, made by the entry."""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+from collections.abc import Callable
+
+import msgspec
+
+from tealcove import ids
+from tealcove.dispatch import cells
+from tealcove.resources import copy, kinds
+
+# By so many tickets of this entry for each of its slots the near cell must be
+# fuller than the other one before a request goes there, away from the cache.
+LEAD = 0.5
+HASH_BYTES = 8
+
+Delay = Callable[[ids.DataCentreId], float]
+
+
+class Divided(msgspec.Struct, frozen=True):
+    """A pool as it was divided, and the cells that are nearest."""
+
+    pool: kinds.Resource
+    cells: tuple[cells.Cell, ...]
+    near: tuple[cells.Cell, ...]
+
+
+class Spread:
+    """Divides each pool once per change, and spreads requests over its cells.
+
+    A request goes by the hash of its prompt's beginning, so that those who share
+    a prefix meet in one cell, whose backend servers have it cached. When the cell
+    it leads to has much more of this entry's work than another one, that one is
+    taken (power of two choices): one popular prefix mustn't fill a single cell.
+    """
+
+    def __init__(self, own: copy.ConfigurationCopy, delay: Delay) -> None:
+        self.copy = own
+        self.delay = delay
+        self.divided: dict[str, Divided] = {}
+        # Tickets of this entry that wait or run, by cell.
+        self.tickets: collections.Counter[ids.CellId] = collections.Counter()
+
+    def divide(self, pool: kinds.Resource) -> Divided:
+        """Return the cells of a pool, divided anew only when it has changed."""
+        known = self.divided.get(pool.metadata.name)
+        if known is not None and known.pool is pool:
+            return known
+        found = cells.of_pool(ids.PoolId(pool.metadata.name), pool.spec)
+        nearest = min(self.distance(cell) for cell in found)
+        near = tuple(cell for cell in found if self.distance(cell) == nearest)
+        divided = Divided(pool, found, near)
+        self.divided[pool.metadata.name] = divided
+        return divided
+
+    def distance(self, cell: cells.Cell) -> float:
+        """Return the delay in seconds to a cell's data centre."""
+        return 0.0 if cell.data_centre is None else self.delay(cell.data_centre)
+
+    def find(self, cell_id: ids.CellId) -> cells.Cell | None:
+        """Return a cell by the configuration in force, or None."""
+        name, _, number = cell_id.rpartition("/")
+        pool = self.copy.current.pool(name)
+        if pool is None or not number.isdigit():
+            return None
+        found = self.divide(pool).cells
+        return found[int(number)] if int(number) < len(found) else None
+
+    def choose(self, pool: kinds.Resource, affinity: str) -> cells.Cell:
+        """Return the cell for a request; `affinity` is alike for those that share."""
+        divided = self.divide(pool)
+        if len(divided.cells) == 1:
+            return divided.cells[0]
+        digest = hashlib.blake2b(affinity.encode(), digest_size=2 * HASH_BYTES).digest()
+        first = pick(divided.near, digest[:HASH_BYTES])
+        second = pick(divided.cells, digest[HASH_BYTES:])
+        if self.load(first) > self.load(second) + LEAD:
+            return second
+        return first
+
+    def load(self, cell: cells.Cell) -> float:
+        """Return this entry's tickets for each slot of a cell."""
+        slots = sum(server.slots for server in cell.servers)
+        return self.tickets[cell.cell_id] / max(1, slots)
+
+    def begin(self, cell_id: ids.CellId) -> None:
+        """Count a ticket that is about to be sent."""
+        self.tickets[cell_id] += 1
+
+    def end(self, cell_id: ids.CellId) -> None:
+        """Count a ticket no longer; a cell without any is forgotten."""
+        self.tickets[cell_id] -= 1
+        if self.tickets[cell_id] <= 0:
+            del self.tickets[cell_id]
+
+
+def pick(found: tuple[cells.Cell, ...], digest: bytes) -> cells.Cell:
+    """Return the cell that a digest leads to."""
+    return found[int.from_bytes(digest) % len(found)]
--- a/src/tealcove/dispatch/stragglers.py
+++ b/src/tealcove/dispatch/stragglers.py
@@ -69,8 +69,9 @@
     Servers of one named generation are held against their median; one without a
     generation only against its own usual speed, since it may differ by design.
     """
+    known = list(found)
     by_generation: dict[str, list[servers.ServerState]] = {}
-    for server in found:
+    for server in known:
         by_generation.setdefault(server.spec.generation, []).append(server)
     for generation, members in by_generation.items():
         reference = None
@@ -80,6 +81,21 @@
             server.prior = reference
             server.slowness = measure(server, now)
             set_pace(server, now)
+    keep_some(known)
+
+
+def keep_some(known: list[servers.ServerState]) -> None:
+    """Let slow servers work if a cell has no others.
+
+    Where all are late, they are no stragglers: it's the load, or the word of their
+    ends that is late, and probes only would refuse nearly everything.
+    """
+    paces = {server.pace for server in known if server.is_usable}
+    if paces != {servers.Pace.PROBED}:
+        return
+    for server in known:
+        if server.pace is servers.Pace.PROBED:
+            server.pace = servers.Pace.SLOW
 
 
 def measure(server: servers.ServerState, now: ids.Instant) -> float:
@@ -110,14 +126,14 @@
 
 def set_pace(server: servers.ServerState, now: ids.Instant) -> None:
     """Decide how much work a server may get."""
-    before = server.pace
+    was_normal = server.pace is servers.Pace.NORMAL
     if server.slowness >= PROBE_FACTOR:
         server.pace = servers.Pace.PROBED
     elif server.slowness >= SLOW_FACTOR:
         server.pace = servers.Pace.SLOW
     else:
         server.pace = servers.Pace.NORMAL
-    if before is servers.Pace.NORMAL and server.pace is not servers.Pace.NORMAL:
+    if was_normal and server.pace is not servers.Pace.NORMAL:
         server.probe_interval = PROBE_INTERVAL
         server.probe_at = ids.Instant(now + PROBE_INTERVAL)
 
--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_spread.py
@@ -0,0 +1,95 @@
+"""Requests over the cells of a pool."""
+
+from __future__ import annotations
+
+import collections
+
+from tealcove import ids
+from tealcove.dispatch import cells, spread
+from tealcove.resources import copy, kinds
+
+SERVERS = 40
+
+
+def pool(count: int = SERVERS, revision: int = 1) -> kinds.Resource:
+    """Return a pool over two data centres."""
+    servers = tuple(
+        kinds.BackendServerSpec(
+            name=f"s{number}",
+            host="127.0.0.1",
+            port=1000 + number,
+            data_centre=f"dc-{1 + 2 * number // count}",
+        )
+        for number in range(count)
+    )
+    metadata = kinds.Metadata(
+        name="p", revision=ids.Revision(revision), generation=1, changed_by="ops"
+    )
+    spec = kinds.EnginePoolSpec(servers=servers)
+    return kinds.Resource(kind=kinds.Kind.ENGINE_POOL, metadata=metadata, spec=spec)
+
+
+def choosing() -> spread.Spread:
+    """Return a spread at an entry in the second data centre."""
+    delays = {"dc-1": 0.01, "dc-2": 0.0}
+    return spread.Spread(copy.ConfigurationCopy(), lambda centre: delays[centre])
+
+
+def test_every_server_of_a_large_pool_gets_work() -> None:
+    """Engines beyond the first cell idle while callers are refused.
+
+    Symptom: a pool of more than 16 engines serves no more than one of 16.
+    Sequence: requests come for such a pool.
+    Cause: every request went to the first cell.
+    """
+    found = choosing()
+    declared = pool()
+    used: collections.Counter[str] = collections.Counter()
+    for number in range(3000):
+        cell = found.choose(declared, f"prompt {number}")
+        found.begin(cell.cell_id)
+        used[cell.cell_id] += 1
+    assert set(used) == {cell.cell_id for cell in found.divide(declared).cells}
+    assert sum(len(cell.servers) for cell in found.divide(declared).cells) == SERVERS
+
+
+def test_requests_that_share_a_beginning_meet_near_by() -> None:
+    found = choosing()
+    chosen = {found.choose(pool(), "shared").cell_id for _ in range(10)}
+    assert len(chosen) == 1
+    near = {found.choose(pool(), str(n)).data_centre for n in range(50)}
+    assert near == {"dc-2"}
+
+
+def test_a_popular_beginning_spills_over() -> None:
+    found = choosing()
+    declared = pool()
+    chosen = set()
+    for _ in range(400):
+        cell = found.choose(declared, "popular-1")
+        found.begin(cell.cell_id)
+        chosen.add(cell.cell_id)
+    assert len(chosen) == 2
+    for cell_id, count in list(found.tickets.items()):
+        for _ in range(count):
+            found.end(cell_id)
+    assert not found.tickets
+
+
+def test_a_pool_is_divided_once_per_change() -> None:
+    found = choosing()
+    declared = pool()
+    first = found.divide(declared)
+    assert found.divide(declared) is first
+    assert found.divide(pool(SERVERS + 1, revision=2)) is not first
+
+
+def test_cells_are_found_by_id() -> None:
+    found = choosing()
+    configuration = copy.empty()
+    resources = dict(configuration.resources)
+    resources[kinds.Kind.ENGINE_POOL] = {"p": pool()}
+    found.copy.move(copy.Configuration(ids.Revision(1), resources))
+    assert isinstance(found.find(ids.CellId("p/2")), cells.Cell)
+    assert found.find(ids.CellId("p/9")) is None
+    assert found.find(ids.CellId("q/0")) is None
