Spread a pool's requests over all its cells

Cause: every request went to the first cell of its pool, so engines beyond the first sixteen got nothing; and each request divided the pool anew. Change: the entry chooses by the hash of the prompt's first block, near cells first, and takes a second choice when the first has half a ticket more of its own work for each slot; a pool is divided once per change. Ruled out: the load that cells report (one more message per cell and entry); hashing alone (one popular prefix would fill one cell). A refusal for overload isn't tried in another cell yet.

--- a/src/tealcove/entry/acceptance.py
+++ b/src/tealcove/entry/acceptance.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import contextlib
-import zlib
 
 import msgspec
 from aiohttp import web
 
 from tealcove import clock, ids
 from tealcove.backends import prefixes
-from tealcove.dispatch import cells
+from tealcove.dispatch import cells, spread
 from tealcove.entry import call, caller, exchange, problem
 from tealcove.quarantine import content
 from tealcove.resources import copy, kinds
@@ -33,7 +32,10 @@
 
 
 def accept_generation(
-    received: Received, engine_call: call.EngineCall, configuration: copy.Configuration
+    received: Received,
+    engine_call: call.EngineCall,
+    configuration: copy.Configuration,
+    spreading: spread.Spread,
 ) -> exchange.Request:
     """Accept a request for an engine; raises ProblemError (rejected)."""
     rule = find_rule(received, engine_call.model, configuration)
@@ -51,12 +53,13 @@
         model=engine_call.model,
         adapter=engine_call.adapter,
     )
-    cell = divide(pool)[0]
+    beginning = work.prefix[0] if work.prefix else received.request_id
+    cell = spreading.choose(pool, str(beginning))
     return accept(received, rule, cell, work, content.digest_prompt(engine_call.prompt))
 
 
 def accept_call(
-    received: Received, configuration: copy.Configuration
+    received: Received, configuration: copy.Configuration, spreading: spread.Spread
 ) -> exchange.Request:
     """Accept a call to a plain service; raises ProblemError (rejected)."""
     check_path(received.http.path)
@@ -68,9 +71,8 @@
             "No routing rule leads to a plain service",
             "See the path, or ask the operator for a rule.",
         )
-    found = divide(pool)
-    number = zlib.crc32(received.request_id.encode()) % len(found)
-    return accept(received, rule, found[number], exchange.Work(), fingerprint(received))
+    cell = spreading.choose(pool, received.request_id)
+    return accept(received, rule, cell, exchange.Work(), fingerprint(received))
 
 
 def accept(
@@ -106,11 +108,6 @@
     return configuration.route(http.path, http.method, model, received.caller.account)
 
 
-def divide(pool: kinds.Resource) -> tuple[cells.Cell, ...]:
-    """Return the cells of a pool."""
-    return cells.divide(ids.PoolId(pool.metadata.name), pool.spec.servers)
-
-
 def check_path(path: str) -> None:
     """Refuse a path that a service could read as another one.
 
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -97,6 +97,7 @@
                     received,
                     engine_call,
                     self.configuration.current,
+                    self.tickets.spread,
                 )
                 running = self.join(accepted) or self.start(
                     generation.EngineExchange(
@@ -114,7 +115,9 @@
         with self.observer.request(request, request_id) as seen:
             try:
                 received = await self.receive(request, request_id)
-                accepted = acceptance.accept_call(received, self.configuration.current)
+                accepted = acceptance.accept_call(
+                    received, self.configuration.current, self.tickets.spread
+                )
                 running = self.join(accepted) or self.start(
                     forward.ServiceExchange(
                         accepted, self.tickets, service_call(received), self.services
--- a/src/tealcove/entry/tests/builders.py
+++ b/src/tealcove/entry/tests/builders.py
@@ -11,7 +11,7 @@
 
 from tealcove import ids, plan, settings
 from tealcove.backends import http_service
-from tealcove.dispatch import messages, requester
+from tealcove.dispatch import messages, requester, spread
 from tealcove.entry import caller, http
 from tealcove.membership import members
 from tealcove.membership import messages as membership_messages
@@ -43,7 +43,8 @@
     """Grants the one server to every ticket and notes how each ended."""
 
     def __init__(self, known: members.Members, port: int) -> None:
-        super().__init__(None, known, 1.0)
+        spreading = spread.Spread(copy.ConfigurationCopy(), lambda centre: 0.0)
+        super().__init__(None, known, 1.0, spreading)
         self.port = port
         self.ended: list[messages.Outcome] = []
 
