Tell the next in rank what runs before it's asked for slots

Cause: for the second until a dead dispatcher is suspected, entries ask the next in rank, which knows of no running work and promises taken slots again; high-tier requests then waited inside the engine behind low-tier work. Change: an entry that passes over a silent dispatcher first tells the next one what it runs in the cell. Ruled out: a longer wait before the first grant (it delays every takeover); suspecting sooner (a busy instance would be passed over). Entries without a waiting ticket tell only when they suspect the dispatcher, as before.

--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -76,6 +76,8 @@
         self.members = known
         self.ticket_timeout = ticket_timeout
         self.holds: dict[ids.TicketId, Hold] = {}
+        # Dispatchers that were told what runs in a cell although another holds it.
+        self.told: set[tuple[ids.CellId, ids.InstanceId]] = set()
         # Functions that learn how each dispatched request ended.
         self.listeners: list[Listener] = []
         self.refreshing: asyncio.Task[None] | None = None
@@ -113,6 +115,7 @@
             self.ask(hold, ranked[attempt % len(ranked)], now)
             if not await self.is_heard(hold):
                 attempt += 1
+                self.tell_running(hold, ranked[attempt % len(ranked)])
                 continue
             await self.wait_while_held(hold)
             attempt = 0
@@ -139,6 +142,23 @@
         await asyncio.wait((hold.heard,), timeout=self.ticket_timeout)
         return hold.heard.done()
 
+    def tell_running(self, waiting: Hold, holder: ids.InstanceId) -> None:
+        """Tell the next in rank what runs in a cell, before it's asked for slots.
+
+        Nobody suspects the silent dispatcher yet, so nobody has taken its running
+        work elsewhere. The next in rank would think all slots free, and requests
+        would wait inside the engines, where no tier goes before another.
+        """
+        cell = waiting.ticket.cell
+        peer = self.members.endpoint_of(holder)
+        if peer is None or (cell, holder) in self.told:
+            return
+        self.told.add((cell, holder))
+        now = clock.now()
+        for hold in self.holds.values():
+            if hold.ticket.cell == cell and hold.ticket.running_on is not None:
+                self.transport.send(peer, current(hold, now))
+
     async def wait_while_held(self, hold: Hold) -> None:
         """Wait for the answer while the dispatcher stays the one to ask."""
         timeout = max(0.0, hold.deadline - clock.now())
@@ -184,6 +204,7 @@
         told to the new dispatcher too: it would promise their slots twice.
         """
         now = clock.now()
+        self.told.clear()
         for hold in list(self.holds.values()):
             ranked = self.members.rank(hold.ticket.cell, now, hold.near)
             if not ranked or self.is_held_by(hold, ranked[0]):
