--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -187,9 +187,16 @@
             raise
         if isinstance(found, messages.Refusal):
             self.state.give_up()
-            raise problem.not_run(found.reason, found.retry_after)
+            raise problem.not_run(found.reason, self.retry_after(found))
         return found
 
+    def retry_after(self, refusal: messages.Refusal) -> float:
+        """Return the seconds after which a refused request may be sent again."""
+        is_quarantined = refusal.reason is messages.RefusalReason.QUARANTINED
+        if is_quarantined and self.gate is not None:
+            return self.gate.remaining(self.request.digest)
+        return refusal.retry_after
+
     def check_deadline(self, hold: requester.Hold) -> None:
         """Give a grant back that came too late, such as to a frozen entry."""
         if clock.now() < self.request.deadline:
--- a/src/tealcove/entry/gate.py
+++ b/src/tealcove/entry/gate.py
@@ -28,9 +28,10 @@
     ) -> limits_role.Charge:
         """Return the charge of the predicted tokens; raises ProblemError (not run)."""
         if self.quarantine.is_quarantined(digest):
-            remaining = self.quarantine.remaining(digest, clock.now())
             raise problem.not_run(
-                messages.RefusalReason.QUARANTINED, remaining, QUARANTINED
+                messages.RefusalReason.QUARANTINED,
+                self.remaining(digest),
+                QUARANTINED,
             )
         try:
             return await self.limits.admit(who.account, tokens)
@@ -39,6 +40,10 @@
                 messages.RefusalReason.ACCOUNT_LIMIT, error.retry_after, str(error)
             ) from error
 
+    def remaining(self, digest: str) -> float:
+        """Return the seconds until a content's quarantine ends."""
+        return self.quarantine.remaining(digest, clock.now())
+
     def lost(
         self, ticket: messages.Ticket, server: ids.BackendServerId, alone: bool
     ) -> None:
--- a/src/tealcove/quarantine/marks.py
+++ b/src/tealcove/quarantine/marks.py
@@ -89,6 +89,8 @@
     def __init__(self, quarantine_seconds: float) -> None:
         self.quarantine_seconds = quarantine_seconds
         self.marks: dict[str, Mark] = {}
+        # Changes with every mark.
+        self.version = 0
 
     def verdict(self, digest: str, now: ids.Instant) -> Verdict:
         """Judge a digest."""
@@ -115,6 +117,7 @@
             return False
         added = {crash.request_id for crash in mark.crashes} - mark.cleared
         mark.cleared |= added
+        self.version += bool(added)
         return bool(added)
 
     def holds_against(self, digest: str, run: ids.RequestId) -> bool:
@@ -145,6 +148,7 @@
         mark.crashes |= crashes
         mark.cleared |= cleared
         self.marks[shared.digest] = mark
+        self.version += 1
         self.make_room()
         return True
 
@@ -159,6 +163,7 @@
         for digest, mark in list(self.marks.items()):
             if mark.until <= now:
                 del self.marks[digest]
+                self.version += 1
 
     def shared(self, digest: str, now: ids.Instant) -> SharedMark | None:
         """Return a mark as it travels; None when it's not worth sharing."""
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -44,6 +44,11 @@
         """End all tasks."""
         await tasks.stop(self.tasks)
 
+    @property
+    def version(self) -> int:
+        """See Suspicion."""
+        return self.marks.version
+
     def is_suspect(self, digest: str) -> bool:
         """See Suspicion."""
         return self.marks.verdict(digest, clock.now()) is marks.Verdict.SUSPECT
@@ -63,7 +68,7 @@
         alone: bool,
         now: ids.Instant,
     ) -> None:
-        """Mark a request whose backend server is gone while it ran there.
+        """See Suspicion.
 
         The entry calls this as soon as the server refuses connections, long
         before it gives the request up: in the meantime the caller may send the
--- a/src/tealcove/quarantine/sharing.py
+++ b/src/tealcove/quarantine/sharing.py
@@ -108,4 +108,4 @@
 
 def address(heartbeat: membership_messages.Heartbeat) -> endpoint.Endpoint:
     """Return where the sender of a heartbeat listens for messages."""
-    return endpoint.Endpoint(heartbeat.host, heartbeat.peer_port)
+    return heartbeat.endpoint
--- a/src/tealcove/quarantine/tests/test_keeping.py
+++ b/src/tealcove/quarantine/tests/test_keeping.py
@@ -1,12 +1,12 @@
-"""Marks in the platform's table, and crashes that only a dispatcher sees."""
+"""Marks in the platform's table."""
 
 from __future__ import annotations
 
 import pytest
 
-from tealcove import errors, ids
+from tealcove import errors
 from tealcove.platform import faults, memory
-from tealcove.quarantine import keeping, marks, watch
+from tealcove.quarantine import keeping, marks
 from tealcove.quarantine.tests import builders
 
 D = builders.DIGEST
@@ -64,27 +64,3 @@
     await keeping.Keeper(platform.table, after).step(T0, WALL + 2 * builders.SECONDS)
     assert after.marks == {}
     assert await platform.table.scan(keeping.TABLE) == ()
-
-
-def test_the_dispatcher_speaks_for_entries_that_are_gone() -> None:
-    """A request that kills its server and outlives the count.
-
-    Symptom: more than two servers die of one request. Sequence: its entry is
-    killed while the server crashes, and the caller sends it elsewhere. Cause:
-    nobody is left who saw the connection break.
-    """
-    alive = {"e1", "e2"}
-    found = watch.Watch(lambda instance: instance in alive)
-    server = ids.BackendServerId("s1")
-    for number, entry in ((1, "e1"), (2, "e2"), (3, "e1")):
-        ticket = builders.ticket(number, entry)
-        found.granted(ticket, builders.grant(number, "s1"), T0)
-    found.ended(ids.TicketId("t3"))
-    alive.remove("e1")
-    for _ in range(watch.MISSED_REPORTS - 1):
-        assert found.reported(server, False, T0) == []
-    lost = found.reported(server, False, T0)
-    assert [one.ticket.ticket_id for one in lost] == ["t1"]
-    assert found.reported(server, False, T0) == []
-    found.sweep(T0 + 11.0)
-    assert found.tickets == {}
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,122 @@
+"""A request that crashes backend servers, sent again and again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import pathlib
+
+import aiohttp
+import msgspec
+import syrupy
+
+from tealcove.standins import engine_counts
+from tests import callers, deployment
+
+ENGINES = 6
+INSTANCES = 3
+SENDINGS = 12
+GOOD_CALLERS = 6
+MARKER = "crash-now"
+BAD = f"a recipe with {MARKER} in it"
+
+
+class Crashed(msgspec.Struct):
+    """The line that an engine prints when a prompt has crashed it."""
+
+    event: str
+    counts: engine_counts.EngineCounts
+
+
+class GoodTraffic:
+    """Callers who send prompts of their own, and again what was interrupted."""
+
+    def __init__(self, running: deployment.Deployment) -> None:
+        self.running = running
+        self.replies: list[callers.Reply] = []
+        self.ended = asyncio.Event()
+        self.numbers = itertools.count()
+
+    async def call(self, number: int) -> None:
+        while not self.ended.is_set():
+            url = self.running.instances[number % INSTANCES].url
+            await self.complete(url, f"good recipe {next(self.numbers)}")
+
+    async def complete(self, url: str, prompt: str) -> None:
+        async with asyncio.timeout(deployment.READY_TIMEOUT):
+            while True:
+                reply = await callers.complete(self.running.session, url, prompt, 20)
+                self.replies.append(reply)
+                if reply.outcome == "completed":
+                    assert callers.is_own(reply, prompt, 20)
+                    return
+                assert reply.outcome in ("interrupted", "not_run"), reply
+
+
+def crashed_engines(folder: pathlib.Path) -> list[engine_counts.EngineCounts]:
+    """Return what the engines that crashed had counted."""
+    found = []
+    for number in range(ENGINES):
+        for line in (folder / f"engine-{number}.log").read_bytes().splitlines():
+            if line.startswith(b'{"event":"crashed"'):
+                found.append(msgspec.json.decode(line, type=Crashed).counts)
+    return found
+
+
+async def dispatched_to_the_living(running: deployment.Deployment) -> set[str]:
+    """Return the ids of all requests that engines which still run have got."""
+    found = set()
+    for engine in running.engines:
+        with contextlib.suppress(aiohttp.ClientConnectionError):
+            found |= set((await running.counts(engine))["dispatches"])
+    return found
+
+
+async def test_one_bad_request_costs_two_of_six_engines(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """One request that kills every engine.
+
+    Symptom: engine after engine dies within a minute. Sequence: a prompt crashes
+    the engine that runs it; its caller is told that it's safe to send again, and
+    does so, each time to another entry. Cause: no entry knows what the others saw.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        for _ in range(ENGINES):
+            await running.add_engine(
+                crash_marker=MARKER, decode_seconds_per_token=0.005
+            )
+        for _ in range(INSTANCES):
+            await running.add_instance()
+        await running.declare()
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+        traffic = GoodTraffic(running)
+        good = [asyncio.create_task(traffic.call(n)) for n in range(GOOD_CALLERS)]
+        session = [
+            await callers.complete(
+                running.session,
+                running.instances[n % INSTANCES].url,
+                BAD,
+                extra={"Tealcove-Deadline": "10"},
+            )
+            for n in range(SENDINGS)
+        ]
+        traffic.ended.set()
+        await asyncio.gather(*good)
+        crashed = crashed_engines(tmp_path)
+        assert len(crashed) == 2
+        # An engine may die between the connection and the request, uncounted, so
+        # it's those that live on which have to have completed what they got.
+        ran = await dispatched_to_the_living(running)
+        for reply in traffic.replies:
+            assert reply.outcome == "completed" or reply.request_id not in ran, reply
+        # The second one ran the suspect alone, so that nothing else was lost.
+        lost_runs = [
+            set(counts.dispatches) - set(counts.completed) for counts in crashed
+        ]
+        assert min(len(runs) for runs in lost_runs) == 1
+        told = [(reply.status, reply.outcome, reply.reason) for reply in session]
+        assert told == snapshot
