Prove that configuration survives outages, replacements and races

Cause: 'in force everywhere and never reverts' had no proof with processes. Change: a session in which all three instances are killed and replaced while the platform is down, and one in which three writers race through three instances while replies are lost.

--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,182 @@
+"""An accepted configuration is in force everywhere and never reverts."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import pathlib
+
+import aiohttp
+import syrupy
+
+from tests import deployment
+
+OPERATOR = {"Authorization": f"Bearer {deployment.OPERATOR_KEY}"}
+TIER = "/admin/v1/service-tiers/middle"
+WRITERS = 3
+CHANGES_EACH = 8
+
+
+async def read_tier(
+    running: deployment.Deployment, instance: deployment.Process
+) -> dict[str, object]:
+    """Return the tier as one instance shows it."""
+    async with running.session.get(instance.url + TIER, headers=OPERATOR) as response:
+        return await response.json()
+
+
+async def write_tier(
+    running: deployment.Deployment,
+    instance: deployment.Process,
+    deadline: float,
+    revision: int,
+    key: str,
+) -> int:
+    """Write the tier and return the answer's status; 0 when it was cut off."""
+    headers = {**OPERATOR, "If-Match": f'"{revision}"', "Idempotency-Key": key}
+    body = {"spec": {"rank": 1, "default_deadline": deadline}}
+    try:
+        async with running.session.put(
+            instance.url + TIER, headers=headers, json=body
+        ) as response:
+            return response.status
+    except aiohttp.ClientError:
+        return 0
+
+
+async def until_everywhere(running: deployment.Deployment, deadline: float) -> None:
+    """Wait until every instance shows a default deadline."""
+
+    async def is_everywhere() -> bool:
+        found = [await read_tier(running, i) for i in running.instances]
+        return all(t["spec"]["default_deadline"] == deadline for t in found)
+
+    await deployment.until(is_everywhere)
+
+
+async def start(tmp_path: pathlib.Path) -> deployment.Deployment:
+    """Return a deployment of three instances with resources in force."""
+    running = deployment.Deployment(tmp_path)
+    await running.__aenter__()
+    for _ in range(3):
+        await running.add_instance()
+    await running.declare()
+    for instance in running.instances:
+        await running.wait_until_ready(instance)
+    await running.wait_for_members()
+    await until_everywhere(running, 60.0)
+    return running
+
+
+async def test_instances_replaced_during_an_outage(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """A replaced instance serves by an older configuration, or not at all.
+
+    Symptom: a key that was taken back works again at some instances.
+    Sequence: a change is accepted; the platform is down for long; all instances
+    are killed and replaced one after the other; the platform comes back.
+    Cause: a starting instance that can't read the platform begins with nothing,
+    or with whatever it finds first.
+    """
+    session = []
+    running = await start(tmp_path)
+    try:
+        revision = (await read_tier(running, running.instances[0]))["metadata"][
+            "revision"
+        ]
+        code = await write_tier(running, running.instances[0], 33.0, revision, "one")
+        await until_everywhere(running, 33.0)
+        session.append(f"change before the outage: {code}, in force on 3 of 3")
+        await running.set_faults(running.platform, {"down": True})
+        for instance in running.instances:
+            await instance.end()
+            await running.start(instance)
+            await running.wait_until_ready(instance)
+            found = await read_tier(running, instance)
+            session.append(
+                f"{instance.name} replaced during the outage: deadline "
+                f"{found['spec']['default_deadline']}"
+            )
+            await running.wait_for_members()
+        revision = found["metadata"]["revision"]
+        code = await write_tier(running, running.instances[1], 44.0, revision, "two")
+        session.append(f"change during the outage: {code}")
+        await until_everywhere(running, 33.0)
+        await running.set_faults(running.platform, {})
+        code = await write_tier(running, running.instances[1], 55.0, revision, "three")
+        await until_everywhere(running, 55.0)
+        session.append(f"change after the outage: {code}, in force on 3 of 3")
+        assert session == snapshot
+    finally:
+        await running.__aexit__()
+
+
+async def test_operators_race_while_replies_are_lost(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """A change is lost, applied twice, or undone by another's.
+
+    Symptom: an operator's accepted change is gone without a conflict.
+    Sequence: three writers change one resource through three instances, each on
+    the revision that it read, while the platform loses replies.
+    Cause: a change is written again after a lost reply, over another's.
+    """
+    running = await start(tmp_path)
+    try:
+        before = await read_tier(running, running.instances[0])
+        stop = asyncio.Event()
+        losing = running.spawn(lose_replies(running, stop))
+        writers = [write_many(running, number) for number in range(WRITERS)]
+        accepted = sum(await asyncio.gather(*writers))
+        stop.set()
+        await losing
+        await running.set_faults(running.platform, {})
+        # A last change comes after all others in the log, so whoever has it in
+        # force has them too.
+        await write_until_accepted(running, running.instances[0], 7.0, "last")
+        await until_everywhere(running, 7.0)
+        after = await read_tier(running, running.instances[2])
+        grown = after["metadata"]["generation"] - before["metadata"]["generation"] - 1
+        session = [
+            f"accepted changes: {accepted} of {WRITERS * CHANGES_EACH}",
+            f"each applied exactly once: {grown == accepted}",
+        ]
+        assert session == snapshot
+    finally:
+        await running.__aexit__()
+
+
+async def lose_replies(running: deployment.Deployment, stop: asyncio.Event) -> None:
+    """Let the platform lose a reply again and again."""
+    while not stop.is_set():
+        await running.set_faults(running.platform, {"lose_replies": 1})
+        await asyncio.sleep(0.02)
+
+
+async def write_many(running: deployment.Deployment, number: int) -> int:
+    """Make some changes, each until it's accepted; return how many were."""
+    instance = running.instances[number]
+    for change in range(CHANGES_EACH):
+        deadline = 100.0 + number * CHANGES_EACH + change
+        await write_until_accepted(running, instance, deadline, f"{number}-{change}")
+    return CHANGES_EACH
+
+
+async def write_until_accepted(
+    running: deployment.Deployment,
+    instance: deployment.Process,
+    deadline: float,
+    key: str,
+) -> None:
+    """Make one change, on the newest revision after each conflict."""
+    for attempt in itertools.count():
+        revision = (await read_tier(running, instance))["metadata"]["revision"]
+        one = f"{key}-{attempt}"
+        code = await write_tier(running, instance, deadline, revision, one)
+        while code in (0, 503):
+            # The outcome isn't known: the same key asks what became of it.
+            code = await write_tier(running, instance, deadline, revision, one)
+        if code == 200:
+            return
+        assert code == 409
