Prove that 'not run' is true amid a burst and failures

Cause: the point 'when a caller is told a request was not run' had no proof. Change: a session of 300 requests of all tiers, a fifth non-idempotent, with engines that refuse connections, a dispatcher frozen and killed and the platform down; the engines' counts are held against the answers. Ruled out: a golden file of each reply (which ones are refused depends on the moment): the lines say what must hold for all of them.

--- /dev/null
+++ b/tests/test_not_run.py
@@ -0,0 +1,108 @@
+"""When a caller is told that a request was not run, it truly was not run."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import random
+
+import syrupy
+
+from tests import callers, deployment
+
+REQUESTS = 300
+LENGTHS = (2, 10, 60)
+DEADLINES = ("0.3", "1.0", "4.0")
+
+
+async def test_a_burst_amid_failures(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """A request that was told `not_run` was run all the same.
+
+    Symptom: a caller sends a quote by hand after `not_run`, and its client gets
+    it twice.
+    Sequence: a burst of all tiers with short deadlines over three instances;
+    engines refuse connections for a while, one is killed, the dispatcher is
+    frozen and killed, the platform is down for non-idempotent requests.
+    Cause: a refusal and a grant, or a refusal and a dispatch, cross each other.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        for _ in range(3):
+            await running.add_engine(decode_seconds_per_token=0.005, slots=2)
+        for _ in range(3):
+            await running.add_instance()
+        await running.declare(slots=2)
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+        dispatcher = await running.dispatcher("engines/0")
+        others = [i for i in running.instances if i is not dispatcher]
+        choose = random.Random(7)
+        calls = [
+            running.spawn(send(running, choose, number, others))
+            for number in range(REQUESTS)
+        ]
+        await some_done(calls, 30)
+        await running.set_faults(running.engines[0], {"refuse_seconds": 0.5})
+        await some_done(calls, 80)
+        dispatcher.freeze()
+        await some_done(calls, 130)
+        await running.set_faults(running.platform, {"down": True})
+        dispatcher.kill()
+        await some_done(calls, 180)
+        await running.set_faults(running.engines[1], {"refuse_seconds": 0.5})
+        await running.set_faults(running.platform, {})
+        replies = await asyncio.gather(*calls)
+        assert await describe(running, replies) == snapshot
+
+
+async def send(
+    running: deployment.Deployment,
+    choose: random.Random,
+    number: int,
+    entries: list[deployment.Process],
+) -> callers.Reply:
+    """Send one request of the burst."""
+    tier = choose.choice(("high", "middle", "low"))
+    extra = {"Tealcove-Deadline": choose.choice(DEADLINES)}
+    length = choose.choice(LENGTHS)
+    if number % 5 == 0:
+        extra["Tealcove-Idempotent"] = "no"
+        extra["Idempotency-Key"] = f"key-{number}"
+    entry = entries[number % len(entries)]
+    await asyncio.sleep(number * 0.01)
+    prompt = f"burst {number}"
+    return await callers.complete(
+        running.session, entry.url, prompt, length, tier, extra
+    )
+
+
+async def some_done(calls: list[asyncio.Task[callers.Reply]], count: int) -> None:
+    """Wait until so many calls are done."""
+
+    async def enough() -> bool:
+        return sum(call.done() for call in calls) >= count
+
+    await deployment.until(enough)
+
+
+async def describe(
+    running: deployment.Deployment, replies: list[callers.Reply]
+) -> list[str]:
+    """Return what was found, in lines that are alike on every run."""
+    dispatched: collections.Counter[str] = collections.Counter()
+    for engine in running.engines:
+        dispatched.update((await running.counts(engine))["dispatches"])
+    not_run = [reply for reply in replies if reply.outcome == "not_run"]
+    run_all_the_same = [r for r in not_run if dispatched[r.request_id]]
+    outcomes = {reply.outcome for reply in replies}
+    allowed = {"completed", "not_run", "interrupted", "unknown"}
+    return [
+        f"every request has a final answer: {outcomes <= allowed}",
+        f"some were not run: {len(not_run) > 0}",
+        f"some were completed: {'completed' in outcomes}",
+        f"told not run, but dispatched: {len(run_all_the_same)}",
+        f"dispatched twice: {sum(n > 1 for n in dispatched.values())}",
+    ]
