Judge speeds where they are known; keep slots for the short work that comes

Cause: at 1.5 times capacity with real processes, servers were taken for 2 to 12 times slower than their generation and got less work. The reference mixed one server's intercept with another's slope and was faster than any server; lines of servers that are always full had slopes of noise; speeds were compared for an empty server, where neither was known. And a quarter of all slots was kept for short work that would have filled an eighth. Change: the median is one server's speed as a whole; slopes are drawn to the one they started from; speeds are compared at the mean of the own observations; of the pool's share, only 1.5 times the short work's mean demand is kept (over 5 s, one slot a server at least, if the share is as much). Changes of pace are logged.

--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -53,6 +53,8 @@
             had_slack=ticket.remaining + ticket.waited
             > found.loaded + choice.DEADLINE_MARGIN + shedding.LEAD,
         )
+        if is_short:
+            self.fleet.short_seconds += found.loaded
         if self.suspicion.is_suspect(ticket.digest):
             waiting.lane = queue.SUSPECTS
         self.enter(waiting)
--- a/src/tealcove/dispatch/choice.py
+++ b/src/tealcove/dispatch/choice.py
@@ -49,7 +49,7 @@
     found: Iterable[servers.ServerState],
     now: ids.Instant,
     crowd: int,
-    short_share: float,
+    keeps_short: bool,
 ) -> servers.ServerState | None:
     """Return the server with a free slot that ends a ticket soonest, in time.
 
@@ -59,7 +59,7 @@
     best = None
     best_seconds = waiting.deadline - DEADLINE_MARGIN - now
     for server in found:
-        if not has_room(server, waiting, short_share):
+        if not has_room(server, waiting, keeps_short):
             continue
         if server.name in waiting.ticket.excluded:
             continue
@@ -75,12 +75,12 @@
 
 
 def has_room(
-    server: servers.ServerState, waiting: queue.Waiting, short_share: float
+    server: servers.ServerState, waiting: queue.Waiting, keeps_short: bool
 ) -> bool:
     """Tell whether a server has a slot free that a ticket may take."""
     if waiting.lane.is_short:
         return server.free() > 0
-    return server.free_long(short_share) > 0
+    return server.free_long(keeps_short) > 0
 
 
 def is_probe(
--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -166,7 +166,7 @@
         outgoing = []
         promised = self.state.queue.tickets.get(running.preempted_for)
         if promised is not None:
-            found = choice.choose(promised, (server,), now, 0, 0.0)
+            found = choice.choose(promised, (server,), now, 0, keeps_short=False)
             if found is not None:
                 outgoing.append(self.state.grant(promised, found, now))
         freed = (server,)
@@ -250,6 +250,7 @@
         for server in found:
             self.drop_orphans(server, now)
         stragglers.judge(found, now)
+        self.state.fleet.keep_short(now)
         return self.decide(found, now)
 
     def drop_orphans(self, server: servers.ServerState, now: ids.Instant) -> None:
--- a/src/tealcove/dispatch/filling.py
+++ b/src/tealcove/dispatch/filling.py
@@ -60,7 +60,7 @@
     ) -> list[queue.Lane]:
         """Return the lanes that some of the free slots are open to."""
         fleet = self.state.fleet
-        long_open = any(s.free_long(fleet.short_share) > 0 for s in free)
+        long_open = any(s.free_long(keeps_short=True) > 0 for s in free)
         return [
             lane
             for lane in queue.SHARED
@@ -87,8 +87,7 @@
     ) -> servers.ServerState | None:
         """Return the server for a ticket, among some with free slots."""
         crowd = len(self.state.queue)
-        share = self.state.fleet.short_share
-        return choice.choose(waiting, free, now, crowd, share)
+        return choice.choose(waiting, free, now, crowd, keeps_short=True)
 
     def grant(
         self, waiting: queue.Waiting, server: servers.ServerState, now: ids.Instant
--- a/src/tealcove/dispatch/fleet.py
+++ b/src/tealcove/dispatch/fleet.py
@@ -12,6 +12,10 @@
 # tier would have to be refused while lower work is being served.
 STOPPABLE_SHARE = 0.25
 TOP_RANK = 0
+# Slots kept for short work, by the slots that it would fill all the time.
+SHORT_HEADROOM = 1.5
+# Seconds over which the amount of short work is averaged.
+SHORT_WINDOW = 5.0
 
 
 class Fleet:
@@ -27,6 +31,11 @@
         self.slots = 0
         self.short_share = 0.0
         self.short_tokens = 0
+        # Slots that short work would fill all the time; None: not known yet.
+        self.short_demand: float | None = None
+        # Predicted seconds of short work that arrived since then.
+        self.short_seconds = 0.0
+        self.short_since = ids.Instant(0.0)
 
     def configure(self, cell: cells.Cell) -> list[ids.TicketId]:
         """Take over the cell's servers; return tickets that ran on dropped ones."""
@@ -45,8 +54,39 @@
             if name not in names:
                 lost.extend(self.servers.pop(name).running)
         self.slots = sum(spec.slots for spec in cell.servers)
+        self.set_kept()
         return lost
 
+    def keep_short(self, now: ids.Instant) -> None:
+        """Follow the amount of short work with the slots that are kept for it."""
+        seconds = now - self.short_since
+        if seconds <= 0.0:
+            return
+        part = min(1.0, seconds / SHORT_WINDOW)
+        if self.short_demand is not None:
+            rate = self.short_seconds / seconds
+            self.short_demand += part * (rate - self.short_demand)
+        elif self.short_since > 0.0:
+            self.short_demand = self.slots * self.short_share / SHORT_HEADROOM
+        self.short_since = now
+        self.short_seconds = 0.0
+        self.set_kept()
+
+    def set_kept(self) -> None:
+        """Keep slots of each server for short work.
+
+        The pool's share is the most; less is kept where little short work comes,
+        since kept slots idle while long work waits. One slot always stays, if the
+        share is as much, so that the first short request needn't wait.
+        """
+        share = self.short_share
+        if self.short_demand is not None:
+            wanted = SHORT_HEADROOM * self.short_demand / max(1, self.slots)
+            share = min(share, wanted)
+        for server in self.servers.values():
+            most = int(server.spec.slots * self.short_share)
+            server.kept_short = max(min(1, most), int(server.spec.slots * share))
+
     def start(
         self, server: servers.ServerState, running: servers.Running, now: ids.Instant
     ) -> None:
--- a/src/tealcove/dispatch/line.py
+++ b/src/tealcove/dispatch/line.py
@@ -9,8 +9,8 @@
 # What the line that it starts from counts, against 1 for a whole observation.
 PRIOR_WEIGHT = 0.5
 # Where x varies by less than this part of the line's span (as a standard
-# deviation), the slope can't be told from noise and stays as it is.
-LEAST_SPREAD = 0.05
+# deviation), its start tells more of the slope than the observations.
+LEAST_SPREAD = 0.1
 
 
 class Line(msgspec.Struct):
@@ -20,6 +20,8 @@
     slope: float
     # The range of x over which the line is of use.
     span: float
+    # The slope that it started from.
+    start_slope: float
     # Sums over the observations: of weights, x, y, x * x and x * y.
     weight: float = 0.0
     sum_x: float = 0.0
@@ -30,7 +32,7 @@
     @classmethod
     def start(cls, intercept: float, slope: float, span: float) -> Line:
         """Return a line to start from, known at 0 and at `span`."""
-        line = cls(intercept, slope, span)
+        line = cls(intercept, slope, span, slope)
         line.add(0.0, intercept, PRIOR_WEIGHT)
         line.add(span, intercept + slope * span, PRIOR_WEIGHT)
         return line
@@ -70,14 +72,23 @@
         self.sum_xy += weight * x * y
 
     def solve(self) -> None:
-        """Fit the line to the sums (weighted least squares)."""
-        mean_x = self.sum_x / self.weight
+        """Fit the line to the sums: least squares, drawn to the start's slope.
+
+        Without that, a server that is always full would have a slope of noise, and
+        predictions for the empty server would be far off.
+        """
+        mean_x = self.mean()
         mean_y = self.sum_y / self.weight
         spread = self.sum_xx / self.weight - mean_x * mean_x
-        if spread > (LEAST_SPREAD * self.span) ** 2:
-            product = self.sum_xy / self.weight - mean_x * mean_y
-            self.slope = max(0.0, product / spread)
+        product = self.sum_xy / self.weight - mean_x * mean_y
+        pull = (LEAST_SPREAD * self.span) ** 2
+        slope = (product + pull * self.start_slope) / (max(0.0, spread) + pull)
+        self.slope = max(0.0, slope)
         self.intercept = mean_y - self.slope * mean_x
         if self.intercept < 0.0:
             self.intercept = 0.0
             self.slope = self.sum_xy / self.sum_xx if self.sum_xx else 0.0
+
+    def mean(self) -> float:
+        """Return the mean x of the observations: where the line is known best."""
+        return self.sum_x / self.weight if self.weight else 0.0
--- a/src/tealcove/dispatch/pressure.py
+++ b/src/tealcove/dispatch/pressure.py
@@ -74,7 +74,9 @@
         if fleet.keeps_back(rank, waiting.lane.idempotent):
             return None
         waiting.look_again = ids.Instant(now + shedding.STOP_SECONDS)
-        server = choice.choose(waiting, fleet.servers.values(), now, 0, 0.0)
+        server = choice.choose(
+            waiting, fleet.servers.values(), now, 0, keeps_short=False
+        )
         if server is not None:
             return self.state.grant(waiting, server, now)
         if not fleet.can_stop_below(rank):
--- a/src/tealcove/dispatch/servers.py
+++ b/src/tealcove/dispatch/servers.py
@@ -74,6 +74,8 @@
         self.spec = spec
         self.running: dict[ids.TicketId, Running] = {}
         self.long_running = 0
+        # Slots that long work may not take.
+        self.kept_short = 0
         self.reachable = True
         self.leaving = False
         # Set while a suspect runs alone or the server empties for it.
@@ -141,12 +143,12 @@
             return 0
         return self.allowed() - len(self.running) - self.foreign
 
-    def free_long(self, short_share: float) -> int:
+    def free_long(self, keeps_short: bool) -> int:
         """Return the slots that may be granted to long work now.
 
-        The share kept for short work is of all slots, and rounded down.
+        `keeps_short` says whether the slots kept for short work are left alone.
         """
-        kept = int(self.spec.slots * short_share)
+        kept = self.kept_short if keeps_short else 0
         room = max(1, self.allowed() - kept) - self.long_running - self.foreign
         return min(self.free(), room)
 
--- a/src/tealcove/dispatch/speeds.py
+++ b/src/tealcove/dispatch/speeds.py
@@ -17,6 +17,8 @@
 DEFAULT_SLOWDOWN = 0.02
 # Prompts below this are too short to tell the time that a token of them takes.
 LEAST_PREFILL_TOKENS = 64
+# Output tokens of the request by which servers are put in order.
+MEDIAN_OUTPUT = 64
 # What a line that a server starts from is taken to be known for.
 PREFILL_SPAN = 1000.0
 BATCH_SPAN = 7.0
@@ -94,22 +96,18 @@
 
 
 def median(found: Iterable[Speed]) -> Speed | None:
-    """Return the median of observed speeds; None when there are none.
+    """Return the middle one of observed speeds; None when there are none.
 
     Of an even number it is the faster middle one, so that of two servers the
-    slow one is seen to be slow.
+    slow one is seen to be slow. It is one server's speed as a whole: a mixture of
+    one's intercept and another's slope may be faster than any server is.
     """
     observed = [speed for speed in found if speed.observations > 0]
     if not observed:
         return None
-    prefill = line.Line.start(
-        statistics.median_low(s.prefill.intercept for s in observed),
-        statistics.median_low(s.prefill.slope for s in observed),
-        PREFILL_SPAN,
+    uncached = statistics.fmean(speed.prefill.mean() for speed in observed)
+    others = statistics.fmean(speed.decode.mean() for speed in observed)
+    ordered = sorted(
+        observed, key=lambda speed: speed.predict(uncached, MEDIAN_OUTPUT, others)
     )
-    decode = line.Line.start(
-        statistics.median_low(s.decode.intercept for s in observed),
-        statistics.median_low(s.decode.slope for s in observed),
-        BATCH_SPAN,
-    )
-    return Speed(prefill, decode, len(observed))
+    return ordered[(len(ordered) - 1) // 2]
--- a/src/tealcove/dispatch/stragglers.py
+++ b/src/tealcove/dispatch/stragglers.py
@@ -9,9 +9,13 @@
 import math
 from collections.abc import Iterable
 
+import logbook
+
 from tealcove import ids
 from tealcove.dispatch import messages, servers, speeds
 
+log = logbook.Logger("dispatch")
+
 # Times slower than expected from which a server gets less work, or only probes.
 SLOW_FACTOR = 2.0
 PROBE_FACTOR = 5.0
@@ -28,8 +32,7 @@
 KEEP = 0.9
 # What an observation leaves in place of a server's usual speed.
 USUAL_KEEP = 0.995
-# The request by which speeds are compared, in tokens.
-SAMPLE_PROMPT = 256
+# Output tokens of the request by which speeds are compared.
 SAMPLE_OUTPUT = 64
 
 
@@ -101,15 +104,14 @@
 def measure(server: servers.ServerState, now: ids.Instant) -> float:
     """Return how many times slower than expected a server is."""
     late = max((lateness(r, now) for r in server.running.values()), default=1.0)
-    if server.speed.observations == 0:
+    own = server.speed
+    if own.observations == 0:
         return late
-    expected = sample(server.baseline)
-    return max(1.0, late, sample(server.speed) / expected)
-
-
-def sample(speed: speeds.Speed) -> float:
-    """Return the seconds of the request by which speeds are compared."""
-    return max(1e-6, speed.predict(SAMPLE_PROMPT, SAMPLE_OUTPUT, 0.0))
+    # Compared where it is known best: elsewhere, lines differ by chance.
+    uncached, others = own.prefill.mean(), own.decode.mean()
+    expected = server.baseline.predict(uncached, SAMPLE_OUTPUT, others)
+    seen = own.predict(uncached, SAMPLE_OUTPUT, others)
+    return max(1.0, late, seen / max(1e-6, expected))
 
 
 def lateness(running: servers.Running, now: ids.Instant) -> float:
@@ -126,7 +128,8 @@
 
 def set_pace(server: servers.ServerState, now: ids.Instant) -> None:
     """Decide how much work a server may get."""
-    was_normal = server.pace is servers.Pace.NORMAL
+    before = server.pace
+    was_normal = before is servers.Pace.NORMAL
     if server.slowness >= PROBE_FACTOR:
         server.pace = servers.Pace.PROBED
     elif server.slowness >= SLOW_FACTOR:
@@ -136,6 +139,9 @@
     if was_normal and server.pace is not servers.Pace.NORMAL:
         server.probe_interval = PROBE_INTERVAL
         server.probe_at = ids.Instant(now + PROBE_INTERVAL)
+    if server.pace is not before:
+        pace, slowness = server.pace.value, server.slowness
+        log.info("{} is {}: {:.1f} times as slow", server.name, pace, slowness)
 
 
 def note_probe(
--- a/src/tealcove/dispatch/tests/test_choice.py
+++ b/src/tealcove/dispatch/tests/test_choice.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tealcove import ids
 from tealcove.backends import engine
 from tealcove.dispatch import fair, line, messages, servers, speeds
 from tealcove.dispatch.tests import builders
@@ -67,6 +68,21 @@
     assert len(builders.fill(found, 8, NOW, output_tokens=100)) == 2
 
 
+def test_less_is_kept_for_short_work_that_doesn_t_come() -> None:
+    found = open_servers(1.0, slots=8)
+    for tenths in range(20, 400):
+        found.tick(builders.instant(tenths / 10))
+    now = builders.instant(40)
+    assert len(builders.fill(found, 8, now, output_tokens=1000)) == 7
+    assert len(builders.fill(found, 8, now, output_tokens=100)) == 1
+    # A line of short requests gets more, once slots fall free.
+    for _ in range(40):
+        found.enqueue(builders.ticket(), now)
+        now = ids.Instant(now + 0.25)
+        found.tick(now)
+    assert found.state.fleet.servers["s0"].kept_short == 2
+
+
 def test_a_long_prompt_that_is_cached_is_short_work() -> None:
     found = open_servers(1.0, slots=4)
     found.state.fleet.servers["s0"].index.note_grant(PREFIX)
--- a/src/tealcove/dispatch/tests/test_machine.py
+++ b/src/tealcove/dispatch/tests/test_machine.py
@@ -93,7 +93,10 @@
     def enqueue(
         self, rank: int, account: int, idempotent: bool, output: int, remaining: float
     ) -> None:
+        # The same in each replay, so that hypothesis can draw from them again.
+        number = len(self.tickets)
         ticket = builders.ticket(
+            ticket_id=ids.TicketId(f"tkt-{number:04}"),
             tier_rank=rank,
             account=f"account-{account}",
             idempotent=idempotent,
