Test the dispatcher role: leaving, crashes, takeovers, lost entries

Cause: what the role reads and drops was only proved through whole processes. Change: tests with scripted engines for each way to learn that a server leaves, for a load reading that began before a crash, for a cell that another dispatcher may have served, for cache events and for a replaced entry.

--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_role.py
@@ -0,0 +1,222 @@
+"""The dispatcher role: what it reads from servers, and when a cell may be shared."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+import pytest
+
+from tealcove import clock, errors, ids
+from tealcove.backends import engine
+from tealcove.dispatch import cells, messages, role
+from tealcove.dispatch.tests import builders, transport
+from tealcove.membership import members
+from tealcove.membership.tests import builders as membership_builders
+from tealcove.platform import instances
+
+PATIENCE = 30.0
+SERVER = builders.server("s0")
+
+
+class ScriptedEngines:
+    """Takes the place of `engine.EngineClient` for what the role calls."""
+
+    def __init__(self) -> None:
+        self.report = builders.load()
+        self.health = "serving"
+        self.reachable = True
+        self.events = engine.CacheEvents((), 0)
+        self.loads = 0
+        # A test may hold a reading back.
+        self.answered = asyncio.Event()
+        self.answered.set()
+
+    async def load(self, server: engine.Server) -> engine.LoadReport:
+        self.loads += 1
+        await self.answered.wait()
+        if not self.reachable:
+            raise errors.BackendError("gone", "See whether it runs.")
+        return self.report
+
+    async def state(self, server: engine.Server) -> str:
+        return self.health
+
+    async def holding(self, server: engine.Server) -> engine.Holding:
+        return engine.Holding({}, {}, "both")
+
+    async def cache_events(
+        self, server: engine.Server, after: int
+    ) -> engine.CacheEvents:
+        return self.events
+
+
+class Serving:
+    """A dispatcher role of one cell, among two instances."""
+
+    def __init__(self) -> None:
+        self.engines = ScriptedEngines()
+        self.mesh = transport.NotingMesh()
+        self.members = members.Members(
+            membership_builders.heartbeat(0), suspect_after=1000.0, forget_after=2000.0
+        )
+        self.peer = membership_builders.heartbeat(1)
+        self.members.hear(self.peer, clock.now())
+        self.listed: tuple[instances.ListedInstance, ...] = ()
+        self.role = role.Dispatcher(
+            self.mesh,
+            self.members,
+            self.find_cell,
+            builders.fair.FairScheduler,
+            self.engines,
+            poll_interval=0.001,
+            listed=lambda: self.listed,
+        )
+        self.role.start()
+
+    def find_cell(self, cell_id: ids.CellId) -> cells.Cell | None:
+        return builders.cell(SERVER) if cell_id == builders.CELL else None
+
+    def ask(self, **changes: object) -> messages.Ticket:
+        ticket = builders.ticket(**{"entry": self.peer.instance, **changes})
+        self.role.take_ticket(ticket.entry, ticket)
+        return ticket
+
+    def settle(self) -> None:
+        """Let the members have been the same for long."""
+        self.role.members_changed = ids.Instant(clock.now() - 1000.0)
+
+    def sent(self, kind: type) -> list:
+        return [sent.content for sent in self.mesh.to(self.peer.peer_port, kind)]
+
+    @property
+    def server(self) -> object:
+        return self.role.held[builders.CELL].decider.state.fleet.servers["s0"]
+
+    async def until(self, check: Callable[[], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                if check():
+                    return
+                await asyncio.sleep(0.001)
+
+
+@pytest.fixture
+async def serving() -> AsyncIterator[Serving]:
+    found = Serving()
+    yield found
+    await found.role.stop()
+
+
+async def test_a_first_ticket_is_granted_at_once_where_nothing_changed(
+    serving: Serving,
+) -> None:
+    serving.settle()
+    ticket = serving.ask()
+    assert [g.ticket_id for g in serving.sent(messages.Grant)] == [ticket.ticket_id]
+
+
+async def test_a_ticket_that_waited_elsewhere_lets_running_work_be_told_of(
+    serving: Serving,
+) -> None:
+    """A server gets twice the work that it has slots for.
+
+    Events: a dispatcher dies; its successor grants all slots before the entries
+    have told it what runs already.
+    """
+    serving.settle()
+    waiting = serving.ask(waited=0.4)
+    running = [serving.ask(running_on="s0") for _ in range(4)]
+    decider = serving.role.held[builders.CELL].decider
+    await serving.until(lambda: not decider.is_gathering)
+    assert not serving.sent(messages.Grant)
+    done = builders.done(msgspec.structs.replace(grant_of(running[0]), server="s0"))
+    serving.role.take_done(serving.peer.instance, done)
+    granted = serving.sent(messages.Grant)
+    assert [grant.ticket_id for grant in granted] == [waiting.ticket_id]
+
+
+def grant_of(ticket: messages.Ticket) -> messages.Grant:
+    return messages.Grant(
+        ticket_id=ticket.ticket_id, cell=ticket.cell, server="s0", host="", port=0
+    )
+
+
+async def test_an_unknown_cell_is_refused(serving: Serving) -> None:
+    serving.ask(cell="nowhere/0")
+    (refusal,) = serving.sent(messages.Refusal)
+    assert refusal.reason is messages.RefusalReason.NO_BACKEND_SERVER
+
+
+@pytest.mark.parametrize("source", ["health", "load", "list"])
+async def test_a_server_is_leaving_as_soon_as_anybody_says_so(
+    serving: Serving, source: str
+) -> None:
+    serving.settle()
+    serving.ask()
+    if source == "health":
+        serving.engines.health = "leaving"
+    elif source == "load":
+        serving.engines.report = builders.load(state="leaving")
+    else:
+        serving.listed = (
+            instances.ListedInstance(
+                "s0",
+                instances.ListedKind.BACKEND_SERVER,
+                instances.ListedState.LEAVING,
+                SERVER.host,
+                SERVER.port,
+                0,
+                ids.DataCentreId("dc-1"),
+            ),
+        )
+    await serving.until(lambda: serving.server.leaving)
+    serving.ask()
+    assert len(serving.sent(messages.Grant)) == 1
+
+
+async def test_a_reading_from_before_a_crash_doesn_t_bring_a_server_back(
+    serving: Serving,
+) -> None:
+    """Requests are sent to a server that has just died.
+
+    Events: its load is being read; it crashes, and an entry tells so; the reading
+    arrives. Cause: the reading counted by when it arrived.
+    """
+    serving.settle()
+    ticket = serving.ask()
+    await serving.until(lambda: serving.engines.loads > 0)
+    serving.engines.answered.clear()
+    loads = serving.engines.loads
+    await serving.until(lambda: serving.engines.loads > loads)
+    crashed = builders.done(grant_of(ticket), outcome=messages.Outcome.CRASHED)
+    serving.role.take_done(serving.peer.instance, crashed)
+    serving.engines.reachable = False
+    late = serving.engines.loads
+    serving.engines.answered.set()
+    await serving.until(lambda: serving.engines.loads > late)
+    assert not serving.server.reachable
+    serving.engines.reachable = True
+    await serving.until(lambda: serving.server.reachable)
+
+
+async def test_cache_events_reach_the_index(serving: Serving) -> None:
+    serving.settle()
+    serving.ask()
+    stored = engine.CacheEvent(1, "stored", (7, 8))
+    serving.engines.events = engine.CacheEvents((stored,), 1)
+    await serving.until(lambda: serving.server.index.match((7, 8)) == 2)
+
+
+async def test_a_replaced_entry_s_queue_is_dropped(serving: Serving) -> None:
+    serving.settle()
+    for _ in range(5):
+        serving.ask()
+    queue = serving.role.held[builders.CELL].decider.state.queue
+    assert len(queue) == 1
+    successor = msgspec.structs.replace(
+        serving.peer, incarnation=ids.Incarnation("another")
+    )
+    serving.members.peers[serving.peer.instance].heartbeat = successor
+    await serving.until(lambda: len(queue) == 0)
