Suspect calls to plain services whose server is gone

Cause: a call that crashed its service ended as a failure like any other, so it was never suspected and could take one server after the other. Change: when a call breaks off, its entry looks whether the port is closed; if so, the end is a crash. Ruled out: every broken connection as a crash; a service may close one without any harm. Measurement: none.

--- /dev/null
+++ b/src/tealcove/backends/reach.py
@@ -0,0 +1,32 @@
+"""Whether a backend server still listens."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tealcove.backends import engine
+
+CONNECT_TIMEOUT = 0.5
+# A process that dies may break its connections a moment before its port closes.
+ATTEMPTS = 2
+PAUSE = 0.05
+
+
+async def refuses(server: engine.Server) -> bool:
+    """Tell whether connections are refused: no process listens there any more.
+
+    A server that can't be reached in any other way may be alive beyond a cut of
+    the network, so that nothing is said against it.
+    """
+    for attempt in range(ATTEMPTS):
+        if attempt > 0:
+            await asyncio.sleep(PAUSE)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, writer = await asyncio.open_connection(server.host, server.port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+    return False
--- a/src/tealcove/entry/forward.py
+++ b/src/tealcove/entry/forward.py
@@ -8,7 +8,7 @@
 import multidict
 
 from tealcove import clock
-from tealcove.backends import engine, service
+from tealcove.backends import engine, reach, service
 from tealcove.dispatch import requester
 from tealcove.entry import exchange, reply
 
@@ -60,9 +60,14 @@
 
         remaining = max(LEAST_SECONDS, self.request.deadline - clock.now())
         stream = self.services.call(server, self.call, remaining, dispatched)
-        async with contextlib.aclosing(stream) as parts:
-            async for part in parts:
-                await self.take(part)
+        try:
+            async with contextlib.aclosing(stream) as parts:
+                async for part in parts:
+                    await self.take(part)
+        except engine.BrokenStreamError as error:
+            if await reach.refuses(server):
+                raise exchange.CrashError(server.name) from error
+            raise
 
     async def take(self, part: service.Head | bytes) -> None:
         """Put a part of the response into the answer."""
--- /dev/null
+++ b/src/tealcove/entry/tests/test_crash.py
@@ -0,0 +1,50 @@
+"""A plain service that dies with a call."""
+
+from __future__ import annotations
+
+import pytest
+from aiohttp import web
+
+from tealcove import ids
+from tealcove.backends import engine, reach
+from tealcove.dispatch import messages
+from tealcove.entry.tests import builders
+
+
+def local(port: int) -> engine.Server:
+    return engine.Server(ids.BackendServerId("s"), "127.0.0.1", port)
+
+
+async def test_only_a_closed_port_counts_as_gone() -> None:
+    async with builders.listening([]) as port:
+        assert not await reach.refuses(local(port))
+    assert await reach.refuses(local(port))
+
+
+@pytest.mark.parametrize(
+    ("gone", "outcome"),
+    [(True, messages.Outcome.CRASHED), (False, messages.Outcome.FAILED)],
+)
+async def test_a_call_whose_service_is_gone_is_told_as_a_crash(
+    monkeypatch: pytest.MonkeyPatch, gone: bool, outcome: messages.Outcome
+) -> None:
+    """A call that kills service after service.
+
+    Symptom: all servers of a plain service die. Sequence: a call crashes the one
+    that serves it, and its caller sends it again. Cause: a broken connection
+    alone says nothing of the server, so the call is never suspected.
+    """
+
+    async def refuses(server: engine.Server) -> bool:
+        return gone
+
+    monkeypatch.setattr(reach, "refuses", refuses)
+
+    async def handler(request: web.Request) -> web.Response:
+        request.transport.abort()
+        return web.Response()
+
+    async with builders.running(handler) as found:
+        async with found.call("POST", "/app/x", data=b"bad") as response:
+            assert response.status == 502
+        assert found.entry.tickets.ended == [outcome]
