--- a/bench/slopes/members.py
+++ b/bench/slopes/members.py
@@ -10,8 +10,10 @@
 
 from bench.slopes import size
 from tealcove import ids
-from tealcove.dispatch import cells
+from tealcove.backends import engine
+from tealcove.dispatch import cells, holds, reading
 from tealcove.membership import force, members, messages, ranking
+from tealcove.platform import instances
 from tealcove.resources import kinds
 
 NOW = ids.Instant(1000.0)
@@ -60,6 +62,22 @@
     )
 
 
+def listed(count: int) -> tuple[instances.ListedInstance, ...]:
+    """Return the backend servers on the platform's list."""
+    return tuple(
+        instances.ListedInstance(
+            name=spec.name,
+            kind=instances.ListedKind.BACKEND_SERVER,
+            state=instances.ListedState.LIVE,
+            host=spec.host,
+            http_port=spec.port,
+            peer_port=0,
+            data_centre=ids.DataCentreId(spec.data_centre),
+        )
+        for spec in pool(count)
+    )
+
+
 def microseconds(act: Callable[[], object], seconds: float) -> float:
     """Return the mean processor time of a call in microseconds."""
     calls, began = 0, time.process_time()
@@ -76,14 +94,19 @@
     known = deployment(count)
     status = force.HeartbeatStatus(known)
     beat = next(iter(known.peers.values())).heartbeat
-    servers = pool(max(1, int(count * ENGINES_AN_INSTANCE / POOLS)))
+    engines = int(count * ENGINES_AN_INSTANCE)
+    servers = pool(engines // POOLS)
+    found = listed(engines)
+    reader = reading.Reader(None, lambda: found, holds.Holds())
+    one = engine.Server(ids.BackendServerId("engine-0"), "10.9.0.0", 8001)
     near = ids.DataCentreId("dc-3")
     return {
         "take in a heartbeat": lambda: known.hear(beat, NOW),
         "note where a revision is in force": lambda: status.note(NOW),
         "rank the dispatchers of a ticket": lambda: known.rank("m/3", NOW, near),
         "rank bare names": lambda: ranking.rank("m/3", known.peers),
-        "divide the pool of a request": lambda: cells.divide(ids.PoolId("m"), servers),
+        "divide a pool": lambda: cells.divide(ids.PoolId("m"), servers),
+        "look for an engine on the list": lambda: reader.is_listed_as_leaving(one),
         "list the serving instances": lambda: known.serving(NOW),
     }
 
--- a/bench/slopes/traffic.py
+++ b/bench/slopes/traffic.py
@@ -1,4 +1,4 @@
-"""What requests and engines cost an entry and a dispatcher, each by itself.
+"""What requests and engines cost entry, dispatcher and steward, each by itself.
 
 python -m bench.slopes.traffic --rates 50 100 200 --engines 4
 python -m bench.slopes.traffic --rates 0 50 --engines 4 8 16
@@ -24,31 +24,27 @@
 SLOTS = 16
 TOKENS = 4
 WARM_SECONDS = 2.0
-# The cell of the first engines; its name is the pool's and a number.
+# By these keys the ranking finds who has the roles.
 CELL = "engines/0"
+STEWARD = "steward/engines"
+# Enough for each role to be on an instance of its own.
+INSTANCES = 4
 
 
 class Roles(msgspec.Struct, frozen=True):
-    """The two instances of a run: the one that callers use, and the other."""
+    """Which instance has which role; callers use the entry alone."""
 
     entry: deployment.Process
     dispatcher: deployment.Process
-
-
-class Found(msgspec.Struct, frozen=True):
-    """What both used at a rate of requests."""
-
-    requests: int
-    entry: watch.Use
-    dispatcher: watch.Use
+    steward: deployment.Process
 
 
 async def start(fleet: deployment.Deployment, engines: int) -> Roles:
-    """Start engines and two instances; the ranking says which one dispatches."""
+    """Start engines and instances; the ranking says who has the roles."""
     for _ in range(engines):
         await fleet.add_engine(slots=SLOTS, batch_slowdown=0.0, **cost.FAST_ENGINE)
     await fleet.declare(slots=SLOTS)
-    for _ in range(2):
+    for _ in range(INSTANCES):
         await fleet.add_instance()
     for instance in fleet.instances:
         await fleet.wait_until_ready(instance)
@@ -56,9 +52,12 @@
     for engine in fleet.engines:
         await fleet.wait_for_port(engine)
     dispatcher = await fleet.dispatcher(CELL)
-    entry = next(i for i in fleet.instances if i is not dispatcher)
+    steward = await fleet.dispatcher(STEWARD)
+    if steward is dispatcher:
+        raise RuntimeError("two roles on one instance; change INSTANCES")
+    entry = next(i for i in fleet.instances if i not in (dispatcher, steward))
     await fleet.until_served(entry)
-    return Roles(entry, dispatcher)
+    return Roles(entry, dispatcher, steward)
 
 
 async def send(roles: Roles, rate: float, seconds: float) -> int:
@@ -75,21 +74,23 @@
     return len(tasks)
 
 
-async def measure(roles: Roles, rate: float, seconds: float) -> Found:
-    """Return what both instances use at a rate; 0 is idle."""
-    pids = (roles.entry.process.pid, roles.dispatcher.process.pid)
-    before = [await watch.sample(pid) for pid in pids]
+async def measure(roles: Roles, rate: float, seconds: float) -> dict[str, watch.Use]:
+    """Return what the holder of each role uses at a rate; 0 is idle."""
+    pids = {
+        role: process.process.pid
+        for role, process in msgspec.structs.asdict(roles).items()
+    }
+    before = {role: await watch.sample(pid) for role, pid in pids.items()}
     if rate:
-        requests = await send(roles, rate, seconds)
+        await send(roles, rate, seconds)
     else:
-        requests = await asyncio.sleep(seconds, 0)
-    after = [await watch.sample(pid) for pid in pids]
-    uses = [watch.between(*pair) for pair in zip(before, after, strict=True)]
-    return Found(requests, *uses)
+        await asyncio.sleep(seconds)
+    after = {role: await watch.sample(pid) for role, pid in pids.items()}
+    return {role: watch.between(before[role], after[role]) for role in pids}
 
 
 async def run(found: argparse.Namespace) -> None:
-    """Print what both use, for each number of engines and each rate."""
+    """Print what each role uses, for each number of engines and each rate."""
     for engines in found.engines:
         with tempfile.TemporaryDirectory() as name:
             async with deployment.Deployment(pathlib.Path(name)) as fleet:
@@ -98,10 +99,8 @@
                 for rate, _ in itertools.product(found.rates, range(found.runs)):
                     measured = await measure(roles, rate, found.seconds)
                     print(f"{engines} engines, {rate:g} requests/s")
-                    print(f"  entry: {watch.text(measured.entry)}")
-                    print(
-                        f"  dispatcher: {watch.text(measured.dispatcher)}", flush=True
-                    )
+                    for role, used in measured.items():
+                        print(f"  {role}: {watch.text(used)}", flush=True)
 
 
 def main() -> None:
