Prove the steward: version changes under load, frozen and killed stewards

Cause: the steward landed without tests. Change: only an instance that leaves, or whose pool is gone, gives the lease up. Dropped plans and open orders of a predecessor are logged. The engine stand-in carries an order out although its connection breaks, which is harder to bear. Ruled out: numbers in the golden file (how often a lease changes hands depends on the machine); only first and later ones are told apart.

--- a/src/tealcove/orders/giving.py
+++ b/src/tealcove/orders/giving.py
@@ -53,7 +53,8 @@
             until = ids.Instant(began + self.longest_order)
             self.intents.doubt(server.name, until)
             return False
-        log.info("{}: {}", server.name, describe(numbered))
+        number = numbered.fencing
+        log.info("{}: {}, number {}", server.name, describe(order), number)
         await self.intents.end(server.name)
         return True
 
@@ -80,12 +81,11 @@
             until = ids.Instant(began + self.longest_order)
             self.intents.doubt(server.name, until)
             return
-        log.info("{}: {}", server.name, describe(order))
+        log.info("{}: refuses numbers below {}", server.name, order.fencing)
         await self.intents.end(server.name)
 
 
 def describe(order: engine.Order) -> str:
     """Return an order as a log line shows it."""
     words = (order.order.value, order.name, order.version, order.role)
-    said = " ".join(word for word in words if word)
-    return f"{said}, number {order.fencing}"
+    return " ".join(word for word in words if word)
--- a/src/tealcove/orders/steward.py
+++ b/src/tealcove/orders/steward.py
@@ -152,6 +152,8 @@
             self.drains.number = number
             await self.intents.take_over(number, now, self.longest_order)
             log.info("steward of {}, number {}", self.pool, number)
+            for server in self.intents.unsettled:
+                log.warning("{}: an earlier steward's order may be on its way", server)
         await self.intents.settle(clock.now())
         target = wanted.of_pool(self.copy.current, self.pool)
         if target is None:
@@ -164,7 +166,7 @@
         """Give no more orders; a leaving holder lets its successor begin."""
         self.progress.clear()
         self.drains.release_all(now)
-        if not self.changes:
+        if not self.is_active() and not self.changes:
             await self.release()
 
     def carry_on(
@@ -240,6 +242,9 @@
         # All of this may have taken long, and much may have changed meanwhile.
         if self.is_still_wanted(task, clock.now()):
             await self.giver.give(one.server, task.order)
+            return
+        said = giving.describe(task.order)
+        log.info("{}: {} is planned anew: the plan was out of date", task.server, said)
 
     async def empty(self, task: plan.Task) -> bool:
         """Wait until nothing runs on an engine; False: it's no longer wanted."""
--- a/src/tealcove/standins/engine.py
+++ b/src/tealcove/standins/engine.py
@@ -247,7 +247,9 @@
     async def take_order(self, request: web.Request) -> web.Response:
         """Carry out an order, or refuse an old fencing number."""
         order = await server.decode_body(request, engine_orders.Order)
-        accepted = await self.orders.carry_out(order)
+        # A steward that dies mustn't end its order: one that is still carried out
+        # when nobody waits for it is the harder case.
+        accepted = await asyncio.shield(self.orders.carry_out(order))
         seen = engine_orders.Fencing(self.orders.holding.fencing)
         return server.json_response(seen, status=200 if accepted else 412)
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -118,10 +118,10 @@
 class Deployment:
     """Platform, engines, services and instances; use as a context manager."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, **platform: object) -> None:
         self.folder = folder
         self.network, self.network_holder = hold_network()
-        self.platform = self.standin("platform", "platform", 1, {})
+        self.platform = self.standin("platform", "platform", 1, platform)
         self.processes = {"platform": self.platform}
         self.engines: list[Process] = []
         self.services: list[Process] = []
--- /dev/null
+++ b/tests/test_steward.py
@@ -0,0 +1,259 @@
+"""Stewards: a change of version under load, frozen ones, killed ones."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import aiohttp
+import msgspec
+import pytest
+import syrupy
+
+from tealcove.resources import kinds
+from tests import callers, deployment
+
+# A lease so short that a successor takes over soon. The longest order takes far
+# longer than a test: no engine with an order on its way is ever waited out.
+ORDERS = {"lease_seconds": 3.0, "longest_seconds": 600.0}
+CALLERS = 6
+LENGTH = 20
+
+
+async def start(
+    running: deployment.Deployment, checks_fencing: bool, **found: object
+) -> None:
+    """Start two engines and three instances, and declare the pool."""
+    for _ in range(2):
+        await running.add_engine(
+            checks_fencing=checks_fencing, decode_seconds_per_token=0.005, **found
+        )
+    for _ in range(3):
+        await running.add_instance(orders=ORDERS)
+    for instance in running.instances:
+        await running.wait_until_ready(instance)
+    await running.wait_for_members()
+    await running.declare()
+    await change_pool(running, checks_fencing=checks_fencing)
+    for instance in running.instances:
+        await running.until_served(instance)
+
+
+async def change_pool(running: deployment.Deployment, **changes: object) -> None:
+    """Write the pool of engines with some fields changed."""
+    pool = running.resources.current.pool("engines").spec
+    changed = msgspec.structs.replace(pool, **changes)
+    await running.put(kinds.Kind.ENGINE_POOL, "engines", changed)
+
+
+async def declare(
+    running: deployment.Deployment, name: str, version: str, size: int = 0
+) -> None:
+    """Write a model's version."""
+    spec = kinds.ModelSpec(version=version, weight_bytes=size)
+    await running.put(kinds.Kind.MODEL, name, spec)
+
+
+async def orders(
+    running: deployment.Deployment, engine: deployment.Process
+) -> list[str]:
+    """Return the orders that an engine got, a line each."""
+    everywhere = [(await running.counts(e))["orders"] for e in running.engines]
+    lowest = min(seen["fencing"] for found in everywhere for seen in found)
+    found = everywhere[running.engines.index(engine)]
+    numbers = [seen["fencing"] for seen in found if seen["accepted"]]
+    assert numbers == sorted(numbers), "an old order was carried out"
+    lines = []
+    for seen in found:
+        # How often the lease has changed hands by then depends on the machine.
+        steward = "first" if seen["fencing"] == lowest else "later"
+        words = [seen[key] for key in ("order", "name", "version", "role")]
+        said = " ".join(word for word in words if word)
+        verdict = "" if seen["accepted"] else ", refused"
+        lines.append(f"{steward} number: {said}{verdict}")
+    return lines
+
+
+async def until_held(
+    running: deployment.Deployment,
+    name: str,
+    version: str,
+    engines: list[deployment.Process] | None = None,
+) -> None:
+    """Wait until some or all engines hold a model in a version."""
+    chosen = running.engines if engines is None else engines
+
+    async def hold() -> bool:
+        held = [await held_models(running.session, e) for e in chosen]
+        return all(models.get(name) == version for models in held)
+
+    await deployment.until(hold)
+
+
+async def held_models(
+    session: aiohttp.ClientSession, engine: deployment.Process
+) -> dict[str, str]:
+    """Return the models of an engine."""
+    async with session.get(f"{engine.url}/state") as response:
+        return (await response.json())["models"]
+
+
+async def until_ordered(
+    running: deployment.Deployment, least: int
+) -> list[deployment.Process]:
+    """Wait until so many engines have an order; return them."""
+    found = []
+
+    async def are_ordered() -> bool:
+        nonlocal found
+        counts = [await running.counts(e) for e in running.engines]
+        found = [
+            engine
+            for engine, seen in zip(running.engines, counts, strict=True)
+            if seen["orders"]
+        ]
+        return len(found) >= least
+
+    await deployment.until(are_ordered)
+    return found
+
+
+async def test_version_change_leaves_no_request_without_a_server(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """Requests fail while a model's version is changed.
+
+    Symptom: callers get `no_backend_server` or errors at each new version.
+    Sequence: callers send requests all the time; the model's version changes,
+    twice; then the pool has one engine only, and the version changes again.
+    Cause: engines that are changed all at once, or with work on them, or the
+    second one before dispatchers use the first again; the last one as well.
+    """
+    session = []
+    async with deployment.Deployment(tmp_path) as running:
+        await start(running, checks_fencing=True, load_seconds=0.5)
+        stopping = asyncio.Event()
+        calls = [
+            running.spawn(call_until(running, f"caller {number}", stopping))
+            for number in range(CALLERS)
+        ]
+        for version in ("2", "3"):
+            await declare(running, "m", version)
+            await until_held(running, "m", version)
+        last = running.engines[1]
+        for engine in running.engines:
+            session.extend(f"engine: {line}" for line in await orders(running, engine))
+        await change_pool(running, servers=running.servers([last], slots=8))
+        await declare(running, "m", "4")
+        await until_logged(running, "the last server of what it serves")
+        stopping.set()
+        replies = [reply for call in calls for reply in await call]
+        # Each caller has sent requests; how many of them depends on the machine.
+        assert len(replies) > CALLERS
+        session.extend(sorted(set(replies)))
+        held = await held_models(running.session, last)
+        session.append(f"the last engine has version {held['m']}")
+    assert session == snapshot
+
+
+async def call_until(
+    running: deployment.Deployment, prompt: str, stopping: asyncio.Event
+) -> list[str]:
+    """Send one request after the other; return a line about each answer."""
+    instance = running.instances[0]
+    lines = []
+    while not stopping.is_set():
+        reply = await callers.complete(running.session, instance.url, prompt, LENGTH)
+        lines.append(callers.describe(reply, "request", LENGTH))
+        if reply.outcome == "completed":
+            assert callers.is_own(reply, prompt, LENGTH)
+            lines[-1] = "request: completed, whole and its own"
+    return lines
+
+
+async def until_logged(running: deployment.Deployment, text: str) -> None:
+    """Wait until an instance has written a line with a text."""
+
+    async def is_logged() -> bool:
+        logs = [running.folder / f"{i.name}.log" for i in running.instances]
+        return any(text in log.read_text() for log in logs)
+
+    await deployment.until(is_logged)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_frozen_steward_that_wakes_gives_no_order(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion, checks_fencing: bool
+) -> None:
+    """An engine goes back to an older version, long after it got a newer one.
+
+    Symptom: one engine of the pool answers with the version before.
+    Sequence: the steward waits for its turn to load version 1 into the second
+    engine and is frozen; version 2 is declared, and its successor loads it into
+    both; the first steward wakes, its turn long there; version 3 is declared.
+    Cause: it goes on where it was, without another look at its lease.
+    """
+    async with deployment.Deployment(tmp_path, weight_rate=1000.0) as running:
+        await start(running, checks_fencing)
+        # The second engine's turn comes five seconds after the first one's.
+        await declare(running, "n", "1", size=5000)
+        await change_pool(running, models=("m", "n"))
+        first = (await until_ordered(running, 1))[0]
+        (second,) = [e for e in running.engines if e is not first]
+        steward = await running.dispatcher("steward/engines")
+        steward.freeze()
+        await declare(running, "n", "2")
+        await until_held(running, "n", "2")
+        steward.thaw()
+
+        async def has_acted() -> bool:
+            log = running.folder / f"{steward.name}.log"
+            is_dropped = "the plan was out of date" in log.read_text()
+            return is_dropped or len(await orders(running, second)) > 1
+
+        await deployment.until(has_acted)
+        await declare(running, "n", "3")
+        await until_held(running, "n", "3")
+        session = {
+            "the first engine": await orders(running, first),
+            "the second engine": await orders(running, second),
+        }
+    assert session == snapshot
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_successor_of_killed_steward_settles_open_orders(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion, checks_fencing: bool
+) -> None:
+    """An order of a dead steward is carried out after its successor's.
+
+    Symptom: one engine of the pool answers with the version before.
+    Sequence: the steward orders both engines to load version 1, which takes
+    long, and is killed; version 2 is declared; a successor takes over.
+    Cause: it knows nothing of the orders on their way, and orders at once.
+
+    Engines that check numbers are made to refuse the earlier ones, and go on.
+    Others are left alone, and only an engine that has just joined is ordered.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        await start(running, checks_fencing, load_seconds=2.0)
+        await declare(running, "n", "1")
+        await change_pool(running, models=("m", "n"))
+        await until_ordered(running, 2)
+        steward = await running.dispatcher("steward/engines")
+        steward.kill()
+        ordered = list(running.engines)
+        joined = await running.add_engine(checks_fencing=checks_fencing)
+        await running.wait_for_port(joined)
+        await declare(running, "n", "2")
+        await change_pool(running, servers=running.servers(running.engines, slots=8))
+        await until_held(running, "n", "2", [joined])
+        await until_held(running, "n", "2" if checks_fencing else "1", ordered)
+        # By the time of yet another order, any wrong one would have been given.
+        await declare(running, "k", "1")
+        await change_pool(running, models=("m", "n", "k"))
+        await until_held(running, "k", "1", [joined])
+        if checks_fencing:
+            await until_held(running, "k", "1", ordered)
+        session = [await orders(running, engine) for engine in running.engines]
+    assert session == snapshot
