Keep an account open at an entry while it is in debt; close it sooner else

Cause: an entry forgot an idle account with its debt; a caller of few and large requests got them for nothing after each pause. And an account in use ten seconds ago still cost a report a second. Change: an entry closes an account only without a debt, and two seconds after its last use. Ruled out: a debt that the next entry to ask takes over; the requests that it admits before its home answers come on top of it.

--- a/src/tealcove/limits/role.py
+++ b/src/tealcove/limits/role.py
@@ -15,7 +15,7 @@
 REPORT_INTERVAL = 1.0
 URGENT_INTERVAL = 0.1
 # An account that wasn't used for so long is closed, at entry and home.
-IDLE_SECONDS = 10.0
+IDLE_SECONDS = 2.0
 # How long the first request of an account waits for its home's answer. Without
 # it, a burst after a pause would meet an entry that has only a provisional share.
 FIRST_WAIT = 0.2
@@ -167,7 +167,10 @@
         """Return an account's part of a report; forgets it when it's idle."""
         held = self.allowances[account]
         held.limit = self.find_limit(account) or held.limit
-        closing = now - held.used >= IDLE_SECONDS
+        held.grow(now)
+        # With a debt the account stays: to forget it would be to waive it, and
+        # whoever comes back after a pause would get large requests for nothing.
+        closing = now - held.used >= IDLE_SECONDS and held.credit() >= 0.0
         self.asked[account] = now
         if closing:
             del self.allowances[account]
--- a/src/tealcove/limits/tests/test_limits.py
+++ b/src/tealcove/limits/tests/test_limits.py
@@ -192,3 +192,20 @@
         slack = 4 * largest + 2 * LIMIT.rate
         bound = LIMIT.burst + LIMIT.rate * (cluster.now - start) + slack
         assert cluster.spent <= bound
+
+
+def test_closing_the_account_pays_no_debts() -> None:
+    """Large requests for nothing.
+
+    Symptom: an account of few and large requests gets many times its limit.
+    Sequence: a request is admitted on debt; the entry forgets the idle account;
+    the next request finds a fresh start. Cause: the debt goes with the entry.
+    """
+    cluster = builders.Cluster(COUNT, limit.Limit(rate=100.0, burst=100.0))
+    for _ in range(20):
+        cluster.ask(0, 4000.0)
+        cluster.run(limits_role.IDLE_SECONDS + 2.0)
+        cluster.ask(0, 1.0)
+        cluster.run(2.0)
+    elapsed = 20 * (limits_role.IDLE_SECONDS + 4.0)
+    assert cluster.spent <= 100.0 + 100.0 * elapsed + 2 * 4000.0
