Make four tests of the dispatcher fail where their promise is broken

Cause: of ten deliberate faults in a scratch copy, four went unseen by the test meant for them: a reading from before a crash, an account that comes back, a stop although a slot is about to fall free, and work for a straggler between probes. Change: those tests rewritten or added, each as strict or stricter. Ruled out: two further unseen faults are guarded twice (slots, which the machine checks) or by another test (refusal of lower queued work first, test_shedding). Conclusion: each of these promises has a test that notices its breach.

--- a/src/tealcove/dispatch/tests/test_order.py
+++ b/src/tealcove/dispatch/tests/test_order.py
@@ -62,14 +62,16 @@
 def test_a_pause_earns_an_account_no_credit() -> None:
     found, grants = full_server()
     names = {}
-    for _ in range(6):
+    enqueue(found, account="returned")
+    for _ in range(9):
         names[enqueue(found, account="steady")] = "steady"
-    for _ in range(3):
+    for _ in range(5):
         grants = builders.granted(found.done(builders.done(grants.pop()), NOW))
-    for _ in range(3):
+    for _ in range(6):
         names[enqueue(found, account="returned")] = "returned"
     order = [names[ticket_id] for ticket_id in drain(found, grants)]
-    assert order[:4].count("returned") == 2
+    # It starts level with the ticket that runs, and goes first where both are.
+    assert order[:6] == ["returned", *("returned", "steady") * 2, "returned"]
 
 
 def test_unused_tokens_are_given_back_to_the_account() -> None:
--- a/src/tealcove/dispatch/tests/test_role.py
+++ b/src/tealcove/dispatch/tests/test_role.py
@@ -35,8 +35,9 @@
 
     async def load(self, server: engine.Server) -> engine.LoadReport:
         self.loads += 1
+        reachable = self.reachable
         await self.answered.wait()
-        if not self.reachable:
+        if not reachable:
             raise errors.BackendError("gone", "See whether it runs.")
         return self.report
 
@@ -194,10 +195,14 @@
     serving.role.take_done(serving.peer.instance, crashed)
     serving.engines.reachable = False
     late = serving.engines.loads
+    # Lets the held reading go on, and holds the next one, which only begins once
+    # the first was taken in.
     serving.engines.answered.set()
+    serving.engines.answered.clear()
     await serving.until(lambda: serving.engines.loads > late)
     assert not serving.server.reachable
     serving.engines.reachable = True
+    serving.engines.answered.set()
     await serving.until(lambda: serving.server.reachable)
 
 
--- a/src/tealcove/dispatch/tests/test_shedding.py
+++ b/src/tealcove/dispatch/tests/test_shedding.py
@@ -60,6 +60,19 @@
     assert not preempted(found.tick(builders.instant(5)))
 
 
+def test_nobody_is_stopped_while_a_slot_is_about_to_fall_free() -> None:
+    found = open_one(slots=2)
+    run(found, NOW, tier_rank=2, output_tokens=2500)
+    ending = run(found, NOW, tier_rank=2)
+    high = builders.ticket(tier_rank=0, remaining=TIGHT)
+    # The second of the two is predicted to end at about 2.03.
+    now = builders.instant(1.95)
+    assert not preempted(found.enqueue(high, now))
+    grant = messages.Grant(ticket_id=ending, cell="", server="s0", host="", port=0)
+    granted = builders.granted(found.done(builders.done(grant), now))
+    assert [grant.ticket_id for grant in granted] == [high.ticket_id]
+
+
 def test_nobody_is_stopped_for_an_equal_tier_or_in_vain() -> None:
     found = open_one(slots=1)
     run(found, NOW, tier_rank=1, output_tokens=1000)
--- a/src/tealcove/dispatch/tests/test_stragglers.py
+++ b/src/tealcove/dispatch/tests/test_stragglers.py
@@ -55,6 +55,14 @@
     assert state(found).pace is servers.Pace.NORMAL
 
 
+def test_a_straggler_gets_nothing_between_probes() -> None:
+    found = open_three()
+    slow_down(found, 8.0, builders.instant(1))
+    grants = builders.fill(found, 12, builders.instant(1.5))
+    assert len(grants) == 8
+    assert "s0" not in [grant.server for grant in grants]
+
+
 def test_probes_of_a_server_that_stays_slow_become_rarer() -> None:
     found = open_three()
     slow_down(found, 8.0, builders.instant(1))
