Prove that a caller that leaves cancels its work, and only its own

Cause: 'a caller that leaves cancels its work' had no proof. Change: a session in which buffered and streamed callers leave, one of two that share a key leaves, and the caller of a request to be run once leaves and asks again; waiting for a count of dispatches is one function for all tests.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -307,6 +307,14 @@
 
         await until(enough)
 
+    async def until_dispatched(self, engine: Process, count: int) -> None:
+        """Wait until an engine was sent so many requests since its start."""
+
+        async def enough() -> bool:
+            return len((await self.counts(engine))["dispatches"]) >= count
+
+        await until(enough)
+
     async def until_running(self, engines: list[Process]) -> None:
         """Wait until engines have work in progress."""
 
--- /dev/null
+++ b/tests/test_callers_leave.py
@@ -0,0 +1,65 @@
+"""Callers that leave before their answer comes."""
+
+from __future__ import annotations
+
+import pathlib
+
+import syrupy
+
+from tests import callers, deployment
+
+LENGTH = 200
+
+
+async def test_a_caller_that_leaves_cancels_its_work(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """Engines work on for callers that are long gone.
+
+    Symptom: slots stay taken under load although callers gave up.
+    Sequence: a buffered and a streamed caller leave; one of two callers with the
+    same key leaves; the caller of a request to be run once leaves and asks again.
+    Cause: the connection to the engine outlives the one to the caller, or the end
+    of one caller's connection ends what another waits for.
+    """
+    session = []
+    async with deployment.Deployment(tmp_path) as running:
+        engine = await running.add_engine(decode_seconds_per_token=0.005)
+        instance = await running.add_instance()
+        await running.declare()
+        await running.wait_until_ready(instance)
+        for number, send in enumerate((callers.complete, callers.stream)):
+            call = running.spawn(send(running.session, instance.url, "p", LENGTH))
+            await running.until_dispatched(engine, number + 1)
+            call.cancel()
+            await running.until_counted(engine, "cancelled", number + 1)
+            session.append(f"{send.__name__}: cancelled at the engine")
+        key = {"Idempotency-Key": "shared"}
+        first, second = (
+            running.spawn(
+                callers.complete(
+                    running.session, instance.url, "shared", LENGTH, "high", key
+                )
+            )
+            for _ in range(2)
+        )
+        await running.until_dispatched(engine, 3)
+        first.cancel()
+        reply = await second
+        session.append(callers.describe(reply, "shared", LENGTH))
+        once = {"Idempotency-Key": "once", "Tealcove-Idempotent": "no"}
+        call = running.spawn(
+            callers.complete(
+                running.session, instance.url, "once", LENGTH, "high", once
+            )
+        )
+        await running.until_dispatched(engine, 4)
+        call.cancel()
+        reply = await callers.complete(
+            running.session, instance.url, "once", LENGTH, "high", once
+        )
+        session.append(callers.describe(reply, "once", LENGTH))
+        counts = await running.counts(engine)
+        session.append(f"dispatches: {sorted(counts['dispatches'].values())}")
+        session.append(f"cancelled: {counts['cancelled']}")
+    assert session == snapshot
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -94,15 +94,6 @@
         return f"high tier served before low tier: {set(first) == {'high'}}"
 
 
-async def until_slots_taken(running: deployment.Deployment, count: int) -> None:
-    """Wait until so many requests were dispatched."""
-
-    async def are_taken() -> bool:
-        return len((await running.counts(running.engines[0]))["dispatches"]) >= count
-
-    await deployment.until(are_taken)
-
-
 async def test_preemption_across_entries(
     tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
 ) -> None:
@@ -116,7 +107,7 @@
     running = await start(tmp_path)
     try:
         low = send(running, running.instances, "low", LOW_COUNT, LOW_LENGTH)
-        await until_slots_taken(running, SLOTS)
+        await running.until_dispatched(running.engines[0], SLOTS)
         high = send(
             running, running.instances, "high", SLOTS, HIGH_LENGTH, HIGH_DEADLINE
         )
@@ -142,7 +133,7 @@
         dispatcher = await running.dispatcher("engines/0")
         left = [i for i in running.instances if i is not dispatcher]
         low = send(running, left, "low", LOW_COUNT, LOW_LENGTH)
-        await until_slots_taken(running, SLOTS)
+        await running.until_dispatched(running.engines[0], SLOTS)
         dispatcher.kill()
         high = send(running, left, "high", SLOTS, HIGH_LENGTH, HIGH_DEADLINE)
         order = Order(high, low)
@@ -167,7 +158,7 @@
     try:
         once = {"Tealcove-Idempotent": "no"}
         low = send(running, running.instances, "low", LOW_COUNT, LOW_LENGTH, once)
-        await until_slots_taken(running, SLOTS - 1)
+        await running.until_dispatched(running.engines[0], SLOTS - 1)
         high = send(running, running.instances, "high", 1, HIGH_LENGTH, HIGH_DEADLINE)
         order = Order(high, low)
         session = await outcomes(high, HIGH_LENGTH) + await outcomes(low, LOW_LENGTH)
