Count how much of the engines' slots is taken during a run

Cause: where work is lost against the bound shows in slots that stand empty, or in slots that are taken for longer than the bound reckons. Change: the bench's engine integrates its running requests over time; a result holds the part of all slots that was taken while requests came in. Ruled out: the load report, which lags. Conclusion: idle slots and long stays can be told apart.

--- a/bench/engine.py
+++ b/bench/engine.py
@@ -13,16 +13,18 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import settingsfile
-from tealcove.standins import backend, engine, engine_counts
+from tealcove import ids, settingsfile
+from tealcove.standins import backend, engine, engine_counts, server
 
 DIGEST_BYTES = 8
 
 
 class Counts(engine_counts.EngineCounts):
-    """The stand-in's counts, and dispatches by digest of the prompt."""
+    """The stand-in's counts, dispatches by digest of the prompt, and slot use."""
 
     prompts: dict[str, int] = msgspec.field(default_factory=dict)
+    # Taken slots, integrated over the seconds since the start.
+    slot_seconds: float = 0.0
 
 
 class CountingEngine(engine.EngineStandin):
@@ -32,11 +34,22 @@
         super().__init__(settings, engine.exit_process)
         self.counts = Counts()
         self.lose_memory()
+        self.counted_to = 0.0
+
+    def advance(self, now: ids.Instant) -> None:
+        """Count the slots taken since the last step, then take the next one."""
+        seconds = now - self.counted_to if self.counted_to else 0.0
+        self.counts.slot_seconds += len(self.batch.running) * seconds
+        self.counted_to = now
+        super().advance(now)
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Count the prompt, then admit the request."""
         body = msgspec.json.decode(await request.read(), type=engine.CompletionRequest)
         engine_counts.add(self.counts.prompts, digest(body.prompt))
+        if not self.batch.running:
+            # An idle engine takes no steps, so the idle time isn't counted yet.
+            self.counted_to = server.present()
         return await super().complete(request)
 
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -82,6 +82,8 @@
     lag: float
     # Cores used, by kind of process.
     cores: dict[str, float]
+    # Part of the engines' slots that was taken while requests came in.
+    busy: float = 0.0
     # Part of the machine's cores that was busy, with work of others.
     machine: float = 0.0
     # Microseconds of a core that a call of the scheduler takes.
@@ -112,6 +114,7 @@
         self.called: list[callers.Sent] = []
         self.cores: dict[str, float] = {}
         self.machine = 0.0
+        self.busy = 0.0
 
     async def play(self) -> Result:
         """Start everything, send the load, and judge."""
@@ -142,7 +145,11 @@
             group = people[request.account, request.data_centre]
             sending = self.send(group[number % len(group)], request, start)
             tasks.append(asyncio.create_task(sending))
-        self.note_cores(before, own, time.monotonic() - start)
+        passed = time.monotonic() - start
+        self.note_cores(before, own, passed)
+        taken = sum(c.slot_seconds for c in await self.fleet.engine_counts())
+        slots = sum(found.slots for found in self.plan.engines)
+        self.busy = taken / (slots * passed)
         await asyncio.gather(*tasks)
         await strike
         progress.cancel()
@@ -264,6 +271,7 @@
             lag=score.percentile((s.lag for s in self.sent), 99),
             cores=self.cores,
             machine=self.machine,
+            busy=self.busy,
             scheduler_call=call_cost(notes),
             complaints=self.fleet.complaints()[:20],
         )
