Claim non-idempotent requests in the platform's table before dispatch

Cause: nothing that outlives an entry said that a non-idempotent request had been dispatched, so a caller that sent again could have it run twice.

Change: a claim row (account, key) is inserted on condition of absence after the grant and before the dispatch. Entries send row changes to the instances ranked first for writing; a writer commits one batch an interval, one change for each row, and answers every change. A change whose reply was lost is committed again: its condition then fails and names the row, whose nonce tells whose it is. A request that wasn't dispatched gives its claim back.

Ruled out: trying the rest of a failed batch at once (doubles the writes); a claim per server (the permission is for the request); keeping long answers in the object store (one unbatched write for each).

A claim whose entry died before the dispatch stays unknown.

--- a/src/tealcove/backends/http_service.py
+++ b/src/tealcove/backends/http_service.py
@@ -189,4 +189,6 @@
             f"{server.name} answered {request_id} with another request's answer",
             "Nothing of it was passed on; report it to the service's maker.",
         )
-    return service.Head(response.status, tuple(response.headers.items()))
+    # aiohttp's names are of a type of its own, which can't be stored.
+    headers = tuple((str(name), value) for name, value in response.headers.items())
+    return service.Head(response.status, headers)
--- /dev/null
+++ b/src/tealcove/claims/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims."""
--- /dev/null
+++ b/src/tealcove/claims/writer.py
@@ -0,0 +1,208 @@
+"""The role that gathers changes of claims and commits them in batches."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+
+from tealcove import errors, ids
+from tealcove.claims import claim, messages
+from tealcove.membership import members
+from tealcove.peers import mesh
+from tealcove.platform import table
+
+log = logbook.Logger("claims")
+
+# Rows of one transaction at the most.
+MOST_ROWS = 128
+# Commits of a change whose reply may be lost, before its entry is told so.
+MOST_COMMITS = 3
+
+
+class Pending:
+    """A change that isn't answered yet."""
+
+    def __init__(self, change: messages.RowChange, entry: ids.InstanceId) -> None:
+        self.change = change
+        self.entry = entry
+        # Commits whose reply was lost.
+        self.unsettled = 0
+
+
+class Writer:
+    """Commits once in a batch interval at the most, however many changes come.
+
+    Any number of writers may work at a time, and get the same change: the row's
+    condition decides, and a row that already holds the wanted bytes counts as
+    written, since the nonce in them is drawn for one request.
+    """
+
+    def __init__(
+        self,
+        transport: mesh.Mesh,
+        known: members.Members,
+        rows: table.TableService,
+        batch_interval: float,
+    ) -> None:
+        self.transport = transport
+        self.members = known
+        self.rows = rows
+        self.batch_interval = batch_interval
+        self.pending: dict[str, Pending] = {}
+        self.arrived = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to take changes."""
+        self.transport.handle(messages.RowChange, self.take)
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End the task; what isn't answered goes to another writer."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def take(self, sender: ids.InstanceId, change: messages.RowChange) -> None:
+        """Put a change into the next batch, once."""
+        self.pending.setdefault(change.change_id, Pending(change, sender))
+        self.arrived.set()
+
+    async def run(self) -> None:
+        """Commit a batch in each interval in which there is one."""
+        while True:
+            await self.arrived.wait()
+            await asyncio.sleep(self.batch_interval)
+            try:
+                await self.commit_batch()
+            except Exception:
+                # Without this task the instance stays in the ranking and takes
+                # changes that it never answers.
+                log.exception("a batch of claims failed")
+            if not self.pending:
+                self.arrived.clear()
+
+    async def commit_batch(self) -> None:
+        """Commit the oldest changes in one transaction and answer them."""
+        batch = self.choose()
+        if not batch:
+            return
+        try:
+            committed = await self.rows.commit(transaction(batch))
+        except table.ConditionFailedError as error:
+            # The rest stays for the next interval: trying again at once would
+            # double the rate of writes.
+            self.answer_conflicts(batch, error.conflicts)
+        except errors.OutcomeUnknownError:
+            self.keep_unsettled(batch)
+        except errors.PlatformError as error:
+            log.info("claims are refused: {}", error)
+            self.answer_refused(batch)
+        else:
+            self.answer_committed(batch, committed)
+
+    def choose(self) -> list[Pending]:
+        """Return the changes of the next batch, one for each row.
+
+        Two conditions on one row would both hold before either write is applied:
+        two entries would be told that the same claim is theirs.
+        """
+        chosen: dict[str, Pending] = {}
+        for pending in self.pending.values():
+            if len(chosen) == MOST_ROWS:
+                break
+            chosen.setdefault(pending.change.key, pending)
+        return list(chosen.values())
+
+    def answer_conflicts(
+        self, batch: list[Pending], conflicts: tuple[table.Conflict, ...]
+    ) -> None:
+        """Answer the changes whose conditions failed."""
+        for conflict in conflicts:
+            pending = batch[conflict.index]
+            row = conflict.row
+            verdict = judge(pending.change, row)
+            version = 0 if row is None else row.version
+            self.answer(pending, verdict, version, None if row is None else row.value)
+
+    def keep_unsettled(self, batch: list[Pending]) -> None:
+        """Leave changes whose reply was lost to the next interval.
+
+        If they were applied, their conditions fail then and name the rows, which
+        tell whose they are.
+        """
+        for pending in batch:
+            pending.unsettled += 1
+            if pending.unsettled == MOST_COMMITS:
+                self.answer(pending, messages.Verdict.UNSETTLED)
+
+    def answer_refused(self, batch: list[Pending]) -> None:
+        """Answer changes that the platform didn't take this time."""
+        for pending in batch:
+            if pending.unsettled:
+                self.answer(pending, messages.Verdict.UNSETTLED)
+            else:
+                self.answer(pending, messages.Verdict.REFUSED)
+
+    def answer_committed(
+        self, batch: list[Pending], committed: table.Committed
+    ) -> None:
+        """Answer changes that were applied."""
+        for pending in batch:
+            value = pending.change.value
+            version = committed.version
+            self.answer(pending, messages.Verdict.COMMITTED, version, value)
+
+    def answer(
+        self,
+        pending: Pending,
+        verdict: messages.Verdict,
+        version: int = 0,
+        value: bytes | None = None,
+    ) -> None:
+        """Tell the entry what became of its change."""
+        change_id = pending.change.change_id
+        del self.pending[change_id]
+        peer = self.members.endpoint_of(pending.entry)
+        if peer is None:
+            log.warning("no address of {} for {}", pending.entry, change_id)
+            return
+        told = messages.RowVerdict(
+            change_id=change_id,
+            key=pending.change.key,
+            verdict=verdict,
+            version=version,
+            value=value,
+        )
+        self.transport.send(peer, told)
+
+
+def judge(change: messages.RowChange, row: table.Row | None) -> messages.Verdict:
+    """Return whether a failed condition means that the change is done already."""
+    found = None if row is None else row.value
+    if found == change.value:
+        return messages.Verdict.COMMITTED
+    return messages.Verdict.CONFLICT
+
+
+def transaction(batch: list[Pending]) -> table.Transaction:
+    """Return the transaction of a batch; condition n is of change n."""
+    changes = [pending.change for pending in batch]
+    return table.Transaction(
+        conditions=tuple(condition(change) for change in changes),
+        writes=tuple(write(change) for change in changes),
+    )
+
+
+def condition(change: messages.RowChange) -> table.Absent | table.VersionIs:
+    """Return the condition of a change."""
+    if change.expected is None:
+        return table.Absent(claim.TABLE, change.key)
+    return table.VersionIs(claim.TABLE, change.key, change.expected)
+
+
+def write(change: messages.RowChange) -> table.Put | table.Delete:
+    """Return the write of a change."""
+    if change.value is None:
+        return table.Delete(claim.TABLE, change.key)
+    return table.Put(claim.TABLE, change.key, change.value)
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import ssl
 
@@ -12,7 +13,8 @@
 
 from tealcove import clock, errors, gauges, ids, logs, settings, telemetry
 from tealcove.backends import http_engine, http_service
-from tealcove.dispatch import cells, policy, requester, role
+from tealcove.claims import claimer, writer
+from tealcove.dispatch import policy, requester, role, spread
 from tealcove.entry import gate, http
 from tealcove.limits import limit
 from tealcove.limits import role as limits_role
@@ -119,10 +121,11 @@
             self.mesh, self.members, self.find_limit, clock.now()
         )
         self.limits.start()
+        self.spread = spread.Spread(self.configuration.copy, self.delay_to)
         self.dispatcher = role.Dispatcher(
             self.mesh,
             self.members,
-            self.find_cell,
+            self.spread.find,
             policy.find(self.settings.dispatch.policy),
             self.engines,
             self.settings.dispatch.load_poll_interval,
@@ -132,10 +135,14 @@
         )
         self.dispatcher.start()
         self.tickets = requester.Requester(
-            self.mesh, self.members, self.settings.dispatch.ticket_timeout
+            self.mesh,
+            self.members,
+            self.settings.dispatch.ticket_timeout,
+            self.spread,
         )
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.ended)
+        self.start_claims()
         self.entry = http.Entry(
             self.settings,
             self.configuration.copy,
@@ -143,6 +150,7 @@
             self.engines,
             self.services,
             self.tickets,
+            self.claims,
             gate.Gate(self.quarantine, self.limits),
             source=self.telemetry,
         )
@@ -156,6 +164,16 @@
         )
         self.stewards.start()
 
+    def start_claims(self) -> None:
+        """Start the writer of claims, and the side that takes them."""
+        found = self.settings.claims
+        self.claim_writer = writer.Writer(
+            self.mesh, self.members, self.rows, found.batch_interval
+        )
+        self.claim_writer.start()
+        self.claims = claimer.Claimer(self.mesh, self.members, self.rows, found.writers)
+        self.claims.start()
+
     def show_roles(self) -> None:
         """Add what the roles count to the metrics."""
         shown = gauges.Gauges(self.telemetry.meter)
@@ -228,16 +246,10 @@
         found = current.get(kinds.Kind.CLIENT_ACCOUNT, account)
         return None if found is None else limit.of_spec(found.spec)
 
-    def find_cell(self, cell_id: ids.CellId) -> cells.Cell | None:
-        """Return a cell by the configuration in force."""
-        name = cell_id.rpartition("/")[0]
-        pool = self.configuration.copy.current.pool(name)
-        if pool is None:
-            return None
-        for cell in cells.of_pool(ids.PoolId(name), pool.spec):
-            if cell.cell_id == cell_id:
-                return cell
-        return None
+    def delay_to(self, other: ids.DataCentreId) -> float:
+        """Return the delay in seconds to a data centre; unknown ones are far."""
+        delay = self.settings.delay_to(other)
+        return math.inf if delay is None else delay
 
     def take_configuration(
         self, previous: copy.Configuration, current: copy.Configuration
@@ -297,6 +309,8 @@
         await self.stewards.stop()
         await self.heart.stop()
         await self.dispatcher.stop()
+        await self.claims.stop()
+        await self.claim_writer.stop()
         await self.quarantine.stop()
         await self.limits.stop()
         await self.tickets.stop()
--- /dev/null
+++ b/src/tealcove/entry/claiming.py
@@ -0,0 +1,125 @@
+"""The claim of one non-idempotent request, and what another's claim tells."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from tealcove import clock, errors, ids
+from tealcove.claims import claim, claimer
+from tealcove.dispatch import messages
+from tealcove.entry import lifecycle, problem
+
+RETRY_AFTER = 1.0
+# A refusal waits so many seconds at the most for a look at the table.
+LOOK_SECONDS = 0.05
+EARLIER_UNKNOWN = (
+    "This sending was not run; whether an earlier one with the same key was can't "
+    "be told now. Keep the key when you send again."
+)
+
+
+class KeptAnswerError(Exception):
+    """Ends a request with the answer that its claim records."""
+
+    def __init__(self, answer: claim.KeptAnswer) -> None:
+        super().__init__("the request was completed before")
+        self.answer = answer
+
+
+class RequestClaim:
+    """Says whether this request may be dispatched, and keeps how it ended."""
+
+    def __init__(
+        self,
+        claims: claimer.Claimer,
+        account: ids.AccountId,
+        key: ids.IdempotencyKey,
+        request_id: ids.RequestId,
+        fingerprint: str,
+    ) -> None:
+        self.claims = claims
+        self.key = claim.row_key(account, key)
+        self.request_id = request_id
+        self.fingerprint = fingerprint
+        self.held: claimer.Held | None = None
+        self.server = ids.BackendServerId("")
+
+    async def take(self, server: ids.BackendServerId, deadline: ids.Instant) -> None:
+        """Take the claim, unless it's held already.
+
+        Raises ProblemError or KeptAnswerError when the request may not be run.
+        """
+        self.server = server
+        if self.held is not None:
+            return
+        own = self.claims.members.own
+        wanted = claim.Claim(
+            nonce=claimer.new_nonce(),
+            entry=own.instance,
+            incarnation=own.incarnation,
+            request_id=self.request_id,
+            server=server,
+            fingerprint=self.fingerprint,
+            claimed_at=time.time(),
+        )
+        try:
+            self.held = await self.claims.claim(self.key, wanted, deadline)
+        except claimer.TakenError as error:
+            raise self.describe(error.found) from error
+        except claimer.UnavailableError as error:
+            raise problem.not_run(
+                messages.RefusalReason.PLATFORM_DOWN, RETRY_AFTER
+            ) from error
+
+    async def reconsider(self, refusal: problem.ProblemError) -> Exception:
+        """Return the answer to a request that is about to be refused.
+
+        A caller that is told "not run" of a sending may take it for the whole
+        request, and send it under a new key although the first one ran. So it's
+        looked up whether an earlier sending holds the claim.
+        """
+        if self.held is not None:
+            return refusal
+        try:
+            async with asyncio.timeout(LOOK_SECONDS):
+                found = await self.claims.look(self.key)
+        except (errors.PlatformError, TimeoutError):
+            told = msgspec.structs.replace(refusal.problem, detail=EARLIER_UNKNOWN)
+            return problem.ProblemError(told)
+        return refusal if found is None else self.describe(found)
+
+    def describe(self, found: claim.Claim) -> Exception:
+        """Return how a request ends whose claim another sending holds."""
+        if found.fingerprint != self.fingerprint:
+            return problem.other_request()
+        if found.state is claim.State.COMPLETED:
+            if found.answer is None:
+                return problem.answer_not_kept()
+            return KeptAnswerError(found.answer)
+        if found.state is claim.State.UNKNOWN:
+            return problem.unknown("ended_unknown")
+        if self.claims.is_running(found, clock.now()):
+            return problem.unknown("in_progress", retry_after=RETRY_AFTER)
+        return problem.unknown("entry_lost")
+
+    async def settle(
+        self, state: lifecycle.State, answer: claim.KeptAnswer | None
+    ) -> None:
+        """Put into the table how the request ended; waits while that is down."""
+        if self.held is None:
+            return
+        if state is lifecycle.State.NOT_RUN:
+            await self.claims.release(self.held)
+            return
+        is_complete = state is lifecycle.State.COMPLETED
+        kept = answer if answer is not None and answer.is_short() else None
+        ended = msgspec.structs.replace(
+            self.held.claim,
+            server=self.server,
+            state=claim.State.COMPLETED if is_complete else claim.State.UNKNOWN,
+            answer=kept if is_complete else None,
+        )
+        await self.claims.record(self.held, ended)
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -10,8 +10,18 @@
 
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
+from tealcove.claims import claim
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, caller, gate, hops, lifecycle, problem, reply
+from tealcove.entry import (
+    answer,
+    caller,
+    claiming,
+    gate,
+    hops,
+    lifecycle,
+    problem,
+    reply,
+)
 from tealcove.limits import role as limits_role
 
 log = logbook.Logger("entry")
@@ -54,9 +64,16 @@
 
     answer: answer.Answer | reply.Reply
 
-    def __init__(self, request: Request, tickets: requester.Requester) -> None:
+    def __init__(
+        self,
+        request: Request,
+        tickets: requester.Requester,
+        claimed: claiming.RequestClaim | None,
+    ) -> None:
         self.request = request
         self.tickets = tickets
+        # None: the request is idempotent.
+        self.claim = claimed
         self.state = lifecycle.Lifecycle()
         # Callers that read the answer; the entry cancels the task when none is left.
         self.readers = 0
@@ -81,6 +98,10 @@
     def usage(self) -> engine.Usage:
         """Return the work that was done."""
 
+    @abc.abstractmethod
+    def whole_answer(self) -> claim.KeptAnswer | None:
+        """Return the answer of a completed request; None when it's too long."""
+
     def predicted_tokens(self) -> int:
         """Return what an account's limit is charged with; calls cost nothing."""
         return 0
@@ -96,6 +117,8 @@
             await self.find_server()
             self.answer.end()
         except problem.ProblemError as error:
+            self.answer.end(await self.reconsider(error))
+        except claiming.KeptAnswerError as error:
             self.answer.end(error)
         except asyncio.CancelledError:
             self.answer.end(self.fail("cancelled"))
@@ -106,6 +129,31 @@
         finally:
             self.settle()
             self.state.close()
+        await self.settle_claim()
+
+    async def reconsider(self, refusal: problem.ProblemError) -> Exception:
+        """Return the answer to a request that ends with a problem."""
+        if self.claim is None or refusal.problem.outcome is not problem.Outcome.NOT_RUN:
+            return refusal
+        return await self.claim.reconsider(refusal)
+
+    async def settle_claim(self) -> None:
+        """Record how a claimed request ended, after its callers have the answer.
+
+        Until that is done the request counts as in progress: the same key joins
+        it here, and a shutdown waits for it.
+        """
+        if self.claim is None:
+            return
+        ended = self.state.state
+        is_complete = ended is lifecycle.State.COMPLETED
+        try:
+            answer = self.whole_answer() if is_complete else None
+            await self.claim.settle(ended, answer)
+        except Exception:
+            # Nobody waits for this task: without a line in the log one would only
+            # notice that a key stays "in progress" for ever.
+            log.exception("claim not settled", extra={"key": self.claim.key})
 
     async def enter(self) -> None:
         """Pass the gate; raises ProblemError."""
@@ -140,8 +188,8 @@
             self.state.wait()
             hold = self.new_hold()
             granted = await self.obtain(hold)
-            self.check_deadline(hold)
             server = engine.Server(granted.server, granted.host, granted.port)
+            await self.make_ready(hold, server)
             try:
                 await self.use(hold, server)
                 return
@@ -197,13 +245,22 @@
             return self.gate.remaining(self.request.digest)
         return refusal.retry_after
 
-    def check_deadline(self, hold: requester.Hold) -> None:
-        """Give a grant back that came too late, such as to a frozen entry."""
-        if clock.now() < self.request.deadline:
-            return
-        self.tickets.leave(hold)
-        self.state.give_up()
-        raise problem.not_run(messages.RefusalReason.DEADLINE, RETRY_AFTER)
+    async def make_ready(self, hold: requester.Hold, server: engine.Server) -> None:
+        """Take the claim if one is needed, or give the grant back.
+
+        An entry that was frozen may find here that its deadline has passed.
+        """
+        try:
+            if self.claim is not None:
+                with self.hops.claim():
+                    await self.claim.take(server.name, self.request.deadline)
+                self.state.claim()
+            if clock.now() >= self.request.deadline:
+                raise problem.not_run(messages.RefusalReason.DEADLINE, RETRY_AFTER)
+        except BaseException:
+            self.tickets.leave(hold)
+            self.state.give_up()
+            raise
 
     async def use(self, hold: requester.Hold, server: engine.Server) -> None:
         """Run the request on a granted server, and report how it ended."""
@@ -250,7 +307,10 @@
 
     def note_dispatch(self, hold: requester.Hold, server: engine.Server) -> None:
         """Take the step that can't be taken back, before the first byte goes out."""
-        self.state.dispatch()
+        if self.request.idempotent:
+            self.state.dispatch()
+        else:
+            self.state.dispatch_claimed()
         self.dispatched_at = clock.now()
         self.hops.event(hops.DISPATCHED)
         self.tickets.mark_running(hold, server.name)
--- a/src/tealcove/entry/forward.py
+++ b/src/tealcove/entry/forward.py
@@ -5,13 +5,14 @@
 import contextlib
 from collections.abc import Mapping
 
-import multidict
-
 from tealcove import clock
 from tealcove.backends import engine, reach, service
+from tealcove.claims import claim
 from tealcove.dispatch import requester
-from tealcove.entry import exchange, reply
+from tealcove.entry import claiming, exchange, reply
 
+CONTENT_LENGTH = "content-length"
+NOT_MODIFIED = 304
 # Headers that are about one connection (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -28,7 +29,7 @@
 )
 # The key of an account is ours alone; length and address are those of our own
 # connection; `Expect` was answered when the body was read.
-NOT_FORWARDED = HOP_BY_HOP | {"authorization", "content-length", "expect", "host"}
+NOT_FORWARDED = HOP_BY_HOP | {"authorization", CONTENT_LENGTH, "expect", "host"}
 # aiohttp takes a limit of 0 for none.
 LEAST_SECONDS = 0.001
 REQUEST_ID = "x-request-id"
@@ -44,10 +45,11 @@
         self,
         request: exchange.Request,
         tickets: requester.Requester,
+        claimed: claiming.RequestClaim | None,
         call: service.Call,
         services: service.ServiceClient,
     ) -> None:
-        super().__init__(request, tickets)
+        super().__init__(request, tickets, claimed)
         self.call = call
         self.services = services
         self.answer = reply.Reply()
@@ -82,25 +84,41 @@
         work = self.request.work
         return engine.Usage(work.prompt_tokens, 0, work.output_tokens)
 
+    def whole_answer(self) -> claim.KeptAnswer | None:
+        """See Exchange."""
+        found = self.answer
+        if found.is_long:
+            return None
+        headers = returned_headers(found.head, self.request.request_id)
+        if self.call.method == "HEAD" or found.head.status == NOT_MODIFIED:
+            # The length is that of the body which a GET would have got.
+            headers += length_of(found.head)
+        return claim.KeptAnswer(found.head.status, headers, found.body())
+
 
 def forwarded_headers(headers: Mapping[str, str]) -> service.Headers:
     """Return the headers of a caller that go on to the service."""
-    kept = end_to_end(headers, NOT_FORWARDED)
+    pairs = tuple((str(name), value) for name, value in headers.items())
+    kept = end_to_end(pairs, NOT_FORWARDED)
     return tuple(pair for pair in kept if not is_undone_coding(*pair))
 
 
 def returned_headers(head: service.Head, request_id: str) -> service.Headers:
     """Return the headers of a service that go back to the caller."""
-    headers = multidict.CIMultiDict(head.headers)
-    kept = end_to_end(headers, HOP_BY_HOP | {REQUEST_ID, "content-length"})
+    kept = end_to_end(head.headers, HOP_BY_HOP | {REQUEST_ID, CONTENT_LENGTH})
     return (*kept, ("X-Request-Id", request_id))
 
 
-def end_to_end(headers: Mapping[str, str], dropped: frozenset[str]) -> service.Headers:
+def length_of(head: service.Head) -> service.Headers:
+    """Return the header that tells the body's length, if there is one."""
+    return tuple(p for p in head.headers if p[0].lower() == CONTENT_LENGTH)
+
+
+def end_to_end(headers: service.Headers, dropped: frozenset[str]) -> service.Headers:
     """Return headers without those dropped and those that `Connection` names."""
-    named = headers.get("Connection", "").split(",")
-    hop = dropped | {name.strip().lower() for name in named}
-    return tuple(pair for pair in headers.items() if pair[0].lower() not in hop)
+    lists = [value for name, value in headers if name.lower() == "connection"]
+    named = {name.strip().lower() for name in ",".join(lists).split(",")}
+    return tuple(p for p in headers if p[0].lower() not in dropped | named)
 
 
 def is_undone_coding(name: str, value: str) -> bool:
--- a/src/tealcove/entry/generation.py
+++ b/src/tealcove/entry/generation.py
@@ -7,12 +7,15 @@
 
 from tealcove import clock, errors
 from tealcove.backends import engine
+from tealcove.claims import claim
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, call, exchange, hops
+from tealcove.entry import answer, call, claiming, exchange, hops, openai
 
 # A broken stream is taken up again so often, and with this pause in seconds.
 RESUME_ATTEMPTS = 20
 RESUME_PAUSE = 0.1
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
 
 
 class EngineExchange(exchange.Exchange):
@@ -22,10 +25,11 @@
         self,
         request: exchange.Request,
         tickets: requester.Requester,
+        claimed: claiming.RequestClaim | None,
         engine_call: call.EngineCall,
         engines: engine.EngineClient,
     ) -> None:
-        super().__init__(request, tickets)
+        super().__init__(request, tickets, claimed)
         self.call = engine_call
         self.engines = engines
         self.answer = answer.Answer()
@@ -101,6 +105,28 @@
         cached = told.cached_tokens if told else 0
         return engine.Usage(prompt, cached, self.answer.next_index)
 
+    def form(self) -> openai.Form:
+        """Return what renders the answer."""
+        call = self.call
+        return openai.Form(self.request.request_id, call.model, call.chat)
+
+    def whole_answer(self) -> claim.KeptAnswer:
+        """See Exchange; of a streamed answer it is the events in one piece."""
+        found = self.answer
+        form = self.form()
+        if self.call.stream:
+            closing = form.closing_event(found.finish, found.usage)
+            body = form.event(found.text()) + closing + openai.DONE_EVENT
+            content_type = EVENT_STREAM
+        else:
+            body = form.whole(found.text(), found.finish, found.usage)
+            content_type = JSON
+        headers = (
+            ("Content-Type", content_type),
+            ("X-Request-Id", self.request.request_id),
+        )
+        return claim.KeptAnswer(200, headers, body)
+
     def predicted_tokens(self) -> int:
         """See Exchange."""
         return self.request.work.prompt_tokens + self.request.work.output_tokens
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -10,16 +10,19 @@
 
 from tealcove import clock, ids, settings, telemetry
 from tealcove.backends import engine, service
+from tealcove.claims import claimer
 from tealcove.dispatch import messages, requester
 from tealcove.entry import (
     acceptance,
     call,
     caller,
+    claiming,
     exchange,
     forward,
     gate,
     generation,
     hops,
+    lifecycle,
     observer,
     points,
     problem,
@@ -41,6 +44,7 @@
         engines: engine.EngineClient,
         services: service.ServiceClient,
         tickets: requester.Requester,
+        claims: claimer.Claimer,
         admission: gate.Gate | None = None,
         source: telemetry.Source | None = None,
     ) -> None:
@@ -50,6 +54,7 @@
         self.engines = engines
         self.services = services
         self.tickets = tickets
+        self.claims = claims
         self.gate = admission
         self.observer = observer.Observer(source)
         self.hops = hops.Hops(source)
@@ -101,13 +106,19 @@
                 )
                 running = self.join(accepted) or self.start(
                     generation.EngineExchange(
-                        accepted, self.tickets, engine_call, self.engines
+                        accepted,
+                        self.tickets,
+                        self.new_claim(accepted),
+                        engine_call,
+                        self.engines,
                     )
                 )
                 with Reading(seen.join(running)):
                     return await sending.send_generation(request, running)
             except problem.ProblemError as error:
                 return seen.refuse(error.problem)
+            except claiming.KeptAnswerError as error:
+                return sending.send_whole(error.answer)
 
     async def forward(self, request: web.Request) -> web.StreamResponse:
         """Answer one call to a plain service, of any method and path."""
@@ -120,13 +131,19 @@
                 )
                 running = self.join(accepted) or self.start(
                     forward.ServiceExchange(
-                        accepted, self.tickets, service_call(received), self.services
+                        accepted,
+                        self.tickets,
+                        self.new_claim(accepted),
+                        service_call(received),
+                        self.services,
                     )
                 )
                 with Reading(seen.join(running)):
                     return await sending.send_reply(request, running)
             except problem.ProblemError as error:
                 return seen.refuse(error.problem)
+            except claiming.KeptAnswerError as error:
+                return sending.send_whole(error.answer)
 
     async def receive(
         self, request: web.Request, request_id: ids.RequestId
@@ -159,12 +176,24 @@
         answer is not this caller's.
         """
         running = self.live.get(slot_of(accepted))
-        if running is None:
+        if running is None or running.state.state is lifecycle.State.NOT_RUN:
             return None
         if running.request.fingerprint != accepted.fingerprint:
             raise problem.other_request()
         return running
 
+    def new_claim(self, accepted: exchange.Request) -> claiming.RequestClaim | None:
+        """Return the claim that a non-idempotent request will need."""
+        if accepted.idempotent:
+            return None
+        return claiming.RequestClaim(
+            self.claims,
+            accepted.caller.account,
+            accepted.key,
+            accepted.request_id,
+            accepted.fingerprint,
+        )
+
     def start(self, running: exchange.Exchange) -> exchange.Exchange:
         """Begin a request."""
         slot = slot_of(running.request)
--- a/src/tealcove/entry/problem.py
+++ b/src/tealcove/entry/problem.py
@@ -87,7 +87,9 @@
     return ProblemError(problem)
 
 
-def unknown(reason: str, detail: str = "") -> ProblemError:
+def unknown(
+    reason: str, detail: str = "", retry_after: float | None = None
+) -> ProblemError:
     """Return the end of a non-idempotent request whose end isn't known."""
     problem = Problem(
         status=UNKNOWN_STATUS,
@@ -95,6 +97,7 @@
         outcome=Outcome.UNKNOWN,
         reason=reason,
         detail=detail,
+        retry_after=retry_after,
     )
     return ProblemError(problem)
 
@@ -107,6 +110,17 @@
     return ProblemError(problem)
 
 
+def answer_not_kept() -> ProblemError:
+    """Return the end of a request that ran before and whose answer is gone."""
+    problem = Problem(
+        status=409,
+        title="The request was carried out; its answer was too long to be kept",
+        outcome=Outcome.COMPLETED,
+        reason="answer_not_kept",
+    )
+    return ProblemError(problem)
+
+
 def other_request() -> ProblemError:
     """Return the end of a request whose key belongs to another one."""
     return rejected(
--- a/src/tealcove/entry/sending.py
+++ b/src/tealcove/entry/sending.py
@@ -5,10 +5,9 @@
 import multidict
 from aiohttp import web
 
+from tealcove.claims import claim
 from tealcove.entry import forward, generation, openai, problem, reply
 
-NOT_MODIFIED = 304
-
 
 async def send_generation(
     request: web.Request, running: generation.EngineExchange
@@ -17,13 +16,13 @@
     if running.call.stream:
         return await stream_generation(request, running)
     await running.answer.wait()
-    found = running.answer
-    body = form(running).whole(found.text(), found.finish, found.usage)
-    return web.Response(
-        body=body,
-        content_type="application/json",
-        headers={"X-Request-Id": running.request.request_id},
-    )
+    return send_whole(running.whole_answer())
+
+
+def send_whole(answer: claim.KeptAnswer) -> web.Response:
+    """Return the response that carries a whole answer."""
+    headers = multidict.CIMultiDict(answer.headers)
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
 
 
 async def stream_generation(
@@ -32,17 +31,17 @@
     """Send the answer as it grows; a broken one breaks the connection."""
     response = web.StreamResponse(
         headers={
-            "Content-Type": "text/event-stream",
+            "Content-Type": generation.EVENT_STREAM,
             "Cache-Control": "no-cache",
             "X-Request-Id": running.request.request_id,
         }
     )
-    rendered = form(running)
+    form = running.form()
     try:
         async for chunk in running.answer.read():
             if not response.prepared:
                 await response.prepare(request)
-            await response.write(rendered.event(chunk.text))
+            await response.write(form.event(chunk.text))
     except problem.ProblemError:
         if not response.prepared:
             raise
@@ -50,7 +49,7 @@
     if not response.prepared:
         await response.prepare(request)
     found = running.answer
-    await response.write(rendered.closing_event(found.finish, found.usage))
+    await response.write(form.closing_event(found.finish, found.usage))
     await response.write(openai.DONE_EVENT)
     await response.write_eof()
     return response
@@ -67,12 +66,6 @@
     return response
 
 
-def form(running: generation.EngineExchange) -> openai.Form:
-    """Return what renders a request's answer."""
-    call = running.call
-    return openai.Form(running.request.request_id, call.model, call.chat)
-
-
 async def send_reply(
     request: web.Request, running: forward.ServiceExchange
 ) -> web.StreamResponse:
@@ -81,31 +74,20 @@
     reader = found.join()
     try:
         if await found.wait():
-            return whole_reply(running)
+            return send_whole(running.whole_answer())
         return await stream_reply(request, running, reader)
     finally:
         found.leave(reader)
 
 
-def whole_reply(running: forward.ServiceExchange) -> web.Response:
-    """Return a response that is here whole."""
-    found = running.answer
-    headers = reply_headers(running)
-    if running.call.method == "HEAD" or found.head.status == NOT_MODIFIED:
-        # The length is that of the body which a GET would have got.
-        length = multidict.CIMultiDict(found.head.headers).get("Content-Length")
-        if length is not None:
-            headers["Content-Length"] = length
-    return web.Response(status=found.head.status, headers=headers, body=found.body())
-
-
 async def stream_reply(
     request: web.Request, running: forward.ServiceExchange, reader: reply.Reader
 ) -> web.StreamResponse:
     """Send a long response as it comes; a broken one breaks the connection."""
     found = running.answer
+    headers = forward.returned_headers(found.head, running.request.request_id)
     response = web.StreamResponse(
-        status=found.head.status, headers=reply_headers(running)
+        status=found.head.status, headers=multidict.CIMultiDict(headers)
     )
     await response.prepare(request)
     try:
@@ -115,11 +97,3 @@
         return abort(request, response)
     await response.write_eof()
     return response
-
-
-def reply_headers(
-    running: forward.ServiceExchange,
-) -> multidict.CIMultiDict[str]:
-    """Return the headers that go to the caller; some may stand several times."""
-    found = forward.returned_headers(running.answer.head, running.request.request_id)
-    return multidict.CIMultiDict(found)
--- a/src/tealcove/entry/tests/builders.py
+++ b/src/tealcove/entry/tests/builders.py
@@ -139,7 +139,7 @@
     async with listening([web.route("*", "/{path:.*}", handler)]) as service_port:
         tickets = InstantTickets(known, service_port)
         found = settings.Settings("i", "d")
-        entry = http.Entry(found, configuration(), known, None, services, tickets)
+        entry = http.Entry(found, configuration(), known, None, services, tickets, None)
         async with listening(entry.routes()) as port:
             url = f"http://127.0.0.1:{port}"
             async with aiohttp.ClientSession(url, auto_decompress=False) as session:
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,253 @@
+"""A non-idempotent request runs at most once, whatever fails meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import aiohttp
+import msgspec
+from syrupy import assertion
+
+from tealcove.platform import services
+from tealcove.resources import kinds
+from tests import callers, deployment
+
+SECONDS_PER_CALL = 1.0
+PATH = "/quotes/7"
+
+
+class Told(msgspec.Struct, frozen=True, order=True):
+    """What a caller was told; the body is left out, since ids differ by run."""
+
+    status: int
+    outcome: str
+    reason: str = ""
+
+
+class Session:
+    """A deployment with one service whose calls may not be repeated."""
+
+    def __init__(self, running: deployment.Deployment) -> None:
+        self.running = running
+        self.told: list[tuple[str, Told]] = []
+
+    async def prepare(self, instances: int = 2) -> None:
+        running = self.running
+        service = await running.add_service(seconds_per_call=SECONDS_PER_CALL)
+        await running.add_engine(decode_seconds_per_token=0.005)
+        for _ in range(instances):
+            await running.add_instance()
+        await running.declare()
+        pool = kinds.ServicePoolSpec(servers=running.servers([service], 64))
+        await running.put(kinds.Kind.SERVICE_POOL, "ledger", pool)
+        rule = kinds.RoutingRuleSpec(
+            order=10, pool="ledger", path_prefix="/quotes", idempotent=False
+        )
+        await running.put(kinds.Kind.ROUTING_RULE, "quotes", rule)
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+        for instance in running.instances:
+            await self.wait_for_rule(instance)
+
+    async def wait_for_rule(self, instance: deployment.Process) -> None:
+        """Wait until a call without a key is refused for that, and not by 404."""
+
+        async def is_in_force() -> bool:
+            found = await self.call(instance, PATH, {})
+            return found.status == 400
+
+        await deployment.until(is_in_force)
+
+    async def call(
+        self, instance: deployment.Process, path: str, extra: dict[str, str], **more
+    ) -> Told:
+        headers = callers.headers(**extra)
+        url = f"{instance.url}{path}"
+        try:
+            async with self.running.session.post(
+                url, headers=headers, **more
+            ) as response:
+                content = await response.json(content_type=None)
+                outcome = content.get("outcome", "completed")
+                return Told(response.status, outcome, content.get("reason", ""))
+        except (aiohttp.ClientError, OSError):
+            return Told(0, "cut")
+
+    async def send(self, number: int, key: str, body: bytes = b"quote") -> Told:
+        """Send the quote of a key to an instance, and note what came of it."""
+        instance = self.running.instances[number]
+        found = await self.call(instance, PATH, {"Idempotency-Key": key}, data=body)
+        self.told.append((f"{key} to {instance.name}", found))
+        return found
+
+    async def complete(self, number: int, key: str) -> Told:
+        """Send a completion that is marked as non-idempotent."""
+        instance = self.running.instances[number]
+        extra = {"Idempotency-Key": key, "Tealcove-Idempotent": "no"}
+        body = {"model": "m", "prompt": key, "max_tokens": 4}
+        found = await self.call(instance, "/v1/completions", extra, json=body)
+        self.told.append((f"{key} to {instance.name}", found))
+        return found
+
+    async def runs(self) -> dict[str, int]:
+        """Return how often each key arrived at the service."""
+        return (await self.running.counts(self.running.services[0]))["keys"]
+
+    async def engine_runs(self) -> list[int]:
+        """Return how often each request arrived at the engine."""
+        counts = await self.running.counts(self.running.engines[0])
+        return list(counts["dispatches"].values())
+
+    async def wait_for_run(self, key: str) -> None:
+        async def has_arrived() -> bool:
+            return key in await self.runs()
+
+        await deployment.until(has_arrived)
+
+    async def wait_for_row(self, key: str) -> None:
+        rows = services.HttpTableService(self.running.client)
+
+        async def stands() -> bool:
+            return await rows.read("claims", f"account-high/{key}") is not None
+
+        await deployment.until(stands)
+
+    async def wait_until_missed(self, number: int, lost: deployment.Process) -> None:
+        """Wait until an instance has noticed that another is silent."""
+
+        async def is_missed() -> bool:
+            names = await self.running.entry_points(self.running.instances[number])
+            return lost.name not in names
+
+        await deployment.until(is_missed)
+
+
+async def test_entry_killed_while_a_call_runs(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """A client receives a quote twice.
+
+    Events: the entry is killed while the ledger sends the quote; the caller, whose
+    connection broke, sends again to another entry. Cause: nothing that outlives
+    the entry says that the quote was dispatched.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        first = asyncio.create_task(session.send(0, "k"))
+        await session.wait_for_run("k")
+        running.instances[0].kill()
+        await first
+        await session.wait_until_missed(1, running.instances[0])
+        await session.send(1, "k")
+        assert (session.told, await session.runs()) == snapshot
+
+
+async def test_reply_of_the_platform_lost_at_the_claim(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """A quote isn't sent at all, or twice, since its claim's fate wasn't clear.
+
+    Events: the platform applies the claim and its reply is lost, three times over.
+    Cause: the claim that stands there is taken for another's.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        await running.set_faults(running.platform, {"lose_replies": 3})
+        await session.send(0, "k")
+        await session.send(0, "k", b"another quote")
+        assert (session.told, await session.runs()) == snapshot
+
+
+async def test_the_same_key_to_two_entries_at_once(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """A client receives a quote twice, since two entries ran it side by side."""
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        keys = [f"k{number}" for number in range(10)]
+        pairs = await asyncio.gather(
+            *(
+                asyncio.gather(session.send(0, key), session.send(1, key))
+                for key in keys
+            )
+        )
+        told = {key: sorted(pair) for key, pair in zip(keys, pairs, strict=True)}
+        assert (told, sorted((await session.runs()).items())) == snapshot
+
+
+async def test_a_lost_answer_is_given_again_by_another_entry(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """A caller whose answer got lost can't learn whether its quote went out."""
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        await session.send(0, "k")
+
+        async def is_recorded() -> bool:
+            found = await session.call(
+                running.instances[1], PATH, {"Idempotency-Key": "k"}, data=b"quote"
+            )
+            return found.outcome == "completed"
+
+        await deployment.until(is_recorded)
+        await session.send(1, "k")
+        await session.send(1, "k", b"another quote")
+        assert (session.told, await session.runs()) == snapshot
+
+
+async def test_platform_down(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """Callers are told "not run" of what was run, or wait for the platform.
+
+    Events: the platform is down when a claim is needed, and comes back later.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        await running.set_faults(running.platform, {"down": True})
+        await session.send(0, "k")
+        await session.complete(1, "generation")
+        untouched = (await session.runs(), await session.engine_runs())
+        reply = await callers.complete(running.session, running.instances[0].url, "p")
+        await running.set_faults(running.platform, {})
+        await session.send(1, "k")
+        await session.complete(1, "generation")
+        ran = (await session.runs(), await session.engine_runs())
+        assert (untouched, reply.outcome, session.told, ran) == snapshot
+
+
+async def test_entry_frozen_after_its_claim(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """A frozen entry wakes and sends a quote that another has sent meanwhile.
+
+    Events: the entry is frozen while its claim is written; the caller sends again
+    to another entry; the first one wakes and goes on where it was. Cause: the
+    second entry takes over from one that only seems dead.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        await running.set_faults(running.platform, {"slow": 0.5})
+        written = (await running.counts(running.platform))["writes"]
+        first = asyncio.create_task(session.send(0, "k"))
+
+        async def is_writing() -> bool:
+            return (await running.counts(running.platform))["writes"] > written
+
+        await deployment.until(is_writing)
+        running.instances[0].freeze()
+        await session.wait_for_row("k")
+        await running.set_faults(running.platform, {})
+        await session.wait_until_missed(1, running.instances[0])
+        await session.send(1, "k")
+        running.instances[0].thaw()
+        await first
+        assert (session.told, await session.runs()) == snapshot
