Let another instance witness where a request with a key runs (off)

Cause: when an entry dies and its caller sends the same key to another entry, the request is dispatched a second time although the engine goes on with the first run. Change: a record at one other instance, left before dispatch without waiting; the next entry asks for it, sees that the first is gone, and resumes the engine's stream under the old id and ticket. Switched off by default until it is measured. Ruled out: joining the run of an entry that lives, since a caller that leaves one of the two would cancel the other's run.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -26,6 +26,7 @@
 from tealcove.quarantine import role as quarantine_role
 from tealcove.resources import copy, kinds
 from tealcove.resources import role as configuration
+from tealcove.witness import role as witness_role
 
 LOG = logbook.Logger("daemon")
 
@@ -153,6 +154,7 @@
             self.claims,
             gate.Gate(self.quarantine, self.limits),
             source=self.telemetry,
+            witness=self.start_witness(),
         )
         self.configuration.copy.subscribe(self.take_configuration)
         self.stewards = orders_role.Stewards(
@@ -174,6 +176,15 @@
         self.claims = claimer.Claimer(self.mesh, self.members, self.rows, found.writers)
         self.claims.start()
 
+    def start_witness(self) -> witness_role.Witness | None:
+        """Start to keep records for other entries; None: it's switched off."""
+        timeout = self.settings.dispatch.witness_timeout
+        if not timeout:
+            return None
+        found = witness_role.Witness(self.mesh, self.members, timeout)
+        found.start()
+        return found
+
     def show_roles(self) -> None:
         """Add what the roles count to the metrics."""
         shown = gauges.Gauges(self.telemetry.meter)
--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -135,7 +135,7 @@
         if server is None:
             return
         if ticket.ticket_id in server.running:
-            server.running[ticket.ticket_id].told = now
+            server.running[ticket.ticket_id].tell(ticket, now)
             return
         self.fleet.end(ticket.ticket_id, now)
         tokens = ticket.prompt_tokens + ticket.output_tokens
--- a/src/tealcove/dispatch/servers.py
+++ b/src/tealcove/dispatch/servers.py
@@ -58,6 +58,17 @@
     # Set when the entry is gone, and with it the word of the request's end.
     ends_by: ids.Instant | None = None
 
+    def tell(self, ticket: messages.Ticket, now: ids.Instant) -> None:
+        """Learn that the request still runs, maybe for another entry by now.
+
+        An entry that takes a lost one's run over keeps its ticket. Orders to stop
+        it must reach that entry, and the slot isn't free when the old one is missed.
+        """
+        self.told = now
+        if ticket.entry != self.ticket.entry:
+            self.ticket = ticket
+            self.ends_by = None
+
     def prefill_spent(self, now: ids.Instant) -> float:
         """Return the prompt tokens computed so far, as far as it is known."""
         if self.has_first_token or self.expected_first == math.inf:
--- a/src/tealcove/entry/generation.py
+++ b/src/tealcove/entry/generation.py
@@ -4,12 +4,22 @@
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
 
 from tealcove import clock, errors
 from tealcove.backends import engine
 from tealcove.claims import claim
 from tealcove.dispatch import messages, requester
-from tealcove.entry import answer, call, claiming, exchange, hops, openai
+from tealcove.entry import (
+    answer,
+    call,
+    claiming,
+    exchange,
+    hops,
+    openai,
+    witnessing,
+)
+from tealcove.witness import messages as witness_messages
 
 # A broken stream is taken up again so often, and with this pause in seconds.
 RESUME_ATTEMPTS = 20
@@ -28,11 +38,55 @@
         claimed: claiming.RequestClaim | None,
         engine_call: call.EngineCall,
         engines: engine.EngineClient,
+        witness: witnessing.RequestWitness | None = None,
     ) -> None:
         super().__init__(request, tickets, claimed)
         self.call = engine_call
         self.engines = engines
         self.answer = answer.Answer()
+        # None: no other entry can learn where the request runs.
+        self.witness = witness
+        # By this the engine knows the run; a lost entry's has the id it gave it.
+        self.run_id = request.request_id
+        # The stream of a lost entry's run that this request goes on with.
+        self.taken: AsyncIterator[engine.Chunk] | None = None
+
+    async def run(self) -> None:
+        """See Exchange."""
+        try:
+            await super().run()
+        finally:
+            if self.witness is not None:
+                self.witness.drop()
+
+    async def find_server(self) -> None:
+        """Go on with the run that a lost entry has left, or ask for a slot."""
+        found = None if self.witness is None else await self.witness.find()
+        if found is None or not await self.take_over(found):
+            await super().find_server()
+
+    async def take_over(self, found: witness_messages.Record) -> bool:
+        """Go on with a run from its first token; False: the engine has it no more.
+
+        Until the first event is here nothing is noted anywhere, so that the
+        request can still be dispatched like any other one.
+        """
+        server = engine.Server(found.server, found.host, found.port)
+        stream = self.engines.resume(server, found.request_id, 0)
+        try:
+            first = await anext(stream)
+        except (errors.BackendError, StopAsyncIteration):
+            return False
+        self.run_id = found.request_id
+        self.taken = stream
+        self.state.wait()
+        hold = self.new_hold()
+        witnessing.take_ticket(hold, found, self.tickets)
+        self.note_dispatch(hold, server)
+        witnessing.announce(hold, self.tickets)
+        self.take_chunk(hold, first)
+        await self.use(hold, server)
+        return True
 
     async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
         """See Exchange."""
@@ -47,8 +101,10 @@
         def dispatched() -> None:
             self.note_dispatch(hold, server)
 
-        with contextlib.suppress(engine.BrokenStreamError, answer.GapError):
+        stream = self.taken
+        if stream is None:
             stream = self.engines.generate(server, completion, dispatched)
+        with contextlib.suppress(engine.BrokenStreamError, answer.GapError):
             await self.collect(hold, stream)
         for _ in range(RESUME_ATTEMPTS):
             if self.answer.is_whole:
@@ -64,7 +120,7 @@
         """
         self.answer.early.clear()
         offset = self.answer.next_index
-        stream = self.engines.resume(server, self.request.request_id, offset)
+        stream = self.engines.resume(server, self.run_id, offset)
         try:
             await self.collect(hold, stream)
         except engine.NotDispatchedError:
@@ -75,6 +131,10 @@
         except (engine.BrokenStreamError, answer.GapError):
             await asyncio.sleep(RESUME_PAUSE)
         except engine.RefusedCallError as error:
+            if self.taken is not None:
+                # The entry that seemed lost was frozen only. It woke, and its
+                # caller was gone: it cancelled the run.
+                raise
             # The server knows nothing of a request that it ran: it has crashed
             # and was restarted before anybody could see that it was gone.
             raise exchange.CrashError(server.name) from error
@@ -83,9 +143,19 @@
         """Put the chunks of a stream into the answer."""
         async with contextlib.aclosing(stream) as chunks:
             async for chunk in chunks:
-                self.answer.add(chunk)
-                if self.first_token_at is None:
-                    self.note_first_token(hold)
+                self.take_chunk(hold, chunk)
+
+    def take_chunk(self, hold: requester.Hold, chunk: engine.Chunk) -> None:
+        """Put a chunk into the answer; raises GapError."""
+        self.answer.add(chunk)
+        if self.first_token_at is None:
+            self.note_first_token(hold)
+
+    def note_dispatch(self, hold: requester.Hold, server: engine.Server) -> None:
+        """See Exchange; the witness learns of it first."""
+        if self.witness is not None:
+            self.witness.leave(hold.ticket, server)
+        super().note_dispatch(hold, server)
 
     def note_first_token(self, hold: requester.Hold) -> None:
         """Tell the dispatcher that the prefill is over."""
@@ -105,6 +175,17 @@
         cached = told.cached_tokens if told else 0
         return engine.Usage(prompt, cached, self.answer.next_index)
 
+    def describe_end(
+        self,
+        hold: requester.Hold,
+        server: engine.Server,
+        outcome: messages.Outcome,
+    ) -> messages.Done:
+        """See Exchange; of a run taken over, the times are too short to learn from."""
+        if self.taken is not None and outcome is messages.Outcome.COMPLETED:
+            outcome = messages.Outcome.CANCELLED
+        return super().describe_end(hold, server, outcome)
+
     def form(self) -> openai.Form:
         """Return what renders the answer."""
         call = self.call
@@ -134,4 +215,4 @@
     async def stop_leftover(self, server: engine.Server) -> None:
         """See Exchange."""
         with contextlib.suppress(errors.BackendError):
-            await asyncio.shield(self.engines.cancel(server, self.request.request_id))
+            await asyncio.shield(self.engines.cancel(server, self.run_id))
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -27,10 +27,13 @@
     points,
     problem,
     sending,
+    witnessing,
 )
 from tealcove.membership import members
 from tealcove.membership import messages as membership_messages
 from tealcove.resources import copy
+from tealcove.witness import messages as witness_messages
+from tealcove.witness import role as witness_role
 
 
 class Entry:
@@ -47,7 +50,9 @@
         claims: claimer.Claimer,
         admission: gate.Gate | None = None,
         source: telemetry.Source | None = None,
+        witness: witness_role.Witness | None = None,
     ) -> None:
+        self.witness = witness
         self.settings = found
         self.configuration = configuration
         self.members = known
@@ -111,6 +116,7 @@
                         self.new_claim(accepted),
                         engine_call,
                         self.engines,
+                        self.new_witness(accepted),
                     )
                 )
                 with Reading(seen.join(running)):
@@ -194,6 +200,19 @@
             accepted.fingerprint,
         )
 
+    def new_witness(
+        self, accepted: exchange.Request
+    ) -> witnessing.RequestWitness | None:
+        """Return what keeps a record of an idempotent request that has a key."""
+        if self.witness is None or accepted.key is None or not accepted.idempotent:
+            return None
+        return witnessing.RequestWitness(
+            self.witness,
+            witness_messages.Place(accepted.caller.account, accepted.key),
+            accepted.fingerprint,
+            accepted.deadline,
+        )
+
     def start(self, running: exchange.Exchange) -> exchange.Exchange:
         """Begin a request."""
         slot = slot_of(running.request)
--- a/src/tealcove/settings.py
+++ b/src/tealcove/settings.py
@@ -107,6 +107,9 @@
     deadline_margin: Delay = 0.05
     # "module:Class" of the Scheduler that decides for a cell.
     policy: str = "tealcove.dispatch.fair:FairScheduler"
+    # How long an entry waits for word of an earlier sending of a request with a
+    # key; 0 keeps no records of where such requests run.
+    witness_timeout: Delay = 0.0
 
 
 class Quarantine(Group):
--- /dev/null
+++ b/src/tealcove/witness/__init__.py
@@ -0,0 +1,1 @@
+"""Records of where idempotent requests run, kept in the memory of other instances."""
--- /dev/null
+++ b/tests/test_witness.py
@@ -0,0 +1,94 @@
+"""A caller that sends again after its entry's death gets the run that it paid for."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+from syrupy import assertion
+
+from tests import callers, deployment
+
+REQUESTS = 8
+TOKENS = 120
+# Generous, so that a busy machine doesn't change what is found.
+WITNESS = {"dispatch": {"witness_timeout": 2.0}}
+RESUME_SECONDS = 60.0
+
+
+class Session:
+    """Three instances before two engines, and callers whose requests have keys."""
+
+    def __init__(self, running: deployment.Deployment) -> None:
+        self.running = running
+
+    async def prepare(self) -> None:
+        running = self.running
+        for _ in range(2):
+            await running.add_engine(
+                decode_seconds_per_token=0.02, resume_seconds=RESUME_SECONDS
+            )
+        for _ in range(3):
+            await running.add_instance(**WITNESS)
+        await running.declare()
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+
+    async def send(self, to: int, number: int, **more: object) -> callers.Reply:
+        """Send the request with a number and a key of its own."""
+        url = self.running.instances[to].url
+        extra = {"Idempotency-Key": f"key {number}"}
+        prompt = f"prompt {number}"
+        session = self.running.session
+        return await callers.complete(
+            session, url, prompt, TOKENS, extra=extra | more.pop("extra", {})
+        )
+
+    async def until_dispatched(self, count: int) -> None:
+        """Wait until all engines together were sent so many requests."""
+
+        async def enough() -> bool:
+            return await self.dispatches() >= count
+
+        await deployment.until(enough)
+
+    async def dispatches(self) -> int:
+        """Return how many requests were sent to the engines."""
+        counts = [await self.running.counts(e) for e in self.running.engines]
+        return sum(sum(found["dispatches"].values()) for found in counts)
+
+    async def judge(self, replies: list[callers.Reply]) -> dict[str, object]:
+        """Return what came of the requests, alike on every run."""
+        return {
+            "replies": [
+                callers.describe(reply, f"prompt {number}", TOKENS)
+                for number, reply in enumerate(replies)
+            ],
+            "dispatches of all requests": await self.dispatches(),
+        }
+
+
+async def test_requests_sent_again_after_their_entry_was_killed(
+    tmp_path: pathlib.Path, snapshot: assertion.SnapshotAssertion
+) -> None:
+    """Each request is dispatched twice, although its first run goes on.
+
+    Symptom: engines do the prefill of a request twice. Sequence: an entry is killed
+    while its requests run; their callers send them again to another entry at once.
+    Cause: nobody but the dead entry knew where they run.
+    """
+    async with deployment.Deployment(tmp_path) as running:
+        session = Session(running)
+        await session.prepare()
+        first = [
+            asyncio.create_task(session.send(0, number)) for number in range(REQUESTS)
+        ]
+        await session.until_dispatched(REQUESTS)
+        running.instances[0].kill()
+        cut = await asyncio.gather(*first)
+        again = await asyncio.gather(
+            *(session.send(1 + number % 2, number) for number in range(REQUESTS))
+        )
+        told = {reply.outcome for reply in cut}
+        assert (told, await session.judge(again)) == snapshot
