Delete a late claim only if this very run of the instance gave it up

Cause: a verdict on a claim may come to an instance that was restarted while its former run's request was dispatched. The new run knew nothing of the nonce, took the claim for one that had been given up, and deleted the row: the key was free again and the request could have run twice.

Change: a late claim is deleted only if its row names this incarnation and still says claimed. The state machine lets requests run longer than doubled messages take, and also checks that no claim is taken for another's after a lost reply.

Conclusion: only the run that drew a nonce may delete its row.

--- a/src/tealcove/claims/claimer.py
+++ b/src/tealcove/claims/claimer.py
@@ -208,10 +208,24 @@
             except errors.PlatformError:
                 await asyncio.sleep(RETRY_PAUSE)
         found = None if row is None else claim.decode(row.value)
-        if found is not None and is_undispatched(found, nonce):
+        if found is not None and self.is_undispatched(found, nonce):
             await self.release(Held(key, found, row.version))
         self.live.discard(nonce)
 
+    def is_undispatched(self, found: claim.Claim, nonce: str) -> bool:
+        """Tell whether a row is of a claim that was given up here.
+
+        The end of each claim that was used is recorded before it leaves `live`. A
+        verdict on its first writing may still come after that, from a second
+        writer, or come to an instance that was restarted while its request ran;
+        were the row deleted then, the request could run again.
+        """
+        return (
+            found.nonce == nonce
+            and found.incarnation == self.members.own.incarnation
+            and found.state is claim.State.CLAIMED
+        )
+
     async def look(self, key: str) -> claim.Claim | None:
         """Return the claim that stands under a key; raises PlatformError."""
         row = await self.rows.read(claim.TABLE, key)
@@ -226,16 +240,6 @@
         )
 
 
-def is_undispatched(found: claim.Claim, nonce: str) -> bool:
-    """Tell whether a row is of a claim of ours that was given up.
-
-    The end of each claim that was used is recorded before it leaves `live`. A
-    verdict on its first writing may still come after that, from a second writer;
-    were the row deleted then, the request could run again.
-    """
-    return found.nonce == nonce and found.state is claim.State.CLAIMED
-
-
 def new_nonce() -> str:
     """Draw an id that no other claim or change has."""
     return str(ids.new_incarnation())
--- a/src/tealcove/claims/tests/test_claim_machine.py
+++ b/src/tealcove/claims/tests/test_claim_machine.py
@@ -35,6 +35,8 @@
         self.rows = builders.LateTable(self.platform.table)
         self.bus = builders.Bus()
         self.dispatches: collections.Counter[str] = collections.Counter()
+        # Whether a claim was ever taken for another's after a lost reply.
+        self.taken_from_itself = False
         for number in INSTANCES:
             self.start(number)
         self.wait(1.0)
@@ -56,7 +58,10 @@
         deadline = ids.Instant(clock.now() + builders.DEADLINE)
         try:
             held = await instance.claimer.claim(key, wanted, deadline)
-        except (claimer.TakenError, claimer.UnavailableError):
+        except claimer.TakenError as error:
+            self.taken_from_itself |= error.found.nonce == wanted.nonce
+            return
+        except claimer.UnavailableError:
             return
         if ending == "refused":
             await instance.claimer.release(held)
@@ -72,7 +77,7 @@
         numbers=st.lists(st.sampled_from(INSTANCES), min_size=1, max_size=3),
         key=st.sampled_from(KEYS),
         ending=st.sampled_from(ENDINGS),
-        runs_for=st.sampled_from([0.0, 0.3]),
+        runs_for=st.sampled_from([0.0, 0.3, 2.0]),
         seconds=st.sampled_from(SHORT),
     )
     def send(
@@ -132,15 +137,16 @@
         for key, count in self.dispatches.items():
             assert count == 1
             assert (claim.TABLE, key) in self.platform.table.rows
+        assert not self.taken_from_itself
 
     def teardown(self) -> None:
         """Once all faults are over, each request that lives has been settled."""
-        self.heal()
-        self.wait(30.0)
-        self.dispatched_once_and_remembered()
-        for instance in self.bus.instances.values():
-            assert not instance.claimer.live
-        self.resources.close()
+        with self.resources:
+            self.heal()
+            self.wait(30.0)
+            self.dispatched_once_and_remembered()
+            for instance in self.bus.instances.values():
+                assert not instance.claimer.live
 
 
 ClaimMachine.TestCase.settings = hypothesis.settings(
