Split what the entry knows of a request from the life that it leads

Cause: exchange.py had grown to 373 lines with claims, spans and the gate.

Change: admitted.py holds Request, Work and the making of a ticket, failures.py the two bad ends, and claiming.py records how a claimed request ended.

Measurement: exchange.py has 295 lines; the tests of entry, backends, paths, claims, quarantine and traces pass as before.

Conclusion: no behaviour changes.

--- a/src/tealcove/entry/acceptance.py
+++ b/src/tealcove/entry/acceptance.py
@@ -10,7 +10,7 @@
 from tealcove import clock, ids
 from tealcove.backends import prefixes
 from tealcove.dispatch import cells, spread
-from tealcove.entry import call, caller, exchange, problem
+from tealcove.entry import admitted, call, caller, problem
 from tealcove.quarantine import content
 from tealcove.resources import copy, kinds
 
@@ -36,7 +36,7 @@
     engine_call: call.EngineCall,
     configuration: copy.Configuration,
     spreading: spread.Spread,
-) -> exchange.Request:
+) -> admitted.Request:
     """Accept a request for an engine; raises ProblemError (rejected)."""
     rule = find_rule(received, engine_call.model, configuration)
     pool = None if rule is None else configuration.engine_pools.get(rule.spec.pool)
@@ -46,7 +46,7 @@
             "No routing rule leads to a pool of engines",
             f"model {engine_call.model!r}; ask the operator for a rule.",
         )
-    work = exchange.Work(
+    work = admitted.Work(
         prompt_tokens=prefixes.count_tokens(engine_call.prompt),
         output_tokens=engine_call.max_tokens,
         prefix=prefixes.chain(engine_call.prompt),
@@ -60,7 +60,7 @@
 
 def accept_call(
     received: Received, configuration: copy.Configuration, spreading: spread.Spread
-) -> exchange.Request:
+) -> admitted.Request:
     """Accept a call to a plain service; raises ProblemError (rejected)."""
     check_path(received.http.path)
     rule = find_rule(received, None, configuration)
@@ -72,21 +72,21 @@
             "See the path, or ask the operator for a rule.",
         )
     cell = spreading.choose(pool, received.request_id)
-    return accept(received, rule, cell, exchange.Work(), fingerprint(received))
+    return accept(received, rule, cell, admitted.Work(), fingerprint(received))
 
 
 def accept(
     received: Received,
     rule: kinds.Resource,
     cell: cells.Cell,
-    work: exchange.Work,
+    work: admitted.Work,
     content_digest: str,
-) -> exchange.Request:
+) -> admitted.Request:
     """Return the accepted request; raises ProblemError for headers out of order."""
     headers = received.http.headers
     said_no = headers.get(IDEMPOTENT_HEADER, "").lower() == NO
     idempotent = rule.spec.idempotent and not said_no
-    return exchange.Request(
+    return admitted.Request(
         request_id=received.request_id,
         caller=received.caller,
         cell=cell.cell_id,
--- a/src/tealcove/entry/claiming.py
+++ b/src/tealcove/entry/claiming.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
+import logbook
 import msgspec
 
 from tealcove import clock, errors, ids
@@ -12,6 +14,8 @@
 from tealcove.dispatch import messages
 from tealcove.entry import lifecycle, problem
 
+log = logbook.Logger("entry")
+
 RETRY_AFTER = 1.0
 # A refusal waits so many seconds at the most for a look at the table.
 LOOK_SECONDS = 0.05
@@ -106,20 +110,41 @@
         return problem.unknown("entry_lost")
 
     async def settle(
-        self, state: lifecycle.State, answer: claim.KeptAnswer | None
+        self,
+        state: lifecycle.State,
+        whole_answer: Callable[[], claim.KeptAnswer | None],
     ) -> None:
-        """Put into the table how the request ended; waits while that is down."""
+        """Put into the table how the request ended, after its callers were told.
+
+        Until that is done the request counts as in progress: the same key joins
+        it here, and a shutdown waits for it. Waits while the platform is down.
+        """
         if self.held is None:
             return
-        if state is lifecycle.State.NOT_RUN:
-            await self.claims.release(self.held)
-            return
-        is_complete = state is lifecycle.State.COMPLETED
-        kept = answer if answer is not None and answer.is_short() else None
-        ended = msgspec.structs.replace(
+        try:
+            if state is lifecycle.State.NOT_RUN:
+                await self.claims.release(self.held)
+            else:
+                await self.claims.record(self.held, self.ended(state, whole_answer))
+        except Exception:
+            # Nobody waits for this task: without a line in the log one would only
+            # notice that a key stays "in progress" for ever.
+            log.exception("claim not settled", extra={"key": self.key})
+
+    def ended(
+        self,
+        state: lifecycle.State,
+        whole_answer: Callable[[], claim.KeptAnswer | None],
+    ) -> claim.Claim:
+        """Return the claim of a request that was dispatched."""
+        if state is not lifecycle.State.COMPLETED:
+            return msgspec.structs.replace(
+                self.held.claim, server=self.server, state=claim.State.UNKNOWN
+            )
+        answer = whole_answer()
+        return msgspec.structs.replace(
             self.held.claim,
             server=self.server,
-            state=claim.State.COMPLETED if is_complete else claim.State.UNKNOWN,
-            answer=kept if is_complete else None,
+            state=claim.State.COMPLETED,
+            answer=answer if answer is not None and answer.is_short() else None,
         )
-        await self.claims.record(self.held, ended)
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -6,16 +6,16 @@
 import asyncio
 
 import logbook
-import msgspec
 
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.claims import claim
 from tealcove.dispatch import messages, requester
 from tealcove.entry import (
+    admitted,
     answer,
-    caller,
     claiming,
+    failures,
     gate,
     hops,
     lifecycle,
@@ -31,34 +31,6 @@
 RETRY_AFTER = 1.0
 
 
-class Work(msgspec.Struct, frozen=True, kw_only=True):
-    """How much work a request is; a call to a plain service counts as one unit."""
-
-    prompt_tokens: int = 1
-    output_tokens: int = 1
-    # Hashes of the prompt's blocks; see `tealcove.backends.prefixes`.
-    prefix: tuple[int, ...] = ()
-    model: str = ""
-    adapter: str | None = None
-
-
-class Request(msgspec.Struct, frozen=True, kw_only=True):
-    """What the entry knows of a request when it accepts it."""
-
-    request_id: ids.RequestId
-    caller: caller.Caller
-    cell: ids.CellId
-    near: ids.DataCentreId | None
-    idempotent: bool
-    deadline: ids.Instant
-    work: Work
-    # Of the content alone, by which crashing requests are known again.
-    digest: str
-    # Of method, path and body: what a key must always come with.
-    fingerprint: str
-    key: ids.IdempotencyKey | None = None
-
-
 class Exchange(abc.ABC):
     """The task that carries one request; callers read its `answer`."""
 
@@ -66,7 +38,7 @@
 
     def __init__(
         self,
-        request: Request,
+        request: admitted.Request,
         tickets: requester.Requester,
         claimed: claiming.RequestClaim | None,
     ) -> None:
@@ -129,7 +101,8 @@
         finally:
             self.settle()
             self.state.close()
-        await self.settle_claim()
+        if self.claim is not None:
+            await self.claim.settle(self.state.state, self.whole_answer)
 
     async def reconsider(self, refusal: problem.ProblemError) -> Exception:
         """Return the answer to a request that ends with a problem."""
@@ -137,24 +110,6 @@
             return refusal
         return await self.claim.reconsider(refusal)
 
-    async def settle_claim(self) -> None:
-        """Record how a claimed request ended, after its callers have the answer.
-
-        Until that is done the request counts as in progress: the same key joins
-        it here, and a shutdown waits for it.
-        """
-        if self.claim is None:
-            return
-        ended = self.state.state
-        is_complete = ended is lifecycle.State.COMPLETED
-        try:
-            answer = self.whole_answer() if is_complete else None
-            await self.claim.settle(ended, answer)
-        except Exception:
-            # Nobody waits for this task: without a line in the log one would only
-            # notice that a key stays "in progress" for ever.
-            log.exception("claim not settled", extra={"key": self.claim.key})
-
     async def enter(self) -> None:
         """Pass the gate; raises ProblemError."""
         if self.gate is None:
@@ -205,25 +160,9 @@
 
     def new_hold(self) -> requester.Hold:
         """Return a ticket for this request."""
-        request = self.request
-        ticket = messages.Ticket(
-            ticket_id=ids.new_ticket_id(),
-            request_id=request.request_id,
-            cell=request.cell,
-            entry=self.tickets.members.own.instance,
-            tier_rank=request.caller.tier_rank,
-            account=request.caller.account,
-            idempotent=request.idempotent,
-            prompt_tokens=request.work.prompt_tokens,
-            output_tokens=request.work.output_tokens,
-            prefix=request.work.prefix,
-            remaining=0.0,
-            model=request.work.model,
-            adapter=request.work.adapter,
-            digest=request.digest,
-            excluded=self.excluded,
-        )
-        return requester.Hold(ticket, request.deadline, request.near)
+        own = self.tickets.members.own.instance
+        ticket = admitted.new_ticket(self.request, own, self.excluded)
+        return requester.Hold(ticket, self.request.deadline, self.request.near)
 
     async def obtain(self, hold: requester.Hold) -> messages.Grant:
         """Return the grant of a slot; raises ProblemError for a refusal."""
@@ -276,10 +215,10 @@
         except asyncio.CancelledError:
             outcome = messages.Outcome.CANCELLED
             raise
-        except CrashError as error:
+        except failures.CrashError as error:
             outcome = messages.Outcome.CRASHED
             raise self.fail("backend_server_lost") from error
-        except PreemptedError as error:
+        except failures.PreemptedError as error:
             outcome = messages.Outcome.CANCELLED
             raise self.fail("preempted", error.retry_after) from error
         except errors.BackendError as error:
@@ -299,7 +238,7 @@
                 (running, hold.preempted), return_when=asyncio.FIRST_COMPLETED
             )
             if not running.done():
-                raise PreemptedError(hold.preempted.result().retry_after)
+                raise failures.PreemptedError(hold.preempted.result().retry_after)
             running.result()
         finally:
             running.cancel()
@@ -354,20 +293,3 @@
             first_token_seconds=first - self.dispatched_at,
             total_seconds=now - self.dispatched_at,
         )
-
-
-class CrashError(errors.BackendError):
-    """The server that ran the request can't be reached any more."""
-
-    def __init__(self, server: ids.BackendServerId) -> None:
-        super().__init__(
-            f"{server} was lost while it ran the request", "Look at its log."
-        )
-
-
-class PreemptedError(errors.BackendError):
-    """The dispatcher asked for the slot back."""
-
-    def __init__(self, retry_after: float) -> None:
-        super().__init__("A higher tier needed the slot", "Send the request later.")
-        self.retry_after = retry_after
--- a/src/tealcove/entry/forward.py
+++ b/src/tealcove/entry/forward.py
@@ -9,7 +9,7 @@
 from tealcove.backends import engine, reach, service
 from tealcove.claims import claim
 from tealcove.dispatch import requester
-from tealcove.entry import claiming, exchange, reply
+from tealcove.entry import admitted, claiming, exchange, failures, reply
 
 CONTENT_LENGTH = "content-length"
 NOT_MODIFIED = 304
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        request: exchange.Request,
+        request: admitted.Request,
         tickets: requester.Requester,
         claimed: claiming.RequestClaim | None,
         call: service.Call,
@@ -68,7 +68,7 @@
                     await self.take(part)
         except engine.BrokenStreamError as error:
             if await reach.refuses(server):
-                raise exchange.CrashError(server.name) from error
+                raise failures.CrashError(server.name) from error
             raise
 
     async def take(self, part: service.Head | bytes) -> None:
--- a/src/tealcove/entry/generation.py
+++ b/src/tealcove/entry/generation.py
@@ -11,10 +11,12 @@
 from tealcove.claims import claim
 from tealcove.dispatch import messages, requester
 from tealcove.entry import (
+    admitted,
     answer,
     call,
     claiming,
     exchange,
+    failures,
     hops,
     openai,
     witnessing,
@@ -33,7 +35,7 @@
 
     def __init__(
         self,
-        request: exchange.Request,
+        request: admitted.Request,
         tickets: requester.Requester,
         claimed: claiming.RequestClaim | None,
         engine_call: call.EngineCall,
@@ -111,7 +113,7 @@
                 return
             await self.resume(hold, server)
         if not self.answer.is_whole:
-            raise exchange.CrashError(server.name)
+            raise failures.CrashError(server.name)
 
     async def resume(self, hold: requester.Hold, server: engine.Server) -> None:
         """Take the stream up from the first token that is missing.
@@ -137,7 +139,7 @@
                 raise
             # The server knows nothing of a request that it ran: it has crashed
             # and was restarted before anybody could see that it was gone.
-            raise exchange.CrashError(server.name) from error
+            raise failures.CrashError(server.name) from error
 
     async def collect(self, hold: requester.Hold, stream: object) -> None:
         """Put the chunks of a stream into the answer."""
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -14,6 +14,7 @@
 from tealcove.dispatch import messages, requester
 from tealcove.entry import (
     acceptance,
+    admitted,
     call,
     caller,
     claiming,
@@ -175,7 +176,7 @@
         if lifecycle is membership_messages.Lifecycle.GONE:
             raise problem.not_run(messages.RefusalReason.LEAVING, 0.0)
 
-    def join(self, accepted: exchange.Request) -> exchange.Exchange | None:
+    def join(self, accepted: admitted.Request) -> exchange.Exchange | None:
         """Return the request that lives under the same key, if there is one.
 
         Raises ProblemError when it's another request under the same key: its
@@ -188,7 +189,7 @@
             raise problem.other_request()
         return running
 
-    def new_claim(self, accepted: exchange.Request) -> claiming.RequestClaim | None:
+    def new_claim(self, accepted: admitted.Request) -> claiming.RequestClaim | None:
         """Return the claim that a non-idempotent request will need."""
         if accepted.idempotent:
             return None
@@ -201,7 +202,7 @@
         )
 
     def new_witness(
-        self, accepted: exchange.Request
+        self, accepted: admitted.Request
     ) -> witnessing.RequestWitness | None:
         """Return what keeps a record of an idempotent request that has a key."""
         if self.witness is None or accepted.key is None or not accepted.idempotent:
@@ -249,7 +250,7 @@
             running.task.cancel()
 
 
-def slot_of(accepted: exchange.Request) -> tuple[str, str]:
+def slot_of(accepted: admitted.Request) -> tuple[str, str]:
     """Return under what a request can be joined."""
     return (accepted.caller.account, accepted.key or accepted.request_id)
 
