--- a/src/tealcove/orders/plan.py
+++ b/src/tealcove/orders/plan.py
@@ -53,8 +53,8 @@
 
     tasks: tuple[Task, ...]
     blocked: tuple[Task, ...]
-    # Engines that need no further task for which they'd have to be empty.
-    finished: frozenset[ids.BackendServerId]
+    # Engines that nothing is done to now, which may have work.
+    idle: frozenset[ids.BackendServerId]
 
 
 def make(target: wanted.Wanted, seen: Seen) -> Plan:
@@ -80,12 +80,11 @@
             begun.append(task)
             break
         blocked.append(task)
-    finished = frozenset(
-        name
-        for name, tasks in open_tasks.items()
-        if name not in seen.busy and not any(task.drains for task in tasks)
-    )
-    return Plan(tuple(begun), tuple(blocked), finished)
+    # An engine that has more to do, but not now, goes back to work: others might
+    # wait for it, and it for them, for ever.
+    begun_at = {task.server for task in begun}
+    idle = frozenset(open_tasks) - seen.busy - begun_at
+    return Plan(tuple(begun), tuple(blocked), idle)
 
 
 def is_free(name: ids.BackendServerId, seen: Seen) -> bool:
--- a/src/tealcove/orders/steward.py
+++ b/src/tealcove/orders/steward.py
@@ -190,7 +190,7 @@
             self.raise_numbers(target)
         found = plan.make(target, self.seen)
         self.progress.note(target, holdings, found)
-        for server in found.finished | self.lost():
+        for server in found.idle | self.lost():
             self.drains.release(server, now)
         for task in found.tasks:
             one = target.servers[task.server]
--- /dev/null
+++ b/src/tealcove/orders/tests/test_plan.py
@@ -0,0 +1,146 @@
+"""The planner: what is begun, in which order, and what is never taken away."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.orders import plan, wanted
+from tealcove.resources import copy, kinds
+
+POOL = ids.PoolId("engines")
+
+
+def server(name: str, **changes: object) -> kinds.BackendServerSpec:
+    return kinds.BackendServerSpec(
+        name=name, host="127.0.0.1", port=9000, data_centre="dc-1", **changes
+    )
+
+
+def target(*servers: kinds.BackendServerSpec, **models: str) -> wanted.Wanted:
+    """Return what a pool of these servers wants: "m" in version 2 by default."""
+    versions = models or {"m": "2"}
+    resources = dict(copy.empty().resources)
+    resources[kinds.Kind.MODEL] = {
+        name: resource(kinds.Kind.MODEL, name, kinds.ModelSpec(version=version))
+        for name, version in versions.items()
+    }
+    adapter = kinds.AdapterSpec(model="m", version="1")
+    resources[kinds.Kind.ADAPTER] = {"x": resource(kinds.Kind.ADAPTER, "x", adapter)}
+    spec = kinds.EnginePoolSpec(servers=servers, models=tuple(versions))
+    resources[kinds.Kind.ENGINE_POOL] = {
+        POOL: resource(kinds.Kind.ENGINE_POOL, POOL, spec)
+    }
+    return wanted.of_pool(copy.Configuration(ids.Revision(1), resources), POOL)
+
+
+def resource(kind: kinds.Kind, name: str, spec: kinds.Spec) -> kinds.Resource:
+    metadata = kinds.Metadata(
+        name=name, revision=ids.Revision(1), generation=1, changed_by="ops"
+    )
+    return kinds.Resource(kind=kind, metadata=metadata, spec=spec)
+
+
+def holding(role: str = "both", **models: str) -> engine.Holding:
+    return engine.Holding(models, {}, role)
+
+
+def said(tasks: tuple[plan.Task, ...]) -> list[str]:
+    """Return tasks as words; "!" marks those for an empty engine."""
+    return [
+        f"{task.server} {task.order.order.value} "
+        f"{task.order.name or task.order.role}{'!' if task.drains else ''}"
+        for task in tasks
+    ]
+
+
+A, B, C = server("a"), server("b"), server("c")
+
+
+def test_one_engine_at_a_time_changes_its_version():
+    aim = target(A, B, C)
+    old = {name: holding(m="1") for name in "abc"}
+    assert said(plan.make(aim, plan.Seen(old)).tasks) == ["a load_model m!"]
+    busy = plan.Seen(old, busy=frozenset("a"), held=frozenset("a"))
+    assert plan.make(aim, busy).tasks == ()
+    # Changed, but the dispatchers haven't taken it back yet.
+    changed = {**old, "a": holding(m="2")}
+    found = plan.make(aim, plan.Seen(changed, held=frozenset("a")))
+    assert (found.tasks, found.idle) == ((), {"a", "b", "c"})
+    assert said(plan.make(aim, plan.Seen(changed)).tasks) == ["b load_model m!"]
+
+
+@pytest.mark.parametrize(
+    "others",
+    [
+        {},
+        {"b": holding()},
+        {"b": holding("prefill", m="2")},
+        {"gone": holding(m="2")},
+    ],
+)
+def test_last_server_of_a_model_is_never_taken_away(others):
+    """A model has no server while a version is changed.
+
+    Symptom: all requests of the model are refused for as long as a load takes.
+    Sequence: the other engines lack the model, compute another part of a
+    request, or aren't the pool's.
+    Cause: engines are counted whatever they serve.
+    """
+    aim = target(A, server("b", role=kinds.EngineRole.PREFILL))
+    found = plan.make(aim, plan.Seen({"a": holding(m="1"), **others}))
+    assert "a load_model m!" not in said(found.tasks)
+    assert said(found.blocked)[:1] == ["a load_model m!"]
+
+
+def test_engine_with_an_order_on_its_way_is_left_alone_and_not_relied_on():
+    aim = target(A, B)
+    old = {"a": holding(m="1"), "b": holding(m="1")}
+    found = plan.make(aim, plan.Seen(old, unsettled=frozenset("b")))
+    assert found.tasks == ()
+    assert said(found.blocked) == ["a load_model m!"]
+
+
+def test_loads_come_first_then_changes_then_role_and_unloading_last():
+    aim = target(server("a", role=kinds.EngineRole.DECODE), B, C, m="2", n="1")
+    rest = {name: holding(m="2", n="1") for name in "bc"}
+    state = holding(m="1", old="1")
+    steps = []
+    for _ in range(5):
+        tasks = plan.make(aim, plan.Seen({"a": state, **rest})).tasks
+        if not tasks:
+            break
+        steps.extend(said(tasks))
+        state = carried_out(state, tasks[0].order)
+    assert steps == [
+        "a load_model n",
+        "a load_model m!",
+        "a set_role decode!",
+        "a unload_model old!",
+    ]
+    waiting = {"a": holding("decode", m="2", n="1", old="1"), "b": holding(m="2")}
+    assert said(plan.make(aim, plan.Seen(waiting)).tasks) == ["b load_model n"]
+
+
+def carried_out(state: engine.Holding, order: engine.Order) -> engine.Holding:
+    """Return what an engine holds after an order."""
+    models = dict(state.models)
+    if order.order is engine.OrderKind.SET_ROLE:
+        return msgspec.structs.replace(state, role=order.role)
+    if order.order is engine.OrderKind.LOAD_MODEL:
+        models[order.name] = order.version
+    else:
+        del models[order.name]
+    return msgspec.structs.replace(state, models=models)
+
+
+def test_pool_without_models_is_left_alone():
+    resources = dict(copy.empty().resources)
+    spec = kinds.EnginePoolSpec(servers=(A,))
+    resources[kinds.Kind.ENGINE_POOL] = {
+        POOL: resource(kinds.Kind.ENGINE_POOL, POOL, spec)
+    }
+    current = copy.Configuration(ids.Revision(1), resources)
+    assert wanted.of_pool(current, POOL) is None
