Keep nothing for peers that aren't connected; send small heartbeats

Cause: ZeroMQ kept up to 10,000 heartbeats for each peer that was cut off, 93 MB with many addresses; and every fourth heartbeat named all peers though the set hardly ever changes. Change: links queue nothing without a connection, at most 1,000 messages with one; messages have positional fields; addresses go when they have changed, and every 10 s in case that was lost. Ruled out: acknowledged membership changes (a state for each pair of peers).

--- a/bench/slopes/crowd.py
+++ b/bench/slopes/crowd.py
@@ -63,15 +63,15 @@
         """Take a heartbeat in; nothing follows from it."""
 
     async def beat(self, start: Start, interval: float, lag: float) -> None:
-        """Beat until cancelled; each fourth heartbeat names all peers."""
+        """Beat until cancelled; now and then a heartbeat names all peers."""
         watched = endpoint.parse(start.watched)
         full = msgspec.structs.replace(self.heartbeat, known=start.known)
         await asyncio.sleep(lag)
-        number = 0
+        left = 0.0
         while True:
-            with_known = number % heart.KNOWN_EVERY == 0
-            self.mesh.send(watched, full if with_known else self.heartbeat)
-            number += 1
+            with_known = left <= 0.0
+            if self.mesh.send(watched, full if with_known else self.heartbeat):
+                left = heart.KNOWN_INTERVAL if with_known else left - interval
             await asyncio.sleep(interval)
 
 
--- a/bench/slopes/peers.py
+++ b/bench/slopes/peers.py
@@ -108,8 +108,8 @@
 async def run(found: argparse.Namespace) -> None:
     """Print a line for each run."""
     print(
-        f"heartbeats every {found.interval} s, each "
-        f"{heart.KNOWN_EVERY}th with all addresses"
+        f"heartbeats every {found.interval} s, with all addresses "
+        f"every {heart.KNOWN_INTERVAL} s"
     )
     for count, listed in itertools.product(found.members, found.listed):
         for use in await measure(count, listed, found):
--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Callable
 
 import logbook
@@ -20,8 +19,9 @@
 LIST_INTERVAL = 2.0
 
 
-# Every so-many-th heartbeat names the peers that the sender knows.
-KNOWN_EVERY = 4
+# A heartbeat names the peers that the sender knows when they have changed, and
+# otherwise after so many seconds, in case the one that did was lost.
+KNOWN_INTERVAL = 10.0
 
 
 class Beat(msgspec.Struct):
@@ -49,6 +49,9 @@
         self.interval = interval
         self.beats: dict[endpoint.Endpoint, Beat] = {}
         self.tasks: list[asyncio.Task[None]] = []
+        # Addresses of the peers heard lately, made once for all heartbeats of a round.
+        self.addresses: frozenset[str] | None = None
+        self.addresses_at = ids.Instant(0.0)
         self.listed: tuple[instances.ListedInstance, ...] = ()
         # Functions that see each heartbeat taken in, such as the configuration
         # reader that learns of higher revisions.
@@ -86,22 +89,30 @@
 
     async def beat(self, peer: endpoint.Endpoint) -> None:
         """Tell one peer how this instance is, until the peer is forgotten."""
-        for number in itertools.count():
-            with_known = number % KNOWN_EVERY == 0
-            self.transport.send(peer, self.current(with_known))
+        told: frozenset[str] = frozenset()
+        told_at = clock.now()
+        while True:
+            now = clock.now()
+            known = self.known_addresses(now)
+            heartbeat = self.members.own
+            with_known = known != told or now - told_at >= KNOWN_INTERVAL
+            if with_known:
+                heartbeat = msgspec.structs.replace(heartbeat, known=tuple(known))
+            if self.transport.send(peer, heartbeat) and with_known:
+                told = known
+                told_at = now
             await asyncio.sleep(self.interval)
 
-    def current(self, with_known: bool) -> messages.Heartbeat:
-        """Return the heartbeat of now, with the addresses of peers or without."""
-        if not with_known:
-            return self.members.own
-        now = clock.now()
-        known = tuple(
-            str(member.endpoint)
-            for member in self.members.peers.values()
-            if not self.members.is_suspect(member, now)
-        )
-        return msgspec.structs.replace(self.members.own, known=known)
+    def known_addresses(self, now: ids.Instant) -> frozenset[str]:
+        """Return the addresses of the peers that were heard lately."""
+        if self.addresses is None or now - self.addresses_at >= self.interval:
+            self.addresses_at = now
+            self.addresses = frozenset(
+                str(member.endpoint)
+                for member in self.members.peers.values()
+                if not self.members.is_suspect(member, now)
+            )
+        return self.addresses
 
     def tell_all(self) -> None:
         """Send a heartbeat to all peers now, since something has changed."""
--- a/src/tealcove/peers/mesh.py
+++ b/src/tealcove/peers/mesh.py
@@ -15,10 +15,10 @@
 
 log = logbook.Logger("peers")
 
-# Messages that wait for one peer at the most. Beyond it they are dropped, as a
-# network would: every sender here repeats what matters, and a queue without a
+# Messages that wait for one connected peer at the most. Beyond it they are dropped,
+# as a network would: every sender here repeats what matters, and a queue without a
 # bound would grow for as long as a peer is frozen.
-HIGH_WATER_MARK = 10_000
+HIGH_WATER_MARK = 1000
 # Messages taken in one go before other tasks get their turn.
 BATCH = 200
 
@@ -90,7 +90,10 @@
         self.context.term()
 
     def send(self, peer: endpoint.Endpoint, sent: message.Message) -> bool:
-        """Send without waiting; False when the peer's queue is full."""
+        """Send without waiting; False when it was dropped.
+
+        That is so while the peer isn't connected, or its queue is full.
+        """
         content = self.codec.encode(sent)
         if peer == self.listen:
             self.deliver(self.instance, content)
@@ -113,6 +116,10 @@
         socket.linger = 0
         socket.identity = self.identity
         socket.sndhwm = HIGH_WATER_MARK
+        # Without a connection nothing is queued. Heartbeats to a region that is cut
+        # off for an hour would otherwise wait in memory, megabytes for each peer,
+        # and arrive all at once when they are long untrue.
+        socket.immediate = True
         socket.reconnect_ivl = 50
         socket.reconnect_ivl_max = 1000
         if self.security is not None:
--- a/src/tealcove/peers/message.py
+++ b/src/tealcove/peers/message.py
@@ -7,8 +7,13 @@
 from tealcove import errors
 
 
-class Message(msgspec.Struct, frozen=True, tag=True, kw_only=True):
-    """A message between two instances; each travels one way."""
+class Message(msgspec.Struct, frozen=True, tag=True, kw_only=True, array_like=True):
+    """A message between two instances; each travels one way.
+
+    Fields go by position, which halves a heartbeat. A new field has to come last
+    and have a default, so that instances of neighbouring versions understand each
+    other.
+    """
 
 
 class Codec:
