Judge that engines are empty when their version or role changes

Cause: no test saw whether an engine was drained before an order. Change: the engine stand-in counts how many requests run when an order comes; the test of version changes also changes a role, and reads the metric. Ruled out: a look at the load report by the test (it lags).

--- a/src/tealcove/standins/engine.py
+++ b/src/tealcove/standins/engine.py
@@ -249,7 +249,8 @@
         order = await server.decode_body(request, engine_orders.Order)
         # A steward that dies mustn't end its order: one that is still carried out
         # when nobody waits for it is the harder case.
-        accepted = await asyncio.shield(self.orders.carry_out(order))
+        running = len(self.batch.running) + len(self.batch.waiting)
+        accepted = await asyncio.shield(self.orders.carry_out(order, running))
         seen = engine_orders.Fencing(self.orders.holding.fencing)
         return server.json_response(seen, status=200 if accepted else 412)
 
--- a/src/tealcove/standins/engine_counts.py
+++ b/src/tealcove/standins/engine_counts.py
@@ -14,6 +14,8 @@
     version: str
     role: str
     accepted: bool
+    # Requests that ran when it came.
+    running: int = 0
 
 
 class EngineCounts(msgspec.Struct):
--- a/src/tealcove/standins/engine_orders.py
+++ b/src/tealcove/standins/engine_orders.py
@@ -60,18 +60,21 @@
             dict(settings.models), dict(settings.adapters), settings.role
         )
 
-    async def carry_out(self, order: Order) -> bool:
-        """Carry an order out; False when its fencing number is refused."""
+    async def carry_out(self, order: Order, running: int = 0) -> bool:
+        """Carry an order out; False when its fencing number is refused.
+
+        `running` is how many requests run, for the judge.
+        """
         async with self.lock:
             old = order.fencing < self.holding.fencing
             accepted = not (old and self.settings.checks_fencing)
-            self.note(order, accepted)
+            self.note(order, accepted, running)
             if accepted:
                 self.holding.fencing = max(self.holding.fencing, order.fencing)
                 await self.apply(order)
             return accepted
 
-    def note(self, order: Order, accepted: bool) -> None:
+    def note(self, order: Order, accepted: bool, running: int) -> None:
         """Note an order for the judge."""
         seen = engine_counts.OrderSeen(
             fencing=order.fencing,
@@ -80,6 +83,7 @@
             version=order.version,
             role=order.role,
             accepted=accepted,
+            running=running,
         )
         self.counts.orders.append(seen)
 
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -70,6 +70,8 @@
         words = [seen[key] for key in ("order", "name", "version", "role")]
         said = " ".join(word for word in words if word)
         verdict = "" if seen["accepted"] else ", refused"
+        if seen["running"]:
+            verdict += ", UNDER RUNNING REQUESTS"
         lines.append(f"{steward} number: {said}{verdict}")
     return lines
 
@@ -125,7 +127,8 @@
 
     Symptom: callers get `no_backend_server` or errors at each new version.
     Sequence: callers send requests all the time; the model's version changes,
-    twice; then the pool has one engine only, and the version changes again.
+    twice, and one engine's role; then the pool has one engine only, and the
+    version changes again.
     Cause: engines that are changed all at once, or with work on them, or the
     second one before dispatchers use the first again; the last one as well.
     """
@@ -140,6 +143,11 @@
         for version in ("2", "3"):
             await declare(running, "m", version)
             await until_held(running, "m", version)
+        await until_shown(running, "m", "3", 2)
+        one, other = running.servers(running.engines, slots=8)
+        one = msgspec.structs.replace(one, role=kinds.EngineRole.DECODE)
+        await change_pool(running, servers=(one, other))
+        await until_logged(running, "set_role decode")
         last = running.engines[1]
         for engine in running.engines:
             session.extend(f"engine: {line}" for line in await orders(running, engine))
@@ -171,6 +179,22 @@
     return lines
 
 
+async def until_shown(
+    running: deployment.Deployment, name: str, version: str, count: int
+) -> None:
+    """Wait until the steward's metrics show so many engines with a version."""
+    steward = await running.dispatcher("steward/engines")
+
+    async def is_shown() -> bool:
+        async with running.session.get(f"{steward.url}/metrics") as response:
+            lines = (await response.text()).splitlines()
+        found = [line for line in lines if line.startswith("tealcove_orders_servers{")]
+        wanted = (f'name="{name}"', f'version="{version}"', f" {float(count)}")
+        return any(all(part in line for part in wanted) for line in found)
+
+    await deployment.until(is_shown)
+
+
 async def until_logged(running: deployment.Deployment, text: str) -> None:
     """Wait until an instance has written a line with a text."""
 
