Bound what slow, silent and too many callers can take of an instance

Cause: the limits on connections, header bytes and idle time were settings that nothing read; a caller that stopped reading its answer kept it for ever; aiohttp logged and sent back the part of a header that it couldn't read, which may be a key. Change: a listener of our own before the application. Headers that never end, bodies in trickles (408) and answers left unread end after `limits.idle_seconds`; connections beyond the bound are told `not_run` (503), those far beyond are closed; long headers get 431 or 400 as problems, unreadable bodies 400. After a body that wasn't read to its end the connection closes: a client that used it again lost its next request. Ruled out: a time-out around each write, since answers that aiohttp sends after the handler would not be covered; the state of the health pages on crowded instances. Left: a request may bring 64 headers of `header_bytes` each before it's refused.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from opentelemetry.sdk.trace import export
 
-from tealcove import clock, errors, gauges, ids, logs, settings, telemetry
+from tealcove import clock, errors, gauges, ids, listener, logs, settings, telemetry
 from tealcove.backends import http_engine, http_service
 from tealcove.claims import claimer, writer
 from tealcove.dispatch import policy, requester, role, spread
@@ -30,8 +30,6 @@
 
 LOG = logbook.Logger("daemon")
 
-# A connection of the operating system's that waits to be accepted.
-BACKLOG = 1024
 # Seconds between two looks at whether requests may be accepted.
 READINESS_INTERVAL = 0.1
 
@@ -51,7 +49,6 @@
         self.services = http_service.HttpServiceClient()
         self.platform: client.PlatformClient | None = None
         self.tasks: list[asyncio.Task[None]] = []
-        self.runner: web.AppRunner | None = None
         self.http_port = found.http.port
 
     async def start(self) -> None:
@@ -208,19 +205,10 @@
         )
         # The entry comes last: it takes every path that no other role serves.
         app.add_routes(self.entry.routes())
-        # A caller that leaves ends its handler, which frees what it held.
-        self.runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
-        await self.runner.setup()
-        host = self.settings.http.host
-        site = web.TCPSite(
-            self.runner,
-            host,
-            self.http_port,
-            backlog=BACKLOG,
-            ssl_context=http_tls(self.settings),
-        )
-        await site.start()
-        self.http_port = self.runner.addresses[0][1]
+        self.listener = listener.Listener(app, limits)
+        host = str(self.settings.http.host)
+        tls = http_tls(self.settings)
+        self.http_port = await self.listener.start(host, self.http_port, tls)
 
     async def healthz(self, request: web.Request) -> web.Response:
         """Say that the process runs."""
@@ -316,7 +304,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.configuration.stop()
-        await self.runner.cleanup()
+        await self.listener.stop()
         await self.stewards.stop()
         await self.heart.stop()
         await self.dispatcher.stop()
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -159,14 +159,35 @@
         self.check_accepting()
         header = request.headers.get("Authorization")
         who = caller.identify(header, self.configuration.current)
+        body = await self.read_body(request)
+        return acceptance.Received(request_id, who, request, body)
+
+    async def read_body(self, request: web.Request) -> bytes:
+        """Return the whole body; raises ProblemError.
+
+        A caller that sends it in trickles would otherwise keep its connection and
+        what has come so far for as long as it likes.
+        """
+        limits = self.settings.limits
         try:
-            body = await request.read()
+            async with asyncio.timeout(limits.idle_seconds):
+                return await request.read()
         except web.HTTPRequestEntityTooLarge as error:
-            limit = self.settings.limits.body_bytes
             raise problem.rejected(
-                413, "The body is too long", f"Send at most {limit} bytes."
+                413, "The body is too long", f"Send at most {limits.body_bytes} bytes."
+            ) from error
+        except web.RequestPayloadError as error:
+            raise problem.rejected(
+                400,
+                "The body can't be read",
+                "Its length or coding isn't what the headers say.",
+            ) from error
+        except TimeoutError as error:
+            raise problem.rejected(
+                408,
+                "The body came too slowly",
+                f"Send it within {limits.idle_seconds:g} s.",
             ) from error
-        return acceptance.Received(request_id, who, request, body)
 
     def check_accepting(self) -> None:
         """Refuse new requests when this instance isn't serving."""
--- a/src/tealcove/entry/observer.py
+++ b/src/tealcove/entry/observer.py
@@ -24,7 +24,10 @@
 class Seen:
     """One caller's request, from its arrival to the end of its answer."""
 
-    def __init__(self, request_id: ids.RequestId, now: ids.Instant) -> None:
+    def __init__(
+        self, http: web.Request, request_id: ids.RequestId, now: ids.Instant
+    ) -> None:
+        self.http = http
         self.request_id = request_id
         self.began = now
         self.running: exchange.Exchange | None = None
@@ -38,7 +41,11 @@
     def refuse(self, found: problem.Problem) -> web.Response:
         """Return the response of a problem, and note it."""
         self.problem = found
-        return problem.respond(found, self.request_id)
+        response = problem.respond(found, self.request_id)
+        if not self.http.content.is_eof():
+            # Nothing can follow a body that didn't come to its end.
+            response.force_close()
+        return response
 
     def tier(self) -> str:
         """Return the tier; "" for callers that aren't known."""
@@ -86,7 +93,7 @@
     @contextlib.contextmanager
     def request(self, http: web.Request, request_id: ids.RequestId) -> Iterator[Seen]:
         """Watch one caller's request, inside its span."""
-        seen = Seen(request_id, clock.now())
+        seen = Seen(http, request_id, clock.now())
         with self.trace(http, seen) as span:
             outcome, reason = BROKEN, ""
             try:
--- /dev/null
+++ b/src/tealcove/tests/test_listener.py
@@ -0,0 +1,189 @@
+"""Callers that are slow, silent, too many or too long."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+
+import logbook
+import msgspec
+from aiohttp import web
+
+from tealcove import listener, settings
+
+GENEROUS_SECONDS = 30.0
+POLL = 0.01
+HOST = "127.0.0.1"
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n"
+END = b"\r\n"
+
+
+class Server(listener.Listener):
+    """A listener before two handlers: a short answer, and one without an end."""
+
+    def __init__(self, **limits: object) -> None:
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/", self.short),
+                web.get("/healthz", self.short),
+                web.get("/endless", self.endless),
+                web.get("/long", self.long),
+            ]
+        )
+        super().__init__(app, settings.Limits(**limits))
+        self.running = 0
+
+    async def short(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok")
+
+    async def long(self, request: web.Request) -> web.Response:
+        return web.Response(body=bytes(1 << 25))
+
+    async def endless(self, request: web.Request) -> web.StreamResponse:
+        self.running += 1
+        response = web.StreamResponse()
+        try:
+            await response.prepare(request)
+            while True:
+                await response.write(bytes(1 << 20))
+        finally:
+            self.running -= 1
+
+
+@contextlib.asynccontextmanager
+async def serving(**limits: object) -> AsyncIterator[tuple[Server, int]]:
+    server = Server(**limits)
+    port = await server.start(HOST, 0, None)
+    try:
+        yield server, port
+    finally:
+        await server.stop()
+
+
+async def ask(port: int, request: bytes) -> tuple[int, dict[str, object]]:
+    """Send bytes and return status and problem of the one answer."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(request)
+    async with asyncio.timeout(GENEROUS_SECONDS):
+        head = await reader.readuntil(END + END)
+        body = await reader.read()
+    writer.close()
+    status = int(head.split()[1])
+    return status, json.loads(body) if status != 200 else {}
+
+
+async def until(check: Callable[[], bool]) -> None:
+    async with asyncio.timeout(GENEROUS_SECONDS):
+        while True:
+            if check():
+                return
+            await asyncio.sleep(POLL)
+
+
+async def test_headers_that_never_end_lose_their_connection() -> None:
+    """Connections that pile up.
+
+    Symptom: an instance runs out of connections though it has few callers.
+    Sequence: callers connect and send nothing, or a header line now and then.
+    Cause: only connections with a request behind them had a time limit.
+    """
+    async with serving(idle_seconds=0.2) as (server, port):
+        silent, _ = await asyncio.open_connection(HOST, port)
+        slow, writer = await asyncio.open_connection(HOST, port)
+        writer.write(GET)
+        async with asyncio.timeout(GENEROUS_SECONDS):
+            while not slow.at_eof():
+                writer.write(b"A: b\r\n")
+                with contextlib.suppress(TimeoutError, ConnectionError):
+                    await asyncio.wait_for(slow.read(1), POLL)
+            assert await silent.read() == b""
+        await until(lambda: not server.open)
+
+
+async def test_answers_left_unread_are_dropped() -> None:
+    """Answers that are kept for ever.
+
+    Symptom: memory and handlers grow while few requests come. Sequence: callers
+    ask for long answers and stop reading. Cause: a write waits for the reader,
+    and nothing bounded the wait.
+    """
+    async with serving(idle_seconds=0.4) as (server, port):
+        writers = []
+        for path in (b"/endless", b"/long"):
+            _, writer = await asyncio.open_connection(HOST, port, limit=1)
+            writer.write(GET.replace(b"/ ", path + b" ") + END)
+            writers.append(writer)
+        await until(lambda: len(server.unread) == len(writers))
+        await until(lambda: not server.open)
+        assert server.running == 0
+        for writer in writers:
+            writer.close()
+
+
+def test_a_slow_reader_keeps_its_connection() -> None:
+    server = Server.__new__(Server)
+    server.limits = settings.Limits(idle_seconds=10.0)
+    server.unread = {}
+    slow, stuck = Unread([9, 8, 9, 9, 7, 9]), Unread([9, 9, 9, 9, 9, 9])
+    server.open = {slow: slow, stuck: stuck}
+    for number in range(6):
+        server.drop_unread(4.0 * number)
+    assert (slow.is_aborted, stuck.is_aborted) == (False, True)
+
+
+class Unread(msgspec.Struct, eq=False):
+    """A transport with so many bytes unread at each look."""
+
+    sizes: list[int]
+    is_aborted: bool = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.sizes.pop(0)
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+async def test_connections_too_many_are_told_so() -> None:
+    async with serving(connections=1) as (server, port):
+        _, first = await asyncio.open_connection(HOST, port)
+        await until(lambda: len(server.open) == 1)
+        status, found = await ask(port, GET + END)
+        assert (status, found["outcome"], found["reason"]) == (
+            503,
+            "not_run",
+            "overload",
+        )
+        look = GET.replace(b"/ ", b"/healthz ") + b"Connection: close\r\n" + END
+        assert (await ask(port, look))[0] == 200
+        await until(lambda: len(server.open) == 1)
+        idle = [
+            await asyncio.open_connection(HOST, port)
+            for _ in range(listener.ANSWERED_BEYOND)
+        ]
+        beyond, last = await asyncio.open_connection(HOST, port)
+        with contextlib.suppress(ConnectionError):
+            assert await beyond.read() == b""
+        assert len(server.open) == 1 + listener.ANSWERED_BEYOND
+        for writer in (first, last, *(writer for _, writer in idle)):
+            writer.close()
+        await until(lambda: not server.open)
+        assert (await ask(port, GET + b"Connection: close\r\n" + END))[0] == 200
+
+
+async def test_headers_too_long_are_refused_and_not_logged() -> None:
+    with logbook.TestHandler() as handler:
+        async with serving(header_bytes=1000) as (_, port):
+            most = b"A: " + b"x" * 700 + END
+            status, found = await ask(port, GET + most + most + END)
+            assert (status, found["outcome"]) == (431, "rejected")
+            secret = b"Authorization: Bearer " + b"secret" * 1000 + END
+            status, found = await ask(port, GET + secret + END)
+            assert (status, found["outcome"]) == (400, "rejected")
+            many = b"".join(b"A%d: b\r\n" % n for n in range(100))
+            assert (await ask(port, GET + many + END))[0] == 400
+    assert not any("secret" in record.message for record in handler.records)
+    assert len(handler.records) == 2
