Keep connections for readings; let go of cells; no time-out counts as dispatch

Readings of load, health and events opened a connection each, six a second and engine. A cell that was served once was polled for ever. A time-out to connect counted as a broken stream, and was resumed twenty times before a true not_run. Change: readings have a session with kept connections, requests still never share one; cells of others without tickets are let go after 10 s; a time-out to connect is no dispatch; no ticks without cells, readiness looked at four times a second. Ruled out: kept connections for requests (see DESIGN.md, at most once).

--- a/src/tealcove/backends/http_engine.py
+++ b/src/tealcove/backends/http_engine.py
@@ -18,6 +18,11 @@
 # An engine that sends nothing for this long while it generates counts as gone.
 SILENCE_TIMEOUT = 30.0
 CONTROL_TIMEOUT = 2.0
+# Errors by which a connection never stood; a time-out to connect is not a
+# ClientConnectorError, and was once taken for a stream that broke off.
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+# A connection for readings that isn't used for so long is closed.
+KEPT_SECONDS = 15.0
 DATA_PREFIX = b"data:"
 END = b"[DONE]"
 LARGEST_LINE = 1 << 20
@@ -26,10 +31,11 @@
 
 
 class HttpEngineClient(engine.EngineClient):
-    """One session to all engines; each request has a connection of its own."""
+    """One session for requests, each on its own connection, and one for readings."""
 
     def __init__(self) -> None:
         self.session: aiohttp.ClientSession | None = None
+        self.readings: aiohttp.ClientSession | None = None
         self.event_decoder = msgspec.json.Decoder(wire.Event)
 
     async def start(self) -> None:
@@ -50,10 +56,18 @@
             read_bufsize=LARGEST_LINE,
             trace_configs=[tracing],
         )
+        # Load, health and cache events are read several times a second. They are
+        # small, safe to repeat and belong to nobody, so their connections are kept:
+        # a new one for each took three quarters of a reading's processor time.
+        self.readings = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
+            timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT),
+        )
 
     async def stop(self) -> None:
-        """Close the session."""
+        """Close the sessions."""
         await self.session.close()
+        await self.readings.close()
 
     async def generate(
         self,
@@ -101,7 +115,7 @@
                 await self.check_head(server, request_id, response)
                 async for chunk in self.read_events(server, request_id, response):
                     yield chunk
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED as error:
             raise engine.NotDispatchedError(
                 f"{server.name} can't be reached: {error}",
                 "Nothing was sent to it; see whether the process runs.",
@@ -220,9 +234,10 @@
         content: bytes | None = None,
     ) -> bytes:
         """Make a short call that is safe to repeat."""
+        session = self.readings if method == "GET" else self.session
         try:
             async with asyncio.timeout(CONTROL_TIMEOUT):
-                async with self.session.request(
+                async with session.request(
                     method, f"{server.url}{path}", data=content
                 ) as response:
                     response.raise_for_status()
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -31,7 +31,7 @@
 LOG = logbook.Logger("daemon")
 
 # Seconds between two looks at whether requests may be accepted.
-READINESS_INTERVAL = 0.1
+READINESS_INTERVAL = 0.25
 
 
 class Instance:
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -26,6 +26,9 @@
 log = logbook.Logger("dispatch")
 
 TICK_INTERVAL = 0.05
+# A cell that belongs to another instance and has no tickets is kept for so long.
+RELEASE_AFTER = 10.0
+RELEASE_INTERVAL = 1.0
 # Seconds for which a newly served cell grants nothing that isn't urgent, so that
 # entries can tell of the work that another dispatcher has granted: two heartbeats.
 GATHER_SECONDS = 0.5
@@ -54,6 +57,8 @@
         self.holdings: reading.Holdings = {}
         # When a server was last found to be lost; older readings don't count.
         self.lost: dict[ids.BackendServerId, ids.Instant] = {}
+        # When it was last seen to have tickets, or to belong to this instance.
+        self.needed_at = clock.now()
 
 
 class Dispatcher:
@@ -92,6 +97,7 @@
         # The entries that tickets came from, as they were then.
         self.entries: dict[ids.InstanceId, ids.Incarnation] = {}
         self.held: dict[ids.CellId, HeldCell] = {}
+        self.has_cells = asyncio.Event()
         self.ticker: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -183,6 +189,7 @@
         held = HeldCell(cell, self.new_scheduler())
         held.decider.suspect_by(self.suspicion)
         self.held[ticket.cell] = held
+        self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
             held.decider.gather(ids.Instant(now + GATHER_SECONDS))
         self.send(held.decider.configure(cell, now))
@@ -259,7 +266,13 @@
     async def tick(self) -> None:
         """Let the schedulers see time pass."""
         before = clock.now()
+        next_release = before + RELEASE_INTERVAL
         while True:
+            if not self.held:
+                # There is nothing to decide until a ticket comes.
+                self.has_cells.clear()
+                await self.has_cells.wait()
+                before = clock.now()
             await asyncio.sleep(TICK_INTERVAL)
             now = clock.now()
             if now - before > FROZEN_AFTER:
@@ -268,6 +281,26 @@
             self.drop_lost_entries(now)
             for held in self.held.values():
                 self.send(held.decider.tick(now))
+            if now >= next_release:
+                next_release = now + RELEASE_INTERVAL
+                self.release_cells(now)
+
+    def release_cells(self, now: ids.Instant) -> None:
+        """Let go of cells that another instance serves and that have no tickets.
+
+        Without it, each instance that was ever asked for a cell, such as during a
+        takeover, would poll all its backend servers for ever.
+        """
+        for cell_id, held in list(self.held.items()):
+            ranked = self.members.rank(cell_id, now, held.cell.data_centre)
+            is_own = bool(ranked) and ranked[0] == self.members.own.instance
+            if is_own or held.decider.depth() != (0, 0):
+                held.needed_at = now
+            if now - held.needed_at < RELEASE_AFTER:
+                continue
+            del self.held[cell_id]
+            for poll in held.polls.values():
+                poll.cancel()
 
     def note_frozen(self, now: ids.Instant) -> None:
         """Let the entries tell again what runs.
--- a/src/tealcove/dispatch/tests/test_role.py
+++ b/src/tealcove/dispatch/tests/test_role.py
@@ -225,3 +225,32 @@
     )
     serving.members.peers[serving.peer.instance].heartbeat = successor
     await serving.until(lambda: len(queue) == 0)
+
+
+async def test_a_cell_of_another_instance_is_let_go(serving: Serving) -> None:
+    """Load on the engines grows with every takeover.
+
+    Symptom: each engine is polled by several instances.
+    Sequence: an instance is asked for a cell while its dispatcher is frozen; the
+    dispatcher is back and gets all further tickets.
+    Cause: a cell that was served once is served for ever.
+    """
+    ticket = serving.ask()
+    held = serving.role.held[builders.CELL]
+    rank = serving.members.rank
+    serving.members.rank = lambda *of: [serving.peer.instance]
+    late = ids.Instant(clock.now() + 2 * role.RELEASE_AFTER)
+    serving.role.release_cells(late)
+    assert builders.CELL in serving.role.held
+    withdrawal = messages.Withdrawal(ticket_id=ticket.ticket_id, cell=ticket.cell)
+    serving.role.take_withdrawal(serving.peer.instance, withdrawal)
+    serving.members.rank = lambda *of: [serving.members.own.instance]
+    serving.role.release_cells(ids.Instant(late + 2 * role.RELEASE_AFTER))
+    assert builders.CELL in serving.role.held
+    serving.members.rank = lambda *of: [serving.peer.instance]
+    serving.role.release_cells(ids.Instant(late + 4 * role.RELEASE_AFTER))
+    assert builders.CELL not in serving.role.held
+    assert all(poll.cancelling() for poll in held.polls.values())
+    serving.members.rank = rank
+    serving.ask()
+    assert builders.CELL in serving.role.held
