--- a/src/tealcove/claims/writer.py
+++ b/src/tealcove/claims/writer.py
@@ -51,6 +51,9 @@
         self.batch_interval = batch_interval
         self.pending: dict[str, Pending] = {}
         self.arrived = asyncio.Event()
+        # For the metrics: transactions, and changes in them.
+        self.batches = 0
+        self.committed = 0
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -99,6 +102,8 @@
             log.info("claims are refused: {}", error)
             self.answer_refused(batch)
         else:
+            self.batches += 1
+            self.committed += len(batch)
             self.answer_committed(batch, committed)
 
     def choose(self) -> list[Pending]:
--- a/src/tealcove/cli.py
+++ b/src/tealcove/cli.py
@@ -17,6 +17,7 @@
     entrypoints,
     exits,
     get,
+    keys,
     request,
     serve,
     standin,
@@ -48,6 +49,7 @@
         | wait.Wait
         | request.Request
         | entrypoints.EntryPoints
+        | keys.Keys
         | standin.Standin
     ]
 
--- /dev/null
+++ b/src/tealcove/commands/keys.py
@@ -0,0 +1,63 @@
+"""`tealcove keys`: draw the keys of a deployment and of a caller or operator."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+
+import cappa
+import msgspec
+import zmq
+
+from tealcove.commands import output
+from tealcove.entry import caller
+
+BEARER_BYTES = 32
+
+
+class Bearer(msgspec.Struct, frozen=True):
+    """A bearer key, and its hash, which is all that is stored of it."""
+
+    key: str
+    key_hash: str
+
+
+class CurvePair(msgspec.Struct, frozen=True):
+    """The key pair of a deployment, as `peer.curve` takes it."""
+
+    public_key: str
+    secret_key: str
+    allowed: tuple[str, ...]
+
+
+class Drawn(msgspec.Struct, frozen=True):
+    """What is printed."""
+
+    curve: CurvePair
+    bearer: Bearer
+
+
+@cappa.command(
+    name="keys",
+    help="Draw new keys; nothing is stored or sent.",
+    description=(
+        "`curve` is for the settings of every instance (peer.curve). `bearer.key` is "
+        "for a caller or an operator, `bearer.key_hash` for the settings or resource."
+    ),
+)
+@dataclasses.dataclass
+class Keys:
+    """`keys` takes no arguments."""
+
+    async def __call__(self) -> None:
+        """Print one of each."""
+        print(output.pretty(draw()))
+
+
+def draw() -> Drawn:
+    """Return new keys from the system's random source."""
+    public, secret = (key.decode() for key in zmq.curve_keypair())
+    key = secrets.token_urlsafe(BEARER_BYTES)
+    return Drawn(
+        CurvePair(public, secret, (public,)), Bearer(key, caller.hash_key(key))
+    )
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -190,6 +190,7 @@
         shown.add_members(self.members)
         shown.add_configuration(self.configuration.copy)
         shown.add_dispatcher(self.dispatcher)
+        shown.add_claims(self.claim_writer)
 
     async def start_http(self) -> None:
         """Listen for callers and operators."""
--- a/src/tealcove/gauges.py
+++ b/src/tealcove/gauges.py
@@ -12,6 +12,7 @@
 from opentelemetry import metrics
 
 from tealcove import clock
+from tealcove.claims import writer
 from tealcove.dispatch import role
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -113,6 +114,19 @@
             lambda: dispatcher.preempted,
         )
 
+    def add_claims(self, claims: writer.Writer) -> None:
+        """Show what this instance wrote of claims; one by the other is a batch."""
+        self.count(
+            "tealcove.claims.committed",
+            "Changes of claims committed.",
+            lambda: claims.committed,
+        )
+        self.count(
+            "tealcove.claims.batches",
+            "Transactions that committed claims.",
+            lambda: claims.batches,
+        )
+
 
 def one(
     read: Read,
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -79,6 +79,8 @@
         assert not any(PROMPT in span.to_json() for _, span in first)
         assert not any(callers.CALLER_KEY in span.to_json() for _, span in first)
         headers = callers.headers(**traced)
+        # Non-idempotent, so that a claim goes before it.
+        headers |= {"Tealcove-Idempotent": "no", "Idempotency-Key": "k"}
         async with running.session.get(f"{url}/prices/1", headers=headers) as response:
             assert response.status == 200
         second = spans_of(running)
