Prove that a data centre that was cut off joins again

Change: four embedded instances over two data centres; no message between them and no platform on one side for longer than peers are remembered; a change is made meanwhile; the cut ends. Ruled out: cutting by the system's firewall (it needs rights that a test run may lack); the cut is made at the sockets' send and at the platform's address. Conclusion: both sides serve during the cut, revisions only rise.

--- /dev/null
+++ b/tests/test_data_centre_cut.py
@@ -0,0 +1,175 @@
+"""A data centre that is cut off and joins again."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+
+import aiohttp
+import syrupy
+
+from tealcove import daemon, settings
+from tealcove.peers import endpoint, message
+from tealcove.resources import copy, decision, edits, kinds
+from tests import callers, deployment, embedded
+
+LENGTH = 4
+# Nothing listens there.
+NOWHERE = "http://127.0.0.1:1"
+# Peers are forgotten soon, since the test waits for it.
+HEARTBEAT = settings.Heartbeat(interval=0.1, suspect_after=1.0, forget_after=2.0)
+
+
+class Cut:
+    """Lets no message pass between two groups, and hides the platform from one."""
+
+    def __init__(self, near: list[daemon.Instance], far: list[daemon.Instance]) -> None:
+        self.is_cut = False
+        self.far = far
+        self.platform_url = far[0].platform.url
+        for group, others in ((near, far), (far, near)):
+            hidden = {other.mesh.listen for other in others}
+            for instance in group:
+                instance.mesh.send = self.sending(instance.mesh.send, hidden)
+
+    def sending(self, send: object, hidden: set[endpoint.Endpoint]) -> object:
+        """Return a function that sends, except to hidden peers during the cut."""
+
+        def send_unless_cut(peer: endpoint.Endpoint, sent: message.Message) -> bool:
+            if self.is_cut and peer in hidden:
+                return False
+            return send(peer, sent)
+
+        return send_unless_cut
+
+    @contextlib.contextmanager
+    def made(self) -> Iterator[None]:
+        """Cut the groups apart for a while."""
+        self.set(True, NOWHERE)
+        try:
+            yield
+        finally:
+            self.set(False, self.platform_url)
+
+    def set(self, is_cut: bool, url: str) -> None:
+        """Begin or end the cut."""
+        self.is_cut = is_cut
+        for instance in self.far:
+            instance.platform.url = url
+
+
+class Revisions:
+    """Notes every revision that is put in force on an instance."""
+
+    def __init__(self, instances: list[daemon.Instance]) -> None:
+        self.found: dict[str, list[int]] = {}
+        for instance in instances:
+            seen = self.found.setdefault(instance.settings.instance, [])
+            instance.configuration.copy.subscribe(noting(seen))
+
+    def only_rise(self) -> bool:
+        """Tell whether no instance ever went back."""
+        return all(sorted(set(seen)) == seen for seen in self.found.values())
+
+
+def noting(seen: list[int]) -> object:
+    """Return a subscriber that notes revisions."""
+
+    def note(previous: copy.Configuration, current: copy.Configuration) -> None:
+        seen.append(current.revision)
+
+    return note
+
+
+async def until_members(instances: list[daemon.Instance], count: int) -> None:
+    """Wait until each of some instances knows so many."""
+
+    async def all_know() -> bool:
+        return all(len(i.members.peers) + 1 == count for i in instances)
+
+    await deployment.until(all_know)
+
+
+async def until_deadline(instances: list[daemon.Instance], deadline: float) -> None:
+    """Wait until a tier's default deadline is in force on some instances."""
+
+    async def is_in_force() -> bool:
+        found = [deadline_at(instance) for instance in instances]
+        return set(found) == {deadline}
+
+    await deployment.until(is_in_force)
+
+
+def deadline_at(instance: daemon.Instance) -> float:
+    """Return the tier's default deadline as it's in force on an instance."""
+    return instance.configuration.copy.current.tiers["high"].spec.default_deadline
+
+
+async def test_a_data_centre_is_cut_off_and_joins_again(
+    snapshot: syrupy.SnapshotAssertion,
+) -> None:
+    """Two halves stay apart for ever, or the older configuration comes back.
+
+    Symptom: after a cut, some instances serve by an older configuration, or don't
+    know those of the other data centre any more.
+    Sequence: two instances of a data centre lose the platform and the two of the
+    other one for longer than peers are remembered; a change is made; the cut ends.
+    Cause: forgotten peers that nobody greets again; a copy that goes back.
+    """
+    session = []
+    async with embedded.pair(heartbeat=HEARTBEAT) as pair, started_far(pair) as far:
+        near = [i for i in pair.instances.values() if i not in far]
+        everyone = near + far
+        await until_members(everyone, 4)
+        revisions = Revisions(everyone)
+        cut = Cut(near, far)
+        with cut.made():
+            await until_members(everyone, 2)
+            session.append("cut: each side knows two instances")
+            await change_tier(near[0], 33.0)
+            await until_deadline(near, 33.0)
+            session.append("cut: the change is in force on the platform's side")
+            session.append(f"cut: the far side has {deadline_at(far[0])}")
+            for instance in (near[0], far[0]):
+                session.append(f"cut: {await ask(pair, instance)}")
+        await until_members(everyone, 4)
+        await until_deadline(everyone, 33.0)
+        session.append("joined: four instances, the change in force on all")
+        session.append(f"revisions only rise: {revisions.only_rise()}")
+        session.append(f"joined: {await ask(pair, far[0])}")
+    assert session == snapshot
+
+
+@contextlib.asynccontextmanager
+async def started_far(pair: embedded.Pair) -> AsyncIterator[list[daemon.Instance]]:
+    """Start two instances of another data centre, and stop them at the end."""
+    found = []
+    try:
+        for name in ("far-1", "far-2"):
+            far = await pair.add_instance(name, data_centre="far", heartbeat=HEARTBEAT)
+            found.append(far)
+        yield found
+    finally:
+        for instance in found:
+            await instance.stop()
+
+
+async def change_tier(instance: daemon.Instance, deadline: float) -> None:
+    """Change a tier's default deadline through an instance."""
+    current = instance.configuration.copy.current.tiers["high"]
+    change = decision.ChangeRequest(
+        operator="ops",
+        kind=kinds.Kind.SERVICE_TIER,
+        name="high",
+        edit=edits.Put(kinds.ServiceTierSpec(rank=0, default_deadline=deadline)),
+        if_match=current.metadata.revision,
+    )
+    await instance.configuration.api.store.change(change)
+
+
+async def ask(pair: embedded.Pair, instance: daemon.Instance) -> str:
+    """Send a request through an instance and describe what came back."""
+    prompt = f"through {instance.settings.data_centre}"
+    async with aiohttp.ClientSession() as session:
+        reply = await callers.complete(session, pair.url(instance), prompt, LENGTH)
+    return callers.describe(reply, prompt, LENGTH)
