Write a row on condition at one place; give orders by one call

Cause: lease and written orders each built the same conditional write of one row, and the log had the condition a third time. Giving an order and raising the number at an engine repeated the same judgement of lost replies. The planner passed bare pairs of an order and a flag.

Change: table.replace and table.unchanged; Giver.call returns an Ending; loads_of and unloads_of yield tasks. Giver.give returns nothing, since nobody used what it returned. Two long functions of the steward and the planner are divided. Behaviour is the same.

Ruled out: a shared decoder of the two rows. Their remedies differ.

Conclusion: whoever keeps a row by its version has one function for it.

--- a/src/tealcove/orders/giving.py
+++ b/src/tealcove/orders/giving.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import logbook
 import msgspec
 
@@ -12,6 +14,16 @@
 log = logbook.Logger("orders")
 
 
+class Ending(enum.Enum):
+    """What is known of an order after its call."""
+
+    CARRIED_OUT = "carried_out"
+    # It wasn't carried out and won't be.
+    NOT_CARRIED_OUT = "not_carried_out"
+    # The reply was lost: the engine may still carry it out.
+    UNKNOWN = "unknown"
+
+
 class Giver:
     """Gives one pool's orders under one fencing number."""
 
@@ -32,31 +44,20 @@
         number_holds = self.lease.number == self.intents.number
         return number_holds and self.lease.held(clock.now())
 
-    async def give(self, server: engine.Server, order: engine.Order) -> bool:
-        """Give an order; False when it wasn't carried out, or maybe not.
+    async def give(self, server: engine.Server, order: engine.Order) -> None:
+        """Give an order; raises PlatformError when it couldn't be written down.
 
-        Raises PlatformError when it couldn't be written down, so wasn't given.
+        Only an order whose end is known is cleared from the row.
         """
         numbered = msgspec.structs.replace(order, fencing=self.intents.number)
         await self.intents.begin(server.name, numbered)
-        began = clock.now()
-        try:
-            await self.engines.order(
-                server, numbered, self.may_give, self.longest_order
-            )
-        except (engine.NotDispatchedError, engine.RefusedCallError) as error:
-            log.warning("{}: {}", server.name, error)
-            await self.intents.end(server.name)
-            return False
-        except errors.BackendError as error:
-            log.warning("{}: {}", server.name, error)
-            until = ids.Instant(began + self.longest_order)
-            self.intents.doubt(server.name, until)
-            return False
-        number = numbered.fencing
-        log.info("{}: {}, number {}", server.name, describe(order), number)
+        ending = await self.call(server, numbered)
+        if ending is Ending.UNKNOWN:
+            return
+        if ending is Ending.CARRIED_OUT:
+            said = describe(order)
+            log.info("{}: {}, number {}", server.name, said, numbered.fencing)
         await self.intents.end(server.name)
-        return True
 
     async def raise_number(
         self, server: engine.Server, holding: engine.Holding
@@ -70,19 +71,29 @@
         order = engine.Order(
             self.intents.number, engine.OrderKind.SET_ROLE, role=holding.role
         )
+        if await self.call(server, order) is Ending.CARRIED_OUT:
+            log.info("{}: refuses numbers below {}", server.name, order.fencing)
+            await self.intents.end(server.name)
+
+    async def call(self, server: engine.Server, order: engine.Order) -> Ending:
+        """Send an order to its engine under the lease, and wait for the reply.
+
+        An order with a lost reply may still be carried out. Its engine is left
+        alone for as long as the longest order takes, counted from before the call:
+        a newer order could otherwise be undone by the older one.
+        """
         began = clock.now()
         try:
             await self.engines.order(server, order, self.may_give, self.longest_order)
         except (engine.NotDispatchedError, engine.RefusedCallError) as error:
             log.warning("{}: {}", server.name, error)
-            return
+            return Ending.NOT_CARRIED_OUT
         except errors.BackendError as error:
             log.warning("{}: {}", server.name, error)
             until = ids.Instant(began + self.longest_order)
             self.intents.doubt(server.name, until)
-            return
-        log.info("{}: refuses numbers below {}", server.name, order.fencing)
-        await self.intents.end(server.name)
+            return Ending.UNKNOWN
+        return Ending.CARRIED_OUT
 
 
 def describe(order: engine.Order) -> str:
--- a/src/tealcove/orders/intents.py
+++ b/src/tealcove/orders/intents.py
@@ -115,7 +115,9 @@
         value = msgspec.json.encode(Record(self.number, wanted))
         for _ in range(ATTEMPTS):
             try:
-                self.row = await self.commit(value)
+                self.row = await table.replace(
+                    self.rows, self.row, TABLE, self.pool, value
+                )
             except table.ConditionFailedError as error:
                 self.follow(error.conflicts[0].row)
             except errors.OutcomeUnknownError:
@@ -128,17 +130,6 @@
             "Nothing was ordered; it is tried again.",
         )
 
-    async def commit(self, value: bytes) -> table.Row:
-        """Write the row once, on condition that it's the one last seen."""
-        condition = (
-            table.Absent(TABLE, self.pool)
-            if self.row is None
-            else table.VersionIs(TABLE, self.pool, self.row.version)
-        )
-        put = table.Put(TABLE, self.pool, value)
-        done = await self.rows.commit(table.Transaction((condition,), (put,)))
-        return table.Row(TABLE, self.pool, value, done.version)
-
     def follow(self, row: table.Row | None) -> None:
         """Take over the row as it stands, unless it's another steward's.
 
--- a/src/tealcove/orders/lease.py
+++ b/src/tealcove/orders/lease.py
@@ -197,14 +197,7 @@
     async def write(self, record: LeaseRecord) -> table.Row:
         """Write a record and return the row; raises the table's errors."""
         value = msgspec.json.encode(record)
-        condition = (
-            table.Absent(TABLE, self.name)
-            if self.row is None
-            else table.VersionIs(TABLE, self.name, self.row.version)
-        )
-        put = table.Put(TABLE, self.name, value)
-        done = await self.rows.commit(table.Transaction((condition,), (put,)))
-        return table.Row(TABLE, self.name, value, done.version)
+        return await table.replace(self.rows, self.row, TABLE, self.name, value)
 
     async def look(self) -> None:
         """Read the row; an unavailable platform changes nothing."""
--- a/src/tealcove/orders/plan.py
+++ b/src/tealcove/orders/plan.py
@@ -80,13 +80,22 @@
             begun.append(task)
             break
         blocked.append(task)
-    # An engine that has more to do, but not now, goes back to work: others might
-    # wait for it, and it for them, for ever.
-    begun_at = {task.server for task in begun}
-    idle = frozenset(open_tasks) - seen.busy - begun_at
+    idle = idle_engines(open_tasks, begun, seen)
     return Plan(tuple(begun), tuple(blocked), idle)
 
 
+def idle_engines(
+    open_tasks: dict[ids.BackendServerId, list[Task]], begun: list[Task], seen: Seen
+) -> frozenset[ids.BackendServerId]:
+    """Return the engines that nothing is done to now.
+
+    Those that have more to do, but not now, are among them and go back to work:
+    others might wait for them, and they for others, for ever.
+    """
+    begun_at = {task.server for task in begun}
+    return frozenset(open_tasks) - seen.busy - begun_at
+
+
 def is_free(name: ids.BackendServerId, seen: Seen) -> bool:
     """Tell whether a task may begin at an engine."""
     return name not in seen.busy and name not in seen.unsettled
@@ -115,41 +124,44 @@
     name: ids.BackendServerId, target: wanted.Wanted, holding: engine.Holding
 ) -> Iterator[Task]:
     """Yield what an engine lacks, in the order in which it is to be done."""
-    kinds_of_order = engine.OrderKind
+    order_kinds = engine.OrderKind
     loads = [
-        *loads_of(kinds_of_order.LOAD_MODEL, target.models, holding.models),
-        *loads_of(kinds_of_order.LOAD_ADAPTER, target.adapters, holding.adapters),
+        *loads_of(name, order_kinds.LOAD_MODEL, target.models, holding.models),
+        *loads_of(name, order_kinds.LOAD_ADAPTER, target.adapters, holding.adapters),
     ]
     # What disturbs nobody comes first; `sorted` keeps the order otherwise.
-    for order, replaces in sorted(loads, key=lambda load: load[1]):
-        yield Task(name, order, replaces)
+    yield from sorted(loads, key=lambda task: task.drains)
     role = target.servers[name].role
     if holding.role != role:
-        order = engine.Order(NO_NUMBER, kinds_of_order.SET_ROLE, role=role)
-        yield Task(name, order, True)
-    unloads = [
-        *unloads_of(kinds_of_order.UNLOAD_ADAPTER, target.adapters, holding.adapters),
-        *unloads_of(kinds_of_order.UNLOAD_MODEL, target.models, holding.models),
-    ]
-    for order in unloads:
-        yield Task(name, order, True)
+        order = engine.Order(NO_NUMBER, order_kinds.SET_ROLE, role=role)
+        yield Task(name, order, drains=True)
+    adapters, models = target.adapters, target.models
+    yield from unloads_of(name, order_kinds.UNLOAD_ADAPTER, adapters, holding.adapters)
+    yield from unloads_of(name, order_kinds.UNLOAD_MODEL, models, holding.models)
 
 
 def loads_of(
-    kind: engine.OrderKind, versions: wanted.Versions, held: wanted.Versions
-) -> Iterator[tuple[engine.Order, bool]]:
-    """Yield orders to load, each with whether another version is replaced."""
+    server: ids.BackendServerId,
+    kind: engine.OrderKind,
+    versions: wanted.Versions,
+    held: wanted.Versions,
+) -> Iterator[Task]:
+    """Yield tasks to load; the engine has to be empty to replace a version."""
     for name, version in sorted(versions.items()):
         if held.get(name) != version:
-            yield engine.Order(NO_NUMBER, kind, name, version), name in held
+            order = engine.Order(NO_NUMBER, kind, name, version)
+            yield Task(server, order, drains=name in held)
 
 
 def unloads_of(
-    kind: engine.OrderKind, versions: wanted.Versions, held: wanted.Versions
-) -> Iterator[engine.Order]:
-    """Yield orders to unload what isn't wanted."""
+    server: ids.BackendServerId,
+    kind: engine.OrderKind,
+    versions: wanted.Versions,
+    held: wanted.Versions,
+) -> Iterator[Task]:
+    """Yield tasks to unload what isn't wanted."""
     for name in sorted(held.keys() - versions.keys()):
-        yield engine.Order(NO_NUMBER, kind, name)
+        yield Task(server, engine.Order(NO_NUMBER, kind, name), drains=True)
 
 
 def may_leave(server: ids.BackendServerId, target: wanted.Wanted, seen: Seen) -> bool:
--- a/src/tealcove/orders/steward.py
+++ b/src/tealcove/orders/steward.py
@@ -148,12 +148,7 @@
             await self.retire(now)
             return
         if self.intents.number != self.lease.number:
-            number = self.lease.number
-            self.drains.number = number
-            await self.intents.take_over(number, now, self.longest_order)
-            log.info("steward of {}, number {}", self.pool, number)
-            for server in self.intents.unsettled:
-                log.warning("{}: an earlier steward's order may be on its way", server)
+            await self.take_over(now)
         await self.intents.settle(clock.now())
         target = wanted.of_pool(self.copy.current, self.pool)
         if target is None:
@@ -162,6 +157,18 @@
         holdings = await observing.read(self.engines, target)
         self.carry_on(target, holdings, before)
 
+    async def take_over(self, now: ids.Instant) -> None:
+        """Begin to give orders under the lease's number.
+
+        Raises PlatformError; the next round tries again.
+        """
+        number = self.lease.number
+        self.drains.number = number
+        await self.intents.take_over(number, now, self.longest_order)
+        log.info("steward of {}, number {}", self.pool, number)
+        for server in self.intents.unsettled:
+            log.warning("{}: an earlier steward's order may be on its way", server)
+
     async def retire(self, now: ids.Instant) -> None:
         """Give no more orders; a leaving holder lets its successor begin."""
         self.progress.clear()
@@ -179,7 +186,6 @@
 
         `before` are the engines that were changing when the holdings were read.
         """
-        now = clock.now()
         self.seen = plan.Seen(
             holdings,
             before | self.changes.keys(),
@@ -190,6 +196,12 @@
             self.raise_numbers(target)
         found = plan.make(target, self.seen)
         self.progress.note(target, holdings, found)
+        self.carry_out(target, found, clock.now())
+
+    def carry_out(
+        self, target: wanted.Wanted, found: plan.Plan, now: ids.Instant
+    ) -> None:
+        """Let idle engines have work again, and begin the planned changes."""
         for server in found.idle | self.lost():
             self.drains.release(server, now)
         for task in found.tasks:
--- a/src/tealcove/platform/table.py
+++ b/src/tealcove/platform/table.py
@@ -99,3 +99,23 @@
         self, table: str, after: str = "", limit: int = 1000
     ) -> tuple[Row, ...]:
         """Return rows in order of key, those beyond `after`, at most `limit`."""
+
+
+def unchanged(row: Row | None, table: str, key: str) -> Absent | VersionIs:
+    """Return the condition that a row is still as it was read; None: absent."""
+    if row is None:
+        return Absent(table, key)
+    return VersionIs(table, key, row.version)
+
+
+async def replace(
+    rows: TableService, row: Row | None, table: str, key: str, value: bytes
+) -> Row:
+    """Write a row on condition that it's still as it was read, and return it.
+
+    Raises as `TableService.commit` does.
+    """
+    condition = unchanged(row, table, key)
+    put = Put(table, key, value)
+    done = await rows.commit(Transaction((condition,), (put,)))
+    return Row(table, key, value, done.version)
--- a/src/tealcove/resources/log.py
+++ b/src/tealcove/resources/log.py
@@ -55,15 +55,6 @@
     return f"configuration/{change_key(revision)}"
 
 
-def unchanged(
-    row: table.Row | None, name: str, key: str
-) -> table.Absent | table.VersionIs:
-    """Return the condition that a row is still as it was read."""
-    if row is None:
-        return table.Absent(name, key)
-    return table.VersionIs(name, key, row.version)
-
-
 class ConfigurationLog:
     """Reads the log and brings a copy up to its head."""
 
@@ -75,7 +66,7 @@
     async def read_head(self) -> HeadRow:
         """Return the head; raises PlatformUnavailableError."""
         row = await self.rows.read(HEADS, HEAD_KEY)
-        condition = unchanged(row, HEADS, HEAD_KEY)
+        condition = table.unchanged(row, HEADS, HEAD_KEY)
         if row is None:
             return HeadRow(Head(), condition)
         return HeadRow(msgspec.json.decode(row.value, type=Head), condition)
--- a/src/tealcove/resources/store.py
+++ b/src/tealcove/resources/store.py
@@ -195,7 +195,7 @@
         request = self.request
         key = log.resource_key(request.kind, request.name)
         row = await self.store.rows.read(log.RESOURCES, key)
-        conditions = [head_row.unchanged, log.unchanged(row, log.RESOURCES, key)]
+        conditions = [head_row.unchanged, table.unchanged(row, log.RESOURCES, key)]
         change = codec.Change(
             revision=outcome.revision,
             kind=request.kind,
