Reject models that a pool doesn't declare; say where else to go

Cause: a misspelt model was answered not_run, no_backend_server, so callers would try for ever; an instance that is leaving or isolated didn't name other addresses, as the design asks. Change: a model or adapter that the pool's spec doesn't name is rejected (404) with those that it does; not_ready and leaving name the serving instances. Ruled out: asking the engines (a model that is declared but not loaded yet has to stay not_run, since it will come).

--- a/src/tealcove/entry/acceptance.py
+++ b/src/tealcove/entry/acceptance.py
@@ -46,6 +46,7 @@
             "No routing rule leads to a pool of engines",
             f"model {engine_call.model!r}; ask the operator for a rule.",
         )
+    check_model(engine_call, pool.spec)
     work = admitted.Work(
         prompt_tokens=prefixes.count_tokens(engine_call.prompt),
         output_tokens=engine_call.max_tokens,
@@ -58,6 +59,27 @@
     return accept(received, rule, cell, work, content.digest_prompt(engine_call.prompt))
 
 
+def check_model(engine_call: call.EngineCall, spec: kinds.EnginePoolSpec) -> None:
+    """Refuse a model or adapter that the pool doesn't declare.
+
+    No engine has it, so the request would wait for one that never comes, and be
+    told to try again later.
+    """
+    if spec.models and engine_call.model not in spec.models:
+        raise problem.rejected(
+            404,
+            f"The model {engine_call.model!r} isn't served here",
+            f"Use one of {', '.join(spec.models)}.",
+        )
+    adapter = engine_call.adapter
+    if adapter is not None and spec.adapters and adapter not in spec.adapters:
+        raise problem.rejected(
+            404,
+            f"The adapter {adapter!r} isn't served here",
+            f"Use one of {', '.join(spec.adapters)}.",
+        )
+
+
 def accept_call(
     received: Received, configuration: copy.Configuration, spreading: spread.Spread
 ) -> admitted.Request:
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -193,9 +193,18 @@
         """Refuse new requests when this instance isn't serving."""
         lifecycle = self.members.own.lifecycle
         if lifecycle is membership_messages.Lifecycle.JOINING:
-            raise problem.not_run(messages.RefusalReason.NOT_READY, 1.0)
+            raise problem.not_run(
+                messages.RefusalReason.NOT_READY, 1.0, self.elsewhere()
+            )
         if lifecycle is membership_messages.Lifecycle.GONE:
-            raise problem.not_run(messages.RefusalReason.LEAVING, 0.0)
+            raise problem.not_run(messages.RefusalReason.LEAVING, 0.0, self.elsewhere())
+
+    def elsewhere(self) -> str:
+        """Return which addresses a caller may try in place of this one."""
+        found = points.find(self.members, self.settings, clock.now()).entry_points
+        if not found:
+            return "This instance reaches no other; use another address you know."
+        return "Use " + " or ".join(point.url for point in found) + "."
 
     def join(self, accepted: admitted.Request) -> exchange.Exchange | None:
         """Return the request that lives under the same key, if there is one.
