Let log.debug switch on the configuration's lines; divide long functions

Cause: three loggers of resources were named after their modules, so that log.debug with "resources" changed nothing, although the settings page promises it. The row for a repeated change was written from a bare dict and read by a struct that could drift from it. Some functions had grown too long.

Change: the loggers bear the slice's name, and a test holds all slices to it. The row is written from Recorded and read by StoredRecord. check_revision, publish, prepare, Book.admit and Marks.merge are divided; a function that only repeated the name of a field and an unused constant are gone.

Ruled out: matching prefixes of channels in the handler. One name for each slice is simpler, and all other slices have it.

Trial on a scratch copy with the old logger names: the new test fails.

--- a/src/tealcove/limits/book.py
+++ b/src/tealcove/limits/book.py
@@ -111,23 +111,11 @@
         if usage.lender in ("", lender):
             # What it spent before it had asked is lent as far as there is any.
             covered = min(max(0.0, usage.spent), max(0.0, self.free))
-            lent = covered + usage.returned
             self.free -= covered
-            rate = 0.0
+            borrower = borrower_of(usage, covered + usage.returned, 0.0, now)
         else:
-            lent = usage.lent
             self.free = min(self.free, 0.0)
-            rate = usage.rate
-        borrower = Borrower(
-            opened=usage.opened,
-            heard=now,
-            lent=lent,
-            spent=usage.spent,
-            wanted=usage.wanted,
-            returned=usage.returned,
-            rate=rate,
-            demand=usage.rate,
-        )
+            borrower = borrower_of(usage, usage.lent, usage.rate, now)
         self.borrowers[entry] = borrower
         return borrower
 
@@ -164,3 +152,19 @@
             return False
         free = self.free + self.limit.rate * (now - self.updated)
         return free >= self.limit.burst
+
+
+def borrower_of(
+    usage: messages.Usage, lent: float, rate: float, now: ids.Instant
+) -> Borrower:
+    """Return an entry by its first report here."""
+    return Borrower(
+        opened=usage.opened,
+        heard=now,
+        lent=lent,
+        spent=usage.spent,
+        wanted=usage.wanted,
+        returned=usage.returned,
+        rate=rate,
+        demand=usage.rate,
+    )
--- a/src/tealcove/orders/role.py
+++ b/src/tealcove/orders/role.py
@@ -31,7 +31,7 @@
         self.members = known
         self.copy = own
         self.new_steward = new_steward
-        self.found: dict[ids.PoolId, steward.Steward] = {}
+        self.by_pool: dict[ids.PoolId, steward.Steward] = {}
         meter.create_observable_gauge(
             "tealcove.orders.servers",
             [self.observe],
@@ -51,7 +51,7 @@
 
     async def stop(self) -> None:
         """End all tasks."""
-        for one in self.found.values():
+        for one in self.by_pool.values():
             await one.stop()
 
     def take_configuration(
@@ -59,23 +59,23 @@
     ) -> None:
         """Have a steward for each pool; that of a deleted one does nothing."""
         pools = {ids.PoolId(name) for name in current.names(kinds.Kind.ENGINE_POOL)}
-        for pool in pools - self.found.keys():
+        for pool in pools - self.by_pool.keys():
             held = drains.Drains(self.transport, self.members)
-            self.found[pool] = self.new_steward(pool, held)
-            self.found[pool].start()
+            self.by_pool[pool] = self.new_steward(pool, held)
+            self.by_pool[pool].start()
 
     def take_report(self, sender: ids.InstanceId, report: holds.HoldReport) -> None:
         """Hand a dispatcher's report to the steward of the cell's pool."""
         pool = ids.PoolId(report.cell.rpartition("/")[0])
-        found = self.found.get(pool)
-        if found is not None:
-            found.drains.take(sender, report, clock.now())
+        steward_of_pool = self.by_pool.get(pool)
+        if steward_of_pool is not None:
+            steward_of_pool.drains.take(sender, report, clock.now())
 
     def observe(
         self, options: metrics.CallbackOptions
     ) -> Iterable[metrics.Observation]:
         """Yield how many engines have what is declared."""
-        for pool, one in list(self.found.items()):
+        for pool, one in list(self.by_pool.items()):
             for share in one.progress.shares:
                 labels = {
                     "pool": pool,
@@ -89,5 +89,5 @@
         self, options: metrics.CallbackOptions
     ) -> Iterable[metrics.Observation]:
         """Yield how many orders wait for another server."""
-        for pool, one in list(self.found.items()):
+        for pool, one in list(self.by_pool.items()):
             yield metrics.Observation(len(one.progress.blocked), {"pool": pool})
--- a/src/tealcove/quarantine/marks.py
+++ b/src/tealcove/quarantine/marks.py
@@ -77,6 +77,12 @@
         alone = sum(1 for crash in open_ones if crash.alone)
         return alone + len({crash.server for crash in open_ones if not crash.alone})
 
+    def has_room(self, crashes: int) -> bool:
+        """Tell whether so many crashes more fit in; forgets cleared ones for them."""
+        if len(self.crashes) + crashes > MOST_CRASHES:
+            self.crashes = {c for c in self.crashes if c.request_id not in self.cleared}
+        return len(self.crashes) + crashes <= MOST_CRASHES
+
     def text(self) -> str:
         """Return what two instances with the same knowledge agree on."""
         crashes = [f"{c.request_id}@{c.server}" for c in sorted(self.crashes)]
@@ -139,9 +145,7 @@
         cleared = set(shared.cleared) - mark.cleared
         if not crashes and not cleared:
             return False
-        if len(mark.crashes) + len(crashes) > MOST_CRASHES:
-            mark.crashes = {c for c in mark.crashes if c.request_id not in mark.cleared}
-        if len(mark.crashes) + len(crashes) > MOST_CRASHES:
+        if not mark.has_room(len(crashes)):
             return False
         if crashes:
             mark.until = ids.Instant(max(mark.until, now + shared.remaining))
--- a/src/tealcove/quarantine/sharing.py
+++ b/src/tealcove/quarantine/sharing.py
@@ -7,7 +7,7 @@
 from tealcove import clock, ids
 from tealcove.membership import heart, members
 from tealcove.membership import messages as membership_messages
-from tealcove.peers import endpoint, mesh
+from tealcove.peers import mesh
 from tealcove.quarantine import marks, messages
 
 # Seconds between two sendings of a changed mark, and their number. A message
@@ -69,7 +69,7 @@
         sent = messages.MarksChanged(marks=changed)
         for heartbeat in self.members.alive(now):
             if heartbeat.instance != self.members.own.instance:
-                self.transport.send(address(heartbeat), sent)
+                self.transport.send(heartbeat.endpoint, sent)
 
     def update_heartbeat(self, now: ids.Instant) -> None:
         """Let the heartbeats say which marks are known here."""
@@ -94,7 +94,8 @@
         found = tuple(mark for mark in shared if mark is not None)
         if found:
             self.next_sync = ids.Instant(now + SYNC_INTERVAL)
-            self.transport.send(address(heartbeat), messages.MarksChanged(marks=found))
+            sent = messages.MarksChanged(marks=found)
+            self.transport.send(heartbeat.endpoint, sent)
 
     def next_digests(self) -> list[str]:
         """Return the digests of one answer; later answers go on from there."""
@@ -104,8 +105,3 @@
         chosen = digests[self.sync_from : self.sync_from + SYNC_MARKS]
         self.sync_from += SYNC_MARKS
         return chosen
-
-
-def address(heartbeat: membership_messages.Heartbeat) -> endpoint.Endpoint:
-    """Return where the sender of a heartbeat listens for messages."""
-    return heartbeat.endpoint
--- a/src/tealcove/resources/compaction.py
+++ b/src/tealcove/resources/compaction.py
@@ -11,7 +11,7 @@
 from tealcove.platform import table
 from tealcove.resources import codec, copy, log, snapshots
 
-LOG = logbook.Logger(__name__)
+LOG = logbook.Logger("resources")
 
 # Rows deleted in one transaction.
 DELETED_AT_ONCE = 100
@@ -89,14 +89,8 @@
             if head_row.head.snapshot > revision:
                 return revision
             replaced = head_row.head.snapshot
-            floor = max(head_row.head.floor, revision - self.settings.retained)
-            head = msgspec.structs.replace(
-                head_row.head, snapshot=revision, floor=ids.Revision(floor)
-            )
-            write = table.Put(log.HEADS, log.HEAD_KEY, codec.encode(head))
-            transaction = table.Transaction((head_row.unchanged,), (write,))
             try:
-                await self.log.rows.commit(transaction)
+                await self.log.rows.commit(self.naming(head_row, revision))
             except (table.ConditionFailedError, errors.OutcomeUnknownError):
                 continue
             return replaced
@@ -105,6 +99,17 @@
             "Nothing: the next compaction will name one.",
         )
 
+    def naming(
+        self, head_row: log.HeadRow, revision: ids.Revision
+    ) -> table.Transaction:
+        """Return the transaction that names a snapshot if the head is the same."""
+        floor = max(head_row.head.floor, revision - self.settings.retained)
+        head = msgspec.structs.replace(
+            head_row.head, snapshot=revision, floor=ids.Revision(floor)
+        )
+        write = table.Put(log.HEADS, log.HEAD_KEY, codec.encode(head))
+        return table.Transaction((head_row.unchanged,), (write,))
+
     async def drop_changes(self) -> None:
         """Delete the changes up to the floor, and their rows for repeats."""
         head = (await self.log.read_head()).head
--- a/src/tealcove/resources/copy.py
+++ b/src/tealcove/resources/copy.py
@@ -10,7 +10,7 @@
 from tealcove import ids
 from tealcove.resources import accounts, codec, kinds, routing
 
-LOG = logbook.Logger(__name__)
+LOG = logbook.Logger("resources")
 
 NOTHING = ids.Revision(0)
 
--- a/src/tealcove/resources/decision.py
+++ b/src/tealcove/resources/decision.py
@@ -33,19 +33,29 @@
 
 def check_revision(request: ChangeRequest, current: kinds.Resource | None) -> None:
     """Refuse a change that isn't based on the resource as it is now."""
-    target = f"{request.kind.value}/{request.name}"
     if current is None:
-        if request.if_match is not None:
-            raise refusals.RevisionConflictError(
-                f"{target} doesn't exist, so it isn't at revision {request.if_match}",
-                "Leave If-Match out to create it.",
-                copy.NOTHING,
-                "",
-            )
-        if not request.edit.creates:
-            raise not_found(request.kind, request.name)
-        return
-    metadata = current.metadata
+        check_absent(request)
+    else:
+        check_current(request, current.metadata)
+
+
+def check_absent(request: ChangeRequest) -> None:
+    """Refuse a change that needs a resource to exist; there is none."""
+    target = f"{request.kind.value}/{request.name}"
+    if request.if_match is not None:
+        raise refusals.RevisionConflictError(
+            f"{target} doesn't exist, so it isn't at revision {request.if_match}",
+            "Leave If-Match out to create it.",
+            copy.NOTHING,
+            "",
+        )
+    if not request.edit.creates:
+        raise not_found(request.kind, request.name)
+
+
+def check_current(request: ChangeRequest, metadata: kinds.Metadata) -> None:
+    """Refuse a change that isn't based on the revision of the resource."""
+    target = f"{request.kind.value}/{request.name}"
     if request.if_match is None and not request.must_be_new:
         raise refusals.PreconditionRequiredError(
             f"{target} exists at revision {metadata.revision}, changed by "
--- a/src/tealcove/resources/edits.py
+++ b/src/tealcove/resources/edits.py
@@ -9,8 +9,6 @@
 
 from tealcove.resources import codec, kinds
 
-SPEC = codec.SPEC_PATH
-
 
 class Edit(abc.ABC):
     """One way to change a resource; `creates` tells if it may make a new one."""
--- a/src/tealcove/resources/reader.py
+++ b/src/tealcove/resources/reader.py
@@ -12,7 +12,7 @@
 from tealcove import clock, errors, ids
 from tealcove.resources import copy, log, snapshots
 
-LOG = logbook.Logger(__name__)
+LOG = logbook.Logger("resources")
 
 
 class PeerSource(abc.ABC):
--- a/src/tealcove/resources/role.py
+++ b/src/tealcove/resources/role.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from tealcove import clock, ids, settings
+from tealcove import clock, ids, settings, tasks
 from tealcove.membership import force, heart, members
 from tealcove.membership import messages as membership_messages
 from tealcove.peers import mesh
@@ -75,15 +75,15 @@
         self.copy.subscribe(self.compact_now_and_then)
         beats.listeners.append(self.hear)
         self.members.listen(self.take_members)
-        self.tasks.append(asyncio.create_task(self.reader.run()))
-        self.tasks.append(asyncio.create_task(self.compactor.run()))
+        self.tasks = [
+            tasks.start(self.reader.run(), "reader of the configuration"),
+            tasks.start(self.compactor.run(), "compaction of the log"),
+        ]
 
     async def stop(self) -> None:
         """End all tasks."""
         self.api.end_watches()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await tasks.stop(self.tasks)
 
     def hear(self, heartbeat: membership_messages.Heartbeat) -> None:
         """Learn of a peer's revision."""
--- a/src/tealcove/resources/store.py
+++ b/src/tealcove/resources/store.py
@@ -11,7 +11,7 @@
 
 from tealcove import errors, ids
 from tealcove.platform import objects, table
-from tealcove.resources import codec, copy, decision, log, refusals
+from tealcove.resources import codec, copy, decision, kinds, log, refusals
 
 NONCE_BYTES = 12
 # Attempts of one change, each lost to another writer or of unknown outcome.
@@ -22,7 +22,16 @@
 
 
 class Recorded(msgspec.Struct, frozen=True, kw_only=True):
-    """The row by which a repeat of a change gets the same answer."""
+    """The row by which a repeat of a change gets the same answer, as written."""
+
+    fingerprint: str
+    revision: ids.Revision
+    created: bool
+    resource: kinds.Resource | None
+
+
+class StoredRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The same row as decoded in the first step."""
 
     fingerprint: str
     revision: ids.Revision
@@ -174,7 +183,7 @@
         row = await self.store.rows.read(log.IDEMPOTENCY, self.row)
         if row is None:
             return None
-        recorded = msgspec.json.decode(row.value, type=Recorded)
+        recorded = msgspec.json.decode(row.value, type=StoredRecord)
         if recorded.fingerprint != self.fingerprint:
             raise refusals.IdempotencyMismatchError(
                 f"this Idempotency-Key was used for another change, revision "
@@ -192,45 +201,45 @@
         self, head_row: log.HeadRow, outcome: decision.Outcome
     ) -> Attempt:
         """Build the transaction of one attempt."""
-        request = self.request
-        key = log.resource_key(request.kind, request.name)
+        key = log.resource_key(self.request.kind, self.request.name)
         row = await self.store.rows.read(log.RESOURCES, key)
         conditions = [head_row.unchanged, table.unchanged(row, log.RESOURCES, key)]
-        change = codec.Change(
-            revision=outcome.revision,
-            kind=request.kind,
-            name=request.name,
-            changed_by=request.operator,
-            nonce=self.nonce,
-            idempotency_row=self.row,
-            resource=outcome.resource,
-        )
+        change = self.change(outcome)
         head = msgspec.structs.replace(head_row.head, revision=outcome.revision)
         change_key = log.change_key(outcome.revision)
         writes = [
             table.Put(log.HEADS, log.HEAD_KEY, codec.encode(head)),
             table.Put(log.CHANGES, change_key, codec.encode(change)),
+            write_of(key, outcome.resource),
         ]
-        if outcome.resource is None:
-            writes.append(table.Delete(log.RESOURCES, key))
-        else:
-            content = codec.encode(outcome.resource)
-            writes.append(table.Put(log.RESOURCES, key, content))
         if self.row:
             conditions.append(table.Absent(log.IDEMPOTENCY, self.row))
             writes.append(self.record(outcome))
         transaction = table.Transaction(tuple(conditions), tuple(writes))
         return Attempt(transaction, change, outcome)
 
+    def change(self, outcome: decision.Outcome) -> codec.Change:
+        """Return the entry in the log of changes."""
+        request = self.request
+        return codec.Change(
+            revision=outcome.revision,
+            kind=request.kind,
+            name=request.name,
+            changed_by=request.operator,
+            nonce=self.nonce,
+            idempotency_row=self.row,
+            resource=outcome.resource,
+        )
+
     def record(self, outcome: decision.Outcome) -> table.Put:
         """Return the write by which a repeat will get the same answer."""
-        content = {
-            "fingerprint": self.fingerprint,
-            "revision": outcome.revision,
-            "created": outcome.created,
-            "resource": outcome.resource,
-        }
-        return table.Put(log.IDEMPOTENCY, self.row, msgspec.json.encode(content))
+        recorded = Recorded(
+            fingerprint=self.fingerprint,
+            revision=outcome.revision,
+            created=outcome.created,
+            resource=outcome.resource,
+        )
+        return table.Put(log.IDEMPOTENCY, self.row, codec.encode(recorded))
 
     async def commit(self, attempt: Attempt) -> decision.Outcome | None:
         """Commit; None if the head moved or the reply was lost."""
@@ -248,6 +257,13 @@
         return attempt.outcome
 
 
+def write_of(key: str, resource: kinds.Resource | None) -> table.Put | table.Delete:
+    """Return the write that leaves a resource as wanted; None: deleted."""
+    if resource is None:
+        return table.Delete(log.RESOURCES, key)
+    return table.Put(log.RESOURCES, key, codec.encode(resource))
+
+
 async def pause(number: int) -> None:
     """Wait before a further attempt, at random so that writers fall apart."""
     longest = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** (number - 1))
--- a/src/tealcove/tests/test_telemetry.py
+++ b/src/tealcove/tests/test_telemetry.py
@@ -5,14 +5,18 @@
 import io
 import json
 import logging
+import pathlib
+import re
 
 import logbook
 from opentelemetry import trace
 from opentelemetry.sdk.trace.export import in_memory_span_exporter
 
+import tealcove
 from tealcove import logs, settings, telemetry
 from tealcove.tests import builders
 
+LOGGER = re.compile(r"logbook\.Logger\(([^)]*)\)")
 PARENT = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
 
 
@@ -91,3 +95,19 @@
         with found.tracer.start_as_current_span("entry", context=context):
             assert telemetry.traceparent() == PARENT
     assert exporter.get_finished_spans() == ()
+
+
+def test_loggers_of_slices_bear_the_slices_names():
+    """No debug line of the configuration could be switched on.
+
+    Symptom: `log.debug` with "resources" changes nothing. Sequence: the setting
+    names a slice; the record's channel is "tealcove.resources.reader"; the handler
+    compares the two and drops the line. Cause: loggers named after modules.
+    """
+    root = pathlib.Path(tealcove.__file__).parent
+    wrong = []
+    for path in set(root.glob("*/*.py")) - set(root.glob("tests/*.py")):
+        for channel in LOGGER.findall(path.read_text("utf-8")):
+            if channel != f'"{path.parent.name}"':
+                wrong.append(f"{path}: {channel}")
+    assert wrong == []
