Log how background tasks of claims and stand-ins die

Cause: the writer of claims, the deletion of given-up claims and tasks of the stand-ins were started without anyone who looks at how they end. One that died of a fault of ours would have been silent: claims unanswered, an engine's stand-in that computes nothing.

Change: they start by tasks.start, which logs the error, and end by tasks.stop.

Ruled out: the two futures of a watch, which are awaited at once.

Measured: tests of claims, resources, standins, quarantine, limits, orders and logs, 177 passed.

Conclusion: within these slices no task dies unseen.

--- a/src/tealcove/claims/claimer.py
+++ b/src/tealcove/claims/claimer.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from tealcove import clock, errors, ids
+from tealcove import clock, errors, ids, tasks
 from tealcove.claims import claim, messages
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -73,9 +73,7 @@
 
     async def stop(self) -> None:
         """End the tasks in the background."""
-        for task in self.abandoning:
-            task.cancel()
-        await asyncio.gather(*self.abandoning, return_exceptions=True)
+        await tasks.stop(self.abandoning)
 
     async def claim(self, key: str, wanted: claim.Claim, deadline: ids.Instant) -> Held:
         """Take a claim; raises TakenError or UnavailableError.
@@ -195,7 +193,8 @@
 
     def abandon(self, key: str, nonce: str) -> None:
         """Delete a claim of ours, if there is one, without being waited for."""
-        task = asyncio.create_task(self.delete_own(key, nonce))
+        work = self.delete_own(key, nonce)
+        task = tasks.start(work, f"deletion of the claim {key}")
         self.abandoning.add(task)
         task.add_done_callback(self.abandoning.discard)
 
@@ -207,9 +206,10 @@
                 break
             except errors.PlatformError:
                 await asyncio.sleep(RETRY_PAUSE)
-        found = None if row is None else claim.decode(row.value)
-        if found is not None and self.is_undispatched(found, nonce):
-            await self.release(Held(key, found, row.version))
+        if row is not None:
+            found = claim.decode(row.value)
+            if self.is_undispatched(found, nonce):
+                await self.release(Held(key, found, row.version))
         self.live.discard(nonce)
 
     def is_undispatched(self, found: claim.Claim, nonce: str) -> bool:
--- a/src/tealcove/claims/writer.py
+++ b/src/tealcove/claims/writer.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from tealcove import errors, ids
+from tealcove import errors, ids, tasks
 from tealcove.claims import claim, messages
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -59,12 +59,12 @@
     def start(self) -> None:
         """Begin to take changes."""
         self.transport.handle(messages.RowChange, self.take)
-        self.task = asyncio.create_task(self.run())
+        self.task = tasks.start(self.run(), "batches of claims")
 
     async def stop(self) -> None:
         """End the task; what isn't answered goes to another writer."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
+        if self.task is not None:
+            await tasks.stop([self.task])
 
     def take(self, sender: ids.InstanceId, change: messages.RowChange) -> None:
         """Put a change into the next batch, once."""
--- a/src/tealcove/standins/engine.py
+++ b/src/tealcove/standins/engine.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import ids
+from tealcove import ids, tasks
 from tealcove.standins import (
     answers,
     backend,
@@ -94,7 +94,7 @@
     async def start(self) -> None:
         """Listen and compute; `port` tells where it listens."""
         await super().start()
-        self.ticking = asyncio.create_task(self.tick())
+        self.ticking = tasks.start(self.tick(), f"steps of {self.name}")
 
     async def stop(self) -> None:
         """Close the port and all connections, and lose all but the counts."""
--- a/src/tealcove/standins/server.py
+++ b/src/tealcove/standins/server.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import ids
+from tealcove import ids, tasks
 
 MOST_BODY_BYTES = 16 * 1024 * 1024
 # A handler that is still there after its connection was broken is given up then.
@@ -134,7 +134,8 @@
             await self.listen()
         if seconds > 0.0:
             await self.site.stop()
-            self.refusing = asyncio.create_task(self.listen_again(seconds))
+            again = self.listen_again(seconds)
+            self.refusing = tasks.start(again, f"port of {self.name}")
 
     async def listen_again(self, seconds: float) -> None:
         """Open the port again after a time."""
--- a/src/tealcove/standins/service.py
+++ b/src/tealcove/standins/service.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from tealcove import tasks
 from tealcove.standins import (
     backend,
     backend_load,
@@ -99,7 +100,7 @@
         """
         body = await request.read()
         call = self.count(request, body)
-        task = asyncio.create_task(self.run(call))
+        task = tasks.start(self.run(call), "call")
         self.calls.add(task)
         self.idle.clear()
         task.add_done_callback(self.end)
