Step a request's life without adding it to the shared machine

Cause: add_model binds some twenty functions to each request's object, and remove_model looks through the list of all others; together more than the steps themselves. Change: the object is handed to the machine's events at each step, as the lease does already; the same states, steps and MachineError. Ruled out: another library, or checks of our own in place of the machine. Measurement: one life of three steps, processor time, middles of 5 in turn before/after: 155/62, 104/43, 106/41 us (load average 5 to 6). Conclusion: 60 to 90 us less a request.

--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -100,7 +100,6 @@
             self.answer.end(self.fail("internal_error"))
         finally:
             self.settle()
-            self.state.close()
         if self.claim is not None:
             await self.claim.settle(self.state.state, self.whole_answer)
 
--- a/src/tealcove/entry/lifecycle.py
+++ b/src/tealcove/entry/lifecycle.py
@@ -39,11 +39,42 @@
     state: State
 
     def __init__(self) -> None:
-        MACHINE.add_model(self)
-
-    def close(self) -> None:
-        """Let go of the shared machine, which would keep the object for ever."""
-        MACHINE.remove_model(self)
+        # The machine gets the object at each step and doesn't keep it. To add it to
+        # the machine, which binds some twenty functions to it, and to take it out of
+        # the list of all others took half of what the whole life of a request cost.
+        self.state = State.ACCEPTED
+
+    def wait(self) -> None:
+        """Begin to wait for a slot."""
+        MACHINE.events["wait"].trigger(self)
+
+    def claim(self) -> None:
+        """Note that the claim is in the table."""
+        MACHINE.events["claim"].trigger(self)
+
+    def dispatch(self) -> None:
+        """Go to a backend server, for good."""
+        MACHINE.events["dispatch"].trigger(self)
+
+    def dispatch_claimed(self) -> None:
+        """Go to a backend server under a claim, for good."""
+        MACHINE.events["dispatch_claimed"].trigger(self)
+
+    def complete(self) -> None:
+        """End with a whole answer."""
+        MACHINE.events["complete"].trigger(self)
+
+    def give_up(self) -> None:
+        """End without having run."""
+        MACHINE.events["give_up"].trigger(self)
+
+    def interrupt(self) -> None:
+        """End in the middle of an idempotent request's run."""
+        MACHINE.events["interrupt"].trigger(self)
+
+    def lose(self) -> None:
+        """End in the middle of a non-idempotent request's run."""
+        MACHINE.events["lose"].trigger(self)
 
 
 def step(trigger: str, sources: tuple[State, ...], to: State) -> dict[str, object]:
