--- a/src/tealcove/orders/observing.py
+++ b/src/tealcove/orders/observing.py
@@ -50,7 +50,7 @@
         return None
 
 
-class Share(msgspec.Struct, frozen=True):
+class Rollout(msgspec.Struct, frozen=True):
     """How many of a pool's engines have the declared version of something."""
 
     kind: str
@@ -65,27 +65,27 @@
 
     def __init__(self, pool: ids.PoolId) -> None:
         self.pool = pool
-        self.shares: tuple[Share, ...] = ()
+        self.rollouts: tuple[Rollout, ...] = ()
         self.blocked: tuple[plan.Task, ...] = ()
 
     def clear(self) -> None:
         """Know nothing any more."""
-        self.shares = ()
+        self.rollouts = ()
         self.blocked = ()
 
     def note(self, target: wanted.Wanted, holdings: Holdings, found: plan.Plan) -> None:
         """Log what has changed since the last look."""
-        shares = tuple(shares_of(target, holdings))
-        for share in shares:
-            if share not in self.shares:
+        rollouts = tuple(rollouts_of(target, holdings))
+        for rollout in rollouts:
+            if rollout not in self.rollouts:
                 log.info(
                     "pool {}: {} {} {} on {} of {} servers",
                     self.pool,
-                    share.kind,
-                    share.name,
-                    share.version,
-                    share.servers,
-                    share.of,
+                    rollout.kind,
+                    rollout.name,
+                    rollout.version,
+                    rollout.servers,
+                    rollout.of,
                 )
         for task in found.blocked:
             if task not in self.blocked:
@@ -96,12 +96,12 @@
                     task.order.order.value,
                     task.server,
                 )
-        self.shares = shares
+        self.rollouts = rollouts
         self.blocked = found.blocked
 
 
-def shares_of(target: wanted.Wanted, holdings: Holdings) -> list[Share]:
-    """Return the share of each model and adapter that is wanted."""
+def rollouts_of(target: wanted.Wanted, holdings: Holdings) -> list[Rollout]:
+    """Return the rollout of each model and adapter that is wanted."""
     models = [holding.models for holding in holdings.values()]
     adapters = [holding.adapters for holding in holdings.values()]
     total = len(target.servers)
@@ -112,7 +112,7 @@
     ):
         counts = plan.count(versions, held)
         found.extend(
-            Share(kind, name, versions[name], count, total)
+            Rollout(kind, name, versions[name], count, total)
             for name, count in sorted(counts.items())
         )
     return found
--- a/src/tealcove/orders/role.py
+++ b/src/tealcove/orders/role.py
@@ -76,14 +76,14 @@
     ) -> Iterable[metrics.Observation]:
         """Yield how many engines have what is declared."""
         for pool, one in list(self.by_pool.items()):
-            for share in one.progress.shares:
+            for rollout in one.progress.rollouts:
                 labels = {
                     "pool": pool,
-                    "kind": share.kind,
-                    "name": share.name,
-                    "version": share.version,
+                    "kind": rollout.kind,
+                    "name": rollout.name,
+                    "version": rollout.version,
                 }
-                yield metrics.Observation(share.servers, labels)
+                yield metrics.Observation(rollout.servers, labels)
 
     def observe_blocked(
         self, options: metrics.CallbackOptions
--- a/src/tealcove/standins/backend.py
+++ b/src/tealcove/standins/backend.py
@@ -22,7 +22,7 @@
 
     # Below 1: a straggler, which takes longer for everything.
     speed_factor: backend_settings.Positive = 1.0
-    # For this long nothing runs and nothing but the judge is answered.
+    # For this long nothing runs, and only calls of tests are answered.
     freeze_seconds: backend_settings.Seconds = 0.0
     # For this long the port is closed: connecting is refused.
     refuse_seconds: backend_settings.Seconds = 0.0
@@ -99,7 +99,7 @@
         self.sample_load(now)
 
     def note_if_leaving(self, request_id: str, now: ids.Instant) -> None:
-        """Note for the judge a request that was sent to a leaving server."""
+        """Count a request that was sent to a leaving server."""
         if self.leaving_since is not None:
             seconds = now - self.leaving_since
             self.counts.sent_while_leaving.setdefault(request_id, seconds)
@@ -138,7 +138,7 @@
         return server.json_response(backend_settings.Health(self.state))
 
     async def show_counts(self, request: web.Request) -> web.Response:
-        """Answer the judge."""
+        """Answer what was counted."""
         return server.json_response(self.counts)
 
     async def show_faults(self, request: web.Request) -> web.Response:
--- a/src/tealcove/standins/engine_counts.py
+++ b/src/tealcove/standins/engine_counts.py
@@ -1,4 +1,4 @@
-"""What an engine stand-in counts: the judge of every proof."""
+"""What an engine stand-in counts, by which tests judge."""
 
 from __future__ import annotations
 
--- a/src/tealcove/standins/engine_orders.py
+++ b/src/tealcove/standins/engine_orders.py
@@ -63,7 +63,7 @@
     async def carry_out(self, order: Order, running: int = 0) -> bool:
         """Carry an order out; False when its fencing number is refused.
 
-        `running` is how many requests run, for the judge.
+        `running` is how many requests run; it is only counted.
         """
         async with self.lock:
             old = order.fencing < self.holding.fencing
@@ -75,7 +75,7 @@
             return accepted
 
     def note(self, order: Order, accepted: bool, running: int) -> None:
-        """Note an order for the judge."""
+        """Count an order, refused ones included."""
         seen = engine_counts.OrderSeen(
             fencing=order.fencing,
             order=order.order.value,
--- a/src/tealcove/standins/server.py
+++ b/src/tealcove/standins/server.py
@@ -15,7 +15,7 @@
 MOST_BODY_BYTES = 16 * 1024 * 1024
 # A handler that is still there after its connection was broken is given up then.
 SHUTDOWN_SECONDS = 1.0
-JUDGE_PREFIX = "/standin/"
+CONTROL_PREFIX = "/standin/"
 JSON = "application/json"
 
 Decoded = TypeVar("Decoded")
@@ -111,8 +111,8 @@
     async def hold_while_frozen(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        """Answer nothing while frozen, except to the judge."""
-        if not request.path.startswith(JUDGE_PREFIX):
+        """Answer nothing while frozen, except calls of tests."""
+        if not request.path.startswith(CONTROL_PREFIX):
             await self.thawed.wait()
         return await handler(request)
 
--- a/src/tealcove/standins/tests/test_engine.py
+++ b/src/tealcove/standins/tests/test_engine.py
@@ -189,7 +189,7 @@
         assert (await caller.complete("f")).text == engine.expected_answer("p", 5)
 
 
-async def test_frozen_engine_answers_only_the_judge_and_thaws():
+async def test_frozen_engine_answers_only_calls_of_tests_and_thaws():
     running = builders.running_engine
     async with running() as caller, running() as other:
         response = await caller.post("a", "p", LONG)
@@ -260,7 +260,7 @@
     """Symptom: every answer of an engine breaks at once.
 
     One prompt crashes the engine that starts it; the others that ran there
-    break with it. Its counts have to outlive it: they are the judge.
+    break with it. Its counts have to outlive it: tests judge by them.
     """
     crashes = []
     settings = builders.engine_settings_of(crash_marker="poison")
