Say in failure tests what they protect from; give stand-ins typed samples

Cause: some tests of outages, takeovers, cuts and races didn't tell symptom, events and cause. The demo hashed bearer keys by a function of its own, the client wrote the watch's types anew, stand-ins queued bare pairs.

Change: docstrings; the demo calls the entry's hash_key, the client takes the types from the watch; Sample and PendingEvent in place of pairs, constants for the kinds of cache events. No assertion is touched.

Ruled out: the enum itself in client.Event, since a line of a type that a newer instance writes would then be refused instead of passed over.

Conclusion: no behaviour changes.

--- a/src/tealcove/claims/tests/test_writing.py
+++ b/src/tealcove/claims/tests/test_writing.py
@@ -41,8 +41,9 @@
 
 @pytest.mark.parametrize("load", [50, 500, 5000])
 def test_the_rate_of_writes_is_that_of_the_writers(load: int) -> None:
-    """The platform's several hundred writes a second are used up by claims.
+    """Symptom: the platform's several hundred writes a second are used up by claims.
 
+    Events: the load grows to some thousand non-idempotent requests a second.
     Cause: each claim is a write of its own, so that the rate grows with the load.
     """
     with builders.virtual_time() as loop:
@@ -53,8 +54,9 @@
 
 
 def test_two_claims_of_one_key_in_one_batch() -> None:
-    """Two entries run the same request, each with the writer's word for it.
+    """Symptom: two entries run one request, each with the writer's word for it.
 
+    Events: a caller sends it to both at once, and both claims come into one batch.
     Cause: both rows are absent when the batch is committed, so the conditions
     hold, and the second write goes over the first.
     """
--- a/src/tealcove/client.py
+++ b/src/tealcove/client.py
@@ -11,7 +11,7 @@
 
 from tealcove import connection, ids, resourcefiles
 from tealcove.entry import points
-from tealcove.resources import codec, documents, kinds
+from tealcove.resources import codec, documents, kinds, watch
 
 ADMIN = "/admin/v1"
 STATUS = f"{ADMIN}/status"
@@ -59,9 +59,9 @@
     problem: connection.Problem | None = None
 
 
-PUT = "put"
-DELETED = "deleted"
-ERROR = "error"
+PUT = watch.EventType.PUT.value
+DELETED = watch.EventType.DELETED.value
+ERROR = watch.EventType.ERROR.value
 
 
 class Client(connection.Connection):
--- a/src/tealcove/demonstration/parts.py
+++ b/src/tealcove/demonstration/parts.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import hashlib
 import secrets
 
 import aiohttp
 
 from tealcove import client, connection, daemon, plan, resourcefiles, settings
 from tealcove.demonstration import mix
+from tealcove.entry import caller
 from tealcove.resources import kinds
 from tealcove.standins import engine, platform, service
 
@@ -107,7 +107,8 @@
         ]
         for account in mix.ACCOUNTS:
             spec = kinds.ClientAccountSpec(
-                tier=account.tier, key_hashes=(hash_key(self.keys[account.name]),)
+                tier=account.tier,
+                key_hashes=(caller.hash_key(self.keys[account.name]),),
             )
             found.append(declared(kinds.Kind.CLIENT_ACCOUNT, account.name, spec))
         found.append(
@@ -148,7 +149,9 @@
 
 def instance_settings(parts: Parts) -> settings.Settings:
     """Return the settings of the instance; all ports are free ones."""
-    operator = settings.Operator(name="demo", key_hash=hash_key(parts.operator_key))
+    operator = settings.Operator(
+        name="demo", key_hash=caller.hash_key(parts.operator_key)
+    )
     return settings.Settings(
         instance="demo",
         data_centre=DATA_CENTRE,
@@ -194,8 +197,3 @@
 def declared(kind: kinds.Kind, name: str, spec: kinds.Spec) -> resourcefiles.Declared:
     """Return a resource as a file would declare it."""
     return resourcefiles.Declared(kind=kind, name=name, spec=spec, path="demo")
-
-
-def hash_key(key: str) -> str:
-    """Return the hash of a bearer key, as resources and settings hold it."""
-    return hashlib.sha256(key.encode()).hexdigest()
--- a/src/tealcove/limits/tests/test_limits.py
+++ b/src/tealcove/limits/tests/test_limits.py
@@ -99,6 +99,12 @@
 
 
 def test_a_new_home_lends_no_burst_before_others_can_have_told_of_theirs() -> None:
+    """A burst from each of two homes.
+
+    Symptom: an account gets its burst again when the instances change. Sequence: an
+    entry asks the new home before the others have told what they were lent. Cause:
+    a new book begins with a full burst.
+    """
     cluster = builders.Cluster(2, LIMIT)
     for limits in cluster.limits:
         limits.presence.changed = cluster.now
@@ -127,6 +133,11 @@
 
 @pytest.mark.parametrize("size", [1, 4])
 def test_both_sides_of_a_cut_together_keep_near_the_limit(size: int) -> None:
+    """A limit for each side of a cut.
+
+    Symptom: an account gets twice its limit for an hour. Sequence: two groups of
+    instances lose each other, and each has a home. Cause: both lend the whole limit.
+    """
     cluster = builders.Cluster(COUNT, LIMIT)
     spend(cluster, 20.0, UNEVEN)
     for one in range(size):
--- a/src/tealcove/orders/tests/test_intents.py
+++ b/src/tealcove/orders/tests/test_intents.py
@@ -31,6 +31,11 @@
 
 
 async def test_successor_waits_out_what_stands_open(platform):
+    """Symptom: an engine carries an old order out after a newer one.
+
+    Events: a steward dies while its order is on its way; its successor orders.
+    Cause: not waiting for what stands open in the row.
+    """
     first = await opened(platform, 1)
     await first.begin(A, order(1))
     second = await opened(platform, 2)
@@ -66,6 +71,11 @@
 
 
 async def test_nothing_is_taken_over_while_the_platform_is_down(platform):
+    """Symptom: an order is given that no successor can know of.
+
+    Events: the platform goes down before an order is written down, or a takeover.
+    Cause: going on without the row.
+    """
     first = await opened(platform, 1)
     platform.faults = faults.Faults(down=True)
     with pytest.raises(errors.PlatformUnavailableError):
--- a/src/tealcove/orders/tests/test_lease.py
+++ b/src/tealcove/orders/tests/test_lease.py
@@ -68,6 +68,12 @@
 
 
 async def test_lapsed_holder_without_a_successor_takes_the_next_number(platform):
+    """Symptom: an order of before an outage passes for one of after it.
+
+    Events: the holder's lease runs out while the platform is down; nobody takes it,
+    and the holder comes back.
+    Cause: going on under the old number.
+    """
     first = builders.participant(platform, "first")
     await first.step(0.0)
     platform.faults.down = True
@@ -136,6 +142,11 @@
 
 
 async def test_outage_leaves_the_holder_its_time_and_no_more(platform):
+    """Symptom: a steward gives orders under a lease that another may have taken.
+
+    Events: the platform goes down; renewals fail, and so does the release.
+    Cause: counting from a failed renewal, or holding on until a release is written.
+    """
     first = builders.participant(platform, "first")
     await first.step(0.0)
     platform.faults.down = True
@@ -146,6 +157,11 @@
 
 
 async def test_number_goes_on_after_an_operator_deleted_the_row(platform):
+    """Symptom: engines refuse all orders of the steward.
+
+    Events: somebody deletes the lease's row by hand.
+    Cause: numbers that begin again at 1.
+    """
     first = builders.participant(platform, "first")
     await first.step(0.0)
     removal = table.Delete(lease.TABLE, "pool")
--- a/src/tealcove/platform/tests/test_memory.py
+++ b/src/tealcove/platform/tests/test_memory.py
@@ -72,6 +72,11 @@
 
 
 async def test_call_that_is_slow_when_the_platform_goes_down_is_refused():
+    """Symptom: a write is applied in the midst of an outage.
+
+    Events: a slow call is on its way when the platform goes down.
+    Cause: looking for faults only when the call begins.
+    """
     platform = memory.MemoryPlatform()
     platform.faults.slow = 1e-3
     writing = asyncio.create_task(platform.table.commit(builders.put("a")))
--- a/src/tealcove/quarantine/tests/test_keeping.py
+++ b/src/tealcove/quarantine/tests/test_keeping.py
@@ -15,6 +15,11 @@
 
 
 async def test_marks_outlast_a_restart_of_every_instance() -> None:
+    """Forgotten marks.
+
+    Symptom: a quarantined request crashes servers again. Sequence: it crashed two,
+    then all instances are restarted. Cause: marks are in memory only.
+    """
     platform = memory.MemoryPlatform()
     before = builders.new_marks()
     keeper = keeping.Keeper(platform.table, before)
--- a/src/tealcove/quarantine/tests/test_marks.py
+++ b/src/tealcove/quarantine/tests/test_marks.py
@@ -28,6 +28,12 @@
 
 
 def test_one_crash_counts_once_however_many_copies_and_witnesses() -> None:
+    """A quarantine of the innocent.
+
+    Symptom: a common prompt is refused everywhere after one crash. Sequence: copies
+    of it ran on the server; entry and dispatcher both notice the crash. Cause: what
+    is counted is reports, not crashes.
+    """
     found = builders.new_marks()
     assert found.add_crash(D, builders.crash("r1", "s1"), T0)
     assert not found.add_crash(D, builders.crash("r1", "s1"), T0)
--- a/src/tealcove/resources/tests/test_compaction.py
+++ b/src/tealcove/resources/tests/test_compaction.py
@@ -44,6 +44,11 @@
 
 
 async def test_writers_and_readers_go_on_during_compaction(platform):
+    """Symptom: a copy misses a change, or a reader finds no snapshot.
+
+    Events: three compactors delete changes and snapshots while others write and read.
+    Cause: deleting something before the head names what takes its place.
+    """
     writers = [builders.instance(platform) for _ in range(3)]
     reading = builders.instance(platform)
     tasks = []
@@ -84,7 +89,12 @@
 
 
 async def test_two_compactors_leave_one_snapshot(platform):
-    """Each deletes what it replaced in the head, also if it read another before."""
+    """Symptom: old snapshots stay in the object store for ever.
+
+    Events: a compactor has read the head; another names a newer snapshot; then the
+    first names its own.
+    Cause: deleting the snapshot that was read, not the one that was replaced.
+    """
     own, other = builders.instance(platform), builders.instance(platform)
     await write(own, range(3))
     await own.compactor.compact()
--- a/src/tealcove/resources/tests/test_reader.py
+++ b/src/tealcove/resources/tests/test_reader.py
@@ -83,6 +83,12 @@
 
 
 async def test_peer_that_is_behind_takes_nothing_back(following):
+    """Symptom: an instance goes back to an older configuration.
+
+    Events: the platform is down, a heartbeat tells of a higher revision, and the peer
+    that answers is at a lower one.
+    Cause: taking a peer's copy whatever its revision.
+    """
     await following.reader.poll(ids.Instant(100.0))
     following.peers.peer = builders.instance(following.platform)
     following.platform.faults.down = True
@@ -93,6 +99,11 @@
 
 
 async def test_isolated_without_platform_and_peers(following):
+    """Symptom: requests are decided by a configuration that changed long ago.
+
+    Events: an instance reaches neither platform nor peers, and its callers reach it.
+    Cause: no bound on the time since the last word from others.
+    """
     own = following.reader
     limit = own.settings.isolated_after
     await own.poll(ids.Instant(110.0))
@@ -105,7 +116,11 @@
 
 
 async def test_snapshot_store_down_is_made_good_by_a_peer(following):
-    """The table answers, but the snapshot that a starting instance needs is lost."""
+    """Symptom: a replaced instance never serves.
+
+    Events: the table answers, but the snapshot that the instance needs is lost.
+    Cause: asking peers only while the table is down.
+    """
     await following.old.compactor.compact()
     following.platform.objects.contents.clear()
     for row in await following.platform.table.scan("configuration-changes"):
--- a/src/tealcove/resources/tests/test_store.py
+++ b/src/tealcove/resources/tests/test_store.py
@@ -121,6 +121,11 @@
 
 
 async def test_platform_down_means_nothing_applied(platform):
+    """Symptom: a change of which its operator was told "not applied" is in force.
+
+    Events: the platform is down during the change, then comes back.
+    Cause: a write that is kept and sent later.
+    """
     own = builders.instance(platform)
     platform.faults.down = True
     with pytest.raises(errors.PlatformUnavailableError):
@@ -166,7 +171,11 @@
 
 
 async def test_foreign_change_of_a_row_is_not_written_over(platform):
-    """The resource's own version guards it where the head doesn't move."""
+    """Symptom: what was repaired by hand in the table is written over.
+
+    Events: a row changes between read and commit, and the head doesn't.
+    Cause: the head as the only condition.
+    """
     own = builders.instance(platform)
     await own.store.change(builders.put(TIER, "gold", builders.tier(1)))
 
--- a/src/tealcove/standins/backend_load.py
+++ b/src/tealcove/standins/backend_load.py
@@ -24,6 +24,13 @@
     state: backend_settings.BackendState
 
 
+class Sample(msgspec.Struct, frozen=True):
+    """The load at an instant."""
+
+    at: ids.Instant
+    report: LoadReport
+
+
 class LaggingLoad:
     """Samples of the load, and the one that is old enough to be shown."""
 
@@ -32,28 +39,27 @@
         # A stale report stays as it was last shown.
         self.stale = False
         self.shown: LoadReport | None = None
-        self.samples: collections.deque[tuple[ids.Instant, LoadReport]]
-        self.samples = collections.deque()
+        self.samples: collections.deque[Sample] = collections.deque()
 
     def is_due(self, now: ids.Instant) -> bool:
         """Whether it's time for the next sample."""
         if not self.samples:
             return True
-        return now - self.samples[-1][0] >= self.lag * SAMPLE_SHARE
+        return now - self.samples[-1].at >= self.lag * SAMPLE_SHARE
 
     def sample(self, report: LoadReport, now: ids.Instant) -> None:
         """Keep a sample."""
-        self.samples.append((now, report))
+        self.samples.append(Sample(now, report))
         self.forget(now)
 
     def forget(self, now: ids.Instant) -> None:
         """Drop samples older than the newest one that may be shown."""
-        while len(self.samples) > 1 and self.samples[1][0] <= now - self.lag:
+        while len(self.samples) > 1 and self.samples[1].at <= now - self.lag:
             self.samples.popleft()
 
     def show(self, now: ids.Instant) -> LoadReport:
         """Return the newest sample as old as the lag, or else the oldest one."""
         self.forget(now)
         if not self.stale or self.shown is None:
-            self.shown = self.samples[0][1]
+            self.shown = self.samples[0].report
         return self.shown
--- a/src/tealcove/standins/engine_cache.py
+++ b/src/tealcove/standins/engine_cache.py
@@ -11,10 +11,12 @@
 
 # Published events that are kept for readers; older ones are a gap to them.
 KEPT_EVENTS = 10_000
+STORED = "stored"
+REMOVED = "removed"
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """Blocks that the cache took in ("stored") or gave up ("removed")."""
+    """Blocks that the cache took in or gave up; `kind` is STORED or REMOVED."""
 
     sequence: int
     kind: str
@@ -28,6 +30,13 @@
     last: int
 
 
+class PendingEvent(msgspec.Struct, frozen=True):
+    """An event that is published once `due` has come."""
+
+    due: ids.Instant
+    event: CacheEvent
+
+
 class EventLog:
     """Events by the time they may be published; some never are."""
 
@@ -37,8 +46,7 @@
         self.random = random.Random(seed)
         self.sequence = 0
         self.dropping = False
-        self.pending: collections.deque[tuple[ids.Instant, CacheEvent]]
-        self.pending = collections.deque()
+        self.pending: collections.deque[PendingEvent] = collections.deque()
         self.published: collections.deque[CacheEvent]
         self.published = collections.deque(maxlen=KEPT_EVENTS)
 
@@ -48,7 +56,7 @@
         if self.dropping or self.random.random() < self.gap_share:
             return
         event = CacheEvent(self.sequence, kind, blocks)
-        self.pending.append((ids.Instant(now + self.lag), event))
+        self.pending.append(PendingEvent(ids.Instant(now + self.lag), event))
 
     def report(self, after: int, now: ids.Instant) -> EventsReport:
         """Return what is published by now of the events beyond `after`.
@@ -56,8 +64,8 @@
         `last` is a number that was published, never one that got lost: a
         reader that asks from there on sees the gap at the next event.
         """
-        while self.pending and self.pending[0][0] <= now:
-            self.published.append(self.pending.popleft()[1])
+        while self.pending and self.pending[0].due <= now:
+            self.published.append(self.pending.popleft().event)
         events = tuple(event for event in self.published if event.sequence > after)
         last = self.published[-1].sequence if self.published else 0
         return EventsReport(events, last)
@@ -98,7 +106,7 @@
             self.blocks[block] = None
         self.touch(fitting)
         if added:
-            self.log.record("stored", added, now)
+            self.log.record(STORED, added, now)
         self.evict(now)
 
     def evict(self, now: ids.Instant) -> None:
@@ -108,4 +116,4 @@
             block, _ = self.blocks.popitem(last=False)
             removed.append(block)
         if removed:
-            self.log.record("removed", tuple(removed), now)
+            self.log.record(REMOVED, tuple(removed), now)
