See in the proof of leaving that held addresses still work

Cause: a trial without the wait for addresses that callers still hold passed the test of graceful ends: aiohttp's own clean-up waits for requests that run, and no request came to a leaving instance. Ruled out: dropping the wait as needless (callers keep the answer of entry-points, and would find a closed port).

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -244,6 +244,14 @@
 
         await until(all_known)
 
+    async def until_left(self, asked: Process, leaving: Process) -> None:
+        """Wait until an instance no longer names another one to callers."""
+
+        async def is_left() -> bool:
+            return leaving.name not in await self.entry_points(asked)
+
+        await until(is_left)
+
     async def entry_points(self, instance: Process) -> list[str]:
         """Return the names of the instances that one tells callers to use."""
         url = f"{instance.url}/v1/entry-points"
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -17,6 +17,9 @@
 # So many requests in a row that avoid a server show that it's no longer chosen:
 # it is the faster one of two idle servers.
 ENOUGH = 12
+# How long callers hold the address of an instance; far more than it takes the
+# others to hear that it leaves.
+HELD_SECONDS = 4.0
 
 
 async def test_leaving_backend_servers(
@@ -168,14 +171,16 @@
     Symptom: callers see broken connections at each roll-out.
     Sequence: requests run through three instances; the dispatcher of the cell,
     then another entry, then an engine get SIGTERM, each with work in progress.
-    Cause: a process that exits before its work is handed over or done.
+    Callers that were told an instance's address go on using it for a while.
+    Cause: a process that exits before its work is handed over or done, or that
+    closes its port while callers still hold its address.
     """
     session = []
     async with deployment.Deployment(tmp_path) as running:
         for _ in range(2):
             await running.add_engine(decode_seconds_per_token=0.01)
         for _ in range(3):
-            await running.add_instance()
+            await running.add_instance(shutdown={"entry_points_ttl": HELD_SECONDS})
         await running.declare()
         for instance in running.instances:
             await running.wait_until_ready(instance)
@@ -190,6 +195,9 @@
                 calls += start_requests(running, process, f"through the {name}")
             await running.until_running(running.engines)
             process.send(signal.SIGTERM)
+            if process in running.instances:
+                await running.until_left(others[1], process)
+                calls += start_requests(running, process, f"to the leaving {name}")
             code = await process.process.wait()
             session.append(f"{name}: exit code {code}")
             for prompt, call in calls:
