Divide three long functions of claims, configuration and the client

Change: the verdicts of a claim are told apart in two steps, the reader's settings and the error for a lost reply have functions of their own.

Ruled out: dividing the steward's and the lease's constructors, which only name what they hold.

Measured: tests of claims, resources, the client and the top level, the demo and tests/test_at_most_once.py, 155 passed.

Conclusion: no behaviour changes.

--- a/src/tealcove/claims/claimer.py
+++ b/src/tealcove/claims/claimer.py
@@ -92,13 +92,12 @@
             raise
         if found.verdict is messages.Verdict.COMMITTED:
             return Held(key, wanted, found.version)
-        if found.verdict is messages.Verdict.CONFLICT:
+        if found.verdict is messages.Verdict.UNSETTLED:
+            self.abandon(key, wanted.nonce)
+        else:
             self.live.discard(wanted.nonce)
+        if found.verdict is messages.Verdict.CONFLICT:
             raise TakenError(claim.decode(found.value))
-        if found.verdict is messages.Verdict.REFUSED:
-            self.live.discard(wanted.nonce)
-        else:
-            self.abandon(key, wanted.nonce)
         raise UnavailableError(
             "The platform's table didn't take the claim", "Send the request later."
         )
--- a/src/tealcove/connection.py
+++ b/src/tealcove/connection.py
@@ -155,10 +155,7 @@
                 last_refusal = refusal
             self.put_last(server)
         if lost and method != "GET":
-            raise LostReplyError(
-                f"Whether {method} {path} was carried out isn't known",
-                "Read the resource to see whether the change was made.",
-            )
+            raise lost_reply(method, path)
         raise self.unavailable() if last_refusal is None else gave_up(last_refusal)
 
     async def call_at(
@@ -186,6 +183,14 @@
         )
 
 
+def lost_reply(method: str, path: str) -> LostReplyError:
+    """Return the error for a write that may have been carried out."""
+    return LostReplyError(
+        f"Whether {method} {path} was carried out isn't known",
+        "Read the resource to see whether the change was made.",
+    )
+
+
 def gave_up(last: RefusedError) -> UnavailableError:
     """Return the error for the case that every instance said: not now."""
     return UnavailableError(last.problem, "Try again later; nothing was done.")
--- a/src/tealcove/resources/role.py
+++ b/src/tealcove/resources/role.py
@@ -49,10 +49,7 @@
             self.copy,
             self.source,
             clock.now(),
-            reader.ReaderSettings(
-                poll_interval=found.configuration.poll_interval,
-                isolated_after=found.configuration.isolated_after,
-            ),
+            reader_settings(found.configuration),
         )
         self.compactor = compaction.Compactor(self.changes, self.copy)
         self.api = api.ResourceApi(
@@ -132,3 +129,10 @@
         ranked = self.members.rank(COMPACTION_KEY, clock.now())
         if ranked and ranked[0] == self.members.own.instance:
             self.compactor.due.set()
+
+
+def reader_settings(found: settings.Configuration) -> reader.ReaderSettings:
+    """Return the settings of the reader."""
+    return reader.ReaderSettings(
+        poll_interval=found.poll_interval, isolated_after=found.isolated_after
+    )
