Part the daemon: TLS, probes and readiness have modules of their own

Change: tls, probes, readiness; the roles start in three named steps. Behaviour stays as it was. Ruled out: a registry of roles (their order of start is what a reader needs).

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -5,13 +5,24 @@
 import asyncio
 import math
 import signal
-import ssl
 
 import logbook
 from aiohttp import web
 from opentelemetry.sdk.trace import export
 
-from tealcove import clock, errors, gauges, ids, listener, logs, settings, telemetry
+from tealcove import (
+    clock,
+    gauges,
+    ids,
+    listener,
+    logs,
+    probes,
+    readiness,
+    settings,
+    tasks,
+    telemetry,
+    tls,
+)
 from tealcove.backends import http_engine, http_service
 from tealcove.claims import claimer, writer
 from tealcove.dispatch import policy, requester, role, spread
@@ -30,9 +41,6 @@
 
 LOG = logbook.Logger("daemon")
 
-# Seconds between two looks at whether requests may be accepted.
-READINESS_INTERVAL = 0.25
-
 
 class Instance:
     """All that one process does; several may live in one process."""
@@ -57,7 +65,7 @@
         self.platform = client.PlatformClient(
             found.platform.url,
             client.Timeouts(total=found.platform.timeout_seconds),
-            platform_tls(found),
+            tls.for_platform(found),
         )
         self.rows = services.HttpTableService(self.platform)
         self.objects = services.HttpObjectStore(self.platform)
@@ -70,7 +78,8 @@
         self.members.update_own(http_port=self.http_port)
         self.heart.start()
         self.configuration.start(self.heart)
-        self.tasks.append(asyncio.create_task(self.watch_readiness()))
+        watched = readiness.Readiness(self.members, self.heart, self.configuration)
+        self.tasks.append(tasks.start(watched.run(), "readiness"))
 
     async def start_mesh(self) -> None:
         """Listen for peers."""
@@ -103,7 +112,22 @@
         )
 
     def start_roles(self) -> None:
-        """Start configuration, dispatcher and entry."""
+        """Start all roles, each after those that it asks."""
+        self.start_guards()
+        self.start_dispatcher()
+        self.start_claims()
+        self.start_entry()
+        self.stewards = orders_role.Stewards(
+            self.mesh,
+            self.members,
+            self.configuration.copy,
+            self.new_steward,
+            self.telemetry.meter,
+        )
+        self.stewards.start()
+
+    def start_guards(self) -> None:
+        """Start the configuration, and what decides by account and content."""
         self.configuration = configuration.ConfigurationRole(
             self.settings, self.rows, self.objects, self.mesh, self.members
         )
@@ -119,6 +143,9 @@
             self.mesh, self.members, self.find_limit, clock.now()
         )
         self.limits.start()
+
+    def start_dispatcher(self) -> None:
+        """Start the dispatcher, and the side that asks dispatchers."""
         self.spread = spread.Spread(self.configuration.copy, self.delay_to)
         self.dispatcher = role.Dispatcher(
             self.mesh,
@@ -140,7 +167,9 @@
         )
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.ended)
-        self.start_claims()
+
+    def start_entry(self) -> None:
+        """Make the entry; the listener starts it."""
         self.entry = http.Entry(
             self.settings,
             self.configuration.copy,
@@ -154,14 +183,6 @@
             witness=self.start_witness(),
         )
         self.configuration.copy.subscribe(self.take_configuration)
-        self.stewards = orders_role.Stewards(
-            self.mesh,
-            self.members,
-            self.configuration.copy,
-            self.new_steward,
-            self.telemetry.meter,
-        )
-        self.stewards.start()
 
     def start_claims(self) -> None:
         """Start the writer of claims, and the side that takes them."""
@@ -197,33 +218,13 @@
         limits = self.settings.limits
         app = web.Application(client_max_size=limits.body_bytes)
         app.add_routes(self.configuration.routes())
-        app.add_routes(
-            [
-                web.get("/healthz", self.healthz),
-                web.get("/readyz", self.readyz),
-                web.get("/metrics", self.metrics),
-            ]
-        )
+        app.add_routes(probes.Probes(self.members, self.telemetry).routes())
         # The entry comes last: it takes every path that no other role serves.
         app.add_routes(self.entry.routes())
         self.listener = listener.Listener(app, limits)
         host = str(self.settings.http.host)
-        tls = http_tls(self.settings)
-        self.http_port = await self.listener.start(host, self.http_port, tls)
-
-    async def healthz(self, request: web.Request) -> web.Response:
-        """Say that the process runs."""
-        return web.Response(text="ok\n")
-
-    async def readyz(self, request: web.Request) -> web.Response:
-        """Say whether the instance accepts requests."""
-        lifecycle = self.members.own.lifecycle
-        ready = lifecycle is messages.Lifecycle.SERVING
-        return web.Response(status=200 if ready else 503, text=f"{lifecycle.value}\n")
-
-    async def metrics(self, request: web.Request) -> web.Response:
-        """Show all metrics in Prometheus' text form."""
-        return web.Response(body=self.telemetry.metrics_text())
+        secured = tls.for_callers(self.settings)
+        self.http_port = await self.listener.start(host, self.http_port, secured)
 
     def new_steward(self, pool: ids.PoolId, held: drains.Drains) -> steward.Steward:
         """Return this instance's steward of a pool."""
@@ -259,31 +260,6 @@
         self.members.update_own(revision=current.revision)
         self.heart.tell_all()
 
-    async def watch_readiness(self) -> None:
-        """Accept requests while the configuration may be relied on."""
-        while True:
-            self.set_readiness(clock.now())
-            await asyncio.sleep(READINESS_INTERVAL)
-
-    def set_readiness(self, now: ids.Instant) -> None:
-        """Move between joining and serving; tell the peers of a change."""
-        lifecycle = self.members.own.lifecycle
-        if lifecycle not in (messages.Lifecycle.JOINING, messages.Lifecycle.SERVING):
-            return
-        wanted = messages.Lifecycle.JOINING
-        if self.may_serve(lifecycle, now):
-            wanted = messages.Lifecycle.SERVING
-        if wanted is not lifecycle:
-            LOG.info("{}", wanted.value)
-            self.members.update_own(lifecycle=wanted)
-            self.heart.tell_all()
-
-    def may_serve(self, lifecycle: messages.Lifecycle, now: ids.Instant) -> bool:
-        """Tell whether to accept: fully up to date at first, not isolated later."""
-        if lifecycle is messages.Lifecycle.SERVING:
-            return not self.configuration.reader.isolated(now)
-        return self.configuration.may_serve(now)
-
     async def leave(self) -> None:
         """Leave gracefully: no request in progress is cut off.
 
@@ -301,9 +277,7 @@
 
     async def stop(self) -> None:
         """End all tasks and close all sockets."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await tasks.stop(self.tasks)
         await self.configuration.stop()
         await self.listener.stop()
         await self.stewards.stop()
@@ -321,29 +295,6 @@
         self.telemetry.shutdown()
 
 
-def http_tls(found: settings.Settings) -> ssl.SSLContext | None:
-    """Return what secures the HTTP side, or None; raises SettingsError."""
-    tls = found.http.tls
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    try:
-        context.load_cert_chain(tls.certificate, tls.key)
-    except OSError as error:
-        raise errors.SettingsError(
-            f"http.tls: {tls.certificate} and {tls.key} can't be used: {error}",
-            "Write the paths of a certificate and its key in PEM form.",
-        ) from error
-    return context
-
-
-def platform_tls(found: settings.Settings) -> ssl.SSLContext | None:
-    """Return what the platform's certificate is checked by, or None."""
-    if found.platform.ca is None:
-        return None
-    return ssl.create_default_context(cafile=found.platform.ca)
-
-
 async def serve(found: settings.Settings) -> None:
     """Run an instance until SIGTERM or SIGINT, then let it leave gracefully."""
     logs.install(found)
--- /dev/null
+++ b/src/tealcove/probes.py
@@ -0,0 +1,42 @@
+"""What supervisors and monitoring ask of an instance over HTTP."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from tealcove import telemetry
+from tealcove.membership import members, messages
+
+READY = 200
+NOT_READY = 503
+
+
+class Probes:
+    """Handlers that need no key, and tell nothing about callers."""
+
+    def __init__(self, known: members.Members, measured: telemetry.Telemetry) -> None:
+        self.members = known
+        self.telemetry = measured
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the handlers to mount."""
+        return [
+            web.get("/healthz", self.healthz),
+            web.get("/readyz", self.readyz),
+            web.get("/metrics", self.metrics),
+        ]
+
+    async def healthz(self, request: web.Request) -> web.Response:
+        """Say that the process runs."""
+        return web.Response(text="ok\n")
+
+    async def readyz(self, request: web.Request) -> web.Response:
+        """Say whether the instance accepts requests."""
+        lifecycle = self.members.own.lifecycle
+        ready = lifecycle is messages.Lifecycle.SERVING
+        status = READY if ready else NOT_READY
+        return web.Response(status=status, text=f"{lifecycle.value}\n")
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Show all metrics in Prometheus' text form."""
+        return web.Response(body=self.telemetry.metrics_text())
