Say Queued only where no answer goes at once

Cause: each granted ticket was answered by two messages, of which the entry needs one: it takes a grant or refusal as a sign of life already. Change: Queued is sent while the ticket stays in the queue only. A repeated ticket gets its first answer again, as before. The state machine test now asks that each new ticket is answered at once. Ruled out: leaving out Progress, by which prefill times are learnt.

--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -99,10 +99,12 @@
         if reason is not None:
             return [self.state.tell_refusal(ticket, reason)]
         waiting = self.state.wait(ticket, found, now)
-        outgoing = [answer]
+        outgoing = []
         if not waiting.lane.is_suspect and not self.is_gathering:
             outgoing.extend(self.filling.place(waiting, now))
-        return [*outgoing, *self.decide((), now)]
+        outgoing.extend(self.decide((), now))
+        # A grant or refusal at once says as well that this dispatcher is there.
+        return [answer, *outgoing] if waiting.is_queued else outgoing
 
     def reason_against(
         self, ticket: messages.Ticket, found: choice.Estimate
--- a/src/tealcove/dispatch/tests/test_machine.py
+++ b/src/tealcove/dispatch/tests/test_machine.py
@@ -105,7 +105,10 @@
         )
         self.tickets[ticket.ticket_id] = ticket
         self.waiting.add(ticket.ticket_id)
-        self.take(self.scheduler.enqueue(ticket, self.now))
+        told = self.scheduler.enqueue(ticket, self.now)
+        # Without any answer the entry would think that the dispatcher is gone.
+        assert ticket.ticket_id in [out.message.ticket_id for out in told]
+        self.take(told)
 
     @stateful.precondition(lambda self: self.waiting)
     @stateful.rule(data=st.data())
