Read a backend server that has moved at its new address

The tick and the polls also died without a sign when they failed. Change: a held cell and its polls have a module; a poll is replaced when the server's address is another one; failures of these tasks are logged. Ruled out: reading the spec anew before each poll (what was learnt of what the engine has loaded has to be forgotten too).

--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Callable
 
 import logbook
 
-from tealcove import clock, ids, telemetry
+from tealcove import clock, ids, tasks, telemetry
 from tealcove.backends import engine
 from tealcove.dispatch import (
     cells,
+    heldcell,
     holds,
     messages,
     reading,
@@ -38,29 +38,12 @@
 WAITED_ELSEWHERE = 0.1
 # A tick that comes later than this means that the process was frozen.
 FROZEN_AFTER = 0.75
-# Load reports between two readings of an engine's state and cache events.
-REPORTS_PER_EVENTS = 2
 # Ends of a request that tell of a server which can't be reached.
 LOST = (messages.Outcome.NOT_SENT, messages.Outcome.CRASHED)
 
 FindCell = Callable[[ids.CellId], cells.Cell | None]
 
 
-class HeldCell:
-    """A cell that this instance serves, with a task for each backend server."""
-
-    def __init__(self, cell: cells.Cell, decider: scheduler.Scheduler) -> None:
-        self.cell = cell
-        self.decider = decider
-        self.polls: dict[ids.BackendServerId, asyncio.Task[None]] = {}
-        # What each engine has loaded, as far as it's known.
-        self.holdings: reading.Holdings = {}
-        # When a server was last found to be lost; older readings don't count.
-        self.lost: dict[ids.BackendServerId, ids.Instant] = {}
-        # When it was last seen to have tickets, or to belong to this instance.
-        self.needed_at = clock.now()
-
-
 class Dispatcher:
     """Hands messages to the scheduler of their cell and sends what it decides.
 
@@ -96,7 +79,7 @@
         self.members_changed = clock.now()
         # The entries that tickets came from, as they were then.
         self.entries: dict[ids.InstanceId, ids.Incarnation] = {}
-        self.held: dict[ids.CellId, HeldCell] = {}
+        self.held: dict[ids.CellId, heldcell.HeldCell] = {}
         self.has_cells = asyncio.Event()
         self.ticker: asyncio.Task[None] | None = None
 
@@ -108,16 +91,14 @@
         self.transport.handle(messages.Done, self.take_done)
         self.transport.handle(holds.Hold, self.take_hold)
         self.members.listen(self.note_change)
-        self.ticker = asyncio.create_task(self.tick())
+        self.ticker = tasks.start(self.tick(), "dispatcher tick")
 
     async def stop(self) -> None:
         """End all tasks."""
-        tasks = [self.ticker]
-        for held in self.held.values():
-            tasks.extend(held.polls.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        polls = [
+            poll.task for held in self.held.values() for poll in held.polls.values()
+        ]
+        await tasks.stop([self.ticker, *polls])
 
     def take_ticket(self, sender: ids.InstanceId, ticket: messages.Ticket) -> None:
         """Queue a ticket, or refuse it when its cell isn't known here."""
@@ -177,7 +158,7 @@
                 held.lost[done.server] = clock.now()
             self.send(held.decider.done(done, clock.now()))
 
-    def hold(self, ticket: messages.Ticket) -> HeldCell | None:
+    def hold(self, ticket: messages.Ticket) -> heldcell.HeldCell | None:
         """Return a ticket's cell, served from now on; None: it doesn't exist."""
         held = self.held.get(ticket.cell)
         if held is not None:
@@ -186,7 +167,9 @@
         if cell is None:
             return None
         now = clock.now()
-        held = HeldCell(cell, self.new_scheduler())
+        held = heldcell.HeldCell(
+            cell, self.new_scheduler(), self.reader, self.poll_interval, self.send
+        )
         held.decider.suspect_by(self.suspicion)
         self.held[ticket.cell] = held
         self.has_cells.set()
@@ -195,7 +178,7 @@
         self.send(held.decider.configure(cell, now))
         for server in self.holds.of_cell(cell, now):
             self.send(held.decider.hold_back(server, now))
-        self.poll_servers(held)
+        held.poll_servers()
         return held
 
     def may_be_served_elsewhere(
@@ -225,43 +208,7 @@
             if cell != held.cell:
                 held.cell = cell
                 self.send(held.decider.configure(cell, clock.now()))
-                self.poll_servers(held)
-
-    def poll_servers(self, held: HeldCell) -> None:
-        """Have one task that polls for each server of the cell."""
-        wanted = {ids.BackendServerId(s.name): s for s in held.cell.servers}
-        for name in list(held.polls):
-            if name not in wanted:
-                held.polls.pop(name).cancel()
-                held.holdings.pop(name, None)
-        for name, spec in wanted.items():
-            if name not in held.polls:
-                server = engine.Server(name, spec.host, spec.port)
-                poll = self.poll(held, server)
-                held.polls[name] = asyncio.create_task(poll)
-
-    async def poll(self, held: HeldCell, server: engine.Server) -> None:
-        """Read a server's load, health and cache events again and again."""
-        for number in itertools.count():
-            began = clock.now()
-            load = await self.reader.load(server)
-            if began > held.lost.get(server.name, began - 1.0):
-                self.send(held.decider.report(server.name, load, clock.now()))
-            # A plain service would take the question for a call of one of its paths.
-            may_ask = load is not None and held.cell.has_engines
-            if may_ask and number % REPORTS_PER_EVENTS == 0:
-                await self.read_engine(held, server)
-            await asyncio.sleep(self.poll_interval)
-
-    async def read_engine(self, held: HeldCell, server: engine.Server) -> None:
-        """Read what an engine has loaded and what changed in its prefix cache."""
-        holding = await self.reader.holding(server)
-        if holding is not None:
-            held.holdings[server.name] = holding
-        after = held.decider.last_event(server.name)
-        events = await self.reader.events(server, after)
-        if events is not None:
-            self.send(held.decider.cached(server.name, events, clock.now()))
+                held.poll_servers()
 
     async def tick(self) -> None:
         """Let the schedulers see time pass."""
@@ -299,8 +246,7 @@
             if now - held.needed_at < RELEASE_AFTER:
                 continue
             del self.held[cell_id]
-            for poll in held.polls.values():
-                poll.cancel()
+            held.stop()
 
     def note_frozen(self, now: ids.Instant) -> None:
         """Let the entries tell again what runs.
--- a/src/tealcove/dispatch/tests/test_role.py
+++ b/src/tealcove/dispatch/tests/test_role.py
@@ -29,12 +29,15 @@
         self.reachable = True
         self.events = engine.CacheEvents((), 0)
         self.loads = 0
+        # The ports that loads were read from.
+        self.ports: set[int] = set()
         # A test may hold a reading back.
         self.answered = asyncio.Event()
         self.answered.set()
 
     async def load(self, server: engine.Server) -> engine.LoadReport:
         self.loads += 1
+        self.ports.add(server.port)
         reachable = self.reachable
         await self.answered.wait()
         if not reachable:
@@ -64,6 +67,7 @@
         )
         self.peer = membership_builders.heartbeat(1)
         self.members.hear(self.peer, clock.now())
+        self.spec = SERVER
         self.listed: tuple[instances.ListedInstance, ...] = ()
         self.role = role.Dispatcher(
             self.mesh,
@@ -77,7 +81,7 @@
         self.role.start()
 
     def find_cell(self, cell_id: ids.CellId) -> cells.Cell | None:
-        return builders.cell(SERVER) if cell_id == builders.CELL else None
+        return builders.cell(self.spec) if cell_id == builders.CELL else None
 
     def ask(self, **changes: object) -> messages.Ticket:
         ticket = builders.ticket(**{"entry": self.peer.instance, **changes})
@@ -250,7 +254,30 @@
     serving.members.rank = lambda *of: [serving.peer.instance]
     serving.role.release_cells(ids.Instant(late + 4 * role.RELEASE_AFTER))
     assert builders.CELL not in serving.role.held
-    assert all(poll.cancelling() for poll in held.polls.values())
+    assert not held.polls
     serving.members.rank = rank
     serving.ask()
     assert builders.CELL in serving.role.held
+
+
+async def test_a_server_that_has_moved_is_read_at_its_new_address(
+    serving: Serving,
+) -> None:
+    """A replaced engine counts as unreachable although it runs.
+
+    Symptom: an engine gets no work after an operator changed its address.
+    Sequence: the pool's spec names another port for a server of the same name.
+    Cause: the task that polls it goes on with the address from its start.
+    """
+    serving.ask()
+    await serving.until(lambda: serving.engines.ports == {SERVER.port})
+    moved = msgspec.structs.replace(SERVER, port=SERVER.port + 1)
+    serving.spec = moved
+    serving.role.reconfigure()
+    serving.engines.ports.clear()
+    await serving.until(lambda: moved.port in serving.engines.ports)
+    loads = serving.engines.loads
+    await serving.until(lambda: serving.engines.loads >= loads + 3)
+    serving.engines.ports.clear()
+    await serving.until(lambda: bool(serving.engines.ports))
+    assert serving.engines.ports == {moved.port}
