Drop a reason that no answer ever gives

Cause: found in reading: the reason 'duplicate' was declared and documented as reserved, and nothing gives it; repeats are answered by claims and joining. Measured: the tests of documents, dispatch and entry pass.

--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -20,7 +20,6 @@
     PLATFORM_DOWN = "platform_down"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
-    DUPLICATE = "duplicate"
 
 
 class Outcome(enum.Enum):
