Take all events of an answer that have come, not line by line

Cause: aiohttp's readline, twice for each event, and three generators one within the other for each chunk. Change: whatever has come is cut into lines at once (backends/events.py), in one generator. A line that is too long, or a last event cut off by the end, breaks the stream, which is then resumed from the next token. Ruled out: another framing; the engines' contract stays.

--- a/src/tealcove/backends/http_engine.py
+++ b/src/tealcove/backends/http_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import types
 from collections.abc import AsyncIterator, Callable
 from typing import TypeVar
@@ -11,7 +12,7 @@
 import msgspec
 
 from tealcove import errors, ids, telemetry
-from tealcove.backends import engine, http_orders, wire
+from tealcove.backends import engine, events, http_orders, wire
 
 REQUEST_ID_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT = 2.0
@@ -23,9 +24,7 @@
 NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 # A connection for readings that isn't used for so long is closed.
 KEPT_SECONDS = 15.0
-DATA_PREFIX = b"data:"
 END = b"[DONE]"
-LARGEST_LINE = 1 << 20
 
 T = TypeVar("T")
 
@@ -53,7 +52,7 @@
         self.session = aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
-            read_bufsize=LARGEST_LINE,
+            read_bufsize=events.LARGEST_LINE,
             trace_configs=[tracing],
         )
         # Load, health and cache events are read several times a second. They are
@@ -69,7 +68,7 @@
         await self.session.close()
         await self.readings.close()
 
-    async def generate(
+    def generate(
         self,
         server: engine.Server,
         call: engine.Completion,
@@ -82,39 +81,48 @@
             max_tokens=call.max_tokens,
             adapter=call.adapter,
         )
-        request = self.session.post(
+        start = functools.partial(
+            self.session.post,
             f"{server.url}/v1/completions",
             data=msgspec.json.encode(body),
             headers=request_headers(call.request_id),
             trace_request_ctx=dispatched,
         )
-        async for chunk in self.read(server, call.request_id, request):
-            yield chunk
+        return self.read(server, call.request_id, start)
 
-    async def resume(
+    def resume(
         self, server: engine.Server, request_id: ids.RequestId, offset: int
     ) -> AsyncIterator[engine.Chunk]:
         """See EngineClient."""
-        request = self.session.get(
+        start = functools.partial(
+            self.session.get,
             f"{server.url}/v1/completions/{request_id}",
             params={"offset": str(offset)},
             headers=request_headers(request_id),
         )
-        async for chunk in self.read(server, request_id, request):
-            yield chunk
+        return self.read(server, request_id, start)
 
     async def read(
         self,
         server: engine.Server,
         request_id: ids.RequestId,
-        request: aiohttp.client._RequestContextManager,
+        start: Callable[[], aiohttp.client._RequestContextManager],
     ) -> AsyncIterator[engine.Chunk]:
-        """Yield the chunks of one HTTP answer, and map its failures."""
+        """Yield the chunks of one HTTP answer, and map its failures.
+
+        Ends with the closing event; each event names the request it's of.
+        """
+        found = events.Events()
         try:
-            async with request as response:
+            async with start() as response:
                 await self.check_head(server, request_id, response)
-                async for chunk in self.read_events(server, request_id, response):
-                    yield chunk
+                # Whatever has come is taken at once. To wait for line after line
+                # took as long as all the rest of what an event costs.
+                async for part in response.content.iter_any():
+                    for data in found.take(part):
+                        if data == END:
+                            return
+                        yield self.decode(server, request_id, data)
         except NOT_CONNECTED as error:
             raise engine.NotDispatchedError(
                 f"{server.name} can't be reached: {error}",
@@ -125,6 +133,11 @@
                 f"The answer of {server.name} broke off: {error!r}",
                 "Resume it from the next token on.",
             ) from error
+        if END not in found.take(b"\n"):
+            raise engine.BrokenStreamError(
+                f"The answer of {server.name} ended without its closing event",
+                "Resume it from the next token on.",
+            )
 
     async def check_head(
         self,
@@ -142,25 +155,6 @@
         if response.headers.get(REQUEST_ID_HEADER) != request_id:
             raise wrong_answer(server, request_id)
 
-    async def read_events(
-        self,
-        server: engine.Server,
-        request_id: ids.RequestId,
-        response: aiohttp.ClientResponse,
-    ) -> AsyncIterator[engine.Chunk]:
-        """Yield a chunk for each event; each names the request it's of."""
-        async for line in response.content:
-            if not line.startswith(DATA_PREFIX):
-                continue
-            data = line[len(DATA_PREFIX) :].strip()
-            if data == END:
-                return
-            yield self.decode(server, request_id, data)
-        raise engine.BrokenStreamError(
-            f"The answer of {server.name} ended without its closing event",
-            "Resume it from the next token on.",
-        )
-
     def decode(
         self, server: engine.Server, request_id: ids.RequestId, data: bytes
     ) -> engine.Chunk:
