Wake a caller that waits for the whole answer once only

Cause: each chunk woke every caller, also those of buffered answers, by an event made anew each time; a streamed answer ended by three writes. Change: the end has an event of its own; chunks that are there together go out in one write, each still as an event of its own, and the end in one. Ruled out: to hold chunks back until there are several; a caller sees each as soon as it's there. Conclusion: a gain for buffered answers.

--- a/src/tealcove/entry/answer.py
+++ b/src/tealcove/entry/answer.py
@@ -26,7 +26,10 @@
         self.finish: str | None = None
         self.ended = False
         self.failure: Exception | None = None
+        # Set when there is something to read; each reader clears it before it waits.
         self.grown = asyncio.Event()
+        # Apart from it: who waits for the whole isn't woken by each chunk.
+        self.finished = asyncio.Event()
 
     def add(self, chunk: engine.Chunk) -> None:
         """Take in a chunk; a repeated one is dropped, an early one kept back.
@@ -51,7 +54,7 @@
         else:
             self.chunks.append(chunk)
             self.next_index += chunk.count
-        self.wake()
+        self.grown.set()
 
     @property
     def is_whole(self) -> bool:
@@ -68,29 +71,26 @@
             return
         self.ended = True
         self.failure = failure
-        self.wake()
-
-    def wake(self) -> None:
-        """Let those who read along go on."""
         self.grown.set()
-        self.grown = asyncio.Event()
+        self.finished.set()
 
-    async def read(self) -> AsyncIterator[engine.Chunk]:
-        """Yield the chunks from the first on; raises `failure` at a bad end."""
+    async def read(self) -> AsyncIterator[list[engine.Chunk]]:
+        """Yield all chunks that are new, again and again; raises `failure`."""
         position = 0
         while True:
             while position < len(self.chunks):
-                yield self.chunks[position]
-                position += 1
+                found = self.chunks[position:]
+                position = len(self.chunks)
+                yield found
             if self.ended:
                 break
+            self.grown.clear()
             await self.grown.wait()
         if self.failure is not None:
             raise self.failure
 
     async def wait(self) -> None:
         """Wait for the end; raises `failure` at a bad one."""
-        while not self.ended:
-            await self.grown.wait()
+        await self.finished.wait()
         if self.failure is not None:
             raise self.failure
--- a/src/tealcove/entry/sending.py
+++ b/src/tealcove/entry/sending.py
@@ -38,10 +38,11 @@
     )
     form = running.form()
     try:
-        async for chunk in running.answer.read():
+        async for chunks in running.answer.read():
             if not response.prepared:
                 await response.prepare(request)
-            await response.write(form.event(chunk.text))
+            # What is there already goes out in one piece.
+            await response.write(b"".join(form.event(one.text) for one in chunks))
     except problem.ProblemError:
         if not response.prepared:
             raise
@@ -49,9 +50,8 @@
     if not response.prepared:
         await response.prepare(request)
     found = running.answer
-    await response.write(form.closing_event(found.finish, found.usage))
-    await response.write(openai.DONE_EVENT)
-    await response.write_eof()
+    closing = form.closing_event(found.finish, found.usage)
+    await response.write_eof(closing + openai.DONE_EVENT)
     return response
 
 
