Wait for a ticket's answer and a run's end in fewer turns

Cause: asyncio.wait and gather on what is done already take a turn of the event loop; a time-out by asyncio.wait for one future makes sets and callbacks. Change: no wait for an answer that is there, no gather of a task that has ended; the time-out of a silent dispatcher is a plain timer. Ruled out: to run the exchange without a task of its own; a preempted request is cancelled by it.

--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -36,17 +36,17 @@
         self.incarnation: ids.Incarnation | None = None
         # Done when the ranking names another dispatcher than the one asked.
         self.moved: asyncio.Future[None] = loop.create_future()
-        # Done once the dispatcher that was asked last has answered anything.
-        self.heard: asyncio.Future[None] = loop.create_future()
+        # Whether the dispatcher that was asked last has answered anything in time.
+        self.heard: asyncio.Future[bool] = loop.create_future()
         self.answer: asyncio.Future[messages.Grant | messages.Refusal] = (
             loop.create_future()
         )
         self.preempted: asyncio.Future[messages.Preempt] = loop.create_future()
 
-    def hear(self) -> None:
-        """Note that the dispatcher that was asked last is there."""
+    def hear(self, in_time: bool = True) -> None:
+        """Note that the dispatcher that was asked last is there, or seems not to be."""
         if not self.heard.done():
-            self.heard.set_result(None)
+            self.heard.set_result(in_time)
 
     @property
     def alone(self) -> bool:
@@ -117,7 +117,8 @@
                 attempt += 1
                 self.tell_running(hold, ranked[attempt % len(ranked)])
                 continue
-            await self.wait_while_held(hold)
+            if not hold.answer.done():
+                await self.wait_while_held(hold)
             attempt = 0
         return hold.answer.result()
 
@@ -139,8 +140,12 @@
 
     async def is_heard(self, hold: Hold) -> bool:
         """Tell whether the dispatcher answered the ticket in time."""
-        await asyncio.wait((hold.heard,), timeout=self.ticket_timeout)
-        return hold.heard.done()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self.ticket_timeout, hold.hear, False)
+        try:
+            return await hold.heard
+        finally:
+            timer.cancel()
 
     def tell_running(self, waiting: Hold, holder: ids.InstanceId) -> None:
         """Tell the next in rank what runs in a cell, before it's asked for slots.
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -240,8 +240,13 @@
                 raise failures.PreemptedError(hold.preempted.result().retry_after)
             running.result()
         finally:
-            running.cancel()
-            await asyncio.gather(running, return_exceptions=True)
+            if not running.done():
+                running.cancel()
+                await asyncio.gather(running, return_exceptions=True)
+            elif not running.cancelled():
+                # It failed just as this was cancelled; asyncio would log an error
+                # that nobody has looked at.
+                running.exception()
 
     def note_dispatch(self, hold: requester.Hold, server: engine.Server) -> None:
         """Take the step that can't be taken back, before the first byte goes out."""
