Find a cell's data centre once

Cause: each request counted the data centres of all servers of its cell. Change: the cell, which never changes, keeps what it found. Ruled out: a field, which would have to be right in each cell that is made.

--- a/src/tealcove/dispatch/cells.py
+++ b/src/tealcove/dispatch/cells.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 
 import msgspec
 
@@ -10,7 +11,7 @@
 from tealcove.resources import kinds
 
 
-class Cell(msgspec.Struct, frozen=True):
+class Cell(msgspec.Struct, frozen=True, dict=True):
     """Backend servers of one pool that share one queue."""
 
     cell_id: ids.CellId
@@ -25,9 +26,12 @@
         """Whether the servers are model engines, and not a plain service's."""
         return self.short_tokens > 0
 
-    @property
+    @functools.cached_property
     def data_centre(self) -> ids.DataCentreId | None:
-        """The data centre that most of the servers are in."""
+        """The data centre that most of the servers are in.
+
+        Kept, since each request asks for it and a cell never changes.
+        """
         if not self.servers:
             return None
         counts = collections.Counter(server.data_centre for server in self.servers)
