Keep the witness, on by default

Cause: without it each request in progress at an entry that dies is dispatched again when its caller repeats it, and its prefill is wasted. Ruled out: see docs/design/witness.md, 'Weighed'.

--- a/src/tealcove/settings.py
+++ b/src/tealcove/settings.py
@@ -109,7 +109,7 @@
     policy: str = "tealcove.dispatch.fair:FairScheduler"
     # How long an entry waits for word of an earlier sending of a request with a
     # key; 0 keeps no records of where such requests run.
-    witness_timeout: Delay = 0.0
+    witness_timeout: Delay = 0.05
 
 
 class Quarantine(Group):
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -32,6 +32,8 @@
         for _ in range(3):
             await running.add_instance(**WITNESS)
         await running.declare()
+        for engine in running.engines:
+            await running.wait_for_port(engine)
         for instance in running.instances:
             await running.wait_until_ready(instance)
         await running.wait_for_members()
