Count an ended request no more in its cell

Cause: a request's end took its ticket from the list by itself and left it counted as the cell's, so an entry would shun the cells that it has used most, for ever. Change: every way out goes through one function. Ruled out: counting anew from the list for each choice (it grows with load). Measured: the new test fails without the change and passes.

--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -186,7 +186,7 @@
         must reach the dispatcher before the news that the slot is free, or the
         next copy of the request would be granted a slot at once.
         """
-        self.holds.pop(hold.ticket.ticket_id, None)
+        self.forget(hold)
         for listener in self.listeners:
             listener(hold.ticket, done, hold.alone, clock.now())
         self.tell(hold, done)
--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -163,3 +163,30 @@
     assert not asking.hold.answer.done()
     asking.requester.take_refusal(asking.second, refusal)
     assert await asking.obtaining is refusal
+
+
+async def test_an_ended_request_weighs_on_its_cell_no_more(asking: Asking) -> None:
+    """The entry shuns the cells that it has used most.
+
+    Symptom: requests leave the cell that has their prefix cached, more and more.
+    Sequence: requests are granted slots and end.
+    Cause: their tickets stay counted as running in the cell.
+    """
+    await asking.asked(asking.first, 1)
+    asking.grant_from(asking.first)
+    await asking.obtaining
+    assert asking.requester.spread.tickets == {CELL: 1}
+    done = messages.Done(
+        ticket_id=asking.hold.ticket.ticket_id,
+        cell=CELL,
+        server=ids.BackendServerId("s"),
+        outcome=messages.Outcome.COMPLETED,
+        prompt_tokens=1,
+        cached_tokens=0,
+        output_tokens=1,
+        first_token_seconds=0.1,
+        total_seconds=0.2,
+    )
+    asking.requester.finish(asking.hold, done)
+    assert not asking.requester.spread.tickets
+    assert not asking.requester.holds
