Answer entry-points only with addresses; take messages in once all roles are up

An instance that had heard nobody answered with an empty list, which callers keep for its time to live: most requests without a final answer had no address to go to. And messages that came before the roles had named their handlers were unreadable: warnings at each start, and lost heartbeats. Change: without an address the answer is 503, not_ready; the mesh listens first and takes messages in when all roles are up. Ruled out: naming oneself while joining (requests would be refused there).

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -115,6 +115,7 @@
                 timeout = aiohttp.ClientTimeout(total=1.0)
                 where = f"{url}/v1/entry-points"
                 async with self.session.get(where, timeout=timeout) as response:
+                    response.raise_for_status()
                     found = await response.read()
             except (aiohttp.ClientError, TimeoutError, OSError):
                 continue
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -69,7 +69,7 @@
         )
         self.rows = services.HttpTableService(self.platform)
         self.objects = services.HttpObjectStore(self.platform)
-        await self.start_mesh()
+        self.start_mesh()
         await self.engines.start()
         await self.services.start()
         self.start_roles()
@@ -78,10 +78,11 @@
         self.members.update_own(http_port=self.http_port)
         self.heart.start()
         self.configuration.start(self.heart)
+        self.mesh.take_in()
         watched = readiness.Readiness(self.members, self.heart, self.configuration)
         self.tasks.append(tasks.start(watched.run(), "readiness"))
 
-    async def start_mesh(self) -> None:
+    def start_mesh(self) -> None:
         """Listen for peers."""
         found = self.settings
         listen = endpoint.Endpoint(str(found.peer.host), found.peer.port)
@@ -89,7 +90,7 @@
         curve = found.peer.curve
         secured = None if curve is None else security.Security(curve)
         self.mesh = mesh.Mesh(instance, self.incarnation, listen, secured)
-        await self.mesh.start()
+        self.mesh.listen_for_peers()
         own = messages.Heartbeat(
             instance=instance,
             incarnation=self.incarnation,
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -79,8 +79,16 @@
         ]
 
     async def entry_points(self, request: web.Request) -> web.Response:
-        """Tell which addresses to use."""
+        """Tell which addresses to use.
+
+        An instance that knows of none yet says so at once. Callers would keep an
+        empty answer for its time to live, and send nothing in the meantime.
+        """
         found = points.find(self.members, self.settings, clock.now())
+        if not found.entry_points:
+            reason = messages.RefusalReason.NOT_READY
+            error = problem.not_run(reason, 1.0, self.elsewhere())
+            return problem.respond(error.problem)
         return web.Response(
             body=msgspec.json.encode(found),
             content_type="application/json",
--- a/src/tealcove/peers/mesh.py
+++ b/src/tealcove/peers/mesh.py
@@ -57,7 +57,16 @@
         self.handlers[message_type] = handler
 
     async def start(self) -> None:
-        """Listen; `listen.port` becomes the real port when it was 0."""
+        """Listen, and hand over what arrives from now on."""
+        self.listen_for_peers()
+        self.take_in()
+
+    def listen_for_peers(self) -> None:
+        """Listen; `listen.port` becomes the real port when it was 0.
+
+        What arrives waits until `take_in`, when all handlers are named. An instance
+        that starts among others would else find their first messages unreadable.
+        """
         self.router = self.plain_context.socket(zmq.ROUTER)
         self.router.linger = 0
         # A peer that reconnects after a cut still has its old connection here.
@@ -73,6 +82,9 @@
             self.listen = endpoint.Endpoint(self.listen.host, port)
         else:
             self.router.bind(self.listen.url())
+
+    def take_in(self) -> None:
+        """Hand over what has arrived and what arrives from now on."""
         # Watched directly: pyzmq's own way to wait makes several futures and turns
         # of the event loop for each arrival, which cost more than the messages.
         self.loop = asyncio.get_running_loop()
@@ -81,7 +93,7 @@
 
     async def stop(self) -> None:
         """Close all sockets; what wasn't sent is dropped."""
-        if self.router is not None:
+        if self.loop is not None:
             self.loop.remove_reader(self.router.FD)
         for socket in self.links.values():
             socket.close(0)
--- a/src/tealcove/peers/tests/test_mesh.py
+++ b/src/tealcove/peers/tests/test_mesh.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tealcove import errors
+from tealcove import errors, ids
 from tealcove.peers import endpoint, mesh
 from tealcove.peers.tests import builders
 
@@ -129,3 +129,26 @@
     assert endpoint.parse("10.0.0.1:7001") == endpoint.Endpoint("10.0.0.1", 7001)
     with pytest.raises(errors.PeerError, match="ip:port"):
         endpoint.parse("nowhere")
+
+
+async def test_what_comes_before_the_handlers_are_named_is_kept() -> None:
+    """A starting instance finds its peers' messages unreadable.
+
+    Symptom: warnings at each start, and the first heartbeats are lost.
+    Sequence: peers know the address already and send as soon as it listens.
+    Cause: messages are taken in before the roles have named their handlers.
+    """
+    received: list[str] = []
+    one = await builders.start_mesh("one", [])
+    two = mesh.Mesh(
+        ids.InstanceId("two"), ids.new_incarnation(), endpoint.Endpoint("127.0.0.1", 0)
+    )
+    two.listen_for_peers()
+    await builders.connect(one, two)
+    one.send(two.listen, builders.Note(text="early"))
+    await asyncio.sleep(0.05)
+    two.handle(builders.Note, lambda sender, note: received.append(note.text))
+    two.take_in()
+    await wait_for(received, "early")
+    await one.stop()
+    await two.stop()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -256,6 +256,8 @@
         """Return the names of the instances that one tells callers to use."""
         url = f"{instance.url}/v1/entry-points"
         async with self.session.get(url) as response:
+            if response.status != 200:
+                return []
             found = await response.json()
         return [point["instance"] for point in found["entry_points"]]
 
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -139,6 +139,8 @@
             for one in self.instances.values():
                 url = f"{self.url(one)}/v1/entry-points"
                 async with self.session.get(url) as response:
+                    if response.status != 200:
+                        return False
                     found = await response.json()
                 if len(found["entry_points"]) < len(self.instances):
                     return False
--- a/tests/test_secured.py
+++ b/tests/test_secured.py
@@ -92,6 +92,8 @@
     async def members(self, url: str) -> list[str]:
         """Return the addresses that an instance names."""
         async with self.session.get(f"{url}/v1/entry-points") as response:
+            if response.status != 200:
+                return []
             points = (await response.json())["entry_points"]
         return sorted(point["url"] for point in points)
 
