Let ticks go on after one has failed

The fault was the tool's, but any exception of any cell's scheduler would have stopped all ticks of the instance for good. Change: a tick that fails is logged and the next one comes; the tool's number has another name. Ruled out: ending the instance (the other roles are sound). Measured: the new test waits for a third tick after a failed one; before, the task ended with the first.

--- a/bench/tap.py
+++ b/bench/tap.py
@@ -44,20 +44,20 @@
         self.requests: dict[ids.TicketId, ids.RequestId] = {}
         self.calls = 0
         self.seconds = 0.0
-        self.depth = 0
+        self.nesting = 0
         self.began = 0.0
         self.next_note = 0.0
 
     def enter(self) -> None:
         """Begin to count a call, unless it's made by another one."""
-        self.depth += 1
-        if self.depth == 1:
+        self.nesting += 1
+        if self.nesting == 1:
             self.began = time.monotonic()
 
     def leave(self, decided: list[scheduler.Outgoing]) -> list[scheduler.Outgoing]:
         """Count a call and note the requests that it ended."""
-        self.depth -= 1
-        if self.depth:
+        self.nesting -= 1
+        if self.nesting:
             return decided
         now = time.monotonic()
         self.calls += 1
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -82,6 +82,7 @@
         self.held: dict[ids.CellId, heldcell.HeldCell] = {}
         self.has_cells = asyncio.Event()
         self.ticker: asyncio.Task[None] | None = None
+        self.next_release = ids.Instant(clock.now() + RELEASE_INTERVAL)
 
     def start(self) -> None:
         """Begin to take tickets."""
@@ -213,7 +214,6 @@
     async def tick(self) -> None:
         """Let the schedulers see time pass."""
         before = clock.now()
-        next_release = before + RELEASE_INTERVAL
         while True:
             if not self.held:
                 # There is nothing to decide until a ticket comes.
@@ -225,12 +225,22 @@
             if now - before > FROZEN_AFTER:
                 self.note_frozen(now)
             before = now
-            self.drop_lost_entries(now)
-            for held in self.held.values():
-                self.send(held.decider.tick(now))
-            if now >= next_release:
-                next_release = now + RELEASE_INTERVAL
-                self.release_cells(now)
+            try:
+                self.advance(now)
+            except Exception:
+                # Without ticks no ticket expires and no late work is noticed, on
+                # every cell of this instance and for good. One fault of one cell's
+                # scheduler mustn't do that.
+                log.exception("the tick failed")
+
+    def advance(self, now: ids.Instant) -> None:
+        """Decide what only the passing of time decides."""
+        self.drop_lost_entries(now)
+        for held in self.held.values():
+            self.send(held.decider.tick(now))
+        if now >= self.next_release:
+            self.next_release = ids.Instant(now + RELEASE_INTERVAL)
+            self.release_cells(now)
 
     def release_cells(self, now: ids.Instant) -> None:
         """Let go of cells that another instance serves and that have no tickets.
--- a/src/tealcove/dispatch/tests/test_role.py
+++ b/src/tealcove/dispatch/tests/test_role.py
@@ -10,7 +10,7 @@
 
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, messages, role
+from tealcove.dispatch import cells, messages, role, scheduler
 from tealcove.dispatch.tests import builders, transport
 from tealcove.membership import members
 from tealcove.membership.tests import builders as membership_builders
@@ -281,3 +281,25 @@
     serving.engines.ports.clear()
     await serving.until(lambda: bool(serving.engines.ports))
     assert serving.engines.ports == {moved.port}
+
+
+async def test_ticks_go_on_after_one_has_failed(serving: Serving) -> None:
+    """A dispatcher no longer sees time pass.
+
+    Symptom: queued tickets of all cells wait beyond their deadlines.
+    Sequence: a scheduler fails once in its tick.
+    Cause: the exception ends the only task that ticks.
+    """
+    serving.ask()
+    decider = serving.role.held[builders.CELL].decider
+    tick = decider.tick
+    ticks: list[ids.Instant] = []
+
+    def fail_once(now: ids.Instant) -> list[scheduler.Outgoing]:
+        ticks.append(now)
+        if len(ticks) == 1:
+            raise ZeroDivisionError
+        return tick(now)
+
+    decider.tick = fail_once
+    await serving.until(lambda: len(ticks) >= 3)
