Give the entry's tickets a module and a name of their own

Change: dispatch/pending.py with PendingTicket and what is made of one. Behaviour stays as it was. Measured: dispatch, entry, witness, path, whole answers, at most once, entry's death, tiers, leaving callers and quarantine pass.

--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tealcove import clock, ids, tasks
-from tealcove.dispatch import messages, spread
+from tealcove.dispatch import messages, pending, spread
 from tealcove.membership import members
 from tealcove.peers import mesh, message
 
@@ -16,47 +16,6 @@
 REFRESH_INTERVAL = 2.0
 
 
-class Hold:
-    """A ticket of this entry, from the first asking to its end."""
-
-    def __init__(
-        self,
-        ticket: messages.Ticket,
-        deadline: ids.Instant,
-        near: ids.DataCentreId | None,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        self.ticket = ticket
-        self.deadline = deadline
-        self.near = near
-        self.since = clock.now()
-        self.holder: ids.InstanceId | None = None
-        # The holder's incarnation when it was asked; its successor under the same
-        # name knows nothing of the ticket.
-        self.incarnation: ids.Incarnation | None = None
-        # Done when the ranking names another dispatcher than the one asked.
-        self.moved: asyncio.Future[None] = loop.create_future()
-        # Whether the dispatcher that was asked last has answered anything in time.
-        self.heard: asyncio.Future[bool] = loop.create_future()
-        self.answer: asyncio.Future[messages.Grant | messages.Refusal] = (
-            loop.create_future()
-        )
-        self.preempted: asyncio.Future[messages.Preempt] = loop.create_future()
-
-    def hear(self, in_time: bool = True) -> None:
-        """Note that the dispatcher that was asked last is there, or seems not to be."""
-        if not self.heard.done():
-            self.heard.set_result(in_time)
-
-    @property
-    def alone(self) -> bool:
-        """Tell whether the request has its server for itself."""
-        if not self.answer.done() or self.answer.cancelled():
-            return False
-        found = self.answer.result()
-        return isinstance(found, messages.Grant) and found.alone
-
-
 # Gets a ticket, how its request ended, whether it ran alone, and the time.
 Listener = Callable[[messages.Ticket, messages.Done, bool, ids.Instant], None]
 
@@ -75,7 +34,7 @@
         self.transport = transport
         self.members = known
         self.ticket_timeout = ticket_timeout
-        self.holds: dict[ids.TicketId, Hold] = {}
+        self.holds: dict[ids.TicketId, pending.PendingTicket] = {}
         # Dispatchers that were told what runs in a cell although another holds it.
         self.told: set[tuple[ids.CellId, ids.InstanceId]] = set()
         # Functions that learn how each dispatched request ended.
@@ -95,7 +54,9 @@
         """End the task."""
         await tasks.stop([self.refreshing])
 
-    async def obtain(self, hold: Hold) -> messages.Grant | messages.Refusal:
+    async def obtain(
+        self, hold: pending.PendingTicket
+    ) -> messages.Grant | messages.Refusal:
         """Wait for a slot, asking the next in rank when a dispatcher is silent.
 
         Ends with a refusal at the deadline at the latest.
@@ -107,11 +68,11 @@
             now = clock.now()
             if now >= hold.deadline:
                 self.leave(hold)
-                return refuse(hold, messages.RefusalReason.DEADLINE)
+                return pending.refuse(hold, messages.RefusalReason.DEADLINE)
             ranked = self.members.rank(hold.ticket.cell, now, hold.near)
             if not ranked:
                 self.leave(hold)
-                return refuse(hold, messages.RefusalReason.NO_DISPATCHER)
+                return pending.refuse(hold, messages.RefusalReason.NO_DISPATCHER)
             self.ask(hold, ranked[attempt % len(ranked)], now)
             if not await self.is_heard(hold):
                 attempt += 1
@@ -122,23 +83,25 @@
             attempt = 0
         return hold.answer.result()
 
-    def ask(self, hold: Hold, holder: ids.InstanceId, now: ids.Instant) -> None:
+    def ask(
+        self, hold: pending.PendingTicket, holder: ids.InstanceId, now: ids.Instant
+    ) -> None:
         """Send the ticket to a dispatcher and withdraw it from the one before."""
         if hold.holder is not None and hold.holder != holder:
-            self.tell(hold, withdrawal(hold.ticket))
+            self.tell(hold, pending.withdrawal(hold.ticket))
         loop = asyncio.get_running_loop()
         self.name_holder(hold, holder)
         hold.moved = loop.create_future()
         hold.heard = loop.create_future()
-        self.tell(hold, current(hold, now))
+        self.tell(hold, pending.current(hold, now))
 
-    def name_holder(self, hold: Hold, holder: ids.InstanceId) -> None:
+    def name_holder(self, hold: pending.PendingTicket, holder: ids.InstanceId) -> None:
         """Remember which process has a ticket."""
         heartbeat = self.members.find(holder)
         hold.holder = holder
         hold.incarnation = None if heartbeat is None else heartbeat.incarnation
 
-    async def is_heard(self, hold: Hold) -> bool:
+    async def is_heard(self, hold: pending.PendingTicket) -> bool:
         """Tell whether the dispatcher answered the ticket in time."""
         loop = asyncio.get_running_loop()
         timer = loop.call_later(self.ticket_timeout, hold.hear, False)
@@ -147,7 +110,9 @@
         finally:
             timer.cancel()
 
-    def tell_running(self, waiting: Hold, holder: ids.InstanceId) -> None:
+    def tell_running(
+        self, waiting: pending.PendingTicket, holder: ids.InstanceId
+    ) -> None:
         """Tell the next in rank what runs in a cell, before it's asked for slots.
 
         Nobody suspects the silent dispatcher yet, so nobody has taken its running
@@ -162,9 +127,9 @@
         now = clock.now()
         for hold in self.holds.values():
             if hold.ticket.cell == cell and hold.ticket.running_on is not None:
-                self.transport.send(peer, current(hold, now))
+                self.transport.send(peer, pending.current(hold, now))
 
-    async def wait_while_held(self, hold: Hold) -> None:
+    async def wait_while_held(self, hold: pending.PendingTicket) -> None:
         """Wait for the answer while the dispatcher stays the one to ask."""
         timeout = max(0.0, hold.deadline - clock.now())
         await asyncio.wait(
@@ -173,13 +138,13 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
 
-    def leave(self, hold: Hold) -> None:
+    def leave(self, hold: pending.PendingTicket) -> None:
         """Give up a ticket, or a grant that wasn't used."""
         self.forget(hold)
         if hold.holder is not None:
-            self.tell(hold, withdrawal(hold.ticket))
+            self.tell(hold, pending.withdrawal(hold.ticket))
 
-    def finish(self, hold: Hold, done: messages.Done) -> None:
+    def finish(self, hold: pending.PendingTicket, done: messages.Done) -> None:
         """Tell the dispatcher that a dispatched request has ended.
 
         The listeners go first: a mark against a request that crashed its server
@@ -191,12 +156,12 @@
             listener(hold.ticket, done, hold.alone, clock.now())
         self.tell(hold, done)
 
-    def forget(self, hold: Hold) -> None:
+    def forget(self, hold: pending.PendingTicket) -> None:
         """Let go of a ticket that neither waits nor runs any more."""
         if self.holds.pop(hold.ticket.ticket_id, None) is not None:
             self.spread.end(hold.ticket.cell)
 
-    def tell(self, hold: Hold, sent: message.Message) -> None:
+    def tell(self, hold: pending.PendingTicket, sent: message.Message) -> None:
         """Send a message to the ticket's dispatcher, if its address is known."""
         peer = self.members.endpoint_of(hold.holder)
         if peer is not None:
@@ -221,18 +186,20 @@
             for instance in first[place]:
                 self.follow(hold, instance, now)
 
-    def follow(self, hold: Hold, first: ids.InstanceId, now: ids.Instant) -> None:
+    def follow(
+        self, hold: pending.PendingTicket, first: ids.InstanceId, now: ids.Instant
+    ) -> None:
         """Take a ticket to the first in rank, unless that one has it."""
         if self.is_held_by(hold, first):
             return
         if hold.ticket.running_on is None:
-            move(hold)
+            pending.move(hold)
             return
-        self.tell(hold, withdrawal(hold.ticket))
+        self.tell(hold, pending.withdrawal(hold.ticket))
         self.name_holder(hold, first)
-        self.tell(hold, current(hold, now))
+        self.tell(hold, pending.current(hold, now))
 
-    def is_held_by(self, hold: Hold, instance: ids.InstanceId) -> bool:
+    def is_held_by(self, hold: pending.PendingTicket, instance: ids.InstanceId) -> bool:
         """Tell whether the process now under a name is the one that was asked.
 
         A dispatcher that was restarted within the time to suspect it never looks
@@ -257,9 +224,11 @@
             now = clock.now()
             for hold in list(self.holds.values()):
                 if now - hold.since >= REFRESH_INTERVAL and hold.holder is not None:
-                    self.tell(hold, current(hold, now))
+                    self.tell(hold, pending.current(hold, now))
 
-    def mark_running(self, hold: Hold, server: ids.BackendServerId) -> None:
+    def mark_running(
+        self, hold: pending.PendingTicket, server: ids.BackendServerId
+    ) -> None:
         """Remember where a ticket's request runs, for a new dispatcher."""
         hold.ticket = msgspec.structs.replace(hold.ticket, running_on=server)
 
@@ -300,30 +269,3 @@
         hold = self.holds.get(preempt.ticket_id)
         if hold is not None and not hold.preempted.done():
             hold.preempted.set_result(preempt)
-
-
-def current(hold: Hold, now: ids.Instant) -> messages.Ticket:
-    """Return a ticket with the times that hold now."""
-    return msgspec.structs.replace(
-        hold.ticket,
-        remaining=max(0.0, hold.deadline - now),
-        waited=now - hold.since,
-    )
-
-
-def move(hold: Hold) -> None:
-    """Let a waiting ticket be taken to another dispatcher."""
-    if not hold.moved.done():
-        hold.moved.set_result(None)
-
-
-def withdrawal(ticket: messages.Ticket) -> messages.Withdrawal:
-    """Return the message that gives a ticket up."""
-    return messages.Withdrawal(ticket_id=ticket.ticket_id, cell=ticket.cell)
-
-
-def refuse(hold: Hold, reason: messages.RefusalReason) -> messages.Refusal:
-    """Return a refusal that the entry gives on its own account."""
-    return messages.Refusal(
-        ticket_id=hold.ticket.ticket_id, reason=reason, retry_after=1.0
-    )
--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tealcove import clock, ids
-from tealcove.dispatch import messages, requester, spread
+from tealcove.dispatch import messages, pending, requester, spread
 from tealcove.dispatch.tests import transport
 from tealcove.membership import members
 from tealcove.membership.tests import builders
@@ -50,7 +50,7 @@
             remaining=0.0,
         )
         deadline = ids.Instant(clock.now() + 1000.0)
-        self.hold = requester.Hold(ticket, deadline, None)
+        self.hold = pending.PendingTicket(ticket, deadline, None)
         self.obtaining = asyncio.create_task(self.requester.obtain(self.hold))
         ranked = self.members.rank(CELL, clock.now())
         self.first, self.second = ranked
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -10,7 +10,7 @@
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.claims import claim
-from tealcove.dispatch import messages, requester
+from tealcove.dispatch import messages, pending, requester
 from tealcove.entry import (
     admitted,
     answer,
@@ -59,7 +59,9 @@
         self.first_token_at: ids.Instant | None = None
 
     @abc.abstractmethod
-    async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
+    async def carry_out(
+        self, hold: pending.PendingTicket, server: engine.Server
+    ) -> None:
         """Dispatch the request once and fill `answer`.
 
         Must call `note_dispatch` before the first byte is written. Raises
@@ -131,7 +133,7 @@
             used = usage.prompt_tokens + usage.completion_tokens
         self.charge.settle(used)
 
-    def note_lost(self, hold: requester.Hold, server: engine.Server) -> None:
+    def note_lost(self, hold: pending.PendingTicket, server: engine.Server) -> None:
         """Have the request suspected: its server refuses connections."""
         if self.gate is not None:
             self.gate.lost(hold.ticket, server.name, hold.alone)
@@ -157,13 +159,13 @@
             "No backend server of the pool could be connected to.",
         )
 
-    def new_hold(self) -> requester.Hold:
+    def new_hold(self) -> pending.PendingTicket:
         """Return a ticket for this request."""
         own = self.tickets.members.own.instance
         ticket = admitted.new_ticket(self.request, own, self.excluded)
-        return requester.Hold(ticket, self.request.deadline, self.request.near)
+        return pending.PendingTicket(ticket, self.request.deadline, self.request.near)
 
-    async def obtain(self, hold: requester.Hold) -> messages.Grant:
+    async def obtain(self, hold: pending.PendingTicket) -> messages.Grant:
         """Return the grant of a slot; raises ProblemError for a refusal."""
         try:
             with self.hops.ticket(hold):
@@ -183,7 +185,9 @@
             return self.gate.remaining(self.request.digest)
         return refusal.retry_after
 
-    async def make_ready(self, hold: requester.Hold, server: engine.Server) -> None:
+    async def make_ready(
+        self, hold: pending.PendingTicket, server: engine.Server
+    ) -> None:
         """Take the claim if one is needed, or give the grant back.
 
         An entry that was frozen may find here that its deadline has passed.
@@ -200,7 +204,7 @@
             self.state.give_up()
             raise
 
-    async def use(self, hold: requester.Hold, server: engine.Server) -> None:
+    async def use(self, hold: pending.PendingTicket, server: engine.Server) -> None:
         """Run the request on a granted server, and report how it ended."""
         outcome = messages.Outcome.FAILED
         try:
@@ -228,7 +232,7 @@
                 await self.stop_leftover(server)
 
     async def carry_out_unless_preempted(
-        self, hold: requester.Hold, server: engine.Server
+        self, hold: pending.PendingTicket, server: engine.Server
     ) -> None:
         """Run the request, or stop it when its slot is needed more elsewhere."""
         running = asyncio.create_task(self.carry_out(hold, server))
@@ -248,7 +252,7 @@
                 # that nobody has looked at.
                 running.exception()
 
-    def note_dispatch(self, hold: requester.Hold, server: engine.Server) -> None:
+    def note_dispatch(self, hold: pending.PendingTicket, server: engine.Server) -> None:
         """Take the step that can't be taken back, before the first byte goes out."""
         if self.request.idempotent:
             self.state.dispatch()
@@ -278,7 +282,7 @@
 
     def describe_end(
         self,
-        hold: requester.Hold,
+        hold: pending.PendingTicket,
         server: engine.Server,
         outcome: messages.Outcome,
     ) -> messages.Done:
--- a/src/tealcove/entry/forward.py
+++ b/src/tealcove/entry/forward.py
@@ -8,7 +8,7 @@
 from tealcove import clock
 from tealcove.backends import engine, reach, service
 from tealcove.claims import claim
-from tealcove.dispatch import requester
+from tealcove.dispatch import pending, requester
 from tealcove.entry import admitted, claiming, exchange, failures, reply
 
 CONTENT_LENGTH = "content-length"
@@ -54,7 +54,9 @@
         self.services = services
         self.answer = reply.Reply()
 
-    async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
+    async def carry_out(
+        self, hold: pending.PendingTicket, server: engine.Server
+    ) -> None:
         """See Exchange."""
 
         def dispatched() -> None:
--- a/src/tealcove/entry/generation.py
+++ b/src/tealcove/entry/generation.py
@@ -9,7 +9,7 @@
 from tealcove import clock, errors
 from tealcove.backends import engine
 from tealcove.claims import claim
-from tealcove.dispatch import messages, requester
+from tealcove.dispatch import messages, pending, requester
 from tealcove.entry import (
     admitted,
     answer,
@@ -90,7 +90,9 @@
         await self.use(hold, server)
         return True
 
-    async def carry_out(self, hold: requester.Hold, server: engine.Server) -> None:
+    async def carry_out(
+        self, hold: pending.PendingTicket, server: engine.Server
+    ) -> None:
         """See Exchange."""
         completion = engine.Completion(
             request_id=self.request.request_id,
@@ -115,7 +117,7 @@
         if not self.answer.is_whole:
             raise failures.CrashError(server.name)
 
-    async def resume(self, hold: requester.Hold, server: engine.Server) -> None:
+    async def resume(self, hold: pending.PendingTicket, server: engine.Server) -> None:
         """Take the stream up from the first token that is missing.
 
         This is no second dispatch: the engine goes on with the same run.
@@ -141,25 +143,25 @@
             # and was restarted before anybody could see that it was gone.
             raise failures.CrashError(server.name) from error
 
-    async def collect(self, hold: requester.Hold, stream: object) -> None:
+    async def collect(self, hold: pending.PendingTicket, stream: object) -> None:
         """Put the chunks of a stream into the answer."""
         async with contextlib.aclosing(stream) as chunks:
             async for chunk in chunks:
                 self.take_chunk(hold, chunk)
 
-    def take_chunk(self, hold: requester.Hold, chunk: engine.Chunk) -> None:
+    def take_chunk(self, hold: pending.PendingTicket, chunk: engine.Chunk) -> None:
         """Put a chunk into the answer; raises GapError."""
         self.answer.add(chunk)
         if self.first_token_at is None:
             self.note_first_token(hold)
 
-    def note_dispatch(self, hold: requester.Hold, server: engine.Server) -> None:
+    def note_dispatch(self, hold: pending.PendingTicket, server: engine.Server) -> None:
         """See Exchange; the witness learns of it first."""
         if self.witness is not None:
             self.witness.leave(hold.ticket, server)
         super().note_dispatch(hold, server)
 
-    def note_first_token(self, hold: requester.Hold) -> None:
+    def note_first_token(self, hold: pending.PendingTicket) -> None:
         """Tell the dispatcher that the prefill is over."""
         self.first_token_at = clock.now()
         self.hops.event(hops.FIRST_TOKEN)
@@ -179,7 +181,7 @@
 
     def describe_end(
         self,
-        hold: requester.Hold,
+        hold: pending.PendingTicket,
         server: engine.Server,
         outcome: messages.Outcome,
     ) -> messages.Done:
--- a/src/tealcove/entry/hops.py
+++ b/src/tealcove/entry/hops.py
@@ -10,7 +10,7 @@
 
 from tealcove import telemetry
 from tealcove.backends import engine
-from tealcove.dispatch import requester
+from tealcove.dispatch import pending
 
 TICKET_SPAN = "ticket"
 CLAIM_SPAN = "claim"
@@ -26,7 +26,7 @@
         self.source = source or telemetry.Source()
 
     @contextlib.contextmanager
-    def ticket(self, hold: requester.Hold) -> Iterator[None]:
+    def ticket(self, hold: pending.PendingTicket) -> Iterator[None]:
         """Watch a ticket from the asking to its grant or refusal."""
         with self.source.step(TICKET_SPAN) as span:
             if span is not None:
--- a/src/tealcove/entry/tests/builders.py
+++ b/src/tealcove/entry/tests/builders.py
@@ -11,7 +11,7 @@
 
 from tealcove import ids, plan, settings
 from tealcove.backends import http_service
-from tealcove.dispatch import messages, requester, spread
+from tealcove.dispatch import messages, pending, requester, spread
 from tealcove.entry import caller, http
 from tealcove.membership import members
 from tealcove.membership import messages as membership_messages
@@ -48,7 +48,7 @@
         self.port = port
         self.ended: list[messages.Outcome] = []
 
-    async def obtain(self, hold: requester.Hold) -> messages.Grant:
+    async def obtain(self, hold: pending.PendingTicket) -> messages.Grant:
         return messages.Grant(
             ticket_id=hold.ticket.ticket_id,
             cell=hold.ticket.cell,
@@ -57,10 +57,10 @@
             port=self.port,
         )
 
-    def finish(self, hold: requester.Hold, done: messages.Done) -> None:
+    def finish(self, hold: pending.PendingTicket, done: messages.Done) -> None:
         self.ended.append(done.outcome)
 
-    def leave(self, hold: requester.Hold) -> None:
+    def leave(self, hold: pending.PendingTicket) -> None:
         self.ended.append(messages.Outcome.NOT_SENT)
 
 
--- a/src/tealcove/entry/witnessing.py
+++ b/src/tealcove/entry/witnessing.py
@@ -6,7 +6,7 @@
 
 from tealcove import clock, ids
 from tealcove.backends import engine
-from tealcove.dispatch import messages, requester
+from tealcove.dispatch import messages, pending, requester
 from tealcove.witness import messages as witness_messages
 from tealcove.witness import role
 
@@ -60,7 +60,9 @@
 
 
 def take_ticket(
-    hold: requester.Hold, found: witness_messages.Record, tickets: requester.Requester
+    hold: pending.PendingTicket,
+    found: witness_messages.Record,
+    tickets: requester.Requester,
 ) -> None:
     """Make a ticket the one that a lost entry's run has its slot by.
 
@@ -77,7 +79,7 @@
     hold.near = None if cell is None else cell.data_centre
 
 
-def announce(hold: requester.Hold, tickets: requester.Requester) -> None:
+def announce(hold: pending.PendingTicket, tickets: requester.Requester) -> None:
     """Tell the dispatcher whose the ticket of a running request is now."""
     now = clock.now()
     ticket = hold.ticket
@@ -86,4 +88,4 @@
     ranked = tickets.members.rank(ticket.cell, now, hold.near)
     if ranked:
         tickets.name_holder(hold, ranked[0])
-        tickets.tell(hold, requester.current(hold, now))
+        tickets.tell(hold, pending.current(hold, now))
