Look for slots while the slower servers can still end the work

A slot was looked for by force only from the fastest server's last instant on, when the slower ones could no longer end the work, and the fastest had work of the same tier. Change: the risk counts from the slowest server that isn't a straggler. The new test fails without the change; dispatch, path, tiers and demo tests pass.

--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -47,6 +47,7 @@
             arrived=ids.Instant(now - ticket.waited),
             deadline=deadline,
             start_by=start_by(deadline, found),
+            risk_from=risk_from(deadline, found),
             lane=queue.Lane(is_short, ticket.idempotent),
             seconds=found.loaded,
             told=now,
@@ -65,7 +66,7 @@
         if waiting.lane.is_suspect:
             self.suspects[waiting.ticket.ticket_id] = waiting
         self.queue.add(waiting)
-        self.risks.add(ids.Instant(waiting.start_by - shedding.LEAD), waiting)
+        self.risks.add(waiting.risk_from, waiting)
         self.expiries.add(waiting.start_by, waiting)
 
     def change_lane(self, waiting: queue.Waiting) -> None:
@@ -167,6 +168,18 @@
     return ids.Instant(deadline - choice.DEADLINE_MARGIN - found.loaded)
 
 
+def risk_from(deadline: ids.Instant, found: choice.Estimate) -> ids.Instant:
+    """Return from when on a slot is looked for by force.
+
+    While the slower servers could still end the ticket in time. Counted from the
+    fastest one, only its slots would be left to look for, and those may all have
+    work of the same tier: the ticket would be refused while slower servers go on
+    with work of lower tiers.
+    """
+    seconds = max(found.loaded, found.slowest) + shedding.LEAD
+    return ids.Instant(deadline - choice.DEADLINE_MARGIN - seconds)
+
+
 def describe(
     waiting: queue.Waiting, server: servers.ServerState, now: ids.Instant
 ) -> servers.Running:
--- a/src/tealcove/dispatch/choice.py
+++ b/src/tealcove/dispatch/choice.py
@@ -22,6 +22,8 @@
     # Seconds with nothing else running, and with all slots taken.
     idle: float
     loaded: float
+    # Seconds with all slots taken at the slowest that isn't a straggler.
+    slowest: float
     # Tokens that have to be computed: uncached prompt and output.
     tokens: float
 
@@ -29,6 +31,7 @@
 def estimate(ticket: messages.Ticket, found: Iterable[servers.ServerState]) -> Estimate:
     """Return the best of some servers; zeros when there are none."""
     idle = loaded = least = math.inf
+    slowest = 0.0
     output = ticket.output_tokens
     for server in found:
         uncached = server.uncached_tokens(ticket)
@@ -39,9 +42,11 @@
             idle = alone
         if crowded < loaded:
             loaded = crowded
+        if server.pace is servers.Pace.NORMAL and slowest < crowded < math.inf:
+            slowest = crowded
     if least == math.inf:
-        return Estimate(0.0, 0.0, ticket.prompt_tokens + output)
-    return Estimate(idle, loaded, least + output)
+        return Estimate(0.0, 0.0, 0.0, ticket.prompt_tokens + output)
+    return Estimate(idle, loaded, slowest, least + output)
 
 
 def choose(
--- a/src/tealcove/dispatch/queue.py
+++ b/src/tealcove/dispatch/queue.py
@@ -37,6 +37,8 @@
     deadline: ids.Instant
     # The last instant to start, on the best server with a full batch.
     start_by: ids.Instant
+    # From when on a slot is looked for by force.
+    risk_from: ids.Instant
     lane: Lane
     # Predicted seconds of work.
     seconds: float
--- a/src/tealcove/dispatch/tests/test_shedding.py
+++ b/src/tealcove/dispatch/tests/test_shedding.py
@@ -147,3 +147,31 @@
     builders.fill(found, 20, NOW)
     after = builders.refused(found.enqueue(hopeless, NOW))[0]
     assert before.retry_after < 1 < 15 < after.retry_after
+
+
+def test_slower_servers_are_looked_at_while_they_can_still_end_it() -> None:
+    """A high tier's request is refused while low work runs on a slower server.
+
+    Symptom: far beyond the capacity the highest tier is told `deadline` while
+    the lowest tier's requests are completed.
+    Events: the fast server has work of the same tier to the end; the slow one
+    runs low work; by the fast one's last instant the slow one is too slow.
+    Cause: a slot was looked for by force only from that instant on.
+    """
+    specs = [builders.server(f"s{n}", slots=1, generation=f"g{n}") for n in range(2)]
+    found = builders.opened(*specs, short_share=0.0)
+    for _ in range(20):
+        builders.teach(found, "s1", 3.0)
+    same = run(found, NOW, tier_rank=0, output_tokens=1000, remaining=1000)
+    low = run(found, NOW, tier_rank=2, output_tokens=1000, remaining=1000)
+    for ticket_id in (same, low):
+        # Without its first token a run would soon look like a straggler's.
+        first = messages.Progress(
+            ticket_id=ticket_id, cell=builders.CELL, first_token_seconds=0.1
+        )
+        found.progress(first, NOW)
+    high = builders.ticket(tier_rank=0, remaining=5)
+    outgoing = found.enqueue(high, NOW)
+    for step in range(1, 50):
+        outgoing += found.tick(builders.instant(1 + step * 0.1))
+    assert low in [order.ticket_id for order in preempted(outgoing)]
