--- a/bench/report.py
+++ b/bench/report.py
@@ -259,6 +259,8 @@
     """Write the tables into a page and draw the plot."""
 
     label: Annotated[str, cappa.Arg(long=True)]
+    # A later revision, whose runs stand in a section of their own.
+    after: Annotated[str, cappa.Arg(long=True)] = ""
     results: Annotated[str, cappa.Arg(long=True)] = "docs/measurements/policy.json"
     costs: Annotated[str, cappa.Arg(long=True)] = "docs/measurements/cost.json"
     page: Annotated[str, cappa.Arg(long=True)] = PAGE
@@ -274,6 +276,9 @@
         "scenarios": scenario_table(results),
         "wanted": wanted_table(results),
     }
+    if found.after:
+        later = read(found.results, found.after)
+        tables["after"] = load_table(later) + scenario_table(later)
     if pathlib.Path(found.costs).exists():
         tables["cost"] = cost_table(found.costs)
     page = pathlib.Path(found.page)
