Let one piece of code serve where two did the same

Cause: read once more. Change: bearer.py; Entry.answer, which both handlers call. Behaviour stays as it was. Ruled out: one function for the problems not_run, interrupted and unknown (their callers read better with three names and three promises); taking out dispatch.deadline_margin, which nothing reads (files that set it would be refused): it is left for the next change of settings.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -20,7 +20,7 @@
 from tests import callers, deployment
 
 from bench import score
-from tealcove import ids
+from tealcove import bearer, ids
 from tealcove.platform import table
 from tealcove.resources import codec, kinds, log, snapshots
 
@@ -282,7 +282,7 @@
     name = f"account-{number:05d}"
     spec = kinds.ClientAccountSpec(
         tier="low",
-        key_hashes=(deployment.hash_key(name),),
+        key_hashes=(bearer.hash_key(name),),
         tokens_per_second=1000.0,
     )
     metadata = kinds.Metadata(
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,7 @@
 from tests import deployment
 
 from bench import engine, plans, tap
+from tealcove import bearer
 from tealcove.resources import kinds
 
 # A step of an engine stand-in; more steps cost more processor time than they tell.
@@ -155,7 +156,7 @@
             spec = kinds.ServiceTierSpec(rank=rank)
             await self.put(kinds.Kind.SERVICE_TIER, tier, spec)
         for account in plan.accounts:
-            key_hash = deployment.hash_key(key_of(account.name))
+            key_hash = bearer.hash_key(key_of(account.name))
             spec = kinds.ClientAccountSpec(tier=account.tier, key_hashes=(key_hash,))
             await self.put(kinds.Kind.CLIENT_ACCOUNT, account.name, spec)
         await self.put(kinds.Kind.MODEL, "m", kinds.ModelSpec(version="1"))
--- a/src/tealcove/backends/http_orders.py
+++ b/src/tealcove/backends/http_orders.py
@@ -21,7 +21,7 @@
 
     aiohttp connects, writes the headers, and then asks for the body. A process
     that is paused between its last look at the lease and the write would order
-    under a lease that is long another's; the judge would see an old number after
+    under a lease that is long another's; an engine would get an old number after
     a newer one. A server that got the headers alone can't carry anything out.
     """
 
--- a/src/tealcove/commands/keys.py
+++ b/src/tealcove/commands/keys.py
@@ -9,8 +9,8 @@
 import msgspec
 import zmq
 
+from tealcove import bearer
 from tealcove.commands import output
-from tealcove.entry import caller
 
 BEARER_BYTES = 32
 
@@ -59,5 +59,5 @@
     public, secret = (key.decode() for key in zmq.curve_keypair())
     key = secrets.token_urlsafe(BEARER_BYTES)
     return Drawn(
-        CurvePair(public, secret, (public,)), Bearer(key, caller.hash_key(key))
+        CurvePair(public, secret, (public,)), Bearer(key, bearer.hash_key(key))
     )
--- a/src/tealcove/demonstration/parts.py
+++ b/src/tealcove/demonstration/parts.py
@@ -8,9 +8,8 @@
 
 import aiohttp
 
-from tealcove import client, connection, daemon, plan, resourcefiles, settings
+from tealcove import bearer, client, connection, daemon, plan, resourcefiles, settings
 from tealcove.demonstration import mix
-from tealcove.entry import caller
 from tealcove.resources import kinds
 from tealcove.standins import engine, platform, service
 
@@ -108,7 +107,7 @@
         for account in mix.ACCOUNTS:
             spec = kinds.ClientAccountSpec(
                 tier=account.tier,
-                key_hashes=(caller.hash_key(self.keys[account.name]),),
+                key_hashes=(bearer.hash_key(self.keys[account.name]),),
             )
             found.append(declared(kinds.Kind.CLIENT_ACCOUNT, account.name, spec))
         found.append(
@@ -150,7 +149,7 @@
 def instance_settings(parts: Parts) -> settings.Settings:
     """Return the settings of the instance; all ports are free ones."""
     operator = settings.Operator(
-        name="demo", key_hash=caller.hash_key(parts.operator_key)
+        name="demo", key_hash=bearer.hash_key(parts.operator_key)
     )
     return settings.Settings(
         instance="demo",
--- a/src/tealcove/entry/caller.py
+++ b/src/tealcove/entry/caller.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
-
 import msgspec
 
-from tealcove import ids
+from tealcove import bearer, ids
 from tealcove.entry import problem
 from tealcove.resources import copy
 
-BEARER = "Bearer "
-
 
 class Caller(msgspec.Struct, frozen=True):
     """A client account and the service tier of its requests."""
@@ -22,22 +18,17 @@
     default_deadline: float
 
 
-def hash_key(key: str) -> str:
-    """Return what is stored of a bearer key: its SHA-256 in hex."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def identify(header: str | None, configuration: copy.Configuration) -> Caller:
     """Return the caller of an Authorization header; raises ProblemError.
 
     Looking up the hash takes the same time whichever part of a wrong key is
     right, since the hash of a guess says nothing about the guess.
     """
-    if header is None or not header.startswith(BEARER):
+    if header is None or not header.startswith(bearer.PREFIX):
         raise problem.rejected(
             401, "No key", 'Send the header "Authorization: Bearer <key>".'
         )
-    key_hash = hash_key(header.removeprefix(BEARER))
+    key_hash = bearer.hash_key(header.removeprefix(bearer.PREFIX))
     account = configuration.account_by_key_hash(key_hash)
     if account is None:
         raise problem.rejected(
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from aiohttp import web
@@ -36,6 +36,9 @@
 from tealcove.witness import messages as witness_messages
 from tealcove.witness import role as witness_role
 
+# Serves a request whose caller and body are known, and whose hops are observed.
+Serve = Callable[[acceptance.Received, observer.Seen], Awaitable[web.StreamResponse]]
+
 
 class Entry:
     """Accepts requests and answers each exactly once."""
@@ -106,55 +109,63 @@
     async def generate(
         self, request: web.Request, parse: Callable[[bytes], call.EngineCall]
     ) -> web.StreamResponse:
-        """Answer one request for an engine; problems become its final answer."""
-        request_id = ids.new_request_id()
-        with self.observer.request(request, request_id) as seen:
-            try:
-                received = await self.receive(request, request_id)
-                engine_call = parse(received.body)
-                accepted = acceptance.accept_generation(
-                    received,
+        """Answer one request for an engine."""
+
+        async def serve(
+            received: acceptance.Received, seen: observer.Seen
+        ) -> web.StreamResponse:
+            engine_call = parse(received.body)
+            accepted = acceptance.accept_generation(
+                received,
+                engine_call,
+                self.configuration.current,
+                self.tickets.spread,
+            )
+            running = self.join(accepted) or self.start(
+                generation.EngineExchange(
+                    accepted,
+                    self.tickets,
+                    self.new_claim(accepted),
                     engine_call,
-                    self.configuration.current,
-                    self.tickets.spread,
+                    self.engines,
+                    self.new_witness(accepted),
                 )
-                running = self.join(accepted) or self.start(
-                    generation.EngineExchange(
-                        accepted,
-                        self.tickets,
-                        self.new_claim(accepted),
-                        engine_call,
-                        self.engines,
-                        self.new_witness(accepted),
-                    )
-                )
-                with Reading(seen.join(running)):
-                    return await sending.send_generation(request, running)
-            except problem.ProblemError as error:
-                return seen.refuse(error.problem)
-            except claiming.KeptAnswerError as error:
-                return sending.send_whole(error.answer)
+            )
+            with Reading(seen.join(running)):
+                return await sending.send_generation(request, running)
+
+        return await self.answer(request, serve)
 
     async def forward(self, request: web.Request) -> web.StreamResponse:
         """Answer one call to a plain service, of any method and path."""
+
+        async def serve(
+            received: acceptance.Received, seen: observer.Seen
+        ) -> web.StreamResponse:
+            accepted = acceptance.accept_call(
+                received, self.configuration.current, self.tickets.spread
+            )
+            running = self.join(accepted) or self.start(
+                forward.ServiceExchange(
+                    accepted,
+                    self.tickets,
+                    self.new_claim(accepted),
+                    service_call(received),
+                    self.services,
+                )
+            )
+            with Reading(seen.join(running)):
+                return await sending.send_reply(request, running)
+
+        return await self.answer(request, serve)
+
+    async def answer(self, request: web.Request, serve: Serve) -> web.StreamResponse:
+        """Answer one request; problems and kept answers become its final answer."""
         request_id = ids.new_request_id()
         with self.observer.request(request, request_id) as seen:
             try:
                 received = await self.receive(request, request_id)
-                accepted = acceptance.accept_call(
-                    received, self.configuration.current, self.tickets.spread
-                )
-                running = self.join(accepted) or self.start(
-                    forward.ServiceExchange(
-                        accepted,
-                        self.tickets,
-                        self.new_claim(accepted),
-                        service_call(received),
-                        self.services,
-                    )
-                )
-                with Reading(seen.join(running)):
-                    return await sending.send_reply(request, running)
+                return await serve(received, seen)
             except problem.ProblemError as error:
                 return seen.refuse(error.problem)
             except claiming.KeptAnswerError as error:
--- a/src/tealcove/entry/points.py
+++ b/src/tealcove/entry/points.py
@@ -8,6 +8,7 @@
 from tealcove.membership import members
 
 UNKNOWN_DELAY = 10.0
+ROTATIONS_PER_SECOND = 1000
 
 
 class EntryPoint(msgspec.Struct, frozen=True):
@@ -46,9 +47,6 @@
     return EntryPoints(points, found.shutdown.entry_points_ttl)
 
 
-ROTATIONS_PER_SECOND = 1000
-
-
 def distance(found: settings.Settings, other: ids.DataCentreId) -> float:
     """Return the delay to a data centre; unknown ones come last."""
     delay = found.delay_to(other)
--- a/src/tealcove/entry/tests/builders.py
+++ b/src/tealcove/entry/tests/builders.py
@@ -9,10 +9,10 @@
 import aiohttp
 from aiohttp import web
 
-from tealcove import ids, plan, settings
+from tealcove import bearer, ids, plan, settings
 from tealcove.backends import http_service
 from tealcove.dispatch import messages, pending, requester, spread
-from tealcove.entry import caller, http
+from tealcove.entry import http
 from tealcove.membership import members
 from tealcove.membership import messages as membership_messages
 from tealcove.resources import copy, kinds
@@ -77,7 +77,7 @@
     server = kinds.BackendServerSpec(
         name="s", host="127.0.0.1", port=1, data_centre="d"
     )
-    account = kinds.ClientAccountSpec(tier="t", key_hashes=(caller.hash_key(KEY),))
+    account = kinds.ClientAccountSpec(tier="t", key_hashes=(bearer.hash_key(KEY),))
     found = [
         resource(kinds.Kind.SERVICE_TIER, "t", kinds.ServiceTierSpec(rank=0)),
         resource(kinds.Kind.CLIENT_ACCOUNT, "a", account),
--- a/src/tealcove/membership/force.py
+++ b/src/tealcove/membership/force.py
@@ -6,6 +6,9 @@
 from tealcove.membership import members
 from tealcove.resources import status
 
+# Revisions whose time is remembered; older ones answer with the oldest kept.
+MOST_REACHED = 1000
+
 
 class HeartbeatStatus(status.StatusSource):
     """Counts the serving instances that are at a revision or beyond."""
@@ -42,7 +45,3 @@
             if reached >= revision:
                 return now - instant
         return 0.0
-
-
-# Revisions whose time is remembered; older ones answer with the oldest kept.
-MOST_REACHED = 1000
--- a/src/tealcove/resources/operators.py
+++ b/src/tealcove/resources/operators.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 
 from aiohttp import web
 
-from tealcove import settings
+from tealcove import bearer, settings
 from tealcove.resources import refusals
 
-BEARER = "Bearer "
-
 
 class Operators:
     """Knows operators by the hashes of their bearer keys."""
@@ -26,13 +23,13 @@
         nothing about a key.
         """
         header = request.headers.get("Authorization", "")
-        key = header.removeprefix(BEARER)
-        found_hash = hashlib.sha256(key.encode()).hexdigest()
+        key = header.removeprefix(bearer.PREFIX)
+        found_hash = bearer.hash_key(key)
         name = ""
         for operator in self.declared:
             if hmac.compare_digest(operator.key_hash, found_hash):
                 name = operator.name
-        if not name or not header.startswith(BEARER):
+        if not name or not header.startswith(bearer.PREFIX):
             raise refusals.UnauthorisedError(
                 "the key is no operator's",
                 'Send "Authorization: Bearer <key>" with a key of the settings\' '
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import itertools
 import os
 import pathlib
@@ -16,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from tealcove import bearer
 from tealcove.membership import ranking
 from tealcove.platform import client, instances, services
 from tealcove.resources import copy, decision, edits, kinds, store
@@ -34,11 +34,6 @@
 HOLD_PORT = 6999
 
 
-def hash_key(key: str) -> str:
-    """Return the hash of a bearer key, as resources and settings hold it."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 async def until(check: Callable[[], Awaitable[bool]]) -> None:
     """Wait until a check holds; the timeout is far beyond any healthy wait."""
     async with asyncio.timeout(READY_TIMEOUT):
@@ -213,7 +208,7 @@
             "peer": {"host": host, "port": PEER_PORT},
             "platform": {"url": self.platform.url},
             "seeds": [f"{self.network}.{150 + n}:{PEER_PORT}" for n in range(8)],
-            "operators": [{"name": "ops", "key_hash": hash_key(OPERATOR_KEY)}],
+            "operators": [{"name": "ops", "key_hash": bearer.hash_key(OPERATOR_KEY)}],
             "configuration": {"poll_interval": 0.1},
             "shutdown": {"entry_points_ttl": 0.5},
             **found,
@@ -295,7 +290,7 @@
             await self.put(
                 kinds.Kind.SERVICE_TIER, tier, kinds.ServiceTierSpec(rank=rank)
             )
-            key_hash = hash_key(f"{callers.CALLER_KEY}-{tier}")
+            key_hash = bearer.hash_key(f"{callers.CALLER_KEY}-{tier}")
             account = kinds.ClientAccountSpec(tier=tier, key_hashes=(key_hash,))
             await self.put(kinds.Kind.CLIENT_ACCOUNT, f"account-{tier}", account)
         await self.put(kinds.Kind.MODEL, "m", kinds.ModelSpec(version="1"))
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from opentelemetry.sdk.trace.export import in_memory_span_exporter
 
-from tealcove import daemon, settings
+from tealcove import bearer, daemon, settings
 from tealcove.membership import ranking
 from tealcove.platform import client, services
 from tealcove.resources import copy, decision, edits, kinds, store
@@ -85,7 +85,7 @@
             )
             for one in (self.engine, self.service)
         )
-        key_hash = deployment.hash_key(f"{callers.CALLER_KEY}-high")
+        key_hash = bearer.hash_key(f"{callers.CALLER_KEY}-high")
         specs = [
             (kinds.Kind.SERVICE_TIER, "high", kinds.ServiceTierSpec(rank=0)),
             (
