Move the platform's interfaces to a folder named for what they are

The abstract table, object store, instance list, weight store, the in-memory ones and their faults are the product's own, so they move to src/tealcove/storage/.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -21,8 +21,8 @@
 
 from bench import score
 from tealcove import bearer, ids
-from tealcove.platform import table
 from tealcove.resources import codec, kinds, log, snapshots
+from tealcove.storage import table
 
 INSTANCES = 2
 SLOTS = 64
--- a/bench/slopes/claims.py
+++ b/bench/slopes/claims.py
@@ -21,7 +21,7 @@
 from tealcove.claims import claim, messages, writer
 from tealcove.membership import members
 from tealcove.peers import endpoint, mesh
-from tealcove.platform import services
+from tealcove.storage import services
 
 INTERVAL = 0.02
 ANSWER_TIMEOUT = 10.0
--- a/bench/slopes/configuration.py
+++ b/bench/slopes/configuration.py
@@ -15,7 +15,6 @@
 from bench import cost
 from bench.slopes import size
 from tealcove import ids
-from tealcove.platform import memory
 from tealcove.resources import (
     codec,
     copy,
@@ -26,6 +25,7 @@
     snapshots,
     store,
 )
+from tealcove.storage import memory
 
 CHANGES = 40
 
--- a/bench/slopes/leases.py
+++ b/bench/slopes/leases.py
@@ -12,7 +12,7 @@
 from bench.slopes import size
 from tealcove import ids
 from tealcove.orders import lease
-from tealcove.platform import memory
+from tealcove.storage import memory
 
 SECONDS = 600.0
 
--- a/bench/slopes/members.py
+++ b/bench/slopes/members.py
@@ -13,8 +13,8 @@
 from tealcove.backends import engine
 from tealcove.dispatch import cells, holds, reading
 from tealcove.membership import force, members, messages, ranking
-from tealcove.platform import instances
 from tealcove.resources import kinds
+from tealcove.storage import instances
 
 NOW = ids.Instant(1000.0)
 SUSPECT_AFTER = 1.0
--- a/bench/slopes/peers.py
+++ b/bench/slopes/peers.py
@@ -15,7 +15,7 @@
 
 from bench.slopes import crowd, watch
 from tealcove.membership import heart
-from tealcove.platform import instances
+from tealcove.storage import instances
 
 # Peers of one process.
 CROWD = 150
--- a/src/tealcove/claims/claimer.py
+++ b/src/tealcove/claims/claimer.py
@@ -12,7 +12,7 @@
 from tealcove.claims import claim, messages
 from tealcove.membership import members
 from tealcove.peers import mesh
-from tealcove.platform import table
+from tealcove.storage import table
 
 log = logbook.Logger("claims")
 
--- a/src/tealcove/claims/tests/builders.py
+++ b/src/tealcove/claims/tests/builders.py
@@ -13,7 +13,7 @@
 from tealcove.claims import claim, claimer, writer
 from tealcove.membership import members, messages
 from tealcove.peers import endpoint, message
-from tealcove.platform import memory, table
+from tealcove.storage import memory, table
 
 BEAT = 0.25
 BATCH_INTERVAL = 0.02
--- a/src/tealcove/claims/tests/test_claim_machine.py
+++ b/src/tealcove/claims/tests/test_claim_machine.py
@@ -14,7 +14,7 @@
 from tealcove import clock, ids
 from tealcove.claims import claim, claimer
 from tealcove.claims.tests import builders
-from tealcove.platform import faults
+from tealcove.storage import faults
 
 INSTANCES = (1, 2, 3)
 KEYS = tuple(f"a/{number}" for number in range(5))
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -33,10 +33,10 @@
 from tealcove.orders import drains, steward
 from tealcove.orders import role as orders_role
 from tealcove.peers import endpoint, mesh, security
-from tealcove.platform import client, services
 from tealcove.quarantine import role as quarantine_role
 from tealcove.resources import copy, kinds
 from tealcove.resources import role as configuration
+from tealcove.storage import client, services
 from tealcove.witness import role as witness_role
 
 LOG = logbook.Logger("daemon")
--- a/src/tealcove/dispatch/reading.py
+++ b/src/tealcove/dispatch/reading.py
@@ -10,7 +10,7 @@
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.dispatch import holds, messages
-from tealcove.platform import instances
+from tealcove.storage import instances
 
 log = logbook.Logger("dispatch")
 
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -21,7 +21,7 @@
 )
 from tealcove.membership import members
 from tealcove.peers import mesh
-from tealcove.platform import instances
+from tealcove.storage import instances
 
 log = logbook.Logger("dispatch")
 
--- a/src/tealcove/dispatch/tests/test_role.py
+++ b/src/tealcove/dispatch/tests/test_role.py
@@ -14,7 +14,7 @@
 from tealcove.dispatch.tests import builders, transport
 from tealcove.membership import members
 from tealcove.membership.tests import builders as membership_builders
-from tealcove.platform import instances
+from tealcove.storage import instances
 
 PATIENCE = 30.0
 SERVER = builders.server("s0")
--- a/src/tealcove/gauges.py
+++ b/src/tealcove/gauges.py
@@ -16,8 +16,8 @@
 from tealcove.dispatch import role
 from tealcove.membership import members
 from tealcove.peers import mesh
-from tealcove.platform import client
 from tealcove.resources import copy
+from tealcove.storage import client
 
 Read = Callable[[], float]
 ReadAll = Callable[[], Iterable[metrics.Observation]]
--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -11,7 +11,7 @@
 from tealcove import clock, errors, ids, tasks
 from tealcove.membership import members, messages
 from tealcove.peers import endpoint, mesh
-from tealcove.platform import instances
+from tealcove.storage import instances
 
 log = logbook.Logger("membership")
 
--- a/src/tealcove/orders/intents.py
+++ b/src/tealcove/orders/intents.py
@@ -13,7 +13,7 @@
 
 from tealcove import errors, ids
 from tealcove.backends import engine
-from tealcove.platform import table
+from tealcove.storage import table
 
 TABLE = "intents"
 ATTEMPTS = 3
--- a/src/tealcove/orders/lease.py
+++ b/src/tealcove/orders/lease.py
@@ -15,7 +15,7 @@
 import transitions
 
 from tealcove import errors, ids
-from tealcove.platform import table
+from tealcove.storage import table
 
 TABLE = "leases"
 NO_HOLDER = ""
--- a/src/tealcove/orders/steward.py
+++ b/src/tealcove/orders/steward.py
@@ -11,8 +11,8 @@
 from tealcove.backends import engine
 from tealcove.membership import members, messages
 from tealcove.orders import drains, giving, intents, lease, observing, plan, wanted
-from tealcove.platform import table, weights
 from tealcove.resources import copy, kinds
+from tealcove.storage import table, weights
 
 log = logbook.Logger("orders")
 
--- a/src/tealcove/orders/tests/builders.py
+++ b/src/tealcove/orders/tests/builders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove.orders import lease
-from tealcove.platform import memory
+from tealcove.storage import memory
 
 DURATION = 10.0
 MARGIN = 1.0
--- a/src/tealcove/orders/tests/test_intents.py
+++ b/src/tealcove/orders/tests/test_intents.py
@@ -7,7 +7,7 @@
 from tealcove import errors, ids
 from tealcove.backends import engine
 from tealcove.orders import intents
-from tealcove.platform import faults, memory
+from tealcove.storage import faults, memory
 
 POOL = ids.PoolId("engines")
 LONGEST = 30.0
--- a/src/tealcove/orders/tests/test_lease.py
+++ b/src/tealcove/orders/tests/test_lease.py
@@ -9,7 +9,7 @@
 from tealcove import errors
 from tealcove.orders import lease
 from tealcove.orders.tests import builders
-from tealcove.platform import memory, table
+from tealcove.storage import memory, table
 
 
 @pytest.fixture
--- a/src/tealcove/orders/tests/test_lease_machine.py
+++ b/src/tealcove/orders/tests/test_lease_machine.py
@@ -14,7 +14,7 @@
 from tealcove import errors
 from tealcove.orders import lease
 from tealcove.orders.tests import builders
-from tealcove.platform import faults, memory, table
+from tealcove.storage import faults, memory, table
 
 PARTICIPANTS = range(2)
 # Each participant's clock: where it started, and how fast it runs.
--- a/src/tealcove/quarantine/keeping.py
+++ b/src/tealcove/quarantine/keeping.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from tealcove import clock, errors, ids
-from tealcove.platform import table
 from tealcove.quarantine import marks
+from tealcove.storage import table
 
 log = logbook.Logger("quarantine")
 
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -10,8 +10,8 @@
 from tealcove.dispatch import messages, suspicion
 from tealcove.membership import heart, members
 from tealcove.peers import mesh
-from tealcove.platform import table
 from tealcove.quarantine import keeping, marks, sharing
+from tealcove.storage import table
 
 log = logbook.Logger("quarantine")
 
--- a/src/tealcove/quarantine/tests/test_keeping.py
+++ b/src/tealcove/quarantine/tests/test_keeping.py
@@ -5,9 +5,9 @@
 import pytest
 
 from tealcove import errors
-from tealcove.platform import faults, memory
 from tealcove.quarantine import keeping, marks
 from tealcove.quarantine.tests import builders
+from tealcove.storage import faults, memory
 
 D = builders.DIGEST
 T0 = builders.at(1000.0)
--- a/src/tealcove/resources/compaction.py
+++ b/src/tealcove/resources/compaction.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from tealcove import errors, ids
-from tealcove.platform import table
 from tealcove.resources import codec, copy, log, snapshots
+from tealcove.storage import table
 
 LOG = logbook.Logger("resources")
 
--- a/src/tealcove/resources/log.py
+++ b/src/tealcove/resources/log.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from tealcove import errors, ids
-from tealcove.platform import objects, table
 from tealcove.resources import codec, copy, kinds, refusals, snapshots
+from tealcove.storage import objects, table
 
 RESOURCES = "resources"
 CHANGES = "configuration-changes"
--- a/src/tealcove/resources/role.py
+++ b/src/tealcove/resources/role.py
@@ -10,7 +10,6 @@
 from tealcove.membership import force, heart, members
 from tealcove.membership import messages as membership_messages
 from tealcove.peers import mesh
-from tealcove.platform import objects, table
 from tealcove.resources import (
     api,
     compaction,
@@ -21,6 +20,7 @@
     reader,
     store,
 )
+from tealcove.storage import objects, table
 
 COMPACTION_KEY = "compaction"
 READERS_KEY = "configuration readers"
--- a/src/tealcove/resources/store.py
+++ b/src/tealcove/resources/store.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from tealcove import errors, ids
-from tealcove.platform import objects, table
 from tealcove.resources import codec, copy, decision, kinds, log, refusals
+from tealcove.storage import objects, table
 
 NONCE_BYTES = 12
 # Attempts of one change, each lost to another writer or of unknown outcome.
--- a/src/tealcove/resources/tests/builders.py
+++ b/src/tealcove/resources/tests/builders.py
@@ -6,8 +6,8 @@
 import hashlib
 
 from tealcove import ids
-from tealcove.platform import memory, objects, table
 from tealcove.resources import codec, compaction, copy, decision, edits, kinds, store
+from tealcove.storage import memory, objects, table
 
 OPERATOR = "erwan"
 
--- a/src/tealcove/resources/tests/test_api.py
+++ b/src/tealcove/resources/tests/test_api.py
@@ -8,9 +8,9 @@
 import pytest
 from aiohttp import test_utils, web
 
-from tealcove.platform import memory
 from tealcove.resources import api, compaction, kinds, refusals, status
 from tealcove.resources.tests import builders
+from tealcove.storage import memory
 
 SHOWN_HEADERS = ("Content-Type", "ETag", "Retry-After", "WWW-Authenticate")
 
--- a/src/tealcove/resources/tests/test_compaction.py
+++ b/src/tealcove/resources/tests/test_compaction.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tealcove.platform import memory
 from tealcove.resources import compaction, kinds, log, refusals
 from tealcove.resources.tests import builders
+from tealcove.storage import memory
 
 TIER = kinds.Kind.SERVICE_TIER
 SETTINGS = compaction.CompactionSettings(every=10, retained=5)
--- a/src/tealcove/resources/tests/test_copy.py
+++ b/src/tealcove/resources/tests/test_copy.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 
 from tealcove import errors
-from tealcove.platform import memory
 from tealcove.resources import accounts, compaction, copy, kinds, log, snapshots
 from tealcove.resources.tests import builders
+from tealcove.storage import memory
 
 ACCOUNT = kinds.Kind.CLIENT_ACCOUNT
 INSTANCES = st.integers(0, 2)
--- a/src/tealcove/resources/tests/test_reader.py
+++ b/src/tealcove/resources/tests/test_reader.py
@@ -7,9 +7,9 @@
 import pytest
 
 from tealcove import errors, ids
-from tealcove.platform import memory
 from tealcove.resources import kinds, reader, snapshots
 from tealcove.resources.tests import builders
+from tealcove.storage import memory
 
 TIER = kinds.Kind.SERVICE_TIER
 
--- a/src/tealcove/resources/tests/test_role.py
+++ b/src/tealcove/resources/tests/test_role.py
@@ -5,8 +5,8 @@
 from tealcove import clock, ids, settings
 from tealcove.membership.tests import builders as membership_builders
 from tealcove.peers import endpoint, mesh
-from tealcove.platform import memory
 from tealcove.resources import copy, role
+from tealcove.storage import memory
 
 
 def make_roles(count: int) -> list[role.ConfigurationRole]:
--- a/src/tealcove/resources/tests/test_store.py
+++ b/src/tealcove/resources/tests/test_store.py
@@ -7,9 +7,9 @@
 import pytest
 
 from tealcove import errors
-from tealcove.platform import memory, table
 from tealcove.resources import kinds, log, refusals
 from tealcove.resources.tests import builders
+from tealcove.storage import memory, table
 
 TIER = kinds.Kind.SERVICE_TIER
 
--- a/src/tealcove/standins/platform.py
+++ b/src/tealcove/standins/platform.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from tealcove import errors
-from tealcove.platform import (
+from tealcove.storage import (
     client,
     faults,
     instances,
--- a/src/tealcove/standins/tests/test_platform.py
+++ b/src/tealcove/standins/tests/test_platform.py
@@ -9,9 +9,9 @@
 import pytest
 
 from tealcove import errors
-from tealcove.platform import client, faults, services
-from tealcove.platform.tests import builders
 from tealcove.standins import platform
+from tealcove.storage import client, faults, services
+from tealcove.storage.tests import builders
 
 
 async def test_faults_are_switched_at_run_time_and_calls_counted():
--- a/src/tealcove/platform/client.py
+++ b/src/tealcove/storage/client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tealcove import errors
-from tealcove.platform import table
+from tealcove.storage import table
 
 T = TypeVar("T")
 
--- a/src/tealcove/platform/memory.py
+++ b/src/tealcove/storage/memory.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tealcove.platform import faults, instances, objects, table, weights
+from tealcove.storage import faults, instances, objects, table, weights
 
 # Changes of the instance list older than this are merged: the greatest lag.
 GREATEST_LIST_LAG = 600.0
--- a/src/tealcove/platform/services.py
+++ b/src/tealcove/storage/services.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tealcove.platform import client, instances, objects, table, weights
+from tealcove.storage import client, instances, objects, table, weights
 
 COMMIT_PATH = "/v1/table/commit"
 ROW_PATH = "/v1/table/row"
--- a/src/tealcove/platform/tests/builders.py
+++ b/src/tealcove/storage/tests/builders.py
@@ -6,8 +6,8 @@
 from collections.abc import AsyncIterator
 
 from tealcove import ids
-from tealcove.platform import client, instances, table
 from tealcove.standins import platform
+from tealcove.storage import client, instances, table
 
 PATIENT = client.Timeouts(connect=10.0, total=30.0)
 
--- a/src/tealcove/platform/tests/test_memory.py
+++ b/src/tealcove/storage/tests/test_memory.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tealcove import errors
-from tealcove.platform import faults, memory, table
-from tealcove.platform.tests import builders
+from tealcove.storage import faults, memory, table
+from tealcove.storage.tests import builders
 
 
 class Clock:
--- a/src/tealcove/platform/tests/test_services.py
+++ b/src/tealcove/storage/tests/test_services.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tealcove import errors
-from tealcove.platform import client, faults, services, table
-from tealcove.platform.tests import builders
+from tealcove.storage import client, faults, services, table
+from tealcove.storage.tests import builders
 
 
 async def test_rows_commit_read_scan_delete():
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -17,8 +17,8 @@
 
 from tealcove import bearer
 from tealcove.membership import ranking
-from tealcove.platform import client, instances, services
 from tealcove.resources import copy, decision, edits, kinds, store
+from tealcove.storage import client, instances, services
 from tests import callers
 
 T = TypeVar("T")
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -12,9 +12,9 @@
 
 from tealcove import bearer, daemon, settings
 from tealcove.membership import ranking
-from tealcove.platform import client, services
 from tealcove.resources import copy, decision, edits, kinds, store
 from tealcove.standins import engine, platform, service
+from tealcove.storage import client, services
 from tests import callers, deployment
 
 HOST = "127.0.0.1"
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -9,8 +9,8 @@
 import msgspec
 from syrupy import assertion
 
-from tealcove.platform import services
 from tealcove.resources import kinds
+from tealcove.storage import services
 from tests import callers, deployment
 
 SECONDS_PER_CALL = 1.0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,8 +9,8 @@
 import msgspec
 import syrupy
 
-from tealcove.platform import instances
 from tealcove.resources import kinds
+from tealcove.storage import instances
 from tests import callers, deployment
 
 LENGTH = 4
