--- /dev/null
+++ b/src/tealcove/catalog/pools.py
@@ -0,0 +1,68 @@
+"""The backend servers as pools, in the form that dispatching takes."""
+
+from __future__ import annotations
+
+from tealcove import ids
+from tealcove.catalog import copies, declared
+from tealcove.resources import kinds
+
+WRITER = "store"
+
+
+class Pools:
+    """Pools by service; each is made anew only when its servers have changed."""
+
+    def __init__(self, servers: copies.ServersCopy) -> None:
+        self.servers = servers
+        self.found: dict[str, kinds.Resource] = {}
+
+    def refresh(self) -> None:
+        """Take over the servers as they are now."""
+        by_service = self.servers.by_service()
+        for service in set(self.found) | set(by_service):
+            spec = spec_of(by_service.get(service, []))
+            known = self.found.get(service)
+            if known is None or known.spec != spec:
+                self.found[service] = resource(service, spec, self.servers.revision)
+
+    @property
+    def current(self) -> Pools:
+        """The pools now; see dispatch.spread.PoolsOwner."""
+        return self
+
+    def pool(self, name: str) -> kinds.Resource | None:
+        """Return a service's pool; None when it never had a server."""
+        return self.found.get(name)
+
+
+def spec_of(found: list[declared.BackendServer]) -> kinds.ServicePoolSpec:
+    """Return the spec of a pool of some servers, in order of name."""
+    servers = tuple(
+        kinds.BackendServerSpec(
+            name=server.name,
+            host=server.host,
+            port=server.port,
+            data_centre=server.data_centre,
+            slots=server.slots,
+            state=state_of(server),
+        )
+        for server in sorted(found, key=lambda server: server.name)
+    )
+    return kinds.ServicePoolSpec(servers=servers)
+
+
+def state_of(server: declared.BackendServer) -> kinds.ServerState:
+    """Return whether a server may get work."""
+    if server.state is declared.ServerState.LEAVING:
+        return kinds.ServerState.LEAVING
+    return kinds.ServerState.SERVING
+
+
+def resource(
+    service: str, spec: kinds.ServicePoolSpec, revision: ids.Revision
+) -> kinds.Resource:
+    """Return a pool as a resource."""
+    metadata = kinds.Metadata(
+        name=service, revision=revision, generation=0, changed_by=WRITER
+    )
+    return kinds.Resource(kind=kinds.Kind.SERVICE_POOL, metadata=metadata, spec=spec)
--- a/src/tealcove/cli.py
+++ b/src/tealcove/cli.py
@@ -16,6 +16,7 @@
     demo,
     entrypoints,
     exits,
+    front,
     get,
     keys,
     request,
@@ -40,6 +41,7 @@
 
     command: cappa.Subcommands[
         serve.Serve
+        | front.Front
         | check.Check
         | demo.Demo
         | get.Get
--- /dev/null
+++ b/src/tealcove/commands/front.py
@@ -0,0 +1,28 @@
+"""`tealcove front`: run one instance on the users' platform."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+
+
+@cappa.command(
+    name="front",
+    help="Run an instance on the users' platform until SIGTERM.",
+)
+@dataclasses.dataclass
+class Front:
+    """Arguments of `front`."""
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, value_name="FILE", help="The instance's settings.")
+    ]
+
+    async def __call__(self) -> None:
+        """Read the settings and run the daemon."""
+        # Imported here so that other commands start without the daemon's parts.
+        from tealcove.front import daemon
+
+        await daemon.serve(self.settings)
--- /dev/null
+++ b/src/tealcove/dispatch/backendview.py
@@ -0,0 +1,168 @@
+"""A backend server as the goal scheduler sees it: slots, runs, speed, failures."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tealcove import ids
+from tealcove.dispatch import messages
+from tealcove.resources import kinds
+
+# What is taken for a server's speed until the first completions tell: those of a
+# fast engine, since a guess that is too slow would refuse work it could serve.
+FIRST_PROMPT_SECONDS = 1 / 50_000
+FIRST_TOKEN_SECONDS = 0.006
+FIRST_CALL_SECONDS = 0.08
+# Seconds from dispatch to the first token that no prompt token explains.
+BASE_SECONDS = 0.03
+# The weight of a new observation: two of them count for more than all before, so
+# that a server that has slowed down is known after two completions.
+WEIGHT = 0.4
+# Prompts below this tell nothing of the time that a prompt token takes.
+LEAST_PROMPT_TOKENS = 300
+LEAST_OUTPUT_TOKENS = 8
+# Share of a token's time by which each other run of the batch slows it.
+CROWD_SLOWDOWN = 0.03
+# Weight of one more failure or success in a server's share of failures.
+FAILURE_WEIGHT = 0.15
+# Seconds for which a server gets nothing after it couldn't be reached; doubled up
+# to the longest while that goes on. Its entry is dropped after some seconds anyway.
+FIRST_PAUSE = 0.3
+LONGEST_PAUSE = 2.0
+# A run is overdue beyond its prediction times this, plus the grace in seconds.
+OVERDUE_FACTOR = 3.0
+OVERDUE_GRACE = 0.4
+# Failures in a row after which a server only gets one request at a time.
+FAILURES_TO_PROBE = 4
+
+
+class Run(msgspec.Struct):
+    """A ticket that holds a slot."""
+
+    ticket: messages.Ticket
+    started: ids.Instant
+    # When its entry last told of it.
+    told: ids.Instant
+    # Prompt tokens to read before its first token, those of others included.
+    work: float = 0.0
+    # Predicted seconds to the first token and to the end.
+    first: float = 0.0
+    total: float = 0.0
+    has_first_token: bool = False
+    # Granted by another dispatcher, so that its times can't be learnt from.
+    is_adopted: bool = False
+
+    def is_overdue(self, now: ids.Instant) -> bool:
+        """Tell whether the run should have shown something long ago."""
+        expected = self.total if self.has_first_token else self.first
+        return now - self.started > expected * OVERDUE_FACTOR + OVERDUE_GRACE
+
+
+class BackendView:
+    """What is known of one backend server."""
+
+    def __init__(self, spec: kinds.BackendServerSpec) -> None:
+        self.name = ids.BackendServerId(spec.name)
+        self.spec = spec
+        self.runs: dict[ids.TicketId, Run] = {}
+        # Seconds for each prompt token, for each output token, and for a call.
+        self.prompt_seconds = FIRST_PROMPT_SECONDS
+        self.token_seconds = FIRST_TOKEN_SECONDS
+        self.call_seconds = FIRST_CALL_SECONDS
+        self.observations = 0
+        # Share of its requests that fail, lately.
+        self.failures = 0.0
+        self.failed_in_row = 0
+        self.paused_until = ids.Instant(0.0)
+        self.pause = FIRST_PAUSE
+
+    def room(self, now: ids.Instant) -> int:
+        """Return how many more requests it may get now."""
+        if self.spec.state is not kinds.ServerState.SERVING or now < self.paused_until:
+            return 0
+        if any(run.is_overdue(now) for run in self.runs.values()):
+            # It hangs, or is far slower than it was: what it has is enough to see.
+            return 0
+        slots = 1 if self.failed_in_row >= FAILURES_TO_PROBE else self.spec.slots
+        return slots - len(self.runs)
+
+    def pending(self, now: ids.Instant) -> float:
+        """Return the prompt tokens that it still has to read."""
+        tokens = 0.0
+        for run in self.runs.values():
+            if not run.has_first_token:
+                read = (now - run.started) / self.prompt_seconds
+                tokens += max(0.0, run.ticket.prompt_tokens - read)
+        return tokens
+
+    def first_seconds(self, ticket: messages.Ticket, pending: float) -> float:
+        """Return the seconds to a ticket's first token, or to a call's answer."""
+        if ticket.prompt_tokens == 0:
+            return self.call_seconds
+        return BASE_SECONDS + (pending + ticket.prompt_tokens) * self.prompt_seconds
+
+    def total_seconds(self, ticket: messages.Ticket, pending: float) -> float:
+        """Return the seconds to a ticket's end."""
+        first = self.first_seconds(ticket, pending)
+        crowd = 1.0 + CROWD_SLOWDOWN * len(self.runs)
+        return first + expected_tokens(ticket) * self.token_seconds * crowd
+
+    def start(self, ticket: messages.Ticket, now: ids.Instant) -> Run:
+        """Give a slot to a ticket."""
+        pending = self.pending(now)
+        run = Run(
+            ticket=ticket,
+            started=now,
+            told=now,
+            work=pending + ticket.prompt_tokens,
+            first=self.first_seconds(ticket, pending),
+            total=self.total_seconds(ticket, pending),
+        )
+        self.runs[ticket.ticket_id] = run
+        return run
+
+    def learn_first(self, run: Run, seconds: float) -> None:
+        """Learn from the time to a first token."""
+        if run.is_adopted or run.ticket.prompt_tokens < LEAST_PROMPT_TOKENS:
+            return
+        seen = max(0.0, seconds - BASE_SECONDS) / run.work
+        self.prompt_seconds += self.weight() * (seen - self.prompt_seconds)
+
+    def learn_end(self, run: Run, done: messages.Done) -> None:
+        """Learn from a completed request."""
+        if run.is_adopted:
+            return
+        weight = self.weight()
+        if run.ticket.prompt_tokens == 0:
+            self.call_seconds += weight * (done.total_seconds - self.call_seconds)
+        elif done.output_tokens >= LEAST_OUTPUT_TOKENS:
+            streamed = done.total_seconds - done.first_token_seconds
+            crowd = 1.0 + CROWD_SLOWDOWN * len(self.runs)
+            seen = streamed / done.output_tokens / crowd
+            self.token_seconds += weight * (seen - self.token_seconds)
+        self.observations += 1
+
+    def weight(self) -> float:
+        """Return the weight of a new observation; the first replaces the guess."""
+        return WEIGHT if self.observations else 1.0
+
+    def note_success(self) -> None:
+        """Take a served request into the share of failures."""
+        self.failures -= FAILURE_WEIGHT * self.failures
+        self.failed_in_row = 0
+        self.pause = FIRST_PAUSE
+
+    def note_failure(self) -> None:
+        """Take a failed request into the share of failures."""
+        self.failures += FAILURE_WEIGHT * (1.0 - self.failures)
+        self.failed_in_row += 1
+
+    def note_unreachable(self, now: ids.Instant) -> None:
+        """Give it nothing for a while."""
+        self.paused_until = ids.Instant(now + self.pause)
+        self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+
+
+def expected_tokens(ticket: messages.Ticket) -> int:
+    """Return the output tokens of a ticket that are likely."""
+    return ticket.expected_tokens or ticket.output_tokens
--- a/src/tealcove/dispatch/cells.py
+++ b/src/tealcove/dispatch/cells.py
@@ -39,10 +39,12 @@
 
 
 def of_pool(
-    pool: ids.PoolId, spec: kinds.EnginePoolSpec | kinds.ServicePoolSpec
+    pool: ids.PoolId,
+    spec: kinds.EnginePoolSpec | kinds.ServicePoolSpec,
+    most: int = kinds.CELL_SERVERS,
 ) -> tuple[Cell, ...]:
-    """Return the cells of a pool with the pool's settings."""
-    found = divide(pool, spec.servers)
+    """Return the cells of a pool with the pool's settings, each of `most` servers."""
+    found = divide(pool, spec.servers, most)
     if not isinstance(spec, kinds.EnginePoolSpec):
         return found
     return tuple(
@@ -54,11 +56,13 @@
 
 
 def divide(
-    pool: ids.PoolId, servers: tuple[kinds.BackendServerSpec, ...]
+    pool: ids.PoolId,
+    servers: tuple[kinds.BackendServerSpec, ...],
+    most: int = kinds.CELL_SERVERS,
 ) -> tuple[Cell, ...]:
     """Return the cells of a pool, neighbours by data centre together."""
     ordered = sorted(servers, key=lambda server: (server.data_centre, server.name))
-    count = max(1, -(-len(ordered) // kinds.CELL_SERVERS))
+    count = max(1, -(-len(ordered) // most))
     size = -(-len(ordered) // count)
     return tuple(
         Cell(
--- /dev/null
+++ b/src/tealcove/dispatch/goal.py
@@ -0,0 +1,377 @@
+"""The scheduler for callers who hope for a first event within a goal."""
+
+from __future__ import annotations
+
+import math
+
+import logbook
+
+from tealcove import ids
+from tealcove.backends import engine
+from tealcove.dispatch import (
+    backendview,
+    cells,
+    messages,
+    scheduler,
+    suspicion,
+    waitingline,
+)
+
+log = logbook.Logger("dispatch")
+
+# A slot or ticket that its entry hasn't told of for so long is given up. Entries
+# tell of all their tickets every requester.REFRESH_INTERVAL, so that three such
+# messages are missing. Kept for 8 s, the slots of untold requests cost a successor
+# a third of its work after a takeover.
+UNTOLD_SECONDS = 3.5
+# Seconds between two looks at what only the passing of time changes.
+REVIEW_INTERVAL = 0.1
+# A failing server counts as slower by up to so many times.
+FAILURE_COST = 3.0
+# Shortest Retry-After in seconds, and by how much they are spread, so that callers
+# who were refused together don't come back together.
+SHORTEST_RETRY = 0.15
+LONGEST_RETRY = 5.0
+RETRY_SPREAD = 0.5
+SPREAD_STEPS = 1000
+
+
+class GoalScheduler(scheduler.Scheduler):
+    """Rank first, then goals in reach, each ticket where it ends soonest."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ids.BackendServerId, backendview.BackendView] = {}
+        self.where: dict[ids.TicketId, backendview.BackendView] = {}
+        self.line: dict[ids.TicketId, waitingline.Waiting] = {}
+        self.suspicion: suspicion.Suspicion = suspicion.NoSuspicion()
+        self.gather_until = ids.Instant(0.0)
+        self.next_review = ids.Instant(0.0)
+
+    def suspect_by(self, suspicion: suspicion.Suspicion) -> None:
+        """See Scheduler."""
+        self.suspicion = suspicion
+
+    def gather(self, until: ids.Instant) -> None:
+        """See Scheduler."""
+        self.gather_until = until
+
+    def depth(self) -> tuple[int, int]:
+        """See Scheduler."""
+        return len(self.line), len(self.where)
+
+    def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        names = set()
+        for spec in cell.servers:
+            name = ids.BackendServerId(spec.name)
+            names.add(name)
+            if name in self.servers:
+                self.servers[name].spec = spec
+            else:
+                self.servers[name] = self.new_view(backendview.BackendView(spec))
+        for name in [name for name in self.servers if name not in names]:
+            for ticket_id in self.servers.pop(name).runs:
+                del self.where[ticket_id]
+        return self.decide(now)
+
+    def new_view(self, view: backendview.BackendView) -> backendview.BackendView:
+        """Let a new server start from the speed of the middle one of the others."""
+        known = [other for other in self.servers.values() if other.observations]
+        if known:
+            known.sort(key=lambda other: other.prompt_seconds)
+            middle = known[len(known) // 2]
+            view.prompt_seconds = middle.prompt_seconds
+            view.token_seconds = middle.token_seconds
+            view.call_seconds = middle.call_seconds
+        return view
+
+    def enqueue(
+        self, ticket: messages.Ticket, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        if ticket.running_on is not None:
+            self.adopt(ticket, now)
+            return []
+        server = self.where.get(ticket.ticket_id)
+        if server is not None:
+            # The entry asks again: it didn't get the grant.
+            server.runs[ticket.ticket_id].told = now
+            return [tell_grant(ticket, server)]
+        queued = messages.Queued(ticket_id=ticket.ticket_id)
+        answer = scheduler.Outgoing(ticket.entry, queued)
+        known = self.line.get(ticket.ticket_id)
+        if known is not None:
+            known.told = now
+            return [answer]
+        if self.suspicion.is_quarantined(ticket.digest):
+            reason = messages.RefusalReason.QUARANTINED
+            return [self.refusal(ticket, reason, LONGEST_RETRY, now)]
+        self.line[ticket.ticket_id] = self.wait(ticket, now)
+        return [answer, *self.decide(now)]
+
+    def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingline.Waiting:
+        """Return a ticket as it stands in the line."""
+        first, total = self.best_seconds(ticket)
+        start_by = now + ticket.remaining - total - waitingline.MARGIN
+        if ticket.patience > 0.0:
+            leaves_at = now + ticket.patience - first - waitingline.MARGIN
+            start_by = min(start_by, leaves_at)
+        goal_at = now + ticket.goal if ticket.goal > 0.0 else math.inf
+        return waitingline.Waiting(
+            ticket=ticket,
+            since=ids.Instant(now - ticket.waited),
+            told=now,
+            goal_at=ids.Instant(goal_at),
+            start_by=ids.Instant(start_by),
+            best_first=first,
+        )
+
+    def best_seconds(self, ticket: messages.Ticket) -> tuple[float, float]:
+        """Return the least seconds to a ticket's first token and to its end."""
+        excluded = self.excluded(ticket)
+        usable = [s for s in self.servers.values() if s.name not in excluded]
+        if not usable:
+            return 0.0, 0.0
+        first = min(server.first_seconds(ticket, 0.0) for server in usable)
+        return first, min(server.total_seconds(ticket, 0.0) for server in usable)
+
+    def adopt(self, ticket: messages.Ticket, now: ids.Instant) -> None:
+        """Take in a request that another dispatcher granted."""
+        self.line.pop(ticket.ticket_id, None)
+        server = self.servers.get(ticket.running_on)
+        if server is None:
+            return
+        known = server.runs.get(ticket.ticket_id)
+        if known is not None:
+            known.told = now
+            return
+        self.release(ticket.ticket_id)
+        run = server.start(ticket, now)
+        run.is_adopted = True
+        run.has_first_token = True
+        self.where[ticket.ticket_id] = server
+
+    def withdraw(
+        self, ticket_id: ids.TicketId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        self.line.pop(ticket_id, None)
+        self.release(ticket_id)
+        return self.decide(now)
+
+    def release(
+        self, ticket_id: ids.TicketId
+    ) -> tuple[backendview.BackendView, backendview.Run] | None:
+        """Take a slot back; None when the ticket holds none."""
+        server = self.where.pop(ticket_id, None)
+        if server is None:
+            return None
+        return server, server.runs.pop(ticket_id)
+
+    def progress(
+        self, progress: messages.Progress, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        server = self.where.get(progress.ticket_id)
+        if server is None:
+            return []
+        run = server.runs[progress.ticket_id]
+        run.has_first_token = True
+        server.learn_first(run, progress.first_token_seconds)
+        return []
+
+    def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        released = self.release(done.ticket_id)
+        server = self.servers.get(done.server)
+        if server is not None:
+            self.note_outcome(server, done, now)
+        if released is not None and done.outcome is messages.Outcome.COMPLETED:
+            released[0].learn_end(released[1], done)
+        return self.decide(now)
+
+    def note_outcome(
+        self, server: backendview.BackendView, done: messages.Done, now: ids.Instant
+    ) -> None:
+        """Take in what the end of a request says of its server."""
+        if done.outcome is messages.Outcome.COMPLETED:
+            server.note_success()
+        elif done.outcome is messages.Outcome.FAILED:
+            server.note_failure()
+        elif done.outcome is not messages.Outcome.CANCELLED:
+            server.note_failure()
+            server.note_unreachable(now)
+            log.info(
+                "no work for {} for {:.1f} s: {}",
+                server.name,
+                server.paused_until - now,
+                done.outcome.value,
+            )
+
+    def report(
+        self,
+        server: ids.BackendServerId,
+        load: engine.LoadReport | None,
+        now: ids.Instant,
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler; load reports are too old to decide by."""
+        return []
+
+    def lose_entry(
+        self, entry: ids.InstanceId, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        for ticket_id in [i for i, w in self.line.items() if w.ticket.entry == entry]:
+            del self.line[ticket_id]
+        for ticket_id, server in list(self.where.items()):
+            if server.runs[ticket_id].ticket.entry == entry:
+                # The server stops as soon as the entry's connection is gone.
+                self.release(ticket_id)
+        return self.decide(now)
+
+    def tick(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        if now < self.next_review:
+            return []
+        self.next_review = ids.Instant(now + REVIEW_INTERVAL)
+        self.give_up_untold(now)
+        return self.decide(now)
+
+    def give_up_untold(self, now: ids.Instant) -> None:
+        """Forget tickets and slots of which no entry tells any more."""
+        since = now - UNTOLD_SECONDS
+        for ticket_id in [i for i, w in self.line.items() if w.told < since]:
+            del self.line[ticket_id]
+        for ticket_id, server in list(self.where.items()):
+            if server.runs[ticket_id].told < since:
+                log.info("slot of {} at {} is given up: untold", ticket_id, server.name)
+                self.release(ticket_id)
+
+    def decide(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """Grant free slots in order, and refuse what can't be in time."""
+        if not self.line or now < self.gather_until:
+            return []
+        ordered = sorted(self.line.values(), key=lambda w: waitingline.order(w, now))
+        outgoing = self.fill(ordered, now)
+        left = [w for w in ordered if w.ticket.ticket_id in self.line]
+        found = waitingline.forecast(left, self.servers.values(), now)
+        for waiting in found.hopeless:
+            del self.line[waiting.ticket.ticket_id]
+            reason = messages.RefusalReason.OVERLOAD
+            refusal = self.refusal(waiting.ticket, reason, found.drain, now)
+            outgoing.append(refusal)
+        return outgoing
+
+    def fill(
+        self, ordered: list[waitingline.Waiting], now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Grant free slots to tickets in order."""
+        free = [s for s in self.servers.values() if s.room(now) > 0]
+        outgoing = []
+        for waiting in ordered:
+            if not free:
+                break
+            server = self.choose(waiting, free, now)
+            if server is not None:
+                outgoing.append(self.grant(waiting, server, now))
+                free = [s for s in free if s.room(now) > 0]
+        return outgoing
+
+    def choose(
+        self,
+        waiting: waitingline.Waiting,
+        free: list[backendview.BackendView],
+        now: ids.Instant,
+    ) -> backendview.BackendView | None:
+        """Return the server where a ticket ends soonest, or None to wait on.
+
+        A ticket that would miss its goal at each free server, and could still meet
+        it elsewhere, waits for a better one.
+        """
+        ticket = waiting.ticket
+        best = None
+        best_cost = best_first = math.inf
+        excluded = self.excluded(ticket)
+        for server in free:
+            if server.name in excluded:
+                continue
+            pending = server.pending(now)
+            first = server.first_seconds(ticket, pending)
+            cost = server.total_seconds(ticket, pending)
+            cost *= 1.0 + FAILURE_COST * server.failures
+            if cost < best_cost:
+                best, best_cost, best_first = server, cost, first
+        if best is None:
+            return None
+        misses_goal = now + best_first > waiting.goal_at
+        if misses_goal and not waiting.is_late(now):
+            return None
+        return best
+
+    def excluded(self, ticket: messages.Ticket) -> frozenset[ids.BackendServerId]:
+        """Return the servers that a ticket mustn't get; none when that were all."""
+        excluded = frozenset(ticket.excluded)
+        return frozenset() if excluded.issuperset(self.servers) else excluded
+
+    def grant(
+        self,
+        waiting: waitingline.Waiting,
+        server: backendview.BackendView,
+        now: ids.Instant,
+    ) -> scheduler.Outgoing:
+        """Give a slot to a ticket of the line."""
+        ticket = waiting.ticket
+        del self.line[ticket.ticket_id]
+        run = server.start(ticket, now)
+        self.where[ticket.ticket_id] = server
+        log.info(
+            "granted {} after {:.3f} s: rank {}, {} wait, {} of {} slots, first {:.3f}",
+            server.name,
+            now - waiting.since,
+            ticket.tier_rank,
+            len(self.line),
+            len(server.runs),
+            server.spec.slots,
+            run.first,
+            extra={"request": ticket.request_id},
+        )
+        return tell_grant(ticket, server)
+
+    def refusal(
+        self,
+        ticket: messages.Ticket,
+        reason: messages.RefusalReason,
+        drain: float,
+        now: ids.Instant,
+    ) -> scheduler.Outgoing:
+        """Return the message that a ticket won't get a slot."""
+        part = hash(ticket.ticket_id) % SPREAD_STEPS / SPREAD_STEPS
+        after = max(SHORTEST_RETRY, drain) * (1.0 + RETRY_SPREAD * part)
+        after = min(LONGEST_RETRY, after)
+        log.info(
+            "refused: {}, rank {}, {} wait, {} run, drained in {:.3f} s",
+            reason.value,
+            ticket.tier_rank,
+            len(self.line),
+            len(self.where),
+            drain,
+            extra={"request": ticket.request_id},
+        )
+        refusal = messages.Refusal(
+            ticket_id=ticket.ticket_id, reason=reason, retry_after=after
+        )
+        return scheduler.Outgoing(ticket.entry, refusal)
+
+
+def tell_grant(
+    ticket: messages.Ticket, server: backendview.BackendView
+) -> scheduler.Outgoing:
+    """Return the message that a ticket holds a slot."""
+    grant = messages.Grant(
+        ticket_id=ticket.ticket_id,
+        cell=ticket.cell,
+        server=server.name,
+        host=server.spec.host,
+        port=server.spec.port,
+    )
+    return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/heldcell.py
+++ b/src/tealcove/dispatch/heldcell.py
@@ -56,7 +56,13 @@
         self.polls.clear()
 
     def poll_servers(self) -> None:
-        """Have one task that polls for each server of the cell."""
+        """Have one task that polls for each server of the cell.
+
+        None with an interval of 0, where servers tell of themselves otherwise and
+        each poll is paid for.
+        """
+        if self.poll_interval == 0.0:
+            return
         wanted = {
             ids.BackendServerId(spec.name): engine.Server(
                 ids.BackendServerId(spec.name), spec.host, spec.port
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -63,6 +63,14 @@
     running_on: ids.BackendServerId | None = None
     # The trace that it's a hop of; empty when that isn't recorded.
     traceparent: str = ""
+    # Seconds until the caller hopes for the answer, or a stream's first event;
+    # 0: it has named no such goal.
+    goal: float = 0.0
+    # Seconds until the caller leaves if no event of its stream has come by then;
+    # 0: it waits to its deadline.
+    patience: float = 0.0
+    # Output tokens that are likely; 0: not known.
+    expected_tokens: int = 0
 
 
 class Queued(message.Message):
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -13,7 +13,7 @@
 from tealcove.peers import mesh, message
 
 # Seconds after which the dispatcher is told of a ticket again.
-REFRESH_INTERVAL = 2.0
+REFRESH_INTERVAL = 1.0
 
 
 # Gets a ticket, how its request ended, whether it ran alone, and the time.
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -63,7 +63,9 @@
         suspects: suspicion.Suspicion | None = None,
         listed: Callable[[], tuple[instances.ListedInstance, ...]] = tuple,
         source: telemetry.Source | None = None,
+        gather_seconds: float = GATHER_SECONDS,
     ) -> None:
+        self.gather_seconds = gather_seconds
         self.transport = transport
         self.members = known
         self.find_cell = find_cell
@@ -175,7 +177,7 @@
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
-            held.decider.gather(ids.Instant(now + GATHER_SECONDS))
+            held.decider.gather(ids.Instant(now + self.gather_seconds))
         self.send(held.decider.configure(cell, now))
         for server in self.holds.of_cell(cell, now):
             self.send(held.decider.hold_back(server, now))
@@ -265,7 +267,7 @@
         that are counted as free here.
         """
         for held in self.held.values():
-            held.decider.gather(ids.Instant(now + GATHER_SECONDS))
+            held.decider.gather(ids.Instant(now + self.gather_seconds))
 
     def drop_lost_entries(self, now: ids.Instant) -> None:
         """Tell the schedulers which entries are silent or were replaced."""
--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -4,13 +4,14 @@
 
 import collections
 import hashlib
+import typing
 from collections.abc import Callable
 
 import msgspec
 
 from tealcove import ids
 from tealcove.dispatch import cells
-from tealcove.resources import copy, kinds
+from tealcove.resources import kinds
 
 # By so many tickets of this entry for each of its slots the near cell must be
 # fuller than the other one before a request goes there, away from the cache.
@@ -20,6 +21,21 @@
 Delay = Callable[[ids.DataCentreId], float]
 
 
+class Pools(typing.Protocol):
+    """Pools by name, as they are in force."""
+
+    def pool(self, name: str) -> kinds.Resource | None:
+        """Return a pool; None when there is none of that name."""
+
+
+class PoolsOwner(typing.Protocol):
+    """Whoever keeps the pools that are in force."""
+
+    @property
+    def current(self) -> Pools:
+        """The pools now."""
+
+
 class Divided(msgspec.Struct, frozen=True):
     """A pool as it was divided, and the cells that are nearest."""
 
@@ -37,9 +53,16 @@
     taken (power of two choices): one popular prefix mustn't fill a single cell.
     """
 
-    def __init__(self, own: copy.ConfigurationCopy, delay: Delay) -> None:
+    def __init__(
+        self,
+        own: PoolsOwner,
+        delay: Delay,
+        cell_servers: int = kinds.CELL_SERVERS,
+    ) -> None:
         self.copy = own
         self.delay = delay
+        # Backend servers in one cell at the most.
+        self.cell_servers = cell_servers
         self.divided: dict[str, Divided] = {}
         # Tickets of this entry that wait or run, by cell.
         self.tickets: collections.Counter[ids.CellId] = collections.Counter()
@@ -49,7 +72,9 @@
         known = self.divided.get(pool.metadata.name)
         if known is not None and known.pool is pool:
             return known
-        found = cells.of_pool(ids.PoolId(pool.metadata.name), pool.spec)
+        found = cells.of_pool(
+            ids.PoolId(pool.metadata.name), pool.spec, self.cell_servers
+        )
         nearest = min(self.distance(cell) for cell in found)
         near = tuple(cell for cell in found if self.distance(cell) == nearest)
         divided = Divided(pool, found, near)
--- /dev/null
+++ b/src/tealcove/front/instance.py
@@ -0,0 +1,334 @@
+"""One instance on the users' platform: its roles put together."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+from aiohttp import web
+
+from tealcove import (
+    clock,
+    errors,
+    ids,
+    listener,
+    probes,
+    tasks,
+    telemetry,
+)
+from tealcove.catalog import copies, follower, pools, sharing
+from tealcove.dispatch import policy, requester, role, spread
+from tealcove.front import places, settings
+from tealcove.ingress import budget, exchange, http
+from tealcove.limits import limit
+from tealcove.limits import role as limits_role
+from tealcove.membership import heart, members, messages
+from tealcove.peers import endpoint, mesh
+from tealcove.platform import (
+    callers,
+    directory,
+    documents,
+    engines,
+    names,
+    services,
+    store,
+)
+from tealcove.quarantine import role as quarantine_role
+from tealcove.storage import instances, rowlist
+
+log = logbook.Logger("instance")
+
+# One cell for each service: up to this many backend servers have one queue, so
+# that the order among callers is exact. A ticket costs its dispatcher some 0.1 ms.
+CELL_SERVERS = 128
+# Seconds between two looks at the list of instances: heartbeats tell of new ones,
+# and each look is paid for.
+LIST_INTERVALS = heart.ListIntervals(first=1.0, longest=60.0)
+# A content that has crashed so many backend servers isn't run for a time. Engines
+# crash for reasons of their own as well, with all that runs on them.
+CRASHES_TO_QUARANTINE = 3
+# Seconds for which a new dispatcher waits for word of what runs: one heartbeat.
+GATHER_SECONDS = 0.25
+# Seconds between two looks at lapsed servers and at readiness.
+LOOK_INTERVAL = 0.1
+# Times the directory's answers' life for which some callers keep them.
+LONGEST_KEPT = 3.0
+# Seconds before SIGKILL at which what still runs is broken off: its callers come
+# back elsewhere while their time lasts.
+END_MARGIN = 0.4
+
+
+class Instance:
+    """All that one process does."""
+
+    def __init__(self, found: settings.FrontSettings) -> None:
+        self.settings = found
+        self.name = ids.InstanceId(found.instance)
+        self.incarnation = ids.new_incarnation()
+        self.telemetry = telemetry.Telemetry(found)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.listeners: list[listener.Listener] = []
+        self.runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Start all roles; accepts requests once a configuration is known."""
+        self.start_store()
+        self.start_mesh()
+        self.start_catalog()
+        self.start_dispatcher()
+        await self.start_ingress()
+        await self.start_directory()
+        await self.start_metrics()
+        self.heart.start()
+        self.mesh.take_in()
+        self.follow()
+        log.info(
+            "started: incarnation {}, callers at {}, peers at {}, store at {}",
+            self.incarnation,
+            self.settings.listen.callers,
+            self.settings.listen.peers,
+            self.settings.store.address,
+        )
+
+    def start_store(self) -> None:
+        """Make the client of the store; it connects at its first call."""
+        found = self.settings.store
+        self.store = store.StoreClient(
+            f"http://{found.address}", store.Timeouts(1.0, found.timeout_seconds)
+        )
+
+    def start_mesh(self) -> None:
+        """Listen for peers."""
+        listen = endpoint.parse(self.settings.listen.peers)
+        at = endpoint.parse(self.settings.listen.callers)
+        self.mesh = mesh.Mesh(self.name, self.incarnation, listen)
+        self.mesh.listen_for_peers()
+        data_centre = ids.DataCentreId(self.settings.data_centre)
+        own = messages.Heartbeat(
+            instance=self.name,
+            incarnation=self.incarnation,
+            lifecycle=messages.Lifecycle.JOINING,
+            data_centre=data_centre,
+            host=at.host,
+            http_port=at.port,
+            peer_host=self.mesh.listen.host,
+            peer_port=self.mesh.listen.port,
+            revision=ids.Revision(0),
+        )
+        beat = self.settings.heartbeat
+        self.members = members.Members(own, beat.suspect_after, beat.forget_after)
+        listed = instances.ListedInstance(
+            name=self.name,
+            kind=instances.ListedKind.INSTANCE,
+            state=instances.ListedState.LIVE,
+            host=listen.host,
+            http_port=at.port,
+            peer_port=listen.port,
+            data_centre=data_centre,
+        )
+        self.heart = heart.Heart(
+            self.mesh,
+            self.members,
+            rowlist.RowInstanceList(services.StoreTable(self.store), listed),
+            tuple(endpoint.parse(seed) for seed in self.settings.seeds),
+            beat.interval,
+            LIST_INTERVALS,
+        )
+
+    def start_catalog(self) -> None:
+        """Keep copies of what is declared."""
+        self.configuration = copies.ConfigurationCopy(
+            names.CONFIGURATION_KEY, documents.decode_configuration
+        )
+        self.servers = copies.ServersCopy(documents.decode_server)
+        self.pools = pools.Pools(self.servers)
+        self.servers.listeners.append(self.take_servers)
+        self.sharing = sharing.Sharing(
+            self.mesh, self.members, self.heart, (self.configuration, self.servers)
+        )
+        self.sharing.start()
+
+    def start_dispatcher(self) -> None:
+        """Start the dispatcher, the side that asks, and what decides by account."""
+        found = self.settings
+        self.quarantine = quarantine_role.Quarantine(
+            self.mesh,
+            self.members,
+            self.heart,
+            None,
+            found.quarantine.seconds,
+            CRASHES_TO_QUARANTINE,
+        )
+        self.quarantine.start()
+        self.limits = limits_role.Limits(
+            self.mesh, self.members, self.find_limit, clock.now()
+        )
+        self.limits.start()
+        self.spread = spread.Spread(self.pools, lambda other: 0.0, CELL_SERVERS)
+        self.dispatcher = role.Dispatcher(
+            self.mesh,
+            self.members,
+            self.spread.find,
+            policy.find(found.dispatch.policy),
+            None,
+            0.0,
+            self.quarantine,
+            source=self.telemetry,
+            gather_seconds=GATHER_SECONDS,
+        )
+        self.dispatcher.start()
+        self.tickets = requester.Requester(
+            self.mesh, self.members, found.dispatch.ticket_timeout, self.spread
+        )
+        self.tickets.start()
+        self.tickets.listeners.append(self.quarantine.ended)
+
+    async def start_ingress(self) -> None:
+        """Listen for callers."""
+        found = self.settings
+        self.link = engines.EngineLink()
+        await self.link.start()
+        allowance = budget.Allowance(
+            found.repeats.ratio, found.repeats.slack, found.repeats.window_seconds
+        )
+        self.ingress = http.Ingress(
+            exchange.Services(
+                link=self.link,
+                tickets=self.tickets,
+                budget=budget.Budget(allowance, self.count_instances),
+                entry=self.name,
+            ),
+            self.configuration,
+            self.spread,
+            self.limits,
+            self.quarantine,
+            callers.CallerCodec(),
+            self.telemetry,
+        )
+        app = web.Application(client_max_size=found.limits.body_bytes)
+        app.add_routes(self.ingress.routes())
+        listening = listener.Listener(app, found.limits)
+        at = endpoint.parse(found.listen.callers)
+        await listening.start(at.host, at.port, None)
+        self.listeners.append(listening)
+
+    async def start_directory(self) -> None:
+        """Listen for those who ask where to connect, and whether this is ready."""
+        found = self.settings
+        self.directory = directory.Directory(
+            places.MemberPlaces(self.members), found.leaving.directory_ttl_seconds
+        )
+        await self.serve(found.listen.directory, self.directory.routes())
+        await self.serve(found.listen.ready, self.directory.ready_routes())
+
+    async def start_metrics(self) -> None:
+        """Show the metrics; an instance works on without."""
+        port = self.settings.listen.metrics_port
+        if port == 0:
+            return
+        host = endpoint.parse(self.settings.listen.callers).host
+        shown = probes.Probes(self.members, self.telemetry)
+        try:
+            await self.serve(f"{host}:{port}", shown.routes())
+        except OSError as error:
+            log.warning("no metrics at port {}: {}", port, error)
+
+    async def serve(self, address: str, routes: list[web.RouteDef]) -> None:
+        """Listen at an address with some handlers."""
+        app = web.Application()
+        app.add_routes(routes)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        await runner.setup()
+        at = endpoint.parse(address)
+        await web.TCPSite(runner, at.host, at.port).start()
+        self.runners.append(runner)
+
+    def follow(self) -> None:
+        """Begin to follow the store, and to look at what only time changes."""
+        for table, copy in (
+            (names.OPERATOR_TABLE, self.configuration),
+            (names.SERVERS_TABLE, self.servers),
+        ):
+            following = follower.Follower(self.store, table, copy)
+            self.tasks.append(tasks.start(following.run(), f"follower of {table}"))
+        self.tasks.append(tasks.start(self.look(), "readiness"))
+
+    async def look(self) -> None:
+        """Look at readiness and lapsed servers until cancelled."""
+        while True:
+            now = clock.now()
+            self.servers.end_lapses(now)
+            self.check_readiness()
+            await asyncio.sleep(LOOK_INTERVAL)
+
+    def check_readiness(self) -> None:
+        """Take requests as soon as a configuration is known."""
+        is_joining = self.members.own.lifecycle is messages.Lifecycle.JOINING
+        if is_joining and self.configuration.current is not None:
+            log.info("ready at configuration {}", self.configuration.revision)
+            self.members.update_own(lifecycle=messages.Lifecycle.SERVING)
+            self.heart.tell_all()
+
+    def take_servers(self) -> None:
+        """Put a new list of backend servers in force."""
+        self.pools.refresh()
+        self.dispatcher.reconfigure()
+
+    def find_limit(self, account: ids.AccountId) -> limit.Limit | None:
+        """Return an account's limit by the configuration in force, if it has one."""
+        current = self.configuration.current
+        found = None if current is None else current.accounts.get(account)
+        return None if found is None else found.limit
+
+    def count_instances(self) -> int:
+        """Return how many instances serve, this one included."""
+        return len(self.members.serving(clock.now()))
+
+    async def leave(self) -> None:
+        """Leave gracefully: no request in progress is cut off if it can end.
+
+        Callers keep an answer of the directory for a while, so the instance goes
+        on serving until those have run out. From then on it takes nothing new, so
+        that what it has taken can end before it's killed.
+        """
+        began = clock.now()
+        log.info("leaves: {} requests in progress", len(self.ingress.in_progress))
+        self.members.update_own(lifecycle=messages.Lifecycle.LEAVING)
+        self.heart.tell_all()
+        self.ingress.is_leaving = True
+        leaving = self.settings.leaving
+        await asyncio.sleep(LONGEST_KEPT * leaving.directory_ttl_seconds)
+        self.ingress.is_closed = True
+        end = began + leaving.grace_seconds - END_MARGIN
+        while self.ingress.in_progress and clock.now() < end:
+            await asyncio.wait(set(self.ingress.in_progress), timeout=end - clock.now())
+        log.info("stops: {} requests broken off", len(self.ingress.in_progress))
+
+    async def stop(self) -> None:
+        """End all tasks and close all sockets."""
+        await tasks.stop(self.tasks)
+        for listening in self.listeners:
+            await listening.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.heart.stop()
+        await self.dispatcher.stop()
+        await self.quarantine.stop()
+        await self.limits.stop()
+        await self.tickets.stop()
+        await self.mesh.stop()
+        await self.link.stop()
+        await self.store.close()
+        self.telemetry.shutdown()
+
+
+async def start(found: settings.FrontSettings) -> Instance:
+    """Return a started instance; raises TealcoveError if it can't listen."""
+    instance = Instance(found)
+    try:
+        await instance.start()
+    except OSError as error:
+        raise errors.TealcoveError(
+            f"can't listen: {error}", "See the addresses under `listen`."
+        ) from error
+    return instance
--- /dev/null
+++ b/src/tealcove/ingress/acceptance.py
@@ -0,0 +1,97 @@
+"""What is decided of a request when it arrives, before it waits for a slot."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+
+from tealcove import ids
+from tealcove.catalog import declared, lookup
+from tealcove.dispatch import messages
+from tealcove.entry import problem
+from tealcove.ingress import call, tickets
+
+DIGEST_BYTES = 16
+SEPARATOR = b"\0"
+# Seconds before the end of a request's time at which it gets its final answer, so
+# that the answer is there when the time is over: ways to the caller take 3 ms, and
+# a loop under load is some tens of milliseconds late.
+ANSWER_MARGIN = 0.06
+# Seconds after which a caller may try an instance that isn't ready.
+NOT_READY_RETRY = 0.5
+HTTP_UNAUTHORIZED = 401
+HTTP_NOT_FOUND = 404
+
+
+def accept(
+    received: call.Call, current: lookup.Lookup | None, arrived: ids.Instant
+) -> tickets.Terms:
+    """Return what holds for a request; raises ProblemError."""
+    if current is None:
+        # Not 404 or 401: this instance doesn't know yet what is there.
+        raise problem.not_run(messages.RefusalReason.NOT_READY, NOT_READY_RETRY)
+    route = current.find_route(received.host, received.path)
+    if route is None:
+        raise problem.rejected(
+            HTTP_NOT_FOUND,
+            "No route leads there",
+            f"See host and path; routes of revision {current.revision}.",
+        )
+    account = current.find_account(received.key)
+    if account is None and current.asks_for_keys and not route.is_public:
+        raise problem.rejected(
+            HTTP_UNAUTHORIZED,
+            "The key is not known",
+            f"Send a key that is valid now; keys of revision {current.revision}.",
+        )
+    if route.is_public and received.key is None:
+        account = None
+    service = choose_service(route, received.request_id)
+    declared_service = current.services.get(service)
+    seconds = route.timeout - ANSWER_MARGIN
+    if received.patience is not None:
+        seconds = min(seconds, received.patience - ANSWER_MARGIN)
+    return tickets.Terms(
+        call=received,
+        route=route,
+        service=service,
+        event_tokens=0 if declared_service is None else declared_service.event_tokens,
+        account=account,
+        arrived=arrived,
+        deadline=ids.Instant(arrived + max(0.0, seconds)),
+        digest=digest(received, account),
+    )
+
+
+def choose_service(route: declared.Route, request_id: ids.RequestId) -> ids.PoolId:
+    """Return the service for a request, by the weights of the route's shares.
+
+    The request's id decides, so that it would be the same on every instance.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [max(0.0, share.weight) for share in route.shares]
+    if not any(weights):
+        return route.shares[0].service
+    chosen = random.Random(request_id).choices(route.shares, weights)
+    return chosen[0].service
+
+
+def cost(terms: tickets.Terms) -> int:
+    """Return what a request is charged against its account's limit."""
+    work = terms.call.work
+    if terms.account is None:
+        return 0
+    return terms.account.cost(work.prompt_tokens + work.output_tokens)
+
+
+def digest(received: call.Call, account: declared.Account | None) -> str:
+    """Return the digest by which a request that comes again is known."""
+    parts = (
+        received.method.encode(),
+        received.target.encode(),
+        b"" if account is None else account.name.encode(),
+        received.body,
+    )
+    content = SEPARATOR.join(parts)
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
--- /dev/null
+++ b/src/tealcove/ingress/exchange.py
@@ -0,0 +1,372 @@
+"""One request from its acceptance to the end of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import logbook
+import msgspec
+from aiohttp import web
+
+from tealcove import clock, errors, ids
+from tealcove.backends import engine, reach
+from tealcove.catalog import declared
+from tealcove.dispatch import messages, pending, requester
+from tealcove.entry import problem
+from tealcove.ingress import answers, budget, events, link, tickets
+
+log = logbook.Logger("ingress")
+
+# Servers that may turn out unreachable, or turn a request away, before it's given
+# up; both cost a few milliseconds each.
+MOST_UNREACHED = 4
+MOST_TURNED_AWAY = 3
+# Seconds that must be left for one more sending to make sense.
+LEAST_SECONDS = 0.05
+# Seconds after which a caller whose request no server took may try again.
+RETRY_AFTER = 0.5
+# Largest answer that is gathered before it goes out, in bytes.
+MOST_GATHERED = 8 * 2**20
+HTTP_SERVER_ERROR = 500
+
+
+class Services(msgspec.Struct, frozen=True):
+    """What exchanges use."""
+
+    link: link.BackendLink
+    tickets: requester.Requester
+    budget: budget.Budget
+    entry: ids.InstanceId
+
+
+class Gathered(msgspec.Struct, frozen=True):
+    """A whole answer of a backend server."""
+
+    head: link.Head
+    body: bytes
+
+
+class Exchange:
+    """Finds a server, sends the request, and passes the answer on.
+
+    The caller's own task runs it: when the caller leaves, the task is cancelled,
+    which closes the connection to the server and gives the slot back.
+    """
+
+    def __init__(
+        self, services: Services, terms: tickets.Terms, cell: ids.CellId
+    ) -> None:
+        self.services = services
+        self.terms = terms
+        self.cell = cell
+        self.excluded: tuple[ids.BackendServerId, ...] = ()
+        self.sent = 0
+        # Sendings after which the request may have run.
+        self.runs = 0
+        self.unreached = 0
+        self.turned_away = 0
+        # The last whole answer of a server that failed.
+        self.failure: Gathered | None = None
+        self.order = events.Order(terms.call.last_event)
+        self.response: web.StreamResponse | None = None
+        self.first_event_at: ids.Instant | None = None
+        self.events = 0
+        self.ended = problem.Outcome.COMPLETED.value
+
+    def say(self, message: str, *arguments: object) -> None:
+        """Log a decision about this request."""
+        extra = {"request": self.terms.call.request_id}
+        log.info(message, *arguments, extra=extra)
+
+    async def run(self, http: web.Request) -> web.StreamResponse:
+        """Return the answer; raises ProblemError while none has begun.
+
+        An answer that has begun and can't be ended breaks the connection.
+        """
+        try:
+            async with asyncio.timeout(self.terms.deadline - clock.now()):
+                return await self.serve(http)
+        except TimeoutError:
+            return self.give_up(http, self.late())
+        except problem.ProblemError as error:
+            return self.give_up(http, error)
+
+    async def serve(self, http: web.Request) -> web.StreamResponse:
+        """Send the request until a server has answered it; raises ProblemError."""
+        while True:
+            hold, grant = await self.obtain()
+            try:
+                return await self.attempt(http, hold, grant)
+            except errors.BackendError as error:
+                self.consider(grant.server, error, clock.now())
+
+    def give_up(
+        self, http: web.Request, error: problem.ProblemError
+    ) -> web.StreamResponse:
+        """End a request that has no whole answer; raises ProblemError."""
+        found = error.problem
+        self.ended = found.outcome.value
+        self.say(
+            "ends {}: {} {}, {} sent, {} may have run, after {:.3f} s",
+            found.outcome.value,
+            found.status,
+            found.reason,
+            self.sent,
+            self.runs,
+            clock.now() - self.terms.arrived,
+        )
+        if self.response is not None:
+            answers.break_off(http)
+            return self.response
+        if self.failure is not None:
+            return answers.whole(self.failure.head, self.failure.body)
+        raise error
+
+    async def obtain(self) -> tuple[pending.PendingTicket, messages.Grant]:
+        """Return a slot; raises ProblemError when there is none in time."""
+        now = clock.now()
+        hold = tickets.new(
+            self.terms,
+            self.cell,
+            self.services.entry,
+            self.excluded,
+            self.response is not None,
+            now,
+        )
+        try:
+            found = await self.services.tickets.obtain(hold)
+        except asyncio.CancelledError:
+            self.services.tickets.leave(hold)
+            raise
+        if isinstance(found, messages.Refusal):
+            if self.runs:
+                raise self.lost(found.reason.value)
+            raise problem.not_run(found.reason, found.retry_after)
+        return hold, found
+
+    async def attempt(
+        self, http: web.Request, hold: pending.PendingTicket, grant: messages.Grant
+    ) -> web.StreamResponse:
+        """Send the request to the granted server and pass its answer on.
+
+        Raises BackendError when there is none to pass on.
+        """
+        report = Report(self.services.tickets, hold, grant)
+        server = engine.Server(grant.server, grant.host, grant.port)
+        outcome = messages.Outcome.CANCELLED
+        self.events = 0
+        try:
+            response = await self.send(http, report, server)
+            outcome = messages.Outcome.COMPLETED
+            return response
+        except engine.NotDispatchedError:
+            outcome = messages.Outcome.NOT_SENT
+            raise
+        except link.NotRunError:
+            # The server is well; it only has no room, or isn't who it was.
+            outcome = messages.Outcome.CANCELLED
+            raise
+        except engine.BrokenStreamError:
+            outcome = messages.Outcome.FAILED
+            if await reach.refuses(server):
+                outcome = messages.Outcome.CRASHED
+            raise
+        except errors.BackendError:
+            outcome = messages.Outcome.FAILED
+            raise
+        finally:
+            report.end(outcome, self.events * self.terms.event_tokens, clock.now())
+
+    async def send(
+        self, http: web.Request, report: Report, server: engine.Server
+    ) -> web.StreamResponse:
+        """Send the request once; raises BackendError."""
+        terms = self.terms
+        now = clock.now()
+        sending = link.Sending(
+            call=terms.call,
+            server=server,
+            account=None if terms.account is None else terms.account.name,
+            remaining=max(LEAST_SECONDS, terms.deadline - now),
+            last_event=self.order.last,
+        )
+
+        def dispatched() -> None:
+            if not self.sent:
+                self.services.budget.note_request(terms.service, clock.now())
+            self.sent += 1
+            self.runs += 1
+            report.dispatched(clock.now())
+            self.say("sent to {} ({} of {})", server.name, self.runs, terms.route.name)
+
+        stream = self.services.link.send(sending, dispatched)
+        async with contextlib.aclosing(stream) as parts:
+            head = await anext(parts)
+            if terms.route.is_stream and head.is_success:
+                return await self.relay(http, head, parts, report)
+            body = await gather(server, parts)
+        return self.pass_on(Gathered(head, body), server)
+
+    def pass_on(self, found: Gathered, server: engine.Server) -> web.StreamResponse:
+        """Return a whole answer; raises BackendError for one worth another run."""
+        if found.head.status >= HTTP_SERVER_ERROR:
+            self.failure = found
+            raise link_failure(server, found.head.status)
+        return answers.whole(found.head, found.body)
+
+    async def relay(
+        self,
+        http: web.Request,
+        head: link.Head,
+        parts: object,
+        report: Report,
+    ) -> web.StreamResponse:
+        """Pass a stream on, event by event; raises BackendError when it breaks."""
+        splitter = events.Splitter()
+        async for part in parts:
+            whole = splitter.feed(part)
+            if not whole:
+                continue
+            if not all(self.order.follows(event) for event in whole):
+                raise broken("an event out of order came")
+            if not self.events:
+                report.first_event(clock.now())
+            self.events += len(whole)
+            await self.write(http, head, b"".join(event.content for event in whole))
+        if splitter.rest:
+            raise broken("it ended within an event")
+        if self.response is None:
+            await self.write(http, head, b"")
+        await self.response.write_eof()
+        return self.response
+
+    async def write(self, http: web.Request, head: link.Head, content: bytes) -> None:
+        """Write a part of the stream to the caller."""
+        if self.response is None:
+            self.first_event_at = clock.now()
+            self.response = answers.stream(head)
+            await self.response.prepare(http)
+        if content:
+            await self.response.write(content)
+
+    def consider(
+        self, server: ids.BackendServerId, error: errors.BackendError, now: ids.Instant
+    ) -> None:
+        """Decide on one more sending; raises ProblemError when there is none."""
+        self.excluded = (*self.excluded, server)
+        if isinstance(error, engine.NotDispatchedError):
+            self.unreached += 1
+            may_go_on = self.unreached < MOST_UNREACHED
+        elif isinstance(error, link.NotRunError):
+            self.runs -= 1
+            self.turned_away += 1
+            may_go_on = self.turned_away < MOST_TURNED_AWAY
+            may_go_on = may_go_on and self.has_budget(now)
+        else:
+            may_go_on = self.may_run_again(now) and self.has_budget(now)
+        self.say("{} at {}: {}", "again" if may_go_on else "no more", server, error)
+        if may_go_on and self.terms.deadline - now > LEAST_SECONDS:
+            return
+        if self.runs:
+            raise self.lost("backend_server")
+        reason = messages.RefusalReason.NO_BACKEND_SERVER
+        raise problem.not_run(reason, RETRY_AFTER)
+
+    def may_run_again(self, now: ids.Instant) -> bool:
+        """Tell whether a request that may have run may run once more."""
+        route = self.terms.route
+        return route.repeat is not declared.Repeat.ONCE and self.runs < route.attempts
+
+    def has_budget(self, now: ids.Instant) -> bool:
+        """Tell whether a repeat is within the bounds of all requests together."""
+        return self.services.budget.take(self.terms.service, now)
+
+    def lost(self, reason: str) -> problem.ProblemError:
+        """Return the end of a request that was sent and has no whole answer."""
+        if self.terms.is_repeatable:
+            return problem.interrupted(reason)
+        return problem.unknown(reason)
+
+    def late(self) -> problem.ProblemError:
+        """Return the end of a request whose time is over."""
+        if self.runs:
+            return self.lost(messages.RefusalReason.DEADLINE.value)
+        return problem.not_run(messages.RefusalReason.DEADLINE, RETRY_AFTER)
+
+
+class Report:
+    """What the dispatcher is told of one sending."""
+
+    def __init__(
+        self,
+        tickets: requester.Requester,
+        hold: pending.PendingTicket,
+        grant: messages.Grant,
+    ) -> None:
+        self.tickets = tickets
+        self.hold = hold
+        self.grant = grant
+        self.sent_at: ids.Instant | None = None
+        self.first_at: ids.Instant | None = None
+        tickets.mark_running(hold, grant.server)
+
+    def dispatched(self, now: ids.Instant) -> None:
+        """Note that the request is about to be written."""
+        self.sent_at = now
+
+    def first_event(self, now: ids.Instant) -> None:
+        """Tell that the first event has come."""
+        self.first_at = now
+        progress = messages.Progress(
+            ticket_id=self.hold.ticket.ticket_id,
+            cell=self.hold.ticket.cell,
+            first_token_seconds=now - self.sent_at,
+        )
+        self.tickets.tell(self.hold, progress)
+
+    def end(self, outcome: messages.Outcome, tokens: int, now: ids.Instant) -> None:
+        """Tell how it ended; the slot is free."""
+        ticket = self.hold.ticket
+        sent_at = now if self.sent_at is None else self.sent_at
+        first_at = now if self.first_at is None else self.first_at
+        done = messages.Done(
+            ticket_id=ticket.ticket_id,
+            cell=ticket.cell,
+            server=self.grant.server,
+            outcome=outcome,
+            prompt_tokens=ticket.prompt_tokens,
+            cached_tokens=0,
+            output_tokens=tokens,
+            first_token_seconds=first_at - sent_at,
+            total_seconds=now - sent_at,
+        )
+        self.tickets.finish(self.hold, done)
+
+
+async def gather(server: engine.Server, parts: object) -> bytes:
+    """Return a whole body; raises BackendError."""
+    found = bytearray()
+    async for part in parts:
+        found += part
+        if len(found) > MOST_GATHERED:
+            raise broken(f"{server.name} sent more than {MOST_GATHERED} bytes")
+    return bytes(found)
+
+
+class FailedAnswerError(errors.BackendError):
+    """A backend server ran the request and answered that it has failed."""
+
+
+def link_failure(server: engine.Server, status: int) -> FailedAnswerError:
+    """Return the error for an answer that says that the request has failed."""
+    return FailedAnswerError(
+        f"{server.name} answered {status}", "Ask its operator for the cause."
+    )
+
+
+def broken(problem: str) -> engine.BrokenStreamError:
+    """Return the error for an answer that can't be passed on."""
+    return engine.BrokenStreamError(
+        f"the answer can't be passed on: {problem}", "Look at the server's log."
+    )
--- /dev/null
+++ b/src/tealcove/ingress/http.py
@@ -0,0 +1,165 @@
+"""The HTTP handlers that callers of declared routes reach."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+from aiohttp import web
+
+from tealcove import clock, ids, telemetry
+from tealcove.catalog import copies
+from tealcove.dispatch import messages, spread
+from tealcove.entry import problem
+from tealcove.ingress import (
+    acceptance,
+    answers,
+    call,
+    exchange,
+    observer,
+    tickets,
+)
+from tealcove.limits import role as limits_role
+from tealcove.quarantine import role as quarantine_role
+
+log = logbook.Logger("ingress")
+
+HTTP_BAD_REQUEST = 400
+HTTP_TOO_LARGE = 413
+HTTP_TIMEOUT = 408
+LEAVING_RETRY = 0.2
+
+
+class Ingress:
+    """Accepts requests and answers each exactly once."""
+
+    def __init__(
+        self,
+        services: exchange.Services,
+        configuration: copies.ConfigurationCopy,
+        spreading: spread.Spread,
+        limits: limits_role.Limits,
+        quarantine: quarantine_role.Quarantine,
+        codec: answers.Codec,
+        source: telemetry.Source | None = None,
+    ) -> None:
+        self.services = services
+        self.configuration = configuration
+        self.spread = spreading
+        self.limits = limits
+        self.quarantine = quarantine
+        self.codec = codec
+        self.observer = observer.Observer(source)
+        self.in_progress: set[asyncio.Task[None]] = set()
+        # Set when this instance leaves: callers are asked to go elsewhere.
+        self.is_leaving = False
+        # Set when it takes nothing new any more.
+        self.is_closed = False
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the handler to mount."""
+        return [web.route("*", "/{path:.*}", self.handle)]
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        task = asyncio.current_task()
+        self.in_progress.add(task)
+        arrived = clock.now()
+        seen = self.observer.begin(arrived)
+        try:
+            response = await self.serve(request, arrived, seen)
+        except problem.ProblemError as error:
+            seen.outcome = error.problem.outcome.value
+            response = self.codec.respond(error.problem)
+            if not request.content.is_eof():
+                # Nothing can follow a body that didn't come to its end.
+                response.force_close()
+        except asyncio.CancelledError:
+            seen.outcome = observer.CALLER_GONE
+            raise
+        finally:
+            self.in_progress.discard(task)
+            self.observer.end(seen, clock.now())
+        if self.is_leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    async def serve(
+        self, request: web.Request, arrived: ids.Instant, seen: observer.Seen
+    ) -> web.StreamResponse:
+        """Return the answer of one request; raises ProblemError."""
+        received = await self.receive(request)
+        if self.is_closed:
+            raise refused(received, messages.RefusalReason.LEAVING, LEAVING_RETRY)
+        terms = acceptance.accept(received, self.configuration.current, arrived)
+        seen.route = terms.route.name
+        if self.quarantine.is_quarantined(terms.digest):
+            remaining = self.quarantine.remaining(terms.digest, clock.now())
+            reason = messages.RefusalReason.QUARANTINED
+            raise refused(received, reason, remaining)
+        charge = await self.charge(terms)
+        running = exchange.Exchange(self.services, terms, self.find_cell(terms))
+        try:
+            return await running.run(request)
+        finally:
+            seen.first_event_at = running.first_event_at
+            seen.outcome = running.ended
+            if not running.runs:
+                charge.settle(0.0)
+
+    async def receive(self, request: web.Request) -> call.Call:
+        """Return the request with its whole body; raises ProblemError."""
+        current = self.configuration.current
+        seconds = 15.0 if current is None else current.catalog.bounds.idle_seconds
+        try:
+            async with asyncio.timeout(seconds):
+                body = await request.read()
+            return self.codec.read(request, body)
+        except web.HTTPRequestEntityTooLarge as error:
+            raise problem.rejected(
+                HTTP_TOO_LARGE, "The body is too long", "Send a shorter one."
+            ) from error
+        except web.RequestPayloadError as error:
+            raise problem.rejected(
+                HTTP_BAD_REQUEST,
+                "The body can't be read",
+                "Its length or coding isn't what the headers say.",
+            ) from error
+        except call.UnreadableError as error:
+            raise problem.rejected(
+                HTTP_BAD_REQUEST, "The request can't be read", str(error)
+            ) from error
+        except TimeoutError as error:
+            raise problem.rejected(
+                HTTP_TIMEOUT, "The body came too slowly", f"Send it in {seconds:g} s."
+            ) from error
+
+    async def charge(self, terms: tickets.Terms) -> limits_role.Charge:
+        """Charge the account; raises ProblemError beyond its limit."""
+        cost = acceptance.cost(terms)
+        try:
+            return await self.limits.admit(terms.account_name, cost)
+        except limits_role.OverLimitError as error:
+            reason = messages.RefusalReason.ACCOUNT_LIMIT
+            raise refused(terms.call, reason, error.retry_after) from error
+
+    def find_cell(self, terms: tickets.Terms) -> ids.CellId:
+        """Return the cell whose dispatcher a request asks; raises ProblemError."""
+        pool = self.spread.copy.current.pool(terms.service)
+        if pool is None:
+            reason = messages.RefusalReason.NO_BACKEND_SERVER
+            raise refused(terms.call, reason, exchange.RETRY_AFTER)
+        return self.spread.choose(pool, terms.call.request_id).cell_id
+
+
+def refused(
+    received: call.Call, reason: messages.RefusalReason, retry_after: float
+) -> problem.ProblemError:
+    """Return the end of a request that isn't taken in, and log it."""
+    log.info(
+        "refused at once: {}, again in {:.3f} s",
+        reason.value,
+        retry_after,
+        extra={"request": received.request_id},
+    )
+    return problem.not_run(reason, retry_after)
--- /dev/null
+++ b/src/tealcove/ingress/observer.py
@@ -0,0 +1,56 @@
+"""What is counted and measured of callers' requests."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tealcove import ids, telemetry
+from tealcove.entry import observer as entry_observer
+from tealcove.entry import problem
+
+CALLER_GONE = entry_observer.CALLER_GONE
+
+
+class Seen(msgspec.Struct):
+    """One request, from its arrival to the end of its answer."""
+
+    began: ids.Instant
+    route: str = ""
+    outcome: str = problem.Outcome.COMPLETED.value
+    first_event_at: ids.Instant | None = None
+
+
+class Observer:
+    """The metrics of an ingress: few, since each costs time at every request."""
+
+    def __init__(self, source: telemetry.Source | None = None) -> None:
+        meter = (source or telemetry.Source()).meter
+        self.requests = meter.create_counter(
+            "tealcove.ingress.requests",
+            description="Requests answered, by route and how they ended.",
+        )
+        self.first_events = meter.create_histogram(
+            "tealcove.ingress.time_to_first_event",
+            unit="s",
+            description="From a request's arrival to its stream's first event.",
+            explicit_bucket_boundaries_advisory=entry_observer.BOUNDS,
+        )
+        self.durations = meter.create_histogram(
+            "tealcove.ingress.duration",
+            unit="s",
+            description="From a request's arrival to the end of its answer.",
+            explicit_bucket_boundaries_advisory=entry_observer.BOUNDS,
+        )
+
+    def begin(self, now: ids.Instant) -> Seen:
+        """Begin to watch a request."""
+        return Seen(now)
+
+    def end(self, seen: Seen, now: ids.Instant) -> None:
+        """Add a request that has ended to the metrics."""
+        labels = {"route": seen.route, "outcome": seen.outcome}
+        self.requests.add(1, labels)
+        self.durations.record(now - seen.began, labels)
+        if seen.first_event_at is not None:
+            first = seen.first_event_at - seen.began
+            self.first_events.record(first, {"route": seen.route})
--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -19,6 +19,17 @@
 LIST_INTERVAL = 2.0
 
 
+class ListIntervals(msgspec.Struct, frozen=True):
+    """Seconds between two looks at the list: at first, and at the longest.
+
+    Doubled from look to look, where each look is paid for and heartbeats tell of
+    new peers.
+    """
+
+    first: float = LIST_INTERVAL
+    longest: float = LIST_INTERVAL
+
+
 # A heartbeat names the peers that the sender knows when they have changed, and
 # otherwise after so many seconds, in case the one that did was lost.
 KNOWN_INTERVAL = 10.0
@@ -41,12 +52,14 @@
         instance_list: instances.InstanceList,
         seeds: tuple[endpoint.Endpoint, ...],
         interval: float,
+        list_intervals: ListIntervals | None = None,
     ) -> None:
         self.transport = transport
         self.members = known
         self.instance_list = instance_list
         self.seeds = seeds
         self.interval = interval
+        self.list_intervals = list_intervals or ListIntervals()
         self.beats: dict[endpoint.Endpoint, Beat] = {}
         self.tasks: list[asyncio.Task[None]] = []
         # Addresses of the peers heard lately, made once for all heartbeats of a round.
@@ -155,13 +168,15 @@
 
     async def read_list(self) -> None:
         """Learn of peers from the platform's list."""
+        pause = self.list_intervals.first
         while True:
             try:
                 self.listed = await self.instance_list.listed()
                 self.greet_listed()
             except errors.PlatformError as error:
                 log.debug("the list of instances can't be read: {}", error)
-            await asyncio.sleep(LIST_INTERVAL)
+            await asyncio.sleep(pause)
+            pause = min(self.list_intervals.longest, 2 * pause)
 
     def greet_listed(self) -> None:
         """Send heartbeats to every instance on the list."""
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -36,6 +36,8 @@
     # Checksum of the marks against crashing requests that the sender knows. The
     # marks themselves go by messages of their own, so that heartbeats stay small.
     marks: int = 0
+    # The revision of the list of backend servers, where that is followed apart.
+    servers_revision: ids.Revision = ids.Revision(0)
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
--- /dev/null
+++ b/src/tealcove/platform/callers.py
@@ -0,0 +1,140 @@
+"""Reads callers' requests and writes the answers that are the system's own."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+from aiohttp import web
+
+from tealcove import ids
+from tealcove.entry import problem
+from tealcove.ingress import answers, call
+from tealcove.platform import names
+
+MILLISECONDS = 1000.0
+# Headers of one connection; they don't go on to the backend server. The length
+# is written anew, and the caller's coding of the body is undone when it's read.
+ONE_CONNECTION = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+# What this system sets or states anew for each sending.
+STATED_ANEW = frozenset((names.DEADLINE_MS.lower(), names.LAST_EVENT_ID.lower()))
+# Decimal places of Retry-After, in seconds: callers take fractions.
+RETRY_DECIMALS = 3
+HTTP_UNAVAILABLE = 503
+HTTP_BAD_GATEWAY = 502
+HTTP_GATEWAY_TIMEOUT = 504
+HTTP_TOO_MANY_REQUESTS = 429
+LATE = "deadline"
+OVER_LIMIT = "account_limit"
+
+
+class CallerCodec(answers.Codec):
+    """Callers' requests as the platform's clients send them."""
+
+    def read(self, request: web.BaseRequest, body: bytes) -> call.Call:
+        """See Codec."""
+        headers = request.headers
+        request_id = headers.get(names.REQUEST_ID, "")
+        if not request_id:
+            raise call.UnreadableError(f"Send the header {names.REQUEST_ID}.")
+        target = request.raw_path
+        if not target.startswith("/"):
+            raise call.UnreadableError("Begin the request's path with a slash.")
+        deadline = read_number(headers.get(names.DEADLINE_MS), names.DEADLINE_MS)
+        last = read_number(headers.get(names.LAST_EVENT_ID), names.LAST_EVENT_ID)
+        return call.Call(
+            request_id=ids.RequestId(request_id),
+            method=request.method,
+            target=target,
+            host=headers.get("Host", ""),
+            path=target.partition("?")[0],
+            headers=forwarded(request.headers),
+            body=body,
+            key=headers.get(names.API_KEY),
+            patience=None if deadline is None else deadline / MILLISECONDS,
+            work=read_work(request),
+            last_event=None if last is None else int(last),
+        )
+
+    def respond(self, found: problem.Problem) -> web.Response:
+        """See Codec.
+
+        Only a request that hasn't run, and never will, gets a status that
+        promises so.
+        """
+        headers = {}
+        if found.retry_after is not None:
+            # Rounded up: back a moment too early, a caller is refused once more.
+            scale = 10**RETRY_DECIMALS
+            seconds = math.ceil(found.retry_after * scale) / scale
+            headers[names.RETRY_AFTER] = f"{seconds:g}"
+        return web.Response(
+            status=status_of(found),
+            body=msgspec.json.encode(found),
+            headers=headers,
+            content_type=problem.CONTENT_TYPE,
+        )
+
+
+def status_of(found: problem.Problem) -> int:
+    """Return the status that says what became of a request."""
+    if found.outcome is problem.Outcome.REJECTED:
+        return found.status
+    if found.outcome is problem.Outcome.NOT_RUN:
+        is_over = found.reason == OVER_LIMIT
+        return HTTP_TOO_MANY_REQUESTS if is_over else HTTP_UNAVAILABLE
+    return HTTP_GATEWAY_TIMEOUT if found.reason == LATE else HTTP_BAD_GATEWAY
+
+
+def forwarded(headers: object) -> call.Headers:
+    """Return the headers that go on to the backend server."""
+    dropped = set(ONE_CONNECTION | STATED_ANEW | names.OURS)
+    for value in headers.getall("Connection", ()):
+        dropped.update(name.strip().lower() for name in value.split(","))
+    return tuple(
+        (str(name), value)
+        for name, value in headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def read_work(request: web.BaseRequest) -> call.Work:
+    """Return what a request asks of an engine; raises UnreadableError."""
+    tokens = request.headers.get(names.TOKEN_COUNT)
+    if tokens is None:
+        return call.Work()
+    prompt, _, output = tokens.partition(",")
+    if not (prompt.strip().isdigit() and output.strip().isdigit()):
+        raise call.UnreadableError(f"Write {names.TOKEN_COUNT} as two whole numbers.")
+    hint = request.headers.get(names.LENGTH_HINT, "")
+    # A hint that can't be read is only a worse guess.
+    expected = int(hint) if hint.isdigit() else 0
+    most = int(output)
+    return call.Work(int(prompt), most, min(expected, most))
+
+
+def read_number(text: str | None, header: str) -> float | None:
+    """Return a header's number, None without one; raises UnreadableError."""
+    if text is None:
+        return None
+    try:
+        found = float(text)
+    except ValueError:
+        found = math.nan
+    if not (math.isfinite(found) and found >= 0):
+        raise call.UnreadableError(f"Write {header} as a number from 0 on.")
+    return found
--- /dev/null
+++ b/src/tealcove/platform/directory.py
@@ -0,0 +1,63 @@
+"""Answers callers who ask where to connect, and the platform's look at readiness."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+from aiohttp import web
+
+from tealcove import ids
+from tealcove.platform import names
+
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+class Places(abc.ABC):
+    """What the directory asks the instance."""
+
+    @abc.abstractmethod
+    def addresses(self, data_centre: ids.DataCentreId) -> list[str]:
+        """Return the addresses ("ip:port") for callers in a data centre."""
+
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Tell whether this instance takes requests."""
+
+
+class Resolved(msgspec.Struct):
+    """Where to connect, and for how many seconds that may be kept."""
+
+    addrs: list[str]
+    ttl_s: float
+
+
+class Directory:
+    """The handlers of both."""
+
+    def __init__(self, places: Places, ttl_seconds: float) -> None:
+        self.places = places
+        self.ttl_seconds = ttl_seconds
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the handler for callers."""
+        return [web.get(names.RESOLVE_PATH, self.resolve)]
+
+    def ready_routes(self) -> list[web.RouteDef]:
+        """Return the handler for the platform."""
+        return [web.get(names.READY_PATH, self.ready)]
+
+    async def resolve(self, request: web.Request) -> web.Response:
+        """Answer addresses; 503 while none is known, so that callers ask elsewhere."""
+        data_centre = ids.DataCentreId(request.query.get("zone", ""))
+        found = self.places.addresses(data_centre)
+        if not found:
+            return web.Response(status=HTTP_UNAVAILABLE)
+        body = msgspec.json.encode(Resolved(found, self.ttl_seconds))
+        return web.Response(body=body, content_type="application/json")
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Say whether this instance takes requests."""
+        ready = self.places.is_ready()
+        return web.Response(status=HTTP_OK if ready else HTTP_UNAVAILABLE)
--- /dev/null
+++ b/src/tealcove/platform/documents.py
@@ -0,0 +1,205 @@
+"""Decodes the documents that operators and backend servers write into the store."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from tealcove import errors, ids
+from tealcove.catalog import declared
+from tealcove.limits import limit
+from tealcove.platform import names
+
+T = TypeVar("T")
+
+MILLISECONDS = 1000.0
+# Rank of a route that names none: behind all that do.
+DEFAULT_RANK = 9
+DEFAULT_TIMEOUT_MS = 30_000.0
+
+
+class WireShare(msgspec.Struct):
+    """One of several services of a route."""
+
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    prefix: str
+    # The name suggests a media type; it says what may be repeated.
+    type: str = ""
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    goal_ms: float = 0.0
+    priority: int = DEFAULT_RANK
+    service: str = ""
+    # In place of `service`.
+    split: tuple[WireShare, ...] = ()
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class WireEngine(msgspec.Struct):
+    """What the engines of a service have in common."""
+
+    # Output tokens in one event of a stream.
+    stride: int = 1
+
+
+class WireService(msgspec.Struct):
+    """A service as the operator writes it."""
+
+    name: str
+    engine: WireEngine | None = None
+
+
+class WireLimits(msgspec.Struct):
+    """What callers may send."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class WireTenant(msgspec.Struct):
+    """A client account as the operator writes it."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    # What the two amounts below count: requests, or with "token" tokens.
+    unit: str = ""
+    plain_tokens: int = 1
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class WireConfiguration(msgspec.Struct):
+    """A whole configuration as the operator writes it."""
+
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: tuple[WireTenant, ...] = ()
+
+
+class WireServer(msgspec.Struct):
+    """What a backend server writes of itself."""
+
+    service: str
+    addr: str
+    zone: str = ""
+    slots: int = 1
+    state: str = ""
+
+
+def decode_configuration(content: bytes) -> declared.Catalog:
+    """Return the operator's configuration; raises PlatformError."""
+    found = decode(content, WireConfiguration)
+    return declared.Catalog(
+        routes=tuple(route_of(route) for route in found.routes),
+        services=tuple(service_of(service) for service in found.services),
+        accounts=tuple(account_of(tenant) for tenant in found.tenants),
+        keys={
+            key: ids.AccountId(tenant.name)
+            for tenant in found.tenants
+            for key in tenant.api_keys
+        },
+        bounds=declared.Bounds(
+            header_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            header_seconds=found.limits.header_timeout_ms / MILLISECONDS,
+            idle_seconds=found.limits.idle_timeout_ms / MILLISECONDS,
+        ),
+    )
+
+
+def route_of(route: WireRoute) -> declared.Route:
+    """Return a route in the product's terms."""
+    is_stream = route.type == names.STREAM
+    repeat = declared.Repeat.ONCE
+    if route.type == names.SAFE:
+        repeat = declared.Repeat.SAFE
+    elif is_stream and route.resumable:
+        repeat = declared.Repeat.RESUMABLE
+    shares = tuple(
+        declared.Share(ids.PoolId(share.service), share.weight) for share in route.split
+    )
+    return declared.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        shares=shares or (declared.Share(ids.PoolId(route.service), 1.0),),
+        repeat=repeat,
+        is_stream=is_stream,
+        timeout=route.timeout_ms / MILLISECONDS,
+        goal=route.goal_ms / MILLISECONDS,
+        rank=route.priority,
+        attempts=max(1, route.attempts),
+        is_public=route.public,
+        gap=route.gap_target_ms / MILLISECONDS,
+    )
+
+
+def service_of(service: WireService) -> declared.Service:
+    """Return a service in the product's terms."""
+    tokens = 0 if service.engine is None else service.engine.stride
+    return declared.Service(ids.PoolId(service.name), tokens)
+
+
+def account_of(tenant: WireTenant) -> declared.Account:
+    """Return a client account in the product's terms."""
+    bound = None
+    if tenant.rate_per_s > 0:
+        bound = limit.Limit(tenant.rate_per_s, tenant.burst)
+    return declared.Account(
+        name=ids.AccountId(tenant.name),
+        rank=tenant.priority,
+        limit=bound,
+        counts_tokens=tenant.unit == names.TOKENS,
+        plain_tokens=tenant.plain_tokens,
+    )
+
+
+def decode_server(key: str, content: bytes) -> declared.BackendServer:
+    """Return a backend server; raises PlatformError."""
+    found = decode(content, WireServer)
+    host, _, port = found.addr.rpartition(":")
+    if not port.isdigit():
+        raise unreadable(f"{found.addr!r} is no address")
+    state = declared.ServerState.READY
+    if found.state == names.DRAINING:
+        state = declared.ServerState.LEAVING
+    return declared.BackendServer(
+        name=ids.BackendServerId(key),
+        service=ids.PoolId(found.service),
+        host=host,
+        port=int(port),
+        data_centre=ids.DataCentreId(found.zone),
+        slots=max(1, found.slots),
+        state=state,
+    )
+
+
+def decode(content: bytes, kind: type[T]) -> T:
+    """Decode a document; raises PlatformError."""
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise unreadable(str(error)) from error
+
+
+def unreadable(problem: str) -> errors.PlatformError:
+    """Return the error for a document that can't be used."""
+    return errors.PlatformError(
+        f"a document in the store can't be read: {problem}",
+        "Compare its writer's version with docs/design/platform.md.",
+    )
--- /dev/null
+++ b/src/tealcove/platform/names.py
@@ -0,0 +1,71 @@
+"""What the platform calls things: headers, paths, tables and words."""
+
+from __future__ import annotations
+
+# Headers of a caller's request.
+REQUEST_ID = "Tealcove-Request-Id"
+DEADLINE_MS = "Tealcove-Deadline-Ms"
+API_KEY = "Api-Key"
+MODEL = "Tealcove-Model"
+# Two numbers: prompt tokens, and the most output tokens.
+TOKEN_COUNT = "Tealcove-Token-Count"
+# Not a hash: the parts of the prompt in order, as ID:TOKENS.
+PROMPT_PARTS = "Tealcove-Prefix-Hash"
+LENGTH_HINT = "Tealcove-Length-Hint"
+LAST_EVENT_ID = "Last-Event-Id"
+
+# Headers that this system sets for a backend server.
+ACCOUNT = "Tealcove-Tenant"
+EXPECTED_INCARNATION = "Tealcove-Expect-Instance"
+
+# Headers of a backend server's answer.
+SIGNATURE = "Tealcove-Response-Stamp"
+NOT_RUN = "Tealcove-Not-Executed"
+INCARNATION = "Tealcove-Instance"
+LOAD = "Tealcove-Instance-Load"
+RETRY_AFTER = "Retry-After"
+
+# Headers that only this system may set. A caller that sent them could have its
+# request charged to another account, pinned in an engine's memory, or joined to
+# another request's memory.
+OURS = frozenset(
+    name.lower()
+    for name in (
+        API_KEY,
+        ACCOUNT,
+        EXPECTED_INCARNATION,
+        "Tealcove-Expect-Version",
+        "Tealcove-Pin-Ms",
+        "Tealcove-Hold",
+        "Tealcove-Kv-Backup",
+        "Kv-Fetch",
+        "Kv-From",
+        NOT_RUN,
+        SIGNATURE,
+        INCARNATION,
+        LOAD,
+    )
+)
+
+# Calls that the system answers.
+READY_PATH = "/readyz"
+RESOLVE_PATH = "/resolve"
+
+# Calls of the store.
+TRANSACT_PATH = "/rows-tx"
+READ_PATH = "/rows-get"
+FEED_PATH = "/rows-feed"
+PUT_OBJECT_PATH = "/blob-put/"
+GET_OBJECT_PATH = "/blob-get/"
+DROP_OBJECT_PATH = "/blob-drop/"
+
+# Tables that the operator and the backend servers write.
+OPERATOR_TABLE = "op"
+SERVERS_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+
+# Words in documents.
+DRAINING = "draining"
+SAFE = "safe"
+STREAM = "stream"
+TOKENS = "token"
--- /dev/null
+++ b/src/tealcove/platform/services.py
@@ -0,0 +1,124 @@
+"""The product's table and object store, kept in the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import urllib.parse
+
+import msgspec
+
+from tealcove.platform import names, store
+from tealcove.storage import objects, table
+
+OBJECT_TYPE = "application/octet-stream"
+
+
+class StoreTable(table.TableService):
+    """Rows and conditional transactions."""
+
+    def __init__(self, client: store.StoreClient) -> None:
+        self.client = client
+
+    async def commit(self, transaction: table.Transaction) -> table.Committed:
+        """Apply a transaction; see the base class."""
+        body = msgspec.json.encode(wire_transaction(transaction))
+        reply = await self.client.write(
+            "POST", names.TRANSACT_PATH, body, {"Content-Type": store.JSON_TYPE}
+        )
+        if reply.status == store.HTTP_PRECONDITION_FAILED:
+            raise conflicts(transaction, reply)
+        page = store.decode_write(reply.content, store.WirePage)
+        return table.Committed(page.row_version)
+
+    async def read(self, table: str, key: str) -> table.Row | None:
+        """Return a row, or None; see the base class."""
+        found, _ = await self.client.read_range(table, key, 1)
+        if not found or found[0].key != key:
+            return None
+        return row_of(found[0])
+
+    async def scan(
+        self, table: str, after: str = "", limit: int = 1000
+    ) -> tuple[table.Row, ...]:
+        """Return rows in order of key; see the base class."""
+        start = f"{after}\0" if after else ""
+        found, _ = await self.client.read_range(table, start, limit)
+        return tuple(row_of(row) for row in found)
+
+
+class StoreObjects(objects.ObjectStore):
+    """Whole objects."""
+
+    def __init__(self, client: store.StoreClient) -> None:
+        self.client = client
+
+    async def put(self, name: str, content: bytes) -> None:
+        """Store an object; see the base class."""
+        headers = {"Content-Type": OBJECT_TYPE}
+        path = names.PUT_OBJECT_PATH + quoted(name)
+        await self.client.write("PUT", path, content, headers)
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or None; see the base class."""
+        path = names.GET_OBJECT_PATH + quoted(name)
+        reply = await self.client.read(path, {}, self.client.timeouts.total)
+        return None if reply.status == store.HTTP_NOT_FOUND else reply.content
+
+    async def delete(self, name: str) -> None:
+        """Delete an object; see the base class."""
+        path = names.DROP_OBJECT_PATH + quoted(name)
+        await self.client.write("DELETE", path, b"", {})
+
+
+def quoted(name: str) -> str:
+    """Return an object's name as one part of a path."""
+    return urllib.parse.quote(name, safe="")
+
+
+def wire_transaction(transaction: table.Transaction) -> store.WireTransaction:
+    """Return a transaction as the store takes it."""
+    puts = [one for one in transaction.writes if isinstance(one, table.Put)]
+    drops = [one for one in transaction.writes if isinstance(one, table.Delete)]
+    return store.WireTransaction(
+        expect_rev=tuple(
+            store.WireCondition(one.table, one.key, wanted_version(one))
+            for one in transaction.conditions
+        ),
+        puts=tuple(
+            store.WireRow(
+                one.table, one.key, value=base64.b64encode(one.value).decode()
+            )
+            for one in puts
+        ),
+        drop=tuple(store.WireRow(one.table, one.key) for one in drops),
+    )
+
+
+def wanted_version(condition: table.Absent | table.VersionIs) -> int:
+    """Return the version that a condition names; 0: the row must be absent."""
+    return condition.version if isinstance(condition, table.VersionIs) else 0
+
+
+def conflicts(
+    transaction: table.Transaction, reply: store.Reply
+) -> table.ConditionFailedError:
+    """Return the error that names every condition that failed.
+
+    Raises PlatformUnavailableError if the answer can't be understood, since a
+    refused transaction was certainly not applied.
+    """
+    page = store.decode_read(reply.content, store.WirePage)
+    present = {(row.table, row.key): row for row in page.rows if not row.tombstone}
+    found = []
+    for index, condition in enumerate(transaction.conditions):
+        row = present.get((condition.table, condition.key))
+        version = 0 if row is None else row.row_version
+        if version != wanted_version(condition):
+            stands = None if row is None else row_of(row)
+            found.append(table.Conflict(index, stands))
+    return table.ConditionFailedError(tuple(found))
+
+
+def row_of(row: store.WireRow) -> table.Row:
+    """Return a row in the product's terms."""
+    return table.Row(row.table, row.key, row.content(), row.row_version)
--- /dev/null
+++ b/src/tealcove/platform/store.py
@@ -0,0 +1,307 @@
+"""The one client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any, NoReturn, TypeVar
+
+import aiohttp
+import msgspec
+
+from tealcove import errors, keepalive
+from tealcove.platform import names
+from tealcove.storage import feed
+
+T = TypeVar("T")
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
+# By these statuses the store says that it did nothing with the call.
+REFUSALS = (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE)
+# What a read may be answered by; anything else means that it failed.
+READABLE = (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE)
+JSON_TYPE = "application/json"
+# Rows in one answer of a read, the most that the store gives.
+PAGE_ROWS = 500
+# Seconds beyond a feed's own wait before it counts as unanswered. The store's
+# answers take 4 ms, and 60 times as long when it's slow.
+FEED_MARGIN = 2.0
+
+
+class Timeouts(msgspec.Struct, frozen=True):
+    """Limits of one call, in seconds."""
+
+    # Until a connection stands; after that nothing has been sent yet.
+    connect: float = 1.0
+    # Until the whole reply is in, connecting included.
+    total: float = 5.0
+
+
+class WireRow(msgspec.Struct, omit_defaults=True):
+    """A row as the store sends and takes it."""
+
+    table: str
+    key: str
+    part: str = ""
+    # Base64.
+    value: str = ""
+    # The version of the row's last change; in a condition, the wanted one.
+    row_version: int = 0
+    # In a feed: the row was dropped.
+    tombstone: bool = False
+
+    def content(self) -> bytes:
+        """Return the value's bytes; raises PlatformUnavailableError."""
+        try:
+            return base64.b64decode(self.value, validate=True)
+        except binascii.Error as error:
+            raise unavailable(f"a row's value can't be read: {error}") from error
+
+
+class WireTransaction(msgspec.Struct):
+    """The body of a transaction."""
+
+    # Conditions: version 0 means that the row must be absent.
+    expect_rev: tuple[WireCondition, ...] = ()
+    puts: tuple[WireRow, ...] = ()
+    drop: tuple[WireRow, ...] = ()
+
+
+class WireCondition(msgspec.Struct):
+    """The version that a row must have; always written out, since 0 has a meaning."""
+
+    table: str
+    key: str
+    row_version: int
+    part: str = ""
+
+
+class WirePage(msgspec.Struct):
+    """Rows, and the newest version of the whole store at that moment."""
+
+    rows: tuple[WireRow, ...] = ()
+    row_version: int = 0
+    has_more: bool = False
+    # A clock of the store's own, in milliseconds; it only goes forward.
+    now_ms: float = 0.0
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A reply of the store, whole."""
+
+    status: int
+    content: bytes
+
+
+class StoreClient(feed.Feed):
+    """One HTTP session with the store, which all users of it share.
+
+    Opens no connection before the first call. Must be made and closed inside
+    the event loop that uses it.
+    """
+
+    def __init__(self, url: str, timeouts: Timeouts, tls: Any = None) -> None:
+        self.url = url.rstrip("/")
+        self.timeouts = timeouts
+        # For the metrics; a failure is a call without a usable reply.
+        self.calls = 0
+        self.failures = 0
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                ssl=tls or True, socket_factory=keepalive.new_socket
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def read_all(self, table: str) -> feed.Page:
+        """See Feed."""
+        found, version = await self.read_range(table, "", None)
+        entries = tuple(feed.Entry(r.key, r.content(), r.row_version) for r in found)
+        return feed.Page(entries, version)
+
+    async def read_range(
+        self, table: str, start: str, limit: int | None
+    ) -> tuple[list[WireRow], int]:
+        """Return rows from a key on, all of them without a limit, and the version.
+
+        A table that needs several pages is read at the version of the first one:
+        what has changed since is in the feed from there.
+        """
+        found: list[WireRow] = []
+        version = None
+        while True:
+            wanted = PAGE_ROWS if limit is None else min(PAGE_ROWS, limit - len(found))
+            page = await self.read_page(table, start, wanted)
+            version = page.row_version if version is None else version
+            found.extend(page.rows)
+            is_enough = limit is not None and len(found) >= limit
+            if not page.has_more or not page.rows or is_enough:
+                return found, version
+            start = page.rows[-1].key + "\0"
+
+    async def read_page(self, table: str, start: str, limit: int) -> WirePage:
+        """Return one page of rows from a key on."""
+        params = {"table": table, "part": "", "limit": str(limit)}
+        if start:
+            params["from"] = start
+        reply = await self.read(names.READ_PATH, params, self.timeouts.total)
+        if reply.status != HTTP_OK:
+            raise unavailable(f"a read was answered by status {reply.status}")
+        return decode_read(reply.content, WirePage)
+
+    async def wait_for_changes(
+        self, table: str, since: int, seconds: float
+    ) -> feed.Page:
+        """See Feed."""
+        # The name says a revision of the caller's; it's the version to go on from.
+        params = {
+            "table": table,
+            "since_rev": str(since),
+            "wait_ms": str(int(seconds * 1000)),
+        }
+        reply = await self.read(names.FEED_PATH, params, seconds + FEED_MARGIN)
+        if reply.status == HTTP_GONE:
+            raise feed.HistoryLostError(
+                f"the changes of {table} since {since} are no longer kept",
+                "Read the whole table.",
+            )
+        if reply.status != HTTP_OK:
+            raise unavailable(f"a feed was answered by status {reply.status}")
+        page = decode_read(reply.content, WirePage)
+        entries = tuple(
+            feed.Entry(
+                row.key, None if row.tombstone else row.content(), row.row_version
+            )
+            for row in page.rows
+        )
+        return feed.Page(entries, page.row_version)
+
+    async def read(self, path: str, params: dict[str, str], total: float) -> Reply:
+        """Return the reply to a read.
+
+        Raises PlatformUnavailableError, since a read that failed in any way
+        changed nothing and may be repeated.
+        """
+        try:
+            reply = await self.call("GET", path, params, None, total)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise unavailable(f"a read failed: {describe(error)}") from error
+        if reply.status not in READABLE:
+            raise unavailable(f"a read was answered by status {reply.status}")
+        return reply
+
+    async def write(
+        self, method: str, path: str, content: bytes, headers: dict[str, str]
+    ) -> Reply:
+        """Return the reply to a write: done, or its condition failed.
+
+        Raises PlatformUnavailableError if it was certainly not applied, and
+        OutcomeUnknownError if it may have been.
+        """
+        try:
+            reply = await self.call(
+                method, path, {}, content, self.timeouts.total, headers
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise unavailable(f"no connection: {describe(error)}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise unknown(f"the reply is missing: {describe(error)}") from error
+        if reply.status in (HTTP_OK, HTTP_PRECONDITION_FAILED):
+            return reply
+        reject(reply)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        params: dict[str, str],
+        content: bytes | None,
+        total: float,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send one request and return the whole reply; raises aiohttp's errors."""
+        self.calls += 1
+        is_usable = False
+        try:
+            async with self.session.request(
+                method,
+                self.url + path,
+                params=params,
+                data=content,
+                headers=headers or {"Content-Type": JSON_TYPE},
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=total, connect=self.timeouts.connect
+                ),
+            ) as response:
+                reply = Reply(response.status, await response.read())
+            is_usable = reply.status not in REFUSALS
+            is_usable = is_usable and reply.status < HTTP_SERVER_ERROR
+            return reply
+        finally:
+            self.failures += not is_usable
+
+
+def decode_read(content: bytes, kind: type[T]) -> T:
+    """Decode the reply to a read; raises PlatformUnavailableError."""
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise unavailable(f"a reply can't be understood: {error}") from error
+
+
+def decode_write(content: bytes, kind: type[T]) -> T:
+    """Decode the reply to a write; raises OutcomeUnknownError."""
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise unknown(f"a reply can't be understood: {error}") from error
+
+
+def reject(reply: Reply) -> NoReturn:
+    """Raise the error that the status of a write's reply stands for."""
+    problem = f"a write was answered by status {reply.status}"
+    if reply.status in REFUSALS:
+        raise unavailable(problem)
+    if reply.status >= HTTP_SERVER_ERROR:
+        # A server that failed half way, or something between, may answer so
+        # after the write was applied.
+        raise unknown(problem)
+    raise errors.PlatformError(
+        f"the platform refused a call: status {reply.status}",
+        "Check that the platform's address and version are the right ones.",
+    )
+
+
+def unavailable(problem: str) -> errors.PlatformUnavailableError:
+    """Return the error for a call that certainly changed nothing."""
+    return errors.PlatformUnavailableError(
+        f"the platform can't be used: {problem}",
+        "Try again later; check the platform's address and state.",
+    )
+
+
+def unknown(problem: str) -> errors.OutcomeUnknownError:
+    """Return the error for a write that may have been applied."""
+    return errors.OutcomeUnknownError(
+        f"a write may have been applied: {problem}",
+        "Read what it would have changed to find out.",
+    )
+
+
+def describe(error: BaseException) -> str:
+    """Return an error's text, or its type where it has none (a timeout)."""
+    return str(error) or type(error).__name__
--- a/src/tealcove/quarantine/marks.py
+++ b/src/tealcove/quarantine/marks.py
@@ -60,10 +60,10 @@
     cleared: set[ids.RequestId]
     until: ids.Instant
 
-    def verdict(self) -> Verdict:
+    def verdict(self, crashes_to_quarantine: int) -> Verdict:
         """Judge the digest by the crashes that aren't cleared."""
         count = self.count()
-        if count >= CRASHES_TO_QUARANTINE:
+        if count >= crashes_to_quarantine:
             return Verdict.QUARANTINED
         return Verdict.SUSPECT if count else Verdict.CLEAR
 
@@ -92,8 +92,13 @@
 class Marks:
     """The marks that an instance knows; merging in any order ends alike."""
 
-    def __init__(self, quarantine_seconds: float) -> None:
+    def __init__(
+        self,
+        quarantine_seconds: float,
+        crashes_to_quarantine: int = CRASHES_TO_QUARANTINE,
+    ) -> None:
         self.quarantine_seconds = quarantine_seconds
+        self.crashes_to_quarantine = crashes_to_quarantine
         self.marks: dict[str, Mark] = {}
         # Changes with every mark.
         self.version = 0
@@ -103,7 +108,7 @@
         mark = self.marks.get(digest)
         if mark is None or mark.until <= now:
             return Verdict.CLEAR
-        return mark.verdict()
+        return mark.verdict(self.crashes_to_quarantine)
 
     def remaining(self, digest: str, now: ids.Instant) -> float:
         """Return the seconds until a digest's mark ends."""
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -24,21 +24,22 @@
         transport: mesh.Mesh,
         known: members.Members,
         beating: heart.Heart,
-        rows: table.TableService,
+        rows: table.TableService | None,
         quarantine_seconds: float,
+        crashes_to_quarantine: int = marks.CRASHES_TO_QUARANTINE,
     ) -> None:
-        self.marks = marks.Marks(quarantine_seconds)
+        self.marks = marks.Marks(quarantine_seconds, crashes_to_quarantine)
         self.sharer = sharing.Sharer(transport, known, beating, self.marks)
-        self.keeper = keeping.Keeper(rows, self.marks)
+        # Without a table, marks end with the last instance that knows them.
+        self.keeper = None if rows is None else keeping.Keeper(rows, self.marks)
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Begin to share marks and to keep them in the platform's table."""
         self.sharer.start()
-        self.tasks = [
-            tasks.start(self.sharer.run(), "sharing of marks"),
-            tasks.start(self.keeper.run(), "keeping of marks"),
-        ]
+        self.tasks = [tasks.start(self.sharer.run(), "sharing of marks")]
+        if self.keeper is not None:
+            self.tasks.append(tasks.start(self.keeper.run(), "keeping of marks"))
 
     async def stop(self) -> None:
         """End all tasks."""
@@ -99,4 +100,5 @@
     def tell(self, digest: str, now: ids.Instant) -> None:
         """Spread a mark that has changed here."""
         self.sharer.publish(digest, now)
-        self.keeper.add(digest)
+        if self.keeper is not None:
+            self.keeper.add(digest)
