--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -20,8 +20,7 @@
 from tealcove.dispatch import policy, requester, role, spread
 from tealcove.front import places, settings
 from tealcove.ingress import budget, exchange, http
-from tealcove.limits import limit
-from tealcove.limits import role as limits_role
+from tealcove.limits import asking, limit
 from tealcove.membership import heart, members, messages
 from tealcove.peers import endpoint, mesh
 from tealcove.platform import (
@@ -160,7 +159,7 @@
             CRASHES_TO_QUARANTINE,
         )
         self.quarantine.start()
-        self.limits = limits_role.Limits(
+        self.limits = asking.AskingLimits(
             self.mesh, self.members, self.find_limit, clock.now()
         )
         self.limits.start()
@@ -314,7 +313,6 @@
         await self.heart.stop()
         await self.dispatcher.stop()
         await self.quarantine.stop()
-        await self.limits.stop()
         await self.tickets.stop()
         await self.mesh.stop()
         await self.link.stop()
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -19,6 +19,7 @@
     observer,
     tickets,
 )
+from tealcove.limits import asking
 from tealcove.limits import role as limits_role
 from tealcove.quarantine import role as quarantine_role
 
@@ -38,7 +39,7 @@
         services: exchange.Services,
         configuration: copies.ConfigurationCopy,
         spreading: spread.Spread,
-        limits: limits_role.Limits,
+        limits: asking.AskingLimits,
         quarantine: quarantine_role.Quarantine,
         codec: answers.Codec,
         source: telemetry.Source | None = None,
--- /dev/null
+++ b/src/tealcove/limits/asking.py
@@ -0,0 +1,175 @@
+"""Limits that are kept at one instance for each account, asked for each request."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import logbook
+
+from tealcove import clock, ids
+from tealcove.limits import bucket, home, messages, presence, role
+from tealcove.membership import members
+from tealcove.peers import mesh
+
+log = logbook.Logger("limits")
+
+# Seconds that an entry waits for an account's home. It answers within 5 ms over the
+# links between data centres; one that doesn't is dead, frozen or cut off, and the
+# caller hopes for its first event within some 500 ms.
+PATIENCE = 0.1
+# For so many seconds after the instances have changed, a new bucket begins with
+# only this part of the burst: the home before it may have let the rest pass.
+SETTLE_SECONDS = 10.0
+UNSETTLED_PART = 0.1
+
+
+class AskedCharge(role.Charge):
+    """A charge that the home can take back."""
+
+    def __init__(
+        self, limits: AskingLimits, account: ids.AccountId, tokens: float
+    ) -> None:
+        super().__init__(None, tokens)
+        self.limits = limits
+        self.account = account
+        self.is_settled = False
+
+    def settle(self, tokens: float) -> None:
+        """See Charge; only a request that hasn't run gives its tokens back."""
+        if self.is_settled:
+            return
+        self.is_settled = True
+        if tokens < self.tokens:
+            self.limits.give_back(self.account, self.tokens - tokens)
+
+
+class AskingLimits:
+    """Both sides: the entry's, and that of the home.
+
+    Requests of a few tenants that are as large as a whole burst can't be counted
+    on shares that are lent out: 268 of 1,252 requests were refused though hardly
+    any was beyond its account's limit. One question for each request costs some
+    milliseconds and counts exactly.
+    """
+
+    def __init__(
+        self,
+        transport: mesh.Mesh,
+        known: members.Members,
+        find_limit: home.FindLimit,
+        now: ids.Instant,
+    ) -> None:
+        self.transport = transport
+        self.members = known
+        self.find_limit = find_limit
+        self.presence = presence.Presence(known, now)
+        # What this instance lets pass as a home, and what by itself when it
+        # reaches none.
+        self.buckets: dict[ids.AccountId, bucket.Bucket] = {}
+        self.own_parts: dict[ids.AccountId, bucket.Bucket] = {}
+        self.numbers = itertools.count(1)
+        self.asked: dict[int, asyncio.Future[messages.Charged]] = {}
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self.transport.handle(messages.AskCharge, self.take_question)
+        self.transport.handle(messages.Charged, self.take_answer)
+        self.transport.handle(messages.GiveBack, self.take_back)
+
+    async def admit(self, account: ids.AccountId, tokens: float) -> role.Charge:
+        """Charge an account; raises OverLimitError."""
+        if self.find_limit(account) is None:
+            return role.Charge(None, 0.0)
+        answer = await self.ask(account, tokens)
+        if answer.retry_after > 0.0:
+            raise role.OverLimitError(account, answer.retry_after)
+        return AskedCharge(self, account, tokens)
+
+    async def ask(self, account: ids.AccountId, tokens: float) -> messages.Charged:
+        """Return the home's answer, or this instance's own when there is none."""
+        number = next(self.numbers)
+        question = messages.AskCharge(number=number, account=account, tokens=tokens)
+        now = clock.now()
+        self.presence.follow(now)
+        found = self.presence.home(account)
+        if found == self.members.own.instance:
+            return self.decide(question, now)
+        peer = None if found is None else self.members.endpoint_of(found)
+        if peer is None or not self.transport.send(peer, question):
+            return self.decide_alone(question, clock.now())
+        answer = asyncio.get_running_loop().create_future()
+        self.asked[number] = answer
+        try:
+            async with asyncio.timeout(PATIENCE):
+                return await answer
+        except TimeoutError:
+            log.info("home {} of {} is silent", found, account)
+            return self.decide_alone(question, clock.now())
+        finally:
+            del self.asked[number]
+
+    def decide(
+        self, question: messages.AskCharge, now: ids.Instant
+    ) -> messages.Charged:
+        """Answer as the home of an account."""
+        self.presence.follow(now)
+        held = self.buckets.get(question.account)
+        limit = self.find_limit(question.account)
+        if limit is None:
+            return messages.Charged(number=question.number, retry_after=0.0)
+        if held is None:
+            settled = now - self.presence.changed >= SETTLE_SECONDS
+            part = 1.0 if settled else UNSETTLED_PART
+            held = bucket.Bucket(limit.burst * part, now)
+            self.buckets[question.account] = held
+        part = self.presence.part(now)
+        after = held.take(question.tokens, limit, part, now)
+        return messages.Charged(number=question.number, retry_after=after)
+
+    def decide_alone(
+        self, question: messages.AskCharge, now: ids.Instant
+    ) -> messages.Charged:
+        """Answer by this instance's equal part of the limit, out of reach of a home."""
+        limit = self.find_limit(question.account)
+        if limit is None:
+            return messages.Charged(number=question.number, retry_after=0.0)
+        lost = self.presence.count_lost(now)
+        part = 1.0 / (self.presence.count() + lost)
+        held = self.own_parts.get(question.account)
+        if held is None:
+            held = bucket.Bucket(limit.burst * part, now)
+            self.own_parts[question.account] = held
+        after = held.take(question.tokens, limit, part, now)
+        return messages.Charged(number=question.number, retry_after=after)
+
+    def take_question(
+        self, sender: ids.InstanceId, question: messages.AskCharge
+    ) -> None:
+        """Answer an entry."""
+        peer = self.members.endpoint_of(sender)
+        if peer is not None:
+            self.transport.send(peer, self.decide(question, clock.now()))
+
+    def take_answer(self, sender: ids.InstanceId, answer: messages.Charged) -> None:
+        """Take a home's answer in."""
+        waiting = self.asked.get(answer.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def give_back(self, account: ids.AccountId, tokens: float) -> None:
+        """Tell the home that a request hasn't run."""
+        sent = messages.GiveBack(account=account, tokens=tokens)
+        found = self.presence.home(account)
+        if found == self.members.own.instance:
+            self.take_back(found, sent)
+            return
+        peer = None if found is None else self.members.endpoint_of(found)
+        if peer is not None:
+            self.transport.send(peer, sent)
+
+    def take_back(self, sender: ids.InstanceId, sent: messages.GiveBack) -> None:
+        """Put tokens back that weren't used."""
+        held = self.buckets.get(sent.account)
+        if held is not None:
+            held.level += sent.tokens
--- a/src/tealcove/limits/messages.py
+++ b/src/tealcove/limits/messages.py
@@ -53,3 +53,25 @@
 
     lender: str
     shares: tuple[Share, ...]
+
+
+class AskCharge(message.Message):
+    """Asks an account's home to let a request pass."""
+
+    number: int
+    account: ids.AccountId
+    tokens: float
+
+
+class Charged(message.Message):
+    """The home's answer; 0 seconds: the request may pass."""
+
+    number: int
+    retry_after: float
+
+
+class GiveBack(message.Message):
+    """Tells an account's home of tokens that were charged and not used."""
+
+    account: ids.AccountId
+    tokens: float
--- a/src/tealcove/limits/presence.py
+++ b/src/tealcove/limits/presence.py
@@ -61,6 +61,10 @@
         """Return the number of serving instances, at least 1."""
         return max(1, len(self.serving))
 
+    def count_lost(self, now: ids.Instant) -> int:
+        """Return the number of instances that may live on beyond a cut."""
+        return sum(1 for since in self.lost.values() if now - since < LOST_SECONDS)
+
     def home(self, account: ids.AccountId) -> ids.InstanceId | None:
         """Return the home of an account; None when no instance serves."""
         found = self.homes.get(account)
@@ -78,7 +82,7 @@
         Were it always the whole, a deployment cut in two would give each account
         twice its limit.
         """
-        lost = sum(1 for since in self.lost.values() if now - since < LOST_SECONDS)
+        lost = self.count_lost(now)
         total = self.count() + lost
         if lost <= MOST_DEAD_PART * total:
             return 1.0
