Wait for the engine to listen before the test asks it for counts

Cause: the test asked the engine for its counts as soon as the instance was ready; with six workers the engine's process wasn't listening yet, and the refused connection ended the test. Seen once; the refused address was the engine's, so nothing of the product. The check itself stays as it was.

--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -25,6 +25,8 @@
     session = []
     async with deployment.Deployment(tmp_path) as running:
         engine = await running.add_engine(decode_seconds_per_token=0.005)
+        # Asked for its counts below, which needs it to listen already.
+        await running.wait_for_port(engine)
         instance = await running.add_instance()
         await running.declare()
         await running.wait_until_ready(instance)
