Let the route's rank order requests of accounts that share a rank

Cause: the account's rank took the place of the route's. Ruled out: too few slots in use (all 20 slots of the fast engines were busy), limits (each account passed within its own), speeds (learnt within 5 % of the measured). Also logged from now on: acceptance, the decision of limits, the end of each sending.

--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -176,7 +176,22 @@
             outcome = messages.Outcome.FAILED
             raise
         finally:
-            report.end(outcome, self.events * self.terms.event_tokens, clock.now())
+            self.note_end(report, outcome, clock.now())
+
+    def note_end(
+        self, report: Report, outcome: messages.Outcome, now: ids.Instant
+    ) -> None:
+        """Tell the dispatcher, and the log, how one sending has ended."""
+        done = report.end(outcome, self.events * self.terms.event_tokens, now)
+        self.say(
+            "{} at {}: first event {:.3f} s, total {:.3f} s, {} events, prompt {}",
+            outcome.value,
+            done.server,
+            done.first_token_seconds,
+            done.total_seconds,
+            self.events,
+            done.prompt_tokens,
+        )
 
     async def send(
         self, http: web.Request, report: Report, server: engine.Server
@@ -325,8 +340,10 @@
         )
         self.tickets.tell(self.hold, progress)
 
-    def end(self, outcome: messages.Outcome, tokens: int, now: ids.Instant) -> None:
-        """Tell how it ended; the slot is free."""
+    def end(
+        self, outcome: messages.Outcome, tokens: int, now: ids.Instant
+    ) -> messages.Done:
+        """Tell how it ended, which frees the slot; return what was told."""
         ticket = self.hold.ticket
         sent_at = now if self.sent_at is None else self.sent_at
         first_at = now if self.first_at is None else self.first_at
@@ -342,6 +359,7 @@
             total_seconds=now - sent_at,
         )
         self.tickets.finish(self.hold, done)
+        return done
 
 
 async def gather(server: engine.Server, parts: object) -> bytes:
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -98,6 +98,16 @@
             remaining = self.quarantine.remaining(terms.digest, clock.now())
             reason = messages.RefusalReason.QUARANTINED
             raise refused(received, reason, remaining)
+        log.info(
+            "accepted: route {}, service {}, account {}, rank {}, {:.3f} s, revision {}",
+            terms.route.name,
+            terms.service,
+            terms.account_name,
+            terms.rank,
+            terms.deadline - terms.arrived,
+            self.configuration.revision,
+            extra={"request": received.request_id},
+        )
         charge = await self.charge(terms)
         running = exchange.Exchange(self.services, terms, self.find_cell(terms))
         try:
--- /dev/null
+++ b/src/tealcove/ingress/tests/builders.py
@@ -0,0 +1,78 @@
+"""Test data of the ingress slice."""
+
+from __future__ import annotations
+
+from tealcove import ids
+from tealcove.catalog import declared
+from tealcove.ingress import call, tickets
+from tealcove.limits import limit
+
+SERVICE = ids.PoolId("engines")
+HOST = "callers.example"
+KEY = "a-key"
+ACCOUNT = ids.AccountId("bakery")
+
+
+def route(**changes: object) -> declared.Route:
+    found = {
+        "name": "tables",
+        "host": HOST,
+        "prefix": "/tables/",
+        "shares": (declared.Share(SERVICE, 1.0),),
+        "repeat": declared.Repeat.SAFE,
+        "is_stream": False,
+        "timeout": 4.0,
+        "goal": 0.5,
+        "rank": 0,
+        "attempts": 2,
+    }
+    return declared.Route(**{**found, **changes})
+
+
+def account(**changes: object) -> declared.Account:
+    found = {"name": ACCOUNT, "rank": 1, "limit": None}
+    return declared.Account(**{**found, **changes})
+
+
+def limited(rate: float = 1000.0, burst: float = 2000.0) -> declared.Account:
+    return account(limit=limit.Limit(rate, burst))
+
+
+def catalog(*routes: declared.Route, **changes: object) -> declared.Catalog:
+    found = {
+        "routes": routes or (route(),),
+        "services": (declared.Service(SERVICE, 4),),
+        "accounts": (account(),),
+        "keys": {KEY: ACCOUNT},
+    }
+    return declared.Catalog(**{**found, **changes})
+
+
+def received(**changes: object) -> call.Call:
+    found = {
+        "request_id": ids.RequestId("r-1"),
+        "method": "POST",
+        "target": "/tables/7?full=1",
+        "host": HOST,
+        "path": "/tables/7",
+        "headers": (),
+        "body": b"recipe",
+        "key": KEY,
+        "patience": 4.0,
+        "work": call.Work(1000, 100, 50),
+    }
+    return call.Call(**{**found, **changes})
+
+
+def terms(**changes: object) -> tickets.Terms:
+    found = {
+        "call": received(),
+        "route": route(),
+        "service": SERVICE,
+        "event_tokens": 4,
+        "account": account(),
+        "arrived": ids.Instant(100.0),
+        "deadline": ids.Instant(104.0),
+        "digest": "d",
+    }
+    return tickets.Terms(**{**found, **changes})
--- /dev/null
+++ b/src/tealcove/ingress/tests/test_tickets.py
@@ -0,0 +1,53 @@
+"""What routes and callers say becomes the ticket's rank, goal and patience."""
+
+from __future__ import annotations
+
+import pytest
+
+from tealcove import ids
+from tealcove.catalog import declared
+from tealcove.ingress import tickets
+from tealcove.ingress.tests import builders
+
+
+def rank(account_rank: int | None, route_rank: int) -> int:
+    return builders.terms(
+        account=builders.account(rank=account_rank),
+        route=builders.route(rank=route_rank),
+    ).rank
+
+
+def test_routes_of_accounts_with_one_rank_go_by_their_own():
+    """Urgent requests are refused while others that could wait are served.
+
+    Symptom: at twice the load, a quarter of the most urgent kind of request is
+    refused, as of any other. Sequence: all accounts have rank 1; an urgent and
+    another route's requests wait for one slot. Cause: the account's rank takes the
+    place of the route's, so that all of them wait in one line.
+    """
+    assert rank(1, 0) < rank(1, 1) < rank(1, 2)
+
+
+def test_the_accounts_rank_goes_before_the_routes():
+    assert rank(0, 2) < rank(1, 0)
+    assert rank(0, 5000) < rank(1, 0)
+
+
+async def test_a_stream_that_has_begun_has_its_next_pause_for_a_goal():
+    route = builders.route(
+        repeat=declared.Repeat.RESUMABLE, is_stream=True, goal=0.6, gap=0.25
+    )
+    terms = builders.terms(route=route)
+    now = ids.Instant(terms.arrived + 1.0)
+
+    def ticket(has_events: bool) -> tickets.messages.Ticket:
+        found = tickets.new(
+            terms, ids.CellId("c/0"), ids.InstanceId("i"), (), has_events, now
+        )
+        return found.ticket
+
+    # Missed by now, which isn't the same as having none.
+    assert 0.0 < ticket(False).goal < 1e-9
+    assert ticket(False).patience == pytest.approx(2.4 - 1.0)
+    assert ticket(True).goal == 0.25
+    assert ticket(True).patience == pytest.approx(2.4)
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -16,6 +16,8 @@
 LEAST_PATIENCE = 2.0
 GOALS_OF_PATIENCE = 4.0
 GAPS_OF_PATIENCE = 8.0
+# Ranks of routes beyond this one count as this one.
+LOWEST_ROUTE_RANK = 99
 
 
 class Terms(msgspec.Struct, frozen=True, kw_only=True):
@@ -33,10 +35,16 @@
 
     @property
     def rank(self) -> int:
-        """The rank in the queue: the account's own goes before the route's."""
-        if self.account is not None and self.account.rank is not None:
-            return self.account.rank
-        return self.route.rank
+        """The rank in the queue: the account's own, and within that the route's.
+
+        Accounts often share one rank. Were the route's left out for these, urgent
+        and other routes would wait in one line: on a day with twice the load that
+        could be served, 187 of 700 requests of the most urgent kind were refused.
+        """
+        route = min(self.route.rank, LOWEST_ROUTE_RANK)
+        if self.account is None or self.account.rank is None:
+            return route * (LOWEST_ROUTE_RANK + 1) + route
+        return self.account.rank * (LOWEST_ROUTE_RANK + 1) + route
 
     @property
     def account_name(self) -> ids.AccountId:
--- a/src/tealcove/limits/asking.py
+++ b/src/tealcove/limits/asking.py
@@ -125,6 +125,16 @@
             self.buckets[question.account] = held
         part = self.presence.part(now)
         after = held.take(question.tokens, limit, part, now)
+        log.info(
+            "{} of {}: {} for {:.0f} tokens, {:.0f} left of {:.0f} a second, part {:.2f}",
+            "passed" if after == 0.0 else "over the limit",
+            question.account,
+            "spare" if held.level < 0.0 and after == 0.0 else "bucket",
+            question.tokens,
+            held.level,
+            limit.rate,
+            part,
+        )
         return messages.Charged(number=question.number, retry_after=after)
 
     def decide_alone(
