--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -99,7 +99,7 @@
             reason = messages.RefusalReason.QUARANTINED
             raise refused(received, reason, remaining)
         log.info(
-            "accepted: route {}, service {}, account {}, rank {}, {:.3f} s, revision {}",
+            "accepted: route {} to {}, account {}, rank {}, {:.3f} s, revision {}",
             terms.route.name,
             terms.service,
             terms.account_name,
--- a/src/tealcove/limits/asking.py
+++ b/src/tealcove/limits/asking.py
@@ -126,7 +126,7 @@
         part = self.presence.part(now)
         after = held.take(question.tokens, limit, part, now)
         log.info(
-            "{} of {}: {} for {:.0f} tokens, {:.0f} left of {:.0f} a second, part {:.2f}",
+            "{} of {}: {} for {:.0f} tokens, {:.0f} left, {:.0f} a second, part {:.2f}",
             "passed" if after == 0.0 else "over the limit",
             question.account,
             "spare" if held.level < 0.0 and after == 0.0 else "bucket",
