--- a/src/tealcove/commands/check.py
+++ b/src/tealcove/commands/check.py
@@ -10,9 +10,11 @@
 
 from tealcove import errors, plan, resourcefiles, settings, settingsfile
 from tealcove.commands import exits
+from tealcove.front import settings as front_settings
 from tealcove.resources import copy
 
 RESOURCE_KEY = "kind"
+LISTEN_KEY = "listen"
 
 
 @cappa.command(
@@ -54,9 +56,17 @@
         return f"{len(declared)} resources, fine together"
     if holds_resources(settingsfile.parse(path)):
         return f"{len(resourcefiles.read([path]))} resources, fine each for itself"
+    if is_for_platform(settingsfile.parse(path)):
+        found = front_settings.load(path)
+        return f"settings of {found.instance} on the platform, fine"
     return f"settings of {settings.load(path).instance}, fine"
 
 
+def is_for_platform(content: object) -> bool:
+    """Tell the settings of `tealcove front` from those of `tealcove serve`."""
+    return isinstance(content, dict) and LISTEN_KEY in content
+
+
 def holds_resources(content: object) -> bool:
     """Tell resources from settings."""
     return isinstance(content, list) or (
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 from aiohttp import web
+from opentelemetry import metrics
 
 from tealcove import (
     clock,
@@ -187,14 +189,11 @@
         found = self.settings
         self.link = engines.EngineLink()
         await self.link.start()
-        allowance = budget.Allowance(
-            found.repeats.ratio, found.repeats.slack, found.repeats.window_seconds
-        )
         self.ingress = http.Ingress(
             exchange.Services(
                 link=self.link,
                 tickets=self.tickets,
-                budget=budget.Budget(allowance, self.count_instances),
+                budget=budget.Budget(allowance_of(found), self.count_instances),
                 entry=self.name,
             ),
             self.configuration,
@@ -273,6 +272,29 @@
         self.pools.refresh()
         self.dispatcher.reconfigure()
 
+    def reload(self, found: settings.FrontSettings) -> None:
+        """Put in force what may change while running, and say what may not."""
+        before = self.settings
+        fixed = ("instance", "data_centre", "listen", "store")
+        changed = [n for n in fixed if getattr(before, n) != getattr(found, n)]
+        if changed:
+            log.warning("{} change at the next start only", ", ".join(changed))
+        self.settings = found
+        self.heart.seeds = tuple(endpoint.parse(seed) for seed in found.seeds)
+        for seed in self.heart.seeds:
+            self.heart.beat_to(seed)
+        self.ingress.services.budget.allowance = allowance_of(found)
+        self.directory.ttl_seconds = found.leaving.directory_ttl_seconds
+        log.info("settings read again: {}", "changed" if before != found else "alike")
+
+    def show_dropped_lines(self, count: Callable[[], int]) -> None:
+        """Add the log lines that were not written to the metrics."""
+        self.telemetry.meter.create_observable_counter(
+            "tealcove.log.dropped_lines",
+            [lambda options: [metrics.Observation(count())]],
+            description="Log lines beyond the bound, which were not written.",
+        )
+
     def find_limit(self, account: ids.AccountId) -> limit.Limit | None:
         """Return an account's limit by the configuration in force, if it has one."""
         current = self.configuration.current
@@ -320,6 +342,12 @@
         self.telemetry.shutdown()
 
 
+def allowance_of(found: settings.FrontSettings) -> budget.Allowance:
+    """Return the allowance of repeats by the settings."""
+    repeats = found.repeats
+    return budget.Allowance(repeats.ratio, repeats.slack, repeats.window_seconds)
+
+
 async def start(found: settings.FrontSettings) -> Instance:
     """Return a started instance; raises TealcoveError if it can't listen."""
     instance = Instance(found)
--- a/src/tealcove/limits/asking.py
+++ b/src/tealcove/limits/asking.py
@@ -47,7 +47,7 @@
 class AskingLimits:
     """Both sides: the entry's, and that of the home.
 
-    Requests of a few tenants that are as large as a whole burst can't be counted
+    Requests of a few accounts that are as large as a whole burst can't be counted
     on shares that are lent out: 268 of 1,252 requests were refused though hardly
     any was beyond its account's limit. One question for each request costs some
     milliseconds and counts exactly.
--- /dev/null
+++ b/src/tealcove/linelimit.py
@@ -0,0 +1,62 @@
+"""A bound on log lines: never more than the budget, and never a wait for a reader."""
+
+from __future__ import annotations
+
+import os
+
+# Bytes that wait for a slow reader; what comes beyond is dropped.
+MOST_WAITING = 256 * 1024
+
+
+class LineLimit:
+    """Counts lines by the second, and what had to be dropped."""
+
+    def __init__(self, most_per_second: int) -> None:
+        self.most = most_per_second
+        self.second = 0
+        self.used = 0
+        self.dropped = 0
+
+    def admits(self, is_important: bool, now: float) -> bool:
+        """Tell whether a line may be written; warnings have the budget once more."""
+        second = int(now)
+        if second != self.second:
+            self.second = second
+            self.used = 0
+        most = 2 * self.most if is_important else self.most
+        if self.used >= most:
+            self.dropped += 1
+            return False
+        self.used += 1
+        return True
+
+
+class LineWriter:
+    """Writes to a descriptor without ever waiting for it.
+
+    A reader that stops reading would otherwise stop the whole instance at the next
+    line; its peers would take it for dead, and its callers wait.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        os.set_blocking(descriptor, False)
+        self.waiting = b""
+
+    def write(self, line: bytes) -> bool:
+        """Write a line, or keep it for later; False: there's no room for it."""
+        if len(self.waiting) + len(line) > MOST_WAITING:
+            self.flush()
+            if len(self.waiting) + len(line) > MOST_WAITING:
+                return False
+        self.waiting += line
+        self.flush()
+        return True
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        try:
+            written = os.write(self.descriptor, self.waiting)
+        except BlockingIOError:
+            return
+        self.waiting = self.waiting[written:]
--- a/src/tealcove/logs.py
+++ b/src/tealcove/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines, on standard error or, with a bound, on standard output."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 import logbook.compat
 import msgspec
 
-from tealcove import settings
+from tealcove import clock, linelimit, settings
 
 LEVELS = {
     settings.Level.DEBUG: logbook.DEBUG,
@@ -56,6 +56,11 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write the line."""
+        self.stream.write(self.encode(record).decode() + "\n")
+        self.stream.flush()
+
+    def encode(self, record: logbook.LogRecord) -> bytes:
+        """Return the line without its end."""
         line = Line(
             time=record.time.isoformat(timespec="milliseconds") + "Z",
             level=logbook.get_level_name(record.level).lower(),
@@ -66,20 +71,66 @@
             request=record.extra[REQUEST] or None,
             error=record.formatted_exception,
         )
-        self.stream.write(msgspec.json.encode(line).decode() + "\n")
-        self.stream.flush()
+        return msgspec.json.encode(line)
 
 
-def install(
-    found: settings.Settings, stream: typing.TextIO | None = None
-) -> JsonHandler:
-    """Send all records of this process to a new handler, and return it.
+class BoundedHandler(JsonHandler):
+    """Writes so many lines a second at the most, and never waits for a reader.
+
+    What is dropped is counted: `dropped` is shown among the metrics, and the next
+    line that is written says how many went before it.
+    """
+
+    def __init__(
+        self, found: settings.Settings, descriptor: int, most_per_second: int
+    ) -> None:
+        super().__init__(found)
+        self.limit = linelimit.LineLimit(most_per_second)
+        self.writer = linelimit.LineWriter(descriptor)
+        self.told = 0
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were not written since the start."""
+        return self.limit.dropped
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write the line, unless there are too many."""
+        is_important = record.level >= logbook.WARNING
+        if not self.limit.admits(is_important, clock.now()):
+            return
+        line = self.encode(record)
+        if self.limit.dropped > self.told:
+            missing = self.limit.dropped - self.told
+            self.told = self.limit.dropped
+            line = line[:-1] + f',"dropped_before":{missing}}}'.encode()
+        if not self.writer.write(line + b"\n"):
+            self.limit.dropped += 1
+
+
+def install_bounded(found: settings.Settings, most_per_second: int) -> BoundedHandler:
+    """Send all records to a bounded handler on standard output, and return it."""
+    handler = BoundedHandler(found, sys.stdout.fileno(), most_per_second)
+    return push(handler)
+
+
+H = typing.TypeVar("H", bound=logbook.Handler)
+
+
+def push(handler: H) -> H:
+    """Send all records of this process to a handler, and return it.
 
     The standard library's records come too, since aiohttp writes there; its
     access log stays out, because request paths may hold what callers keep secret.
     """
-    handler = JsonHandler(found, stream)
     handler.push_application()
     logbook.compat.redirect_logging()
     logging.getLogger().setLevel(logging.WARNING)
     return handler
+
+
+def install(
+    found: settings.Settings, stream: typing.TextIO | None = None
+) -> JsonHandler:
+    """Send all records of this process to a new handler, and return it."""
+    return push(JsonHandler(found, stream))
--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -114,7 +114,7 @@
             if self.transport.send(peer, heartbeat) and with_known:
                 told = known
                 told_at = now
-            await asyncio.sleep(self.interval)
+            await asyncio.sleep(self.interval * self.members.stretch())
 
     def known_addresses(self, now: ids.Instant) -> frozenset[str]:
         """Return the addresses of the peers that were heard lately."""
--- a/src/tealcove/membership/members.py
+++ b/src/tealcove/membership/members.py
@@ -14,6 +14,11 @@
 # push the others out now and then.
 MOST_RANKINGS = 2000
 
+# From so many peers on, heartbeats come less often, so that what they cost each
+# instance stays the same: 63 instances that told each other of themselves every
+# 0.25 s took 0.1 of a core each, most of it for that.
+FULL_RATE_PEERS = 20
+
 Ranked = tuple[str, ids.DataCentreId | None]
 
 
@@ -96,9 +101,13 @@
             return False
         return not self.is_suspect(known, now)
 
+    def stretch(self) -> float:
+        """Return by how much heartbeats are further apart than in a small group."""
+        return max(1.0, len(self.peers) / FULL_RATE_PEERS)
+
     def is_suspect(self, member: Member, now: ids.Instant) -> bool:
         """Tell whether a peer has been silent for too long."""
-        return now - member.heard > self.suspect_after
+        return now - member.heard > self.suspect_after * self.stretch()
 
     def sweep(self, now: ids.Instant) -> list[Member]:
         """Forget peers that are long silent and return them."""
--- a/src/tealcove/settingsfile.py
+++ b/src/tealcove/settingsfile.py
@@ -66,9 +66,13 @@
         raise errors.SettingsError(
             f"{path}: can't be read: {reason}", "Name a file that can be read."
         ) from None
+    if not text.strip():
+        raise errors.SettingsError(
+            f"{path}: is empty", "Write an object in braces; see docs/SETTINGS.md."
+        )
     try:
         return pyjson5.decode(text)
-    except pyjson5.Json5DecoderException as failure:
+    except (pyjson5.Json5DecoderException, ValueError, RecursionError) as failure:
         raise errors.SettingsError(
             f"{path}: {locate(text, str(failure))}",
             "Correct the JSON; comments and trailing commas are allowed.",
