Test the whole path on stand-ins of the platform's store and backend servers

Found by them and mended: a call's client ended it at the same instant as the route's time, so that a silent server gave 502 in place of 504; the stand-in store kept feeds waiting for callers that had left, 25 s at the end of each test.

--- a/src/tealcove/platform/engines.py
+++ b/src/tealcove/platform/engines.py
@@ -19,6 +19,9 @@
 # Seconds for a connection: links between data centres take some milliseconds, and
 # a server that is gone without a reset must be noticed while the goal is in reach.
 CONNECT_TIMEOUT = 0.25
+# Seconds beyond the time of a call before this client ends it. Whoever called ends it
+# in time, and would otherwise take this client's end for the server's.
+LATE_MARGIN = 1.0
 MILLISECONDS = 1000
 HTTP_MISDIRECTED = 421
 # Headers of an answer that concern one connection, or that are written anew.
@@ -96,7 +99,7 @@
             # Following a redirect would be a second sending.
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
-                total=sending.remaining, sock_connect=CONNECT_TIMEOUT
+                total=sending.remaining + LATE_MARGIN, sock_connect=CONNECT_TIMEOUT
             ),
             trace_request_ctx=attempt,
         )
--- a/src/tealcove/standins/platform.py
+++ b/src/tealcove/standins/platform.py
@@ -71,7 +71,13 @@
 
     async def start(self) -> None:
         """Listen; `port` holds the port from here on, also over a restart."""
-        runner = web.AppRunner(self.application(), access_log=None, shutdown_timeout=0)
+        runner = web.AppRunner(
+            self.application(),
+            access_log=None,
+            shutdown_timeout=0,
+            # A feed's caller that leaves must not keep its handler waiting.
+            handler_cancellation=True,
+        )
         await runner.setup()
         site = web.TCPSite(runner, self.settings.host, self.port)
         await site.start()
--- /dev/null
+++ b/src/tealcove/standins/poolserver.py
@@ -0,0 +1,194 @@
+"""A stand-in for a backend server of the platform, with faults to switch on."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import enum
+import socket
+import struct
+
+import msgspec
+from aiohttp import web
+
+from tealcove.platform import names
+
+HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
+HTTP_FAILED = 500
+EVENT_STREAM = "text/event-stream"
+# Time for the part of an answer to arrive before the reset overtakes it.
+PART_SECONDS = 0.05
+# Linger for 0 s: closing sends a reset in place of an orderly end.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Fault(enum.Enum):
+    """What goes wrong with the next request."""
+
+    # It hasn't run: the server is full.
+    FULL = "full"
+    # It has run, and the connection is reset in place of an answer.
+    RESET = "reset"
+    # The answer bears another request's id.
+    FOREIGN = "foreign"
+    # The answer says that the request failed.
+    FAILED = "failed"
+    # The stream is cut in the middle of an event.
+    CUT = "cut"
+    # An event is left out.
+    SKIPPED = "skipped"
+    # An answer without a length that is reset on the way.
+    UNFRAMED = "unframed"
+    # It never answers.
+    SILENT = "silent"
+
+
+class Run(msgspec.Struct, frozen=True):
+    """A request that has run."""
+
+    request_id: str
+    account: str | None
+    target: str
+    last_event: str | None
+    headers: dict[str, str]
+    deadline_ms: str | None
+
+
+class PoolServer:
+    """One incarnation of a backend server."""
+
+    def __init__(self, name: str, service: str, events: int = 5) -> None:
+        self.name = name
+        self.service = service
+        # Events of each stream, and seconds between two of them.
+        self.events = events
+        self.gap = 0.0
+        self.faults: collections.deque[Fault] = collections.deque()
+        self.runs: list[Run] = []
+        self.running = 0
+        self.port = 0
+        self.runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        app = web.Application()
+        app.add_routes([web.route("*", "/{path:.*}", self.handle)])
+        self.runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", self.port)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+            self.runner = None
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return the row that such a server keeps in the store."""
+        found = {
+            "service": self.service,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": "dc-1",
+            "slots": 4,
+            "state": state,
+            "seq": 1,
+        }
+        return msgspec.json.encode(found)
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        await request.read()
+        expected = request.headers.get(names.EXPECTED_INCARNATION)
+        if expected not in (None, self.name):
+            return web.Response(
+                status=HTTP_MISDIRECTED, headers={names.INCARNATION: self.name}
+            )
+        fault = self.faults.popleft() if self.faults else None
+        if fault is Fault.FULL:
+            return web.Response(status=HTTP_UNAVAILABLE, headers={names.NOT_RUN: "1"})
+        self.note(request)
+        self.running += 1
+        try:
+            return await self.run(request, fault)
+        finally:
+            self.running -= 1
+
+    def note(self, request: web.Request) -> None:
+        """Remember a request that runs."""
+        headers = request.headers
+        self.runs.append(
+            Run(
+                request_id=headers[names.REQUEST_ID],
+                account=headers.get(names.ACCOUNT),
+                target=request.raw_path,
+                last_event=headers.get(names.LAST_EVENT_ID),
+                headers=dict(headers),
+                deadline_ms=headers.get(names.DEADLINE_MS),
+            )
+        )
+
+    async def run(
+        self, request: web.Request, fault: Fault | None
+    ) -> web.StreamResponse:
+        """Carry a request out."""
+        headers = {
+            names.REQUEST_ID: request.headers[names.REQUEST_ID],
+            names.SIGNATURE: f"signed by {self.name}",
+        }
+        if fault is Fault.SILENT:
+            await asyncio.Event().wait()
+        if fault is Fault.RESET:
+            request.transport.abort()
+            return web.Response()
+        if fault is Fault.FOREIGN:
+            headers[names.REQUEST_ID] = "another"
+        if fault is Fault.UNFRAMED:
+            return await self.break_unframed(request, headers)
+        if request.path.startswith("/stream/"):
+            return await self.stream(request, headers, fault)
+        status = HTTP_FAILED if fault is Fault.FAILED else 200
+        return web.Response(
+            status=status, headers=headers, body=f"from {self.name}".encode()
+        )
+
+    async def break_unframed(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send a part of an answer without a length, then reset."""
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        request.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\nhalf".encode())
+        await asyncio.sleep(PART_SECONDS)
+        reset(request.transport)
+        return web.Response()
+
+    async def stream(
+        self, request: web.Request, headers: dict[str, str], fault: Fault | None
+    ) -> web.StreamResponse:
+        """Send a stream, from the event after the last one that the caller has."""
+        last = int(request.headers.get(names.LAST_EVENT_ID, 0))
+        response = web.StreamResponse(headers={**headers, "Content-Type": EVENT_STREAM})
+        await response.prepare(request)
+        half = self.events // 2 + 1
+        for number in range(last + 1, self.events + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if fault is Fault.CUT and number == half:
+                await response.write(event[:-4])
+                request.transport.abort()
+                return response
+            if fault is not Fault.SKIPPED or number != half:
+                await response.write(event)
+            await asyncio.sleep(self.gap)
+        await response.write_eof()
+        return response
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Break a connection so that its peer sees a reset."""
+    taken = transport.get_extra_info("socket")
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    transport.abort()
--- /dev/null
+++ b/tests/platformed.py
@@ -0,0 +1,202 @@
+"""Instances on a stand-in of the users' platform, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+import msgspec
+
+from tealcove.front import instance, settings
+from tealcove.membership import messages
+from tealcove.platform import names
+from tealcove.standins import platform, poolserver
+
+HOST = "callers.example"
+KEY = "the-key"
+ACCOUNT = "bakery"
+PATIENCE = 30.0
+POLL = 0.01
+
+
+def free_address() -> str:
+    """Return an address of loopback that is free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def route(name: str, kind: str, **changes: object) -> dict[str, object]:
+    """Return a route as an operator writes it; its prefix is its name."""
+    found = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "type": kind,
+        "timeout_ms": 3000,
+        "goal_ms": 500,
+        "priority": 0,
+        "service": "pool",
+        "attempts": 2,
+    }
+    return {**found, **changes}
+
+
+ROUTES = (
+    route("safe", "safe"),
+    route("once", "unsafe", attempts=1),
+    route("stream", "stream", resumable=True, gap_target_ms=250),
+    route("stream/brief", "stream", attempts=1, timeout_ms=700),
+)
+
+
+def configuration(*routes: dict[str, object], **changes: object) -> bytes:
+    """Return an operator's configuration."""
+    found = {
+        "version": 1,
+        "routes": routes or ROUTES,
+        "services": [{"name": "pool", "engine": {"stride": 4}}],
+        "limits": {},
+        "tenants": [{"name": ACCOUNT, "api_keys": [KEY], "unit": "token"}],
+    }
+    return msgspec.json.encode({**found, **changes})
+
+
+async def until(check: Callable[[], bool]) -> None:
+    """Wait until a check holds; the timeout is far beyond any healthy wait."""
+    deadline = asyncio.get_running_loop().time() + PATIENCE
+    while not check():
+        assert asyncio.get_running_loop().time() < deadline
+        await asyncio.sleep(POLL)
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a caller got; no status means that the connection broke first."""
+
+    status: int | None
+    body: bytes
+    is_whole: bool
+    headers: dict[str, str] = {}
+
+
+class Site:
+    """The store, backend servers and instances of one deployment."""
+
+    def __init__(self) -> None:
+        self.store = platform.PlatformStandin()
+        self.servers: list[poolserver.PoolServer] = []
+        self.instances: list[instance.Instance] = []
+        self.session: aiohttp.ClientSession | None = None
+        self.requests = 0
+
+    async def add_server(self, name: str) -> poolserver.PoolServer:
+        """Start a backend server that is in the store's list."""
+        server = poolserver.PoolServer(name, "pool")
+        await server.start()
+        self.servers.append(server)
+        await self.write(names.SERVERS_TABLE, name, server.entry())
+        return server
+
+    async def add_instance(self, is_alone: bool = False) -> instance.Instance:
+        """Start an instance and wait until it's ready; one alone knows no peer."""
+        number = len(self.instances)
+        listen = settings.Listen(*(free_address() for _ in range(4)))
+        seeds = tuple(one.settings.listen.peers for one in self.instances)
+        seeds = () if is_alone else seeds
+        found = settings.FrontSettings(
+            instance=f"i-{number}",
+            data_centre="dc-1",
+            listen=listen,
+            store=settings.Store(f"127.0.0.1:{self.store.port}"),
+            seeds=seeds,
+        )
+        started = await instance.start(found)
+        self.instances.append(started)
+        if not is_alone:
+            await until(lambda: is_serving(started))
+        return started
+
+    async def write(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row as the operator or a backend server does."""
+        await self.store.put_row(table, key, value)
+
+    async def declare(self, content: bytes) -> None:
+        """Put a configuration in force on all instances."""
+        await self.write(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, content)
+        version = self.store.memory.table.last_version
+        await until(
+            lambda: all(i.configuration.revision >= version for i in self.instances)
+        )
+
+    async def send(
+        self, path: str, at: instance.Instance | None = None, **headers: str
+    ) -> Answer:
+        """Send a request as a caller does."""
+        self.requests += 1
+        chosen = at or self.instances[0]
+        sent = {
+            "Host": HOST,
+            names.REQUEST_ID: f"r-{self.requests}",
+            names.API_KEY: KEY,
+            names.DEADLINE_MS: "2500",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = f"http://{chosen.settings.listen.callers}{path}"
+        try:
+            async with self.session.post(url, headers=sent, data=b"x") as response:
+                return await read(response)
+        except aiohttp.ClientError:
+            return Answer(None, b"", False)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.session.close()
+        for one in self.instances:
+            await one.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+
+async def read(response: aiohttp.ClientResponse) -> Answer:
+    """Read an answer as far as it comes."""
+    body = b""
+    try:
+        async for part in response.content.iter_any():
+            body += part
+    except aiohttp.ClientError:
+        return Answer(response.status, body, False, dict(response.headers))
+    return Answer(response.status, body, True, dict(response.headers))
+
+
+def is_serving(one: instance.Instance) -> bool:
+    """Tell whether an instance takes requests and knows a server."""
+    lifecycle = one.members.own.lifecycle
+    return lifecycle is messages.Lifecycle.SERVING and bool(one.servers.known)
+
+
+@contextlib.asynccontextmanager
+async def site(servers: int = 2, instances: int = 1) -> AsyncIterator[Site]:
+    """Run a deployment."""
+    running = Site()
+    running.session = aiohttp.ClientSession()
+    await running.store.start()
+    try:
+        for number in range(servers):
+            await running.add_server(f"s-{number}")
+        await running.write(
+            names.OPERATOR_TABLE, names.CONFIGURATION_KEY, configuration()
+        )
+        for _ in range(instances):
+            await running.add_instance()
+        await until(
+            lambda: all(
+                len(i.members.peers) == instances - 1 for i in running.instances
+            )
+        )
+        yield running
+    finally:
+        await running.stop()
--- /dev/null
+++ b/tests/test_platformed.py
@@ -0,0 +1,281 @@
+"""The whole path on the users' platform, against its stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tealcove.platform import names
+from tealcove.standins import poolserver
+from tests import platformed
+
+Fault = poolserver.Fault
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6)
+)
+
+
+def fail_next(running: platformed.Site, fault: Fault, servers: int = 9) -> None:
+    """Let the next request at each of some servers meet a fault."""
+    for server in running.servers[:servers]:
+        server.faults.append(fault)
+
+
+def runs(running: platformed.Site) -> list[poolserver.Run]:
+    return [run for server in running.servers for run in server.runs]
+
+
+async def test_a_request_is_passed_on_and_its_answer_unchanged():
+    async with platformed.site() as running:
+        answer = await running.send(
+            "/safe/a%2Fb?c=d",
+            Tealcove_Tenant="forged",
+            Kv_From="1.2.3.4:5/h",
+            X_Own="1",
+        )
+        (run,) = runs(running)
+        assert answer.status == 200
+        assert answer.body.startswith(b"from s-")
+        assert answer.headers[names.SIGNATURE].startswith("signed by s-")
+        assert run.target == "/safe/a%2Fb?c=d"
+        # What is the system's to set is set by it alone, and the key stays here.
+        assert run.account == platformed.ACCOUNT
+        assert run.headers["X-Own"] == "1"
+        assert "Kv-From" not in run.headers
+        assert platformed.KEY not in run.headers.values()
+        assert 0 < int(run.deadline_ms) <= 2500
+
+
+async def test_streams_pass_on_whole():
+    async with platformed.site() as running:
+        answer = await running.send("/stream/1")
+        assert (answer.status, answer.body, answer.is_whole) == (
+            200,
+            WHOLE_STREAM,
+            True,
+        )
+        rest = await running.send("/stream/1", Last_Event_Id="3")
+        assert rest.body == WHOLE_STREAM[WHOLE_STREAM.index(b"id: 4") :]
+
+
+async def test_what_is_not_declared_is_refused():
+    async with platformed.site() as running:
+        assert (await running.send("/nowhere/1")).status == 404
+        assert (await running.send("/safe/1", Api_Key="wrong")).status == 401
+        assert (await running.send("/safe/1", Host="other.example")).status == 404
+        assert (await running.send("/safe/1", Tealcove_Deadline_Ms="x")).status == 400
+        assert runs(running) == []
+
+
+async def test_a_lost_answer_is_final_for_what_may_run_once():
+    """A request that may run once runs twice, or is said not to have run.
+
+    Symptom: two runs of one request, or a 503 for one that has run. Sequence: the
+    server runs it and resets the connection. Cause: a lost answer taken for one
+    that wasn't sent.
+    """
+    async with platformed.site() as running:
+        fail_next(running, Fault.RESET)
+        assert (await running.send("/once/1")).status == 502
+        assert len(runs(running)) == 1
+
+
+async def test_a_lost_answer_is_made_good_for_what_may_repeat():
+    async with platformed.site() as running:
+        fail_next(running, Fault.RESET, 1)
+        assert (await running.send("/safe/1")).status == 200
+        fail_next(running, Fault.FAILED, 1)
+        assert (await running.send("/safe/2")).status == 200
+
+
+async def test_a_failed_answer_is_passed_on_when_the_second_server_fails_too():
+    async with platformed.site() as running:
+        fail_next(running, Fault.FAILED)
+        answer = await running.send("/safe/1")
+        assert answer.status == 500
+        assert names.SIGNATURE in answer.headers
+        assert len(runs(running)) == 2
+
+
+async def test_a_full_server_has_not_run_the_request():
+    async with platformed.site() as running:
+        fail_next(running, Fault.FULL, 1)
+        running.servers[1].faults.append(Fault.FULL)
+        running.servers[0].faults.append(Fault.FULL)
+        refused = await running.send("/once/1")
+        assert refused.status == 503
+        assert float(refused.headers["Retry-After"]) > 0
+        assert runs(running) == []
+
+
+async def test_no_answer_of_another_request_is_passed_on():
+    """A caller gets another caller's answer.
+
+    Symptom: an answer whose id is another request's. Sequence: a faulty server
+    sends an answer that belongs elsewhere. Cause: the echoed id isn't compared.
+    """
+    async with platformed.site() as running:
+        fail_next(running, Fault.FOREIGN)
+        answer = await running.send("/once/1")
+        assert answer.status == 502
+        assert b"from" not in answer.body
+
+
+async def test_an_answer_that_is_reset_is_not_taken_for_whole():
+    """A caller takes a part of an answer for the whole.
+
+    Symptom: a 200 with half a body. Sequence: an answer without a length is reset
+    on the way. Cause: the HTTP library takes a reset for the end of such an answer.
+    """
+    async with platformed.site() as running:
+        fail_next(running, Fault.UNFRAMED)
+        answer = await running.send("/once/1")
+        assert answer.status == 502
+        assert b"half" not in answer.body
+
+
+async def test_a_broken_stream_goes_on_at_another_server():
+    async with platformed.site() as running:
+        fail_next(running, Fault.CUT, 1)
+        running.servers[1].faults.append(Fault.CUT)
+        answer = await running.send("/stream/1")
+        assert [run.last_event for run in runs(running)] == [None, "2"]
+        # The second server breaks off as well, at the same event.
+        assert answer.body == WHOLE_STREAM[: WHOLE_STREAM.index(b"id: 3")]
+        assert not answer.is_whole
+        again = await running.send("/stream/1", Last_Event_Id="2")
+        assert answer.body + again.body == WHOLE_STREAM
+
+
+async def test_a_stream_never_leaves_an_event_out():
+    async with platformed.site() as running:
+        fail_next(running, Fault.SKIPPED)
+        answer = await running.send("/stream/brief/1")
+        assert not answer.is_whole
+        assert answer.body == WHOLE_STREAM[: WHOLE_STREAM.index(b"id: 3")]
+
+
+async def test_a_silent_server_is_left_at_the_routes_time():
+    async with platformed.site() as running:
+        fail_next(running, Fault.SILENT)
+        answer = await running.send("/stream/brief/1")
+        assert answer.status == 504
+
+
+async def test_a_caller_that_leaves_ends_its_run():
+    async with platformed.site() as running:
+        fail_next(running, Fault.SILENT)
+        sending = asyncio.create_task(running.send("/safe/1"))
+        await platformed.until(lambda: sum(s.running for s in running.servers) == 1)
+        sending.cancel()
+        await platformed.until(lambda: sum(s.running for s in running.servers) == 0)
+        assert (await running.send("/safe/1")).status == 200 or runs(running)
+
+
+async def test_a_leaving_server_gets_nothing_more():
+    async with platformed.site() as running:
+        first, second = running.servers
+        entry = first.entry("draining")
+        await running.write(names.SERVERS_TABLE, first.name, entry)
+        views = running.instances[0].servers.known
+        await platformed.until(
+            lambda: views[first.name].server.state.value == "leaving"
+        )
+        for _ in range(6):
+            assert (await running.send("/safe/1")).status == 200
+        assert first.runs == []
+        assert len(second.runs) == 6
+
+
+async def test_an_address_that_another_server_has_runs_nothing():
+    """A request is run by a server of another service.
+
+    Symptom: a run at a service that no route leads to. Sequence: a server dies, and
+    its address is given to another one before its entry is gone. Cause: the
+    request doesn't name the server that it's meant for.
+    """
+    async with platformed.site() as running:
+        for server in running.servers:
+            server.name = f"other-{server.name}"
+        assert (await running.send("/once/1")).status == 503
+        assert runs(running) == []
+
+
+async def test_a_limit_holds_over_all_instances():
+    async with platformed.site(instances=2) as running:
+        limited = {"rate_per_s": 10, "burst": 1000, "plain_tokens": 200}
+        account = {"name": platformed.ACCOUNT, "api_keys": [platformed.KEY]}
+        await running.declare(
+            platformed.configuration(tenants=[{**account, **limited, "unit": "token"}])
+        )
+        answers = [
+            await running.send("/safe/1", running.instances[number % 2])
+            for number in range(16)
+        ]
+        served = sum(answer.status == 200 for answer in answers)
+        refused = [answer for answer in answers if answer.status == 429]
+        assert served + len(refused) == 16
+        assert served <= 6
+        assert all(float(answer.headers["Retry-After"]) > 0 for answer in refused)
+
+
+async def test_an_instance_that_the_store_turns_away_learns_from_its_peers():
+    """An instance goes on with a key that was taken away.
+
+    Symptom: requests with an old key are served for as long as the store turns
+    one instance away. Sequence: the store refuses that instance's calls; keys
+    change. Cause: only the store is asked for the configuration.
+    """
+    async with platformed.site(instances=2) as running:
+        late = running.instances[1]
+
+        async def refused(*arguments: object) -> None:
+            raise platformed.platform.errors.PlatformUnavailableError("no", "wait")
+
+        late.store.call = refused
+        changed = [{"name": platformed.ACCOUNT, "api_keys": ["new-key"]}]
+        await running.declare(platformed.configuration(tenants=changed))
+        assert (await running.send("/safe/1", late)).status == 401
+        assert (await running.send("/safe/1", late, Api_Key="new-key")).status == 200
+
+
+async def test_requests_go_on_while_the_store_is_down():
+    async with platformed.site() as running:
+        running.store.memory.faults.down = True
+        assert (await running.send("/once/1")).status == 200
+
+
+async def test_an_instance_without_a_configuration_promises_nothing():
+    """Callers are told that a route doesn't exist, and never come back.
+
+    Symptom: 404 or 401 right after a restart. Sequence: an instance starts while
+    the store is down and answers before it knows any route. Cause: no
+    configuration taken for an empty one.
+    """
+    async with platformed.site() as running:
+        running.store.memory.faults.down = True
+        fresh = await running.add_instance(is_alone=True)
+        answer = await running.send("/safe/1", fresh)
+        assert answer.status == 503
+
+
+async def test_a_leaving_instance_ends_what_it_has_and_refuses_the_rest():
+    async with platformed.site() as running:
+        one = running.instances[0]
+        running.servers[0].gap = running.servers[1].gap = 0.15
+        streaming = asyncio.create_task(running.send("/stream/1"))
+        await platformed.until(lambda: bool(runs(running)))
+        one.settings = platformed.instance.settings.FrontSettings(
+            instance="i-0",
+            data_centre="dc-1",
+            listen=one.settings.listen,
+            store=one.settings.store,
+            leaving=platformed.settings.Leaving(0.05, 5.0),
+        )
+        leaving = asyncio.create_task(one.leave())
+        await platformed.until(lambda: one.ingress.is_closed)
+        refused = await running.send("/once/1")
+        assert refused.status == 503
+        assert refused.headers["Connection"].lower() == "close"
+        answer = await streaming
+        assert (answer.body, answer.is_whole) == (WHOLE_STREAM, True)
+        await leaving
