--- /dev/null
+++ b/src/tealcove/catalog/tests/test_copies.py
@@ -0,0 +1,132 @@
+"""Copies move to newer revisions only, and keep servers over an outage."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tealcove import ids
+from tealcove.catalog import copies, declared, lookup, messages
+from tealcove.ingress.tests import builders
+from tealcove.platform import documents
+from tealcove.storage import feed
+
+
+def server(name: str, state: str = "ready") -> bytes:
+    found = {"service": "pool", "addr": "10.0.0.1:80", "zone": "dc", "state": state}
+    return msgspec.json.encode(found)
+
+
+def page(version: int, *entries: feed.Entry) -> feed.Page:
+    return feed.Page(entries, version)
+
+
+def instant(seconds: float) -> ids.Instant:
+    return ids.Instant(seconds)
+
+
+def servers() -> copies.ServersCopy:
+    return copies.ServersCopy(documents.decode_server)
+
+
+def test_a_configuration_never_goes_back():
+    held = copies.ConfigurationCopy("config", documents.decode_configuration)
+    new = msgspec.json.encode({"routes": []})
+    held.apply(page(7, feed.Entry("config", new, 7)), instant(0))
+    held.replace(page(9, feed.Entry("config", new, 5)), instant(0))
+    assert held.revision == 7
+    broken = feed.Entry("config", b"{", 8)
+    held.apply(page(8, broken), instant(0))
+    assert held.revision == 7
+    told = messages.Told(
+        topic=held.topic, revision=ids.Revision(6), content=held.encode()
+    )
+    held.take(told, instant(0))
+    assert held.revision == 7
+
+
+def test_servers_that_lapsed_in_an_outage_have_time_to_come_back():
+    """Every request is refused for the first seconds after an outage.
+
+    Symptom: no backend server is known though all of them live. Sequence: the
+    store is away, the servers' entries lapse, and it tells so when it's back.
+    Cause: a lapsed entry taken for a server that's gone.
+    """
+    held = servers()
+    held.apply(
+        page(2, feed.Entry("a", server("a"), 1), feed.Entry("b", server("b"), 2)),
+        instant(0),
+    )
+    held.note_outage_ended(instant(10))
+    gone = page(4, feed.Entry("a", None, 3), feed.Entry("b", None, 4))
+    held.apply(gone, instant(10.1))
+    assert set(held.known) == {"a", "b"}
+    held.apply(page(5, feed.Entry("a", server("a"), 5)), instant(11))
+    held.end_lapses(instant(10 + copies.LAPSE_SECONDS))
+    assert set(held.known) == {"a"}
+    held.apply(page(6, feed.Entry("a", None, 6)), instant(20))
+    assert set(held.known) == set()
+
+
+def test_a_server_that_was_leaving_is_gone_at_once_after_an_outage():
+    held = servers()
+    held.apply(page(1, feed.Entry("a", server("a", "draining"), 1)), instant(0))
+    held.note_outage_ended(instant(10))
+    held.apply(page(2, feed.Entry("a", None, 2)), instant(10.1))
+    assert not held.known
+
+
+@given(st.permutations([(1, True), (2, False), (3, True), (4, False)]))
+def test_rows_in_any_order_end_at_the_newest(order: list[tuple[int, bool]]) -> None:
+    held = servers()
+    for version, is_there in order:
+        value = server("a") if is_there else None
+        held.apply(page(version, feed.Entry("a", value, version)), instant(0))
+    assert not held.known
+    other = servers()
+    told = messages.Told(
+        topic=held.topic, revision=held.revision, content=held.encode()
+    )
+    other.take(told, instant(0))
+    assert other.known == held.known
+
+
+def test_the_longest_prefix_wins():
+    near = builders.route(name="near", prefix="/a/b/")
+    far = builders.route(name="far", prefix="/a/")
+    found = lookup.Lookup(builders.catalog(near, far), ids.Revision(1))
+    host = f"{builders.HOST.upper()}:80"
+    assert found.find_route(host, "/a/b/c") is near
+    assert found.find_route(host, "/a/bc") is far
+    assert found.find_route(host, "/b/") is None
+    assert found.find_route("other", "/a/b/c") is None
+    assert found.find_account(builders.KEY).name == builders.ACCOUNT
+    assert found.find_account("wrong") is None
+
+
+def test_documents_are_decoded_into_the_products_terms():
+    content = {
+        "version": 3,
+        "later": "ignored",
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "prefix": "/p/",
+                "type": "stream",
+                "resumable": True,
+                "timeout_ms": 5000,
+                "goal_ms": 600,
+                "split": [{"service": "x", "weight": 90}, {"service": "y"}],
+            }
+        ],
+        "tenants": [{"name": "t", "api_keys": ["k"], "rate_per_s": 5, "burst": 9}],
+    }
+    found = documents.decode_configuration(msgspec.json.encode(content))
+    (route,) = found.routes
+    assert route.repeat is declared.Repeat.RESUMABLE
+    assert (route.timeout, route.goal) == (5.0, 0.6)
+    assert [share.service for share in route.shares] == ["x", "y"]
+    assert found.accounts[0].limit.rate == 5
+    assert found.accounts[0].cost(1000) == 1
--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_goal.py
@@ -0,0 +1,159 @@
+"""The goal scheduler: rank, goals, refusals, failing servers, takeover."""
+
+from __future__ import annotations
+
+from tealcove import ids
+from tealcove.dispatch import goal, messages, waitingline
+from tealcove.dispatch.tests import builders
+
+
+def opened(*names: str, slots: int = 1) -> goal.GoalScheduler:
+    found = goal.GoalScheduler()
+    servers = [builders.server(name, slots) for name in names or ("s0",)]
+    found.configure(builders.cell(*servers), builders.instant(0))
+    return found
+
+
+def enqueue(
+    found: goal.GoalScheduler, at: float = 0.0, **changes: object
+) -> tuple[messages.Ticket, list]:
+    ticket = builders.ticket(**changes)
+    return ticket, found.enqueue(ticket, builders.instant(at))
+
+
+def granted_names(outgoing: list) -> list[str]:
+    return [grant.server for grant in builders.granted(outgoing)]
+
+
+def test_a_higher_rank_goes_first_whenever_it_came():
+    found = opened()
+    _, first = enqueue(found)
+    low, _ = enqueue(found, 0.1, tier_rank=2, remaining=60.0)
+    high, _ = enqueue(found, 0.2, tier_rank=0, remaining=60.0)
+    (grant,) = builders.granted(first)
+    (next_one,) = builders.granted(
+        found.done(builders.done(grant), builders.instant(1))
+    )
+    assert next_one.ticket_id == high.ticket_id
+    assert low.ticket_id in found.line
+
+
+def test_goals_in_reach_go_before_late_ones_of_the_same_rank():
+    """Under overload every request is late.
+
+    Symptom: all first events come after the goal though half of them could be in
+    time. Sequence: more requests come than fit; the oldest is served first, each a
+    little late. Cause: requests whose goal is missed go on being first in line.
+    """
+    found = opened()
+    _, first = enqueue(found, remaining=60.0)
+    late, _ = enqueue(found, 0.0, goal=0.3, remaining=60.0)
+    fresh, _ = enqueue(found, 1.0, goal=0.9, remaining=60.0)
+    (grant,) = builders.granted(first)
+    (next_one,) = builders.granted(
+        found.done(builders.done(grant), builders.instant(1.2))
+    )
+    assert next_one.ticket_id == fresh.ticket_id
+    assert late.ticket_id in found.line
+
+
+def test_what_would_start_after_its_caller_has_left_is_refused_at_once():
+    found = opened()
+    enqueue(found, prompt_tokens=50_000, remaining=60.0)
+    for _ in range(3):
+        enqueue(found, prompt_tokens=50_000, remaining=60.0, patience=30.0)
+    _, outgoing = enqueue(found, remaining=60.0, tier_rank=5, patience=0.5)
+    (refusal,) = builders.refused(outgoing)
+    assert refusal.reason is messages.RefusalReason.OVERLOAD
+    assert goal.SHORTEST_RETRY <= refusal.retry_after <= goal.LONGEST_RETRY
+
+
+def test_a_ticket_goes_where_it_ends_soonest():
+    found = opened("slow", "fast", slots=2)
+    found.servers["slow"].prompt_seconds = 1e-3
+    found.servers["slow"].token_seconds = 0.05
+    assert granted_names(enqueue(found)[1]) == ["fast"]
+    assert granted_names(enqueue(found, prompt_tokens=10)[1]) == ["fast"]
+    assert granted_names(enqueue(found)[1]) == ["slow"]
+
+
+def test_a_goal_that_is_missed_here_and_met_elsewhere_is_waited_for():
+    found = opened("slow", "fast")
+    found.servers["slow"].prompt_seconds = 1e-2
+    (first,) = builders.granted(enqueue(found)[1])
+    assert first.server == "fast"
+    waiting, outgoing = enqueue(found, 0.01, goal=0.5)
+    assert builders.granted(outgoing) == []
+    done = builders.done(first, total_seconds=0.1, output_tokens=0)
+    assert granted_names(found.done(done, builders.instant(0.1))) == ["fast"]
+    assert waiting.ticket_id in found.where
+
+
+def test_an_unreachable_server_gets_nothing_for_a_while():
+    found = opened("s0", "s1")
+    (grant,) = builders.granted(enqueue(found)[1])
+    lost = builders.done(grant, outcome=messages.Outcome.NOT_SENT)
+    found.done(lost, builders.instant(0.1))
+    other = "s1" if grant.server == "s0" else "s0"
+    assert granted_names(enqueue(found, 0.2)[1]) == [other]
+    assert granted_names(enqueue(found, 0.2)[1]) == []
+    assert granted_names(found.tick(builders.instant(0.6))) == [grant.server]
+
+
+def test_a_server_that_hangs_gets_nothing_more():
+    found = opened("s0", slots=4)
+    enqueue(found, remaining=60.0)
+    assert granted_names(enqueue(found, 5.0, remaining=60.0)[1]) == []
+
+
+def test_a_ticket_that_excludes_every_server_still_runs():
+    found = opened("s0")
+    names = (ids.BackendServerId("s0"),)
+    assert granted_names(enqueue(found, excluded=names)[1]) == ["s0"]
+
+
+def test_slots_that_nobody_tells_of_are_free_after_a_takeover():
+    """A successor serves a part of what could be served.
+
+    Symptom: after a dispatcher's death two thirds of the work for many seconds.
+    Sequence: entries tell the successor of running requests; some of these entries
+    die too, or their requests end unseen. Cause: slots of requests that nobody
+    tells of are kept for 8 s.
+    """
+    found = opened("s0")
+    running = builders.ticket(running_on=ids.BackendServerId("s0"))
+    found.enqueue(running, builders.instant(0))
+    waiting, outgoing = enqueue(found, 0.1, remaining=60.0)
+    assert granted_names(outgoing) == []
+    for second in (1, 2, 3):
+        found.enqueue(waiting, builders.instant(second))
+    freed = found.tick(builders.instant(goal.UNTOLD_SECONDS + 0.1))
+    assert granted_names(freed) == ["s0"]
+
+
+def test_a_lost_entrys_slots_are_free_at_once():
+    found = opened("s0")
+    enqueue(found, entry=ids.InstanceId("lost"))
+    enqueue(found, entry=ids.InstanceId("lost"), remaining=60.0)
+    kept, _ = enqueue(found, remaining=60.0)
+    freed = found.lose_entry(ids.InstanceId("lost"), builders.instant(0.1))
+    assert [g.ticket_id for g in builders.granted(freed)] == [kept.ticket_id]
+
+
+def test_speeds_are_learnt_from_the_first_completion():
+    found = opened("s0", slots=4)
+    (grant,) = builders.granted(enqueue(found, prompt_tokens=4000)[1])
+    progress = messages.Progress(
+        ticket_id=grant.ticket_id, cell=builders.CELL, first_token_seconds=0.43
+    )
+    found.progress(progress, builders.instant(0.43))
+    assert abs(found.servers["s0"].prompt_seconds - 1e-4) < 1e-6
+
+
+def test_without_any_server_a_ticket_waits_until_its_time_is_over():
+    found = goal.GoalScheduler()
+    found.configure(builders.cell(), builders.instant(0))
+    _, outgoing = enqueue(found, remaining=1.0)
+    assert builders.refused(outgoing) == []
+    over = found.tick(builders.instant(1.0 - waitingline.MARGIN / 2))
+    assert len(builders.refused(over)) == 1
--- /dev/null
+++ b/src/tealcove/tests/test_linelimit.py
@@ -0,0 +1,40 @@
+"""Log lines are bounded, counted, and never waited for."""
+
+from __future__ import annotations
+
+import os
+
+from tealcove import linelimit
+
+
+def test_lines_beyond_the_bound_are_counted():
+    found = linelimit.LineLimit(3)
+    assert [found.admits(False, 1.0) for _ in range(5)] == [True] * 3 + [False] * 2
+    assert [found.admits(True, 1.5) for _ in range(4)] == [True] * 3 + [False]
+    assert found.dropped == 3
+    assert found.admits(False, 2.0)
+
+
+def test_a_reader_that_stops_never_stops_the_writer():
+    """The whole instance stands still, and its peers take it for dead.
+
+    Symptom: no heartbeat and no answer. Sequence: whoever reads the log stops; the
+    pipe fills up. Cause: writing a line waits for room in the pipe.
+    """
+    reading, writing = os.pipe()
+    writer = linelimit.LineWriter(writing)
+    line = b"x" * 1023 + b"\n"
+    taken = 0
+    while writer.write(line):
+        taken += 1
+    assert taken * len(line) > linelimit.MOST_WAITING
+    os.set_blocking(reading, False)
+    # What was taken comes out whole and in order once somebody reads again.
+    content = b""
+    while writer.waiting:
+        content += os.read(reading, 1 << 20)
+        writer.flush()
+    content += os.read(reading, 1 << 20)
+    assert content == line * taken
+    os.close(reading)
+    os.close(writing)
