--- a/tests/platformed.py
+++ b/tests/platformed.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
@@ -14,19 +13,14 @@
 from tealcove.membership import messages
 from tealcove.platform import names
 from tealcove.standins import platform, poolserver
+from tests import deployment
 
 HOST = "callers.example"
 KEY = "the-key"
 ACCOUNT = "bakery"
 PATIENCE = 30.0
 POLL = 0.01
-
-
-def free_address() -> str:
-    """Return an address of loopback that is free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+FIRST_PORT = 7000
 
 
 def route(name: str, kind: str, **changes: object) -> dict[str, object]:
@@ -91,6 +85,9 @@
         self.instances: list[instance.Instance] = []
         self.session: aiohttp.ClientSession | None = None
         self.requests = 0
+        # A loopback network of its own, so that sites that run side by side can't
+        # meet on a port.
+        self.network, self.network_holder = deployment.hold_network()
 
     async def add_server(self, name: str) -> poolserver.PoolServer:
         """Start a backend server that is in the store's list."""
@@ -103,7 +100,10 @@
     async def add_instance(self, is_alone: bool = False) -> instance.Instance:
         """Start an instance and wait until it's ready; one alone knows no peer."""
         number = len(self.instances)
-        listen = settings.Listen(*(free_address() for _ in range(4)))
+        host = f"{self.network}.{number + 1}"
+        listen = settings.Listen(
+            *(f"{host}:{port}" for port in range(FIRST_PORT, FIRST_PORT + 4))
+        )
         seeds = tuple(one.settings.listen.peers for one in self.instances)
         seeds = () if is_alone else seeds
         found = settings.FrontSettings(
@@ -163,6 +163,7 @@
         for server in self.servers:
             await server.stop()
         await self.store.stop()
+        self.network_holder.close()
 
 
 async def read(response: aiohttp.ClientResponse) -> Answer:
