Add a fault soak of our own; be ready as soon as a configuration is known

The soak runs three instances as processes, with every way to the store and to the backend servers through a loopback proxy, and draws kills, freezes, terminations, cuts, delays, resets, silence, an unavailable, slow or forgetful store, changes and faulty answers by seed; series overlap. Checked from outside: what may run once runs once, a promise of not run is true, successes are signed, whole and the caller's own, streams are in order, nothing declared is refused, and requests are served after the last fault.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real instances, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,34 @@
+"""`python -m soak`: soaks by seed, one after the other."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import sys
+
+import msgspec
+
+from soak import run
+
+
+def main() -> int:
+    """Run the soaks; 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--count", type=int, default=1, help="so many seeds")
+    parser.add_argument("--seconds", type=float, default=10.0, help="of faults, each")
+    parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
+    found = parser.parse_args()
+    failed = 0
+    for seed in range(found.seed, found.seed + found.count):
+        folder = found.logs / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        verdict = asyncio.run(run.soak(folder, seed, found.seconds))
+        print(msgspec.json.encode(verdict).decode(), flush=True)
+        failed += bool(verdict.broken)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,118 @@
+"""Callers who check what they are promised."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import aiohttp
+import msgspec
+from tests import platformed
+
+from soak import deployment
+from tealcove.platform import names
+
+PATHS = ("/safe/x", "/once/x", "/stream/x")
+CALLERS = 6
+PAUSE = 0.03
+TIMEOUT = aiohttp.ClientTimeout(total=4.0, sock_connect=1.0)
+# These say that a request has not run, and never will.
+PROMISES = (408, 421, 429, 503)
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6)
+)
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """One request as its caller saw it."""
+
+    request_id: str
+    path: str
+    answer: platformed.Answer
+
+
+class Callers:
+    """Send requests until told to stop."""
+
+    def __init__(self, running: deployment.Deployment, seed: int) -> None:
+        self.running = running
+        self.random = random.Random(seed)
+        self.ended: list[Ended] = []
+        self.count = 0
+        self.is_stopping = False
+
+    async def run(self) -> None:
+        """Let all callers call until `is_stopping` is set."""
+        async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+            await asyncio.gather(*(self.call(session) for _ in range(CALLERS)))
+
+    async def call(self, session: aiohttp.ClientSession) -> None:
+        """Be one caller, who takes whichever instance comes."""
+        while not self.is_stopping:
+            self.count += 1
+            request_id = f"r-{self.count}"
+            path = self.random.choice(PATHS)
+            member = self.random.choice(self.running.members)
+            answer = await self.send(session, member, request_id, path)
+            self.ended.append(Ended(request_id, path, answer))
+            await asyncio.sleep(PAUSE)
+
+    async def send(
+        self,
+        session: aiohttp.ClientSession,
+        member: deployment.Member,
+        request_id: str,
+        path: str,
+    ) -> platformed.Answer:
+        """Send one request."""
+        headers = {
+            "Host": platformed.HOST,
+            names.REQUEST_ID: request_id,
+            names.API_KEY: platformed.KEY,
+            names.DEADLINE_MS: "3000",
+        }
+        url = f"http://{member.listen['callers']}{path}"
+        try:
+            async with session.post(url, headers=headers, data=b"x") as response:
+                return await platformed.read(response)
+        except (aiohttp.ClientError, TimeoutError):
+            return platformed.Answer(None, b"", False)
+
+
+def broken_promises(running: deployment.Deployment, ended: list[Ended]) -> list[str]:
+    """Return what callers and backend servers saw that must never be."""
+    runs: dict[str, int] = {}
+    for server in running.servers:
+        for run in server.runs:
+            runs[run.request_id] = runs.get(run.request_id, 0) + 1
+    found = []
+    for one in ended:
+        count = runs.get(one.request_id, 0)
+        found.extend(f"{one.request_id} {one.path}: {x}" for x in wrongs(one, count))
+    known = {one.request_id for one in ended}
+    found.extend(f"{name}: run, but nobody sent it" for name in set(runs) - known)
+    return found
+
+
+def wrongs(one: Ended, runs: int) -> list[str]:
+    """Return what is wrong with one request, which ran so many times."""
+    answer = one.answer
+    found = []
+    if one.path.startswith("/once/") and runs > 1:
+        found.append(f"ran {runs} times")
+    has_promise = answer.status in PROMISES and answer.is_whole
+    if has_promise and runs and one.path.startswith("/once/"):
+        found.append(f"answered {answer.status}, and has run")
+    if answer.status in (401, 404):
+        found.append(f"answered {answer.status} for what is declared")
+    if answer.status == 200:
+        if names.SIGNATURE not in answer.headers:
+            found.append("a success without a signature")
+        if answer.headers.get(names.REQUEST_ID) != one.request_id:
+            found.append("another request's answer")
+        is_stream = one.path.startswith("/stream/")
+        if is_stream and answer.is_whole and answer.body != WHOLE_STREAM:
+            found.append(f"a whole stream that isn't: {answer.body!r}")
+        if is_stream and not WHOLE_STREAM.startswith(answer.body):
+            found.append(f"events out of order: {answer.body!r}")
+    return found
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,144 @@
+"""The deployment under soak: instances as processes, stand-ins behind proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import msgspec
+from tests import deployment as networks
+from tests import platformed
+
+from soak import proxy
+from tealcove.platform import names
+from tealcove.standins import platform, poolserver
+
+READY_SECONDS = 30.0
+LISTENERS = ("callers", "ready", "directory", "peers")
+FIRST_PORT = 7000
+GRACE = 3.0
+
+
+class Member:
+    """One instance: its settings file, its addresses, its process."""
+
+    def __init__(self, name: str, host: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.path = folder / f"{name}.json"
+        self.log = folder / f"{name}.log"
+        self.listen = {
+            key: f"{host}:{port}" for port, key in enumerate(LISTENERS, FIRST_PORT)
+        }
+        self.process: asyncio.subprocess.Process | None = None
+        self.is_stopping = False
+
+    def write(self, store: str, seeds: list[str]) -> None:
+        """Write the settings."""
+        found = {
+            "instance": self.name,
+            "data_centre": "dc-1",
+            "listen": self.listen,
+            "store": {"address": store},
+            "seeds": seeds,
+            "leaving": {"directory_ttl_seconds": 0.3, "grace_seconds": GRACE},
+        }
+        self.path.write_bytes(msgspec.json.encode(found))
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.is_stopping = False
+        with self.log.open("ab") as sink:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tealcove.cli",
+                "front",
+                "--settings",
+                str(self.path),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process, which the soak started."""
+        if self.process is not None and self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    async def end(self) -> None:
+        """Kill it and wait until it's gone."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Deployment:
+    """All parts; use as a context manager."""
+
+    def __init__(self, folder: pathlib.Path, members: int, servers: int) -> None:
+        self.store = platform.PlatformStandin()
+        self.network, self.network_holder = networks.hold_network()
+        self.members = [
+            Member(f"i-{n}", f"{self.network}.{n + 1}", folder) for n in range(members)
+        ]
+        self.servers = [poolserver.PoolServer(f"s-{n}", "pool") for n in range(servers)]
+        self.store_proxies: list[proxy.Proxy] = []
+        self.server_proxies: list[proxy.Proxy] = []
+
+    async def __aenter__(self) -> Deployment:
+        await self.store.start()
+        await self.store.put_row(
+            names.OPERATOR_TABLE, names.CONFIGURATION_KEY, platformed.configuration()
+        )
+        for server in self.servers:
+            await self.add(server)
+        seeds = [member.listen["peers"] for member in self.members[:2]]
+        for member in self.members:
+            # Each instance has a way to the store of its own, so that one can be
+            # turned away while the others are served.
+            between = proxy.Proxy("127.0.0.1", self.store.port)
+            self.store_proxies.append(between)
+            member.write(await between.start(), seeds)
+            await member.start()
+        await self.until_ready()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        for member in self.members:
+            await member.end()
+        for between in (*self.store_proxies, *self.server_proxies):
+            await between.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+    async def add(self, server: poolserver.PoolServer) -> None:
+        """Start a backend server behind a proxy, and list it."""
+        server.gap = 0.01
+        await server.start()
+        between = proxy.Proxy("127.0.0.1", server.port)
+        self.server_proxies.append(between)
+        entry = msgspec.json.decode(server.entry())
+        entry["addr"] = await between.start()
+        content = msgspec.json.encode(entry)
+        await self.store.put_row(names.SERVERS_TABLE, server.name, content)
+
+    async def until_ready(self) -> None:
+        """Wait until every instance listens for callers."""
+        await asyncio.wait_for(networks.until(self.all_listen), timeout=READY_SECONDS)
+
+    async def all_listen(self) -> bool:
+        """Tell whether every instance listens for callers."""
+        return all(listens(member.listen["callers"]) for member in self.members)
+
+
+def listens(address: str) -> bool:
+    """Tell whether something listens at an address of loopback."""
+    host, _, port = address.partition(":")
+    with socket.socket() as probe:
+        return probe.connect_ex((host, int(port))) == 0
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,164 @@
+"""Faults by seed: what is done to the deployment, and how it's undone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from tests import platformed
+
+from soak import deployment, proxy
+from tealcove.platform import names
+from tealcove.standins import poolserver
+
+# Seconds that a fault lasts, and between the beginnings of two; they overlap.
+SHORTEST, LONGEST = 0.3, 2.5
+PAUSE = 0.6
+
+Step = Callable[[], Awaitable[None]]
+NETWORK = (
+    proxy.Trouble.DELAYED,
+    proxy.Trouble.SILENT,
+    proxy.Trouble.ONE_WAY,
+    proxy.Trouble.REFUSED,
+)
+
+
+class Faults:
+    """Draws faults and carries them out; `done` tells what was done, in order."""
+
+    def __init__(self, running: deployment.Deployment, seed: int) -> None:
+        self.running = running
+        self.random = random.Random(seed)
+        self.done: list[str] = []
+        self.kinds = (
+            self.kill,
+            self.freeze,
+            self.terminate,
+            self.cut_store,
+            self.cut_server,
+            self.store_fault,
+            self.change_configuration,
+            self.server_faults,
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Begin faults again and again, then wait until all are undone."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        open_ones: set[asyncio.Task[None]] = set()
+        while loop.time() < end:
+            kind = self.random.choice(self.kinds)
+            lasts = self.random.uniform(SHORTEST, LONGEST)
+            open_ones.add(asyncio.create_task(self.carry_out(kind, lasts)))
+            await asyncio.sleep(self.random.uniform(0.0, 2 * PAUSE))
+        await asyncio.gather(*open_ones)
+
+    async def carry_out(self, kind: Callable[..., object], lasts: float) -> None:
+        """Do one thing, wait, and undo it."""
+        async with kind() as what:
+            self.done.append(f"{what} for {lasts:.1f} s")
+            await asyncio.sleep(lasts)
+
+    def member(self) -> deployment.Member:
+        """Draw an instance."""
+        return self.random.choice(self.running.members)
+
+    @contextlib.asynccontextmanager
+    async def kill(self) -> AsyncIterator[str]:
+        """Kill an instance, and start it again."""
+        member = self.member()
+        if member.is_stopping:
+            yield "nothing"
+            return
+        member.is_stopping = True
+        await member.end()
+        yield f"kill {member.name}"
+        await member.start()
+
+    @contextlib.asynccontextmanager
+    async def freeze(self) -> AsyncIterator[str]:
+        """Stop an instance from running, and let it go on."""
+        member = self.member()
+        member.send(signal.SIGSTOP)
+        yield f"freeze {member.name}"
+        member.send(signal.SIGCONT)
+
+    @contextlib.asynccontextmanager
+    async def terminate(self) -> AsyncIterator[str]:
+        """Let an instance leave, and start it again."""
+        member = self.member()
+        if member.is_stopping:
+            yield "nothing"
+            return
+        member.is_stopping = True
+        member.send(signal.SIGTERM)
+        yield f"terminate {member.name}"
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(member.process.wait(), deployment.GRACE)
+        await member.end()
+        await member.start()
+
+    @contextlib.asynccontextmanager
+    async def cut_store(self) -> AsyncIterator[str]:
+        """Trouble one instance's way to the store."""
+        async with self.troubled(self.running.store_proxies) as what:
+            yield f"store {what}"
+
+    @contextlib.asynccontextmanager
+    async def cut_server(self) -> AsyncIterator[str]:
+        """Trouble the way to one backend server."""
+        async with self.troubled(self.running.server_proxies) as what:
+            yield f"server {what}"
+
+    @contextlib.asynccontextmanager
+    async def troubled(self, among: list[proxy.Proxy]) -> AsyncIterator[str]:
+        """Trouble one proxy."""
+        number = self.random.randrange(len(among))
+        chosen = among[number]
+        trouble = self.random.choice(NETWORK)
+        chosen.delay = self.random.uniform(0.01, 0.3)
+        chosen.trouble = trouble
+        if self.random.random() < 0.5:
+            chosen.reset_all()
+        yield f"{number} {trouble.value}"
+        chosen.trouble = proxy.Trouble.NONE
+        # What was held back is lost, as after a cut.
+        chosen.reset_all()
+
+    @contextlib.asynccontextmanager
+    async def store_fault(self) -> AsyncIterator[str]:
+        """Let the store be down or slow, or forget its history."""
+        faults = self.running.store.memory.faults
+        what = self.random.choice(("down", "slow", "forget"))
+        if what == "down":
+            faults.down = True
+        elif what == "slow":
+            faults.slow = 0.3
+        else:
+            await self.running.store.memory.table.forget_history()
+        yield f"store is {what}"
+        faults.down = False
+        faults.slow = 0.0
+
+    @contextlib.asynccontextmanager
+    async def change_configuration(self) -> AsyncIterator[str]:
+        """Write the configuration anew, with an account more."""
+        more = {"name": f"a-{self.random.randrange(100)}", "api_keys": ["other"]}
+        own = {"name": platformed.ACCOUNT, "api_keys": [platformed.KEY]}
+        content = platformed.configuration(tenants=[own, more])
+        await self.running.store.put_row(
+            names.OPERATOR_TABLE, names.CONFIGURATION_KEY, content
+        )
+        yield "configuration"
+
+    @contextlib.asynccontextmanager
+    async def server_faults(self) -> AsyncIterator[str]:
+        """Let a backend server's next requests fail in some way."""
+        server = self.random.choice(self.running.servers)
+        fault = self.random.choice(list(poolserver.Fault))
+        server.faults.extend([fault] * self.random.randrange(1, 5))
+        yield f"{server.name} {fault.value}"
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,102 @@
+"""A TCP proxy on loopback that delays, resets, silences or refuses connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+
+PART_BYTES = 64 * 1024
+# Seconds between two looks at whether a silenced connection may go on.
+LOOK_SECONDS = 0.02
+
+
+class Trouble(enum.Enum):
+    """What the proxy does to its connections."""
+
+    NONE = "none"
+    DELAYED = "delayed"
+    # Nothing passes in either direction, and nobody is told.
+    SILENT = "silent"
+    # What is sent arrives; what is answered doesn't.
+    ONE_WAY = "one_way"
+    REFUSED = "refused"
+
+
+class Proxy:
+    """Stands before one address; `trouble` may be changed at any time."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.target = (host, port)
+        self.trouble = Trouble.NONE
+        self.delay = 0.0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> str:
+        """Listen; return the address to use in place of the target's."""
+        self.server = await asyncio.start_server(self.connect, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.server.close()
+        self.reset_all()
+
+    def reset_all(self) -> None:
+        """Break all open connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Carry one connection."""
+        self.writers.add(writer)
+        try:
+            if self.trouble is Trouble.REFUSED:
+                return
+            there_reader, there = await asyncio.open_connection(*self.target)
+            self.writers.add(there)
+            await asyncio.gather(
+                self.carry(reader, there, answers=False),
+                self.carry(there_reader, writer, answers=True),
+            )
+        except OSError:
+            return
+        finally:
+            for one in (writer, locals().get("there")):
+                if one is not None:
+                    self.writers.discard(one)
+                    one.transport.abort()
+
+    async def carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        answers: bool,
+    ) -> None:
+        """Carry one direction until it ends."""
+        with contextlib.suppress(OSError):
+            while part := await reader.read(PART_BYTES):
+                if self.trouble is Trouble.DELAYED:
+                    await asyncio.sleep(self.delay)
+                await self.wait_while_held(answers)
+                writer.write(part)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+
+    async def wait_while_held(self, answers: bool) -> None:
+        """Return once bytes of a direction may pass."""
+        while True:
+            if not self.holds(answers):
+                return
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def holds(self, answers: bool) -> bool:
+        """Tell whether bytes of a direction are held back."""
+        if self.trouble is Trouble.SILENT:
+            return True
+        return answers and self.trouble is Trouble.ONE_WAY
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,62 @@
+"""One soak: callers and faults side by side, then a calm end."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import msgspec
+
+from soak import callers, deployment, faults
+
+MEMBERS = 3
+SERVERS = 3
+# Seconds after the last fault within which requests are served again, and for
+# which they are watched then.
+RECOVERY_SECONDS = 5.0
+WATCHED_SECONDS = 2.0
+SERVED_PART = 0.9
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What a soak has shown."""
+
+    seed: int
+    faults: tuple[str, ...]
+    requests: int
+    served: int
+    # Served after the recovery, of all sent then.
+    served_after: int
+    sent_after: int
+    broken: tuple[str, ...]
+
+
+async def soak(folder: pathlib.Path, seed: int, seconds: float) -> Verdict:
+    """Run one soak; its logs stay in the folder."""
+    async with deployment.Deployment(folder, MEMBERS, SERVERS) as running:
+        calling = callers.Callers(running, seed)
+        task = asyncio.create_task(calling.run())
+        doing = faults.Faults(running, seed)
+        await doing.run(seconds)
+        for server in running.servers:
+            server.faults.clear()
+        await running.until_ready()
+        await asyncio.sleep(RECOVERY_SECONDS)
+        before = len(calling.ended)
+        await asyncio.sleep(WATCHED_SECONDS)
+        after = calling.ended[before:]
+        calling.is_stopping = True
+        await task
+        broken = callers.broken_promises(running, calling.ended)
+    served_after = sum(one.answer.status == 200 for one in after)
+    if served_after < SERVED_PART * len(after) or not after:
+        broken.append(f"{served_after} of {len(after)} served after the recovery")
+    return Verdict(
+        seed=seed,
+        faults=tuple(doing.done),
+        requests=len(calling.ended),
+        served=sum(one.answer.status == 200 for one in calling.ended),
+        served_after=served_after,
+        sent_after=len(after),
+        broken=tuple(broken),
+    )
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -141,6 +141,9 @@
         self.configuration = copies.ConfigurationCopy(
             names.CONFIGURATION_KEY, documents.decode_configuration
         )
+        # At once: until an instance says that it serves, it ranks nobody and would
+        # refuse the first requests after a restart of all.
+        self.configuration.listeners.append(self.check_readiness)
         self.servers = copies.ServersCopy(documents.decode_server)
         self.pools = pools.Pools(self.servers)
         self.servers.listeners.append(self.take_servers)
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from tealcove import clock, ids, telemetry
-from tealcove.catalog import copies
+from tealcove.catalog import copies, declared
 from tealcove.dispatch import messages, spread
 from tealcove.entry import problem
 from tealcove.ingress import (
@@ -121,7 +121,8 @@
     async def receive(self, request: web.Request) -> call.Call:
         """Return the request with its whole body; raises ProblemError."""
         current = self.configuration.current
-        seconds = 15.0 if current is None else current.catalog.bounds.idle_seconds
+        bounds = declared.Bounds() if current is None else current.catalog.bounds
+        seconds = bounds.idle_seconds
         try:
             async with asyncio.timeout(seconds):
                 body = await request.read()
