Test the reload of settings and the deploy template

A changed file is noticed without a signal; one that can't be used changes nothing; the template names only settings that exist.

--- /dev/null
+++ b/src/tealcove/front/tests/test_daemon.py
@@ -0,0 +1,89 @@
+"""Settings that change while an instance runs."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import msgspec
+
+from tealcove import logs
+from tealcove.front import daemon, settings
+
+ADDRESSES = {
+    key: f"127.0.0.1:{port}"
+    for port, key in enumerate(("callers", "ready", "directory", "peers"), 7000)
+}
+
+
+class Running:
+    """Stands for an instance: it remembers the settings that it's given."""
+
+    def __init__(self) -> None:
+        self.given: list[settings.FrontSettings] = []
+
+    def reload(self, found: settings.FrontSettings) -> None:
+        self.given.append(found)
+
+
+def write(path: pathlib.Path, **changes: object) -> None:
+    found = {
+        "instance": "i-0",
+        "data_centre": "dc-1",
+        "listen": ADDRESSES,
+        "store": {"address": "127.0.0.1:7004"},
+        **changes,
+    }
+    path.write_bytes(msgspec.json.encode(found))
+
+
+def reloader(path: pathlib.Path) -> tuple[daemon.Reloader, Running]:
+    running = Running()
+    handler = logs.JsonHandler(settings.load(str(path)))
+    return daemon.Reloader(str(path), running, handler), running
+
+
+async def test_a_changed_file_is_noticed_without_a_signal(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "i.json"
+    write(path)
+    found, running = reloader(path)
+    task = asyncio.create_task(found.run())
+    write(path, repeats={"slack": 7}, log={"level": "error"})
+    async with asyncio.timeout(30):
+        while True:
+            if running.given:
+                break
+            await asyncio.sleep(0.01)
+    task.cancel()
+    assert running.given[0].repeats.slack == 7
+    assert found.handler.lowest == logs.LEVELS[settings.settings.Level.ERROR]
+
+
+def test_a_file_that_cant_be_used_changes_nothing(tmp_path: pathlib.Path) -> None:
+    """A mistake in a file stops instances that serve well.
+
+    Symptom: an instance ends, or forgets its seeds, at a reload. Sequence: the
+    settings file is half written when the signal comes. Cause: the new content is
+    put in force before it's checked.
+    """
+    path = tmp_path / "i.json"
+    write(path)
+    found, running = reloader(path)
+    for content in (b"", b"{", b'{"instance": 7}', b"\xff\xfe"):
+        path.write_bytes(content)
+        found.reload()
+    path.unlink()
+    found.reload()
+    assert running.given == []
+
+
+def test_the_deploy_template_names_only_known_settings() -> None:
+    root = pathlib.Path(__file__).parents[4]
+    text = (root / "deploy" / "instance.json.template").read_text("utf-8")
+    for key in ("callers", "ready", "directory", "peers", "metrics_port"):
+        assert f'"{key}"' in text
+    known = {field.name for field in msgspec.structs.fields(settings.FrontSettings)}
+    top = [line.strip() for line in text.splitlines() if line.startswith('  "')]
+    assert {line.split('"')[1] for line in top} <= known
