--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -50,7 +50,6 @@
 
     async def start(self) -> None:
         """Start the process."""
-        self.is_stopping = False
         with self.log.open("ab") as sink:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -63,6 +62,9 @@
                 stdout=sink,
                 stderr=sink,
             )
+        # Only now: a fault that came while the process was being made would end the
+        # old one, and the new one would be left behind, beating to its network.
+        self.is_stopping = False
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process, which the soak started."""
