Drop a field that is always true

The adapter raises for an answer without a signature before it makes a Head, so that is_signed could only be true and nothing read it. No behaviour changes; the tests of ingress, the adapter and the whole path pass.

--- a/src/tealcove/ingress/link.py
+++ b/src/tealcove/ingress/link.py
@@ -41,8 +41,6 @@
     status: int
     # Those that go back to the caller.
     headers: call.Headers
-    # Whether the server has signed the answer as its own.
-    is_signed: bool
 
     @property
     def is_success(self) -> bool:
--- a/src/tealcove/platform/engines.py
+++ b/src/tealcove/platform/engines.py
@@ -159,4 +159,4 @@
         for name, value in headers.items()
         if name.lower() not in NOT_RETURNED
     )
-    return link.Head(response.status, returned, is_signed)
+    return link.Head(response.status, returned)
