--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -93,6 +93,19 @@
         self.server_proxies: list[proxy.Proxy] = []
 
     async def __aenter__(self) -> Deployment:
+        try:
+            await self.start()
+        except BaseException:
+            # Members left behind would join the next deployment in this network.
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start all parts and wait until callers can connect."""
         await self.store.start()
         await self.store.put_row(
             names.OPERATOR_TABLE, names.CONFIGURATION_KEY, platformed.configuration()
@@ -108,9 +121,9 @@
             member.write(await between.start(), seeds)
             await member.start()
         await self.until_ready()
-        return self
 
-    async def __aexit__(self, *details: object) -> None:
+    async def stop(self) -> None:
+        """End the members, then the stand-ins."""
         for member in self.members:
             await member.end()
         for between in (*self.store_proxies, *self.server_proxies):
@@ -118,6 +131,7 @@
         for server in self.servers:
             await server.stop()
         await self.store.stop()
+        self.network_holder.close()
 
     async def add(self, server: poolserver.PoolServer) -> None:
         """Start a backend server behind a proxy, and list it."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -40,8 +40,9 @@
         return f"{host}:{port}"
 
     async def stop(self) -> None:
-        """Close everything."""
-        self.server.close()
+        """Close everything, also when it was never started."""
+        if self.server is not None:
+            self.server.close()
         self.reset_all()
 
     def reset_all(self) -> None:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -34,6 +34,14 @@
 # Each deployment gets a loopback network of its own, held by a socket bound in
 # it, so that tests which run side by side can't meet on a port.
 HOLD_PORT = 6999
+# Where instances listen: the last number of the first one's host by kind of
+# deployment, and all ports.
+FIRST_HOSTS = (1, 150)
+INSTANCE_PORTS = (7000, 7001, 7002, 7003)
+
+
+class LeftoverError(Exception):
+    """A process of an earlier deployment is still there."""
 
 
 async def until(check: Callable[[], Awaitable[bool]]) -> None:
@@ -46,7 +54,11 @@
 
 
 def hold_network() -> tuple[str, socket.socket]:
-    """Return the first three numbers of a free network, and what holds it."""
+    """Return the first three numbers of a free network, and what holds it.
+
+    Raises LeftoverError when a process of an earlier deployment still listens there:
+    it would join the next one as a member, which then fails far from the cause.
+    """
     for second, third in itertools.product(range(10, 250), range(1, 250)):
         network = f"127.{second}.{third}"
         holder = socket.socket()
@@ -55,10 +67,24 @@
         except OSError:
             holder.close()
             continue
+        refuse_leftovers(network, holder)
         return network, holder
     raise RuntimeError("no free loopback network")
 
 
+def refuse_leftovers(network: str, holder: socket.socket) -> None:
+    """Raise LeftoverError when something listens where an instance would."""
+    hosts = [f"{network}.{first + n}" for first in FIRST_HOSTS for n in range(8)]
+    for host, port in itertools.product(hosts, INSTANCE_PORTS):
+        with socket.socket() as found:
+            if found.connect_ex((host, port)) == 0:
+                holder.close()
+                raise LeftoverError(
+                    f"{host}:{port} is taken by a process that an earlier deployment "
+                    "left behind; find out which test started it."
+                )
+
+
 class Process:
     """A process of the deployment, with its address."""
 
@@ -119,7 +145,7 @@
         self.folder = folder
         self.network, self.network_holder = hold_network()
         self.platform = self.standin("platform", "platform", 1, platform)
-        self.processes = {"platform": self.platform}
+        self.processes: list[Process] = []
         self.engines: list[Process] = []
         self.services: list[Process] = []
         self.instances: list[Process] = []
@@ -130,7 +156,11 @@
     async def __aenter__(self) -> Deployment:
         self.session = aiohttp.ClientSession()
         await self.start(self.platform)
-        await self.wait_for_port(self.platform)
+        try:
+            await self.wait_for_port(self.platform)
+        except BaseException:
+            await self.platform.end()
+            raise
         self.client = store_client.StoreClient(self.platform.url)
         self.store = store.ResourceStore(
             services.StoreTable(self.client),
@@ -140,7 +170,7 @@
         return self
 
     async def __aexit__(self, *details: object) -> None:
-        for process in self.processes.values():
+        for process in self.processes:
             await process.end()
         await self.session.close()
         await self.client.close()
@@ -163,7 +193,8 @@
 
     async def start(self, process: Process) -> None:
         """Start a process and remember it for the end."""
-        self.processes[process.name] = process
+        if process not in self.processes:
+            self.processes.append(process)
         await process.start(self.folder / f"{process.name}.log")
 
     async def wait_for_port(self, process: Process) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
+import socket
 
 import pytest
-from soak import run
+from soak import deployment, faults, run
+
+from tests import deployment as networks
 
 SECONDS = 3.0
+
+
+class EndedProcess:
+    """A process that has ended, as far as a soak looks at one."""
+
+    returncode = 0
+    pid = 0
+
+    async def wait(self) -> int:
+        """Return at once."""
+        return self.returncode
+
+
 SEEDS = (1, 2)
 
 
@@ -16,3 +33,44 @@
     verdict = await run.soak(tmp_path, seed, SECONDS)
     assert verdict.broken == ()
     assert verdict.served > 0
+
+
+async def test_a_fault_while_a_member_starts_leaves_no_second_process(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A test fails because a stranger is among its instances.
+
+    Symptom: a deployment that starts later in the same network counts one member
+    too many. Sequence: a soak kills an instance and starts it again; while its new
+    process is being made, the soak kills the same instance. Cause: both started a
+    process, and only the last one was ended with the soak.
+    """
+    started = []
+
+    async def start_slowly(*arguments: object, **found: object) -> object:
+        await asyncio.sleep(0.05)
+        started.append(arguments)
+        return EndedProcess()
+
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", start_slowly)
+    running = deployment.Deployment(tmp_path, 1, 0)
+    running.members[0].write("127.0.0.1:1", [])
+    running.members[0].process = EndedProcess()
+    doing = faults.Faults(running, 1)
+    first = asyncio.create_task(doing.carry_out(doing.kill, 0.0))
+    await asyncio.sleep(0.02)
+    await asyncio.gather(first, doing.carry_out(doing.terminate, 0.0))
+    running.network_holder.close()
+    assert len(started) == 1
+    assert doing.done[1] == "nothing for 0.0 s"
+
+
+def test_a_process_left_behind_is_named_at_once() -> None:
+    network, holder = networks.hold_network()
+    with socket.socket() as left:
+        # Connections of an earlier deployment may still be in TIME_WAIT there.
+        left.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        left.bind((f"{network}.2", networks.INSTANCE_PORTS[-1]))
+        left.listen()
+        with pytest.raises(networks.LeftoverError, match="left behind"):
+            networks.refuse_leftovers(network, holder)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -10,6 +10,8 @@
 import pytest
 import syrupy
 
+from tealcove.orders import intents
+from tealcove.platform import services
 from tealcove.resources import kinds
 from tests import callers, deployment
 
@@ -120,6 +122,21 @@
     return found
 
 
+async def until_settled(running: deployment.Deployment, pool: str) -> None:
+    """Wait until no order of a pool may still be carried out.
+
+    An engine that checks no numbers is left alone for as long as the longest order
+    takes, here ten minutes, when its steward is lost between the order and the row
+    that says how it ended.
+    """
+
+    async def is_settled() -> bool:
+        row = await services.StoreTable(running.client).read(intents.TABLE, pool)
+        return row is not None and not intents.decode(row).open
+
+    await deployment.until(is_settled)
+
+
 async def test_version_change_leaves_no_request_without_a_server(
     tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
 ) -> None:
@@ -224,6 +241,7 @@
         await change_pool(running, models=("m", "n"))
         first = (await until_ordered(running, 1))[0]
         (second,) = [e for e in running.engines if e is not first]
+        await until_settled(running, "engines")
         steward = await running.dispatcher("steward/engines")
         steward.freeze()
         await declare(running, "n", "2")
