Gather changes of backend servers before asking for more, and tell their revision with the beats

Now the next question waits .25 s, longer in large groups; the first change is still known at once, and so is each new configuration. Not yet measured on a deployment.

--- a/src/tealcove/catalog/follower.py
+++ b/src/tealcove/catalog/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -20,15 +21,32 @@
 # 5 s costs some ten calls for each instance.
 FIRST_PAUSE = 0.2
 LONGEST_PAUSE = 0.8
+# Seconds after a change before the next question, for tables whose changes come in
+# groups: what changes meanwhile is one answer. With 33 servers that start within 4 s,
+# each of 63 instances asked 33 times, 2,079 of the 2,644 calls of a quiet day.
+GATHER_SECONDS = 0.25
+
+
+def no_pause() -> float:
+    """Return the pause of a table whose changes must be known at once."""
+    return 0.0
 
 
 class Follower:
     """Reads one table whole, then follows its changes."""
 
-    def __init__(self, source: feed.Feed, table: str, copy: copies.Copy) -> None:
+    def __init__(
+        self,
+        source: feed.Feed,
+        table: str,
+        copy: copies.Copy,
+        gathers: Callable[[], float] = no_pause,
+    ) -> None:
         self.source = source
         self.table = table
         self.copy = copy
+        # Returns the seconds after a change before the next question.
+        self.gathers = gathers
         # The version to go on from; absent: the table must be read whole.
         self.version: int | None = None
         self.failing_since: ids.Instant | None = None
@@ -58,6 +76,10 @@
             page = await self.source.wait_for_changes(self.table, self.version, wait)
             self.note_success(clock.now())
             self.copy.apply(page, clock.now())
+            self.version = page.version
+            if page.entries:
+                await asyncio.sleep(self.gathers())
+            return
         self.version = page.version
 
     def note_failure(self, error: errors.PlatformError, now: ids.Instant) -> None:
--- a/src/tealcove/catalog/sharing.py
+++ b/src/tealcove/catalog/sharing.py
@@ -41,18 +41,26 @@
         self.transport.handle(messages.Ask, self.take_ask)
         self.transport.handle(messages.Told, self.take_told)
         self.heart.listeners.append(self.compare)
-        for copy in self.copies.values():
-            copy.listeners.append(self.announce)
-
-    def announce(self) -> None:
-        """Let the heartbeats say how far this instance is, at once."""
-        configuration = self.copies[messages.Topic.CONFIGURATION].revision
-        servers = self.copies[messages.Topic.SERVERS].revision
-        own = self.members.own
-        if (own.revision, own.servers_revision) == (configuration, servers):
-            return
-        self.members.update_own(revision=configuration, servers_revision=servers)
-        self.heart.tell_all()
+        self.copies[messages.Topic.CONFIGURATION].listeners.append(
+            self.announce_configuration
+        )
+        self.copies[messages.Topic.SERVERS].listeners.append(self.note_servers)
+
+    def announce_configuration(self) -> None:
+        """Tell all peers at once: a key that was taken away counts everywhere soon."""
+        revision = self.copies[messages.Topic.CONFIGURATION].revision
+        if self.members.own.revision != revision:
+            self.members.update_own(revision=revision)
+            self.heart.tell_all()
+
+    def note_servers(self) -> None:
+        """Let the next heartbeats say it.
+
+        Told at once to all peers, 33 servers that started within 4 s among 63
+        instances made 129,000 heartbeats.
+        """
+        revision = self.copies[messages.Topic.SERVERS].revision
+        self.members.update_own(servers_revision=revision)
 
     def compare(self, heartbeat: membership_messages.Heartbeat) -> None:
         """Ask a peer soon, if it knows more and the store hasn't told it by then."""
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -246,14 +246,20 @@
 
     def follow(self) -> None:
         """Begin to follow the store, and to look at what only time changes."""
-        for table, copy in (
-            (names.OPERATOR_TABLE, self.configuration),
-            (names.SERVERS_TABLE, self.servers),
-        ):
-            following = follower.Follower(self.store, table, copy)
-            self.tasks.append(tasks.start(following.run(), f"follower of {table}"))
+        following = (
+            follower.Follower(self.store, names.OPERATOR_TABLE, self.configuration),
+            follower.Follower(
+                self.store, names.SERVERS_TABLE, self.servers, self.gather_seconds
+            ),
+        )
+        for one in following:
+            self.tasks.append(tasks.start(one.run(), f"follower of {one.table}"))
         self.tasks.append(tasks.start(self.look(), "readiness"))
 
+    def gather_seconds(self) -> float:
+        """Return how long changes of backend servers gather; longer if more ask."""
+        return follower.GATHER_SECONDS * self.members.stretch()
+
     async def look(self) -> None:
         """Look at readiness and lapsed servers until cancelled."""
         while True:
