Start an instance without the command line's parts

Cause of the first events that come 1.3 to 2 s late after a restart of everything: about 1 s of it is the start of the process. Of that, the command line's library took .25 s, the exporter of traces .06 s, looks for garbage .1 s. `python -m tealcove.front` leaves them out; `tealcove front` stays. Objects of the imports are left out of later looks for garbage; one whole look took 48 ms on one core. Ruled out: byte-compilation (done by the build), the certificates (.07 s, kept: they are read by a library). Tests: wrong usage, bad settings, and that nothing of these parts is loaded, which fails before. Not yet measured on a deployment.

--- a/src/tealcove/entry/observer.py
+++ b/src/tealcove/entry/observer.py
@@ -13,12 +13,8 @@
 from tealcove.entry import exchange, problem
 
 COMPLETED = problem.Outcome.COMPLETED.value
-# The caller left before the answer was sent; not one of the answers' outcomes.
-CALLER_GONE = "caller_gone"
 BROKEN = "broken"
 REQUEST_SPAN = "request"
-# Seconds; the bounds of OpenTelemetry's default are meant for milliseconds.
-BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300)
 
 
 class Seen:
@@ -81,13 +77,13 @@
             "tealcove.request.time_to_first_token",
             unit="s",
             description="From a request's arrival to its first token.",
-            explicit_bucket_boundaries_advisory=BOUNDS,
+            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
         )
         self.durations = meter.create_histogram(
             "tealcove.request.duration",
             unit="s",
             description="From a completed request's arrival to the end of its answer.",
-            explicit_bucket_boundaries_advisory=BOUNDS,
+            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
         )
 
     @contextlib.contextmanager
@@ -101,7 +97,7 @@
                 outcome, reason = seen.end()
             except BaseException:
                 if http.transport is None or http.transport.is_closing():
-                    outcome = CALLER_GONE
+                    outcome = problem.CALLER_GONE
                 raise
             finally:
                 self.count(seen, outcome, reason, clock.now())
--- a/src/tealcove/entry/problem.py
+++ b/src/tealcove/entry/problem.py
@@ -11,6 +11,9 @@
 from tealcove.dispatch import messages
 
 CONTENT_TYPE = "application/problem+json"
+# What metrics say of a caller that left before the answer was sent; not one of the
+# answers' outcomes.
+CALLER_GONE = "caller_gone"
 
 
 class Outcome(enum.Enum):
--- /dev/null
+++ b/src/tealcove/front/__main__.py
@@ -0,0 +1,48 @@
+"""Runs one instance: `python -m tealcove.front --settings FILE`.
+
+The same as `tealcove front`, without the command line's parts, whose import alone took
+0.25 s of 1.05 s until an instance that was killed runs again (user time of five starts
+each on one core). Callers wait for that when all instances have ended at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+
+# All that the imports make stays to the end. Looking through it for garbage again and
+# again took 0.1 s of the start.
+gc.disable()
+
+from tealcove import errors  # noqa: E402
+from tealcove.commands import exits  # noqa: E402
+from tealcove.front import daemon  # noqa: E402
+
+USAGE = "usage: python -m tealcove.front --settings FILE"
+
+
+def main(arguments: list[str]) -> exits.Code:
+    """Run an instance until a signal ends it; return the exit code."""
+    match arguments:
+        case ["--settings", path]:
+            pass
+        case _:
+            print(USAGE, file=sys.stderr)
+            return exits.Code.USAGE
+    # Objects of the imports are left out of all later looks for garbage, too: a whole
+    # one took 48 ms on one core, for which every caller waited.
+    gc.freeze()
+    gc.enable()
+    try:
+        asyncio.run(daemon.serve(path))
+    except errors.TealcoveError as error:
+        print(f"tealcove: {error}", file=sys.stderr)
+        return exits.code_for(error)
+    except KeyboardInterrupt:
+        return exits.Code.FAILED
+    return exits.Code.OK
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]).value)
--- /dev/null
+++ b/src/tealcove/front/tests/test_main.py
@@ -0,0 +1,46 @@
+"""The process that runs an instance, from outside."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+from tealcove.commands import exits
+
+# What an instance doesn't need; each costs time until a killed one runs again.
+NOT_NEEDED = ("cappa", "rich", "opentelemetry.exporter.otlp", "tealcove.cli")
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run a Python process to its end."""
+    command = [sys.executable, *arguments]
+    return subprocess.run(
+        command, capture_output=True, text=True, timeout=60, check=False
+    )
+
+
+def test_wrong_usage_is_one_line() -> None:
+    ended = run("-m", "tealcove.front", "--bad")
+    assert ended.returncode == exits.Code.USAGE
+    assert ended.stderr == "usage: python -m tealcove.front --settings FILE\n"
+
+
+def test_settings_that_cannot_be_used_are_one_line(tmp_path: pathlib.Path) -> None:
+    ended = run("-m", "tealcove.front", "--settings", str(tmp_path))
+    assert ended.returncode == exits.Code.FAILED
+    assert ended.stderr.startswith("tealcove: ")
+    assert ended.stderr.count("\n") == 1
+
+
+def test_an_instance_loads_nothing_that_it_does_not_need() -> None:
+    """Callers wait longer for instances that start again.
+
+    Symptom: after all instances were killed at once, the first requests come late.
+    Sequence: each process starts, and imports its modules. Cause: the command
+    line's parts and the exporter of traces took a third of the start.
+    """
+    listing = "import sys, tealcove.front.__main__; print(*sys.modules)"
+    loaded = run("-c", listing).stdout.split()
+    assert "tealcove.front.daemon" in loaded
+    assert [name for name in loaded if name.startswith(NOT_NEEDED)] == []
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -75,7 +75,7 @@
                 # Nothing can follow a body that didn't come to its end.
                 response.force_close()
         except asyncio.CancelledError:
-            seen.outcome = observer.CALLER_GONE
+            seen.outcome = problem.CALLER_GONE
             raise
         finally:
             self.in_progress.discard(task)
--- a/src/tealcove/ingress/observer.py
+++ b/src/tealcove/ingress/observer.py
@@ -5,11 +5,8 @@
 import msgspec
 
 from tealcove import ids, telemetry
-from tealcove.entry import observer as entry_observer
 from tealcove.entry import problem
 
-CALLER_GONE = entry_observer.CALLER_GONE
-
 
 class Seen(msgspec.Struct):
     """One request, from its arrival to the end of its answer."""
@@ -33,13 +30,13 @@
             "tealcove.ingress.time_to_first_event",
             unit="s",
             description="From a request's arrival to its stream's first event.",
-            explicit_bucket_boundaries_advisory=entry_observer.BOUNDS,
+            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
         )
         self.durations = meter.create_histogram(
             "tealcove.ingress.duration",
             unit="s",
             description="From a request's arrival to the end of its answer.",
-            explicit_bucket_boundaries_advisory=entry_observer.BOUNDS,
+            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
         )
 
     def begin(self, now: ids.Instant) -> Seen:
--- a/src/tealcove/telemetry.py
+++ b/src/tealcove/telemetry.py
@@ -10,7 +10,6 @@
 import prometheus_client
 from opentelemetry import metrics, trace
 from opentelemetry.exporter import prometheus
-from opentelemetry.exporter.otlp.proto.http import trace_exporter
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
@@ -22,6 +21,9 @@
 SCOPE = "tealcove"
 TRACEPARENT = "traceparent"
 TRACES_PATH = "/v1/traces"
+# Bounds of histograms in seconds; those of OpenTelemetry's default are meant for
+# milliseconds.
+SECONDS_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300)
 
 PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 # What a request without a trace runs under.
@@ -118,6 +120,10 @@
         return None
     if exporter is None and found.otlp_endpoint is not None:
         endpoint = found.otlp_endpoint.rstrip("/") + TRACES_PATH
+        # Imported where it's used: it brings an HTTP client and protobuf, 0.06 s of the
+        # start of every instance.
+        from opentelemetry.exporter.otlp.proto.http import trace_exporter
+
         exporter = trace_exporter.OTLPSpanExporter(endpoint=endpoint)
     if exporter is None:
         return None
