--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -20,31 +20,25 @@
 )
 from tealcove.catalog import copies, follower, pools, sharing
 from tealcove.dispatch import policy, requester, role, spread
-from tealcove.front import places, settings
+from tealcove.front import parts, places, settings
 from tealcove.ingress import budget, exchange, http
 from tealcove.limits import asking, limit
-from tealcove.membership import heart, members, messages
-from tealcove.peers import endpoint, mesh
+from tealcove.membership import members, messages
+from tealcove.peers import endpoint
 from tealcove.platform import (
     callers,
     directory,
     documents,
     engines,
     names,
-    services,
-    store,
 )
 from tealcove.quarantine import role as quarantine_role
-from tealcove.storage import instances, rowlist
 
 log = logbook.Logger("front")
 
 # One cell for each service: up to this many backend servers have one queue, so
 # that the order among callers is exact. A ticket costs its dispatcher some 0.1 ms.
 CELL_SERVERS = 128
-# Seconds between two looks at the list of instances: heartbeats tell of new ones,
-# and each look is paid for.
-LIST_INTERVALS = heart.ListIntervals(first=1.0, longest=60.0)
 # A content that has crashed so many backend servers isn't run for a time. Engines
 # crash for reasons of their own as well, with all that runs on them.
 CRASHES_TO_QUARANTINE = 3
@@ -73,7 +67,6 @@
 
     async def start(self) -> None:
         """Start all roles; accepts requests once a configuration is known."""
-        self.start_store()
         self.start_mesh()
         self.start_catalog()
         self.start_dispatcher()
@@ -91,50 +84,14 @@
             self.settings.store.address,
         )
 
-    def start_store(self) -> None:
-        """Make the client of the store; it connects at its first call."""
-        found = self.settings.store
-        self.store = store.StoreClient(
-            f"http://{found.address}", store.Timeouts(1.0, found.timeout_seconds)
-        )
-
     def start_mesh(self) -> None:
         """Listen for peers."""
-        listen = endpoint.parse(self.settings.listen.peers)
-        at = endpoint.parse(self.settings.listen.callers)
-        self.mesh = mesh.Mesh(self.name, self.incarnation, listen)
-        self.mesh.listen_for_peers()
-        data_centre = ids.DataCentreId(self.settings.data_centre)
-        own = messages.Heartbeat(
-            instance=self.name,
-            incarnation=self.incarnation,
-            lifecycle=messages.Lifecycle.JOINING,
-            data_centre=data_centre,
-            host=at.host,
-            http_port=at.port,
-            peer_host=self.mesh.listen.host,
-            peer_port=self.mesh.listen.port,
-            revision=ids.Revision(0),
-        )
+        self.store = parts.new_store(self.settings)
+        self.mesh = parts.new_mesh(self.settings, self.incarnation)
+        own = parts.own_heartbeat(self.settings, self.mesh, self.incarnation)
         beat = self.settings.heartbeat
         self.members = members.Members(own, beat.suspect_after, beat.forget_after)
-        listed = instances.ListedInstance(
-            name=self.name,
-            kind=instances.ListedKind.INSTANCE,
-            state=instances.ListedState.LIVE,
-            host=listen.host,
-            http_port=at.port,
-            peer_port=listen.port,
-            data_centre=data_centre,
-        )
-        self.heart = heart.Heart(
-            self.mesh,
-            self.members,
-            rowlist.RowInstanceList(services.StoreTable(self.store), listed),
-            tuple(endpoint.parse(seed) for seed in self.settings.seeds),
-            beat.interval,
-            LIST_INTERVALS,
-        )
+        self.heart = parts.new_heart(self.settings, self.mesh, self.members, self.store)
 
     def start_catalog(self) -> None:
         """Keep copies of what is declared."""
@@ -196,7 +153,7 @@
             exchange.Services(
                 link=self.link,
                 tickets=self.tickets,
-                budget=budget.Budget(allowance_of(found), self.count_instances),
+                budget=budget.Budget(parts.allowance_of(found), self.count_instances),
                 entry=self.name,
             ),
             self.configuration,
@@ -206,12 +163,7 @@
             callers.CallerCodec(),
             self.telemetry,
         )
-        app = web.Application(client_max_size=found.limits.body_bytes)
-        app.add_routes(self.ingress.routes())
-        listening = listener.Listener(app, found.limits, decompresses=False)
-        at = endpoint.parse(found.listen.callers)
-        await listening.start(at.host, at.port, None)
-        self.listeners.append(listening)
+        self.listeners.append(await parts.listen(found, self.ingress.routes()))
 
     async def start_directory(self) -> None:
         """Listen for those who ask where to connect, and whether this is ready."""
@@ -236,13 +188,7 @@
 
     async def serve(self, address: str, routes: list[web.RouteDef]) -> None:
         """Listen at an address with some handlers."""
-        app = web.Application()
-        app.add_routes(routes)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
-        await runner.setup()
-        at = endpoint.parse(address)
-        await web.TCPSite(runner, at.host, at.port).start()
-        self.runners.append(runner)
+        self.runners.append(await parts.serve(address, routes))
 
     def follow(self) -> None:
         """Begin to follow the store, and to look at what only time changes."""
@@ -292,7 +238,7 @@
         self.heart.seeds = tuple(endpoint.parse(seed) for seed in found.seeds)
         for seed in self.heart.seeds:
             self.heart.beat_to(seed)
-        self.ingress.services.budget.allowance = allowance_of(found)
+        self.ingress.services.budget.allowance = parts.allowance_of(found)
         self.directory.ttl_seconds = found.leaving.directory_ttl_seconds
         log.info("settings read again: {}", "changed" if before != found else "alike")
 
@@ -351,12 +297,6 @@
         self.telemetry.shutdown()
 
 
-def allowance_of(found: settings.FrontSettings) -> budget.Allowance:
-    """Return the allowance of repeats by the settings."""
-    repeats = found.repeats
-    return budget.Allowance(repeats.ratio, repeats.slack, repeats.window_seconds)
-
-
 async def start(found: settings.FrontSettings) -> Instance:
     """Return a started instance; raises TealcoveError if it can't listen."""
     instance = Instance(found)
--- /dev/null
+++ b/src/tealcove/front/parts.py
@@ -0,0 +1,107 @@
+"""Makes the parts of an instance by its settings."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from tealcove import ids, listener
+from tealcove.front import settings
+from tealcove.ingress import budget
+from tealcove.membership import heart, members, messages
+from tealcove.peers import endpoint, mesh
+from tealcove.platform import services, store
+from tealcove.storage import instances, rowlist
+
+# Seconds between two looks at the list of instances: heartbeats tell of new ones,
+# and each look is paid for.
+LIST_INTERVALS = heart.ListIntervals(first=1.0, longest=60.0)
+# Seconds until a connection to the store stands.
+CONNECT_SECONDS = 1.0
+
+
+def new_store(found: settings.FrontSettings) -> store.StoreClient:
+    """Return the client of the store; it connects at its first call."""
+    timeouts = store.Timeouts(CONNECT_SECONDS, found.store.timeout_seconds)
+    return store.StoreClient(f"http://{found.store.address}", timeouts)
+
+
+def new_mesh(found: settings.FrontSettings, incarnation: ids.Incarnation) -> mesh.Mesh:
+    """Return a mesh that listens for peers; raises OSError."""
+    listen = endpoint.parse(found.listen.peers)
+    made = mesh.Mesh(ids.InstanceId(found.instance), incarnation, listen)
+    made.listen_for_peers()
+    return made
+
+
+def own_heartbeat(
+    found: settings.FrontSettings, transport: mesh.Mesh, incarnation: ids.Incarnation
+) -> messages.Heartbeat:
+    """Return what an instance that begins tells of itself."""
+    at = endpoint.parse(found.listen.callers)
+    return messages.Heartbeat(
+        instance=ids.InstanceId(found.instance),
+        incarnation=incarnation,
+        lifecycle=messages.Lifecycle.JOINING,
+        data_centre=ids.DataCentreId(found.data_centre),
+        host=at.host,
+        http_port=at.port,
+        peer_host=transport.listen.host,
+        peer_port=transport.listen.port,
+        revision=ids.Revision(0),
+    )
+
+
+def new_heart(
+    found: settings.FrontSettings,
+    transport: mesh.Mesh,
+    known: members.Members,
+    rows: store.StoreClient,
+) -> heart.Heart:
+    """Return the heartbeats, which begin when they are started."""
+    own = known.own
+    listed = instances.ListedInstance(
+        name=own.instance,
+        kind=instances.ListedKind.INSTANCE,
+        state=instances.ListedState.LIVE,
+        host=own.peer_host,
+        http_port=own.http_port,
+        peer_port=own.peer_port,
+        data_centre=own.data_centre,
+    )
+    return heart.Heart(
+        transport,
+        known,
+        rowlist.RowInstanceList(services.StoreTable(rows), listed),
+        tuple(endpoint.parse(seed) for seed in found.seeds),
+        found.heartbeat.interval,
+        LIST_INTERVALS,
+    )
+
+
+def allowance_of(found: settings.FrontSettings) -> budget.Allowance:
+    """Return the allowance of repeats by the settings."""
+    repeats = found.repeats
+    return budget.Allowance(repeats.ratio, repeats.slack, repeats.window_seconds)
+
+
+async def listen(
+    found: settings.FrontSettings, routes: list[web.RouteDef]
+) -> listener.Listener:
+    """Listen for callers; raises OSError."""
+    app = web.Application(client_max_size=found.limits.body_bytes)
+    app.add_routes(routes)
+    listening = listener.Listener(app, found.limits, decompresses=False)
+    at = endpoint.parse(found.listen.callers)
+    await listening.start(at.host, at.port, None)
+    return listening
+
+
+async def serve(address: str, routes: list[web.RouteDef]) -> web.AppRunner:
+    """Listen at another address with some handlers; raises OSError."""
+    app = web.Application()
+    app.add_routes(routes)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+    await runner.setup()
+    at = endpoint.parse(address)
+    await web.TCPSite(runner, at.host, at.port).start()
+    return runner
