Free slots that nobody tells of after 3.5 s under tealcove serve, too

It shares the goal scheduler's 3.5 s now. Slots of a lost entry keep the 5 s of their own: nobody can tell of those.

Not measured in a deployment.

--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -28,9 +28,6 @@
 # A slot whose entry is gone is kept for so long: the engine may still work on
 # the request, since it waits for the entry to resume the stream.
 ORPHAN_SECONDS = 5.0
-# A ticket that its entry hasn't told of for so long is forgotten: entries repeat
-# all their tickets every requester.REFRESH_INTERVAL, so several repeats are missing.
-UNTOLD_SECONDS = 8.0
 
 
 class FairScheduler(scheduler.Scheduler):
@@ -264,13 +261,17 @@
                 alone = server.isolated == ticket_id
                 self.state.suspicion.lost(running.ticket, server.name, alone, now)
                 is_orphan = True
-            if is_orphan or now - running.told > UNTOLD_SECONDS:
+            # Of a lost entry's requests nobody tells: they have the time above.
+            is_untold = running.ends_by is None and (
+                now - running.told > scheduler.UNTOLD_SECONDS
+            )
+            if is_orphan or is_untold:
                 self.state.end(ticket_id, now, running.charged)
 
     def drop_untold(self, now: ids.Instant) -> None:
         """Forget queued tickets whose withdrawal must have got lost."""
         for waiting in list(self.state.queue.tickets.values()):
-            if now - waiting.told > UNTOLD_SECONDS:
+            if now - waiting.told > scheduler.UNTOLD_SECONDS:
                 self.state.leave(waiting)
 
     def decide(
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -19,11 +19,6 @@
 
 log = logbook.Logger("dispatch")
 
-# A slot or ticket that its entry hasn't told of for so long is given up. Entries
-# tell of all their tickets every requester.REFRESH_INTERVAL, so that three such
-# messages are missing. Kept for 8 s, the slots of untold requests cost a successor
-# a third of its work after a takeover.
-UNTOLD_SECONDS = 3.5
 # Seconds between two looks at what only the passing of time changes.
 REVIEW_INTERVAL = 0.1
 # A failing server counts as slower by up to so many times.
@@ -241,7 +236,7 @@
 
     def give_up_untold(self, now: ids.Instant) -> None:
         """Forget tickets and slots of which no entry tells any more."""
-        since = now - UNTOLD_SECONDS
+        since = now - scheduler.UNTOLD_SECONDS
         for ticket_id in [i for i, w in self.line.items() if w.told < since]:
             del self.line[ticket_id]
         for ticket_id, server in list(self.where.items()):
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -10,6 +10,12 @@
 from tealcove.backends import engine
 from tealcove.dispatch import cells, holds, messages, suspicion
 
+# A slot or ticket that its entry hasn't told of for so long is given up. Entries
+# tell of all their tickets every requester.REFRESH_INTERVAL, so that three such
+# messages are missing. Kept for 8 s, the slots of untold requests cost a successor
+# a third of its work after a takeover.
+UNTOLD_SECONDS = 3.5
+
 
 class Outgoing(msgspec.Struct, frozen=True):
     """A message that the dispatcher owes an entry."""
--- a/src/tealcove/dispatch/tests/builders.py
+++ b/src/tealcove/dispatch/tests/builders.py
@@ -4,6 +4,8 @@
 
 import itertools
 
+import msgspec
+
 from tealcove import ids
 from tealcove.backends import engine
 from tealcove.dispatch import cells, fair, messages, scheduler
@@ -120,3 +122,17 @@
     for _ in range(count):
         grants.extend(granted(found.enqueue(ticket(**changes), now)))
     return grants
+
+
+def tell_again(
+    found: fair.FairScheduler, now: ids.Instant, *lost: ids.InstanceId
+) -> None:
+    """Let all entries but lost ones tell of their tickets, as living ones do."""
+    tickets = [waiting.ticket for waiting in found.state.queue.tickets.values()]
+    for name, server in found.state.fleet.servers.items():
+        for running in server.running.values():
+            told = msgspec.structs.replace(running.ticket, running_on=name)
+            tickets.append(told)
+    for one in tickets:
+        if one.entry not in lost:
+            found.enqueue(one, now)
--- a/src/tealcove/dispatch/tests/test_stragglers.py
+++ b/src/tealcove/dispatch/tests/test_stragglers.py
@@ -88,6 +88,7 @@
     for grant in first:
         if grant.server != "s0":
             found.done(builders.done(grant), builders.instant(2))
+    builders.tell_again(found, builders.instant(6))
     found.report("s0", builders.load(0), builders.instant(7))
     found.tick(builders.instant(7))
     assert state(found).pace is servers.Pace.PROBED
