Refuse numbers that only look like ones

Found by a new property test of the headers that callers write: "²" counts as a digit for Python and can't be converted, nor can 5,000 digits; a request with such a token count or length hint ended with 500 and a traceback, a backend server's row with such a port stopped the list from being read. One function reads whole numbers now, in five places that each did it in its own way.

--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import count, ids
 from tealcove.dispatch import cells
 from tealcove.resources import kinds
 
@@ -87,12 +87,13 @@
 
     def find(self, cell_id: ids.CellId) -> cells.Cell | None:
         """Return a cell by the configuration in force, or None."""
-        name, _, number = cell_id.rpartition("/")
+        name, _, text = cell_id.rpartition("/")
         pool = self.copy.current.pool(name)
-        if pool is None or not number.isdigit():
+        number = count.read(text)
+        if pool is None or number is None:
             return None
         found = self.divide(pool).cells
-        return found[int(number)] if int(number) < len(found) else None
+        return found[number] if number < len(found) else None
 
     def choose(self, pool: kinds.Resource, affinity: str) -> cells.Cell:
         """Return the cell for a request; `affinity` is alike for those that share."""
--- a/src/tealcove/peers/endpoint.py
+++ b/src/tealcove/peers/endpoint.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tealcove import errors
+from tealcove import count, errors
 
 
 class Endpoint(msgspec.Struct, frozen=True, order=True):
@@ -24,7 +24,8 @@
 
 def parse(text: str) -> Endpoint:
     """Read `host:port`; raises PeerError when the port is no number."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    host, _, number = text.rpartition(":")
+    port = count.read(number)
+    if not host or port is None:
         raise errors.PeerError(f"{text!r} is no address of a peer", 'Write "ip:port".')
-    return Endpoint(host=host, port=int(port))
+    return Endpoint(host=host, port=port)
--- a/src/tealcove/peers/tests/test_mesh.py
+++ b/src/tealcove/peers/tests/test_mesh.py
@@ -130,6 +130,8 @@
     assert endpoint.parse("10.0.0.1:7001") == endpoint.Endpoint("10.0.0.1", 7001)
     with pytest.raises(errors.PeerError, match="ip:port"):
         endpoint.parse("nowhere")
+    with pytest.raises(errors.PeerError, match="ip:port"):
+        endpoint.parse("10.0.0.1:²")
 
 
 async def test_a_first_message_waits_for_the_connection() -> None:
--- a/src/tealcove/platform/callers.py
+++ b/src/tealcove/platform/callers.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import ids
+from tealcove import count, ids
 from tealcove.entry import forward, problem
 from tealcove.ingress import answers, call
 from tealcove.platform import names
@@ -98,14 +98,12 @@
     tokens = request.headers.get(names.TOKEN_COUNT)
     if tokens is None:
         return call.Work()
-    prompt, _, output = tokens.partition(",")
-    if not (prompt.strip().isdigit() and output.strip().isdigit()):
+    prompt, _, output = (count.read(part) for part in tokens.partition(","))
+    if prompt is None or output is None:
         raise call.UnreadableError(f"Write {names.TOKEN_COUNT} as two whole numbers.")
-    hint = request.headers.get(names.LENGTH_HINT, "")
     # A hint that can't be read is only a worse guess.
-    expected = int(hint) if hint.isdigit() else 0
-    most = int(output)
-    return call.Work(int(prompt), most, min(expected, most))
+    expected = count.read(request.headers.get(names.LENGTH_HINT, "")) or 0
+    return call.Work(prompt, output, min(expected, output))
 
 
 def read_number(text: str | None, header: str) -> float | None:
@@ -113,7 +111,8 @@
     if text is None:
         return None
     try:
-        found = float(text)
+        # Python's own notation with underscores is nobody else's.
+        found = math.nan if "_" in text else float(text)
     except ValueError:
         found = math.nan
     if not (math.isfinite(found) and found >= 0):
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import count, errors, ids
 from tealcove.catalog import declared
 from tealcove.limits import limit
 from tealcove.platform import names
@@ -172,8 +172,9 @@
 def decode_server(key: str, content: bytes) -> declared.BackendServer:
     """Return a backend server; raises PlatformError."""
     found = decode(content, WireServer)
-    host, _, port = found.addr.rpartition(":")
-    if not port.isdigit():
+    host, _, number = found.addr.rpartition(":")
+    port = count.read(number)
+    if port is None:
         raise unreadable(f"{found.addr!r} is no address")
     state = declared.ServerState.READY
     if found.state == names.DRAINING:
@@ -182,7 +183,7 @@
         name=ids.BackendServerId(key),
         service=ids.PoolId(found.service),
         host=host,
-        port=int(port),
+        port=port,
         data_centre=ids.DataCentreId(found.zone),
         slots=max(1, found.slots),
         state=state,
--- /dev/null
+++ b/src/tealcove/platform/tests/test_callers.py
@@ -0,0 +1,82 @@
+"""What the ingress makes of headers that callers write."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from aiohttp.test_utils import make_mocked_request
+from hypothesis import strategies as st
+
+from tealcove.ingress import call
+from tealcove.platform import callers, names
+
+CODEC = callers.CallerCodec()
+# Digits of other scripts, superscripts and numbers of any length among them.
+NUMBERS = st.one_of(
+    st.text(alphabet="0123456789., -+eE_²٣\u00a0", max_size=12),
+    st.integers().map(str),
+    st.floats().map(str),
+    st.just("9" * 5000),
+    st.text(alphabet=st.characters(blacklist_categories=["Cc", "Cs"]), max_size=12),
+)
+READ_FROM = (
+    names.TOKEN_COUNT,
+    names.LENGTH_HINT,
+    names.DEADLINE_MS,
+    names.LAST_EVENT_ID,
+)
+
+
+def read(headers: dict[str, str], target: str = "/a/1") -> call.Call:
+    """Return a request with some headers as the ingress reads it."""
+    sent = {"Host": "a.example", names.REQUEST_ID: "r-1", **headers}
+    return CODEC.read(make_mocked_request("POST", target, headers=sent), b"x")
+
+
+@hypothesis.given(
+    st.dictionaries(st.sampled_from(READ_FROM), NUMBERS), st.integers(0, 3)
+)
+def test_any_header_is_read_or_refused(
+    headers: dict[str, str], separators: int
+) -> None:
+    """A caller gets 500, and the log a traceback.
+
+    Symptom: a request fails inside. Sequence: a header has a number that looks like
+    one and isn't, such as a superscript or 5,000 digits. Cause: it passed the check
+    for digits, and the conversion failed.
+    """
+    if names.TOKEN_COUNT in headers:
+        headers[names.TOKEN_COUNT] += "," * separators + "5"
+    try:
+        found = read(headers)
+    except call.UnreadableError as error:
+        assert str(error)
+        return
+    work = found.work
+    assert 0 <= work.expected_tokens <= work.output_tokens
+    assert work.prompt_tokens >= 0
+    assert found.patience is None or 0.0 <= found.patience < float("inf")
+    assert found.last_event is None or found.last_event >= 0
+
+
+@pytest.mark.parametrize(
+    "tokens", ["²,5", "5,²", "9" * 5000 + ",5", "5", "5,5,5", "-5,5"]
+)
+def test_token_counts_that_are_no_numbers_are_refused(tokens: str) -> None:
+    with pytest.raises(call.UnreadableError, match="two whole numbers"):
+        read({names.TOKEN_COUNT: tokens})
+
+
+def test_a_hint_that_cannot_be_read_counts_for_nothing() -> None:
+    found = read({names.TOKEN_COUNT: "10, 20", names.LENGTH_HINT: "²"})
+    assert found.work == call.Work(10, 20, 0)
+
+
+@hypothesis.given(st.text(alphabet="/?#%. \u00e9abc", max_size=20))
+def test_any_target_is_read_or_refused(target: str) -> None:
+    try:
+        found = read({}, target or "/")
+    except call.UnreadableError:
+        return
+    assert found.path.startswith("/")
+    assert "?" not in found.path
--- a/src/tealcove/resources/headers.py
+++ b/src/tealcove/resources/headers.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from tealcove import ids
+from tealcove import count, ids
 from tealcove.resources import refusals
 
 ETAG = re.compile(r'"(\d{1,15})"\Z')
@@ -70,11 +70,12 @@
     text = request.query.get(name)
     if text is None:
         return default
-    if not (text.isascii() and text.isdigit()):
+    found = count.read(text)
+    if found is None:
         raise refusals.BadRequestError(
             f"{name}={text} isn't a whole number", f"Send {name} in digits."
         )
-    return int(text)
+    return found
 
 
 def limit(request: web.Request) -> int:
