End a soak's instances with it when it gets SIGTERM

Seen: a soak that was ended with SIGTERM left its three instances running (process list); asyncio ends tasks on SIGINT only. This is a second way in which a process can have stayed in a test network; the test fails without the change.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import pathlib
+import signal
 import sys
 
 import msgspec
@@ -12,6 +13,14 @@
 from soak import run
 
 
+async def one(folder: pathlib.Path, seed: int, seconds: float) -> run.Verdict:
+    """Run one soak; SIGTERM ends it together with the instances it has started."""
+    current = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, current.cancel)
+    return await run.soak(folder, seed, seconds)
+
+
 def main() -> int:
     """Run the soaks; 1 if any broke a promise."""
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
@@ -24,7 +33,7 @@
     for seed in range(found.seed, found.seed + found.count):
         folder = found.logs / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        verdict = asyncio.run(run.soak(folder, seed, found.seconds))
+        verdict = asyncio.run(one(folder, seed, found.seconds))
         print(msgspec.json.encode(verdict).decode(), flush=True)
         failed += bool(verdict.broken)
     return 1 if failed else 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,12 @@
 import asyncio
 import pathlib
 import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
 
+import psutil
 import pytest
 from soak import deployment, faults, run
 
@@ -74,3 +79,42 @@
         left.listen()
         with pytest.raises(networks.LeftoverError, match="left behind"):
             networks.refuse_leftovers(network, holder)
+
+
+def test_a_soak_that_is_ended_takes_its_instances_with_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Instances of a soak live on after it, and join the next test's.
+
+    Symptom: a deployment in the same network counts members that it didn't start.
+    Sequence: a soak gets SIGTERM. Cause: it died without ending its instances.
+    """
+    command = [sys.executable, "-m", "soak", "--seed", "1", "--logs", str(tmp_path)]
+    soaking = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=None)
+    try:
+        wait_for(lambda: len(started_in(tmp_path)) == run.MEMBERS)
+        soaking.terminate()
+        soaking.wait(20)
+        assert started_in(tmp_path) == []
+    finally:
+        soaking.kill()
+        for process in started_in(tmp_path):
+            process.kill()
+
+
+def started_in(folder: pathlib.Path) -> list[psutil.Process]:
+    """Return the processes whose settings are in a folder."""
+    found = []
+    for process in psutil.process_iter(["cmdline"]):
+        arguments = process.info["cmdline"] or []
+        if "front" in arguments and str(folder) in arguments[-1]:
+            found.append(process)
+    return found
+
+
+def wait_for(check: Callable[[], bool]) -> None:
+    """Wait until a check holds."""
+    end = time.monotonic() + 20.0
+    while not check():
+        assert time.monotonic() < end
+        time.sleep(0.05)
