--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -15,6 +15,10 @@
 FIRST_CALL_SECONDS = 0.08
 # Seconds from dispatch to the first token that no prompt token explains.
 BASE_SECONDS = 0.03
+# What is learnt is never less: a short prompt that is answered within the base time
+# would make it 0, and nothing could be divided by it any more. Ten times as fast as
+# the fastest engine seen.
+LEAST_PROMPT_SECONDS = 1 / 600_000
 # The weight of a new observation: two of them count for more than all before, so
 # that a server that has slowed down is known after two completions.
 WEIGHT = 0.4
@@ -138,7 +142,7 @@
         """Learn from the time to a first token."""
         if run.is_adopted or run.ticket.prompt_tokens < LEAST_PROMPT_TOKENS:
             return
-        seen = max(0.0, seconds - BASE_SECONDS) / run.work
+        seen = max(LEAST_PROMPT_SECONDS, (seconds - BASE_SECONDS) / run.work)
         self.prompt_seconds += self.weight() * (seen - self.prompt_seconds)
 
     def learn_end(self, run: Run, done: messages.Done) -> None:
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 
 import logbook
 
@@ -342,7 +343,8 @@
         now: ids.Instant,
     ) -> scheduler.Outgoing:
         """Return the message that a ticket won't get a slot."""
-        part = hash(ticket.ticket_id) % SPREAD_STEPS / SPREAD_STEPS
+        # Not Python's own hash, which differs from process to process.
+        part = zlib.crc32(ticket.ticket_id.encode()) % SPREAD_STEPS / SPREAD_STEPS
         after = max(SHORTEST_RETRY, drain) * (1.0 + RETRY_SPREAD * part)
         after = min(LONGEST_RETRY, after)
         log.info(
--- a/src/tealcove/dispatch/tests/test_goal.py
+++ b/src/tealcove/dispatch/tests/test_goal.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove import ids
-from tealcove.dispatch import goal, messages, scheduler, waitingline
+from tealcove.dispatch import backendview, goal, messages, scheduler, waitingline
 from tealcove.dispatch.tests import builders
 
 
@@ -164,6 +164,25 @@
     assert abs(found.servers["s0"].prompt_seconds - 1e-4) < 1e-6
 
 
+def test_a_prompt_that_is_read_at_once_does_not_end_all_decisions():
+    """A dispatcher answers no ticket any more.
+
+    Symptom: tickets to one dispatcher aren't answered, its log has divisions by zero.
+    Sequence: an engine's first completion is of a short prompt, and takes less than
+    the time taken for granted. Cause: 0 s for each prompt token was learnt.
+    """
+    found = opened(slots=2)
+    first, outgoing = enqueue(found, prompt_tokens=backendview.LEAST_PROMPT_TOKENS)
+    progress = messages.Progress(
+        ticket_id=first.ticket_id, cell=builders.CELL, first_token_seconds=0.01
+    )
+    found.progress(progress, builders.instant(0.01))
+    found.done(builders.done(builders.granted(outgoing)[0]), builders.instant(0.1))
+    enqueue(found, 0.2, prompt_tokens=1000)
+    _, outgoing = enqueue(found, 0.3, prompt_tokens=1000)
+    assert granted_names(outgoing) == ["s0"]
+
+
 def test_without_any_server_a_ticket_waits_until_its_time_is_over():
     found = goal.GoalScheduler()
     found.configure(builders.cell(), builders.instant(0))
