Play mixes of requests against the dispatcher's decisions in virtual time

An emulator of engines (batch, prompt chunks, two speeds, figures as learnt from completions) and of callers that come back once after a refusal, around the real GoalScheduler.

--- /dev/null
+++ b/bench/replay/__main__.py
@@ -0,0 +1,83 @@
+"""`python -m bench.replay`: print and plot what callers get at several loads."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import cappa
+import matplotlib
+
+from bench.replay import mix, play
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot
+
+LOADS = "1,1.5,2.2"
+SEEDS = "1,2,3"
+
+
+@dataclasses.dataclass
+class Arguments:
+    """Play mixes against the dispatcher's decisions, in virtual time."""
+
+    mixes: Annotated[str, cappa.Arg(long=True)] = ",".join(mix.MIXES)
+    loads: Annotated[str, cappa.Arg(long=True)] = LOADS
+    seeds: Annotated[str, cappa.Arg(long=True)] = SEEDS
+    seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
+    # A picture of the worth by load is written there.
+    plot: Annotated[pathlib.Path | None, cappa.Arg(long=True)] = None
+
+
+def run(arguments: Arguments) -> None:
+    """Play, print a line a run and kind, and plot."""
+    shares: dict[str, list[tuple[float, float]]] = {}
+    for name in arguments.mixes.split(","):
+        found = mix.MIXES[name]
+        for load in map(float, arguments.loads.split(",")):
+            worth = [
+                one(found, load, arguments.seconds, int(seed))
+                for seed in arguments.seeds.split(",")
+            ]
+            mean = sum(worth) / len(worth)
+            print(f"{name} at {load:g}: mean worth {mean:.3f}")
+            shares.setdefault(name, []).append((load, mean))
+    if arguments.plot is not None:
+        plot(shares, arguments.plot)
+
+
+def one(found: mix.Mix, load: float, seconds: float, seed: int) -> float:
+    """Play and print one run; return the part of the worth that was earned."""
+    requests = mix.draw(found, load, seconds, seed)
+    outcome = play.Play(found, requests).run()
+    sums = play.tally(outcome)
+    for name, tally in sums.items():
+        ends = ", ".join(f"{tally.ends[end]} {end.value}" for end in play.End)
+        print(f"  {found.name} {load:g} seed {seed} {name or 'all':6} {ends}", end="")
+        held = tally.held / tally.owed
+        print(f", worth {tally.share():.3f}, {held:.3f} waited in vain")
+    read = sum(batch.read_tokens for batch in outcome.batches)
+    wasted = sum(batch.wasted_tokens for batch in outcome.batches)
+    busy = sum(batch.busy_seconds for batch in outcome.batches)
+    part = busy / (outcome.seconds * len(outcome.batches))
+    print(
+        f"    engines busy {part:.2f}, {wasted / max(1, read):.3f} of prompts in vain"
+    )
+    return sums[""].share()
+
+
+def plot(shares: dict[str, list[tuple[float, float]]], path: pathlib.Path) -> None:
+    """Draw the worth by load, a line a mix."""
+    figure, axes = pyplot.subplots()
+    for name, points in shares.items():
+        axes.plot(*zip(*points, strict=True), marker="o", label=name)
+    axes.set_xlabel("load")
+    axes.set_ylabel("worth earned of worth owed")
+    axes.legend()
+    figure.savefig(path)
+
+
+if __name__ == "__main__":
+    run(cappa.parse(Arguments))
--- /dev/null
+++ b/bench/replay/batches.py
@@ -0,0 +1,82 @@
+"""An engine that reads prompts in chunks and writes for a batch, in virtual time."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bench.replay import mix
+
+# Prompt tokens that are read in one step, and tokens of one event.
+CHUNK = 1024
+STRIDE = 4
+
+
+class Work(msgspec.Struct):
+    """A request on an engine."""
+
+    number: int
+    prompt_left: int
+    tokens_left: int
+    started: float
+    tokens: int = 0
+    first_at: float | None = None
+
+
+class Step(msgspec.Struct, frozen=True):
+    """What a step has brought: first events, and ends."""
+
+    at: float
+    first: tuple[Work, ...]
+    ended: tuple[Work, ...]
+
+
+class Batch:
+    """What one engine works on."""
+
+    def __init__(self, engine: mix.Engine) -> None:
+        self.engine = engine
+        self.works: dict[int, Work] = {}
+        # Whether a step is under way.
+        self.is_stepping = False
+        self.busy_seconds = 0.0
+        self.read_tokens = 0
+        # Prompt tokens that were read for requests that never ended.
+        self.wasted_tokens = 0
+
+    def add(self, number: int, request: mix.Request, now: float) -> None:
+        """Begin to work on a request."""
+        self.works[number] = Work(number, request.prompt, request.output, now)
+
+    def cancel(self, number: int, request: mix.Request) -> None:
+        """Stop work on a request, if it's here."""
+        work = self.works.pop(number, None)
+        if work is not None:
+            self.wasted_tokens += request.prompt - work.prompt_left
+
+    def step(self, now: float) -> Step:
+        """Return what the step that begins now brings; the batch must not be empty."""
+        reading = next((w for w in self.works.values() if w.prompt_left), None)
+        writing = [w for w in self.works.values() if not w.prompt_left]
+        chunk = 0 if reading is None else min(CHUNK, reading.prompt_left)
+        seconds = self.engine.step_seconds
+        seconds += self.engine.crowd_seconds * len(self.works)
+        seconds += chunk * self.engine.prompt_seconds
+        at = now + seconds
+        self.busy_seconds += seconds
+        self.read_tokens += chunk
+        if reading is not None:
+            reading.prompt_left -= chunk
+        first = [work for work in writing if self.write(work, at)]
+        ended = [work for work in writing if not work.tokens_left]
+        for work in ended:
+            del self.works[work.number]
+        return Step(at, tuple(first), tuple(ended))
+
+    def write(self, work: Work, at: float) -> bool:
+        """Write one token; tell whether the first event is complete with it."""
+        work.tokens += 1
+        work.tokens_left -= 1
+        if work.first_at is None and (work.tokens >= STRIDE or not work.tokens_left):
+            work.first_at = at
+            return True
+        return False
--- /dev/null
+++ b/bench/replay/play.py
@@ -0,0 +1,327 @@
+"""The run: callers, the dispatcher's real decisions, and engines, by one clock."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import heapq
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from bench.replay import batches, mix
+from tealcove import ids
+from tealcove.dispatch import cells, goal, messages, scheduler
+from tealcove.resources import kinds
+
+CELL = ids.CellId("replay/0")
+ENTRY = ids.InstanceId("entry")
+# Seconds between an entry and the dispatcher or an engine, and between two ticks.
+WAY = 0.003
+TICK = 0.05
+# Times that a caller comes back after a refusal.
+RETRIES = 1
+# Virtual time begins here: schedulers take an instant of 0 for "never".
+START = 1000.0
+# Callers of streams leave after so many times their aim without an event.
+PATIENCE_AIMS = 4.0
+# See `in_vain`.
+FREE_PART = 1 / 8
+WHOLE_PART = 3 / 4
+
+
+class End(enum.Enum):
+    """How a request ended for its caller."""
+
+    IN_AIM = "in aim"
+    LATE = "late"
+    REFUSED = "refused"
+    LEFT = "left"
+
+
+class Caller(msgspec.Struct):
+    """One request, from its arrival to its end."""
+
+    number: int
+    request: mix.Request
+    tries: int = 0
+    # When the present try began.
+    tried_at: float = 0.0
+    server: str = ""
+    granted_at: float = 0.0
+    first_at: float | None = None
+    end: End | None = None
+    # Seconds that it was kept waiting in all its tries, without being served.
+    held: float = 0.0
+
+    @property
+    def ticket_id(self) -> ids.TicketId:
+        """The ticket of the present try."""
+        return ids.TicketId(f"{self.number}/{self.tries}")
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """All that a run has shown."""
+
+    callers: tuple[Caller, ...]
+    batches: tuple[batches.Batch, ...]
+    seconds: float
+
+
+class Play:
+    """One run; `scheduler` decides."""
+
+    def __init__(
+        self,
+        found: mix.Mix,
+        requests: list[mix.Request],
+        decides: scheduler.Scheduler | None = None,
+    ) -> None:
+        self.scheduler = decides or goal.GoalScheduler()
+        self.now = START
+        self.order = itertools.count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.batches = {one.name: batches.Batch(one) for one in found.engines}
+        self.callers = [Caller(n, request) for n, request in enumerate(requests)]
+        self.open = len(self.callers)
+        self.by_ticket: dict[ids.TicketId, Caller] = {}
+        cell = cells.Cell(CELL, ids.PoolId("replay"), servers(found))
+        self.scheduler.configure(cell, ids.Instant(START))
+
+    def run(self) -> Outcome:
+        """Play until every request has ended."""
+        for caller in self.callers:
+            self.at(START + caller.request.at, lambda c=caller: self.arrive(c))
+        self.at(START, self.tick)
+        while self.open:
+            self.now, _, act = heapq.heappop(self.events)
+            act()
+        found = tuple(self.batches.values())
+        return Outcome(tuple(self.callers), found, self.now - START)
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        """Have something done at an instant."""
+        heapq.heappush(self.events, (when, next(self.order), act))
+
+    def after(self, seconds: float, act: Callable[[], None]) -> None:
+        """Have something done after some seconds."""
+        self.at(self.now + seconds, act)
+
+    def tick(self) -> None:
+        """Let the scheduler look at what time has changed."""
+        self.take(self.scheduler.tick(self.instant()))
+        for caller in self.by_ticket.values():
+            if caller.server and caller.end is None:
+                self.tell(caller)
+        self.after(TICK, self.tick)
+
+    def tell(self, caller: Caller) -> None:
+        """Tell again of what runs, as entries do."""
+        ticket = msgspec.structs.replace(
+            self.ticket(caller), running_on=ids.BackendServerId(caller.server)
+        )
+        self.scheduler.enqueue(ticket, self.instant())
+
+    def instant(self) -> ids.Instant:
+        """Return the present instant."""
+        return ids.Instant(self.now)
+
+    def arrive(self, caller: Caller) -> None:
+        """Let a caller send, at first or again."""
+        self.by_ticket[caller.ticket_id] = caller
+        caller.tried_at = self.now
+        self.after(2 * WAY, lambda: self.enqueue(caller, caller.ticket_id))
+        if caller.tries == 0:
+            deadline = caller.request.kind.deadline
+            self.after(deadline, lambda: self.leave(caller))
+
+    def enqueue(self, caller: Caller, ticket_id: ids.TicketId) -> None:
+        """Let a ticket reach the dispatcher."""
+        if caller.end is None and caller.ticket_id == ticket_id:
+            ticket = self.ticket(caller)
+            self.take(self.scheduler.enqueue(ticket, self.instant()))
+
+    def ticket(self, caller: Caller) -> messages.Ticket:
+        """Return a caller's ticket as its entry sends it now."""
+        request = caller.request
+        kind = request.kind
+        waited = self.now - START - request.at
+        return messages.Ticket(
+            ticket_id=caller.ticket_id,
+            request_id=ids.RequestId(str(caller.number)),
+            cell=CELL,
+            entry=ENTRY,
+            tier_rank=kind.rank,
+            account=ids.AccountId("a"),
+            idempotent=True,
+            prompt_tokens=request.prompt,
+            output_tokens=request.output,
+            prefix=(),
+            remaining=kind.deadline - waited,
+            goal=max(1e-9, kind.aim - waited),
+            patience=max(1e-9, PATIENCE_AIMS * kind.aim + caller.tried_at - self.now),
+            expected_tokens=request.output,
+        )
+
+    def take(self, outgoing: list[scheduler.Outgoing]) -> None:
+        """Carry out what the scheduler decided."""
+        for out in outgoing:
+            sent = out.message
+            caller = self.by_ticket.get(getattr(sent, "ticket_id", None))
+            if caller is None or caller.end is not None:
+                continue
+            if isinstance(sent, messages.Grant) and not caller.server:
+                caller.server = sent.server
+                caller.granted_at = self.now
+                self.after(2 * WAY, lambda c=caller: self.submit(c))
+            elif isinstance(sent, messages.Refusal):
+                self.refuse(caller, sent.retry_after)
+
+    def end(self, caller: Caller, end: End) -> None:
+        """Note how a request ended."""
+        caller.end = end
+        self.open -= 1
+        if not caller.server:
+            caller.held += self.now - caller.tried_at
+
+    def refuse(self, caller: Caller, after: float) -> None:
+        """End a try; the caller comes back when told to."""
+        del self.by_ticket[caller.ticket_id]
+        if caller.tries >= RETRIES:
+            self.end(caller, End.REFUSED)
+            return
+        caller.held += self.now - caller.tried_at
+        caller.tries += 1
+        self.after(after, lambda: self.come_back(caller))
+
+    def come_back(self, caller: Caller) -> None:
+        """Send again, unless the caller has left."""
+        if caller.end is None:
+            self.arrive(caller)
+
+    def submit(self, caller: Caller) -> None:
+        """Let a request reach its engine."""
+        if caller.end is not None:
+            return
+        batch = self.batches[caller.server]
+        batch.add(caller.number, caller.request, self.now)
+        if not batch.is_stepping:
+            self.step(batch)
+
+    def step(self, batch: batches.Batch) -> None:
+        """Let an engine take a step, and those after it."""
+        batch.is_stepping = bool(batch.works)
+        if batch.is_stepping:
+            found = batch.step(self.now)
+            self.at(found.at, lambda: self.finish(batch, found))
+
+    def finish(self, batch: batches.Batch, found: batches.Step) -> None:
+        """Tell what a step has brought."""
+        for work in found.first:
+            caller = self.callers[work.number]
+            if caller.end is None:
+                caller.first_at = self.now + 2 * WAY
+                progress = messages.Progress(
+                    ticket_id=caller.ticket_id,
+                    cell=CELL,
+                    first_token_seconds=self.now - caller.granted_at,
+                )
+                self.take(self.scheduler.progress(progress, self.instant()))
+        for work in found.ended:
+            caller = self.callers[work.number]
+            if caller.end is None:
+                self.complete(caller)
+        self.step(batch)
+
+    def complete(self, caller: Caller) -> None:
+        """End a request that has its whole answer."""
+        seconds = caller.first_at - START - caller.request.at
+        in_aim = seconds <= caller.request.kind.aim
+        self.end(caller, End.IN_AIM if in_aim else End.LATE)
+        self.tell_end(caller, messages.Outcome.COMPLETED)
+
+    def leave(self, caller: Caller) -> None:
+        """End a request whose caller waits no longer."""
+        if caller.end is not None:
+            return
+        self.end(caller, End.LEFT)
+        if caller.server:
+            self.batches[caller.server].cancel(caller.number, caller.request)
+            self.tell_end(caller, messages.Outcome.CANCELLED)
+        else:
+            self.by_ticket.pop(caller.ticket_id, None)
+            self.take(self.scheduler.withdraw(caller.ticket_id, self.instant()))
+
+    def tell_end(self, caller: Caller, outcome: messages.Outcome) -> None:
+        """Tell the dispatcher how a dispatched request ended."""
+        self.by_ticket.pop(caller.ticket_id, None)
+        first = caller.first_at or self.now
+        done = messages.Done(
+            ticket_id=caller.ticket_id,
+            cell=CELL,
+            server=ids.BackendServerId(caller.server),
+            outcome=outcome,
+            prompt_tokens=caller.request.prompt,
+            cached_tokens=0,
+            output_tokens=caller.request.output,
+            first_token_seconds=first - caller.granted_at,
+            total_seconds=self.now - caller.granted_at,
+        )
+        self.take(self.scheduler.done(done, self.instant()))
+
+
+def servers(found: mix.Mix) -> tuple[kinds.BackendServerSpec, ...]:
+    """Return the engines as the dispatcher knows them."""
+    return tuple(
+        kinds.BackendServerSpec(
+            name=one.name, host="127.0.0.1", port=1, data_centre="dc", slots=one.slots
+        )
+        for one in found.engines
+    )
+
+
+class Tally(msgspec.Struct):
+    """What became of the requests of one kind."""
+
+    ends: collections.Counter[End]
+    owed: float = 0.0
+    earned: float = 0.0
+    # The worth of requests that waited in vain, each the more the longer it did.
+    held: float = 0.0
+
+    def share(self) -> float:
+        """Return the part of the worth that was earned."""
+        return self.earned / self.owed if self.owed else 0.0
+
+
+def in_vain(caller: Caller) -> float:
+    """Return the part of its time that a caller spent waiting for nothing.
+
+    Nothing is counted up to an eighth of its aim, all from three quarters of its
+    deadline on: by then it can't go elsewhere.
+    """
+    if caller.server:
+        return 0.0
+    kind = caller.request.kind
+    free, most = kind.aim * FREE_PART, kind.deadline * WHOLE_PART
+    return max(0.0, min(1.0, (caller.held - free) / (most - free)))
+
+
+def tally(outcome: Outcome) -> dict[str, Tally]:
+    """Return the sums by kind, and of all under an empty name."""
+    found: dict[str, Tally] = {}
+    for caller in outcome.callers:
+        kind = caller.request.kind
+        earned = 0.0
+        if caller.end is End.IN_AIM:
+            earned = caller.request.worth
+        elif caller.end is End.LATE:
+            earned = caller.request.worth * kind.late_worth / kind.worth
+        for name in (kind.name, ""):
+            one = found.setdefault(name, Tally(collections.Counter()))
+            one.ends[caller.end] += 1
+            one.owed += caller.request.worth
+            one.held += caller.request.worth * in_vain(caller)
+            one.earned += earned
+    return found
