--- a/src/tealcove/membership/tests/test_heart.py
+++ b/src/tealcove/membership/tests/test_heart.py
@@ -210,7 +210,7 @@
     async with group(LARGE) as found:
         await asyncio.sleep(2.0)
         ranked = ranking.rank("relay", [str(one.mesh.listen) for one in found])
-        dead = ranked[: 2 * relay.RELAYS]
+        dead = ranked[: 3 * relay.RELAYS]
         for one in [one for one in found if str(one.mesh.listen) in dead]:
             one.heart.tell_all = lambda: None
             one.heart.relaying.is_relay = False
