Don't take a takeover's tickets for arrivals

Found on reading: the next dispatcher in rank gets all waiting tickets within a moment, and the forecast took that for the rate at which they come. Tickets that have waited elsewhere for .1 s don't count. Test: forty of them leave the count at 0.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -117,7 +117,8 @@
     def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingline.Waiting:
         """Return a ticket as it stands in the line."""
         first, total = self.best_seconds(ticket)
-        self.inflow.note(ticket.tier_rank, total, now)
+        if ticket.waited < inflow.FRESH_SECONDS:
+            self.inflow.note(ticket.tier_rank, total, now)
         start_by = now + ticket.remaining - total - waitingline.MARGIN
         if ticket.patience > 0.0:
             leaves_at = now + ticket.patience - first - waitingline.MARGIN
--- a/src/tealcove/dispatch/inflow.py
+++ b/src/tealcove/dispatch/inflow.py
@@ -10,6 +10,8 @@
 # Seconds over which arrivals are averaged: long enough for some dozen requests of a
 # rank at 10 a second, short enough to follow a burst of 5 s.
 WINDOW_SECONDS = 2.0
+# Tickets that have waited for longer come from another dispatcher, all at once.
+FRESH_SECONDS = 0.1
 
 
 class Inflow:
--- a/src/tealcove/dispatch/tests/test_goal.py
+++ b/src/tealcove/dispatch/tests/test_goal.py
@@ -183,6 +183,21 @@
     assert granted_names(outgoing) == ["s0"]
 
 
+def test_a_takeover_does_not_look_like_a_rush():
+    """Requests of low ranks are refused after a dispatcher's death.
+
+    Symptom: 503 for a second or two though there is room. Sequence: the next in rank
+    gets all waiting tickets within a moment. Cause: they counted as arrivals, as if
+    as many came in every moment.
+    """
+    found = opened(slots=4)
+    for _ in range(40):
+        enqueue(found, waited=0.5, remaining=60.0)
+    assert found.inflow.before(2, builders.instant(0)) == 0.0
+    enqueue(found, remaining=60.0)
+    assert found.inflow.before(2, builders.instant(0)) > 0.0
+
+
 def test_without_any_server_a_ticket_waits_until_its_time_is_over():
     found = goal.GoalScheduler()
     found.configure(builders.cell(), builders.instant(0))
