Try a server again whose only completion was late

A speed that rests on fewer than three completions is forgotten after 5 s without work, where no generation is there to compare with.

Ruled out: probes, which are for servers held against their generation.

--- a/src/tealcove/dispatch/servers.py
+++ b/src/tealcove/dispatch/servers.py
@@ -95,6 +95,7 @@
         # Its own observations, and the slower average of the same.
         self.speed = speeds.default()
         self.usual = speeds.default()
+        self.learned_at = ids.Instant(0.0)
         # What speeds are predicted from while it has no observations.
         self.prior: speeds.Speed | None = None
         self.pace = Pace.NORMAL
--- a/src/tealcove/dispatch/stragglers.py
+++ b/src/tealcove/dispatch/stragglers.py
@@ -32,6 +32,11 @@
 KEEP = 0.9
 # What an observation leaves in place of a server's usual speed.
 USUAL_KEEP = 0.995
+# A server without a generation that has completed fewer requests, and got none for so
+# many seconds, counts as one of which nothing is known: its only completion may have
+# been late by the machine's other work. It was never chosen again, however fast it was.
+FEW_OBSERVATIONS = 3
+DOUBTED_AFTER = 5.0
 # Output tokens of the request by which speeds are compared.
 SAMPLE_OUTPUT = 64
 
@@ -50,6 +55,7 @@
     if is_probe or server.pace is servers.Pace.PROBED:
         server.speed.prefill.doubt(DOUBTED_WEIGHT)
         server.speed.decode.doubt(DOUBTED_WEIGHT)
+    server.learned_at = now
     if server.speed.observations == 0 and server.prior is not None:
         server.speed = speeds.copy(server.prior)
     for speed, keep in (
@@ -76,6 +82,8 @@
     by_generation: dict[str, list[servers.ServerState]] = {}
     for server in known:
         by_generation.setdefault(server.spec.generation, []).append(server)
+    for server in known:
+        forget_doubtful(server, now)
     for generation, members in by_generation.items():
         reference = None
         if generation:
@@ -87,6 +95,18 @@
     keep_some(known)
 
 
+def forget_doubtful(server: servers.ServerState, now: ids.Instant) -> None:
+    """Forget a speed that rests on too little, so that the server is tried again.
+
+    Those that are held against others, or are probed already, have ways of their own.
+    """
+    has_way = server.prior is not None or server.pace is not servers.Pace.NORMAL
+    is_doubtful = 0 < server.speed.observations < FEW_OBSERVATIONS
+    is_idle = server.is_empty() and now - server.learned_at > DOUBTED_AFTER
+    if is_doubtful and is_idle and not has_way:
+        server.speed = speeds.default()
+
+
 def keep_some(known: list[servers.ServerState]) -> None:
     """Let slow servers work if a cell has no others.
 
--- a/src/tealcove/dispatch/tests/test_stragglers.py
+++ b/src/tealcove/dispatch/tests/test_stragglers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from tealcove import ids
 from tealcove.dispatch import fair, messages, servers
 from tealcove.dispatch.tests import builders
@@ -108,6 +110,36 @@
     assert state(found).pace is servers.Pace.NORMAL
 
 
+def test_one_late_completion_does_not_shut_a_server_out() -> None:
+    """The fastest server of a pool idles for good.
+
+    Symptom: requests take as long as the slowest server does, while another one gets
+    nothing. Sequence: the fast server's first completion is late by chance; the
+    others' aren't. Cause: its speed was learnt from that one, and never again.
+    """
+    found = fair.FairScheduler()
+    specs = [builders.server(name, generation="") for name in ("s0", "s1")]
+    found.configure(builders.cell(*specs), builders.instant(0))
+    now = 0.0
+    used = []
+    for _ in range(300):
+        ticket = builders.ticket(prompt_tokens=1, output_tokens=4, remaining=60.0)
+        outgoing = found.enqueue(ticket, builders.instant(now))
+        (grant,) = builders.granted(outgoing)
+        step = 0.01 if grant.server == "s1" else 0.002 if "s0" in used else 0.1
+        now += 4 * step
+        used.append(grant.server)
+        done = msgspec.structs.replace(
+            builders.done(grant),
+            output_tokens=4,
+            first_token_seconds=step,
+            total_seconds=4 * step,
+        )
+        found.done(done, builders.instant(now))
+        found.tick(builders.instant(now))
+    assert used.count("s0") > 100
+
+
 def test_servers_without_a_generation_may_differ_by_design() -> None:
     found = builders.opened(
         *(builders.server(f"s{n}", generation="") for n in range(3))
