Share the histograms of seconds and the line of an error; drop a dead field

Read again as one change: four histograms of two observers were written out alike (telemetry.Source.seconds makes them now), the command line and the instance's process each wrote an error's line and found its exit code (exits.report), and Relaying.passed was never read. Behaviour is as before.

Left, seen: both ways of keeping limits repeat the four arguments of their base; a digest is encoded once for each peer; a requester's silent dispatchers are forgotten only at a word of theirs.

--- a/src/tealcove/cli.py
+++ b/src/tealcove/cli.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import sys
 
 import cappa
 
@@ -66,8 +65,7 @@
             Tealcove, argv=argv, version=version.VERSION, completion=False
         )
     except errors.TealcoveError as error:
-        print(f"tealcove: {error}", file=sys.stderr)
-        return exits.code_for(error)
+        return exits.report(error)
     return exits.Code.OK
 
 
--- a/src/tealcove/commands/exits.py
+++ b/src/tealcove/commands/exits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 
 from tealcove import connection, errors
 
@@ -29,6 +30,12 @@
 )
 
 
+def report(error: errors.TealcoveError) -> Code:
+    """Write an error as one line to standard error; return its exit code."""
+    print(f"tealcove: {error}", file=sys.stderr)
+    return code_for(error)
+
+
 def code_for(error: errors.TealcoveError) -> Code:
     """Return the exit code for an error; the first type that fits decides."""
     for kind, code in BY_ERROR:
--- a/src/tealcove/entry/observer.py
+++ b/src/tealcove/entry/observer.py
@@ -69,21 +69,16 @@
 
     def __init__(self, source: telemetry.Source | None = None) -> None:
         self.source = source or telemetry.Source()
-        meter = self.source.meter
-        self.requests = meter.create_counter(
+        self.requests = self.source.meter.create_counter(
             "tealcove.requests", description="Requests answered, by how they ended."
         )
-        self.first_tokens = meter.create_histogram(
+        self.first_tokens = self.source.seconds(
             "tealcove.request.time_to_first_token",
-            unit="s",
-            description="From a request's arrival to its first token.",
-            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
+            "From a request's arrival to its first token.",
         )
-        self.durations = meter.create_histogram(
+        self.durations = self.source.seconds(
             "tealcove.request.duration",
-            unit="s",
-            description="From a completed request's arrival to the end of its answer.",
-            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
+            "From a completed request's arrival to the end of its answer.",
         )
 
     @contextlib.contextmanager
--- a/src/tealcove/front/__main__.py
+++ b/src/tealcove/front/__main__.py
@@ -37,8 +37,7 @@
     try:
         asyncio.run(daemon.serve(path))
     except errors.TealcoveError as error:
-        print(f"tealcove: {error}", file=sys.stderr)
-        return exits.code_for(error)
+        return exits.report(error)
     except KeyboardInterrupt:
         return exits.Code.FAILED
     return exits.Code.OK
--- a/src/tealcove/ingress/observer.py
+++ b/src/tealcove/ingress/observer.py
@@ -21,22 +21,18 @@
     """The metrics of an ingress: few, since each costs time at every request."""
 
     def __init__(self, source: telemetry.Source | None = None) -> None:
-        meter = (source or telemetry.Source()).meter
-        self.requests = meter.create_counter(
+        source = source or telemetry.Source()
+        self.requests = source.meter.create_counter(
             "tealcove.ingress.requests",
             description="Requests answered, by route and how they ended.",
         )
-        self.first_events = meter.create_histogram(
+        self.first_events = source.seconds(
             "tealcove.ingress.time_to_first_event",
-            unit="s",
-            description="From a request's arrival to its stream's first event.",
-            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
+            "From a request's arrival to its stream's first event.",
         )
-        self.durations = meter.create_histogram(
+        self.durations = source.seconds(
             "tealcove.ingress.duration",
-            unit="s",
-            description="From a request's arrival to the end of its answer.",
-            explicit_bucket_boundaries_advisory=telemetry.SECONDS_BOUNDS,
+            "From a request's arrival to the end of its answer.",
         )
 
     def begin(self, now: ids.Instant) -> Seen:
--- a/src/tealcove/membership/relaying.py
+++ b/src/tealcove/membership/relaying.py
@@ -25,7 +25,6 @@
         self.passing = relay.Passing()
         self.numbers = relay.Numbers()
         self.is_relay = False
-        self.passed = ids.Instant(0.0)
         self.soon: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
--- a/src/tealcove/telemetry.py
+++ b/src/tealcove/telemetry.py
@@ -43,6 +43,15 @@
         self.tracer: trace.Tracer = trace.NoOpTracer()
         self.tracing = False
 
+    def seconds(self, name: str, description: str) -> metrics.Histogram:
+        """Return a histogram of seconds."""
+        return self.meter.create_histogram(
+            name,
+            unit="s",
+            description=description,
+            explicit_bucket_boundaries_advisory=SECONDS_BOUNDS,
+        )
+
     def step(
         self, name: str, **attributes: str
     ) -> contextlib.AbstractContextManager[trace.Span | None]:
