--- /dev/null
+++ b/src/tealcove/dispatch/backendviews.py
@@ -0,0 +1,107 @@
+"""The backend servers of a cell as the goal scheduler sees them, and their runs."""
+
+from __future__ import annotations
+
+import logbook
+
+from tealcove import ids
+from tealcove.dispatch import backendview, cells, messages, scheduler
+
+log = logbook.Logger("dispatch")
+
+
+class BackendViews:
+    """The servers by name, and the server of each ticket that holds a slot."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ids.BackendServerId, backendview.BackendView] = {}
+        self.where: dict[ids.TicketId, backendview.BackendView] = {}
+
+    def configure(self, cell: cells.Cell) -> None:
+        """Take over a new list of servers; runs at those that left are forgotten."""
+        names = set()
+        for spec in cell.servers:
+            name = ids.BackendServerId(spec.name)
+            names.add(name)
+            if name in self.servers:
+                self.servers[name].spec = spec
+            else:
+                self.servers[name] = self.new_view(backendview.BackendView(spec))
+        for name in [name for name in self.servers if name not in names]:
+            for ticket_id in self.servers.pop(name).runs:
+                del self.where[ticket_id]
+
+    def new_view(self, view: backendview.BackendView) -> backendview.BackendView:
+        """Let a new server start from the speed of the middle one of the others."""
+        known = [other for other in self.servers.values() if other.observations]
+        if known:
+            known.sort(key=lambda other: other.prompt_seconds)
+            middle = known[len(known) // 2]
+            view.prompt_seconds = middle.prompt_seconds
+            view.token_seconds = middle.token_seconds
+            view.call_seconds = middle.call_seconds
+        return view
+
+    def excluded(self, ticket: messages.Ticket) -> frozenset[ids.BackendServerId]:
+        """Return the servers that a ticket mustn't get; none when that were all."""
+        excluded = frozenset(ticket.excluded)
+        return frozenset() if excluded.issuperset(self.servers) else excluded
+
+    def best_seconds(self, ticket: messages.Ticket) -> tuple[float, float]:
+        """Return the least seconds to a ticket's first token and to its end."""
+        excluded = self.excluded(ticket)
+        usable = [s for s in self.servers.values() if s.name not in excluded]
+        if not usable:
+            return 0.0, 0.0
+        first = min(server.first_seconds(ticket, 0.0) for server in usable)
+        return first, min(server.total_seconds(ticket, 0.0) for server in usable)
+
+    def start(
+        self,
+        ticket: messages.Ticket,
+        server: backendview.BackendView,
+        now: ids.Instant,
+    ) -> backendview.Run:
+        """Give a slot to a ticket."""
+        self.where[ticket.ticket_id] = server
+        return server.start(ticket, now)
+
+    def adopt(self, ticket: messages.Ticket, now: ids.Instant) -> None:
+        """Take in a request that another dispatcher granted."""
+        server = self.servers.get(ticket.running_on)
+        if server is None:
+            return
+        known = server.runs.get(ticket.ticket_id)
+        if known is not None:
+            known.told = now
+            return
+        self.release(ticket.ticket_id)
+        run = self.start(ticket, server, now)
+        run.is_adopted = True
+        run.has_first_token = True
+
+    def release(
+        self, ticket_id: ids.TicketId
+    ) -> tuple[backendview.BackendView, backendview.Run] | None:
+        """Take a slot back; None when the ticket holds none."""
+        server = self.where.pop(ticket_id, None)
+        if server is None:
+            return None
+        return server, server.runs.pop(ticket_id)
+
+    def release_entry(self, entry: ids.InstanceId) -> None:
+        """Take back the slots of an entry that is gone.
+
+        The servers stop as soon as the entry's connections are gone.
+        """
+        for ticket_id, server in list(self.where.items()):
+            if server.runs[ticket_id].ticket.entry == entry:
+                self.release(ticket_id)
+
+    def release_untold(self, now: ids.Instant) -> None:
+        """Take back the slots of which no entry tells any more."""
+        since = now - scheduler.UNTOLD_SECONDS
+        for ticket_id, server in list(self.where.items()):
+            if server.runs[ticket_id].told < since:
+                log.info("slot of {} at {} is given up: untold", ticket_id, server.name)
+                self.release(ticket_id)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import zlib
 
 import logbook
 
@@ -11,9 +10,11 @@
 from tealcove.backends import engine
 from tealcove.dispatch import (
     backendview,
+    backendviews,
     cells,
     inflow,
     messages,
+    retry,
     scheduler,
     suspicion,
     waitingline,
@@ -31,20 +32,13 @@
 SHORT_LINE = 16
 # A failing server counts as slower by up to so many times.
 FAILURE_COST = 3.0
-# Shortest Retry-After in seconds, and by how much they are spread, so that callers
-# who were refused together don't come back together.
-SHORTEST_RETRY = 0.15
-LONGEST_RETRY = 5.0
-RETRY_SPREAD = 0.5
-SPREAD_STEPS = 1000
 
 
 class GoalScheduler(scheduler.Scheduler):
     """Rank first, then goals in reach, each ticket where it ends soonest."""
 
     def __init__(self) -> None:
-        self.servers: dict[ids.BackendServerId, backendview.BackendView] = {}
-        self.where: dict[ids.TicketId, backendview.BackendView] = {}
+        self.views = backendviews.BackendViews()
         self.line: dict[ids.TicketId, waitingline.Waiting] = {}
         self.suspicion: suspicion.Suspicion = suspicion.NoSuspicion()
         self.inflow = inflow.Inflow()
@@ -62,42 +56,22 @@
 
     def depth(self) -> tuple[int, int]:
         """See Scheduler."""
-        return len(self.line), len(self.where)
+        return len(self.line), len(self.views.where)
 
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        names = set()
-        for spec in cell.servers:
-            name = ids.BackendServerId(spec.name)
-            names.add(name)
-            if name in self.servers:
-                self.servers[name].spec = spec
-            else:
-                self.servers[name] = self.new_view(backendview.BackendView(spec))
-        for name in [name for name in self.servers if name not in names]:
-            for ticket_id in self.servers.pop(name).runs:
-                del self.where[ticket_id]
+        self.views.configure(cell)
         return self.decide(now)
 
-    def new_view(self, view: backendview.BackendView) -> backendview.BackendView:
-        """Let a new server start from the speed of the middle one of the others."""
-        known = [other for other in self.servers.values() if other.observations]
-        if known:
-            known.sort(key=lambda other: other.prompt_seconds)
-            middle = known[len(known) // 2]
-            view.prompt_seconds = middle.prompt_seconds
-            view.token_seconds = middle.token_seconds
-            view.call_seconds = middle.call_seconds
-        return view
-
     def enqueue(
         self, ticket: messages.Ticket, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
         if ticket.running_on is not None:
-            self.adopt(ticket, now)
+            self.line.pop(ticket.ticket_id, None)
+            self.views.adopt(ticket, now)
             return []
-        server = self.where.get(ticket.ticket_id)
+        server = self.views.where.get(ticket.ticket_id)
         if server is not None:
             # The entry asks again: it didn't get the grant.
             server.runs[ticket.ticket_id].told = now
@@ -110,13 +84,13 @@
             return [answer]
         if self.suspicion.is_quarantined(ticket.digest):
             reason = messages.RefusalReason.QUARANTINED
-            return [self.refusal(ticket, reason, LONGEST_RETRY, now)]
+            return [self.refusal(ticket, reason, retry.LONGEST_SECONDS, now)]
         self.line[ticket.ticket_id] = self.wait(ticket, now)
         return [answer, *self.decide(now)]
 
     def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingline.Waiting:
         """Return a ticket as it stands in the line."""
-        first, total = self.best_seconds(ticket)
+        first, total = self.views.best_seconds(ticket)
         if ticket.waited < inflow.FRESH_SECONDS:
             self.inflow.note(ticket.tier_rank, total, now)
         start_by = now + ticket.remaining - total - waitingline.MARGIN
@@ -133,53 +107,19 @@
             best_first=first,
         )
 
-    def best_seconds(self, ticket: messages.Ticket) -> tuple[float, float]:
-        """Return the least seconds to a ticket's first token and to its end."""
-        excluded = self.excluded(ticket)
-        usable = [s for s in self.servers.values() if s.name not in excluded]
-        if not usable:
-            return 0.0, 0.0
-        first = min(server.first_seconds(ticket, 0.0) for server in usable)
-        return first, min(server.total_seconds(ticket, 0.0) for server in usable)
-
-    def adopt(self, ticket: messages.Ticket, now: ids.Instant) -> None:
-        """Take in a request that another dispatcher granted."""
-        self.line.pop(ticket.ticket_id, None)
-        server = self.servers.get(ticket.running_on)
-        if server is None:
-            return
-        known = server.runs.get(ticket.ticket_id)
-        if known is not None:
-            known.told = now
-            return
-        self.release(ticket.ticket_id)
-        run = server.start(ticket, now)
-        run.is_adopted = True
-        run.has_first_token = True
-        self.where[ticket.ticket_id] = server
-
     def withdraw(
         self, ticket_id: ids.TicketId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
         self.line.pop(ticket_id, None)
-        self.release(ticket_id)
+        self.views.release(ticket_id)
         return self.decide(now)
 
-    def release(
-        self, ticket_id: ids.TicketId
-    ) -> tuple[backendview.BackendView, backendview.Run] | None:
-        """Take a slot back; None when the ticket holds none."""
-        server = self.where.pop(ticket_id, None)
-        if server is None:
-            return None
-        return server, server.runs.pop(ticket_id)
-
     def progress(
         self, progress: messages.Progress, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        server = self.where.get(progress.ticket_id)
+        server = self.views.where.get(progress.ticket_id)
         if server is None:
             return []
         run = server.runs[progress.ticket_id]
@@ -190,8 +130,8 @@
 
     def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        released = self.release(done.ticket_id)
-        server = self.servers.get(done.server)
+        released = self.views.release(done.ticket_id)
+        server = self.views.servers.get(done.server)
         if server is not None:
             self.note_outcome(server, done, now)
         if released is not None and done.outcome is messages.Outcome.COMPLETED:
@@ -232,10 +172,7 @@
         """See Scheduler."""
         for ticket_id in [i for i, w in self.line.items() if w.ticket.entry == entry]:
             del self.line[ticket_id]
-        for ticket_id, server in list(self.where.items()):
-            if server.runs[ticket_id].ticket.entry == entry:
-                # The server stops as soon as the entry's connection is gone.
-                self.release(ticket_id)
+        self.views.release_entry(entry)
         return self.decide(now)
 
     def tick(self, now: ids.Instant) -> list[scheduler.Outgoing]:
@@ -251,10 +188,7 @@
         since = now - scheduler.UNTOLD_SECONDS
         for ticket_id in [i for i, w in self.line.items() if w.told < since]:
             del self.line[ticket_id]
-        for ticket_id, server in list(self.where.items()):
-            if server.runs[ticket_id].told < since:
-                log.info("slot of {} at {} is given up: untold", ticket_id, server.name)
-                self.release(ticket_id)
+        self.views.release_untold(now)
 
     def decide(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots in order, and refuse what can't be in time."""
@@ -273,7 +207,9 @@
     def give_up_hopeless(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Refuse what would start too late."""
         line = self.ordered(now)
-        found = waitingline.forecast(line, self.servers.values(), self.inflow, now)
+        found = waitingline.forecast(
+            line, self.views.servers.values(), self.inflow, now
+        )
         outgoing = []
         for waiting, seconds in found.hopeless:
             del self.line[waiting.ticket.ticket_id]
@@ -283,7 +219,7 @@
 
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
-        free = [s for s in self.servers.values() if s.room(now) > 0]
+        free = [s for s in self.views.servers.values() if s.room(now) > 0]
         outgoing = []
         # The line is put in order only where somebody can leave it: after most events
         # under overload no slot is free.
@@ -310,7 +246,7 @@
         ticket = waiting.ticket
         best = None
         best_cost = best_first = math.inf
-        excluded = self.excluded(ticket)
+        excluded = self.views.excluded(ticket)
         for server in free:
             if server.name in excluded:
                 continue
@@ -327,11 +263,6 @@
             return None
         return best
 
-    def excluded(self, ticket: messages.Ticket) -> frozenset[ids.BackendServerId]:
-        """Return the servers that a ticket mustn't get; none when that were all."""
-        excluded = frozenset(ticket.excluded)
-        return frozenset() if excluded.issuperset(self.servers) else excluded
-
     def grant(
         self,
         waiting: waitingline.Waiting,
@@ -341,8 +272,7 @@
         """Give a slot to a ticket of the line."""
         ticket = waiting.ticket
         del self.line[ticket.ticket_id]
-        run = server.start(ticket, now)
-        self.where[ticket.ticket_id] = server
+        run = self.views.start(ticket, server, now)
         log.info(
             "granted {} after {:.3f} s: rank {}, {} wait, {} of {} slots, first {:.3f}",
             server.name,
@@ -364,20 +294,19 @@
         now: ids.Instant,
     ) -> scheduler.Outgoing:
         """Return the message that a ticket won't get a slot."""
-        part = zlib.crc32(ticket.ticket_id.encode()) % SPREAD_STEPS / SPREAD_STEPS
-        after = max(SHORTEST_RETRY, drain) * (1.0 + RETRY_SPREAD * part)
-        after = min(LONGEST_RETRY, after)
         log.info(
             "refused: {}, rank {}, {} wait, {} run, drained in {:.3f} s",
             reason.value,
             ticket.tier_rank,
             len(self.line),
-            len(self.where),
+            len(self.views.where),
             drain,
             extra={"request": ticket.request_id},
         )
         refusal = messages.Refusal(
-            ticket_id=ticket.ticket_id, reason=reason, retry_after=after
+            ticket_id=ticket.ticket_id,
+            reason=reason,
+            retry_after=retry.seconds_after(ticket.ticket_id, drain),
         )
         return scheduler.Outgoing(ticket.entry, refusal)
 
--- a/src/tealcove/dispatch/tests/test_goal.py
+++ b/src/tealcove/dispatch/tests/test_goal.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove import ids
-from tealcove.dispatch import backendview, goal, messages, scheduler, waitingline
+from tealcove.dispatch import backendview, goal, messages, retry, scheduler, waitingline
 from tealcove.dispatch.tests import builders
 
 
@@ -65,13 +65,13 @@
     _, outgoing = enqueue(found, remaining=60.0, tier_rank=5, patience=0.5)
     (refusal,) = builders.refused(outgoing)
     assert refusal.reason is messages.RefusalReason.OVERLOAD
-    assert goal.SHORTEST_RETRY <= refusal.retry_after <= goal.LONGEST_RETRY
+    assert retry.SHORTEST_SECONDS <= refusal.retry_after <= retry.LONGEST_SECONDS
 
 
 def test_a_ticket_goes_where_it_ends_soonest():
     found = opened("slow", "fast", slots=2)
-    found.servers["slow"].prompt_seconds = 1e-3
-    found.servers["slow"].token_seconds = 0.05
+    found.views.servers["slow"].prompt_seconds = 1e-3
+    found.views.servers["slow"].token_seconds = 0.05
     assert granted_names(enqueue(found)[1]) == ["fast"]
     assert granted_names(enqueue(found, prompt_tokens=10)[1]) == ["fast"]
     assert granted_names(enqueue(found)[1]) == ["slow"]
@@ -79,14 +79,14 @@
 
 def test_a_goal_that_is_missed_here_and_met_elsewhere_is_waited_for():
     found = opened("slow", "fast")
-    found.servers["slow"].prompt_seconds = 1e-2
+    found.views.servers["slow"].prompt_seconds = 1e-2
     (first,) = builders.granted(enqueue(found)[1])
     assert first.server == "fast"
     waiting, outgoing = enqueue(found, 0.01, goal=0.5)
     assert builders.granted(outgoing) == []
     done = builders.done(first, total_seconds=0.1, output_tokens=0)
     assert granted_names(found.done(done, builders.instant(0.1))) == ["fast"]
-    assert waiting.ticket_id in found.where
+    assert waiting.ticket_id in found.views.where
 
 
 def test_an_unreachable_server_gets_nothing_for_a_while():
@@ -161,7 +161,7 @@
         ticket_id=grant.ticket_id, cell=builders.CELL, first_token_seconds=0.43
     )
     found.progress(progress, builders.instant(0.43))
-    assert abs(found.servers["s0"].prompt_seconds - 1e-4) < 1e-6
+    assert abs(found.views.servers["s0"].prompt_seconds - 1e-4) < 1e-6
 
 
 def test_a_prompt_that_is_read_at_once_does_not_end_all_decisions():
