Let the strongest instances keep waiting lines and pass heartbeats on

Cause: the ranking of instances knew nothing of what they can do. Of 63, 57 have half a core and a link of 10 Mbit/s, six have two cores and 200 Mbit/s; what isn't spread over all (the waiting line of thirty backend servers, relays) went to one of the weak ones nine times of ten. Heartbeats tell a class of strength now, from the machine's cores and share in the settings; it goes before the hash. Equal machines rank as before.

Homes of accounts stay spread over all by hash: each is a message or two for a request.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -239,6 +239,7 @@
         for seed in self.heart.seeds:
             self.heart.beat_to(seed)
         self.ingress.services.budget.allowance = parts.allowance_of(found)
+        self.members.update_own(strength=parts.strength_of(found))
         self.directory.ttl_seconds = found.leaving.directory_ttl_seconds
         log.info("settings read again: {}", "changed" if before != found else "alike")
 
--- a/src/tealcove/front/parts.py
+++ b/src/tealcove/front/parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from aiohttp import web
 
 from tealcove import ids, listener
@@ -15,6 +17,9 @@
 # Seconds between two looks at the list of instances: heartbeats tell of new ones,
 # and each look is paid for.
 LIST_INTERVALS = heart.ListIntervals(first=1.0, longest=60.0)
+# Cores at which the classes of processors begin: what the weakest machine of the large
+# deployments has.
+WEAKEST_CORES = 0.5
 # Seconds until a connection to the store stands.
 CONNECT_SECONDS = 1.0
 
@@ -33,6 +38,16 @@
     return made
 
 
+def strength_of(found: settings.FrontSettings) -> int:
+    """Return the class of this instance's processor: 0 from half a core, 1 from one.
+
+    Each class begins at twice as much as the one before, since machines that differ
+    by little should share the work that isn't spread over all.
+    """
+    machine = found.machine
+    return math.floor(math.log2(machine.cores * machine.share / WEAKEST_CORES))
+
+
 def own_heartbeat(
     found: settings.FrontSettings, transport: mesh.Mesh, incarnation: ids.Incarnation
 ) -> messages.Heartbeat:
@@ -48,6 +63,7 @@
         peer_host=transport.listen.host,
         peer_port=transport.listen.port,
         revision=ids.Revision(0),
+        strength=strength_of(found),
     )
 
 
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
+import msgspec
+
 from tealcove import checked, settings, settingsfile
 from tealcove.resources import kinds
 
+Amount = Annotated[float, msgspec.Meta(gt=0)]
+
 
 class Listen(settings.Group):
     """Where this instance is reached."""
@@ -49,6 +55,14 @@
     grace_seconds: settings.Seconds = 8.0
 
 
+class Machine(settings.Group):
+    """What this instance's machine can do."""
+
+    # Its processor: so many cores, of which it may use this share.
+    cores: Amount = 1.0
+    share: Amount = 1.0
+
+
 class Log(settings.Log):
     """What is written to standard output, as JSON lines."""
 
@@ -75,6 +89,7 @@
     limits: settings.Limits = settings.Limits()
     repeats: Repeats = Repeats()
     leaving: Leaving = Leaving()
+    machine: Machine = Machine()
     telemetry: settings.Telemetry = settings.Telemetry()
     log: Log = Log()
 
--- /dev/null
+++ b/src/tealcove/front/tests/test_parts.py
@@ -0,0 +1,22 @@
+"""What an instance tells of itself, by its settings."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from tealcove.front import parts, settings
+from tealcove.front.tests import test_daemon
+
+
+@pytest.mark.parametrize(
+    ("cores", "share", "strength"),
+    [(1, 0.516, 0), (2, 0.537, 1), (1, 1.9, 1), (3, 0.717, 2), (1, 0.12, -3)],
+)
+def test_machines_are_told_apart_by_twice_as_much(
+    tmp_path: pathlib.Path, cores: int, share: float, strength: int
+) -> None:
+    path = tmp_path / "instance.json"
+    test_daemon.write(path, machine={"cores": cores, "share": share})
+    assert parts.strength_of(settings.load(str(path))) == strength
--- a/src/tealcove/membership/members.py
+++ b/src/tealcove/membership/members.py
@@ -88,6 +88,7 @@
             heartbeat.incarnation != before.incarnation
             or heartbeat.lifecycle is not before.lifecycle
             or heartbeat.data_centre != before.data_centre
+            or heartbeat.strength != before.strength
             or self.is_suspect(known, now)
         )
 
@@ -203,7 +204,8 @@
     def rank_all(self, key: str, near: ids.DataCentreId | None) -> list[ids.InstanceId]:
         """Rank all known instances, serving or not, and remember the order."""
         known = [self.own, *(member.heartbeat for member in self.peers.values())]
-        ranked = ranking.rank(key, [heartbeat.instance for heartbeat in known])
+        strengths = {heartbeat.instance: heartbeat.strength for heartbeat in known}
+        ranked = ranking.rank_by_strength(key, strengths)
         if near is not None:
             local = {h.instance for h in known if h.data_centre == near}
             ranked.sort(key=lambda instance: instance not in local)
--- a/src/tealcove/membership/ranking.py
+++ b/src/tealcove/membership/ranking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from tealcove import ids
 
@@ -23,3 +23,16 @@
     keep their order (rendezvous hashing, Thaler and Ravishankar 1998).
     """
     return sorted(instances, key=lambda instance: weight(key, instance), reverse=True)
+
+
+def rank_by_strength(
+    key: str, strengths: Mapping[ids.InstanceId, int]
+) -> list[ids.InstanceId]:
+    """Return the instances, the strongest first, and among equals as `rank` does.
+
+    What isn't spread over all instances, such as the waiting line of thirty backend
+    servers, keeps one with half a core busy while others with two have little to do.
+    """
+    ranked = rank(key, strengths)
+    ranked.sort(key=lambda instance: strengths[instance], reverse=True)
+    return ranked
--- a/src/tealcove/membership/relay.py
+++ b/src/tealcove/membership/relay.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 from tealcove import ids
@@ -51,11 +53,15 @@
             self.heard[peer] = now
 
     def choose(
-        self, own: endpoint.Endpoint, alive: set[endpoint.Endpoint], now: ids.Instant
+        self,
+        own: endpoint.Endpoint,
+        alive: Mapping[endpoint.Endpoint, int],
+        now: ids.Instant,
     ) -> set[endpoint.Endpoint]:
-        """Return the relays among this instance and those that are alive.
+        """Return the relays among those that are alive, this instance included.
 
-        The order is by hash, so that all who know the same instances choose alike.
+        `alive` says how strong each is. The order is by that and by hash, so that all
+        who know the same instances choose alike.
         """
         had_relays = bool(self.heard)
         for peer, since in list(self.heard.items()):
@@ -67,8 +73,9 @@
         for peer, since in list(self.silent.items()):
             if now - since > PUT_ASIDE_SECONDS:
                 del self.silent[peer]
-        usable = {str(peer): peer for peer in (alive | {own}) - self.silent.keys()}
-        ranked = ranking.rank("relay", [ids.InstanceId(name) for name in usable])
+        usable = {str(peer): peer for peer in alive.keys() - self.silent.keys()}
+        strengths = {ids.InstanceId(name): alive[at] for name, at in usable.items()}
+        ranked = ranking.rank_by_strength("relay", strengths)
         chosen = {usable[name] for name in ranked[:RELAYS]}
         before = self.heard
         self.heard = {peer: before.get(peer, now) for peer in chosen - {own}}
--- a/src/tealcove/membership/relaying.py
+++ b/src/tealcove/membership/relaying.py
@@ -59,7 +59,7 @@
     def choose(self, now: ids.Instant) -> set[endpoint.Endpoint]:
         """Return the relays that this instance tells of itself."""
         own = self.transport.listen
-        alive = {heartbeat.endpoint for heartbeat in self.members.alive(now)}
+        alive = {beat.endpoint: beat.strength for beat in self.members.alive(now)}
         chosen = self.choice.choose(own, alive, now)
         self.is_relay = own in chosen
         return chosen - {own}
--- a/src/tealcove/membership/tests/builders.py
+++ b/src/tealcove/membership/tests/builders.py
@@ -15,6 +15,7 @@
     lifecycle: messages.Lifecycle = messages.Lifecycle.SERVING,
     data_centre: str = "dc-1",
     revision: int = 1,
+    strength: int = 0,
 ) -> messages.Heartbeat:
     """Return a heartbeat of instance `i-<number>`."""
     return messages.Heartbeat(
@@ -27,6 +28,7 @@
         peer_host="127.0.0.2",
         peer_port=8000 + number,
         revision=ids.Revision(revision),
+        strength=strength,
     )
 
 
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -33,6 +33,34 @@
     assert len(ranked) == 6
 
 
+def test_strong_instances_rank_before_weak_ones() -> None:
+    """A dispatcher falls behind while stronger instances have little to do.
+
+    Symptom: under twice the usual load grants come late, and slots are idle between
+    two requests. Sequence: the ranking names an instance with half a core for the
+    dispatcher of thirty servers. Cause: it knew nothing of what instances can do.
+    """
+    found = builders.known()
+    now = ids.Instant(0.0)
+    for number in range(1, 9):
+        found.hear(builders.heartbeat(number, strength=number // 6), now)
+    for key in range(20):
+        ranked = found.rank(f"pool/{key}", now)
+        assert set(ranked[:3]) == {"i-6", "i-7", "i-8"}
+        assert len(ranked) == 9
+
+
+def test_the_order_follows_a_strength_that_changes() -> None:
+    found = builders.known()
+    now = ids.Instant(0.0)
+    found.hear(builders.heartbeat(1), now)
+    found.rank("pool/0", now)
+    found.hear(builders.heartbeat(1, strength=1), now)
+    assert found.rank("pool/0", now)[0] == "i-1"
+    found.update_own(strength=2)
+    assert found.rank("pool/0", now)[0] == "i-0"
+
+
 def test_a_late_heartbeat_of_a_replaced_incarnation_is_dropped() -> None:
     """Members flap between the old and the new process of one name.
 
