Move the caller's stream out of the exchange

The exchange handed the caller's HTTP request through seven functions for the sake of two; the stream holds it now, with the order of events and the answer that has begun.

--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -15,7 +15,15 @@
 from tealcove.catalog import declared
 from tealcove.dispatch import messages, pending, requester
 from tealcove.entry import problem
-from tealcove.ingress import answers, budget, events, failures, link, tickets
+from tealcove.ingress import (
+    answers,
+    budget,
+    events,
+    failures,
+    link,
+    stream,
+    tickets,
+)
 from tealcove.ingress import report as reporting
 
 log = logbook.Logger("ingress")
@@ -66,8 +74,13 @@
     """
 
     def __init__(
-        self, services: Services, terms: tickets.Terms, cell: ids.CellId
+        self,
+        services: Services,
+        terms: tickets.Terms,
+        cell: ids.CellId,
+        http: web.Request,
     ) -> None:
+        self.http = http
         self.services = services
         self.terms = terms
         self.cell = cell
@@ -79,9 +92,8 @@
         self.turned_away = 0
         # The last whole answer of a server that failed.
         self.failure: Gathered | None = None
-        self.order = events.Order(terms.call.last_event)
-        self.response: web.StreamResponse | None = None
-        self.first_event_at: ids.Instant | None = None
+        self.stream = stream.CallerStream(http, terms.call.last_event)
+        # Events of the present sending.
         self.events = 0
         self.ended = problem.Outcome.COMPLETED.value
 
@@ -90,31 +102,29 @@
         extra = {"request": self.terms.call.request_id}
         log.info(message, *arguments, extra=extra)
 
-    async def run(self, http: web.Request) -> web.StreamResponse:
+    async def run(self) -> web.StreamResponse:
         """Return the answer; raises ProblemError while none has begun.
 
         An answer that has begun and can't be ended breaks the connection.
         """
         try:
             async with asyncio.timeout(self.terms.deadline - clock.now()):
-                return await self.serve(http)
+                return await self.serve()
         except TimeoutError:
-            return self.give_up(http, self.late())
+            return self.give_up(self.late())
         except problem.ProblemError as error:
-            return self.give_up(http, error)
+            return self.give_up(error)
 
-    async def serve(self, http: web.Request) -> web.StreamResponse:
+    async def serve(self) -> web.StreamResponse:
         """Send the request until a server has answered it; raises ProblemError."""
         while True:
             hold, grant = await self.obtain()
             try:
-                return await self.attempt(http, hold, grant)
+                return await self.attempt(hold, grant)
             except errors.BackendError as error:
                 self.consider(grant.server, error, clock.now())
 
-    def give_up(
-        self, http: web.Request, error: problem.ProblemError
-    ) -> web.StreamResponse:
+    def give_up(self, error: problem.ProblemError) -> web.StreamResponse:
         """End a request that has no whole answer; raises ProblemError."""
         found = error.problem
         self.ended = found.outcome.value
@@ -127,9 +137,9 @@
             self.runs,
             clock.now() - self.terms.arrived,
         )
-        if self.response is not None:
-            answers.break_off(http)
-            return self.response
+        if self.stream.response is not None:
+            answers.break_off(self.http)
+            return self.stream.response
         if self.failure is not None:
             return answers.whole(self.failure.head, self.failure.body)
         raise error
@@ -142,7 +152,7 @@
             self.cell,
             self.services.entry,
             self.excluded,
-            self.response is not None,
+            self.stream.response is not None,
             now,
         )
         try:
@@ -157,7 +167,7 @@
         return hold, found
 
     async def attempt(
-        self, http: web.Request, hold: pending.PendingTicket, grant: messages.Grant
+        self, hold: pending.PendingTicket, grant: messages.Grant
     ) -> web.StreamResponse:
         """Send the request to the granted server and pass its answer on.
 
@@ -168,7 +178,7 @@
         outcome = messages.Outcome.CANCELLED
         self.events = 0
         try:
-            response = await self.send(http, report, server)
+            response = await self.send(report, server)
             outcome = messages.Outcome.COMPLETED
             return response
         except engine.NotDispatchedError:
@@ -205,7 +215,7 @@
         )
 
     async def send(
-        self, http: web.Request, report: reporting.Report, server: engine.Server
+        self, report: reporting.Report, server: engine.Server
     ) -> web.StreamResponse:
         """Send the request once; raises BackendError."""
         terms = self.terms
@@ -215,7 +225,7 @@
             server=server,
             account=None if terms.account is None else terms.account.name,
             remaining=max(LEAST_SECONDS, terms.deadline - now),
-            last_event=self.order.last,
+            last_event=self.stream.order.last,
         )
 
         def dispatched() -> None:
@@ -226,13 +236,13 @@
             report.dispatched(clock.now())
             self.say("sent to {} ({} of {})", server.name, self.runs, terms.route.name)
 
-        stream = self.services.link.send(sending, dispatched)
+        answer = self.services.link.send(sending, dispatched)
         silence = asyncio.timeout(self.silence_seconds(report.grant, now))
         try:
-            async with contextlib.aclosing(stream) as parts, silence:
+            async with contextlib.aclosing(answer) as parts, silence:
                 head = await anext(parts)
                 if terms.route.is_stream and head.is_success:
-                    return await self.relay(http, head, parts, report, silence)
+                    return await self.relay(head, parts, report, silence)
                 body = await gather(server, parts)
         except TimeoutError:
             raise failures.silent(server) from None
@@ -255,7 +265,6 @@
 
     async def relay(
         self,
-        http: web.Request,
         head: link.Head,
         parts: Parts,
         report: reporting.Report,
@@ -267,28 +276,13 @@
             whole = splitter.feed(part)
             if not whole:
                 continue
-            if not all(self.order.follows(event) for event in whole):
-                raise failures.broken("an event out of order came")
+            self.stream.check(whole)
             if not self.events:
                 silence.reschedule(None)
                 report.first_event(clock.now())
             self.events += len(whole)
-            await self.write(http, head, b"".join(event.content for event in whole))
-        if splitter.rest:
-            raise failures.broken("it ended within an event")
-        if self.response is None:
-            await self.write(http, head, b"")
-        await self.response.write_eof()
-        return self.response
-
-    async def write(self, http: web.Request, head: link.Head, content: bytes) -> None:
-        """Write a part of the stream to the caller."""
-        if self.response is None:
-            self.first_event_at = clock.now()
-            self.response = answers.stream(head)
-            await self.response.prepare(http)
-        if content:
-            await self.response.write(content)
+            await self.stream.pass_on(head, whole)
+        return await self.stream.end(head, splitter.rest)
 
     def consider(
         self, server: ids.BackendServerId, error: errors.BackendError, now: ids.Instant
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -108,11 +108,12 @@
             extra={"request": received.request_id},
         )
         charge = await self.charge(terms)
-        running = exchange.Exchange(self.services, terms, self.find_cell(terms))
+        cell = self.find_cell(terms)
+        running = exchange.Exchange(self.services, terms, cell, request)
         try:
-            return await running.run(request)
+            return await running.run()
         finally:
-            seen.first_event_at = running.first_event_at
+            seen.first_event_at = running.stream.first_event_at
             seen.outcome = running.ended
             if not running.runs:
                 charge.settle(0.0)
