Put the strength at the end of a heartbeat

Fields go by position, so that a new one in the middle would make instances of neighbouring versions misread each other's; the test of the codec can't see it, since both ends are new.

--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -40,12 +40,12 @@
     marks: int = 0
     # The revision of the list of backend servers, where that is followed apart.
     servers_revision: ids.Revision = ids.Revision(0)
+    # Grows with each change of the other fields but `known`: heartbeats that are passed
+    # on by several instances may arrive in another order than they were sent in.
+    change: int = 0
     # What the instance's processor can do, in classes of twice as much each. The
     # strongest do the work that isn't spread over all.
     strength: int = 0
-    # Grows with each change of the fields above but `known`: heartbeats that are passed
-    # on by several instances may arrive in another order than they were sent in.
-    change: int = 0
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
