Stop within the grace time although a stream runs on

The bound is .05 s now, for all servers of an instance. The test waits for an instance's end and for its farewell; it fails first after 30 s, also with 0 in place of .05.

--- a/src/tealcove/front/parts.py
+++ b/src/tealcove/front/parts.py
@@ -116,7 +116,7 @@
     """Listen at another address with some handlers; raises OSError."""
     app = web.Application()
     app.add_routes(routes)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=listener.STOP_SECONDS)
     await runner.setup()
     at = endpoint.parse(address)
     await web.TCPSite(runner, at.host, at.port).start()
--- a/src/tealcove/listener.py
+++ b/src/tealcove/listener.py
@@ -18,6 +18,11 @@
 
 # A connection of the operating system's that waits to be accepted.
 BACKLOG = 1024
+# Seconds that requests still have once an HTTP server is stopped: whoever stops it has
+# let them end before. With the library's 60 s, a stream that was longer than the time
+# from SIGTERM to SIGKILL kept all that stops after the server from stopping: 3 of 35
+# processes were killed, and their peers heard no farewell. 0 would mean no bound.
+STOP_SECONDS = 0.05
 # Headers of one request at the most; each may be as long as all together.
 MOST_HEADERS = 64
 # Connections beyond the bound that still get an answer that says so. Those beyond
@@ -102,7 +107,9 @@
         self.decompresses = decompresses
         app.middlewares.insert(0, self.check)
         # A caller that leaves ends its handler, which frees what it held.
-        self.runner = web.AppRunner(app, handler_cancellation=True)
+        self.runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=STOP_SECONDS
+        )
         self.open: dict[Connection, asyncio.Transport] = {}
         self.unread: dict[Connection, Unread] = {}
         self.server: asyncio.Server | None = None
--- a/tests/test_platformed.py
+++ b/tests/test_platformed.py
@@ -8,11 +8,14 @@
 import pytest
 
 from tealcove.ingress import exchange
+from tealcove.membership import messages
 from tealcove.platform import engines, names
 from tealcove.standins import poolserver
 from tests import platformed
 
 Fault = poolserver.Fault
+# Longer than any test waits.
+PATIENCE_MS = 10 * int(1000 * platformed.PATIENCE)
 WHOLE_STREAM = b"".join(
     f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6)
 )
@@ -338,3 +341,34 @@
         answer = await streaming
         assert (answer.body, answer.is_whole) == (WHOLE_STREAM, True)
         await leaving
+
+
+async def test_an_instance_ends_although_a_stream_does_not():
+    """An instance that leaves is killed, and nobody hears its farewell.
+
+    Symptom: processes are still there at the end of the grace time. Sequence: SIGTERM
+    while a stream runs that is longer than that. Cause: the HTTP server waits up to
+    60 s for its handlers before anything else is stopped.
+    """
+    async with platformed.site(instances=2) as running:
+        one, other = running.instances
+        for server in running.servers:
+            server.gap = PATIENCE_MS
+        long = platformed.route("stream/long", "stream", timeout_ms=PATIENCE_MS)
+        await running.declare(platformed.configuration(long, version=2))
+        sent = running.send(
+            "/stream/long/1", one, Tealcove_Deadline_Ms=str(PATIENCE_MS)
+        )
+        streaming = asyncio.create_task(sent)
+        await platformed.until(lambda: bool(runs(running)))
+        running.instances.remove(one)
+        async with asyncio.timeout(platformed.PATIENCE):
+            await one.stop()
+        assert not (await streaming).is_whole
+        await platformed.until(lambda: is_gone(other, one))
+
+
+def is_gone(seen_by: platformed.instance.Instance, one: platformed.instance.Instance):
+    """Tell whether an instance has heard another one's farewell."""
+    known = seen_by.members.find(one.name)
+    return known is None or known.lifecycle is messages.Lifecycle.GONE
