Tell the starts of a backend server apart; take no row of another writer for one

Cause: a server may start again under its id. The dispatcher knew it by its name alone, so runs of the old start held slots of the new one until callers left, late word of the old start counted as failures of the new one, and learnt speeds stayed. An entry with a field missing was filled in by guesses, an unreadable row left the last readable one in force, and a value that was no base64 made the whole table unreadable.

Change: entries carry the start into the view, grants and tickets echo it, and what is of another start is passed over, whichever of entry and dispatcher hears first. Every documented field must be there in its type; a row that can't be read names no server at once, logged once for each key. Ruled out: ordering starts by their millisecond (a clock set back would shut a living server out; the store's order heals within one heartbeat of the server).

The builder of entries in test_copies writes all fields now, since an entry without slots is no entry.

--- a/src/tealcove/catalog/copies.py
+++ b/src/tealcove/catalog/copies.py
@@ -133,6 +133,8 @@
         self.decode = decode
         self.known: dict[ids.BackendServerId, Known] = {}
         self.dropped: dict[ids.BackendServerId, int] = {}
+        # Keys of entries that can't be read, each logged once.
+        self.unreadable: set[ids.BackendServerId] = set()
         # Servers whose entries lapsed while the store was out of reach, and until
         # when they count as there all the same.
         self.lapsed: dict[ids.BackendServerId, ids.Instant] = {}
@@ -174,8 +176,9 @@
             try:
                 server = self.decode(entry.key, entry.value)
             except errors.PlatformError as error:
-                log.error("the entry of {} is passed over: {}", name, error)
+                self.forget(name, entry.version, error)
                 continue
+            self.unreadable.discard(name)
             self.put(Known(server, entry.version))
 
     def version_of(self, name: ids.BackendServerId) -> int:
@@ -192,15 +195,46 @@
         self.known[server.name] = known
         if before is None or before.server != server:
             log.info(
-                "backend server {} of {} is {} at {}:{}, version {}",
+                "backend server {} of {} is {} at {}:{}, start {}, version {}",
                 server.name,
                 server.service,
                 server.state.value,
                 server.host,
                 server.port,
+                server.start,
                 known.version,
             )
 
+    def forget(
+        self, name: ids.BackendServerId, version: int, error: errors.PlatformError
+    ) -> None:
+        """Let go at once of a server whose entry can't be read.
+
+        It names no server any more: requests would go to an address that was
+        overwritten, maybe because another server has it now. Nor does it lapse, since
+        somebody has written it.
+        """
+        self.note_dropped(name, version)
+        self.lapsed.pop(name, None)
+        was_known = self.known.pop(name, None) is not None
+        # Its writer may repeat it several times a second.
+        if name in self.unreadable or len(self.unreadable) >= MOST_DROPPED:
+            return
+        self.unreadable.add(name)
+        log.error(
+            "the entry of {} names no server, {} before, version {}: {}",
+            name,
+            "one" if was_known else "none",
+            version,
+            error,
+        )
+
+    def note_dropped(self, name: ids.BackendServerId, version: int) -> None:
+        """Remember up to which version rows of a server are old."""
+        self.dropped[name] = version
+        if len(self.dropped) > MOST_DROPPED:
+            del self.dropped[next(iter(self.dropped))]
+
     def drop(self, name: ids.BackendServerId, version: int, now: ids.Instant) -> None:
         """Let go of a server, at once or when it has had time to come back.
 
@@ -208,9 +242,8 @@
         store drops these entries although their servers live: dropped here too,
         a whole service would seem gone for the first seconds after an outage.
         """
-        self.dropped[name] = version
-        if len(self.dropped) > MOST_DROPPED:
-            del self.dropped[next(iter(self.dropped))]
+        self.note_dropped(name, version)
+        self.unreadable.discard(name)
         known = self.known.get(name)
         if known is None:
             return
--- a/src/tealcove/catalog/declared.py
+++ b/src/tealcove/catalog/declared.py
@@ -117,3 +117,4 @@
     # Requests that it works on at once.
     slots: int
     state: ServerState
+    start: ids.ServerStart = ids.NO_START
--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -45,6 +45,7 @@
             data_centre=server.data_centre,
             slots=server.slots,
             state=state_of(server),
+            start=server.start,
         )
         for server in sorted(found, key=lambda server: server.name)
     )
--- a/src/tealcove/catalog/tests/test_copies.py
+++ b/src/tealcove/catalog/tests/test_copies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logbook
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,10 +13,21 @@
 from tealcove.platform import documents
 from tealcove.storage import feed
 
+# What every backend server writes of itself.
+WRITTEN = {
+    "service": "pool",
+    "addr": "10.0.0.1:80",
+    "zone": "dc",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+}
 
-def server(name: str, state: str = "ready") -> bytes:
-    found = {"service": "pool", "addr": "10.0.0.1:80", "zone": "dc", "state": state}
-    return msgspec.json.encode(found)
+
+def server(name: str, state: str = "ready", **changes: object) -> bytes:
+    return msgspec.json.encode({**WRITTEN, "state": state, **changes})
 
 
 def page(version: int, *entries: feed.Entry) -> feed.Page:
@@ -85,10 +97,7 @@
         held.apply(page(version, feed.Entry("a", value, version)), instant(0))
     assert not held.known
     other = servers()
-    told = messages.Told(
-        topic=held.topic, revision=held.revision, content=held.encode()
-    )
-    other.take(told, instant(0))
+    other.take(told_by(held), instant(0))
     assert other.known == held.known
 
 
@@ -130,3 +139,78 @@
     assert [share.service for share in route.shares] == ["x", "y"]
     assert found.accounts[0].limit.rate == 5
     assert found.accounts[0].cost(1000) == 1
+
+
+NO_ENTRY = st.binary().filter(lambda content: not content.startswith(b"{"))
+NO_NUMBER = st.none() | st.text() | st.lists(st.none())
+NO_TEXT = st.none() | st.integers() | st.lists(st.none())
+# Text that is wrong in fields that hold one of few words, or an address.
+STRANGE = {
+    "slots": NO_NUMBER | st.integers(max_value=0),
+    "cold_left_ms": NO_NUMBER,
+    "seq": NO_NUMBER,
+    "state": NO_TEXT | st.text(),
+    "addr": NO_TEXT | st.text(),
+}
+
+
+@st.composite
+def foreign_entries(draw: st.DrawFn) -> bytes:
+    """Draw an entry with a field that is missing or strange."""
+    found = dict(WRITTEN)
+    field = draw(st.sampled_from(sorted(found)))
+    if draw(st.booleans()):
+        del found[field]
+    else:
+        found[field] = draw(STRANGE.get(field, NO_TEXT))
+    return msgspec.json.encode(found)
+
+
+@given(foreign_entries() | NO_ENTRY)
+def test_an_entry_of_another_writer_names_no_server(content: bytes) -> None:
+    """Requests are sent to an address at which no server of the service is.
+
+    Symptom: connections that nobody answers, or a foreign service that does.
+    Sequence: a row with a field missing, or of another type, stands among those of
+    the servers, maybe in place of one. Cause: what is missing is filled in by a guess,
+    and the last readable row counts on.
+    """
+    held = servers()
+    first = (feed.Entry("a", server("a"), 1), feed.Entry("b", server("b"), 2))
+    held.apply(page(2, *first), instant(0))
+    held.note_outage_ended(instant(0))
+    strange = (feed.Entry("b", content, 3), feed.Entry("c", content, 4))
+    held.apply(page(4, *strange), instant(0.1))
+    assert set(held.known) == {"a"}
+    # The same rows, read as a whole table.
+    other = servers()
+    other.replace(page(4, first[0], *strange), instant(0))
+    assert set(other.known) == {"a"}
+    # Its owner writes it again.
+    held.apply(page(5, feed.Entry("b", server("b"), 5)), instant(0.2))
+    assert set(held.known) == {"a", "b"}
+
+
+def test_an_entry_that_cant_be_read_is_logged_once():
+    held = servers()
+    with logbook.TestHandler() as handler:
+        for version in range(1, 9):
+            row = feed.Entry("a", b"{", version)
+            held.apply(page(version, row), instant(version))
+    assert len(handler.formatted_records) == 1
+
+
+def test_a_peer_that_knows_the_new_start_passes_it_on():
+    held, other = servers(), servers()
+    held.apply(page(1, feed.Entry("a", server("a", born=1000), 1)), instant(0))
+    other.take(told_by(held), instant(0))
+    assert other.known["a"].server.start == 1000
+    held.apply(page(2, feed.Entry("a", server("a", born=2000), 2)), instant(1))
+    other.take(told_by(held), instant(1))
+    assert other.known["a"].server.start == 2000
+
+
+def told_by(held: copies.ServersCopy) -> messages.Told:
+    return messages.Told(
+        topic=held.topic, revision=held.revision, content=held.encode()
+    )
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -23,13 +23,27 @@
         for spec in cell.servers:
             name = ids.BackendServerId(spec.name)
             names.add(name)
-            if name in self.servers:
-                self.servers[name].spec = spec
-            else:
+            known = self.servers.get(name)
+            if known is not None and known.spec.start != spec.start:
+                # Started again under its name: it runs nothing of before. Kept, these
+                # runs would hold slots until their callers leave, and the failures and
+                # speeds of the old start would count for the new one.
+                log.info(
+                    "{} is at start {}: was {}", name, spec.start, known.spec.start
+                )
+                self.forget(name)
+                known = None
+            if known is None:
                 self.servers[name] = self.new_view(backendview.BackendView(spec))
+            else:
+                known.spec = spec
         for name in [name for name in self.servers if name not in names]:
-            for ticket_id in self.servers.pop(name).runs:
-                del self.where[ticket_id]
+            self.forget(name)
+
+    def forget(self, name: ids.BackendServerId) -> None:
+        """Let go of a server with all its runs."""
+        for ticket_id in self.servers.pop(name).runs:
+            del self.where[ticket_id]
 
     def new_view(self, view: backendview.BackendView) -> backendview.BackendView:
         """Let a new server start from the speed of the middle one of the others."""
@@ -82,7 +96,9 @@
     def adopt(self, ticket: messages.Ticket, now: ids.Instant) -> None:
         """Take in a request that another dispatcher granted."""
         server = self.servers.get(ticket.running_on)
-        if server is None:
+        if server is None or ticket.running_start != server.spec.start:
+            # At another start: it ended with that, or this instance hasn't heard of
+            # the start yet, and will be told of the ticket again.
             return
         known = server.runs.get(ticket.ticket_id)
         if known is not None:
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -133,7 +133,7 @@
         """See Scheduler."""
         released = self.views.release(done.ticket_id)
         server = self.views.servers.get(done.server)
-        if server is not None:
+        if server is not None and server.spec.start == done.start:
             self.note_outcome(server, done, now)
         if released is not None and done.outcome is messages.Outcome.COMPLETED:
             released[0].learn_end(released[1], done)
@@ -323,5 +323,6 @@
         host=server.spec.host,
         port=server.spec.port,
         first_seconds=server.runs[ticket.ticket_id].first,
+        start=server.spec.start,
     )
     return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -71,6 +71,8 @@
     patience: float = 0.0
     # Output tokens that are likely; 0: not known.
     expected_tokens: int = 0
+    # The start of the server in `running_on`, as the grant named it.
+    running_start: ids.ServerStart = ids.NO_START
 
 
 class Queued(message.Message):
@@ -91,6 +93,8 @@
     alone: bool = False
     # Predicted seconds to the first event, or to a call's answer; 0: not known.
     first_seconds: float = 0.0
+    # Which start of the server the slot is of.
+    start: ids.ServerStart = ids.NO_START
 
 
 class Refusal(message.Message):
@@ -136,3 +140,5 @@
     output_tokens: int
     first_token_seconds: float
     total_seconds: float
+    # Which start of the server the request was granted.
+    start: ids.ServerStart = ids.NO_START
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -248,10 +248,15 @@
                     self.tell(hold, pending.current(hold, now))
 
     def mark_running(
-        self, hold: pending.PendingTicket, server: ids.BackendServerId
+        self,
+        hold: pending.PendingTicket,
+        server: ids.BackendServerId,
+        start: ids.ServerStart = ids.NO_START,
     ) -> None:
         """Remember where a ticket's request runs, for a new dispatcher."""
-        hold.ticket = msgspec.structs.replace(hold.ticket, running_on=server)
+        hold.ticket = msgspec.structs.replace(
+            hold.ticket, running_on=server, running_start=start
+        )
 
     def take_queued(self, sender: ids.InstanceId, queued: messages.Queued) -> None:
         """Note that a dispatcher has a ticket."""
--- a/src/tealcove/dispatch/tests/test_goal.py
+++ b/src/tealcove/dispatch/tests/test_goal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from tealcove import ids
 from tealcove.dispatch import backendview, goal, messages, retry, scheduler, waitingline
 from tealcove.dispatch.tests import builders
@@ -57,6 +59,68 @@
     assert late.ticket_id in found.line
 
 
+def restarted(found: goal.GoalScheduler, at: float) -> list:
+    """Let the one server be at its next start."""
+    servers = builders.server("s0", 1, start=ids.ServerStart(2))
+    return found.configure(builders.cell(servers), builders.instant(at))
+
+
+def test_a_server_that_started_again_runs_nothing_of_before():
+    """A server that was restarted under its name stays without work.
+
+    Symptom: its slots are taken while it's idle. Sequence: it dies without closing
+    its connections and starts again under the same name; the entries still wait for
+    the answers of its old start, and go on telling of them. Cause: the name alone is
+    taken for the server, so that its old runs hold slots of the new start.
+    """
+    found = opened()
+    old, out = enqueue(found, remaining=60.0)
+    (grant,) = builders.granted(out)
+    waiting, _ = enqueue(found, 0.1, remaining=60.0)
+    (next_one,) = builders.granted(restarted(found, 1))
+    assert next_one.ticket_id == waiting.ticket_id
+    assert (grant.start, next_one.start) == (0, 2)
+    told = msgspec.structs.replace(old, running_on=grant.server)
+    assert found.enqueue(told, builders.instant(1.1)) == []
+    assert list(found.views.where) == [waiting.ticket_id]
+    now = msgspec.structs.replace(
+        waiting, running_on=grant.server, running_start=next_one.start
+    )
+    assert found.enqueue(now, builders.instant(1.2)) == []
+    assert list(found.views.where) == [waiting.ticket_id]
+
+
+def test_what_became_of_the_old_start_says_nothing_of_the_new_one():
+    """A server that has just started again gets little work.
+
+    Symptom: it counts as failing or out of reach from its start on. Sequence: it
+    dies, and its entry with the new start reaches the dispatcher before the entries'
+    word that their requests broke off. Cause: that word is put down to the new start.
+    """
+    found = opened()
+    _, out = enqueue(found, remaining=60.0)
+    (grant,) = builders.granted(out)
+    restarted(found, 1)
+    crashed = builders.done(grant, outcome=messages.Outcome.CRASHED)
+    found.done(crashed, builders.instant(1.1))
+    (view,) = found.views.servers.values()
+    assert view.room(builders.instant(1.1)) == 1
+    assert (view.failures, view.observations) == (0.0, 0)
+
+
+def test_the_failures_of_the_old_start_are_forgotten_with_it():
+    """The same, but the word that the requests broke off comes first."""
+    found = opened()
+    _, out = enqueue(found, remaining=60.0)
+    (grant,) = builders.granted(out)
+    crashed = builders.done(grant, outcome=messages.Outcome.CRASHED)
+    found.done(crashed, builders.instant(0.9))
+    assert found.views.servers["s0"].room(builders.instant(0.95)) == 0
+    restarted(found, 1)
+    assert found.views.servers["s0"].room(builders.instant(1.0)) == 1
+    assert found.views.servers["s0"].failures == 0.0
+
+
 def test_what_would_start_after_its_caller_has_left_is_refused_at_once():
     found = opened()
     enqueue(found, prompt_tokens=50_000, remaining=60.0)
--- a/src/tealcove/ids.py
+++ b/src/tealcove/ids.py
@@ -15,6 +15,11 @@
 TierId = NewType("TierId", str)
 PoolId = NewType("PoolId", str)
 BackendServerId = NewType("BackendServerId", str)
+# The Unix millisecond at which a backend server started, by its own word: it may
+# start again under its id, and then knows nothing of before.
+ServerStart = NewType("ServerStart", int)
+# The start of a server that doesn't tell.
+NO_START = ServerStart(0)
 ModelId = NewType("ModelId", str)
 AdapterId = NewType("AdapterId", str)
 # One request from acceptance to final answer; backend servers echo it.
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -20,7 +20,7 @@
         self.grant = grant
         self.sent_at: ids.Instant | None = None
         self.first_at: ids.Instant | None = None
-        tickets.mark_running(hold, grant.server)
+        tickets.mark_running(hold, grant.server, grant.start)
 
     def dispatched(self, now: ids.Instant) -> None:
         """Note that the request is about to be written."""
@@ -53,6 +53,7 @@
             output_tokens=tokens,
             first_token_seconds=first_at - sent_at,
             total_seconds=now - sent_at,
+            start=self.grant.start,
         )
         self.tickets.finish(self.hold, done)
         return done
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+import enum
+import ipaddress
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -17,6 +19,8 @@
 # Rank of a route that names none: behind all that do.
 DEFAULT_RANK = 9
 DEFAULT_TIMEOUT_MS = 30_000.0
+# The largest port number of TCP.
+MOST_PORT = 65_535
 
 
 class WireShare(msgspec.Struct):
@@ -91,14 +95,32 @@
     tenants: tuple[WireTenant, ...] = ()
 
 
+class WireServerState(enum.Enum):
+    """What a backend server says of its work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class WireServer(msgspec.Struct):
-    """What a backend server writes of itself."""
+    """What a backend server writes of itself.
+
+    All that every server writes must be there, also what isn't used: a row without it
+    is another writer's, and requests sent by it would reach nobody.
+    """
 
     service: str
+    # IP:PORT.
     addr: str
-    zone: str = ""
-    slots: int = 1
-    state: str = ""
+    zone: str
+    # Of its software; unlike `born` it's the same at its next start.
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: WireServerState
+    cold_left_ms: float
+    seq: int
+    # The Unix millisecond of its start; absent where servers don't restart.
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 def decode_configuration(content: bytes) -> declared.Catalog:
@@ -174,10 +196,10 @@
     found = decode(content, WireServer)
     host, _, number = found.addr.rpartition(":")
     port = count.read(number)
-    if port is None:
+    if port is None or not 0 < port <= MOST_PORT or not is_ip(host):
         raise unreadable(f"{found.addr!r} is no address")
     state = declared.ServerState.READY
-    if found.state == names.DRAINING:
+    if found.state is WireServerState.DRAINING:
         state = declared.ServerState.LEAVING
     return declared.BackendServer(
         name=ids.BackendServerId(key),
@@ -185,11 +207,21 @@
         host=host,
         port=port,
         data_centre=ids.DataCentreId(found.zone),
-        slots=max(1, found.slots),
+        slots=found.slots,
         state=state,
+        start=ids.ServerStart(found.born),
     )
 
 
+def is_ip(host: str) -> bool:
+    """Tell whether a host is an IP number; names aren't looked up."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def decode(content: bytes, kind: type[T]) -> T:
     """Decode a document; raises PlatformError."""
     try:
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -65,7 +65,6 @@
 CONFIGURATION_KEY = "config"
 
 # Words in documents.
-DRAINING = "draining"
 SAFE = "safe"
 STREAM = "stream"
 TOKENS = "token"
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import ssl
 from typing import NoReturn, TypeVar
 
@@ -64,9 +63,23 @@
         """Return the value's bytes; raises PlatformUnavailableError."""
         try:
             return base64.b64decode(self.value, validate=True)
-        except binascii.Error as error:
+        except ValueError as error:
             raise unavailable(f"a row's value can't be read: {error}") from error
 
+    def entry(self) -> feed.Entry:
+        """Return the row as one of a followed table.
+
+        One row that isn't base64 must not make the whole table unreadable: its text is
+        handed on as it stands, and whoever decodes it passes over that row alone.
+        """
+        if self.tombstone:
+            return feed.Entry(self.key, None, self.row_version)
+        try:
+            content = self.content()
+        except errors.PlatformUnavailableError:
+            content = self.value.encode()
+        return feed.Entry(self.key, content, self.row_version)
+
 
 class WireTransaction(msgspec.Struct):
     """The body of a transaction."""
@@ -139,7 +152,7 @@
     async def read_all(self, table: str) -> feed.Page:
         """See Feed."""
         found, version = await self.read_range(table, "", None)
-        entries = tuple(feed.Entry(r.key, r.content(), r.row_version) for r in found)
+        entries = tuple(row.entry() for row in found)
         return feed.Page(entries, version)
 
     async def read_range(
@@ -191,12 +204,7 @@
         if reply.status != HTTP_OK:
             raise unavailable(f"a feed was answered by status {reply.status}")
         page = decode_read(reply.content, WirePage)
-        entries = tuple(
-            feed.Entry(
-                row.key, None if row.tombstone else row.content(), row.row_version
-            )
-            for row in page.rows
-        )
+        entries = tuple(row.entry() for row in page.rows)
         return feed.Page(entries, page.row_version)
 
     async def read(self, path: str, params: dict[str, str], total: float) -> Reply:
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -84,6 +84,8 @@
     generation: str = ""
     role: EngineRole = EngineRole.BOTH
     state: ServerState = ServerState.SERVING
+    # Tells its starts apart where it says when it started.
+    start: ids.ServerStart = ids.NO_START
 
 
 class EnginePoolSpec(Spec):
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -16,6 +16,8 @@
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 HTTP_FAILED = 500
+# Requests that it works on at once.
+SLOTS = 4
 EVENT_STREAM = "text/event-stream"
 # Time for the part of an answer to arrive before the reset overtakes it.
 PART_SECONDS = 0.05
@@ -93,15 +95,21 @@
             await self.runner.cleanup()
             self.runner = None
 
-    def entry(self, state: str = "ready") -> bytes:
-        """Return the row that such a server keeps in the store."""
+    def entry(self, state: str = "ready", born: int = 1) -> bytes:
+        """Return the row that such a server keeps in the store.
+
+        `born` is the Unix millisecond of its start.
+        """
         found = {
             "service": self.service,
             "addr": f"127.0.0.1:{self.port}",
             "zone": "dc-1",
-            "slots": 4,
+            "version": "v1",
+            "slots": SLOTS,
             "state": state,
+            "cold_left_ms": 0,
             "seq": 1,
+            "born": born,
         }
         return msgspec.json.encode(found)
 
--- a/tests/test_platformed.py
+++ b/tests/test_platformed.py
@@ -248,6 +248,52 @@
         assert len(second.runs) == 6
 
 
+async def test_a_server_that_starts_again_under_its_name_has_free_slots():
+    """Requests wait for a server that is idle.
+
+    Symptom: nothing is sent to a restarted server until callers leave. Sequence: all
+    slots of the only server are taken; it starts again under its name, and the old
+    connections stay silent. Cause: runs of its old start hold slots of the new one.
+    """
+    async with platformed.site(servers=1) as running:
+        (server,) = running.servers
+        server.faults.extend([Fault.SILENT] * poolserver.SLOTS)
+        lost = [
+            asyncio.create_task(
+                running.send("/once/1", Tealcove_Deadline_Ms=str(PATIENCE_MS))
+            )
+            for _ in range(poolserver.SLOTS)
+        ]
+        await platformed.until(lambda: server.running == poolserver.SLOTS)
+        again = server.entry(born=2)
+        await running.write(names.SERVERS_TABLE, server.name, again)
+        views = running.instances[0].servers.known
+        await platformed.until(lambda: views[server.name].server.start == 2)
+        assert (await running.send("/once/2")).status == 200
+        for task in lost:
+            task.cancel()
+        await asyncio.gather(*lost, return_exceptions=True)
+
+
+async def test_a_row_that_is_no_entry_leaves_the_other_servers_in_use():
+    """One row of another writer stops all requests.
+
+    Symptom: requests go to an address of which nobody has written whole. Sequence: rows
+    of other bytes and with fields missing come into the servers' table. Cause: what is
+    missing is filled in by a guess.
+    """
+    async with platformed.site(servers=1) as running:
+        address = f"127.0.0.1:{running.servers[0].port}"
+        part = f'{{"service":"pool","addr":"{address}"}}'
+        await running.write(names.SERVERS_TABLE, "x", part.encode())
+        await running.write(names.SERVERS_TABLE, "y", b"\xff\x00")
+        added = await running.add_server("z")
+        views = running.instances[0].servers.known
+        await platformed.until(lambda: added.name in views)
+        assert set(views) == {running.servers[0].name, added.name}
+        assert (await running.send("/safe/1")).status == 200
+
+
 async def test_an_address_that_another_server_has_runs_nothing():
     """A request is run by a server of another service.
 
