Replay a deployment of short goals: unlike engines, bursts, crashes, who comes back

Cause: decisions for three kinds with goals of .25 and .4 s can't be tried in the replay: its engines knew neither the square of a prompt nor the time before one is read, its entries told the dispatcher of a caller's first try, and nothing ever happened to engines or the dispatcher.

Change: a mix "statements" with three grades of engines, arrivals in clumps, bursts, engines that crash or leave, a dispatcher's death, callers' guesses of their output; callers who come back look fresh, as they do to an entry. Sums by size, the two worst windows, what was refused again, one mark, and a relaxed bound. Sums moved into a module of their own; their three tests ask the same.

--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -9,7 +9,7 @@
 import cappa
 import matplotlib
 
-from bench.replay import mix, play
+from bench.replay import mix, play, tally
 
 matplotlib.use("Agg")
 
@@ -52,20 +52,22 @@
     """Play and print one run; return the part of the worth that was earned."""
     requests = mix.draw(found, load, seconds, seed)
     outcome = play.Play(found, requests).run()
-    sums = play.tally(outcome)
-    for name, tally in sums.items():
-        ends = ", ".join(f"{tally.ends[end]} {end.value}" for end in play.End)
-        print(f"  {found.name} {load:g} seed {seed} {name or 'all':6} {ends}", end="")
-        held = tally.held / tally.owed
-        print(f", worth {tally.share():.3f}, {held:.3f} waited in vain")
+    sums = tally.sums(outcome)
+    title = f"{found.name} {load:g} seed {seed}"
+    for name, one in {"all": sums.whole, **sums.kinds, **sums.sizes}.items():
+        ends = ", ".join(f"{one.ends[end]} {end.value}" for end in play.End)
+        held, again = one.held / one.owed, one.again / one.owed
+        print(f"  {title} {name:16} {ends}, worth {one.share():.3f}", end="")
+        print(f", {held:.3f} waited in vain, {again:.3f} refused again")
     read = sum(batch.read_tokens for batch in outcome.batches)
     wasted = sum(batch.wasted_tokens for batch in outcome.batches)
     busy = sum(batch.busy_seconds for batch in outcome.batches)
     part = busy / (outcome.seconds * len(outcome.batches))
     print(
-        f"    engines busy {part:.2f}, {wasted / max(1, read):.3f} of prompts in vain"
+        f"    engines busy {part:.2f}, {wasted / max(1, read):.3f} of prompts in vain,"
+        f" mark {sums.mark():.3f}, bound {tally.bound(found, requests, seconds):.3f}"
     )
-    return sums[""].share()
+    return sums.whole.share()
 
 
 def plot(shares: dict[str, list[tuple[float, float]]], path: pathlib.Path) -> None:
--- a/bench/replay/batches.py
+++ b/bench/replay/batches.py
@@ -6,18 +6,17 @@
 
 from bench.replay import mix
 
-# Prompt tokens that are read in one step, and tokens of one event.
-CHUNK = 1024
-STRIDE = 4
-
 
 class Work(msgspec.Struct):
     """A request on an engine."""
 
     number: int
+    prompt: int
     prompt_left: int
     tokens_left: int
     started: float
+    # When its prompt may begin to be read.
+    ready_at: float
     tokens: int = 0
     first_at: float | None = None
 
@@ -45,7 +44,14 @@
 
     def add(self, number: int, request: mix.Request, now: float) -> None:
         """Begin to work on a request."""
-        self.works[number] = Work(number, request.prompt, request.output, now)
+        self.works[number] = Work(
+            number,
+            request.prompt,
+            request.prompt,
+            request.output,
+            now,
+            now + self.engine.begin_seconds,
+        )
 
     def cancel(self, number: int, request: mix.Request) -> None:
         """Stop work on a request, if it's here."""
@@ -55,12 +61,20 @@
 
     def step(self, now: float) -> Step:
         """Return what the step that begins now brings; the batch must not be empty."""
-        reading = next((w for w in self.works.values() if w.prompt_left), None)
+        reading = next(
+            (w for w in self.works.values() if w.prompt_left and w.ready_at <= now),
+            None,
+        )
         writing = [w for w in self.works.values() if not w.prompt_left]
-        chunk = 0 if reading is None else min(CHUNK, reading.prompt_left)
+        if reading is None and not writing:
+            return Step(min(w.ready_at for w in self.works.values()), (), ())
+        chunk = 0 if reading is None else min(self.engine.chunk, reading.prompt_left)
         seconds = self.engine.step_seconds
         seconds += self.engine.crowd_seconds * len(self.works)
         seconds += chunk * self.engine.prompt_seconds
+        if reading is not None:
+            read = reading.prompt - reading.prompt_left
+            seconds += chunk * (read + chunk / 2) * self.engine.pair_seconds * 2
         at = now + seconds
         self.busy_seconds += seconds
         self.read_tokens += chunk
@@ -76,7 +90,8 @@
         """Write one token; tell whether the first event is complete with it."""
         work.tokens += 1
         work.tokens_left -= 1
-        if work.first_at is None and (work.tokens >= STRIDE or not work.tokens_left):
+        is_event = work.tokens >= self.engine.stride or not work.tokens_left
+        if work.first_at is None and is_event:
             work.first_at = at
             return True
         return False
--- a/bench/replay/mix.py
+++ b/bench/replay/mix.py
@@ -8,9 +8,11 @@
 import msgspec
 
 # A generation counts by its size, at most so many times the kind's worth: a part that
-# every one has, and a part that grows with the prompt.
+# every one has, and a part that grows with its tokens.
 FIXED_PART = 0.3
 MOST_WORTH = 4.0
+# No prompt or output is longer than so many times its kind's mean, unless a kind says.
+MOST_TIMES = 20.0
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -33,6 +35,11 @@
     late_worth: float
     # 0 goes first.
     rank: int
+    # Longest prompt and output, in times their mean.
+    prompt_most: float = MOST_TIMES
+    output_most: float = MOST_TIMES
+    # What an output token counts for in a request's size, against 1 for a prompt token.
+    output_weight: float = 0.0
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -44,14 +51,53 @@
     prompt_seconds: float
     step_seconds: float
     crowd_seconds: float = 0.00009
+    # Seconds more for a prompt token by each token before it.
+    pair_seconds: float = 0.0
+    # Seconds before a request's prompt begins to be read.
+    begin_seconds: float = 0.0
+    # Prompt tokens that are read in one step, and tokens of the first event.
+    chunk: int = 1024
+    stride: int = 4
+
+
+class Burst(msgspec.Struct, frozen=True):
+    """A time of more arrivals, in seconds from the start."""
+
+    at: float
+    seconds: float
+    times: float
+
+
+class Outage(msgspec.Struct, frozen=True):
+    """A crash of one engine, and how long it stays away."""
+
+    at: float
+    seconds: float
+    engine: str
 
 
 class Mix(msgspec.Struct, frozen=True):
-    """A deployment's load and engines."""
+    """A deployment's load and engines, and what happens to them."""
 
     name: str
     kinds: tuple[Kind, ...]
     engines: tuple[Engine, ...]
+    # Mean number of requests that arrive at one moment.
+    clump: float = 1.0
+    # Spread of the callers' guess of their output, as a log-normal factor.
+    hint_spread: float = 0.0
+    bursts: tuple[Burst, ...] = ()
+    outages: tuple[Outage, ...] = ()
+    # When the dispatcher dies, with all that it has learnt.
+    takeovers: tuple[float, ...] = ()
+
+    def times(self, at: float) -> float:
+        """Return the load at an instant, against the usual one."""
+        found = 1.0
+        for burst in self.bursts:
+            if burst.at <= at < burst.at + burst.seconds:
+                found *= burst.times
+        return found
 
 
 class Request(msgspec.Struct):
@@ -63,6 +109,10 @@
     output: int
     # What it is worth in aim, by its size.
     worth: float
+    # Output tokens by the caller's guess.
+    expected: int
+    # Tokens by which it's large or small among its kind.
+    size: float
 
 
 def engines(fast: int, slow: int, slots: int = 5) -> tuple[Engine, ...]:
@@ -110,7 +160,64 @@
     return Mix(f"{found.name}-ranked", kinds, found.engines)
 
 
-MIXES = {mix.name: mix for mix in (LABELS, STANDS, ranked(LABELS))}
+# Prompt tokens read in a second, and seconds of a step, at speed 1.
+TOKENS_PER_SECOND = 157_000
+STEP_SECONDS = 0.00355
+
+
+def graded(*times: float, slots: int) -> tuple[Engine, ...]:
+    """Return two engines of each grade, each so many times slower than at speed 1."""
+    return tuple(
+        Engine(
+            f"{grade:g}-{number}",
+            slots,
+            grade / TOKENS_PER_SECOND,
+            grade * STEP_SECONDS,
+            grade * 46.2e-6,
+            grade * 0.109e-9,
+            0.026,
+            2048,
+            stride=1,
+        )
+        for grade in times
+        for number in range(2)
+    )
+
+
+def statement(
+    kind: Kind, prompt_most: float, output_most: float, weight: float = 10.0
+) -> Kind:
+    """Return a kind whose size counts by its output tokens as well."""
+    return msgspec.structs.replace(
+        kind, prompt_most=prompt_most, output_most=output_most, output_weight=weight
+    )
+
+
+# Three kinds of unlike length on engines of three grades, of which a fast one is soon
+# away: two bursts, and a crash between them, near the load that the others can do.
+STATEMENTS = Mix(
+    "statements",
+    (
+        statement(
+            Kind("review", 19.0, 6610, 1.4, 382, 1.5, 0.4, 15.0, 6.8, 2.0, 100), 8.3, 10
+        ),
+        statement(
+            Kind("letter", 22.1, 628, 1.0, 292, 1.5, 0.25, 12.0, 2.3, 0.68, 101),
+            5.3,
+            10,
+        ),
+        statement(
+            Kind("tag", 34.9, 1800, 1.3, 23, 1.5, 0.25, 2.5, 0.29, 0.088, 102), 3.8, 10
+        ),
+    ),
+    graded(0.55, 1.0, 2.8, slots=15),
+    clump=3.0,
+    hint_spread=0.5,
+    bursts=(Burst(1.0, 5.0, 1.7), Burst(11.0, 2.5, 2.1)),
+    outages=(Outage(1.2, 60.0, "0.55-0"), Outage(8.0, 2.0, "1-0")),
+    takeovers=(24.0,),
+)
+MIXES = {mix.name: mix for mix in (LABELS, STANDS, ranked(LABELS), STATEMENTS)}
 
 
 def draw(mix: Mix, load: float, seconds: float, seed: int) -> list[Request]:
@@ -118,22 +225,39 @@
     source = random.Random(f"{mix.name}/{seed}")
     found = []
     for kind in mix.kinds:
-        at = source.expovariate(kind.per_second * load)
+        at = next_arrival(mix, kind, 0.0, load, source)
         while at < seconds:
-            found.append(new_request(kind, at, source))
-            at += source.expovariate(kind.per_second * load)
+            found.append(new_request(mix, kind, at, source))
+            while source.random() < 1.0 - 1.0 / mix.clump:
+                found.append(new_request(mix, kind, at, source))
+            at = next_arrival(mix, kind, at, load, source)
     return sorted(found, key=lambda request: request.at)
 
 
-def new_request(kind: Kind, at: float, source: random.Random) -> Request:
+def next_arrival(
+    mix: Mix, kind: Kind, after: float, load: float, source: random.Random
+) -> float:
+    """Return when the next requests of a kind come."""
+    rate = kind.per_second * load * mix.times(after) / mix.clump
+    return after + source.expovariate(rate)
+
+
+def new_request(mix: Mix, kind: Kind, at: float, source: random.Random) -> Request:
     """Draw one request."""
-    prompt = skewed(kind.prompt_mean, kind.prompt_spread, source)
-    output = skewed(kind.output_mean, kind.output_spread, source)
-    size = FIXED_PART + (1.0 - FIXED_PART) * prompt / kind.prompt_mean
-    return Request(kind, at, prompt, output, kind.worth * min(MOST_WORTH, size))
+    prompt = skewed(kind.prompt_mean, kind.prompt_spread, kind.prompt_most, source)
+    output = skewed(kind.output_mean, kind.output_spread, kind.output_most, source)
+    size = prompt + kind.output_weight * output
+    mean = kind.prompt_mean + kind.output_weight * kind.output_mean
+    part = FIXED_PART + (1.0 - FIXED_PART) * size / mean
+    worth = kind.worth * min(MOST_WORTH, part)
+    expected = output
+    if mix.hint_spread:
+        expected = max(1, round(output * source.lognormvariate(0.0, mix.hint_spread)))
+    return Request(kind, at, prompt, output, worth, expected, size)
 
 
-def skewed(mean: float, spread: float, source: random.Random) -> int:
-    """Draw a whole number of a log-normal distribution with a mean."""
+def skewed(mean: float, spread: float, most: float, source: random.Random) -> int:
+    """Draw a whole number of a log-normal distribution with a mean, up to a bound."""
     middle = math.log(mean) - spread * spread / 2
-    return max(1, min(int(20 * mean), round(source.lognormvariate(middle, spread))))
+    found = round(source.lognormvariate(middle, spread))
+    return max(1, min(int(most * mean), found))
--- a/bench/replay/play.py
+++ b/bench/replay/play.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 import heapq
 import itertools
@@ -24,13 +23,15 @@
 RETRIES = 1
 # Virtual time begins here: schedulers take an instant of 0 for "never".
 START = 1000.0
-# Callers of streams leave after so many times their aim without an event.
+# Callers of streams leave after so many times their aim without an event, and so many
+# seconds at least.
 PATIENCE_AIMS = 4.0
+LEAST_PATIENCE = 2.0
+# Seconds between two tellings of what runs, and for which a new dispatcher waits.
+TOLD_INTERVAL = 1.0
+GATHER = 0.25
 # Callers wait as they are told to, up to this part of the time that they have left.
 RETURN_PART = 1 / 3
-# See `in_vain`.
-FREE_PART = 1 / 8
-WHOLE_PART = 3 / 4
 
 
 class End(enum.Enum):
@@ -40,6 +41,8 @@
     LATE = "late"
     REFUSED = "refused"
     LEFT = "left"
+    # Its engine crashed, and it may not run again.
+    LOST = "lost"
 
 
 class Caller(msgspec.Struct):
@@ -57,6 +60,7 @@
     end: End | None = None
     # Seconds that it was kept waiting in all its tries, without being served.
     held: float = 0.0
+    refusals: int = 0
 
     @property
     def ticket_id(self) -> ids.TicketId:
@@ -82,6 +86,7 @@
         decides: scheduler.Scheduler | None = None,
     ) -> None:
         self.scheduler = decides or goal.GoalScheduler()
+        self.mix = found
         self.now = START
         self.order = itertools.count()
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -89,20 +94,69 @@
         self.callers = [Caller(n, request) for n, request in enumerate(requests)]
         self.open = len(self.callers)
         self.by_ticket: dict[ids.TicketId, Caller] = {}
-        cell = cells.Cell(CELL, ids.PoolId("replay"), servers(found))
-        self.scheduler.configure(cell, ids.Instant(START))
+        self.away: set[str] = set()
+        self.next_told = START
+        self.configure()
 
     def run(self) -> Outcome:
         """Play until every request has ended."""
         for caller in self.callers:
             self.at(START + caller.request.at, lambda c=caller: self.arrive(c))
         self.at(START, self.tick)
+        for outage in self.mix.outages:
+            self.at(START + outage.at, lambda o=outage: self.crash(o))
+        for at in self.mix.takeovers:
+            self.at(START + at, self.take_over)
         while self.open:
             self.now, _, act = heapq.heappop(self.events)
             act()
         found = tuple(self.batches.values())
         return Outcome(tuple(self.callers), found, self.now - START)
 
+    def configure(self) -> None:
+        """Tell the scheduler which engines are there."""
+        there = tuple(s for s in servers(self.mix) if s.name not in self.away)
+        cell = cells.Cell(CELL, ids.PoolId("replay"), there)
+        self.take(self.scheduler.configure(cell, self.instant()))
+
+    def crash(self, outage: mix.Outage) -> None:
+        """Let an engine lose all its work and stay away for some seconds."""
+        batch = self.batches[outage.engine]
+        broken = [self.callers[number] for number in batch.works]
+        batch.works.clear()
+        for caller in broken:
+            self.tell_end(caller, messages.Outcome.CRASHED)
+            self.break_off(caller)
+        self.away.add(outage.engine)
+        self.configure()
+        self.after(outage.seconds, lambda: self.come_up(outage.engine))
+
+    def come_up(self, engine: str) -> None:
+        """Let an engine work again."""
+        self.away.discard(engine)
+        self.configure()
+
+    def break_off(self, caller: Caller) -> None:
+        """End the try of a caller whose engine crashed; it comes back at once."""
+        caller.server = ""
+        caller.first_at = None
+        if caller.tries >= RETRIES:
+            self.end(caller, End.LOST)
+            return
+        caller.tries += 1
+        self.arrive(caller)
+
+    def take_over(self) -> None:
+        """Let the dispatcher die, and another one begin with what entries tell."""
+        self.scheduler = type(self.scheduler)()
+        self.scheduler.gather(ids.Instant(self.now + GATHER))
+        self.configure()
+        for caller in list(self.by_ticket.values()):
+            if caller.server:
+                self.tell(caller)
+            else:
+                self.enqueue(caller, caller.ticket_id)
+
     def at(self, when: float, act: Callable[[], None]) -> None:
         """Have something done at an instant."""
         heapq.heappush(self.events, (when, next(self.order), act))
@@ -114,10 +168,13 @@
     def tick(self) -> None:
         """Let the scheduler look at what time has changed."""
         self.take(self.scheduler.tick(self.instant()))
+        self.after(TICK, self.tick)
+        if self.now < self.next_told:
+            return
+        self.next_told = self.now + TOLD_INTERVAL
         for caller in self.by_ticket.values():
             if caller.server and caller.end is None:
                 self.tell(caller)
-        self.after(TICK, self.tick)
 
     def tell(self, caller: Caller) -> None:
         """Tell again of what runs, as entries do."""
@@ -151,6 +208,8 @@
         request = caller.request
         kind = request.kind
         waited = self.now - START - request.at
+        # An entry knows nothing of a caller's earlier tries.
+        tried = self.now - caller.tried_at
         return messages.Ticket(
             ticket_id=caller.ticket_id,
             request_id=ids.RequestId(str(caller.number)),
@@ -163,9 +222,11 @@
             output_tokens=request.output,
             prefix=(),
             remaining=kind.deadline - waited,
-            goal=max(1e-9, kind.aim - waited),
-            patience=max(1e-9, PATIENCE_AIMS * kind.aim + caller.tried_at - self.now),
-            expected_tokens=request.output,
+            goal=max(1e-9, kind.aim - tried),
+            patience=max(1e-9, patience(kind) - tried),
+            expected_tokens=request.expected,
+            digest=str(caller.number),
+            caller_remaining=kind.deadline - waited,
         )
 
     def take(self, outgoing: list[scheduler.Outgoing]) -> None:
@@ -192,6 +253,7 @@
     def refuse(self, caller: Caller, after: float) -> None:
         """End a try; the caller comes back when told to."""
         del self.by_ticket[caller.ticket_id]
+        caller.refusals += 1
         if caller.tries >= RETRIES:
             self.end(caller, End.REFUSED)
             return
@@ -277,6 +339,11 @@
         self.take(self.scheduler.done(done, self.instant()))
 
 
+def patience(kind: mix.Kind) -> float:
+    """Return for how many seconds a caller waits for the first event."""
+    return max(LEAST_PATIENCE, PATIENCE_AIMS * kind.aim)
+
+
 def servers(found: mix.Mix) -> tuple[kinds.BackendServerSpec, ...]:
     """Return the engines as the dispatcher knows them."""
     return tuple(
@@ -285,49 +352,3 @@
         )
         for one in found.engines
     )
-
-
-class Tally(msgspec.Struct):
-    """What became of the requests of one kind."""
-
-    ends: collections.Counter[End]
-    owed: float = 0.0
-    earned: float = 0.0
-    # The worth of requests that waited in vain, each the more the longer it did.
-    held: float = 0.0
-
-    def share(self) -> float:
-        """Return the part of the worth that was earned."""
-        return self.earned / self.owed if self.owed else 0.0
-
-
-def in_vain(caller: Caller) -> float:
-    """Return the part of its time that a caller spent waiting for nothing.
-
-    Nothing is counted up to an eighth of its aim, all from three quarters of its
-    deadline on: by then it can't go elsewhere.
-    """
-    if caller.server:
-        return 0.0
-    kind = caller.request.kind
-    free, most = kind.aim * FREE_PART, kind.deadline * WHOLE_PART
-    return max(0.0, min(1.0, (caller.held - free) / (most - free)))
-
-
-def tally(outcome: Outcome) -> dict[str, Tally]:
-    """Return the sums by kind, and of all under an empty name."""
-    found: dict[str, Tally] = {}
-    for caller in outcome.callers:
-        kind = caller.request.kind
-        earned = 0.0
-        if caller.end is End.IN_AIM:
-            earned = caller.request.worth
-        elif caller.end is End.LATE:
-            earned = caller.request.worth * kind.late_worth / kind.worth
-        for name in (kind.name, ""):
-            one = found.setdefault(name, Tally(collections.Counter()))
-            one.ends[caller.end] += 1
-            one.owed += caller.request.worth
-            one.held += caller.request.worth * in_vain(caller)
-            one.earned += earned
-    return found
--- /dev/null
+++ b/bench/replay/tally.py
@@ -0,0 +1,178 @@
+"""What became of the requests of a run, by kind and size."""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+
+from bench.replay import mix, play
+
+# See `in_vain`.
+FREE_PART = 1 / 8
+WHOLE_PART = 3 / 4
+# Parts of a kind, from the largest request on, that are told of by themselves.
+LARGEST = 0.1
+LARGE = 0.3
+# Seconds of the windows of which the two worst are told.
+WINDOW = 2.0
+# What the parts of a run count in its mark, and what is taken off.
+WHOLE_WEIGHT = 0.6
+CLASS_WEIGHT = 0.3
+WINDOW_WEIGHT = 0.1
+AGAIN_PRICE = 0.3
+HELD_PRICE = 0.1
+
+
+class Tally(msgspec.Struct):
+    """What became of the requests of one kind, size or time."""
+
+    ends: collections.Counter[play.End] = msgspec.field(
+        default_factory=collections.Counter
+    )
+    owed: float = 0.0
+    earned: float = 0.0
+    # The worth of requests that waited in vain, each the more the longer it did.
+    held: float = 0.0
+    # The worth of those that were refused, came back and weren't served.
+    again: float = 0.0
+
+    def share(self) -> float:
+        """Return the part of the worth that was earned."""
+        return self.earned / self.owed if self.owed else 0.0
+
+    def part(self, end: play.End) -> float:
+        """Return the part of the requests that ended so."""
+        return self.ends[end] / max(1, self.ends.total())
+
+    def add(self, caller: play.Caller) -> None:
+        """Take in one request."""
+        worth = caller.request.worth
+        self.ends[caller.end] += 1
+        self.owed += worth
+        self.held += worth * in_vain(caller)
+        self.earned += earned(caller)
+        is_served = caller.end in (play.End.IN_AIM, play.End.LATE)
+        if caller.refusals and caller.tries and not is_served:
+            self.again += worth
+
+
+class Sums(msgspec.Struct):
+    """The sums of a run: of all, by kind, by kind and size, and by time of arrival."""
+
+    whole: Tally
+    kinds: dict[str, Tally]
+    sizes: dict[str, Tally]
+    windows: list[Tally]
+
+    def mark(self) -> float:
+        """Return one figure for a run: all, the worst class and the worst windows."""
+        worst = min(one.share() for one in (*self.kinds.values(), *self.sizes.values()))
+        windows = sorted(one.share() for one in self.windows)[:2]
+        return (
+            WHOLE_WEIGHT * self.whole.share()
+            + CLASS_WEIGHT * worst
+            + WINDOW_WEIGHT * sum(windows) / len(windows)
+            - AGAIN_PRICE * self.whole.again / self.whole.owed
+            - HELD_PRICE * self.whole.held / self.whole.owed
+        )
+
+
+def in_vain(caller: play.Caller) -> float:
+    """Return the part of its time that a caller spent waiting for nothing.
+
+    Nothing is counted up to an eighth of its aim, all from three quarters of its
+    deadline on: by then it can't go elsewhere.
+    """
+    if caller.server:
+        return 0.0
+    kind = caller.request.kind
+    free, most = kind.aim * FREE_PART, kind.deadline * WHOLE_PART
+    return max(0.0, min(1.0, (caller.held - free) / (most - free)))
+
+
+def earned(caller: play.Caller) -> float:
+    """Return what a request has earned of its worth."""
+    kind = caller.request.kind
+    if caller.end is play.End.IN_AIM:
+        return caller.request.worth
+    if caller.end is play.End.LATE:
+        return caller.request.worth * kind.late_worth / kind.worth
+    return 0.0
+
+
+def sums(outcome: play.Outcome) -> Sums:
+    """Return the sums of a run."""
+    found = Sums(Tally(), collections.defaultdict(Tally), {}, [])
+    by_kind: dict[str, list[play.Caller]] = collections.defaultdict(list)
+    by_window: dict[int, Tally] = collections.defaultdict(Tally)
+    for caller in outcome.callers:
+        by_kind[caller.request.kind.name].append(caller)
+        by_window[int(caller.request.at / WINDOW)].add(caller)
+        found.whole.add(caller)
+        found.kinds[caller.request.kind.name].add(caller)
+    for name, callers in by_kind.items():
+        add_sizes(found.sizes, name, callers)
+    found.windows = [by_window[number] for number in sorted(by_window)]
+    return found
+
+
+def add_sizes(found: dict[str, Tally], name: str, callers: list[play.Caller]) -> None:
+    """Add the sums of the largest requests of a kind, and of the large ones."""
+    ordered = sorted(callers, key=lambda caller: -caller.request.size)
+    largest, large = (round(part * len(ordered)) for part in (LARGEST, LARGE))
+    for size, chosen in (
+        ("largest", ordered[:largest]),
+        ("large", ordered[largest:large]),
+    ):
+        one = found[f"{name}, {size}"] = Tally()
+        for caller in chosen:
+            one.add(caller)
+
+
+def bound(found: mix.Mix, requests: list[mix.Request], seconds: float) -> float:
+    """Return the most of the worth that any order could earn with these slots.
+
+    A relaxed optimum: no goal is missed, any request fits any slot, and each takes
+    what it would at the mean of the grades. The densest worth goes first.
+    """
+    left = sum(
+        one.slots / slot_seconds(one, 1.0, 0.0) * present(found, one, seconds)
+        for one in found.engines
+    )
+    earned_worth = 0.0
+    costs = [(cost(found, request) or 1e-9, request.worth) for request in requests]
+    for tokens, worth in sorted(costs, key=lambda one: -one[1] / one[0]):
+        part = min(1.0, left / tokens)
+        earned_worth += part * worth
+        left -= part * tokens
+    return earned_worth / sum(worth for _, worth in costs)
+
+
+def present(found: mix.Mix, engine: mix.Engine, seconds: float) -> float:
+    """Return for how many seconds of a run an engine is there."""
+    away = sum(
+        max(0.0, min(seconds, outage.at + outage.seconds) - outage.at)
+        for outage in found.outages
+        if outage.engine == engine.name
+    )
+    return seconds - away
+
+
+def slot_seconds(engine: mix.Engine, output: float, prompt: float) -> float:
+    """Return for how long a request holds a slot in a full batch."""
+    step = engine.step_seconds + engine.crowd_seconds * engine.slots
+    return output * step + prompt * engine.prompt_seconds
+
+
+def cost(found: mix.Mix, request: mix.Request) -> float:
+    """Return what a request takes, in output tokens of a full batch.
+
+    Reading its prompt holds up the whole batch.
+    """
+    each = [
+        one.slots * request.prompt * one.prompt_seconds / slot_seconds(one, 1.0, 0.0)
+        for one in found.engines
+    ]
+    begin = [one.begin_seconds / slot_seconds(one, 1.0, 0.0) for one in found.engines]
+    return request.output + sum(each) / len(each) + sum(begin) / len(begin)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -71,6 +71,8 @@
     patience: float = 0.0
     # Output tokens that are likely; 0: not known.
     expected_tokens: int = 0
+    # Seconds until the caller itself gives up, by its own word; 0: it hasn't said.
+    caller_remaining: float = 0.0
     # The start of the server in `running_on`, as the grant named it.
     running_start: ids.ServerStart = ids.NO_START
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from bench.replay import mix, play
+from bench.replay import mix, play, tally
 
 from tealcove.dispatch import goal
 
@@ -33,15 +33,15 @@
 def test_every_request_ends_and_a_normal_load_is_served(found: mix.Mix) -> None:
     outcome = played(0.7, found=found)
     assert all(caller.end is not None for caller in outcome.callers)
-    assert play.tally(outcome)[""].share() > 0.95
+    assert tally.sums(outcome).whole.share() > 0.95
 
 
 def test_overload_costs_the_least_urgent_kind_most() -> None:
-    sums = play.tally(played(2.2))
-    shares = [sums[kind.name].share() for kind in mix.LABELS.kinds]
+    sums = tally.sums(played(2.2))
+    shares = [sums.kinds[kind.name].share() for kind in mix.LABELS.kinds]
     assert shares == sorted(shares, reverse=True)
     # Nobody waits in vain for long at 2.2 times the load any more.
-    assert play.tally(played(4.0))[""].held > 0.0
+    assert tally.sums(played(4.0)).whole.held > 0.0
 
 
 def test_a_caller_that_was_sent_away_does_not_wait() -> None:
@@ -115,10 +115,10 @@
     that each waiting one seemed to be next.
     """
     requests = mix.draw(mix.LABELS, 2.2, 2 * SECONDS, 3)
-    sums = play.tally(play.Play(mix.LABELS, requests).run())
+    sums = tally.sums(play.Play(mix.LABELS, requests).run())
     # .144 without the arrivals, .041 with them; all together earn as much as before.
-    assert sums["notes"].held / sums["notes"].owed < 0.1
-    assert sums[""].share() > 0.84
+    assert sums.kinds["notes"].held / sums.kinds["notes"].owed < 0.1
+    assert sums.whole.share() > 0.84
 
 
 def test_slow_engines_do_not_hide_an_overload() -> None:
@@ -130,7 +130,7 @@
     and so with slots that would never be free.
     """
     found = mix.ranked(mix.LABELS)
-    sums = play.tally(play.Play(found, mix.draw(found, 1.9, 30.0, 1)).run())
+    sums = tally.sums(play.Play(found, mix.draw(found, 1.9, 30.0, 1)).run())
     # .074 with the fastest engine's time, .037 with that of all; .62 earned both ways.
-    assert sums[""].held / sums[""].owed < 0.05
-    assert sums[""].share() > 0.6
+    assert sums.whole.held / sums.whole.owed < 0.05
+    assert sums.whole.share() > 0.6
