--- a/bench/replay/mix.py
+++ b/bench/replay/mix.py
@@ -220,6 +220,11 @@
 MIXES = {mix.name: mix for mix in (LABELS, STANDS, ranked(LABELS), STATEMENTS)}
 
 
+def calm(found: Mix) -> Mix:
+    """Return a mix to which nothing happens."""
+    return msgspec.structs.replace(found, bursts=(), outages=(), takeovers=())
+
+
 def draw(mix: Mix, load: float, seconds: float, seed: int) -> list[Request]:
     """Return the requests of a run, in order of arrival."""
     source = random.Random(f"{mix.name}/{seed}")
