--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -17,8 +17,6 @@
 WEIGHT = 0.4
 # Outputs below this tell nothing of the time that a token takes.
 LEAST_OUTPUT_TOKENS = 8
-# Share of a token's time by which each other run of the batch slows it.
-CROWD_SLOWDOWN = 0.03
 # Weight of one more failure or success in a server's share of failures.
 FAILURE_WEIGHT = 0.15
 # Seconds for which a server gets nothing after it couldn't be reached; doubled up
@@ -117,8 +115,7 @@
     def total_seconds(self, ticket: messages.Ticket, pending: float) -> float:
         """Return the seconds to a ticket's end."""
         first = self.first_seconds(ticket, pending)
-        crowd = 1.0 + CROWD_SLOWDOWN * len(self.runs)
-        return first + expected_tokens(ticket) * self.token_seconds * crowd
+        return first + expected_tokens(ticket) * self.token_seconds
 
     def start(self, ticket: messages.Ticket, now: ids.Instant) -> Run:
         """Give a slot to a ticket."""
@@ -148,8 +145,7 @@
             self.call_seconds += weight * (done.total_seconds - self.call_seconds)
         elif done.output_tokens >= LEAST_OUTPUT_TOKENS:
             streamed = done.total_seconds - done.first_token_seconds
-            crowd = 1.0 + CROWD_SLOWDOWN * len(self.runs)
-            seen = streamed / done.output_tokens / crowd
+            seen = streamed / done.output_tokens
             self.token_seconds += weight * (seen - self.token_seconds)
         self.observations += 1
 
--- a/src/tealcove/dispatch/earliertries.py
+++ b/src/tealcove/dispatch/earliertries.py
@@ -34,8 +34,8 @@
     To a caller that comes again, the goal counts from its first try. Its new id makes
     it look fresh: of 461 late answers of one kind, 293 were in time by their own try
     only, and had taken slots from requests that could have been in time for their
-    callers. With first tries known .643 of all worth is earned at 1.25 times the load,
-    .565 without (replay, three seeds).
+    callers. With first tries known .640 of all worth is earned at 1.25 times the load,
+    .562 without (replay, three seeds).
 
     A request is known again by its content and by the end of its caller's time, since
     others may send the same content. A new dispatcher knows none.
--- a/src/tealcove/dispatch/shares.py
+++ b/src/tealcove/dispatch/shares.py
@@ -21,17 +21,18 @@
 URGENCY_LEAD = 0.05
 # A kind that holds a slot for as long as more urgent ones do gives so much of its part
 # up to them; one that holds it for a tenth of the time, a tenth of that. Of all worth,
-# .59 .61 .63 .64 .64 .64 is earned with 0 .3 .5 .7 .8 .9 at 1.25 times the load of the
-# mix "statements", and .61 .73 .80 .84 .85 .86 at 2.2 times that of "labels"; the least
-# urgent kinds earn .60 .54 .51 .48 .47 .45 and .55 .40 .31 .23 .20 .16 of theirs
+# .59 .61 .63 .64 .64 .65 is earned with 0 .3 .5 .7 .8 .9 at 1.25 times the load of the
+# mix "statements", and .62 .71 .80 .84 .86 .87 at 2.2 times that of "labels"; the least
+# urgent kinds earn .60 .54 .50 .47 .46 .44 and .58 .40 .32 .24 .20 .16 of theirs
 # (replay, three seeds). By urgency alone they earn .05 and .08.
 GIVEN_UP = 0.8
 # Requests are short up to the first many times their kind's mean slot time, long beyond
 # the second, and their parts are kept at these ratios. Outputs are log-normal: the
 # longest tenth takes .41 to .51 of what two kinds cost, and is .20 to .32 of their
-# worth. With equal parts .627 of all worth is earned at 1.25 times the load, .643 so
-# (replay, three seeds); a long request still has half the chance of a short one. The
-# first bound is above 1, so that calls that all take the same are of one length.
+# worth. With equal parts .634 and .818 of all worth are earned at 1.25 times the load
+# of "statements" and 2.2 times that of "labels", .640 and .859 so (replay, three
+# seeds); a long request still has half the chance of a short one. The first bound is
+# above 1, so that calls that all take the same are of one length.
 BANDS = ((1.25, 1.0), (3.0, 0.75), (math.inf, 0.5))
 # With fewer arrivals lately a part says nothing.
 LEAST_ARRIVALS = 1.0
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -77,8 +77,8 @@
 
     Late tickets go behind those of their tier that can still be in time: under
     overload, the order of deadlines alone would make one after the other late. Among
-    late ones the short go first: .643 of all worth is earned at 1.25 times the
-    load, .606 by urgency alone (replay, three seeds).
+    late ones the short go first: .640 of all worth is earned at 1.25 times the
+    load, .607 by urgency alone (replay, three seeds).
     """
     flow = waiting.flow
     if waiting.is_late(now):
