Keep the sample of a server's entry once, with the test builders

Cause: two test modules wrote the same eight fields of a backend server's entry. Change: platform/tests/builders.py holds them; both use it. No product code is touched.

--- a/src/tealcove/catalog/tests/test_copies.py
+++ b/src/tealcove/catalog/tests/test_copies.py
@@ -11,23 +11,12 @@
 from tealcove.catalog import copies, declared, lookup, messages
 from tealcove.ingress.tests import builders
 from tealcove.platform import documents
+from tealcove.platform.tests import builders as platform_builders
 from tealcove.storage import feed
 
-# What every backend server writes of itself.
-WRITTEN = {
-    "service": "pool",
-    "addr": "10.0.0.1:80",
-    "zone": "dc",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "seq": 4,
-}
-
 
 def server(name: str, state: str = "ready", **changes: object) -> bytes:
-    return msgspec.json.encode({**WRITTEN, "state": state, **changes})
+    return msgspec.json.encode({**platform_builders.WRITTEN, "state": state, **changes})
 
 
 def page(version: int, *entries: feed.Entry) -> feed.Page:
@@ -157,7 +146,7 @@
 @st.composite
 def foreign_entries(draw: st.DrawFn) -> bytes:
     """Draw an entry with a field that is missing or strange."""
-    found = dict(WRITTEN)
+    found = dict(platform_builders.WRITTEN)
     field = draw(st.sampled_from(sorted(found)))
     if draw(st.booleans()):
         del found[field]
--- a/src/tealcove/platform/tests/test_rows.py
+++ b/src/tealcove/platform/tests/test_rows.py
@@ -9,6 +9,7 @@
 
 from tealcove import errors
 from tealcove.platform import documents, store
+from tealcove.platform.tests import builders
 from tealcove.storage import feed
 
 TABLE = "servers"
@@ -46,15 +47,6 @@
     "address", ["", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "name:80", "10.0.0:80"]
 )
 def test_only_ip_and_port_are_an_address(address: str):
-    written = {
-        "service": "pool",
-        "addr": address,
-        "zone": "dc",
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 4,
-    }
+    written = {**builders.WRITTEN, "addr": address}
     with pytest.raises(errors.PlatformError):
         documents.decode_server("a", msgspec.json.encode(written))
