Keep what passes beyond a limit within the slack that the operators allow

Cause, shown in virtual time: the spare bucket held 1.5 s of the rate whatever the operators' slack is. An account of 169,290 tokens a second that sends half of its limit for a while and then three times as much gets 1.04 to 1.07 of (rate x 8 s + burst) x 1.1 + 140,000 in its fullest window; .92 to .96 since. The next home of an account begins with half a burst for nothing, .98 to 1.00 even so; that is now taken from the spare: .95 to .96.

The slack is a setting, filled in from the platform's bounds. Ruled out: the main bucket's debt of one request alone (within the bound with an empty spare).

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -131,7 +131,11 @@
         )
         self.quarantine.start()
         self.limits = asking.AskingLimits(
-            self.mesh, self.members, self.find_limit, clock.now()
+            self.mesh,
+            self.members,
+            self.find_limit,
+            found.account_limits.slack,
+            clock.now(),
         )
         self.limits.start()
         self.spread = spread.Spread(self.pools, lambda other: 0.0, CELL_SERVERS)
@@ -237,6 +241,7 @@
         for seed in self.heart.seeds:
             self.heart.beat_to(seed)
         self.ingress.services.budget.allowance = parts.allowance_of(found)
+        self.limits.slack = found.account_limits.slack
         self.members.update_own(
             strength=parts.strength_of(found), room=parts.room_of(found)
         )
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -46,6 +46,14 @@
     window_seconds: settings.Seconds = 10.0
 
 
+class AccountLimits(settings.Group):
+    """How the limits of client accounts are kept, over all instances."""
+
+    # Tokens (or requests) that an account may get beyond its limit in a window of some
+    # seconds, besides a tenth: what crosses on its way is refused otherwise.
+    slack: settings.Delay = 100_000.0
+
+
 class Leaving(settings.Group):
     """How an instance leaves after SIGTERM."""
 
@@ -96,6 +104,7 @@
     quarantine: settings.Quarantine = settings.Quarantine()
     limits: settings.Limits = settings.Limits()
     repeats: Repeats = Repeats()
+    account_limits: AccountLimits = AccountLimits()
     leaving: Leaving = Leaving()
     machine: Machine = Machine()
     telemetry: settings.Telemetry = settings.Telemetry()
--- a/src/tealcove/limits/asking.py
+++ b/src/tealcove/limits/asking.py
@@ -76,9 +76,12 @@
         transport: mesh.Mesh,
         known: members.Members,
         find_limit: home.FindLimit,
+        slack: float,
         now: ids.Instant,
     ) -> None:
         super().__init__(transport, known, find_limit, now)
+        # Tokens beyond a limit that the operators allow in a window.
+        self.slack = slack
         # What this instance lets pass as a home, and what by itself when it
         # reaches none.
         self.buckets: dict[ids.AccountId, bucket.Bucket] = {}
@@ -199,9 +202,10 @@
             return messages.Charged(number=question.number, retry_after=0.0)
         held = buckets.get(question.account)
         if held is None:
-            held = bucket.Bucket(limit.burst * first, now)
+            begin = bucket.Bucket if first == 1.0 else bucket.Bucket.unsettled
+            held = begin(limit.burst * first, now)
             buckets[question.account] = held
-        after = held.take(question.tokens, limit, part, now)
+        after = held.take(question.tokens, limit, part, self.slack, now)
         log.info(
             "{} of {}: {} for {:.0f} tokens, {:.0f} left, {:.0f} a second, part {:.2f}",
             "passed" if after == 0.0 else "over the limit",
--- a/src/tealcove/limits/bucket.py
+++ b/src/tealcove/limits/bucket.py
@@ -9,18 +9,23 @@
 
 SHORTEST_RETRY = 0.05
 LONGEST_RETRY = 60.0
-# The spare bucket holds so many seconds of the rate, and grows by this part of it.
-# Two instances see two requests in another order than they were sent in, and a
-# request that would have fitted a moment earlier is refused; the operators allow a
-# tenth beyond the limit. It's kept apart, so that what it lets pass never takes
-# the place of what is within the limit.
-SPARE_SECONDS = 0.5
+# The spare bucket grows by this part of the rate. Two instances see two requests in
+# another order than they were sent in, and a request that would have fitted a moment
+# earlier is refused; the operators allow a tenth beyond the limit, and a fixed amount
+# besides, the slack. It's kept apart, so that what it lets pass never takes the place
+# of what is within the limit.
 SPARE_PART = 0.1
-# Its debt may be so many seconds of the rate. Without, only small requests fit: of an
-# account that sends three times its limit, .87 of the requests of a thirtieth of the
-# rate passed and .33 of those that are twenty times as large; .37 and .37 since
-# (virtual time, ten minutes).
-SPARE_DEBT_SECONDS = 1.0
+# It holds up to the first part of the slack, lets requests pass from the second part
+# on, and its debt may be the third; what is left is for the main bucket's own debt, one
+# request. Where it held 1.5 s of the rate, 250,000 tokens for an account of 169,000 a
+# second, such an account got 1.04 to 1.07 times what the operators allow in a window of
+# 8 s, .92 to .96 since (virtual time, three seeds, three times the limit after a
+# pause). Without a debt only small requests fit: of an account that sends three times
+# its limit, .87 of the requests of a thirtieth of the rate passed and .33 of those that
+# are twenty times as large; .37 and .37 since (virtual time, ten minutes).
+SPARE_SLACK_PART = 0.25
+LEAST_SLACK_PART = 0.02
+DEBT_SLACK_PART = 0.4
 
 
 class Bucket(msgspec.Struct):
@@ -30,29 +35,51 @@
     updated: ids.Instant
     spare: float = 0.0
 
+    @classmethod
+    def unsettled(cls, level: float, now: ids.Instant) -> Bucket:
+        """Return one that begins while another one may have let the rest pass.
+
+        What it begins with may be beyond the limit, and is taken from what the spare
+        would add: in a window in which its home dies, an account that sends three times
+        its limit gets .95 to .96 of what the operators allow, .98 to 1.00 without.
+        """
+        return cls(level, now, -level)
+
     def take(
-        self, tokens: float, limit: limits.Limit, part: float, now: ids.Instant
+        self,
+        tokens: float,
+        limit: limits.Limit,
+        part: float,
+        slack: float,
+        now: ids.Instant,
     ) -> float:
         """Take tokens if there are any; return 0, or the seconds until there are.
 
-        `part` is the part of the limit that this bucket stands for. A request may
+        `part` is the part of the limit that this bucket stands for, `slack` how many
+        tokens beyond the limit the operators allow in a window. A request may
         be larger than the burst, so that it would never fit: whatever is left lets
         the next one pass, and the debt is paid off before others do.
         """
         rate = limit.rate * part
-        self.grow(rate, limit.burst * part, now)
+        self.grow(rate, limit.burst * part, slack * part, now)
         if self.level > 0.0:
             self.level -= tokens
             return 0.0
-        if self.spare > 0.0 and tokens - self.spare <= rate * SPARE_DEBT_SECONDS:
+        if self.may_spare(tokens, slack * part):
             self.spare -= tokens
             return 0.0
         wait = -self.level / rate if rate > 0.0 else LONGEST_RETRY
         return min(LONGEST_RETRY, max(SHORTEST_RETRY, wait))
 
-    def grow(self, rate: float, burst: float, now: ids.Instant) -> None:
+    def may_spare(self, tokens: float, slack: float) -> bool:
+        """Tell whether a request passes by the spare bucket, whatever its size."""
+        has_some = self.spare > slack * LEAST_SLACK_PART
+        return has_some and tokens - self.spare <= slack * DEBT_SLACK_PART
+
+    def grow(self, rate: float, burst: float, slack: float, now: ids.Instant) -> None:
         """Add the tokens of the time since the last call."""
         added = rate * max(0.0, now - self.updated)
         self.level = min(burst, self.level + added)
-        self.spare = min(rate * SPARE_SECONDS, self.spare + SPARE_PART * added)
+        most = slack * SPARE_SLACK_PART
+        self.spare = min(most, self.spare + SPARE_PART * added)
         self.updated = now
--- a/src/tealcove/limits/tests/builders.py
+++ b/src/tealcove/limits/tests/builders.py
@@ -17,6 +17,8 @@
 # Seconds, longer than any test.
 FAR = 1000.0
 STEP = 0.05
+# Tokens beyond a limit that are allowed in a window, as for the limits of these tests.
+SLACK = 140_000.0
 
 
 class Link:
@@ -176,7 +178,7 @@
         self.unconnected: set[int] = set()
         self.links = [AskingLink(self, number) for number in range(count)]
         self.limits = [
-            asking.AskingLimits(link, known, cluster.find_limit, cluster.now)
+            asking.AskingLimits(link, known, cluster.find_limit, SLACK, cluster.now)
             for link, known in zip(self.links, cluster.members, strict=True)
         ]
         now = clock.now()
--- a/src/tealcove/limits/tests/test_asking.py
+++ b/src/tealcove/limits/tests/test_asking.py
@@ -24,7 +24,11 @@
 def new_limits(cluster: builders.Cluster) -> asking.AskingLimits:
     """Return the limits of the first instance."""
     return asking.AskingLimits(
-        cluster.links[0], cluster.members[0], cluster.find_limit, cluster.now
+        cluster.links[0],
+        cluster.members[0],
+        cluster.find_limit,
+        builders.SLACK,
+        cluster.now,
     )
 
 
--- a/src/tealcove/limits/tests/test_bucket.py
+++ b/src/tealcove/limits/tests/test_bucket.py
@@ -5,6 +5,7 @@
 import collections
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,6 +13,13 @@
 from tealcove.limits import bucket, limit
 
 LIMIT = limit.Limit(1000.0, 2000.0)
+SLACK = 2000.0
+# An account of the grown traslada deployment, and what its operators allow beyond a
+# limit in a window.
+LARGE = limit.Limit(169_290.0, 169_290.0)
+LARGE_SLACK = 140_000.0
+WINDOW_SECONDS = 8.0
+OVER = 0.1
 
 
 def test_a_request_larger_than_the_burst_passes_on_debt():
@@ -22,10 +30,10 @@
     lets pass only what it holds.
     """
     held = bucket.Bucket(2000.0, ids.Instant(0.0))
-    assert held.take(5000.0, LIMIT, 1.0, ids.Instant(0.0)) == 0.0
-    wait = held.take(10.0, LIMIT, 1.0, ids.Instant(0.0))
+    assert held.take(5000.0, LIMIT, 1.0, SLACK, ids.Instant(0.0)) == 0.0
+    wait = held.take(10.0, LIMIT, 1.0, SLACK, ids.Instant(0.0))
     assert wait == 3.0
-    assert held.take(10.0, LIMIT, 1.0, ids.Instant(3.1)) == 0.0
+    assert held.take(10.0, LIMIT, 1.0, SLACK, ids.Instant(3.1)) == 0.0
 
 
 @given(
@@ -42,17 +50,67 @@
     passed = []
     for pause, tokens in asked:
         now += pause
-        if held.take(tokens, LIMIT, part, ids.Instant(now)) == 0.0:
+        if held.take(tokens, LIMIT, part, SLACK, ids.Instant(now)) == 0.0:
             passed.append(tokens)
     largest = max(passed, default=0.0)
     rate = LIMIT.rate * part
-    seconds = bucket.SPARE_SECONDS + bucket.SPARE_DEBT_SECONDS
-    assert seconds <= 1.5
-    spare = rate * (seconds + bucket.SPARE_PART * now)
+    spare = rate * (1.5 + bucket.SPARE_PART * now)
     bound = LIMIT.burst * part + rate * now + spare + largest
     assert sum(passed) <= bound + 1e-6
 
 
+def sent_in_windows(held: list[bucket.Bucket], seed: int) -> float:
+    """Return the most tokens that pass in a window; each bucket has its turn of 30 s.
+
+    Less than the limit is sent for 25 s, then three times as much.
+    """
+    source = random.Random(seed)
+    passed: list[tuple[float, float]] = []
+    now = 0.0
+    while now < 60.0:
+        tokens = min(60_000.0, source.lognormvariate(8.1, 1.4))
+        wanted = LARGE.rate * (0.5 if now < 25.0 else 3.0)
+        now += source.expovariate(wanted / 8_700.0)
+        counts = held[min(int(now / 30.0), len(held) - 1)]
+        if counts.take(tokens, LARGE, 1.0, LARGE_SLACK, ids.Instant(now)) == 0.0:
+            passed.append((now, tokens))
+    return max(
+        sum(tokens for at, tokens in passed if begin <= at <= begin + WINDOW_SECONDS)
+        for begin, _ in passed
+    )
+
+
+def allowed() -> float:
+    """Return what the operators allow in a window."""
+    limited = LARGE.rate * WINDOW_SECONDS + LARGE.burst
+    return limited * (1.0 + OVER) + LARGE_SLACK
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_window_has_more_than_the_operators_allow(seed: int) -> None:
+    """An account gets more than its limit and all that is allowed beyond it.
+
+    Symptom: in some 8 s more tokens run than the limit, a tenth of it and the slack.
+    Sequence: an account of a large limit sends less than it for a while, then three
+    times as much, with long prompts among it. Cause: what the spare bucket holds grows
+    with the rate, the slack doesn't.
+    """
+    held = bucket.Bucket(LARGE.burst, ids.Instant(0.0))
+    assert sent_in_windows([held], seed) <= allowed()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_window_has_more_when_the_home_dies_in_it(seed: int) -> None:
+    """An account gets half a burst for nothing when its home dies.
+
+    Symptom and sequence as above, and the home dies meanwhile. Cause: the next home
+    can't know what has passed, begins with half of the burst, and adds the spare to it.
+    """
+    first = bucket.Bucket(LARGE.burst, ids.Instant(0.0))
+    second = bucket.Bucket.unsettled(LARGE.burst / 2, ids.Instant(30.0))
+    assert sent_in_windows([first, second], seed) <= allowed()
+
+
 def test_large_requests_pass_as_often_as_small_ones():
     """Large requests of an account beyond its limit hardly ever pass.
 
@@ -71,6 +129,6 @@
         tokens = source.choice(sizes)
         now += source.expovariate(3.0 * LIMIT.rate / (sum(sizes) / len(sizes)))
         asked[tokens] += 1
-        passed[tokens] += held.take(tokens, LIMIT, 1.0, ids.Instant(now)) == 0.0
+        passed[tokens] += held.take(tokens, LIMIT, 1.0, SLACK, ids.Instant(now)) == 0.0
     parts = [passed[size] / asked[size] for size in sizes]
     assert max(parts) - min(parts) < 0.05, parts
