Leave the store to others after half a second in place of two

Cause: instances that start together all follow the store until they know of each other, and for 2 s after that; meanwhile servers start one by one, and each of their changes is a call of each instance.

Ruled out: a gap in between; the tests of failing followers pass as before.

--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -20,9 +20,10 @@
 FOLLOWERS = 2
 # Seconds between two looks at who should follow.
 LOOK_INTERVAL = 0.25
-# Seconds for which an instance goes on following when it's no longer its turn: those in
-# rank change several times while many instances start.
-LINGER_SECONDS = 2.0
+# Seconds for which an instance goes on following when it's no longer its turn, so that
+# whoever takes over has begun. While many instances start, all follow until they know
+# of each other, and each change of a server is a call of each.
+LINGER_SECONDS = 0.5
 # Seconds for which an instance follows for itself when peers haven't answered, and for
 # which one whom the store has failed leaves it to others.
 ALONE_SECONDS = 5.0
