Refuse a file that holds an empty list of resources

Cause: an empty list was read as no resources, and 'fine' with exit 0; an empty file was refused already. The test fails without the change.

--- a/src/tealcove/resourcefiles.py
+++ b/src/tealcove/resourcefiles.py
@@ -63,6 +63,11 @@
     content = settingsfile.parse(path)
     if not isinstance(content, list):
         return [declared(path, "$", content)]
+    if not content:
+        raise errors.SettingsError(
+            f"{path}: declares nothing, its list is empty",
+            'Write resources into it, each with "kind", "name" and "spec", or remove it.',
+        )
     return [declared(path, f"$[{n}]", item) for n, item in enumerate(content)]
 
 
--- a/src/tealcove/tests/test_settings.py
+++ b/src/tealcove/tests/test_settings.py
@@ -123,6 +123,14 @@
         resourcefiles.read([str(tmp_path)])
 
 
+def test_a_list_of_no_resources_is_refused(tmp_path):
+    """A file from which everything was removed by mistake counts as fine."""
+    path = tmp_path / "tiers.json"
+    path.write_text("[]")
+    with pytest.raises(errors.SettingsError, match="declares nothing"):
+        resourcefiles.read([str(path)])
+
+
 def test_page_lists_every_setting():
     page = (SAMPLES.parent / "docs" / "SETTINGS.md").read_text()
     for name, default in leaves(msgspec.inspect.type_info(settings.Settings)):
