--- a/src/tealcove/resourcefiles.py
+++ b/src/tealcove/resourcefiles.py
@@ -66,7 +66,7 @@
     if not content:
         raise errors.SettingsError(
             f"{path}: declares nothing, its list is empty",
-            'Write resources into it, each with "kind", "name" and "spec", or remove it.',
+            "Write resources with a kind, a name and a spec into it, or remove it.",
         )
     return [declared(path, f"$[{n}]", item) for n, item in enumerate(content)]
 
