--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -7,7 +7,7 @@
 import logbook
 
 from tealcove import clock, ids, tasks
-from tealcove.catalog import follower
+from tealcove.catalog import copies, follower
 from tealcove.membership import members, messages, ranking
 
 log = logbook.Logger("catalog")
@@ -130,8 +130,8 @@
         if reaches != self.members.own.reaches_store:
             self.members.update_own(reaches_store=reaches)
 
-    def is_arriving(self, topic_copy: object, now: ids.Instant) -> bool:
+    def is_arriving(self, wanted: copies.Copy, now: ids.Instant) -> bool:
         """Tell whether the store's answer about a copy is on its way."""
         return bool(self.tasks) and any(
-            one.copy is topic_copy and one.is_arriving(now) for one in self.followers
+            one.copy is wanted and one.is_arriving(now) for one in self.followers
         )
