--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -7,7 +7,7 @@
 import logbook
 
 from tealcove import clock, ids, tasks
-from tealcove.catalog import follower
+from tealcove.catalog import copies, follower
 from tealcove.membership import members, messages, ranking
 
 log = logbook.Logger("catalog")
@@ -20,9 +20,10 @@
 FOLLOWERS = 2
 # Seconds between two looks at who should follow.
 LOOK_INTERVAL = 0.25
-# Seconds for which an instance goes on following when it's no longer its turn: those in
-# rank change several times while many instances start.
-LINGER_SECONDS = 2.0
+# Seconds for which an instance goes on following when it's no longer its turn, so that
+# whoever takes over has begun. While many instances start, all follow until they know
+# of each other, and each change of a server is a call of each.
+LINGER_SECONDS = 0.5
 # Seconds for which an instance follows for itself when peers haven't answered, and for
 # which one whom the store has failed leaves it to others.
 ALONE_SECONDS = 5.0
@@ -129,8 +130,8 @@
         if reaches != self.members.own.reaches_store:
             self.members.update_own(reaches_store=reaches)
 
-    def is_arriving(self, topic_copy: object, now: ids.Instant) -> bool:
+    def is_arriving(self, wanted: copies.Copy, now: ids.Instant) -> bool:
         """Tell whether the store's answer about a copy is on its way."""
         return bool(self.tasks) and any(
-            one.copy is topic_copy and one.is_arriving(now) for one in self.followers
+            one.copy is wanted and one.is_arriving(now) for one in self.followers
         )
