Take a refusal of the store for no answer on its way

The head of a refusal counts as the beginning of an answer, and did so through the pause after it, until the next refusal.

--- a/src/tealcove/catalog/follower.py
+++ b/src/tealcove/catalog/follower.py
@@ -73,8 +73,6 @@
                 self.note_failure(error, clock.now())
                 await asyncio.sleep(self.pause)
                 self.pause = min(LONGEST_PAUSE, 2 * self.pause)
-            finally:
-                self.arriving_since = None
 
     async def step(self) -> None:
         """Read once; raises PlatformError."""
@@ -86,13 +84,18 @@
             return
         pace = self.pace()
         wait = pace.wait if self.failing_since is None else 0.0
-        page = await self.source.wait_for_changes(
-            self.table, self.version, wait, self.note_arriving
-        )
+        try:
+            page = await self.source.wait_for_changes(
+                self.table, self.version, wait, self.note_arriving
+            )
+        finally:
+            # Also of a refusal: were it still awaited in the pause after it, an
+            # instance that the store turns away would ask no peer, and send requests
+            # to servers that left 2 s ago.
+            self.arriving_since = None
         self.note_success(clock.now())
         self.copy.apply(page, clock.now())
         self.version = page.version
-        self.arriving_since = None
         if page.entries:
             await asyncio.sleep(pace.gather)
 
--- a/src/tealcove/catalog/tests/builders.py
+++ b/src/tealcove/catalog/tests/builders.py
@@ -115,6 +115,9 @@
     ) -> feed.Page:
         """Return the newest rows after a version, once there are any."""
         self.table.calls += 1
+        if self.refuses and arriving is not None:
+            # A refusal is an answer, too.
+            arriving()
         await self.admit()
         if since < self.table.kept_from:
             raise feed.HistoryLostError("changes are gone", "Read the whole table.")
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -290,7 +290,7 @@
                 allow_redirects=False,
                 timeout=limits,
             ) as response:
-                if arriving is not None:
+                if arriving is not None and response.status == HTTP_OK:
                     arriving()
                 reply = Reply(response.status, await response.read())
             is_usable = reply.status not in REFUSALS
