--- a/src/tealcove/catalog/tests/builders.py
+++ b/src/tealcove/catalog/tests/builders.py
@@ -115,6 +115,9 @@
     ) -> feed.Page:
         """Return the newest rows after a version, once there are any."""
         self.table.calls += 1
+        if self.refuses and arriving is not None:
+            # A refusal is an answer, too.
+            arriving()
         await self.admit()
         if since < self.table.kept_from:
             raise feed.HistoryLostError("changes are gone", "Read the whole table.")
@@ -375,6 +378,15 @@
     await asyncio.sleep(5.0)
 
 
+async def caught_up(part: Part, version: int) -> float:
+    """Return the seconds until an instance knows the servers of a version."""
+    began = clock.now()
+    while part.servers.revision < version:
+        await asyncio.sleep(0.01)
+        assert clock.now() - began < 60.0
+    return clock.now() - began
+
+
 def server() -> bytes:
     """Return a backend server's entry."""
     return msgspec.json.encode(platform_builders.WRITTEN)
