Let go of servers that a whole list lacks in one place

Cause: a list read from the store and one told by a peer each had the same loop, which drops what is known of an older version and missing there.

Change: one method for both; nothing behaves differently. Ruled out: a common base for the signatures of wait_for_changes, which every feed has to declare.

--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -81,11 +81,8 @@
 
     def replace(self, page: feed.Page, now: ids.Instant) -> None:
         """See Copy."""
-        present = {entry.key for entry in page.entries}
-        missing = [name for name in self.known if name not in present]
-        for name in missing:
-            if self.known[name].version <= page.version:
-                self.drop(name, page.version, now)
+        present = {ids.BackendServerId(entry.key) for entry in page.entries}
+        self.drop_missing(present, page.version, now)
         self.take_entries(page, now)
         self.revision = ids.Revision(max(self.revision, page.version))
         self.tell()
@@ -116,6 +113,14 @@
             self.unreadable.discard(name)
             self.put(Known(server, entry.version))
 
+    def drop_missing(
+        self, present: set[ids.BackendServerId], version: int, now: ids.Instant
+    ) -> None:
+        """Let go of the servers that a whole list of some version doesn't have."""
+        for name in [name for name in self.known if name not in present]:
+            if self.known[name].version <= version:
+                self.drop(name, version, now)
+
     def version_of(self, name: ids.BackendServerId) -> int:
         """Return the version of the newest row that is known of a server."""
         known = self.known.get(name)
@@ -205,9 +210,7 @@
             return
         found = packing.unpack(told.content, ToldServers)
         present = {known.server.name for known in found.known}
-        for name in [name for name in self.known if name not in present]:
-            if self.known[name].version <= told.revision:
-                self.drop(name, told.revision, now)
+        self.drop_missing(present, told.revision, now)
         for known in found.known:
             if known.version > self.version_of(known.server.name):
                 self.put(known)
