Start an instance from one archive of its modules

Cause: some 600 modules are each looked up in several folders, opened and compared with their sources, 9,000 system calls (counted) before the first request is taken.

Change: the installation writes all modules' code into one file, and the program reads it first. Without it, or with a part of one, modules come from their files.

--- a/src/tealcove/front/__main__.py
+++ b/src/tealcove/front/__main__.py
@@ -1,28 +1,33 @@
 """Runs one instance: `python -m tealcove.front --settings FILE`.
 
-The same as `tealcove front`, without the command line's parts, whose import alone took
-0.25 s of 1.05 s until an instance that was killed runs again (user time of five starts
-each on one core). Callers wait for that when all instances have ended at once.
+The same as `tealcove front`, without the command line's parts: callers wait for their
+import when all instances have ended at once.
 """
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import os
 import sys
 
-# All that the imports make stays to the end. Looking through it for garbage again and
-# again took 0.1 s of the start.
+# All that the imports make stays to the end; looking through it for garbage again and
+# again would be a tenth of the start.
 gc.disable()
 
+from tealcove.front import archive  # noqa: E402
+
+FOLDER = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+archive.install(FOLDER)
+
 # Importing the HTTP library makes a TLS context with all certificates of the machine,
-# 0.07 s of the start (processor time, two runs), although an instance speaks
-# no TLS. While it's imported, OpenSSL is shown a file without any.
+# although an instance speaks no TLS. While it's imported, OpenSSL is shown a file
+# without any.
 CERTIFICATES = "SSL_CERT_FILE"
 certificates = os.environ.get(CERTIFICATES)
 os.environ[CERTIFICATES] = os.devnull
 
+import asyncio  # noqa: E402
+
 from tealcove import errors  # noqa: E402
 from tealcove.commands import exits  # noqa: E402
 from tealcove.front import daemon  # noqa: E402
@@ -43,8 +48,8 @@
         case _:
             print(USAGE, file=sys.stderr)
             return exits.Code.USAGE
-    # Objects of the imports are left out of all later looks for garbage, too: a whole
-    # one took 48 ms on one core, for which every caller waited.
+    # Objects of the imports are left out of all later looks for garbage, too: every
+    # caller waits for as long as a whole one takes.
     gc.freeze()
     gc.enable()
     try:
