--- a/bench/replay/mix.py
+++ b/bench/replay/mix.py
@@ -197,6 +197,18 @@
     )
 
 
+def labelling(found: tuple[Engine, ...]) -> tuple[Engine, ...]:
+    """Return engines as fast as those that label things, each by its grade."""
+    return tuple(
+        msgspec.structs.replace(
+            one,
+            prompt_seconds=one.prompt_seconds * TOKENS_PER_SECOND / LABEL_TOKENS,
+            step_seconds=one.step_seconds * LABEL_STEP / STEP_SECONDS,
+        )
+        for one in found
+    )
+
+
 # Three kinds of unlike length on engines of three grades, of which a fast one is soon
 # away: two bursts, and a crash between them, near the load that the others can do.
 STATEMENTS = Mix(
@@ -254,19 +266,35 @@
         Kind("text", 64.9, 2900, 1.0, 50, 1.5, 1.022, 5.1, 1.6, 0.47, 1),
         Kind("notes", 100.0, 1100, 1.0, 170, 1.5, 1.013, 12.2, 0.3, 0.09, 2),
     ),
-    tuple(
-        msgspec.structs.replace(
-            one,
-            prompt_seconds=one.prompt_seconds * TOKENS_PER_SECOND / LABEL_TOKENS,
-            step_seconds=one.step_seconds * LABEL_STEP / STEP_SECONDS,
-        )
-        for one in graded(0.55, 1.0, 2.0, slots=5, count=13)
-    ),
+    labelling(graded(0.55, 1.0, 2.0, slots=5, count=13)),
     hint_spread=0.5,
     bursts=(Burst(3.0, 6.0, 1.6), Burst(14.0, 4.0, 1.8)),
     outages=tuple(Outage(6.0, 3.0, f"0.55-{number}") for number in range(13)),
     takeovers=(24.0,),
 )
+# The same customer's work some months on: more short texts, on 45 engines of which a
+# third is four times slower than the others, all of the fast ones a little faster.
+LABELS_SHIFTED = Mix(
+    "labels-shifted",
+    (
+        statement(
+            Kind("long", 81.8, 3720, 1.1, 120, 1.5, 0.663, 11.1, 6.8, 2.0, 0), 14.3, 10
+        ),
+        statement(
+            Kind("text", 98.0, 2890, 1.0, 52, 1.5, 1.245, 5.2, 1.6, 0.47, 1), 13.7, 9.6
+        ),
+        statement(
+            Kind("notes", 87.0, 1110, 1.0, 172, 1.5, 1.226, 12.3, 0.3, 0.088, 2),
+            3.4,
+            9.9,
+        ),
+    ),
+    labelling((*graded(0.68, slots=5, count=30), *graded(3.0, slots=5, count=15))),
+    hint_spread=0.5,
+    bursts=(Burst(1.0, 5.0, 1.8), Burst(11.0, 2.5, 2.1)),
+    outages=tuple(Outage(15.5, 2.0, f"0.68-{number}") for number in range(11)),
+    takeovers=(24.0,),
+)
 MIXES = {
     mix.name: mix
     for mix in (
@@ -276,6 +304,7 @@
         STATEMENTS,
         STATEMENTS_GROWN,
         LABELS_LARGE,
+        LABELS_SHIFTED,
     )
 }
 
