Notice that all relays are lost when they fall silent one by one

Each was heard and chosen at a moment of its own, so one after the other is found silent and replaced, by dead ones where those next in rank have died too, with 1.25 s for each. The living count as lost before that ends (3 s).

Change: it counts from the last word of any relay; whoever takes a silent one's place has to say something first.

--- a/src/tealcove/limits/tests/virtual.py
+++ b/src/tealcove/limits/tests/virtual.py
@@ -21,6 +21,10 @@
         """Return the virtual time in seconds."""
         return self.at
 
+    def stand_still(self, seconds: float) -> None:
+        """Let some seconds go by in which nothing is done, as in a frozen process."""
+        self.at += seconds
+
     def _run_once(self) -> None:
         """Take one turn; see asyncio.BaseEventLoop."""
         if not self._ready and self._scheduled:
--- a/src/tealcove/membership/relay.py
+++ b/src/tealcove/membership/relay.py
@@ -40,6 +40,8 @@
         # When each relay was chosen or last heard from, and when it fell silent.
         self.heard: dict[endpoint.Endpoint, ids.Instant] = {}
         self.silent: dict[endpoint.Endpoint, ids.Instant] = {}
+        # When any relay was last heard, or the first ones were chosen.
+        self.word_at = ids.Instant(0.0)
         self.lost_until = ids.Instant(0.0)
 
     def is_lost(self, now: ids.Instant) -> bool:
@@ -51,6 +53,7 @@
         self.silent.pop(peer, None)
         if peer in self.heard:
             self.heard[peer] = now
+            self.word_at = now
 
     def choose(
         self,
@@ -63,13 +66,17 @@
         `alive` says how strong each is. The order is by that and by hash, so that all
         who know the same instances choose alike.
         """
-        had_relays = bool(self.heard)
+        if not self.heard:
+            self.word_at = now
+        elif now - self.word_at > SILENT_SECONDS:
+            # Whoever took a silent relay's place has said nothing either. To wait until
+            # all are found silent at one look would be in vain: dead ones take their
+            # places one by one, each with a time to be silent of its own.
+            self.lost_until = ids.Instant(now + LOST_SECONDS)
         for peer, since in list(self.heard.items()):
             if now - since > SILENT_SECONDS:
                 self.silent[peer] = now
                 del self.heard[peer]
-        if had_relays and not self.heard:
-            self.lost_until = ids.Instant(now + LOST_SECONDS)
         for peer, since in list(self.silent.items()):
             if now - since > PUT_ASIDE_SECONDS:
                 del self.silent[peer]
--- a/src/tealcove/membership/tests/test_heart.py
+++ b/src/tealcove/membership/tests/test_heart.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncIterator, Callable
 
+import pytest
+
 from tealcove import clock, ids
+from tealcove.limits.tests import virtual
 from tealcove.membership import heart, members, messages, ranking, relay
 from tealcove.peers import endpoint
 from tealcove.storage import instances
@@ -228,6 +232,57 @@
         assert await watch(found, 4.0) == set()
 
 
+async def watch_the_others(seed: int, stall: float) -> set[str]:
+    """Let instances that began one by one lose their relays and those after them.
+
+    All stand still for some seconds in the middle of that. Returns who of the living
+    counted as lost by anyone.
+    """
+    source = random.Random(seed)
+    network = Network()
+    found = [One("i-0", network, ())]
+    seeds = (found[0].mesh.listen,)
+    found += [One(f"i-{n}", network, seeds) for n in range(1, LARGE)]
+    for one in found:
+        await one.start()
+        await asyncio.sleep(source.uniform(0.0, 0.05))
+    await until(lambda: agree(found))
+    await asyncio.sleep(source.uniform(2.0, 2.5))
+    ranked = ranking.rank("relay", [str(one.mesh.listen) for one in found])
+    dead = ranked[: 3 * relay.RELAYS]
+    for one in [one for one in found if str(one.mesh.listen) in dead]:
+        one.heart.tell_all = lambda: None
+        one.heart.relaying.is_relay = False
+        await one.stop()
+        found.remove(one)
+    loop = asyncio.get_running_loop()
+    loop.call_later(source.uniform(0.5, 2.5), loop.stand_still, stall)
+    lost = await watch(found, 4.0)
+    for one in found:
+        await one.stop()
+    return lost
+
+
+@pytest.mark.parametrize("stall", [0.0, 0.6])
+@pytest.mark.parametrize("seed", range(6))
+def test_relays_that_die_one_after_the_other_take_nobody_with_them(
+    seed: int, stall: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All living instances count as lost after more than a third has died at once.
+
+    Symptom: as when all relays die, on some days only. Sequence: the relays die with
+    the next six in rank; each instance looks at its relays at moments of its own, and
+    finds one after the other silent. Cause: it tells everyone of itself only when it
+    finds all of them silent at one look. Until then dead ones take the places of dead
+    ones, with 1.25 s each.
+    """
+
+    async def main() -> None:
+        assert await watch_the_others(seed, stall) == set()
+
+    virtual.run(monkeypatch, main())
+
+
 async def test_a_leaving_instance_is_known_to_leave_at_once() -> None:
     async with group(LARGE) as found:
         await asyncio.sleep(2.0)
