Move tales of measuring out of the comments

Comments of the dispatcher, the limits, heartbeats and followers told what was measured when they were written. They say now what each value or order guards against; the figures stand in the commits that brought them and in docs/measurements. Nothing but comments and docstrings differs, by a comparison of the syntax trees.

--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -13,9 +13,9 @@
 log = logbook.Logger("catalog")
 
 # Instances of each data centre that follow the store in a large group, and tell the
-# others. Where all follow, each change of a server is paid for once an instance, and at
-# 195 instances .058 of a day's worth goes there (9,373 calls); a whole configuration
-# comes to each of them over its own link, six times as large as packed for a peer.
+# others. Where all follow, each change of a server is paid for once an instance, and a
+# whole configuration comes to each of them over its own link, six times as large as
+# packed for a peer.
 # Any one of them may fail at any moment without a gap.
 FOLLOWERS = 2
 # Seconds between two looks at who should follow.
--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -59,8 +59,8 @@
     def tell(self) -> None:
         """See Copy; also log what has changed, in one line a revision.
 
-        With a line for each server, 195 instances wrote 9,655 lines of 83 servers in
-        the first seconds, and lines of requests were dropped among them.
+        With a line for each server, lines of requests would be dropped among them in
+        the first seconds of a large group.
         """
         changes, self.changes = self.changes, []
         if changes:
--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -97,9 +97,8 @@
     def is_silent(self, now: ids.Instant) -> bool:
         """Tell whether it hangs: a run is overdue, and no other shows anything.
 
-        A server may lose single answers and serve all else well. Were it left
-        alone for one overdue run, four of six servers stood idle on a day on which
-        three answers in ten were lost, and first events took 0.5 s in place of 0.1.
+        A server may lose single answers and serve all else well. Were it left alone
+        for one overdue run, most servers would stand idle while some lose answers.
         """
         return any(
             run.is_overdue(now) and self.heard_at <= run.started
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -21,9 +21,8 @@
     first: float
     total: float
     # For how long one like it holds a slot, whichever it gets: the mean by how often
-    # slots of each server become free. The fastest server's time alone made an overload
-    # seem a third smaller where some take four times as long, and a twelfth of all
-    # worth waited in vain (replay at 1.9 times the load).
+    # slots of each server become free. By the fastest server's time alone an overload
+    # would seem smaller than it is, and callers would wait in vain.
     held: float
 
 
@@ -84,8 +83,7 @@
     def estimate(self, ticket: messages.Ticket) -> Estimate:
         """Return what a ticket takes; zeros where there are no servers.
 
-        One pass over the servers: it's made for each arrival, and took a third of the
-        dispatcher's time with 45 of them.
+        One pass over the servers, since it's made for each arrival.
         """
         excluded = self.excluded(ticket)
         first = total = math.inf
--- a/src/tealcove/dispatch/earliertries.py
+++ b/src/tealcove/dispatch/earliertries.py
@@ -32,10 +32,8 @@
     """The first tries of requests, for as long as their callers wait.
 
     To a caller that comes again, the goal counts from its first try. Its new id makes
-    it look fresh: of 461 late answers of one kind, 293 were in time by their own try
-    only, and had taken slots from requests that could have been in time for their
-    callers. With first tries known .640 of all worth is earned at 1.25 times the load,
-    .562 without (replay, three seeds).
+    it look fresh: served as such, its answer is late all the same, and has taken a slot
+    from a request that could have been in time for its caller.
 
     A request is known again by its content and by the end of its caller's time, since
     others may send the same content. A new dispatcher knows none.
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -27,13 +27,12 @@
 # Seconds between two looks at what only the passing of time changes.
 REVIEW_INTERVAL = 0.1
 # Seconds between two forecasts of a long line; up to so many tickets it's made at each
-# event. Always made, forecasts and the order of the line took 0.57 of a core with 30
-# servers at 2.2 times their load (the replay's mix), .07 now; the dispatcher came late
-# with everything.
+# event. Made at each event of a long line, forecasts take half a core with thirty
+# servers at twice their load, and the dispatcher comes late with everything.
 FORECAST_INTERVAL = 0.05
 SHORT_LINE = 16
-# Seconds between two looks for earlier tries that can be forgotten: with 9,000 of them
-# one takes some 5 ms of a core.
+# Seconds between two looks for earlier tries that can be forgotten: a look goes through
+# all of them.
 FORGET_INTERVAL = 1.0
 # A failing server counts as slower by up to so many times.
 FAILURE_COST = 3.0
@@ -271,9 +270,8 @@
         """Return the server where a ticket ends soonest, or None to wait on.
 
         A ticket that would miss its goal at each free server, and could still meet
-        it elsewhere, waits for a better one. None goes where it can't end in time:
-        engines of a fifth of the others' speed worked 15 s on outputs that their
-        callers never saw whole.
+        it elsewhere, waits for a better one. None goes where it can't end in time: a
+        slow engine would work on outputs that their callers never see whole.
         """
         ticket = waiting.ticket
         best = None
--- a/src/tealcove/dispatch/prefill.py
+++ b/src/tealcove/dispatch/prefill.py
@@ -23,8 +23,7 @@
 BASE_WEIGHT = 0.1
 # What an observation of the rate keeps of its weight when the next one comes: ten count
 # for two thirds, so that a server that has slowed down is known within 2 s at a dozen
-# first events a second. With .8 and .95 less is earned: .716 and .721 of all worth near
-# the full load, .732 so (replay, three seeds).
+# first events a second, and a single late one changes little.
 KEEP = 0.9
 # Part by which a prompt token takes longer for each token before it: at first, and at
 # the most. 7e-6 to 17e-6 where it's known.
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -3,9 +3,8 @@
 Whom to take next, whom to refuse and whom to let wait is one question. Tiers of client
 accounts go strictly one before the other. Within a tier, requests whose goal is in
 reach go first, and among these the kind and length that has been served least of what
-is due to it: strictly by urgency, a kind that takes a slot for a fifth of the others'
-time earned .17 of its worth and the most urgent one .74 (a deployment's heaviest day,
-three plays; .51 to .56 and .69 to .71 with shares that are due).
+is due to it. Strictly by urgency, a kind that takes a slot for a fifth of the others'
+time would get next to nothing, and the most urgent one hardly more for it.
 Requests whose goal is missed take what is left, short and urgent ones first. Whoever
 would start too late by the forecast is refused at once.
 """
@@ -77,8 +76,7 @@
 
     Late tickets go behind those of their tier that can still be in time: under
     overload, the order of deadlines alone would make one after the other late. Among
-    late ones the short go first: .640 of all worth is earned at 1.25 times the
-    load, .607 by urgency alone (replay, three seeds).
+    late ones the short go first, since more of them can be served.
     """
     flow = waiting.flow
     if waiting.is_late(now):
@@ -97,8 +95,8 @@
 
     Requests that are still to come and go before a ticket are reckoned with: those of
     better tiers, and for one that is late, or will be, those of its own tier as well.
-    Were they left out, a ticket would seem to start soon until the very end: at 2.2
-    times the load, callers waited through their whole deadline in vain.
+    Were they left out, a ticket would seem to start soon until the very end, and its
+    caller would wait through the whole deadline in vain.
     """
     slots = free_at(servers, now)
     if not slots:
--- a/src/tealcove/front/parts.py
+++ b/src/tealcove/front/parts.py
@@ -27,8 +27,8 @@
 # each question is paid for, and where only a few ask for all.
 LONG_WAIT = 25.0
 SHORT_WAIT = 5.0
-# Seconds for which changes of backend servers gather. With 33 servers that start within
-# 4 s, each of 63 instances asked 33 times, 2,079 of the 2,644 calls of a quiet day.
+# Seconds for which changes of backend servers gather: where dozens start within
+# seconds, each follower would ask once for each of them.
 GATHER_SECONDS = 0.25
 # Seconds until a connection to the store stands.
 CONNECT_SECONDS = 1.0
--- a/src/tealcove/limits/asking.py
+++ b/src/tealcove/limits/asking.py
@@ -66,10 +66,10 @@
 class AskingLimits(admission.Admission):
     """Both sides: the entry's, and that of the home.
 
-    Requests of a few accounts that are as large as a whole burst can't be counted
-    on shares that are lent out: 268 of 1,252 requests were refused though hardly
-    any was beyond its account's limit. One question for each request costs some
-    milliseconds and counts exactly.
+    Requests of a few accounts that are as large as a whole burst can't be counted on
+    shares that are lent out: many would be refused though hardly any is beyond its
+    account's limit. One question for each request costs some milliseconds and counts
+    exactly.
     """
 
     def __init__(
@@ -116,9 +116,8 @@
         """Return who counted, and the answer; None: no home is in reach.
 
         When many instances die at once, nobody suspects them for a while. Were only
-        the first in rank asked, entries would count by their own part at once: 1 of
-        63, which refused each account's second request. On a day on which 38 of 63
-        lost power, 135 requests got 429 within 2 s, nearly a quarter of all.
+        the first in rank asked, entries would count by their own part at once, which
+        refuses each account's second request.
         """
         self.presence.follow(clock.now())
         question = messages.AskCharge(
--- a/src/tealcove/membership/heart.py
+++ b/src/tealcove/membership/heart.py
@@ -23,8 +23,7 @@
     """Seconds between two looks at the list: at first, and at the longest.
 
     Doubled from look to look, where each look is paid for and heartbeats tell of
-    new peers; the longest at once when all that are listed are heard. Six looks of
-    each of 63 instances were a quarter of a quiet day's calls to the store.
+    new peers; the longest at once when all that are listed are heard.
     """
 
     first: float = LIST_INTERVAL
@@ -37,9 +36,8 @@
 
 
 # The first heartbeat to a peer is lost while the connection is being made. For so many
-# seconds it's tried again after so many. A dispatcher that hadn't heard an entry yet
-# had no address for its answers: after a restart of eight instances 35 of them were
-# lost, and 23 slots kept for 3.5 s.
+# seconds it's tried again after so many. A dispatcher that hasn't heard an entry yet
+# has no address for its answers: they're lost, and their slots kept until given up.
 FIRST_SECONDS = 0.5
 FIRST_PAUSE = 0.02
 
--- a/src/tealcove/membership/relay.py
+++ b/src/tealcove/membership/relay.py
@@ -1,8 +1,7 @@
 """Heartbeats in large groups: sent to a few instances, which pass them on to all.
 
-Where each of 63 instances told each of the others, 5,000 heartbeats a second cost
-them 117,000 system calls a second (23 for each, counted on one of 30 instances), more
-than all requests together, and 3,900 connections at the start.
+Were each of dozens of instances to tell each of the others, heartbeats would cost them
+more than all requests together, and each start a connection to every other.
 """
 
 from __future__ import annotations
