Carry out roll-outs by the operator's order

Cause: the contract of the shifted deployment names op/rollout/SERVICE, and nothing knew of it: servers of a new version got requests like any others, and no status was written.

Change: whoever decides for a service reads its order, gives the new version a trial (a twentieth of the requests, at eight servers that go before others while they're to get any), and judges it by failures of each route against the old versions' (Page's cumulative sum) and by its servers' paces against the old ones' fastest quarter. A bad one gets nothing from that moment and is told as rolled back; for a good one all requests move at .45 of the period, and it's told as done when nothing has run at the old servers for half a second, not before .7. Order, status and beginning stand in the store, written only over what was read, so that the next dispatcher goes on from there. A deployment without the contract looks for nothing.

Not built: a command that lists roll-outs, metrics, a case of the soak.

--- a/src/tealcove/catalog/declared.py
+++ b/src/tealcove/catalog/declared.py
@@ -118,3 +118,5 @@
     slots: int
     state: ServerState
     start: ids.ServerStart = ids.NO_START
+    # Of its software.
+    version: str = ""
--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -46,6 +46,7 @@
             slots=server.slots,
             state=state_of(server),
             start=server.start,
+            version=server.version,
         )
         for server in sorted(found, key=lambda server: server.name)
     )
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 import logbook
 
@@ -13,6 +14,7 @@
     backendviews,
     cells,
     earliertries,
+    exposure,
     inflow,
     messages,
     retry,
@@ -39,6 +41,9 @@
 # A server in another data centre than the entry counts as slower by so many seconds:
 # among servers that are alike, prompts and answers stay within the data centre.
 FAR_SECONDS = 0.02
+# A server on trial goes before all others, while it's to get a request at all: were it
+# to be chosen like them, one that fails would hardly be chosen again, and never judged.
+WANTED_SECONDS = 1e6
 
 
 class GoalScheduler(scheduler.Scheduler):
@@ -51,6 +56,7 @@
         self.views = backendviews.BackendViews()
         self.line: dict[ids.TicketId, waitingline.Waiting] = {}
         self.suspicion: suspicion.Suspicion = suspicion.NoSuspicion()
+        self.exposure: exposure.Exposure = exposure.AnyVersion()
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.tries = earliertries.EarlierTries()
@@ -63,6 +69,19 @@
         """See Scheduler."""
         self.suspicion = suspicion
 
+    def expose_by(self, exposed: exposure.Exposure) -> None:
+        """See Scheduler."""
+        self.exposure = exposed
+
+    def backend_views(self) -> Iterable[backendview.BackendView]:
+        """See Scheduler."""
+        return self.views.servers.values()
+
+    def takers(self) -> list[backendview.BackendView]:
+        """Return the servers whose version may get a request now."""
+        servers = self.views.servers.values()
+        return [server for server in servers if self.exposure.may_take(server.spec)]
+
     def gather(self, until: ids.Instant) -> None:
         """See Scheduler."""
         self.gather_until = until
@@ -157,8 +176,11 @@
         server = self.views.servers.get(done.server)
         if server is not None and server.spec.start == done.start:
             self.note_outcome(server, done, now)
-        if released is not None and done.outcome is messages.Outcome.COMPLETED:
-            released[0].learn_end(released[1], done)
+        if released is not None:
+            view, run = released
+            self.exposure.note_end(view.spec, run.ticket.route, done)
+            if done.outcome is messages.Outcome.COMPLETED:
+                view.learn_end(run, done)
         return self.decide(now)
 
     def note_outcome(
@@ -236,9 +258,7 @@
     def give_up_hopeless(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Refuse what would start too late."""
         line = self.ordered(now)
-        found = waitingline.forecast(
-            line, self.views.servers.values(), self.inflow, now
-        )
+        found = waitingline.forecast(line, self.takers(), self.inflow, now)
         outgoing = []
         for waiting, seconds in found.hopeless:
             del self.line[waiting.ticket.ticket_id]
@@ -248,7 +268,7 @@
 
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
-        free = [s for s in self.views.servers.values() if s.room(now) > 0]
+        free = [server for server in self.takers() if server.room(now) > 0]
         outgoing = []
         # The line is put in order only where somebody can leave it: after most events
         # under overload no slot is free.
@@ -258,7 +278,7 @@
             server = self.choose(waiting, free, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
-                free = [s for s in free if s.room(now) > 0]
+                free = [server for server in self.takers() if server.room(now) > 0]
         return outgoing
 
     def choose(
@@ -288,6 +308,8 @@
             cost *= 1.0 + FAILURE_COST * server.failures
             if ticket.data_centre not in ("", server.spec.data_centre):
                 cost += FAR_SECONDS
+            if self.exposure.is_wanted(server.spec) and now + first <= waiting.goal_at:
+                cost -= WANTED_SECONDS
             if cost < best_cost:
                 best, best_cost, best_first = server, cost, first
         if best is None:
@@ -307,6 +329,7 @@
         ticket = waiting.ticket
         del self.line[ticket.ticket_id]
         run = self.views.start(ticket, server, now)
+        self.exposure.note_grant(server.spec)
         if now + run.first <= waiting.goal_at:
             self.shares.note_grant(waiting.flow, now)
         log.info(
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -79,6 +79,8 @@
     running_start: ids.ServerStart = ids.NO_START
     # Where the entry is; empty: it doesn't matter.
     data_centre: ids.DataCentreId = ids.DataCentreId("")
+    # The route's name.
+    route: str = ""
 
 
 class Queued(message.Message):
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -10,7 +10,9 @@
 from tealcove import clock, ids, measuring, tasks
 from tealcove.backends import engine
 from tealcove.dispatch import (
+    backendview,
     cells,
+    exposure,
     heldcell,
     holds,
     messages,
@@ -64,7 +66,9 @@
         listed: Callable[[], tuple[instances.ListedInstance, ...]] = tuple,
         source: measuring.Source | None = None,
         gather_seconds: float = GATHER_SECONDS,
+        exposures: exposure.Exposures | None = None,
     ) -> None:
+        self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
         self.members = known
@@ -174,6 +178,7 @@
             cell, self.new_scheduler(), self.reader, self.poll_interval, self.send
         )
         held.decider.suspect_by(self.suspicion)
+        held.decider.expose_by(self.exposures.of_pool(cell.pool))
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
@@ -198,6 +203,13 @@
         is_new = ticket.running_on is None and ticket.waited < WAITED_ELSEWHERE
         return not (is_settled and is_new)
 
+    def decided(self) -> dict[ids.PoolId, list[backendview.BackendView]]:
+        """Return the servers of each pool for which this instance decides."""
+        found: dict[ids.PoolId, list[backendview.BackendView]] = {}
+        for held in self.held.values():
+            found.setdefault(held.cell.pool, []).extend(held.decider.backend_views())
+        return found
+
     def note_change(self) -> None:
         """Remember that the set of serving instances has just changed."""
         self.members_changed = clock.now()
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Iterable
 
 import msgspec
 
 from tealcove import ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, holds, messages, suspicion
+from tealcove.dispatch import (
+    backendview,
+    cells,
+    exposure,
+    holds,
+    messages,
+    suspicion,
+)
 
 # A slot or ticket that its entry hasn't told of for so long is given up. Entries
 # tell of all their tickets every requester.REFRESH_INTERVAL, so that three such
@@ -38,6 +46,17 @@
         """
         return
 
+    def expose_by(self, exposed: exposure.Exposure) -> None:
+        """Ask this from now on which versions of servers may get a request.
+
+        A scheduler that knows no versions keeps this empty default.
+        """
+        return
+
+    def backend_views(self) -> Iterable[backendview.BackendView]:
+        """Return what is known of each server; a scheduler may have no such views."""
+        return ()
+
     def gather(self, until: ids.Instant) -> None:
         """Grant nothing before an instant that isn't urgent.
 
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -29,8 +29,11 @@
     documents,
     engines,
     names,
+    rollouts,
+    services,
 )
 from tealcove.quarantine import role as quarantine_role
+from tealcove.rollout import keeper
 
 log = logbook.Logger("front")
 
@@ -138,6 +141,10 @@
         )
         self.limits.start()
         self.spread = spread.Spread(self.pools, lambda other: 0.0, CELL_SERVERS)
+        self.rollouts = keeper.Keeper(
+            rollouts.StoreOrders(services.StoreTable(self.store)),
+            lambda: self.dispatcher.decided(),
+        )
         self.dispatcher = role.Dispatcher(
             self.mesh,
             self.members,
@@ -148,7 +155,10 @@
             self.quarantine,
             source=self.figures,
             gather_seconds=GATHER_SECONDS,
+            exposures=self.rollouts,
         )
+        if found.rollouts.enabled:
+            self.rollouts.start()
         self.dispatcher.start()
         self.tickets = requester.Requester(
             self.mesh, self.members, found.dispatch.ticket_timeout, self.spread
@@ -295,6 +305,7 @@
         await self.following.stop()
         await self.sharing.stop()
         await self.heart.stop()
+        await self.rollouts.stop()
         await self.dispatcher.stop()
         await self.quarantine.stop()
         await self.tickets.stop()
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -64,6 +64,13 @@
     grace_seconds: settings.Seconds = 8.0
 
 
+class Rollouts(settings.Group):
+    """Roll-outs of new versions of backend servers, by the operators' order."""
+
+    # Whether orders are looked for; each look is a call of the store.
+    enabled: bool = False
+
+
 class Machine(settings.Group):
     """What this instance's machine can do."""
 
@@ -107,6 +114,7 @@
     account_limits: AccountLimits = AccountLimits()
     leaving: Leaving = Leaving()
     machine: Machine = Machine()
+    rollouts: Rollouts = Rollouts()
     telemetry: settings.Telemetry = settings.Telemetry()
     log: Log = Log()
 
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -89,6 +89,7 @@
         cell=cell,
         entry=entry.name,
         data_centre=entry.data_centre,
+        route=route.name,
         tier_rank=terms.tier_rank,
         account=terms.account_name,
         idempotent=terms.is_repeatable,
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -210,6 +210,7 @@
         slots=found.slots,
         state=state,
         start=ids.ServerStart(found.born),
+        version=found.version,
     )
 
 
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -63,6 +63,9 @@
 OPERATOR_TABLE = "op"
 SERVERS_TABLE = "servers"
 CONFIGURATION_KEY = "config"
+ROLLOUT_KEY = "rollout/"
+# The table in which this system tells of what it was ordered.
+STATUS_TABLE = "status"
 
 # Words in documents.
 SAFE = "safe"
--- /dev/null
+++ b/src/tealcove/platform/rollouts.py
@@ -0,0 +1,91 @@
+"""Operators' orders of roll-outs, and what they're told, as rows of the store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tealcove import errors, ids
+from tealcove.platform import documents, names, services
+from tealcove.rollout import order
+from tealcove.storage import table
+
+SERVED_STATE = {state.value: state for state in order.State}
+
+
+class WireOrder(msgspec.Struct):
+    """An order as the operator writes it."""
+
+    service: str
+    to: str
+    period_s: float
+
+
+class WireStatus(msgspec.Struct, omit_defaults=True):
+    """What the operator reads; the last three are this system's own."""
+
+    state: str
+    to: str
+    order: int = 0
+    began_s: float = 0.0
+    reason: str = ""
+
+
+class StoreOrders(order.Orders):
+    """Orders and their status by service."""
+
+    def __init__(self, rows: services.StoreTable) -> None:
+        self.rows = rows
+
+    async def read(self, service: ids.PoolId) -> order.Reading:
+        """See Orders."""
+        key = names.ROLLOUT_KEY + service
+        ordered = await self.rows.read_at(names.OPERATOR_TABLE, key)
+        if ordered.row is None:
+            return order.Reading(None, None, None, ordered.seconds)
+        told = await self.rows.read_at(names.STATUS_TABLE, key)
+        status = None if told.row is None else status_of(told.row)
+        found = order_of(service, ordered.row)
+        return order.Reading(found, status, told.row, ordered.seconds)
+
+    async def tell(
+        self, service: ids.PoolId, status: order.Status, reading: order.Reading
+    ) -> None:
+        """See Orders."""
+        wire = WireStatus(
+            state=status.state.value,
+            to=status.to,
+            order=status.revision,
+            began_s=status.began,
+            reason=status.reason,
+        )
+        await table.replace(
+            self.rows,
+            reading.stored,
+            names.STATUS_TABLE,
+            names.ROLLOUT_KEY + service,
+            msgspec.json.encode(wire),
+        )
+
+
+def order_of(service: ids.PoolId, row: table.Row) -> order.Order:
+    """Return an order; one that can't be read names no version."""
+    revision = ids.Revision(row.version)
+    try:
+        found = documents.decode(row.value, WireOrder)
+    except errors.PlatformError:
+        return order.Order(service, "", 0.0, revision)
+    return order.Order(service, found.to, found.period_s, revision)
+
+
+def status_of(row: table.Row) -> order.Status | None:
+    """Return a status; None: somebody else wrote what stands there."""
+    try:
+        found = msgspec.json.decode(row.value, type=WireStatus)
+    except msgspec.MsgspecError:
+        return None
+    state = SERVED_STATE.get(found.state)
+    if state is None:
+        return None
+    return order.Status(
+        found.to, state, ids.Revision(found.order), found.began_s, found.reason
+    )
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -86,6 +86,8 @@
     state: ServerState = ServerState.SERVING
     # Tells its starts apart where it says when it started.
     start: ids.ServerStart = ids.NO_START
+    # Of its software; empty where it doesn't say.
+    version: str = ""
 
 
 class EnginePoolSpec(Spec):
--- /dev/null
+++ b/src/tealcove/rollout/tests/builders.py
@@ -0,0 +1,141 @@
+"""Test data for the rollout slice."""
+
+from __future__ import annotations
+
+import random
+
+from tealcove import errors, ids
+from tealcove.dispatch import backendview, messages, prefill
+from tealcove.dispatch.tests import builders as dispatching
+from tealcove.rollout import order, progress
+from tealcove.storage import table
+
+SERVICE = ids.PoolId("pool")
+OLD, NEW = "v1", "v2"
+PERIOD = 12.0
+ROUTES = ("a", "b", "c")
+instant = dispatching.instant
+
+
+def ordered(revision: int = 1, **changes: object) -> order.Order:
+    found = {"to": NEW, "period": PERIOD, **changes}
+    return order.Order(service=SERVICE, revision=ids.Revision(revision), **found)
+
+
+def view(name: str, version: str) -> backendview.BackendView:
+    spec = dispatching.server(name, version=version)
+    return backendview.BackendView(spec, prefill.Square())
+
+
+def views(version: str, count: int = 12) -> list[backendview.BackendView]:
+    return [view(f"{version}-{number}", version) for number in range(count)]
+
+
+def done(server: str, has_failed: bool) -> messages.Done:
+    failed, completed = messages.Outcome.FAILED, messages.Outcome.COMPLETED
+    return messages.Done(
+        ticket_id=ids.TicketId("t"),
+        cell=dispatching.CELL,
+        server=ids.BackendServerId(server),
+        outcome=failed if has_failed else completed,
+        prompt_tokens=0,
+        cached_tokens=0,
+        output_tokens=0,
+        first_token_seconds=0.0,
+        total_seconds=0.1,
+    )
+
+
+class Traffic:
+    """Requests of a service during a roll-out, and how they end."""
+
+    def __init__(self, rollout: progress.Rollout, seed: int) -> None:
+        self.rollout = rollout
+        self.source = random.Random(seed)
+        self.old, self.new = views(OLD), views(NEW)
+        # Part of the new version's answers that fail, by route; of all by themselves.
+        self.bad: dict[str, float] = {}
+        self.usual = 0.0
+        self.arrived = self.exposed = 0
+        # How much longer the new servers take.
+        self.pace = 1.0
+
+    def serve_before(self, requests: int = 300) -> None:
+        """Let requests end at the old servers before the roll-out."""
+        for _ in range(requests):
+            route = self.source.choice(ROUTES)
+            has_failed = self.source.random() < self.usual
+            self.rollout.evidence.note_old(route, has_failed)
+            self.learn(self.source.choice(self.old), is_new=False)
+
+    def request(self) -> None:
+        """Let one request arrive and end."""
+        self.arrived += 1
+        servers = [
+            one for one in (*self.old, *self.new) if self.rollout.may_take(one.spec)
+        ]
+        wanted = [one for one in servers if self.rollout.is_wanted(one.spec)]
+        server = self.source.choice(wanted or servers)
+        self.rollout.note_grant(server.spec)
+        is_new = server.spec.version == NEW
+        self.exposed += is_new
+        route = self.source.choice(ROUTES)
+        part = self.usual
+        if is_new:
+            part = 1.0 - (1.0 - part) * (1.0 - self.bad.get(route, 0.0))
+        has_failed = self.source.random() < part
+        self.rollout.note_end(server.spec, route, done(server.name, has_failed))
+        self.learn(server, is_new)
+
+    def learn(self, server: backendview.BackendView, is_new: bool) -> None:
+        """Let a server's pace be known a little better."""
+        server.observations += 1
+        factor = self.pace if is_new else 1.0
+        machine = 4.0 if server.name.endswith(("0", "1", "2")) else 1.0
+        seen = 0.02 * factor * machine * self.source.lognormvariate(0.0, 0.3)
+        weight = backendview.WEIGHT if server.observations > 1 else 1.0
+        server.call_seconds += weight * (seen - server.call_seconds)
+
+    def run(self, rate: float = 100.0, seconds: float = PERIOD) -> order.State:
+        """Let requests arrive at a rate until the period is over or it has ended."""
+        for number in range(int(rate * seconds)):
+            self.request()
+            now = instant(number / rate)
+            if number % int(rate / 4) == 0:
+                self.rollout.review([*self.old, *self.new], now)
+        return self.rollout.state
+
+
+class Rows(order.Orders):
+    """Orders and statuses in memory."""
+
+    def __init__(self) -> None:
+        self.order: order.Order | None = None
+        self.status: order.Status | None = None
+        self.version = 0
+        self.seconds = 500.0
+        self.is_down = False
+        self.reads = 0
+        self.told: list[order.State] = []
+
+    async def read(self, service: ids.PoolId) -> order.Reading:
+        """See Orders."""
+        self.check()
+        self.reads += 1
+        return order.Reading(self.order, self.status, self.version, self.seconds)
+
+    async def tell(
+        self, service: ids.PoolId, status: order.Status, reading: order.Reading
+    ) -> None:
+        """See Orders."""
+        self.check()
+        if reading.stored != self.version:
+            raise table.ConditionFailedError(())
+        self.version += 1
+        self.status = status
+        self.told.append(status.state)
+
+    def check(self) -> None:
+        """Raise PlatformError while the store is down."""
+        if self.is_down:
+            raise errors.PlatformUnavailableError("down", "wait")
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -64,6 +64,8 @@
     def __init__(self, name: str, service: str, events: int = 5) -> None:
         self.name = name
         self.service = service
+        # Of its software.
+        self.version = "v1"
         # Events of each stream, and seconds between two of them.
         self.events = events
         self.gap = 0.0
@@ -104,7 +106,7 @@
             "service": self.service,
             "addr": f"127.0.0.1:{self.port}",
             "zone": "dc-1",
-            "version": "v1",
+            "version": self.version,
             "slots": SLOTS,
             "state": state,
             "cold_left_ms": 0,
--- a/tests/platformed.py
+++ b/tests/platformed.py
@@ -89,9 +89,10 @@
         # meet on a port.
         self.network, self.network_holder = deployment.hold_network()
 
-    async def add_server(self, name: str) -> poolserver.PoolServer:
+    async def add_server(self, name: str, version: str = "v1") -> poolserver.PoolServer:
         """Start a backend server that is in the store's list."""
         server = poolserver.PoolServer(name, "pool")
+        server.version = version
         await server.start()
         self.servers.append(server)
         await self.write(names.SERVERS_TABLE, name, server.entry())
@@ -112,6 +113,7 @@
             listen=listen,
             store=settings.Store(f"127.0.0.1:{self.store.port}"),
             seeds=seeds,
+            rollouts=settings.Rollouts(enabled=True),
         )
         started = await instance.start(found)
         self.instances.append(started)
