Give the choice of a server a module of its own

Which of the free servers a ticket gets is a decision without state: dispatch/placing has it with its three thresholds, testable without a scheduler. The virtual clock of three slices' tests lies beside the other shared test parts now, and tests of membership and roll-outs share what they repeated.

--- a/src/tealcove/catalog/tests/test_sharing.py
+++ b/src/tealcove/catalog/tests/test_sharing.py
@@ -9,7 +9,7 @@
 
 from tealcove.catalog import following
 from tealcove.catalog.tests import builders
-from tealcove.limits.tests import virtual
+from tealcove.tests import virtual
 
 COUNT, DATA_CENTRES = 90, 3
 ROUTES = 1600
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -17,6 +17,7 @@
     exposure,
     inflow,
     messages,
+    placing,
     retry,
     scheduler,
     shares,
@@ -36,14 +37,6 @@
 # Seconds between two looks for earlier tries that can be forgotten: a look goes through
 # all of them.
 FORGET_INTERVAL = 1.0
-# A failing server counts as slower by up to so many times.
-FAILURE_COST = 3.0
-# A server in another data centre than the entry counts as slower by so many seconds:
-# among servers that are alike, prompts and answers stay within the data centre.
-FAR_SECONDS = 0.02
-# A server on trial goes before all others, while it's to get a request at all: were it
-# to be chosen like them, one that fails would hardly be chosen again, and never judged.
-WANTED_SECONDS = 1e6
 
 
 class GoalScheduler(scheduler.Scheduler):
@@ -275,50 +268,14 @@
         for waiting in self.ordered(now) if free else ():
             if not free:
                 break
-            server = self.choose(waiting, free, now)
+            excluded = self.views.excluded(waiting.ticket)
+            allowed = [server for server in free if server.name not in excluded]
+            server = placing.choose(waiting, allowed, self.exposure, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
                 free = [server for server in self.takers() if server.room(now) > 0]
         return outgoing
 
-    def choose(
-        self,
-        waiting: waitingline.Waiting,
-        free: list[backendview.BackendView],
-        now: ids.Instant,
-    ) -> backendview.BackendView | None:
-        """Return the server where a ticket ends soonest, or None to wait on.
-
-        A ticket that would miss its goal at each free server, and could still meet
-        it elsewhere, waits for a better one. None goes where it can't end in time: a
-        slow engine would work on outputs that their callers never see whole.
-        """
-        ticket = waiting.ticket
-        best = None
-        best_cost = best_first = math.inf
-        excluded = self.views.excluded(ticket)
-        for server in free:
-            if server.name in excluded:
-                continue
-            pending = server.pending(now)
-            first = server.first_seconds(ticket, pending)
-            cost = server.total_seconds(ticket, pending)
-            if now + cost > waiting.end_by:
-                continue
-            cost *= 1.0 + FAILURE_COST * server.failures
-            if ticket.data_centre not in ("", server.spec.data_centre):
-                cost += FAR_SECONDS
-            if self.exposure.is_wanted(server.spec) and now + first <= waiting.goal_at:
-                cost -= WANTED_SECONDS
-            if cost < best_cost:
-                best, best_cost, best_first = server, cost, first
-        if best is None:
-            return None
-        misses_goal = now + best_first > waiting.goal_at
-        if misses_goal and not waiting.is_late(now):
-            return None
-        return best
-
     def grant(
         self,
         waiting: waitingline.Waiting,
--- a/src/tealcove/limits/tests/test_asking_load.py
+++ b/src/tealcove/limits/tests/test_asking_load.py
@@ -8,7 +8,8 @@
 import pytest
 
 from tealcove.limits import admission, asking, limit
-from tealcove.limits.tests import builders, virtual
+from tealcove.limits.tests import builders
+from tealcove.tests import virtual
 
 COUNT = 10
 MANY, DEAD = 40, 24
--- a/src/tealcove/membership/tests/test_heart.py
+++ b/src/tealcove/membership/tests/test_heart.py
@@ -10,10 +10,10 @@
 import pytest
 
 from tealcove import clock, ids
-from tealcove.limits.tests import virtual
 from tealcove.membership import heart, members, messages, ranking, relay
 from tealcove.peers import endpoint
 from tealcove.storage import instances
+from tealcove.tests import virtual
 
 HOST = "127.0.0.1"
 LARGE = members.FULL_MESH_PEERS + 5
@@ -176,6 +176,22 @@
     return lost
 
 
+async def kill(one: One, found: list[One]) -> None:
+    """End an instance without a farewell."""
+    one.heart.tell_all = lambda: None
+    one.heart.relaying.is_relay = False
+    await one.stop()
+    found.remove(one)
+
+
+async def kill_first_ranked(found: list[One]) -> None:
+    """End the relays and twice as many of those next in rank."""
+    ranked = ranking.rank("relay", [str(one.mesh.listen) for one in found])
+    dead = ranked[: 3 * relay.RELAYS]
+    for one in [one for one in found if str(one.mesh.listen) in dead]:
+        await kill(one, found)
+
+
 async def test_large_groups_send_few_heartbeats() -> None:
     """The more instances there are, the less work each of them gets done.
 
@@ -204,11 +220,7 @@
         relays = [one for one in found if one.heart.relaying.is_relay]
         assert relays
         for one in relays:
-            # No farewell: it's as if the process was killed.
-            one.heart.tell_all = lambda: None
-            one.heart.relaying.is_relay = False
-            await one.stop()
-            found.remove(one)
+            await kill(one, found)
         assert await watch(found, 4.0) == set()
         await until(lambda: agree(found))
 
@@ -222,13 +234,7 @@
     """
     async with group(LARGE) as found:
         await asyncio.sleep(2.0)
-        ranked = ranking.rank("relay", [str(one.mesh.listen) for one in found])
-        dead = ranked[: 3 * relay.RELAYS]
-        for one in [one for one in found if str(one.mesh.listen) in dead]:
-            one.heart.tell_all = lambda: None
-            one.heart.relaying.is_relay = False
-            await one.stop()
-            found.remove(one)
+        await kill_first_ranked(found)
         assert await watch(found, 4.0) == set()
 
 
@@ -248,13 +254,7 @@
         await asyncio.sleep(source.uniform(0.0, 0.05))
     await until(lambda: agree(found))
     await asyncio.sleep(source.uniform(2.0, 2.5))
-    ranked = ranking.rank("relay", [str(one.mesh.listen) for one in found])
-    dead = ranked[: 3 * relay.RELAYS]
-    for one in [one for one in found if str(one.mesh.listen) in dead]:
-        one.heart.tell_all = lambda: None
-        one.heart.relaying.is_relay = False
-        await one.stop()
-        found.remove(one)
+    await kill_first_ranked(found)
     loop = asyncio.get_running_loop()
     loop.call_later(source.uniform(0.5, 2.5), loop.stand_still, stall)
     lost = await watch(found, 4.0)
@@ -313,9 +313,7 @@
 async def test_a_small_group_beats_from_each_to_each() -> None:
     async with group(3) as found:
         assert all(len(one.heart.beats) == 2 for one in found)
-        found[2].heart.tell_all = lambda: None
-        await found[2].stop()
-        del found[2]
+        await kill(found[2], found)
         await until(lambda: agree(found))
 
 
--- a/src/tealcove/rollout/tests/test_keeper.py
+++ b/src/tealcove/rollout/tests/test_keeper.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tealcove.limits.tests import virtual
 from tealcove.rollout import keeper, order
 from tealcove.rollout.tests import builders
+from tealcove.tests import virtual
 
 
 class Deciding:
@@ -58,6 +58,17 @@
     play(main())
 
 
+async def under_way(**changes: object) -> tuple[builders.Rows, Deciding]:
+    """Return the store, and who decides, a second after an order."""
+    rows = builders.Rows()
+    rows.order = builders.ordered(**changes)
+    one = Deciding(rows)
+    one.new = builders.views(builders.NEW)
+    one.keeper.start()
+    await asyncio.sleep(1.0)
+    return rows, one
+
+
 def fail_all(one: Deciding) -> None:
     """Let the new version's answers fail."""
     for server in one.new * 3:
@@ -115,12 +126,7 @@
 
 def test_a_store_that_is_away_changes_nothing_and_is_told_later(play) -> None:
     async def main() -> None:
-        rows = builders.Rows()
-        rows.order = builders.ordered()
-        one = Deciding(rows)
-        one.new = builders.views(builders.NEW)
-        one.keeper.start()
-        await asyncio.sleep(1.0)
+        rows, one = await under_way()
         rows.is_down = True
         fail_all(one)
         await asyncio.sleep(1.0)
@@ -137,12 +143,7 @@
 
 def test_an_order_that_is_withdrawn_limits_nothing(play) -> None:
     async def main() -> None:
-        rows = builders.Rows()
-        rows.order = builders.ordered()
-        one = Deciding(rows)
-        one.new = builders.views(builders.NEW)
-        one.keeper.start()
-        await asyncio.sleep(1.0)
+        rows, one = await under_way()
         rows.order = None
         await asyncio.sleep(2.0)
         assert one.takes_new() == len(one.new)
@@ -153,12 +154,7 @@
 
 def test_an_order_that_replaces_one_begins_anew(play) -> None:
     async def main() -> None:
-        rows = builders.Rows()
-        rows.order = builders.ordered()
-        one = Deciding(rows)
-        one.new = builders.views(builders.NEW)
-        one.keeper.start()
-        await asyncio.sleep(1.0)
+        rows, one = await under_way()
         fail_all(one)
         await asyncio.sleep(1.0)
         assert rows.status.state is order.State.ROLLED_BACK
@@ -175,12 +171,7 @@
 @pytest.mark.parametrize("changes", [{"to": ""}, {"period": 0.0}, {"period": -1.0}])
 def test_an_order_that_cannot_be_carried_out_limits_nothing(play, changes) -> None:
     async def main() -> None:
-        rows = builders.Rows()
-        rows.order = builders.ordered(**changes)
-        one = Deciding(rows)
-        one.new = builders.views(builders.NEW)
-        one.keeper.start()
-        await asyncio.sleep(1.0)
+        rows, one = await under_way(**changes)
         assert one.takes_new() == len(one.new)
         assert rows.told == []
         await one.keeper.stop()
