--- a/src/tealcove/dispatch/shares.py
+++ b/src/tealcove/dispatch/shares.py
@@ -24,13 +24,11 @@
 # urgent kinds more than the others gain; at 1, the others earn next to nothing.
 GIVEN_UP = 0.8
 # Requests are short up to the first many times their kind's mean slot time, long beyond
-# the second. Where half of a kind or less is served, their parts are kept at these
-# ratios: outputs are log-normal, and the longest tenth takes nearly half of what a kind
-# costs. Where more is, their parts come near to each other. The first bound is above
-# 1, so that calls that all take the same are of one length.
+# the second, and their parts are kept at these ratios: outputs are log-normal, and the
+# longest tenth takes nearly half of what a kind costs. A long request still has half
+# the chance of a short one. The first bound is above 1, so that calls that all take the
+# same are of one length.
 BANDS = ((1.25, 1.0), (3.0, 0.75), (math.inf, 0.5))
-# The part of a kind that must be refused for these ratios to count in full.
-LACKING = 0.5
 # With fewer arrivals lately a part says nothing.
 LEAST_ARRIVALS = 1.0
 
@@ -117,7 +115,6 @@
     def note_grant(self, flow: Flow, now: ids.Instant) -> None:
         """Take in a grant by which the goal can be met."""
         self.flows.setdefault(flow, Share()).note_grant(now)
-        self.kinds.setdefault(flow.kind, Share()).note_grant(now)
 
     def standings(self) -> dict[Flow, float]:
         """Return for each flow how well it's served; the least goes first.
@@ -127,23 +124,12 @@
         """
         handicaps = self.handicaps()
         return {
-            flow: share.part() / (handicaps[flow.kind].due * self.due_by_length(flow))
+            flow: share.part() / (handicaps[flow.kind].due * BANDS[flow.band][1])
             + handicaps[flow.kind].lead
             for flow, share in self.flows.items()
             if flow.kind in handicaps
         }
 
-    def due_by_length(self, flow: Flow) -> float:
-        """Return the part due to a flow's length, against its kind's short requests.
-
-        Long requests give way by as much as their kind lacks: a mild overload, which
-        takes a fifth of the least urgent kind, would take two fifths of its long
-        requests else, for next to no gain of the others.
-        """
-        refused = 1.0 - min(1.0, self.kinds[flow.kind].part())
-        lacking = min(1.0, refused / LACKING)
-        return 1.0 - lacking * (1.0 - BANDS[flow.band][1])
-
     def handicaps(self) -> dict[Kind, Handicap]:
         """Return how far each kind gives way to the more urgent ones of its tier."""
         found: dict[Kind, Handicap] = {}
