Limit no later version after a roll-out that a successor finds done

Cause, found by reading: who takes over took every version beside the one that a finished roll-out names for the one before it, so that a release without an order would get no request while any server of the named version serves.

Change: versions count as replaced only while the roll-out runs. The old servers stop when it's done, so that a successor has nothing to keep from them. The test failed first.

--- a/src/tealcove/rollout/progress.py
+++ b/src/tealcove/rollout/progress.py
@@ -77,7 +77,6 @@
         self.has_new = False
         # The versions that it replaces; others that come later are none of its matter.
         self.replaced: set[str] = set()
-        self.is_reviewed = False
         # Whether the paces of all servers on trial are known.
         self.is_known = False
         self.quiet_since: ids.Instant | None = None
@@ -136,9 +135,8 @@
         old = [view for view in found if not self.is_new(view.spec)]
         serving = [v for v in new if v.spec.state is kinds.ServerState.SERVING]
         self.has_new = bool(serving)
-        if self.state is order.State.RUNNING or not self.is_reviewed:
+        if self.state is order.State.RUNNING:
             self.replaced |= {view.spec.version for view in old}
-        self.is_reviewed = True
         self.choose(serving)
         if self.state is order.State.RUNNING:
             self.judge(old, new)
--- a/src/tealcove/rollout/tests/test_progress.py
+++ b/src/tealcove/rollout/tests/test_progress.py
@@ -112,6 +112,21 @@
     assert traffic.rollout.may_take(later.spec)
 
 
+def test_a_later_version_is_none_of_a_successors_matter_either() -> None:
+    """As above, after the instance that decides has died.
+
+    Symptom: as above. Sequence: the next in rank finds the roll-out done in the store,
+    and a version beside that which it names. Cause: it takes that for the one before.
+    """
+    traffic = begun(1)
+    done = order.State.DONE
+    known = evidence.Evidence()
+    found = progress.Rollout(builders.ordered(), builders.instant(0), done, known)
+    later = builders.view("x", "v3")
+    assert found.review([*traffic.new, later], builders.instant(60)) is done
+    assert found.may_take(later.spec)
+
+
 def test_a_version_on_trial_gets_its_requests_at_few_servers() -> None:
     traffic = begun(1)
     traffic.rollout.review([*traffic.old, *traffic.new], builders.instant(0))
