Look through all servers once for each filling of slots again

Found on reading the change over: the hook for versions on trial had made every grant go through all servers anew and ask for versions before room, in the dispatcher's most frequent loop, also where no roll-outs are looked for.

Change: room is asked for first, a grant narrows the list that is there, and an instance without the contract has no hook at all. A server on trial that gets room for one more request by a grant is seen at the next event, not in the same loop. Behaviour without a roll-out is the same.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -75,6 +75,19 @@
         servers = self.views.servers.values()
         return [server for server in servers if self.exposure.may_take(server.spec)]
 
+    def free_of(
+        self, servers: Iterable[backendview.BackendView], now: ids.Instant
+    ) -> list[backendview.BackendView]:
+        """Return the servers that may get a request and have room for it.
+
+        Room is asked for first, since most servers have none when it matters.
+        """
+        return [
+            server
+            for server in servers
+            if server.room(now) > 0 and self.exposure.may_take(server.spec)
+        ]
+
     def gather(self, until: ids.Instant) -> None:
         """See Scheduler."""
         self.gather_until = until
@@ -261,7 +274,7 @@
 
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
-        free = [server for server in self.takers() if server.room(now) > 0]
+        free = self.free_of(self.views.servers.values(), now)
         outgoing = []
         # The line is put in order only where somebody can leave it: after most events
         # under overload no slot is free.
@@ -273,7 +286,7 @@
             server = placing.choose(waiting, allowed, self.exposure, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
-                free = [server for server in self.takers() if server.room(now) > 0]
+                free = self.free_of(free, now)
         return outgoing
 
     def grant(
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -155,7 +155,7 @@
             self.quarantine,
             source=self.figures,
             gather_seconds=GATHER_SECONDS,
-            exposures=self.rollouts,
+            exposures=self.rollouts if found.rollouts.enabled else None,
         )
         if found.rollouts.enabled:
             self.rollouts.start()
