Log where a configuration comes from, and by which list a server was granted

The line of a configuration names its source, the line of a grant the revision of the pool that it was decided by; grants carry that revision to the entry. No decision changes.

--- a/src/tealcove/catalog/copies.py
+++ b/src/tealcove/catalog/copies.py
@@ -88,16 +88,19 @@
         except errors.PlatformError as error:
             log.error("revision {} is not in force: {}", revision, error)
             return
-        self.install(catalog, revision)
+        self.install(catalog, revision, "the store")
 
-    def install(self, catalog: declared.Catalog, revision: ids.Revision) -> None:
+    def install(
+        self, catalog: declared.Catalog, revision: ids.Revision, source: str
+    ) -> None:
         """Put a decoded configuration in force in one step."""
         before = self.revision
         self.revision = revision
         self.current = lookup.Lookup(catalog, revision)
         log.info(
-            "configuration {} in force, {} before: {} routes, {} accounts",
+            "configuration {} in force from {}, {} before: {} routes, {} accounts",
             revision,
+            source,
             before,
             len(catalog.routes),
             len(catalog.accounts),
@@ -114,4 +117,4 @@
             return
         found = packing.unpack(told.content, declared.Catalog | None)
         if found is not None:
-            self.install(found, told.revision)
+            self.install(found, told.revision, "a peer")
--- a/src/tealcove/dispatch/cells.py
+++ b/src/tealcove/dispatch/cells.py
@@ -17,6 +17,8 @@
     cell_id: ids.CellId
     pool: ids.PoolId
     servers: tuple[kinds.BackendServerSpec, ...]
+    # The revision at which the pool became as it is.
+    revision: ids.Revision = ids.Revision(0)
     # See kinds.EnginePoolSpec; plain services have no long work.
     short_share: float = 0.0
     short_tokens: int = 0
--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -107,6 +107,7 @@
             host=server.spec.host,
             port=server.spec.port,
             alone=server.isolated == ticket.ticket_id,
+            revision=self.fleet.revision,
         )
         return scheduler.Outgoing(ticket.entry, grant)
 
--- a/src/tealcove/dispatch/fleet.py
+++ b/src/tealcove/dispatch/fleet.py
@@ -29,6 +29,8 @@
         self.stoppable: collections.Counter[int] = collections.Counter()
         self.unstoppable_lower = 0
         self.slots = 0
+        # Of the pool that the servers are of.
+        self.revision = ids.Revision(0)
         self.short_share = 0.0
         self.short_tokens = 0
         # Slots that short work would fill all the time; None: not known yet.
@@ -39,6 +41,7 @@
 
     def configure(self, cell: cells.Cell) -> list[ids.TicketId]:
         """Take over the cell's servers; return tickets that ran on dropped ones."""
+        self.revision = cell.revision
         self.short_share = cell.short_share
         self.short_tokens = cell.short_tokens
         names = set()
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -53,6 +53,8 @@
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.tries = earliertries.EarlierTries()
+        # Of the pool that it decides by.
+        self.revision = ids.Revision(0)
         self.gather_until = ids.Instant(0.0)
         self.next_review = ids.Instant(0.0)
         self.next_forecast = ids.Instant(0.0)
@@ -98,6 +100,7 @@
 
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
+        self.revision = cell.revision
         self.views.configure(cell)
         return self.decide(now)
 
@@ -113,7 +116,7 @@
         if server is not None:
             # The entry asks again: it didn't get the grant.
             server.runs[ticket.ticket_id].told = now
-            return [tell_grant(ticket, server)]
+            return [tell_grant(ticket, server, self.revision)]
         queued = messages.Queued(ticket_id=ticket.ticket_id)
         answer = scheduler.Outgoing(ticket.entry, queued)
         known = self.line.get(ticket.ticket_id)
@@ -304,7 +307,7 @@
             self.shares.note_grant(waiting.flow, now)
         log.info(
             "granted {} after {:.3f} s: tier {} urgency {}, {} wait, {} of {} slots, "
-            "first {:.3f}, goal in {:.3f}",
+            "first {:.3f}, goal in {:.3f}, pool of revision {}",
             server.name,
             now - waiting.since,
             ticket.tier_rank,
@@ -314,9 +317,10 @@
             server.spec.slots,
             run.first,
             waiting.goal_at - now,
+            self.revision,
             extra={"request": ticket.request_id},
         )
-        return tell_grant(ticket, server)
+        return tell_grant(ticket, server, self.revision)
 
     def refusal(
         self,
@@ -345,7 +349,7 @@
 
 
 def tell_grant(
-    ticket: messages.Ticket, server: backendview.BackendView
+    ticket: messages.Ticket, server: backendview.BackendView, revision: ids.Revision
 ) -> scheduler.Outgoing:
     """Return the message that a ticket holds a slot."""
     grant = messages.Grant(
@@ -356,5 +360,6 @@
         port=server.spec.port,
         first_seconds=server.told_first_seconds(server.runs[ticket.ticket_id]),
         start=server.spec.start,
+        revision=revision,
     )
     return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -103,6 +103,8 @@
     first_seconds: float = 0.0
     # Which start of the server the slot is of.
     start: ids.ServerStart = ids.NO_START
+    # The revision of the pool that the dispatcher decided by.
+    revision: ids.Revision = ids.Revision(0)
 
 
 class Refusal(message.Message):
--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -75,6 +75,10 @@
         found = cells.of_pool(
             ids.PoolId(pool.metadata.name), pool.spec, self.cell_servers
         )
+        revision = pool.metadata.revision
+        found = tuple(
+            msgspec.structs.replace(cell, revision=revision) for cell in found
+        )
         nearest = min(self.distance(cell) for cell in found)
         near = tuple(cell for cell in found if self.distance(cell) == nearest)
         divided = Divided(pool, found, near)
