Follow the store when no follower of the data centre was heard for a second

Cause: in a large group an instance that does not follow the store learns of a change by a chain: relays fall silent and are replaced, a heartbeat names a newer revision, it waits to be told, asks two peers one after the other, and turns to the store. Each part has its own time, no part bounds the age of the copy, and a fault that takes relays, followers and peers together makes them add up. An instance that is cut off from its peers, but not from the store, waited until they counted as lost (3 s) before it followed.

Change: it follows the store for itself as long as no follower of its data centre was heard for 1 s, by whatever way; and it asks one peer in vain, not two, before it turns there.

Ruled out: that a follower did not get the change (the four survivors with a living follower had it .02 s after the acknowledgement), a refused or older configuration (no such line).

Tests of catalog and membership pass.

--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -20,6 +20,11 @@
 FOLLOWERS = 2
 # Seconds between two looks at who should follow.
 LOOK_INTERVAL = 0.25
+# Seconds without a word from any follower of its data centre after which an instance
+# follows by itself. Relays tell of each other every .5 s. It mustn't wait until the
+# followers count as lost: with the time that peers are asked in vain that comes to more
+# than a change may take to be in force.
+UNHEARD_SECONDS = 1.0
 # Seconds for which an instance goes on following when it's no longer its turn, so that
 # whoever takes over has begun. While many instances start, all follow until they know
 # of each other, and each change of a server is a call of each.
@@ -88,14 +93,22 @@
         self.tasks = []
 
     def is_wanted(self, now: ids.Instant) -> bool:
-        """Tell whether this instance should follow the store."""
+        """Tell whether this instance should follow the store.
+
+        Nothing else bounds the age of what it knows: relays, followers and the peers
+        that it would ask may fail together.
+        """
         own = self.members.own
         if not self.members.is_large() or now < self.alone_until:
             return True
         if own.lifecycle is not messages.Lifecycle.SERVING:
             # It knows nothing yet, or nobody counts on it any more.
             return own.lifecycle is messages.Lifecycle.JOINING
-        return own.instance in self.chosen(now)
+        chosen = self.chosen(now)
+        return own.instance in chosen or not any(
+            self.members.silence_of(instance, now) <= UNHEARD_SECONDS
+            for instance in chosen
+        )
 
     def chosen(self, now: ids.Instant) -> list[ids.InstanceId]:
         """Return who follows for this data centre, by what is known here.
--- a/src/tealcove/catalog/sharing.py
+++ b/src/tealcove/catalog/sharing.py
@@ -26,7 +26,7 @@
 # sends copies to others first, within a share of its link.
 ANSWER_SECONDS = 0.5
 # Peers that are asked in vain before the store is asked instead.
-MOST_SILENT = 2
+MOST_SILENT = 1
 
 
 class Missing(msgspec.Struct):
--- a/src/tealcove/catalog/tests/builders.py
+++ b/src/tealcove/catalog/tests/builders.py
@@ -26,6 +26,9 @@
 # Heartbeats reach all others within two beats by way of the relays.
 BEAT = 0.25
 ANSWER_SECONDS = 0.005
+# Until the living hear each other again after all relays have died: the time for which
+# relays may be silent, a look, and a beat to everyone.
+RELAYS_REPLACED = 1.75
 LINKS = (5.0, 10.0, 20.0, 50.0, 100.0)
 BYTES_IN_MBIT = 1_000_000 / 8
 WAIT = 5.0
@@ -290,6 +293,8 @@
         self.number_at = {
             part.members.own.endpoint: number for number, part in enumerate(self.parts)
         }
+        # Until when nobody passes heartbeats on.
+        self.silent_until = 0.0
         # Seconds that messages of a request's size were on their way.
         self.probed: list[float] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -329,6 +334,8 @@
         while True:
             told = [part.members.own for part in self.parts]
             await asyncio.sleep(BEAT)
+            if clock.now() < self.silent_until:
+                continue
             for receiver, part in enumerate(self.parts):
                 self.hear(receiver, part, told)
 
@@ -353,6 +360,12 @@
             self.probed.append(at - clock.now())
             await asyncio.sleep(0.01)
 
+    def kill(self, count: int, seed: int) -> None:
+        """Kill instances, their relays among them: others take those' place later."""
+        source = random.Random(seed)
+        self.network.dead.update(source.sample(range(len(self.parts)), count))
+        self.silent_until = clock.now() + RELAYS_REPLACED
+
     def living(self) -> list[Part]:
         """Return the instances that aren't dead."""
         return [p for n, p in enumerate(self.parts) if n not in self.network.dead]
--- a/src/tealcove/catalog/tests/test_sharing.py
+++ b/src/tealcove/catalog/tests/test_sharing.py
@@ -16,6 +16,8 @@
 # Seconds within which a configuration must be in force everywhere, by the operators'
 # bounds: 2 s in small groups, 3 s in ones of this size.
 BOUND = 3.0
+# Seconds of it that are left for what virtual time leaves out: work and busy links.
+MARGIN = 0.75
 
 
 @pytest.fixture
@@ -150,6 +152,45 @@
     play(run())
 
 
+def test_an_isolated_instance_learns_of_a_change_before_it_counts_peers_as_lost(
+    play,
+) -> None:
+    """An instance that was just cut off from its peers serves by an old revision."""
+
+    async def run() -> None:
+        group = builders.Group(COUNT, DATA_CENTRES)
+        await builders.settled(group)
+        lost = next(n for n in range(COUNT) if n not in group.chosen())
+        group.network.alone.add(lost)
+        await asyncio.sleep(0.1)
+        group.configurations.put(builders.KEY, builders.big_configuration(30, 2))
+        assert await group.in_force() < BOUND - MARGIN
+        await group.stop()
+
+    play(run())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_survivors_of_a_mass_kill_learn_of_a_change_in_time(seed: int, play) -> None:
+    """Survivors serve by an old revision: relays, followers and peers died together."""
+
+    async def run() -> None:
+        group = builders.Group(COUNT, 5, seed)
+        await builders.settled(group)
+        group.kill(int(0.6 * COUNT), seed)
+        await asyncio.sleep(0.1)
+        for revision in range(4):
+            content = builders.big_configuration(30 + revision, revision + 2)
+            group.configurations.put(builders.KEY, content)
+            if revision == 0:
+                first = asyncio.create_task(group.in_force())
+            await asyncio.sleep(0.6)
+        assert await first < BOUND - MARGIN
+        await group.stop()
+
+    play(run())
+
+
 def test_an_instance_that_is_turned_away_keeps_up_with_its_peers(play) -> None:
     """A server gets a request 2.3 s after it has said that it leaves.
 
--- a/src/tealcove/membership/members.py
+++ b/src/tealcove/membership/members.py
@@ -180,6 +180,12 @@
         member = self.peers.get(instance)
         return None if member is None else member.heartbeat
 
+    def silence_of(self, instance: ids.InstanceId, now: ids.Instant) -> float:
+        """Return the seconds since a known instance was heard; 0 for this one."""
+        if instance == self.own.instance:
+            return 0.0
+        return now - self.peers[instance].heard
+
     def endpoint_of(self, instance: ids.InstanceId) -> endpoint.Endpoint | None:
         """Return where an instance listens for messages, if it's known."""
         heartbeat = self.find(instance)
