Send no request to a server that this instance knows to have left

Cause, one of two that were found: the dispatcher's word alone decides. One that was frozen, slow or cut off grants by its old list, and the entry, which has a newer one, used the grant without a look at it. How late that can be is bounded by nothing: the bound holds for the entry, which was in reach of the store all along.

Change: the entry gives such a grant back, excludes the server, and asks again; if the dispatcher knows no other server, the request ends as not run. It holds for tealcove serve too, where the revisions of both pools are compared; here a server counts as gone by its own row, since one that has lapsed for the dispatcher is in a newer list. A metric counts such grants.

--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -34,6 +34,16 @@
         """Return a service's pool; None when it never had a server."""
         return self.found.get(name)
 
+    def has_left(
+        self, name: str, server: ids.BackendServerId, revision: ids.Revision
+    ) -> bool:
+        """Tell whether a server is known to have left.
+
+        Not by the revision: a dispatcher may keep a server that has lapsed for it, at
+        a newer one.
+        """
+        return self.servers.has_left(server)
+
 
 def spec_of(found: list[declared.BackendServer]) -> kinds.ServicePoolSpec:
     """Return the spec of a pool of some servers, in order of name."""
--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -127,6 +127,13 @@
         dropped = self.dropped.get(name, 0)
         return dropped if known is None else max(known.version, dropped)
 
+    def has_left(self, name: ids.BackendServerId) -> bool:
+        """Tell whether a server leaves or is gone; False where none is known."""
+        known = self.known.get(name)
+        if known is None:
+            return name in self.dropped
+        return known.server.state is declared.ServerState.LEAVING
+
     def put(self, known: Known) -> None:
         """Take over an entry."""
         server = known.server
--- a/src/tealcove/catalog/tests/test_copies.py
+++ b/src/tealcove/catalog/tests/test_copies.py
@@ -180,6 +180,19 @@
     assert set(held.known) == {"a", "b"}
 
 
+def test_a_server_is_known_to_have_left_however_it_went():
+    held = servers()
+    held.apply(page(1, feed.Entry("a", server("a"), 1)), instant(0))
+    assert not held.has_left("a")
+    held.apply(page(2, feed.Entry("a", server("a", "draining"), 2)), instant(1))
+    assert held.has_left("a")
+    held.apply(page(3, feed.Entry("a", None, 3)), instant(2))
+    assert held.has_left("a")
+    held.apply(page(4, feed.Entry("a", server("a"), 4)), instant(3))
+    assert not held.has_left("a")
+    assert not held.has_left("unheard-of")
+
+
 def test_an_entry_that_cant_be_read_is_logged_once():
     held = servers()
     with logbook.TestHandler() as handler:
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -213,6 +213,7 @@
         shown.add_members(self.members)
         shown.add_configuration(self.configuration.copy)
         shown.add_dispatcher(self.dispatcher)
+        shown.add_requester(self.tickets)
         shown.add_claims(self.claim_writer)
 
     async def start_http(self) -> None:
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+import logbook
 import msgspec
 
 from tealcove import clock, ids, tasks
@@ -12,6 +13,8 @@
 from tealcove.membership import members
 from tealcove.peers import mesh, message
 
+log = logbook.Logger("dispatch")
+
 # Seconds after which the dispatcher is told of a ticket again.
 REFRESH_INTERVAL = 1.0
 # A dispatcher that left a ticket unanswered gets another one after so many seconds,
@@ -44,6 +47,8 @@
         # Functions that learn how each dispatched request ended.
         self.listeners: list[Listener] = []
         self.refreshing: asyncio.Task[None] | None = None
+        # Grants that were given back since their servers have left.
+        self.declined = 0
 
     def start(self) -> None:
         """Begin to take grants."""
@@ -274,8 +279,11 @@
         self.silent.pop(sender, None)
         hold = self.holds.get(grant.ticket_id)
         if hold is not None and hold.holder == sender and not hold.answer.done():
-            hold.answer.set_result(grant)
             hold.hear()
+            if self.spread.has_left(grant.cell, grant.server, grant.revision):
+                self.decline(hold, grant)
+            else:
+                hold.answer.set_result(grant)
             return
         if hold is not None and hold.holder == sender:
             return
@@ -284,6 +292,30 @@
             returned = messages.Withdrawal(ticket_id=grant.ticket_id, cell=grant.cell)
             self.transport.send(peer, returned)
 
+    def decline(self, hold: pending.PendingTicket, grant: messages.Grant) -> None:
+        """Give back a slot of a server that has left, and ask for another one.
+
+        The dispatcher's list is older than this instance's.
+        """
+        self.declined += 1
+        log.info(
+            "declined {}, which has left: granted by {} with the pool of revision {}",
+            grant.server,
+            hold.holder,
+            grant.revision,
+            extra={"request": hold.ticket.request_id},
+        )
+        self.tell(hold, pending.withdrawal(hold.ticket))
+        if grant.server in hold.ticket.excluded:
+            # It knows no other server.
+            self.forget(hold)
+            reason = messages.RefusalReason.NO_BACKEND_SERVER
+            hold.answer.set_result(pending.refuse(hold, reason))
+            return
+        excluded = (*hold.ticket.excluded, grant.server)
+        hold.ticket = msgspec.structs.replace(hold.ticket, excluded=excluded)
+        self.tell(hold, pending.current(hold, clock.now()))
+
     def take_refusal(self, sender: ids.InstanceId, refusal: messages.Refusal) -> None:
         """Take the word of the ticket's present dispatcher only."""
         self.silent.pop(sender, None)
--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -27,6 +27,11 @@
     def pool(self, name: str) -> kinds.Resource | None:
         """Return a pool; None when there is none of that name."""
 
+    def has_left(
+        self, name: str, server: ids.BackendServerId, revision: ids.Revision
+    ) -> bool:
+        """Tell whether a server that a pool had at a revision has left since."""
+
 
 class PoolsOwner(typing.Protocol):
     """Whoever keeps the pools that are in force."""
@@ -99,6 +104,13 @@
         found = self.divide(pool).cells
         return found[number] if number < len(found) else None
 
+    def has_left(
+        self, cell_id: ids.CellId, server: ids.BackendServerId, revision: ids.Revision
+    ) -> bool:
+        """Tell whether a server that a cell had at a revision has left since."""
+        name, _, _ = cell_id.rpartition("/")
+        return self.copy.current.has_left(name, server, revision)
+
     def choose(self, pool: kinds.Resource, affinity: str) -> cells.Cell:
         """Return the cell for a request; `affinity` is alike for those that share."""
         divided = self.divide(pool)
--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -12,10 +12,11 @@
 from tealcove.dispatch.tests import transport
 from tealcove.membership import members
 from tealcove.membership.tests import builders
-from tealcove.resources import copy
+from tealcove.resources import copy, kinds
 
 PATIENCE = 30.0
 CELL = ids.CellId("engines/0")
+SERVERS = ("s", "t")
 
 
 class Asking:
@@ -23,6 +24,7 @@
 
     def __init__(self) -> None:
         self.mesh = transport.NotingMesh()
+        self.copy = copy.ConfigurationCopy()
         self.members = members.Members(
             builders.heartbeat(0, lifecycle=builders.messages.Lifecycle.JOINING),
             1000.0,
@@ -34,7 +36,7 @@
             self.mesh,
             self.members,
             0.05,
-            spread.Spread(copy.ConfigurationCopy(), lambda centre: 0.0),
+            spread.Spread(self.copy, lambda centre: 0.0),
         )
         self.requester.start()
         ticket = messages.Ticket(
@@ -84,14 +86,44 @@
         queued = messages.Queued(ticket_id=self.hold.ticket.ticket_id)
         self.requester.take_queued(instance, queued)
 
-    def grant_from(self, instance: ids.InstanceId) -> None:
+    def configure(self, revision: int, *leaving: str) -> None:
+        """Put a pool in force, some of whose servers leave."""
+        spec = kinds.EnginePoolSpec(
+            servers=tuple(
+                kinds.BackendServerSpec(
+                    name=name,
+                    host="127.0.0.1",
+                    port=1,
+                    data_centre="dc",
+                    state=kinds.ServerState.LEAVING
+                    if name in leaving
+                    else kinds.ServerState.SERVING,
+                )
+                for name in SERVERS
+            )
+        )
+        metadata = kinds.Metadata(
+            name="engines",
+            revision=ids.Revision(revision),
+            generation=1,
+            changed_by="ops",
+        )
+        pool = kinds.Resource(kind=kinds.Kind.ENGINE_POOL, metadata=metadata, spec=spec)
+        resources = dict(copy.empty().resources)
+        resources[kinds.Kind.ENGINE_POOL] = {"engines": pool}
+        self.copy.move(copy.Configuration(ids.Revision(revision), resources))
+
+    def grant_from(
+        self, instance: ids.InstanceId, server: str = "s", revision: int = 1
+    ) -> None:
         """Let an instance grant a slot."""
         grant = messages.Grant(
             ticket_id=self.hold.ticket.ticket_id,
             cell=CELL,
-            server=ids.BackendServerId("s"),
+            server=ids.BackendServerId(server),
             host="127.0.0.1",
             port=1,
+            revision=ids.Revision(revision),
         )
         self.requester.take_grant(instance, grant)
 
@@ -185,6 +217,46 @@
     assert isinstance(await asking.obtaining, messages.Grant)
 
 
+async def test_a_server_that_has_left_gets_no_request_from_an_outdated_dispatcher(
+    asking: Asking,
+) -> None:
+    """A server gets requests long after it has said that it leaves."""
+    asking.configure(1)
+    await asking.asked(asking.first, 1)
+    asking.queue_at(asking.first)
+    asking.configure(2, "s")
+    before = asking.returned_to(asking.first)
+    asking.grant_from(asking.first, "s", 1)
+    assert not asking.hold.answer.done()
+    assert asking.returned_to(asking.first) == before + 1
+    sent = asking.mesh.to(asking.port(asking.first), messages.Ticket)
+    assert sent[-1].content.excluded == ("s",)
+    asking.grant_from(asking.first, "t", 1)
+    assert (await asking.obtaining).server == "t"
+    assert asking.requester.declined == 1
+
+
+async def test_a_dispatcher_that_knows_only_servers_that_left_ends_the_wait(
+    asking: Asking,
+) -> None:
+    asking.configure(1)
+    await asking.asked(asking.first, 1)
+    asking.configure(2, *SERVERS)
+    asking.grant_from(asking.first, "s", 1)
+    asking.grant_from(asking.first, "t", 1)
+    asking.grant_from(asking.first, "s", 1)
+    refusal = await asking.obtaining
+    assert refusal.reason is messages.RefusalReason.NO_BACKEND_SERVER
+    assert not asking.requester.holds
+
+
+async def test_a_dispatcher_with_a_newer_list_is_believed(asking: Asking) -> None:
+    asking.configure(1, "s")
+    await asking.asked(asking.first, 1)
+    asking.grant_from(asking.first, "s", 2)
+    assert (await asking.obtaining).server == "s"
+
+
 async def test_a_refusal_of_a_former_dispatcher_is_no_answer(asking: Asking) -> None:
     await asking.asked(asking.second, 1)
     asking.queue_at(asking.second)
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -165,6 +165,11 @@
         )
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.ended)
+        self.figures.watch(
+            "tealcove.grants.declined",
+            "Grants given back since their backend servers have left.",
+            lambda: self.tickets.declined,
+        )
 
     async def start_ingress(self) -> None:
         """Listen for callers."""
--- a/src/tealcove/gauges.py
+++ b/src/tealcove/gauges.py
@@ -13,7 +13,7 @@
 
 from tealcove import clock
 from tealcove.claims import writer
-from tealcove.dispatch import role
+from tealcove.dispatch import requester, role
 from tealcove.membership import members
 from tealcove.peers import mesh
 from tealcove.platform import store
@@ -114,6 +114,14 @@
             lambda: dispatcher.preempted,
         )
 
+    def add_requester(self, tickets: requester.Requester) -> None:
+        """Show what this instance did with its grants."""
+        self.count(
+            "tealcove.grants.declined",
+            "Grants given back since their backend servers have left.",
+            lambda: tickets.declined,
+        )
+
     def add_claims(self, claims: writer.Writer) -> None:
         """Show what this instance wrote of claims; one by the other is a batch."""
         self.count(
--- a/src/tealcove/resources/copy.py
+++ b/src/tealcove/resources/copy.py
@@ -64,6 +64,18 @@
         """Return the engine pool or service pool of this name, or None."""
         return self.engine_pools.get(name) or self.service_pools.get(name)
 
+    def has_left(
+        self, name: str, server: ids.BackendServerId, revision: ids.Revision
+    ) -> bool:
+        """Tell whether a server that a pool had at a revision has left since."""
+        pool = self.pool(name)
+        if pool is None or pool.metadata.revision <= revision:
+            return False
+        return not any(
+            spec.name == server and spec.state is kinds.ServerState.SERVING
+            for spec in pool.spec.servers
+        )
+
     def route(
         self, path: str, method: str, model: str | None, account: str | None
     ) -> kinds.Resource | None:
