Tell a peer how much of a lapse is left, not only that there is one

What callers could see: requests at a server that is gone (DRAIN), longer than servers have to come back after an outage of the store.

And an instance that had ended a lapse took the server in again from a peer that had not.

Change: a lapse is told with the seconds that are left, and who ends one remembers the version, so that only a newer row brings the server back. An empty list of lapses reads as before, so that instances of two versions understand each other but during a lapse; then they ask another peer or the store.

Both tests failed before (the first: still known by the third peer after the time); tests of the catalog pass.

--- a/src/tealcove/catalog/copies.py
+++ b/src/tealcove/catalog/copies.py
@@ -37,17 +37,17 @@
         """Take in what has changed."""
 
     @abc.abstractmethod
-    def content(self) -> object:
+    def content(self, now: ids.Instant) -> object:
         """Return all that a peer is told."""
 
     @abc.abstractmethod
     def take(self, told: messages.Told, now: ids.Instant) -> None:
         """Take over a peer's copy if it's newer; raises PlatformError."""
 
-    def encode(self) -> bytes:
+    def encode(self, now: ids.Instant) -> bytes:
         """Return the whole copy for a peer, packed once for all of them."""
         if self.packed is None:
-            self.packed = packing.pack(self.content())
+            self.packed = packing.pack(self.content(now))
         return self.packed
 
     def tell(self) -> None:
@@ -107,7 +107,7 @@
         )
         self.tell()
 
-    def content(self) -> object:
+    def content(self, now: ids.Instant) -> object:
         """See Copy."""
         return None if self.current is None else self.current.catalog
 
--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -29,12 +29,19 @@
     version: int
 
 
+class Lapse(msgspec.Struct, frozen=True, array_like=True):
+    """A server whose entry lapsed in an outage, and may come back."""
+
+    name: ids.BackendServerId
+    # Seconds that are left for that.
+    seconds: float
+
+
 class ToldServers(msgspec.Struct, frozen=True):
     """All that a peer knows of the servers."""
 
     known: tuple[Known, ...]
-    # Those of them whose entries lapsed in an outage, and may come back.
-    lapsed: tuple[ids.BackendServerId, ...]
+    lapsed: tuple[Lapse, ...]
 
 
 class ServersCopy(copies.Copy):
@@ -191,10 +198,11 @@
         until = ids.Instant(self.outage_ended + LAPSE_SECONDS)
         is_leaving = known.server.state is declared.ServerState.LEAVING
         if now < until and not is_leaving:
-            self.lapsed[name] = until
+            self.lapsed[name] = min(until, self.lapsed.get(name, until))
             self.changes.append(f"{name} lapsed")
             return
         del self.known[name]
+        self.lapsed.pop(name, None)
         self.changes.append(f"{name} is gone")
 
     def end_lapses(self, now: ids.Instant) -> None:
@@ -202,14 +210,25 @@
         due = [name for name, until in self.lapsed.items() if until <= now]
         for name in due:
             del self.lapsed[name]
-            self.known.pop(name, None)
+            known = self.known.pop(name)
+            # A peer that gives it longer mustn't bring it back.
+            self.note_dropped(name, max(known.version, self.dropped.get(name, 0)))
             self.changes.append(f"{name} is gone: its entry didn't come back")
         if due:
             self.tell()
 
-    def content(self) -> object:
+    def encode(self, now: ids.Instant) -> bytes:
+        """See Copy; what is left of a lapse is less each time."""
+        if self.lapsed:
+            self.packed = None
+        return super().encode(now)
+
+    def content(self, now: ids.Instant) -> object:
         """See Copy."""
-        return ToldServers(tuple(self.known.values()), tuple(self.lapsed))
+        lapsed = tuple(
+            Lapse(name, max(0.0, until - now)) for name, until in self.lapsed.items()
+        )
+        return ToldServers(tuple(self.known.values()), lapsed)
 
     def take(self, told: messages.Told, now: ids.Instant) -> None:
         """See Copy."""
@@ -221,15 +240,15 @@
         for known in found.known:
             if known.version > self.version_of(known.server.name):
                 self.put(known)
-        for name in found.lapsed:
-            self.take_lapse(name, now)
+        for lapse in found.lapsed:
+            self.take_lapse(lapse, now)
         self.revision = told.revision
         self.tell()
 
-    def take_lapse(self, name: ids.BackendServerId, now: ids.Instant) -> None:
-        """Give a server the time to come back that the peer gives it."""
-        if name in self.known:
-            self.lapsed.setdefault(name, ids.Instant(now + LAPSE_SECONDS))
+    def take_lapse(self, lapse: Lapse, now: ids.Instant) -> None:
+        """Give a server what is left of the time that the peer gives it."""
+        if lapse.name in self.known:
+            self.lapsed.setdefault(lapse.name, ids.Instant(now + lapse.seconds))
 
     def by_service(self) -> dict[ids.PoolId, list[declared.BackendServer]]:
         """Return all servers by the service that they are of."""
--- a/src/tealcove/catalog/telling.py
+++ b/src/tealcove/catalog/telling.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from tealcove import ids, tasks
+from tealcove import clock, ids, tasks
 from tealcove.catalog import copies, messages
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -75,7 +75,7 @@
         heard = self.members.find(instance)
         if heard is None or copy.revision <= messages.revision_in(heard, topic):
             return 0
-        content = copy.encode()
+        content = copy.encode(clock.now())
         told = messages.Told(topic=topic, revision=copy.revision, content=content)
         if not self.transport.send(heard.endpoint, told):
             log.debug("{} isn't told of the {}", instance, topic.value)
--- a/src/tealcove/catalog/tests/test_copies.py
+++ b/src/tealcove/catalog/tests/test_copies.py
@@ -41,7 +41,7 @@
     held.apply(page(8, broken), instant(0))
     assert held.revision == 7
     told = messages.Told(
-        topic=held.topic, revision=ids.Revision(6), content=held.encode()
+        topic=held.topic, revision=ids.Revision(6), content=held.encode(instant(0))
     )
     held.take(told, instant(0))
     assert held.revision == 7
@@ -193,6 +193,40 @@
     assert not held.has_left("unheard-of")
 
 
+def test_a_lapse_that_is_told_on_and_on_lasts_no_longer():
+    """A server that is gone stays known by way of one peer after the other."""
+    first, *others = (servers() for _ in range(4))
+    row = feed.Entry("a", server("a"), 1)
+    first.apply(page(1, row), instant(0))
+    for other in others:
+        other.take(told_by(first), instant(0))
+    first.note_outage_ended(instant(10))
+    first.apply(page(2, feed.Entry("a", None, 2)), instant(10))
+    teller = first
+    for number, other in enumerate(others):
+        at = 10 + 0.9 * serverlist.LAPSE_SECONDS * (1 - 0.5**number)
+        other.take(told_by(teller, at), instant(at))
+        assert "a" in other.known
+        teller = other
+    end = instant(10 + serverlist.LAPSE_SECONDS)
+    for held in (first, *others):
+        held.end_lapses(end)
+        assert "a" not in held.known
+
+
+def test_a_server_whose_lapse_has_ended_is_not_brought_back_by_a_peer():
+    held, other = servers(), servers()
+    for one in (held, other):
+        one.apply(page(1, feed.Entry("a", server("a"), 1)), instant(0))
+    other.note_outage_ended(instant(10))
+    other.apply(page(2, feed.Entry("a", None, 2)), instant(10))
+    held.take(told_by(other, 10), instant(10))
+    held.end_lapses(instant(10 + serverlist.LAPSE_SECONDS))
+    other.apply(page(3, feed.Entry("b", server("b"), 3)), instant(11))
+    held.take(told_by(other, 11), instant(12.5))
+    assert set(held.known) == {"b"}
+
+
 def test_an_entry_that_cant_be_read_is_logged_once():
     held = servers()
     with logbook.TestHandler() as handler:
@@ -212,10 +246,9 @@
     assert other.known["a"].server.start == 2000
 
 
-def told_by(held: serverlist.ServersCopy) -> messages.Told:
-    return messages.Told(
-        topic=held.topic, revision=held.revision, content=held.encode()
-    )
+def told_by(held: serverlist.ServersCopy, seconds: float = 0.0) -> messages.Told:
+    content = held.encode(instant(seconds))
+    return messages.Told(topic=held.topic, revision=held.revision, content=content)
 
 
 def test_all_changes_of_a_revision_are_one_line_of_the_log() -> None:
--- a/src/tealcove/catalog/tests/test_follower.py
+++ b/src/tealcove/catalog/tests/test_follower.py
@@ -33,7 +33,7 @@
         """Note the keys."""
         self.keys.extend(entry.key for entry in page.entries)
 
-    def content(self) -> object:
+    def content(self, now: ids.Instant) -> object:
         """Not used here."""
 
     def take(self, told: messages.Told, now: ids.Instant) -> None:
