Notice the store's return within a try and a pause, however the try before it ended

An instance that was cut off from the store keeps servers whose rows are gone for 2 s after it notices the store again, since after an outage of the store itself they may come back.

Cause: a try that hangs (1 s for a connection, 2 s for an answer) was followed by the whole pause of .8 s.

Ruled out: no lapse for an outage of this instance alone. It can't tell one from the other without word from its peers, which the same cut may keep from it.

Virtual time, a store that lets tries hang for .5 and .75 s: noticed 1.21 and 1.51 s after its return with the old code, so that a lapse ended after 3.2 and 3.5 s; less than .95 s now. The test failed before for both; tests of catalog, platform and front pass.

--- a/src/tealcove/catalog/follower.py
+++ b/src/tealcove/catalog/follower.py
@@ -14,11 +14,14 @@
 
 log = logbook.Logger("catalog")
 
-# Seconds between two tries while the store fails: short enough for a change to be
-# in force well within the 2 s after an outage, and doubled so that an outage of
-# 5 s costs some ten calls for each instance.
+# Seconds from the beginning of one try to the next while the store fails: short enough
+# for a change to be in force well within the 2 s after an outage, and doubled so that
+# an outage of 5 s costs some ten calls for each instance. The next try doesn't wait for
+# longer because the one before it hung.
 FIRST_PAUSE = 0.2
 LONGEST_PAUSE = 0.8
+# Seconds between a failure and the next try at the least.
+LEAST_PAUSE = 0.05
 # Seconds for which the store has to fail before others follow it in this instance's
 # place: two tries.
 CUT_SECONDS = 0.4
@@ -64,6 +67,7 @@
         self.failing_since = None
         self.pause = FIRST_PAUSE
         while True:
+            began = clock.now()
             try:
                 await self.step()
             except feed.HistoryLostError as error:
@@ -71,7 +75,8 @@
                 self.version = None
             except errors.PlatformError as error:
                 self.note_failure(error, clock.now())
-                await asyncio.sleep(self.pause)
+                taken = clock.now() - began
+                await asyncio.sleep(max(LEAST_PAUSE, self.pause - taken))
                 self.pause = min(LONGEST_PAUSE, 2 * self.pause)
 
     async def step(self) -> None:
--- a/src/tealcove/catalog/tests/test_follower.py
+++ b/src/tealcove/catalog/tests/test_follower.py
@@ -5,14 +5,21 @@
 import asyncio
 from collections.abc import Callable
 
-from tealcove import ids
-from tealcove.catalog import copies, follower, messages
+import pytest
+
+from tealcove import clock, errors, ids
+from tealcove.catalog import copies, follower, messages, serverlist
+from tealcove.front import parts
+from tealcove.platform import store
 from tealcove.storage import feed
+from tealcove.tests import virtual
 
 TABLE = "servers"
 CHANGES = 30
 BETWEEN = 0.01
 GATHERED = 0.1
+# Seconds after the end of a cut from which an instance is expected to be up to date.
+UP_TO_DATE_SECONDS = 3.0
 
 
 class Noted(copies.Copy):
@@ -23,6 +30,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.keys: list[str] = []
+        self.changed = asyncio.Event()
 
     def replace(self, page: feed.Page, now: ids.Instant) -> None:
         """Start anew."""
@@ -32,6 +40,7 @@
     def apply(self, page: feed.Page, now: ids.Instant) -> None:
         """Note the keys."""
         self.keys.extend(entry.key for entry in page.entries)
+        self.changed.set()
 
     def content(self, now: ids.Instant) -> object:
         """Not used here."""
@@ -80,6 +89,52 @@
         return self.page(since)
 
 
+class Hanging(Changing):
+    """A store that leaves each question hanging for some time, until it's back."""
+
+    def __init__(self, hangs: float, back_at: float) -> None:
+        super().__init__()
+        self.version = 1
+        self.hangs = hangs
+        self.back_at = back_at
+
+    async def wait_for_changes(
+        self,
+        table: str,
+        since: int,
+        seconds: float,
+        arriving: Callable[[], None] | None = None,
+    ) -> feed.Page:
+        """Fail after a while, whenever it was asked before its return."""
+        if clock.now() >= self.back_at:
+            return await super().wait_for_changes(table, since, seconds, arriving)
+        await asyncio.sleep(self.hangs)
+        raise errors.PlatformUnavailableError("no answer", "wait")
+
+
+@pytest.mark.parametrize("hangs", [0.0, parts.CONNECT_SECONDS, store.PROBE_MARGIN])
+def test_a_lapse_ends_before_its_instance_counts_as_up_to_date(
+    hangs: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Servers that left while one instance was cut off get requests from it."""
+
+    async def noticed_after(back_after: float) -> float:
+        source, copy = Hanging(hangs, clock.now() + back_after), Noted()
+        copy.revision = ids.Revision(1)
+        source.version = 2
+        one = follower.Follower(source, TABLE, copy, lambda: follower.Pace(25.0))
+        task = asyncio.create_task(one.run())
+        await copy.changed.wait()
+        task.cancel()
+        return clock.now() - source.back_at
+
+    async def main() -> None:
+        slowest = max([await noticed_after(3.0 + 0.07 * n) for n in range(12)])
+        assert slowest + serverlist.LAPSE_SECONDS < UP_TO_DATE_SECONDS
+
+    virtual.run(monkeypatch, main())
+
+
 async def followed(gathers: float) -> tuple[list[str], int]:
     """Return the keys that a follower has seen, and how often it asked."""
     source, copy = Changing(), Noted()
--- a/src/tealcove/front/parts.py
+++ b/src/tealcove/front/parts.py
@@ -30,8 +30,9 @@
 # Seconds for which changes of backend servers gather: where dozens start within
 # seconds, each follower would ask once for each of them.
 GATHER_SECONDS = 0.25
-# Seconds until a connection to the store stands.
-CONNECT_SECONDS = 1.0
+# Seconds until a connection to the store stands: hundreds of times what it takes, and
+# less than the pause between two tries while the store fails.
+CONNECT_SECONDS = 0.5
 
 
 def new_store(found: settings.FrontSettings) -> store.StoreClient:
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -39,6 +39,9 @@
 # Seconds beyond a feed's own wait before it counts as unanswered. The store's
 # answers take 4 ms, and 60 times as long when it's slow.
 FEED_MARGIN = 2.0
+# The same for a feed that doesn't wait, which is asked for while the store fails: the
+# sooner it's given up, the sooner is the store's return noticed.
+PROBE_MARGIN = 0.75
 
 
 class Timeouts(msgspec.Struct, frozen=True):
@@ -203,7 +206,7 @@
             "since_rev": str(since),
             "wait_ms": str(int(seconds * 1000)),
         }
-        silence = seconds + FEED_MARGIN
+        silence = seconds + FEED_MARGIN if seconds else PROBE_MARGIN
         reply = await self.read(names.FEED_PATH, params, silence, arriving)
         if reply.status == HTTP_GONE:
             raise feed.HistoryLostError(
