Soak: let servers leave, declare keys, and check when instances act on it

It could not see a change that came late.

Servers leave now, with a word or without, and go on serving; each new configuration has one key more. No request may reach a server over 2 s after it has left, and the newest key must be taken after 2 s, both as far as the instance, the store and the way were undisturbed for 3 s (soak/calm.py). The verdict tells how many requests could have shown a late leave.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,13 +9,16 @@
 import msgspec
 from tests import platformed
 
-from soak import deployment
+from soak import calm, deployment
+from tealcove import clock, ids
 from tealcove.platform import names
 
 PATHS = ("/safe/x", "/once/x", "/stream/x")
 CALLERS = 6
 PAUSE = 0.03
 TIMEOUT = aiohttp.ClientTimeout(total=4.0, sock_connect=1.0)
+# Seconds after which a declared key is known everywhere.
+IN_FORCE_SECONDS = 2.0
 # These say that a request has not run, and never will.
 PROMISES = (408, 421, 429, 503)
 WHOLE_STREAM = b"".join(
@@ -29,13 +32,18 @@
     request_id: str
     path: str
     answer: platformed.Answer
+    # The instance that it was sent to.
+    member: str
 
 
 class Callers:
     """Send requests until told to stop."""
 
-    def __init__(self, running: deployment.Deployment, seed: int) -> None:
+    def __init__(
+        self, running: deployment.Deployment, record: calm.Record, seed: int
+    ) -> None:
         self.running = running
+        self.record = record
         self.random = random.Random(seed)
         self.ended: list[Ended] = []
         self.count = 0
@@ -54,9 +62,20 @@
             path = self.random.choice(PATHS)
             member = self.random.choice(self.running.members)
             answer = await self.send(session, member, request_id, path)
-            self.ended.append(Ended(request_id, path, answer))
+            self.ended.append(Ended(request_id, path, answer, member.name))
             await asyncio.sleep(PAUSE)
 
+    def key_at(self, member: deployment.Member, now: ids.Instant) -> str:
+        """Return the newest key that must be in force at an instance."""
+        if not self.record.is_calm(now, member.name, calm.STORE):
+            return platformed.KEY
+        in_force = [
+            key
+            for key, since in self.running.declared.items()
+            if now - since > IN_FORCE_SECONDS
+        ]
+        return in_force[-1] if in_force else platformed.KEY
+
     async def send(
         self,
         session: aiohttp.ClientSession,
@@ -68,7 +87,7 @@
         headers = {
             "Host": platformed.HOST,
             names.REQUEST_ID: request_id,
-            names.API_KEY: platformed.KEY,
+            names.API_KEY: self.key_at(member, clock.now()),
             names.DEADLINE_MS: "3000",
         }
         url = f"http://{member.listen['callers']}{path}"
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -14,6 +14,7 @@
 from tests import platformed
 
 from soak import proxy
+from tealcove import clock, ids
 from tealcove.platform import names
 from tealcove.standins import platform, poolserver
 
@@ -91,6 +92,11 @@
         self.servers = [poolserver.PoolServer(f"s-{n}", "pool") for n in range(servers)]
         self.store_proxies: list[proxy.Proxy] = []
         self.server_proxies: list[proxy.Proxy] = []
+        # Where instances reach each server.
+        self.addresses: dict[str, str] = {}
+        # Keys that were declared beside the first, and when the store had them.
+        self.keys: list[str] = []
+        self.declared: dict[str, ids.Instant] = {}
 
     async def __aenter__(self) -> Deployment:
         try:
@@ -139,11 +145,30 @@
         await server.start()
         between = proxy.Proxy("127.0.0.1", server.port)
         self.server_proxies.append(between)
-        entry = msgspec.json.decode(server.entry())
-        entry["addr"] = await between.start()
-        content = msgspec.json.encode(entry)
+        self.addresses[server.name] = await between.start()
+        await self.list_server(server, "ready")
+
+    async def list_server(
+        self, server: poolserver.PoolServer, state: str | None
+    ) -> None:
+        """Write a server's row, or drop it."""
+        content = None
+        if state is not None:
+            entry = msgspec.json.decode(server.entry(state))
+            entry["addr"] = self.addresses[server.name]
+            content = msgspec.json.encode(entry)
         await self.store.put_row(names.SERVERS_TABLE, server.name, content)
 
+    async def declare_key(self) -> str:
+        """Write a configuration that has one key more."""
+        key = f"key-{len(self.keys)}"
+        self.keys.append(key)
+        own = {"name": platformed.ACCOUNT, "api_keys": [platformed.KEY, *self.keys]}
+        content = platformed.configuration(tenants=[own])
+        await self.store.put_row(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, content)
+        self.declared[key] = clock.now()
+        return key
+
     async def until_ready(self) -> None:
         """Wait until every instance listens for callers."""
         await asyncio.wait_for(networks.until(self.all_listen), timeout=READY_SECONDS)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,16 +8,19 @@
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from tests import platformed
+import msgspec
 
-from soak import deployment, proxy
-from tealcove.platform import names
+from soak import calm, deployment, proxy
+from tealcove import clock, ids
 from tealcove.standins import poolserver
 
 # Seconds that a fault lasts, and between the beginnings of two; they overlap.
 SHORTEST, LONGEST = 0.3, 2.5
 PAUSE = 0.6
 
+# Seconds for which a server goes on serving after it has left.
+LEAVING_SECONDS = 4.0
+
 Step = Callable[[], Awaitable[None]]
 NETWORK = (
     proxy.Trouble.DELAYED,
@@ -27,6 +30,14 @@
 )
 
 
+class Leave(msgspec.Struct, frozen=True):
+    """A server that has left, from the store's word on it until it was back."""
+
+    server: str
+    since: ids.Instant
+    until: ids.Instant
+
+
 class Faults:
     """Draws faults and carries them out; `done` tells what was done, in order."""
 
@@ -34,6 +45,9 @@
         self.running = running
         self.random = random.Random(seed)
         self.done: list[str] = []
+        self.record = calm.Record()
+        self.leaves: list[Leave] = []
+        self.has_leaving = False
         self.kinds = (
             self.kill,
             self.freeze,
@@ -43,6 +57,7 @@
             self.store_fault,
             self.change_configuration,
             self.server_faults,
+            self.server_leaves,
         )
 
     async def run(self, seconds: float) -> None:
@@ -75,17 +90,19 @@
             yield "nothing"
             return
         member.is_stopping = True
-        await member.end()
-        yield f"kill {member.name}"
-        await member.start()
+        with self.record.disturbed(member.name):
+            await member.end()
+            yield f"kill {member.name}"
+            await member.start()
 
     @contextlib.asynccontextmanager
     async def freeze(self) -> AsyncIterator[str]:
         """Stop an instance from running, and let it go on."""
         member = self.member()
-        member.send(signal.SIGSTOP)
-        yield f"freeze {member.name}"
-        member.send(signal.SIGCONT)
+        with self.record.disturbed(member.name):
+            member.send(signal.SIGSTOP)
+            yield f"freeze {member.name}"
+            member.send(signal.SIGCONT)
 
     @contextlib.asynccontextmanager
     async def terminate(self) -> AsyncIterator[str]:
@@ -95,28 +112,33 @@
             yield "nothing"
             return
         member.is_stopping = True
-        member.send(signal.SIGTERM)
-        yield f"terminate {member.name}"
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(member.process.wait(), deployment.GRACE)
-        await member.end()
-        await member.start()
+        with self.record.disturbed(member.name):
+            member.send(signal.SIGTERM)
+            yield f"terminate {member.name}"
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(member.process.wait(), deployment.GRACE)
+            await member.end()
+            await member.start()
 
     @contextlib.asynccontextmanager
     async def cut_store(self) -> AsyncIterator[str]:
         """Trouble one instance's way to the store."""
-        async with self.troubled(self.running.store_proxies) as what:
+        members = [member.name for member in self.running.members]
+        async with self.troubled(self.running.store_proxies, members) as what:
             yield f"store {what}"
 
     @contextlib.asynccontextmanager
     async def cut_server(self) -> AsyncIterator[str]:
         """Trouble the way to one backend server."""
-        async with self.troubled(self.running.server_proxies) as what:
+        servers = [server.name for server in self.running.servers]
+        async with self.troubled(self.running.server_proxies, servers) as what:
             yield f"server {what}"
 
     @contextlib.asynccontextmanager
-    async def troubled(self, among: list[proxy.Proxy]) -> AsyncIterator[str]:
-        """Trouble one proxy."""
+    async def troubled(
+        self, among: list[proxy.Proxy], parts: list[str]
+    ) -> AsyncIterator[str]:
+        """Trouble one proxy, before the part of the same place."""
         number = self.random.randrange(len(among))
         chosen = among[number]
         trouble = self.random.choice(NETWORK)
@@ -124,10 +146,11 @@
         chosen.trouble = trouble
         if self.random.random() < 0.5:
             chosen.reset_all()
-        yield f"{number} {trouble.value}"
-        chosen.trouble = proxy.Trouble.NONE
-        # What was held back is lost, as after a cut.
-        chosen.reset_all()
+        with self.record.disturbed(parts[number]):
+            yield f"{number} {trouble.value}"
+            chosen.trouble = proxy.Trouble.NONE
+            # What was held back is lost, as after a cut.
+            chosen.reset_all()
 
     @contextlib.asynccontextmanager
     async def store_fault(self) -> AsyncIterator[str]:
@@ -140,20 +163,16 @@
             faults.slow = 0.3
         else:
             await self.running.store.memory.table.forget_history()
-        yield f"store is {what}"
-        faults.down = False
-        faults.slow = 0.0
+        with self.record.disturbed(calm.STORE):
+            yield f"store is {what}"
+            faults.down = False
+            faults.slow = 0.0
 
     @contextlib.asynccontextmanager
     async def change_configuration(self) -> AsyncIterator[str]:
-        """Write the configuration anew, with an account more."""
-        more = {"name": f"a-{self.random.randrange(100)}", "api_keys": ["other"]}
-        own = {"name": platformed.ACCOUNT, "api_keys": [platformed.KEY]}
-        content = platformed.configuration(tenants=[own, more])
-        await self.running.store.put_row(
-            names.OPERATOR_TABLE, names.CONFIGURATION_KEY, content
-        )
-        yield "configuration"
+        """Write the configuration anew, with a key more."""
+        key = await self.running.declare_key()
+        yield f"configuration with {key}"
 
     @contextlib.asynccontextmanager
     async def server_faults(self) -> AsyncIterator[str]:
@@ -162,3 +181,20 @@
         fault = self.random.choice(list(poolserver.Fault))
         server.faults.extend([fault] * self.random.randrange(1, 5))
         yield f"{server.name} {fault.value}"
+
+    @contextlib.asynccontextmanager
+    async def server_leaves(self) -> AsyncIterator[str]:
+        """Let a backend server leave, with or without a word, and come back."""
+        if self.has_leaving:
+            yield "nothing"
+            return
+        self.has_leaving = True
+        server = self.random.choice(self.running.servers)
+        state = self.random.choice(("draining", None))
+        await self.running.list_server(server, state)
+        since = clock.now()
+        yield f"{server.name} leaves, {state or 'without a word'}"
+        await asyncio.sleep(LEAVING_SECONDS)
+        self.leaves.append(Leave(server.name, since, clock.now()))
+        await self.running.list_server(server, "ready")
+        self.has_leaving = False
--- /dev/null
+++ b/soak/leaving.py
@@ -0,0 +1,44 @@
+"""Looks for requests that reached a server long after it had left."""
+
+from __future__ import annotations
+
+from soak import callers, calm, deployment, faults
+from tealcove import ids
+
+# Seconds after the store's word on it from which a server that leaves gets nothing.
+DRAIN_SECONDS = 2.0
+
+
+def late_arrivals(
+    running: deployment.Deployment, doing: faults.Faults, ended: list[callers.Ended]
+) -> tuple[int, list[str]]:
+    """Return how many requests were looked at, and what is wrong with which.
+
+    Only those count that an undisturbed instance sent on over an undisturbed way.
+    """
+    members = {one.request_id: one.member for one in ended}
+    watched = 0
+    found = []
+    for server in running.servers:
+        for run in server.runs:
+            member = members.get(run.request_id, "")
+            if not doing.record.is_calm(run.arrived, member, calm.STORE):
+                continue
+            over = [
+                leave for leave in doing.leaves if is_over(leave, doing, run.arrived)
+            ]
+            watched += bool(over)
+            is_calm_way = doing.record.is_calm(run.arrived, server.name)
+            found.extend(
+                f"{run.request_id} of {member} reached {server.name} "
+                f"{run.arrived - leave.since:.2f} s after it had left"
+                for leave in over
+                if leave.server == server.name and is_calm_way
+            )
+    return watched, found
+
+
+def is_over(leave: faults.Leave, doing: faults.Faults, at: ids.Instant) -> bool:
+    """Tell whether a server had left for so long that it may get nothing."""
+    is_acknowledged = doing.record.is_calm(leave.since, calm.STORE)
+    return is_acknowledged and leave.since + DRAIN_SECONDS < at < leave.until
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from soak import callers, deployment, faults
+from soak import callers, deployment, faults, leaving
 
 MEMBERS = 3
 SERVERS = 3
@@ -28,15 +28,17 @@
     # Served after the recovery, of all sent then.
     served_after: int
     sent_after: int
+    # Requests that calm instances sent on while some server had left for good.
+    watched: int
     broken: tuple[str, ...]
 
 
 async def soak(folder: pathlib.Path, seed: int, seconds: float) -> Verdict:
     """Run one soak; its logs stay in the folder."""
     async with deployment.Deployment(folder, MEMBERS, SERVERS) as running:
-        calling = callers.Callers(running, seed)
-        task = asyncio.create_task(calling.run())
         doing = faults.Faults(running, seed)
+        calling = callers.Callers(running, doing.record, seed)
+        task = asyncio.create_task(calling.run())
         await doing.run(seconds)
         for server in running.servers:
             server.faults.clear()
@@ -48,6 +50,8 @@
         calling.is_stopping = True
         await task
         broken = callers.broken_promises(running, calling.ended)
+        watched, late = leaving.late_arrivals(running, doing, calling.ended)
+        broken.extend(late)
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < SERVED_PART * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -58,5 +62,6 @@
         served=sum(one.answer.status == 200 for one in calling.ended),
         served_after=served_after,
         sent_after=len(after),
+        watched=watched,
         broken=tuple(broken),
     )
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -11,6 +11,7 @@
 import msgspec
 from aiohttp import web
 
+from tealcove import clock, ids
 from tealcove.platform import names
 
 HTTP_MISDIRECTED = 421
@@ -56,6 +57,7 @@
     headers: dict[str, str]
     deadline_ms: str | None
     body: bytes
+    arrived: ids.Instant
 
 
 class PoolServer:
@@ -147,6 +149,7 @@
                 headers=dict(headers),
                 deadline_ms=headers.get(names.DEADLINE_MS),
                 body=body,
+                arrived=clock.now(),
             )
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,8 +16,6 @@
 
 from tests import deployment as networks
 
-SECONDS = 3.0
-
 
 class EndedProcess:
     """A process that has ended, as far as a soak looks at one."""
@@ -30,12 +28,14 @@
         return self.returncode
 
 
-SEEDS = (1, 2)
+# With how many seconds of faults each is run. Servers that leave and new keys are
+# watched from 2 s on.
+SEEDS = {1: 3.0, 2: 3.0, 3: 10.0}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_promises_hold_under_faults(tmp_path: pathlib.Path, seed: int) -> None:
-    verdict = await run.soak(tmp_path, seed, SECONDS)
+    verdict = await run.soak(tmp_path, seed, SEEDS[seed])
     assert verdict.broken == ()
     assert verdict.served > 0
 
