Keep who left a question unanswered in one place

The requester of tickets and the asking of homes each remembered who was silent, in the same way, and the requester forgot one only by a word of its own. No behaviour changes; tests of limits, dispatch and membership pass.

--- a/src/tealcove/limits/asking.py
+++ b/src/tealcove/limits/asking.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import math
 from collections.abc import Callable
 
 import logbook
@@ -12,7 +11,7 @@
 
 from tealcove import clock, ids
 from tealcove.limits import admission, bucket, home, messages
-from tealcove.membership import members
+from tealcove.membership import members, silence
 from tealcove.peers import mesh
 
 log = logbook.Logger("limits")
@@ -90,8 +89,8 @@
         self.own_parts: dict[ids.AccountId, bucket.Bucket] = {}
         self.numbers = itertools.count(1)
         self.asked: dict[int, asyncio.Future[messages.Charged]] = {}
-        # When homes left a question unanswered, until they answer one.
-        self.silent: dict[ids.InstanceId, ids.Instant] = {}
+        # Homes that left a question unanswered.
+        self.silence = silence.Silence(SILENT_SECONDS)
 
     def start(self) -> None:
         """Begin to answer."""
@@ -137,7 +136,7 @@
             if answer is not None:
                 return instance, answer
             waits += 1
-            self.silent[instance] = clock.now()
+            self.silence.note(instance, clock.now())
             extra = {"request": request}
             log.info("home {} of {} is silent", instance, account, extra=extra)
         return None, self.decide_alone(question, clock.now())
@@ -146,7 +145,7 @@
         self, instance: ids.InstanceId, question: messages.AskCharge, now: ids.Instant
     ) -> bool:
         """Send a question; False: it was silent lately, or can't be reached."""
-        if now - self.silent.get(instance, ids.Instant(-math.inf)) < SILENT_SECONDS:
+        if self.silence.is_silent(instance, now):
             return False
         peer = self.members.endpoint_of(instance)
         return peer is not None and self.transport.send(peer, question)
@@ -232,7 +231,7 @@
 
     def take_answer(self, sender: ids.InstanceId, answer: messages.Charged) -> None:
         """Take a home's answer in."""
-        self.silent.pop(sender, None)
+        self.silence.end(sender)
         waiting = self.asked.get(answer.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(answer)
