Take a caller that leaves during a write for gone, not for an error

Cause: the write fails before the request's task is cancelled, and nobody expected that.

Change: it ends like a request whose caller has gone; the connection is broken off. The new test failed before. Tests of the ingress and of the platform pass.

--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -119,6 +119,13 @@
             return self.give_up(self.late())
         except problem.ProblemError as error:
             return self.give_up(error)
+        except ConnectionResetError:
+            if self.stream.response is None:
+                raise
+            # The caller left while a part of its answer was written.
+            self.ended = problem.CALLER_GONE
+            answers.break_off(self.http)
+            return self.stream.response
 
     async def serve(self) -> web.StreamResponse:
         """Send the request until a server has answered it; raises ProblemError."""
