Soak: end the faults of a soak that is ended before its deployment

Cause: faults that had begun went on while the deployment ended, and one of them started an instance again afterwards.

Change: they are cancelled and waited for first. The new test failed before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from soak import calm, deployment, proxy
-from tealcove import clock, ids
+from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
 
 # Seconds that a fault lasts, and between the beginnings of two; they overlap.
@@ -65,12 +65,16 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         open_ones: set[asyncio.Task[None]] = set()
-        while loop.time() < end:
-            kind = self.random.choice(self.kinds)
-            lasts = self.random.uniform(SHORTEST, LONGEST)
-            open_ones.add(asyncio.create_task(self.carry_out(kind, lasts)))
-            await asyncio.sleep(self.random.uniform(0.0, 2 * PAUSE))
-        await asyncio.gather(*open_ones)
+        try:
+            while loop.time() < end:
+                kind = self.random.choice(self.kinds)
+                lasts = self.random.uniform(SHORTEST, LONGEST)
+                open_ones.add(asyncio.create_task(self.carry_out(kind, lasts)))
+                await asyncio.sleep(self.random.uniform(0.0, 2 * PAUSE))
+            await asyncio.gather(*open_ones)
+        finally:
+            # One that went on would start an instance after the deployment has ended.
+            await tasks.stop(open_ones)
 
     async def carry_out(self, kind: Callable[..., object], lasts: float) -> None:
         """Do one thing, wait, and undo it."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import socket
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import psutil
 import pytest
@@ -70,6 +71,26 @@
     assert doing.done[1] == "nothing for 0.0 s"
 
 
+async def test_a_soak_that_is_ended_ends_its_faults() -> None:
+    """A fault that goes on starts an instance when the deployment has ended."""
+    begun = asyncio.Event()
+
+    @contextlib.asynccontextmanager
+    async def endless() -> AsyncIterator[str]:
+        begun.set()
+        await asyncio.Event().wait()
+        yield "nothing"
+
+    doing = faults.Faults(None, 1)
+    doing.kinds = (endless,)
+    before = asyncio.all_tasks()
+    task = asyncio.create_task(doing.run(100.0))
+    await begun.wait()
+    task.cancel()
+    await asyncio.wait([task])
+    assert asyncio.all_tasks() == before
+
+
 def test_a_process_left_behind_is_named_at_once() -> None:
     network, holder = networks.hold_network()
     with socket.socket() as left:
