Soak: let a signal to a process that was just reaped pass

Cause, likely and not shown for that run: a process that has ended is reaped before its code is known, and a signal sent in between raises an error that ends the soak. Read in the code; the new test makes that moment and failed before.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -70,7 +71,9 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process, which the soak started."""
         if self.process is not None and self.process.returncode is None:
-            os.kill(self.process.pid, number)
+            # It may have been reaped a moment ago, with its code still on the way.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def end(self) -> None:
         """Kill it and wait until it's gone."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -71,6 +72,18 @@
     assert doing.done[1] == "nothing for 0.0 s"
 
 
+def test_a_signal_to_a_process_that_was_just_reaped_ends_no_soak(
+    tmp_path: pathlib.Path,
+) -> None:
+    ended = subprocess.Popen([sys.executable, "-c", ""])
+    ended.wait()
+    member = deployment.Member("i-0", "127.0.0.1", tmp_path)
+    member.process = EndedProcess()
+    member.process.pid = ended.pid
+    member.process.returncode = None
+    member.send(signal.SIGCONT)
+
+
 async def test_a_soak_that_is_ended_ends_its_faults() -> None:
     """A fault that goes on starts an instance when the deployment has ended."""
     begun = asyncio.Event()
