Tests: wait until declared engines listen

Traced by its logs: that engine had written no line, and the steward found one server of two; the other engine served all, and the first had not started yet.

Nobody waited for it. Deployment.declare does now, before it declares the engines. What the test asserts stays.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -318,7 +318,13 @@
         )
 
     async def declare(self, slots: int = 8) -> None:
-        """Declare three tiers with an account each, the engines and a rule."""
+        """Declare three tiers with an account each, the engines and a rule.
+
+        The engines listen by then: on a busy machine requests may else be served by
+        one of them before another has started.
+        """
+        for engine in self.engines:
+            await self.wait_for_port(engine)
         for rank, tier in enumerate(("high", "middle", "low")):
             await self.put(
                 kinds.Kind.SERVICE_TIER, tier, kinds.ServiceTierSpec(rank=rank)
