Tests: cut a data centre off only when it has the configuration

The test waited until all four instances knew each other, and not until the two far ones had read their first configuration; cut off before that they have none.

It waits for the same revision everywhere before the cut. What it asserts stays.

--- a/tests/test_data_centre_cut.py
+++ b/tests/test_data_centre_cut.py
@@ -90,6 +90,15 @@
     await deployment.until(all_know)
 
 
+async def until_same_revision(instances: list[daemon.Instance]) -> None:
+    """Wait until all instances have the newest configuration of any of them."""
+
+    async def is_same() -> bool:
+        return len({i.configuration.copy.revision for i in instances}) == 1
+
+    await deployment.until(is_same)
+
+
 async def until_deadline(instances: list[daemon.Instance], deadline: float) -> None:
     """Wait until a tier's default deadline is in force on some instances."""
 
@@ -121,6 +130,7 @@
         near = [i for i in pair.instances.values() if i not in far]
         everyone = near + far
         await until_members(everyone, 4)
+        await until_same_revision(everyone)
         revisions = Revisions(everyone)
         cut = Cut(near, far)
         with cut.made():
