Ask version_of for the version at which a lapse ends

The end of a lapse worked out the newest known version of a server by itself, which version_of does. Found on re-reading the change; no behaviour changes. Tests of the catalog pass.

--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -210,9 +210,9 @@
         due = [name for name, until in self.lapsed.items() if until <= now]
         for name in due:
             del self.lapsed[name]
-            known = self.known.pop(name)
             # A peer that gives it longer mustn't bring it back.
-            self.note_dropped(name, max(known.version, self.dropped.get(name, 0)))
+            self.note_dropped(name, self.version_of(name))
+            del self.known[name]
             self.changes.append(f"{name} is gone: its entry didn't come back")
         if due:
             self.tell()
