Test: a restarted process retries as if its predecessor had not (fails)

Backend servers that fail already get more retries than allowed (BUDGET) while instances are killed: each new process begins with a whole budget, though the retries of the one before are still in the window.

--- a/src/tealcove/ingress/tests/builders.py
+++ b/src/tealcove/ingress/tests/builders.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from tealcove import ids
 from tealcove.catalog import declared
-from tealcove.ingress import call, tickets
+from tealcove.ingress import budget, call, tickets
 from tealcove.limits import limit
 
 SERVICE = ids.PoolId("engines")
@@ -77,3 +79,15 @@
         "digest": "d",
     }
     return tickets.AcceptedRequest(**{**found, **changes})
+
+
+def retry_budget(
+    allowed: budget.Allowance, instances: Callable[[], int], started: float
+) -> budget.RetryBudget:
+    """Return the budget of a process that starts at `started`."""
+    return budget.RetryBudget(allowed, instances)
+
+
+def retry(found: budget.RetryBudget, now: float) -> bool:
+    """Send a request once more, if the budget allows it."""
+    return found.take_retry(SERVICE, ids.Instant(now))
