Hold back retries of a process that has just started

What callers saw: nothing; backend servers that were failing already got more retries than the operator allows (BUDGET), while instances were killed.

Cause: each process counts its own retries. A new process began with a whole share of the allowance, while the retries of the one before were still in the window. Class: a limit over time that is kept in memory only.

Change: for one window after its start, a process uses what no instance uses otherwise, a fifth of the ratio of its own requests, and no slack. Whatever the predecessors used, the sum stays within the allowance. The test site of the platform starts its processes one window in the past, as its tests are about retries that the budget allows.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -186,7 +186,9 @@
                 link=self.link,
                 tickets=self.tickets,
                 budget=budget.RetryBudget(
-                    factories.retry_allowance(found), self.count_instances
+                    factories.retry_allowance(found),
+                    self.count_instances,
+                    clock.now(),
                 ),
                 entry=tickets.EntryInstance(
                     self.name, ids.DataCentreId(found.data_centre)
--- a/src/tealcove/ingress/budget.py
+++ b/src/tealcove/ingress/budget.py
@@ -10,7 +10,8 @@
 from tealcove import ids
 
 # Share of the allowance that is used: instances join and leave, and each computes its
-# share from the number of instances that it knows of.
+# share from the number of instances that it knows of. The rest is for processes that
+# have just started.
 USED_SHARE = 0.8
 
 
@@ -30,11 +31,20 @@
 
     Retries multiply the load of a service that is already failing. Each instance
     uses at most its share of the allowance, computed from its own requests, so that
-    the total holds without communication, also during a network partition.
+    the total holds without communication, also during a network partition. Nothing is
+    known of the retries of the process that ran before this one: until they have left
+    the window, a process uses only what no instance uses otherwise.
     """
 
-    def __init__(self, allowance: Allowance, instances: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        allowance: Allowance,
+        instances: Callable[[], int],
+        started: ids.Instant,
+    ) -> None:
         self.allowance = allowance
+        # When this process started.
+        self.started = started
         # Returns the number of instances that share the slack now.
         self.instances = instances
         self.requests: dict[ids.PoolId, collections.deque[ids.Instant]] = {}
@@ -53,11 +63,17 @@
 
     def can_retry(self, service: ids.PoolId, now: ids.Instant) -> bool:
         """Return whether a request may be retried, without recording anything."""
-        requests = len(self.in_window(self.requests, service, now))
         retries = self.in_window(self.retries, service, now)
+        return len(retries) + 1 <= self.max_retries(service, now)
+
+    def max_retries(self, service: ids.PoolId, now: ids.Instant) -> float:
+        """Return the number of retries to a service that the window may hold."""
+        requests = len(self.in_window(self.requests, service, now))
+        by_requests = self.allowance.ratio * requests
+        if now - self.started < self.allowance.window:
+            return (1.0 - USED_SHARE) * by_requests
         slack = self.allowance.slack / max(1, self.instances())
-        most = USED_SHARE * (self.allowance.ratio * requests + slack)
-        return len(retries) + 1 <= most
+        return USED_SHARE * (by_requests + slack)
 
     def in_window(
         self,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -116,6 +116,9 @@
             rollouts=settings.Rollouts(enabled=True),
         )
         started = await instance.start(found)
+        # A process holds back retries for one window after its start.
+        retries = started.ingress.services.budget
+        retries.started -= retries.allowance.window
         self.instances.append(started)
         if not is_isolated:
             await until(lambda: is_serving(started))
