Divide the retry slack by all instances that may be running

What callers saw: nothing; failing backend servers got more retries than the operator allows (BUDGET), while instances were partitioned from each other.

Cause: the slack was divided by the instances that serve by this instance's own view. Each side of a partition, a process that has just started and one whose peers leave took a larger part, and no part knew of the others. Class: a share computed from a local view that shrinks just when coordination is lost.

Change: the slack is divided by those that may be running: the members however silent, those lost beyond a partition, and the platform's list for a process that has heard nobody yet. Members that left are known for 10 s, the window of the allowance.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -187,7 +187,7 @@
                 tickets=self.tickets,
                 budget=budget.RetryBudget(
                     factories.retry_allowance(found),
-                    self.count_instances,
+                    self.limits.presence.count_possible,
                     clock.now(),
                 ),
                 entry=tickets.EntryInstance(
@@ -290,10 +290,6 @@
         found = None if current is None else current.accounts.get(account)
         return None if found is None else found.limit
 
-    def count_instances(self) -> int:
-        """Return the number of serving instances, including this one."""
-        return len(self.members.serving(clock.now()))
-
     async def leave(self) -> None:
         """Shut down gracefully: let requests in progress end if time allows.
 
--- a/src/tealcove/ingress/budget.py
+++ b/src/tealcove/ingress/budget.py
@@ -39,13 +39,13 @@
     def __init__(
         self,
         allowance: Allowance,
-        instances: Callable[[], int],
+        instances: Callable[[ids.Instant], int],
         started: ids.Instant,
     ) -> None:
         self.allowance = allowance
         # When this process started.
         self.started = started
-        # Returns the number of instances that share the slack now.
+        # Returns the number of instances that may be sharing the slack.
         self.instances = instances
         self.requests: dict[ids.PoolId, collections.deque[ids.Instant]] = {}
         self.retries: dict[ids.PoolId, collections.deque[ids.Instant]] = {}
@@ -72,7 +72,7 @@
         by_requests = self.allowance.ratio * requests
         if now - self.started < self.allowance.window:
             return (1.0 - USED_SHARE) * by_requests
-        slack = self.allowance.slack / max(1, self.instances())
+        slack = self.allowance.slack / max(1, self.instances(now))
         return USED_SHARE * (by_requests + slack)
 
     def in_window(
--- a/src/tealcove/ingress/tests/builders.py
+++ b/src/tealcove/ingress/tests/builders.py
@@ -82,7 +82,9 @@
 
 
 def retry_budget(
-    allowed: budget.Allowance, instances: Callable[[], int], started: float
+    allowed: budget.Allowance,
+    instances: Callable[[ids.Instant], int],
+    started: float,
 ) -> budget.RetryBudget:
     """Return the budget of a process that starts at `started`."""
     return budget.RetryBudget(allowed, instances, ids.Instant(started))
--- a/src/tealcove/ingress/tests/test_budget.py
+++ b/src/tealcove/ingress/tests/test_budget.py
@@ -16,7 +16,7 @@
 
 
 def test_slack_is_shared_and_window_slides():
-    found = builders.retry_budget(ALLOWED, lambda: 10, LONG_AGO)
+    found = builders.retry_budget(ALLOWED, lambda now: 10, LONG_AGO)
     taken = [found.take_retry(builders.SERVICE, instant(1.0)) for _ in range(10)]
     assert sum(taken) == int(budget.USED_SHARE * 5)
     assert not found.take_retry(builders.SERVICE, instant(10.9))
@@ -25,7 +25,7 @@
 
 
 def test_allowed_retries_grow_with_requests():
-    found = builders.retry_budget(ALLOWED, lambda: 1000, LONG_AGO)
+    found = builders.retry_budget(ALLOWED, lambda now: 1000, LONG_AGO)
     assert not found.take_retry(builders.SERVICE, instant(0.0))
     for _ in range(100):
         found.record_request(builders.SERVICE, instant(0.0))
--- a/src/tealcove/ingress/tests/test_budget_restarts.py
+++ b/src/tealcove/ingress/tests/test_budget_restarts.py
@@ -34,7 +34,7 @@
 
     def start(self, now: float) -> budget.RetryBudget:
         """Return the budget of a new process."""
-        return builders.retry_budget(ALLOWED, lambda: INSTANCES, now)
+        return builders.retry_budget(ALLOWED, lambda now: INSTANCES, now)
 
     def kill(self, number: int, now: float) -> None:
         """Replace the process of an instance."""
--- a/src/tealcove/limits/presence.py
+++ b/src/tealcove/limits/presence.py
@@ -81,6 +81,22 @@
         """Return the number of instances that may be alive beyond a partition."""
         return sum(1 for since in self.lost.values() if now - since < LOST_SECONDS)
 
+    def count_possible(self, now: ids.Instant) -> int:
+        """Return how many instances may be running, this one among them.
+
+        Counts those that are silent, since they may be alive beyond a partition, those
+        that left so recently that they are still known, and those on the platform's
+        list, of which a process knows none when it starts within a partition.
+        """
+        self.refresh(now)
+        silent = sum(
+            1
+            for instance, since in self.lost.items()
+            if now - since < LOST_SECONDS and instance not in self.members.peers
+        )
+        listed = 0 if self.count_listed is None else self.count_listed()
+        return max(1 + len(self.members.peers) + silent, listed)
+
     def home(self, account: ids.AccountId) -> ids.InstanceId | None:
         """Return the home of an account, or None when no instance serves."""
         return next(iter(self.ranked(account)), None)
