Count granted retries until they are sent

Retries that wait leave the window before they are sent, and others are granted in their place.

Change: a granted retry is reserved, and counts until it is sent, from when the window runs; the reservation of a request that ends without a slot is released.

Measured: the first new test fails on the code before, which keeps no reservation.

--- a/src/tealcove/ingress/budget.py
+++ b/src/tealcove/ingress/budget.py
@@ -49,22 +49,37 @@
         self.instances = instances
         self.requests: dict[ids.PoolId, collections.deque[ids.Instant]] = {}
         self.retries: dict[ids.PoolId, collections.deque[ids.Instant]] = {}
+        # Retries that were granted and have not been sent yet.
+        self.reserved: collections.Counter[ids.PoolId] = collections.Counter()
 
     def record_request(self, service: ids.PoolId, now: ids.Instant) -> None:
         """Record the first attempt of a request."""
         self.in_window(self.requests, service, now).append(now)
 
-    def take_retry(self, service: ids.PoolId, now: ids.Instant) -> bool:
-        """Return whether a request may be retried, and record the retry if so."""
+    def reserve_retry(self, service: ids.PoolId, now: ids.Instant) -> bool:
+        """Return whether a request may be retried, and reserve the retry if so.
+
+        It counts until it is recorded or released: requests that wait for a slot would
+        otherwise leave the window before they are sent.
+        """
         if not self.can_retry(service, now):
             return False
-        self.in_window(self.retries, service, now).append(now)
+        self.reserved[service] += 1
         return True
 
+    def record_retry(self, service: ids.PoolId, now: ids.Instant) -> None:
+        """Record that a reserved retry is sent."""
+        self.release_retry(service)
+        self.in_window(self.retries, service, now).append(now)
+
+    def release_retry(self, service: ids.PoolId) -> None:
+        """Cancel a reservation."""
+        self.reserved[service] -= 1
+
     def can_retry(self, service: ids.PoolId, now: ids.Instant) -> bool:
         """Return whether a request may be retried, without recording anything."""
-        retries = self.in_window(self.retries, service, now)
-        return len(retries) + 1 <= self.max_retries(service, now)
+        sent = len(self.in_window(self.retries, service, now))
+        return sent + self.reserved[service] + 1 <= self.max_retries(service, now)
 
     def max_retries(self, service: ids.PoolId, now: ids.Instant) -> float:
         """Return the number of retries to a service that the window may hold."""
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -91,6 +91,8 @@
         self.runs = 0
         self.unreachable = 0
         self.not_run_responses = 0
+        # Whether a retry is reserved that has not been sent yet.
+        self.has_reserved_retry = False
         # The last complete response with a server error.
         self.failure: BufferedResponse | None = None
         self.stream = stream.CallerStream(http, accepted.call.last_event)
@@ -127,6 +129,8 @@
             self.outcome = problem.CALLER_GONE
             responses.abort_connection(self.http)
             return self.stream.response
+        finally:
+            self.release_retry()
 
     async def serve(self) -> web.StreamResponse:
         """Send the request until a server responds; raises ProblemError."""
@@ -245,8 +249,7 @@
         )
 
         def dispatched() -> None:
-            if not self.sent:
-                self.services.budget.record_request(accepted.service, clock.now())
+            self.record_sending(clock.now())
             self.sent += 1
             self.runs += 1
             report.dispatched(clock.now())
@@ -270,6 +273,15 @@
             raise failures.silent(server) from None
         return self.finish_response(BufferedResponse(head, body), server)
 
+    def record_sending(self, now: ids.Instant) -> None:
+        """Record a sending of the request in the retry budget."""
+        service = self.accepted.service
+        if not self.sent:
+            self.services.budget.record_request(service, now)
+        elif self.has_reserved_retry:
+            self.services.budget.record_retry(service, now)
+            self.has_reserved_retry = False
+
     def silence_timeout(self, grant: messages.Grant, now: ids.Instant) -> float | None:
         """Return the seconds of silence before a retry; None for no limit."""
         if not grant.first_seconds or not self.may_retry(now, self.runs + 1):
@@ -320,9 +332,9 @@
             self.runs -= 1
             self.not_run_responses += 1
             has_retry = self.not_run_responses < MAX_NOT_RUN
-            has_retry = has_retry and self.take_retry(now)
+            has_retry = has_retry and self.reserve_retry(now)
         else:
-            has_retry = self.may_retry(now, self.runs) and self.take_retry(now)
+            has_retry = self.may_retry(now, self.runs) and self.reserve_retry(now)
         self.log_decision(
             "{} after {}: {}", "retry" if has_retry else "no retry", server, error
         )
@@ -340,9 +352,17 @@
         has_time = self.accepted.deadline - now > MIN_REMAINING
         return has_time and not is_once and runs < route.attempts
 
-    def take_retry(self, now: ids.Instant) -> bool:
-        """Return whether the retry budget allows a retry, and record it if so."""
-        return self.services.budget.take_retry(self.accepted.service, now)
+    def reserve_retry(self, now: ids.Instant) -> bool:
+        """Return whether the retry budget allows a retry, and reserve it if so."""
+        budgeted = self.services.budget
+        self.has_reserved_retry = budgeted.reserve_retry(self.accepted.service, now)
+        return self.has_reserved_retry
+
+    def release_retry(self) -> None:
+        """Cancel the reservation of a retry that was not sent."""
+        if self.has_reserved_retry:
+            self.services.budget.release_retry(self.accepted.service)
+            self.has_reserved_retry = False
 
     def lost_response(self, reason: str) -> problem.ProblemError:
         """Return the problem for a dispatched request without a complete response."""
--- a/src/tealcove/ingress/tests/builders.py
+++ b/src/tealcove/ingress/tests/builders.py
@@ -90,6 +90,9 @@
     return budget.RetryBudget(allowed, instances, ids.Instant(started))
 
 
-def retry(found: budget.RetryBudget, now: float) -> bool:
+def retry(found: budget.RetryBudget, now: float, service: ids.PoolId = SERVICE) -> bool:
     """Send a request once more, if the budget allows it."""
-    return found.take_retry(SERVICE, ids.Instant(now))
+    is_allowed = found.reserve_retry(service, ids.Instant(now))
+    if is_allowed:
+        found.record_retry(service, ids.Instant(now))
+    return is_allowed
--- a/src/tealcove/ingress/tests/test_exchange.py
+++ b/src/tealcove/ingress/tests/test_exchange.py
@@ -10,7 +10,7 @@
 
 from tealcove import clock, ids
 from tealcove.entry import problem
-from tealcove.ingress import exchange
+from tealcove.ingress import budget, exchange
 from tealcove.ingress.tests import builders
 
 
@@ -36,3 +36,26 @@
     assert await running.run() is running.stream.response
     assert running.outcome == problem.CALLER_GONE
     running.http.transport.abort.assert_called_once()
+
+
+async def test_a_retry_that_waits_in_vain_leaves_the_budget(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Reservations of requests that ended without a slot blocked later retries."""
+    allowed = budget.Allowance(ratio=0.0, slack=1.25, window=10.0)
+    retries = builders.retry_budget(allowed, lambda now: 1, 0.0)
+    services = exchange.Services(None, None, retries, None)
+    accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
+    found = exchange.Exchange(
+        services, accepted, ids.CellId("engines/0"), unittest.mock.Mock()
+    )
+
+    async def serve() -> web.StreamResponse:
+        found.sent = found.runs = 1
+        assert found.reserve_retry(ids.Instant(100.0))
+        raise found.lost_response("backend_server")
+
+    monkeypatch.setattr(found, "serve", serve)
+    with pytest.raises(problem.ProblemError):
+        await found.run()
+    assert retries.can_retry(builders.SERVICE, ids.Instant(100.0))
