Test: a backend server gets more requests than the limit that it names (fails)

Nothing reads Server-Limit (LIMIT). In the record all 92 slots of the two limited servers were granted by one instance, and 92 requests were sent, so that neither retries of entries nor a second dispatcher added any.

--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -73,6 +73,8 @@
         self.event_interval = 0.0
         # Duration of a call that isn't a stream.
         self.call_seconds = 0.0
+        # The request limit that its answers name, in requests a second.
+        self.limit: str | None = None
         self.faults: collections.deque[Fault] = collections.deque()
         self.runs: list[Run] = []
         self.running = 0
@@ -161,6 +163,8 @@
             names.REQUEST_ID: request.headers[names.REQUEST_ID],
             names.SIGNATURE: f"signed by {self.name}",
         }
+        if self.limit is not None:
+            headers[names.REQUEST_LIMIT] = self.limit
         if fault is Fault.NO_ANSWER:
             await asyncio.Event().wait()
         if fault is Fault.RESET:
