Keep to the limit on requests that a backend server names

What callers saw: late and failed answers of servers that were in need of fewer requests; such a server got 22 in 4 s where it asked for 1.3 a second (LIMIT).

Cause: nothing read Server-Limit. The dispatcher grants whatever slot is free. Class: a promise to backend servers that no part kept; the statement of a server that every instance hears only from its own answers has to bind all of them.

Evidence: by the record, one instance granted all 92 slots of both servers, and seven sent 92 requests: retries or a second dispatcher added none.

Change: the instance that gets an answer tells the dispatcher when it states another limit than the grant did; the dispatcher grants by a token bucket of that rate, with a second's burst, and forecasts waiting times by it. Tickets carry what their entry knows, newest statement first, so that the next dispatcher knows the limits before its first grant. An answer without a limit ends it only if its request was granted under one: answers arrive out of order. A server that asks for no requests at all still gets one in 4 s, since only its answers tell when that ends.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logbook
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import messages, prefill
+from tealcove.dispatch import messages, prefill, requestrate
 from tealcove.resources import kinds
 
+log = logbook.Logger("dispatch")
+
 # A server's speed before its first completions, in seconds: that of a fast engine,
 # since a speed that is too slow would refuse work it could serve.
 INITIAL_TOKEN_SECONDS = 0.006
@@ -79,6 +82,10 @@
         # When a run last produced a first token or completed.
         self.last_activity = ids.Instant(0.0)
         self.pause = MIN_PAUSE
+        # The limit that it has named, and when it last said something of it.
+        self.rate: requestrate.RequestRate | None = None
+        self.request_limit: float | None = None
+        self.limit_stated_at = ids.Instant(float("-inf"))
 
     def announced_first_seconds(self, run: Run) -> float:
         """Return the seconds to a run's first event that are sent to its entry."""
@@ -94,9 +101,54 @@
             return 0
         slots = 1 if self.failed_in_row >= FAILURES_TO_PROBE else self.spec.slots
         free = slots - len(self.runs)
+        if free > 0 and self.rate is not None:
+            free = min(free, self.rate.available(now))
         # Checked last, since most servers are full when this is called most often.
         return 0 if free > 0 and self.is_stalled(now) else free
 
+    def apply_limit(self, stated: messages.StatedLimit, now: ids.Instant) -> None:
+        """Apply a statement of its limit, unless a newer one is known."""
+        stated_at = ids.Instant(now - stated.age)
+        if stated_at <= self.limit_stated_at:
+            return
+        self.limit_stated_at = stated_at
+        if stated.rate == self.request_limit:
+            return
+        log.info(
+            "{} limits its requests a second to {}, {} before",
+            self.name,
+            stated.rate,
+            self.request_limit,
+        )
+        self.request_limit = stated.rate
+        if stated.rate is None:
+            self.rate = None
+        elif self.rate is None:
+            self.rate = requestrate.RequestRate(stated.rate, now)
+        else:
+            self.rate.change(stated.rate, now)
+
+    def record_grant(self, now: ids.Instant) -> None:
+        """Count a granted request against the limit."""
+        if self.rate is not None:
+            self.rate.take(now)
+
+    def slot_available_at(self, place: int, at: ids.Instant, now: ids.Instant) -> float:
+        """Return when the slot in a place of the order of release can be granted.
+
+        `at` is its release.
+        """
+        if self.rate is None:
+            return at
+        return max(at, self.rate.available_at(place + 1, now))
+
+    def slot_seconds(self, ticket: messages.Ticket) -> float:
+        """Return the seconds from a grant of one of its slots until the next of it."""
+        seconds = self.total_seconds(ticket, 0.0)
+        if self.rate is None:
+            return seconds
+        return max(seconds, self.spec.slots / self.rate.rate)
+
     def is_stalled(self, now: ids.Instant) -> bool:
         """Tell whether it hangs: a run is overdue, and no later activity was seen.
 
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -165,6 +165,16 @@
         self.views.release(ticket_id)
         return self.decide(now)
 
+    def apply_limit(
+        self, stated: messages.StatedLimit, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        server = self.views.servers.get(stated.server)
+        if server is None or server.spec.start != stated.start:
+            return []
+        server.apply_limit(stated, now)
+        return self.decide(now)
+
     def progress(
         self, progress: messages.Progress, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -302,6 +312,7 @@
         ticket = waiting.ticket
         del self.line[ticket.ticket_id]
         run = self.views.start(ticket, server, now)
+        server.record_grant(now)
         self.exposure.record_grant(server.spec)
         if now + run.first <= waiting.goal_at:
             self.shares.record_grant(waiting.flow, now)
@@ -362,5 +373,6 @@
         first_seconds=server.announced_first_seconds(server.runs[ticket.ticket_id]),
         start=server.spec.start,
         revision=revision,
+        request_limit=server.request_limit,
     )
     return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -4,6 +4,8 @@
 
 import enum
 
+import msgspec
+
 from tealcove import ids
 from tealcove.peers import message
 
@@ -34,6 +36,18 @@
     NOT_SENT = "not_sent"
 
 
+class StatedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What an answer of a backend server said of its limit on requests."""
+
+    server: ids.BackendServerId
+    # The start of the server that answered.
+    start: ids.ServerStart
+    # Requests a second from all instances together; None: no limit any more.
+    rate: float | None
+    # Seconds since the answer.
+    age: float = 0.0
+
+
 class Ticket(message.Message):
     """A request's place in the queue of a cell; it carries no prompt."""
 
@@ -80,6 +94,8 @@
     data_centre: ids.DataCentreId = ids.DataCentreId("")
     # Name of the route.
     route: str = ""
+    # What the entry knows of the limits of the cell's servers.
+    limits: tuple[StatedLimit, ...] = ()
 
 
 class Queued(message.Message):
@@ -104,6 +120,8 @@
     start: ids.ServerStart = ids.NO_START
     # The revision of the pool that the decision is based on.
     revision: ids.Revision = ids.Revision(0)
+    # The server's limit in requests a second, by the dispatcher's knowledge.
+    request_limit: float | None = None
 
 
 class Refusal(message.Message):
@@ -137,6 +155,13 @@
     first_token_seconds: float
 
 
+class LimitReport(message.Message):
+    """A server's answer stated another limit than the dispatcher assumed."""
+
+    cell: ids.CellId
+    stated: StatedLimit
+
+
 class Done(message.Message):
     """A dispatched request has ended and its slot is free."""
 
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tealcove import clock, ids, tasks
-from tealcove.dispatch import messages, pending, spread
+from tealcove.dispatch import messages, pending, spread, statedlimits
 from tealcove.membership import members, unresponsive
 from tealcove.peers import mesh, message
 
@@ -44,6 +44,7 @@
         self.informed: set[tuple[ids.CellId, ids.InstanceId]] = set()
         # Dispatchers that left a ticket unanswered.
         self.silence = unresponsive.UnresponsivePeers(RETRY_SILENT_AFTER)
+        self.stated = statedlimits.StatedLimits()
         # Called at the end of each dispatched request.
         self.listeners: list[Listener] = []
         self.refreshing: asyncio.Task[None] | None = None
@@ -123,7 +124,7 @@
         self.set_dispatcher(request, dispatcher)
         request.moved = loop.create_future()
         request.replied = loop.create_future()
-        self.send(request, pending.current(request, now))
+        self.send(request, self.current(request, now))
 
     def set_dispatcher(
         self, request: pending.PendingTicket, dispatcher: ids.InstanceId
@@ -159,7 +160,7 @@
         now = clock.now()
         for request in self.pending_tickets.values():
             if request.ticket.cell == cell and request.ticket.running_on is not None:
-                self.transport.send(peer, pending.current(request, now))
+                self.transport.send(peer, self.current(request, now))
 
     async def wait_for_answer(self, request: pending.PendingTicket) -> None:
         """Wait for the answer, the deadline or another dispatcher."""
@@ -234,7 +235,7 @@
             return
         self.send(request, pending.withdrawal(request.ticket))
         self.set_dispatcher(request, first)
-        self.send(request, pending.current(request, now))
+        self.send(request, self.current(request, now))
 
     def is_assigned_to(
         self, request: pending.PendingTicket, instance: ids.InstanceId
@@ -266,7 +267,35 @@
                     now - request.since >= REFRESH_INTERVAL
                     and request.dispatcher is not None
                 ):
-                    self.send(request, pending.current(request, now))
+                    self.send(request, self.current(request, now))
+
+    def current(
+        self, request: pending.PendingTicket, now: ids.Instant
+    ) -> messages.Ticket:
+        """Return a ticket as it is sent now, with the known limits of servers."""
+        limits = self.stated.of_cell(request.ticket.cell, now)
+        return msgspec.structs.replace(pending.current(request, now), limits=limits)
+
+    def record_limit(
+        self,
+        request: pending.PendingTicket,
+        grant: messages.Grant,
+        rate: float | None,
+        now: ids.Instant,
+    ) -> None:
+        """Record the limit that an answer states, and report it if it is news.
+
+        Without a limit, an answer counts only if its request was granted under one: an
+        answer from before the limit may arrive after another that names it.
+        """
+        if rate is None and grant.request_limit is None:
+            return
+        said = statedlimits.Statement(grant.start, rate, now)
+        self.stated.record(request.ticket.cell, grant, said)
+        if rate != grant.request_limit:
+            stated = messages.StatedLimit(grant.server, grant.start, rate)
+            report = messages.LimitReport(cell=request.ticket.cell, stated=stated)
+            self.send(request, report)
 
     def mark_running(
         self,
@@ -334,7 +363,7 @@
             return
         excluded = (*request.ticket.excluded, grant.server)
         request.ticket = msgspec.structs.replace(request.ticket, excluded=excluded)
-        self.send(request, pending.current(request, clock.now()))
+        self.send(request, self.current(request, clock.now()))
 
     def handle_refusal(self, sender: ids.InstanceId, refusal: messages.Refusal) -> None:
         """Accept a refusal from the ticket's current dispatcher only."""
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -96,6 +96,7 @@
         self.transport.handle(messages.Withdrawal, self.handle_withdrawal)
         self.transport.handle(messages.Progress, self.handle_progress)
         self.transport.handle(messages.Done, self.handle_done)
+        self.transport.handle(messages.LimitReport, self.handle_limit)
         self.transport.handle(holds.Hold, self.handle_hold)
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
@@ -122,6 +123,8 @@
             )
             self.send([scheduler.Outgoing(ticket.entry, refusal)])
             return
+        for stated in ticket.limits:
+            self.send(held.scheduler.apply_limit(stated, clock.now()))
         fitting = reading.exclude_unequipped(ticket, held.holdings)
         self.send(held.scheduler.enqueue(fitting, clock.now()))
 
@@ -165,6 +168,14 @@
                 held.lost_at[done.server] = clock.now()
             self.send(held.scheduler.done(done, clock.now()))
 
+    def handle_limit(
+        self, sender: ids.InstanceId, report: messages.LimitReport
+    ) -> None:
+        """Apply what a server said of its limit on requests."""
+        held = self.held.get(report.cell)
+        if held is not None:
+            self.send(held.scheduler.apply_limit(report.stated, clock.now()))
+
     def serve_cell(self, ticket: messages.Ticket) -> servedcell.ServedCell | None:
         """Return a ticket's cell, and start serving it; None if it doesn't exist."""
         held = self.held.get(ticket.cell)
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -75,6 +75,15 @@
         """Return the sequence number of the last cache event that was applied."""
         return 0
 
+    def apply_limit(
+        self, stated: messages.StatedLimit, now: ids.Instant
+    ) -> list[Outgoing]:
+        """Apply what a server said of its limit on requests.
+
+        A scheduler for servers that name no limits keeps this default.
+        """
+        return []
+
     def hold_back(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- /dev/null
+++ b/src/tealcove/dispatch/tests/test_request_limits.py
@@ -0,0 +1,147 @@
+"""Backend servers that name a limit on the requests from all instances."""
+
+from __future__ import annotations
+
+import pytest
+
+from tealcove import ids
+from tealcove.dispatch import goal, messages, requestrate, statedlimits, waitingline
+from tealcove.dispatch.tests import builders
+
+SERVER = ids.BackendServerId("s0")
+STEP = 0.05
+
+
+def opened(*slots: int) -> goal.GoalScheduler:
+    """Return a scheduler with servers of these numbers of slots."""
+    found = goal.GoalScheduler()
+    servers = [builders.server(f"s{n}", count) for n, count in enumerate(slots)]
+    found.configure(builders.cell(*servers), builders.instant(0.0))
+    return found
+
+
+def stated(rate: float | None, age: float = 0.0, **changes: object) -> object:
+    found = {"server": SERVER, "start": ids.NO_START, "rate": rate, "age": age}
+    return messages.StatedLimit(**{**found, **changes})
+
+
+def apply(
+    found: goal.GoalScheduler, rate: float | None, at: float, age: float = 0.0
+) -> None:
+    found.apply_limit(stated(rate, age), builders.instant(at))
+
+
+def play(found: goal.GoalScheduler, since: float, seconds: float) -> list[float]:
+    """Keep the line full, end each request at once, and return the grants' times."""
+    granted = []
+    for step in range(round(seconds / STEP)):
+        at = since + step * STEP
+        now = builders.instant(at)
+        outgoing = found.enqueue(builders.ticket(), now)
+        outgoing += found.tick(now)
+        for grant in builders.granted(outgoing):
+            granted.append(at)
+            found.done(builders.done(grant), now)
+    return granted
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.3, 1.0, 1.3, 2.3, 10.0])
+def test_grants_stay_within_a_named_limit(rate: float) -> None:
+    """Servers in need got a request whenever a slot was free."""
+    found = opened(5)
+    apply(found, rate, 0.0)
+    grants = play(found, 0.0, 30.0)
+    most = max(sum(at <= other < at + 4.0 for other in grants) for at in grants)
+    assert most <= 1.5 * rate * 4.0 + 5.0
+    assert len(grants) >= 0.8 * max(rate, requestrate.MIN_RATE) * 30.0 - 1.0
+
+
+def test_other_servers_take_what_a_limited_one_does_not() -> None:
+    """Requests waited for the limited server while another one was free."""
+    found = opened(5, 5)
+    apply(found, 0.5, 0.0)
+    assert len(play(found, 0.0, 10.0)) > 150
+
+
+def test_a_limit_ends_when_an_answer_names_none() -> None:
+    """A server kept its limit after its need was over."""
+    found = opened(5)
+    apply(found, 0.5, 0.0)
+    apply(found, None, 5.0)
+    assert len(play(found, 5.0, 5.0)) > 50
+
+
+def test_older_statements_are_ignored() -> None:
+    """A ticket that was sent before restored or ended a limit."""
+    found = opened(5)
+    server = found.views.servers[SERVER]
+    apply(found, 2.0, 5.0)
+    apply(found, None, 6.0, age=3.0)
+    assert server.request_limit == 2.0
+    apply(found, None, 7.0)
+    apply(found, 2.0, 8.0, age=3.0)
+    assert server.request_limit is None
+
+
+def test_a_restarted_server_has_no_limit() -> None:
+    """The limit of an earlier start held for the next one."""
+    found = opened(5)
+    apply(found, 1.0, 0.0)
+    server = builders.server("s0", 5, start=ids.ServerStart(2))
+    found.configure(builders.cell(server), builders.instant(1.0))
+    apply(found, 1.0, 2.0)
+    assert found.views.servers[SERVER].request_limit is None
+
+
+def test_a_changed_limit_keeps_what_is_used_up() -> None:
+    """Each change of a limit granted another burst."""
+    rate = requestrate.RequestRate(10.0, builders.instant(0.0))
+    assert rate.available(builders.instant(5.0)) == 10
+    rate.change(2.0, builders.instant(5.0))
+    assert rate.available(builders.instant(5.0)) == 2
+    for _ in range(2):
+        rate.take(builders.instant(5.0))
+    rate.change(1.0, builders.instant(5.0))
+    assert rate.available(builders.instant(5.9)) == 0
+    assert rate.available_at(1, builders.instant(5.9)) == pytest.approx(
+        builders.instant(6.0)
+    )
+
+
+def test_callers_beyond_the_limits_are_told_at_once() -> None:
+    """A forecast by free slots let callers wait for a slot until their deadlines."""
+    found = opened(5)
+    apply(found, 0.5, 0.0)
+    refused = []
+    for _ in range(20):
+        ticket = builders.ticket(remaining=10.0)
+        refused += builders.refused(found.enqueue(ticket, builders.instant(0.0)))
+    assert 13 <= len(refused) <= 16
+
+
+def test_a_limited_slot_is_released_by_the_limit() -> None:
+    """A free slot counted as available although the limit was used up."""
+    found = opened(2)
+    apply(found, 0.5, 0.0)
+    now = builders.instant(0.0)
+    released = waitingline.slot_release_times(found.views.servers.values(), now)
+    assert [at - now for at, _, _ in released] == [2.0, 4.0]
+
+
+def test_statements_are_sent_with_their_age_and_dropped() -> None:
+    """Old statements would limit servers that answer others by now."""
+    known = statedlimits.StatedLimits()
+    grant = messages.Grant(
+        ticket_id=ids.TicketId("t"),
+        cell=builders.CELL,
+        server=SERVER,
+        host="",
+        port=0,
+    )
+    said = statedlimits.Statement(ids.NO_START, 1.7, builders.instant(0.0))
+    known.record(builders.CELL, grant, said)
+    (found,) = known.of_cell(builders.CELL, builders.instant(2.0))
+    assert (found.server, found.rate, found.age) == (SERVER, 1.7, 2.0)
+    late = builders.instant(statedlimits.KEPT_SECONDS + 1.0)
+    assert known.of_cell(builders.CELL, late) == ()
+    assert not known.statements
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -116,7 +116,7 @@
         if now + seconds > waiting.start_by:
             too_late.append((waiting, seconds))
             continue
-        length = server.total_seconds(waiting.ticket, 0.0)
+        length = server.slot_seconds(waiting.ticket)
         heapq.heapreplace(slots, (max(at, now) + length, name, server))
     return Forecast(tuple(too_late))
 
@@ -141,6 +141,6 @@
         free = max(0, server.spec.slots - len(ends))
         start = max(now, server.paused_until)
         ends = [start] * free + ends[: server.spec.slots]
-        for at in ends:
-            found.append((at, len(found), server))
+        for place, at in enumerate(ends):
+            found.append((server.slot_available_at(place, at, now), len(found), server))
     return found
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -201,8 +201,10 @@
         except engine.NotDispatchedError:
             outcome = messages.Outcome.NOT_SENT
             raise
-        except link.NotRunError:
+        except link.NotRunError as error:
             # The server is healthy; it has no capacity, or has been replaced.
+            if error.stated_limit is not None:
+                report.answered(error.stated_limit, clock.now())
             outcome = messages.Outcome.CANCELLED
             raise
         except engine.BrokenStreamError:
@@ -266,6 +268,7 @@
         try:
             async with contextlib.aclosing(response) as parts, silence:
                 head = await anext(parts)
+                report.answered(head.stated_limit, clock.now())
                 if accepted.route.is_stream and head.is_success:
                     return await self.relay_stream(head, parts, report, silence)
                 body = await read_body(server, parts)
--- a/src/tealcove/ingress/link.py
+++ b/src/tealcove/ingress/link.py
@@ -12,15 +12,29 @@
 from tealcove.ingress import call
 
 
+class StatedLimit(msgspec.Struct, frozen=True):
+    """The limit that a server's answer names."""
+
+    # Requests a second from all instances together; None: it names none.
+    rate: float | None = None
+
+
 class NotRunError(errors.BackendError):
     """The backend server responded that it hasn't run the request, and won't."""
 
-    def __init__(self, server: ids.BackendServerId, status: int) -> None:
+    def __init__(
+        self,
+        server: ids.BackendServerId,
+        status: int,
+        stated_limit: StatedLimit | None = None,
+    ) -> None:
         super().__init__(
             f"{server} responded with status {status}: not run",
             "Send it to another server.",
         )
         self.status = status
+        # None if another server answered.
+        self.stated_limit = stated_limit
 
 
 class OutboundRequest(msgspec.Struct, frozen=True):
@@ -42,6 +56,7 @@
     status: int
     # Headers that are returned to the caller.
     headers: call.Headers
+    stated_limit: StatedLimit = StatedLimit()
 
     @property
     def is_success(self) -> bool:
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -4,6 +4,7 @@
 
 from tealcove import ids
 from tealcove.dispatch import messages, pending, requester
+from tealcove.ingress import link
 
 
 class AttemptReport:
@@ -26,6 +27,10 @@
         """Record that the request is about to be written."""
         self.sent_at = now
 
+    def answered(self, stated: link.StatedLimit, now: ids.Instant) -> None:
+        """Record what the server's answer says of its limit on requests."""
+        self.tickets.record_limit(self.pending_ticket, self.grant, stated.rate, now)
+
     def first_event(self, now: ids.Instant) -> None:
         """Report the arrival of the first event."""
         self.first_at = now
--- a/src/tealcove/platform/backendlink.py
+++ b/src/tealcove/platform/backendlink.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import AsyncGenerator, Callable
 
 import aiohttp
@@ -143,11 +144,12 @@
     """
     server = outbound.server
     headers = response.headers
-    if names.NOT_RUN in headers:
-        raise link.NotRunError(server.name, response.status)
+    stated = link.StatedLimit(read_limit(headers.get(names.REQUEST_LIMIT)))
     if response.status == HTTP_MISDIRECTED and names.SIGNATURE not in headers:
         # Another server has this address now, and rejects requests for its predecessor.
         raise link.NotRunError(server.name, response.status)
+    if names.NOT_RUN in headers:
+        raise link.NotRunError(server.name, response.status, stated)
     echoed = headers.get(names.REQUEST_ID)
     is_signed = names.SIGNATURE in headers
     if echoed != outbound.call.request_id or not is_signed:
@@ -161,4 +163,15 @@
         for name, value in headers.items()
         if name.lower() not in DROPPED_HEADERS
     )
-    return link.Head(response.status, returned)
+    return link.Head(response.status, returned, stated)
+
+
+def read_limit(written: str | None) -> float | None:
+    """Return a limit in requests a second; None if there is none that can be read."""
+    if written is None:
+        return None
+    try:
+        rate = float(written)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -131,7 +131,8 @@
             )
         fault = self.faults.popleft() if self.faults else None
         if fault is Fault.FULL:
-            return web.Response(status=HTTP_UNAVAILABLE, headers={names.NOT_RUN: "1"})
+            headers = {names.NOT_RUN: "1", **self.limit_headers()}
+            return web.Response(status=HTTP_UNAVAILABLE, headers=headers)
         self.record(request, body)
         self.running += 1
         try:
@@ -139,6 +140,10 @@
         finally:
             self.running -= 1
 
+    def limit_headers(self) -> dict[str, str]:
+        """Return the header that names the limit, if there is one."""
+        return {} if self.limit is None else {names.REQUEST_LIMIT: self.limit}
+
     def record(self, request: web.Request, body: bytes) -> None:
         """Record a request that is run."""
         headers = request.headers
@@ -163,8 +168,7 @@
             names.REQUEST_ID: request.headers[names.REQUEST_ID],
             names.SIGNATURE: f"signed by {self.name}",
         }
-        if self.limit is not None:
-            headers[names.REQUEST_LIMIT] = self.limit
+        headers.update(self.limit_headers())
         if fault is Fault.NO_ANSWER:
             await asyncio.Event().wait()
         if fault is Fault.RESET:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
+from tealcove import clock
 from tealcove.standins import poolserver
 from tests import platform_site
 
@@ -17,9 +20,24 @@
 CALLERS = 6
 
 
-async def send_all(running: platform_site.Site, count: int = REQUESTS) -> list[int]:
+@contextlib.asynccontextmanager
+async def connected_site(
+    servers: int, instances: int
+) -> AsyncIterator[platform_site.Site]:
+    """Run a site whose instances know each other."""
+    async with platform_site.site(servers, instances) as running:
+        await platform_site.until(
+            lambda: all(
+                len(one.members.serving(clock.now())) == instances
+                for one in running.instances
+            )
+        )
+        yield running
+
+
+async def send_all(running: platform_site.Site) -> list[int]:
     """Send requests to all instances in turn, and return the statuses."""
-    numbers = iter(range(count))
+    numbers = iter(range(REQUESTS))
     statuses = []
 
     async def call() -> None:
@@ -41,11 +59,61 @@
     )
 
 
+def limits_of(running: platform_site.Site) -> dict[str, float | None]:
+    """Return the limits of all servers by the knowledge of their dispatcher."""
+    (dispatcher,) = [one for one in running.instances if one.dispatcher.held]
+    (held,) = dispatcher.dispatcher.held.values()
+    views = held.scheduler.backend_views()
+    return {view.name: view.request_limit for view in views}
+
+
 async def test_a_server_that_names_a_limit_gets_no_more():
     """A server in need got requests whenever a slot was free."""
-    async with platform_site.site(servers=2, instances=3) as running:
+    async with connected_site(servers=2, instances=3) as running:
         limited = running.servers[0]
         limited.limit = str(LIMIT)
         assert set(await send_all(running)) == {200}
         allowed = ALLOWED_FACTOR * LIMIT * WINDOW_SECONDS + ALLOWED_EXTRA
         assert most_in_a_window(limited) <= allowed
+
+
+async def test_a_limit_outlives_its_dispatcher():
+    """The next dispatcher granted every free slot until it heard of the limit."""
+    async with connected_site(servers=2, instances=3) as running:
+        limited = running.servers[0]
+        limited.limit = str(LIMIT)
+        informed = []
+        while not informed:
+            await send_all(running)
+            (dispatcher,) = [one for one in running.instances if one.dispatcher.held]
+            others = [one for one in running.instances if one is not dispatcher]
+            informed = [one for one in others if one.tickets.stated.statements]
+        running.instances = others
+        await dispatcher.stop()
+        before = len(limited.runs)
+        assert (await running.send("/safe/1", informed[0])).status == 200
+        assert len(limited.runs) == before
+        assert limits_of(running)[limited.name] == LIMIT
+
+
+async def test_a_limit_ends_with_the_need():
+    """A server that no longer named its limit got one request a second for good."""
+    async with connected_site(servers=1, instances=2) as running:
+        (server,) = running.servers
+        server.limit = str(LIMIT)
+        assert (await running.send("/safe/1")).status == 200
+        server.limit = None
+        for number in range(20):
+            assert (await running.send(f"/safe/{number}")).status == 200
+        assert set(limits_of(running).values()) == {None}
+
+
+async def test_rejections_name_the_limit_too():
+    """A server that rejects what is beyond its slots was asked as often as before."""
+    async with connected_site(servers=2, instances=2) as running:
+        limited = running.servers[0]
+        limited.limit = str(LIMIT)
+        limited.faults.extend([poolserver.Fault.FULL] * 3)
+        assert set(await send_all(running)) == {200}
+        allowed = ALLOWED_FACTOR * LIMIT * WINDOW_SECONDS + ALLOWED_EXTRA
+        assert len(limited.runs) <= allowed
