End a server's limit only on a success that names none

Cause, read in the code: an error without Server-Limit counted as its end. A server in need that fails some requests would have been granted every free slot after each failure, until its next answer named the limit again.

Change: only a success without the header ends a limit; an error without it, or a value that can't be read, says nothing.

Measured: test_errors_without_a_limit_do_not_end_it fails on the code before.

--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -203,8 +203,7 @@
             raise
         except link.NotRunError as error:
             # The server is healthy; it has no capacity, or has been replaced.
-            if error.stated_limit is not None:
-                report.answered(error.stated_limit, clock.now())
+            report.answered(error.stated_limit, clock.now())
             outcome = messages.Outcome.CANCELLED
             raise
         except engine.BrokenStreamError:
--- a/src/tealcove/ingress/link.py
+++ b/src/tealcove/ingress/link.py
@@ -13,10 +13,10 @@
 
 
 class StatedLimit(msgspec.Struct, frozen=True):
-    """The limit that a server's answer names."""
+    """What a server's answer says of its limit on requests."""
 
-    # Requests a second from all instances together; None: it names none.
-    rate: float | None = None
+    # Requests a second from all instances together; None: there is no limit.
+    rate: float | None
 
 
 class NotRunError(errors.BackendError):
@@ -33,7 +33,7 @@
             "Send it to another server.",
         )
         self.status = status
-        # None if another server answered.
+        # None if the answer says nothing of a limit.
         self.stated_limit = stated_limit
 
 
@@ -56,7 +56,8 @@
     status: int
     # Headers that are returned to the caller.
     headers: call.Headers
-    stated_limit: StatedLimit = StatedLimit()
+    # None if the response says nothing of a limit.
+    stated_limit: StatedLimit | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -27,8 +27,10 @@
         """Record that the request is about to be written."""
         self.sent_at = now
 
-    def answered(self, stated: link.StatedLimit, now: ids.Instant) -> None:
+    def answered(self, stated: link.StatedLimit | None, now: ids.Instant) -> None:
         """Record what the server's answer says of its limit on requests."""
+        if stated is None:
+            return
         self.tickets.record_limit(self.pending_ticket, self.grant, stated.rate, now)
 
     def first_event(self, now: ids.Instant) -> None:
--- a/src/tealcove/platform/backendlink.py
+++ b/src/tealcove/platform/backendlink.py
@@ -144,12 +144,11 @@
     """
     server = outbound.server
     headers = response.headers
-    stated = link.StatedLimit(read_limit(headers.get(names.REQUEST_LIMIT)))
     if response.status == HTTP_MISDIRECTED and names.SIGNATURE not in headers:
         # Another server has this address now, and rejects requests for its predecessor.
         raise link.NotRunError(server.name, response.status)
     if names.NOT_RUN in headers:
-        raise link.NotRunError(server.name, response.status, stated)
+        raise link.NotRunError(server.name, response.status, stated_limit(response))
     echoed = headers.get(names.REQUEST_ID)
     is_signed = names.SIGNATURE in headers
     if echoed != outbound.call.request_id or not is_signed:
@@ -163,13 +162,24 @@
         for name, value in headers.items()
         if name.lower() not in DROPPED_HEADERS
     )
-    return link.Head(response.status, returned, stated)
+    return link.Head(response.status, returned, stated_limit(response))
 
 
-def read_limit(written: str | None) -> float | None:
-    """Return a limit in requests a second; None if there is none that can be read."""
+def stated_limit(response: aiohttp.ClientResponse) -> link.StatedLimit | None:
+    """Return what a response says of its server's limit on requests, if anything.
+
+    Only a success without the header ends a limit: errors may come from a part of the
+    server that doesn't know of it.
+    """
+    written = response.headers.get(names.REQUEST_LIMIT)
     if written is None:
-        return None
+        return link.StatedLimit(None) if response.ok else None
+    rate = read_limit(written)
+    return None if rate is None else link.StatedLimit(rate)
+
+
+def read_limit(written: str) -> float | None:
+    """Return a limit in requests a second; None if it can't be read."""
     try:
         rate = float(written)
     except ValueError:
--- a/src/tealcove/platform/tests/test_request_limit.py
+++ b/src/tealcove/platform/tests/test_request_limit.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import unittest.mock
+
 import pytest
 
-from tealcove.platform import backendlink
+from tealcove.ingress import link
+from tealcove.platform import backendlink, names
 
 
 @pytest.mark.parametrize(
@@ -13,7 +16,6 @@
         ("1.7", 1.7),
         ("3", 3.0),
         ("0", 0.0),
-        (None, None),
         ("", None),
         ("soon", None),
         ("-1", None),
@@ -21,6 +23,24 @@
         ("inf", None),
     ],
 )
-def test_only_a_readable_limit_counts(written: str | None, rate: float | None) -> None:
-    """A garbled header would stop a server or lift its limit."""
+def test_only_a_readable_limit_counts(written: str, rate: float | None) -> None:
+    """A garbled header would stop a server."""
     assert backendlink.read_limit(written) == rate
+
+
+@pytest.mark.parametrize(
+    ("ok", "headers", "stated"),
+    [
+        (True, {}, link.StatedLimit(None)),
+        (True, {names.REQUEST_LIMIT: "2.3"}, link.StatedLimit(2.3)),
+        (True, {names.REQUEST_LIMIT: "soon"}, None),
+        (False, {}, None),
+        (False, {names.REQUEST_LIMIT: "2.3"}, link.StatedLimit(2.3)),
+    ],
+)
+def test_only_a_success_without_the_header_ends_a_limit(
+    ok: bool, headers: dict[str, str], stated: link.StatedLimit | None
+) -> None:
+    """Each error of a server in need lifted its limit until the next answer."""
+    response = unittest.mock.Mock(ok=ok, headers=headers)
+    assert backendlink.stated_limit(response) == stated
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -117,3 +117,15 @@
         assert set(await send_all(running)) == {200}
         allowed = ALLOWED_FACTOR * LIMIT * WINDOW_SECONDS + ALLOWED_EXTRA
         assert len(limited.runs) <= allowed
+
+
+async def test_errors_without_a_limit_do_not_end_it():
+    """Each error of a server in need lifted its limit until the next answer."""
+    async with connected_site(servers=1, instances=2) as running:
+        (server,) = running.servers
+        server.limit = str(LIMIT)
+        assert (await running.send("/safe/1")).status == 200
+        server.limit = None
+        server.faults.append(poolserver.Fault.FAILED)
+        assert (await running.send("/once/1")).status == 500
+        assert limits_of(running)[server.name] == LIMIT
