--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -21,6 +21,7 @@
     failures,
     link,
     responses,
+    retries,
     stream,
     tickets,
 )
@@ -91,8 +92,7 @@
         self.runs = 0
         self.unreachable = 0
         self.not_run_responses = 0
-        # Whether a retry is reserved that has not been sent yet.
-        self.has_reserved_retry = False
+        self.retries = retries.RequestRetries(services.budget, accepted.service)
         # The last complete response with a server error.
         self.failure: BufferedResponse | None = None
         self.stream = stream.CallerStream(http, accepted.call.last_event)
@@ -130,7 +130,7 @@
             responses.abort_connection(self.http)
             return self.stream.response
         finally:
-            self.release_retry()
+            self.retries.release()
 
     async def serve(self) -> web.StreamResponse:
         """Send the request until a server responds; raises ProblemError."""
@@ -250,7 +250,7 @@
         )
 
         def dispatched() -> None:
-            self.record_sending(clock.now())
+            self.retries.record_sending(clock.now())
             self.sent += 1
             self.runs += 1
             report.dispatched(clock.now())
@@ -275,20 +275,11 @@
             raise failures.silent(server) from None
         return self.finish_response(BufferedResponse(head, body), server)
 
-    def record_sending(self, now: ids.Instant) -> None:
-        """Record a sending of the request in the retry budget."""
-        service = self.accepted.service
-        if not self.sent:
-            self.services.budget.record_request(service, now)
-        elif self.has_reserved_retry:
-            self.services.budget.record_retry(service, now)
-            self.has_reserved_retry = False
-
     def silence_timeout(self, grant: messages.Grant, now: ids.Instant) -> float | None:
         """Return the seconds of silence before a retry; None for no limit."""
         if not grant.first_seconds or not self.may_retry(now, self.runs + 1):
             return None
-        if not self.services.budget.can_retry(self.accepted.service, now):
+        if not self.retries.is_allowed(now):
             return None
         return max(MIN_SILENCE, SILENCE_FACTOR * grant.first_seconds)
 
@@ -334,9 +325,9 @@
             self.runs -= 1
             self.not_run_responses += 1
             has_retry = self.not_run_responses < MAX_NOT_RUN
-            has_retry = has_retry and self.reserve_retry(now)
+            has_retry = has_retry and self.retries.reserve(now)
         else:
-            has_retry = self.may_retry(now, self.runs) and self.reserve_retry(now)
+            has_retry = self.may_retry(now, self.runs) and self.retries.reserve(now)
         self.log_decision(
             "{} after {}: {}", "retry" if has_retry else "no retry", server, error
         )
@@ -354,18 +345,6 @@
         has_time = self.accepted.deadline - now > MIN_REMAINING
         return has_time and not is_once and runs < route.attempts
 
-    def reserve_retry(self, now: ids.Instant) -> bool:
-        """Return whether the retry budget allows a retry, and reserve it if so."""
-        budgeted = self.services.budget
-        self.has_reserved_retry = budgeted.reserve_retry(self.accepted.service, now)
-        return self.has_reserved_retry
-
-    def release_retry(self) -> None:
-        """Cancel the reservation of a retry that was not sent."""
-        if self.has_reserved_retry:
-            self.services.budget.release_retry(self.accepted.service)
-            self.has_reserved_retry = False
-
     def lost_response(self, reason: str) -> problem.ProblemError:
         """Return the problem for a dispatched request without a complete response."""
         if self.accepted.is_repeatable:
--- a/src/tealcove/ingress/tests/test_exchange.py
+++ b/src/tealcove/ingress/tests/test_exchange.py
@@ -19,7 +19,8 @@
     """Return an exchange whose response has started."""
     accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
     http = unittest.mock.Mock()
-    found = exchange.Exchange(None, accepted, ids.CellId("engines/0"), http)
+    services = exchange.Services(None, None, None, None)
+    found = exchange.Exchange(services, accepted, ids.CellId("engines/0"), http)
     found.stream.response = web.StreamResponse()
     return found
 
@@ -43,8 +44,8 @@
 ) -> None:
     """Reservations of requests that ended without a slot blocked later retries."""
     allowed = budget.Allowance(ratio=0.0, slack=1.25, window=10.0)
-    retries = builders.retry_budget(allowed, lambda now: 1, 0.0)
-    services = exchange.Services(None, None, retries, None)
+    shared = builders.retry_budget(allowed, lambda now: 1, 0.0)
+    services = exchange.Services(None, None, shared, None)
     accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
     found = exchange.Exchange(
         services, accepted, ids.CellId("engines/0"), unittest.mock.Mock()
@@ -52,10 +53,10 @@
 
     async def serve() -> web.StreamResponse:
         found.sent = found.runs = 1
-        assert found.reserve_retry(ids.Instant(100.0))
+        assert found.retries.reserve(ids.Instant(100.0))
         raise found.lost_response("backend_server")
 
     monkeypatch.setattr(found, "serve", serve)
     with pytest.raises(problem.ProblemError):
         await found.run()
-    assert retries.can_retry(builders.SERVICE, ids.Instant(100.0))
+    assert shared.can_retry(builders.SERVICE, ids.Instant(100.0))
