Soak: let backend servers name limits, and check what they get

One server after the other names a limit for 8 s; its requests from undisturbed instances that heard of it are counted from 3 s on. The limits are drawn apart from the faults, so that each seed goes on drawing the same faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,12 @@
 # Seconds for which a server that left keeps serving before it is listed again.
 LEAVING_SECONDS = 4.0
 
+# Seconds for which a server names a limit, the mean pause until the next one does, and
+# the least and the largest limit in requests a second.
+LIMITED_SECONDS = 8.0
+LIMIT_PAUSE_SECONDS = 1.5
+MIN_LIMIT, MAX_LIMIT = 0.5, 5.0
+
 Step = Callable[[], Awaitable[None]]
 NETWORK = (
     proxy.ProxyFault.DELAYED,
@@ -39,6 +45,15 @@
     until: ids.Instant
 
 
+class Limited(msgspec.Struct, frozen=True):
+    """The period in which a server named a limit, in requests a second."""
+
+    server: str
+    rate: float
+    since: ids.Instant
+    until: ids.Instant
+
+
 class FaultInjector:
     """Draws and injects faults; `done` lists the injected ones in order."""
 
@@ -49,6 +64,9 @@
         self.disturbances = disturbances.DisturbanceLog()
         self.leaves: list[Leave] = []
         self.is_server_leaving = False
+        self.limits: list[Limited] = []
+        # Limits are drawn apart, so that a seed goes on drawing the same faults.
+        self.limit_random = random.Random(f"limits of {seed}")
         self.kinds = (
             self.kill,
             self.freeze,
@@ -66,6 +84,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
+        limiting = asyncio.create_task(self.limit_servers())
         try:
             while loop.time() < end:
                 kind = self.random.choice(self.kinds)
@@ -75,7 +94,7 @@
             await asyncio.gather(*active)
         finally:
             # A remaining fault would start an instance after the deployment's end.
-            await tasks.stop(active)
+            await tasks.stop([limiting, *active])
 
     async def inject(self, kind: Callable[..., object], duration: float) -> None:
         """Inject one fault, wait, and remove it."""
@@ -83,6 +102,22 @@
             self.done.append(f"{what} for {duration:.1f} s")
             await asyncio.sleep(duration)
 
+    async def limit_servers(self) -> None:
+        """Let one server after the other name a limit, until cancelled."""
+        while True:
+            pause = self.limit_random.uniform(0.0, 2 * LIMIT_PAUSE_SECONDS)
+            await asyncio.sleep(pause)
+            server = self.limit_random.choice(self.running.servers)
+            rate = round(self.limit_random.uniform(MIN_LIMIT, MAX_LIMIT), 1)
+            server.limit = str(rate)
+            since = clock.now()
+            self.done.append(f"{server.name} names a limit of {rate}")
+            try:
+                await asyncio.sleep(LIMITED_SECONDS)
+            finally:
+                server.limit = None
+                self.limits.append(Limited(server.name, rate, since, clock.now()))
+
     def random_member(self) -> deployment.Member:
         """Return a random instance."""
         return self.random.choice(self.running.members)
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from soak import callers, deployment, faults, leaving
+from soak import callers, deployment, faults, leaving, limiting
 
 MEMBERS = 3
 SERVERS = 3
@@ -30,6 +30,8 @@
     sent_after: int
     # Requests of undisturbed instances that were checked for leaving servers.
     watched: int
+    # Requests of undisturbed instances at servers that had named a limit.
+    limited: int
     broken: tuple[str, ...]
 
 
@@ -52,6 +54,10 @@
         broken = callers.find_violations(running, calling.results)
         watched, late = leaving.late_arrivals(running, injector, calling.results)
         broken.extend(late)
+        limited, excessive = limiting.excessive_windows(
+            running, injector, calling.results
+        )
+        broken.extend(excessive)
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -63,5 +69,6 @@
         served_after=served_after,
         sent_after=len(after),
         watched=watched,
+        limited=limited,
         broken=tuple(broken),
     )
