--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -82,9 +82,10 @@
         # When a run last produced a first token or completed.
         self.last_activity = ids.Instant(0.0)
         self.pause = MIN_PAUSE
-        # The limit that it has named, and when it last said something of it.
-        self.rate: requestrate.RequestRate | None = None
+        # The limit that it has named, in requests a second, what may be granted within
+        # it, and when an answer last said something of it.
         self.request_limit: float | None = None
+        self.rate: requestrate.RequestRate | None = None
         self.limit_stated_at = ids.Instant(float("-inf"))
 
     def announced_first_seconds(self, run: Run) -> float:
@@ -134,9 +135,10 @@
             self.rate.take(now)
 
     def slot_available_at(self, place: int, at: ids.Instant, now: ids.Instant) -> float:
-        """Return when the slot in a place of the order of release can be granted.
+        """Return when a slot that is released at `at` can be granted.
 
-        `at` is its release.
+        `place` is its number, from 0, in the order in which the slots are released:
+        each grant before uses up one request of the limit.
         """
         if self.rate is None:
             return at
--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -292,3 +292,32 @@
     asking.requester.finish(asking.pending_ticket, done)
     assert not asking.requester.spread.tickets
     assert not asking.requester.pending_tickets
+
+
+@pytest.mark.parametrize(
+    ("granted", "answered", "reports", "carried"),
+    [
+        (None, 1.7, [1.7], [1.7]),
+        (1.7, 1.7, [], [1.7]),
+        (1.7, 2.3, [2.3], [2.3]),
+        (1.7, None, [None], [None]),
+        (None, None, [], []),
+    ],
+)
+async def test_answers_that_state_another_limit_are_reported(
+    asking: Asking,
+    granted: float | None,
+    answered: float | None,
+    reports: list[float | None],
+    carried: list[float | None],
+) -> None:
+    """An answer from before a limit, which arrives late, ended it."""
+    await asking.asked(asking.first, 1)
+    asking.grant_from(asking.first)
+    grant = msgspec.structs.replace(await asking.obtaining, request_limit=granted)
+    now = clock.now()
+    asking.requester.record_limit(asking.pending_ticket, grant, answered, now)
+    sent = asking.mesh.to(asking.port(asking.first), messages.LimitReport)
+    assert [one.content.stated.rate for one in sent] == reports
+    ticket = asking.requester.current(asking.another_pending_ticket(), now)
+    assert [stated.rate for stated in ticket.limits] == carried
