Carry all statements of backend servers on one path, and log them

Cause: an answer may state a limit, that its server leaves, or for how long it wants no requests.

Change: the path of the limit carries a statement with all three; the adapter reads them (`platform/answers.py`), and the instance that gets the answer logs "says that it leaves" and "wants no requests for". Nothing acts on the new two yet. Statements are kept by pool in place of cell, since servers change cells when their number changes. The messages keep their wire names; the new fields come last. Where no limit was stated, its age is infinite, so that the version before ignores it.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -107,7 +107,13 @@
         # Checked last, since most servers are full when this is called most often.
         return 0 if free > 0 and self.is_stalled(now) else free
 
-    def apply_limit(self, stated: messages.StatedLimit, now: ids.Instant) -> None:
+    def apply_statement(
+        self, stated: messages.ServerStatement, now: ids.Instant
+    ) -> None:
+        """Apply what it stated to an entry."""
+        self.apply_limit(stated, now)
+
+    def apply_limit(self, stated: messages.ServerStatement, now: ids.Instant) -> None:
         """Apply a statement of its limit, unless a newer one is known."""
         stated_at = ids.Instant(now - stated.age)
         if stated_at <= self.limit_stated_at:
--- a/src/tealcove/dispatch/cells.py
+++ b/src/tealcove/dispatch/cells.py
@@ -40,6 +40,11 @@
         return ids.DataCentreId(counts.most_common(1)[0][0])
 
 
+def pool_of(cell_id: ids.CellId) -> ids.PoolId:
+    """Return the pool that a cell is part of."""
+    return ids.PoolId(cell_id.rpartition("/")[0])
+
+
 def of_pool(
     pool: ids.PoolId,
     spec: kinds.EnginePoolSpec | kinds.ServicePoolSpec,
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -165,14 +165,17 @@
         self.views.release(ticket_id)
         return self.decide(now)
 
-    def apply_limit(
-        self, stated: messages.StatedLimit, now: ids.Instant
+    def apply_statement(
+        self,
+        entry: ids.InstanceId,
+        stated: messages.ServerStatement,
+        now: ids.Instant,
     ) -> list[scheduler.Outgoing]:
         """See Scheduler."""
         server = self.views.servers.get(stated.server)
         if server is None or server.spec.start != stated.start:
             return []
-        server.apply_limit(stated, now)
+        server.apply_statement(stated, now)
         return self.decide(now)
 
     def progress(
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -36,16 +36,23 @@
     NOT_SENT = "not_sent"
 
 
-class StatedLimit(msgspec.Struct, frozen=True, array_like=True):
-    """What an answer of a backend server said of its limit on requests."""
+class ServerStatement(msgspec.Struct, frozen=True, array_like=True):
+    """What the answers of a backend server to one instance have stated.
+
+    A new field must come last and have a default; see peers.message.Message.
+    """
 
     server: ids.BackendServerId
     # The start of the server that answered.
     start: ids.ServerStart
     # Requests a second from all instances together; None: no limit any more.
     rate: float | None
-    # Seconds since the answer.
+    # Seconds since the answer that stated the limit; infinite if none did.
     age: float = 0.0
+    # Whether the server leaves, for good.
+    is_leaving: bool = False
+    # Seconds for which it wants no more requests from this instance; 0: none.
+    rest: float = 0.0
 
 
 class Ticket(message.Message):
@@ -94,8 +101,8 @@
     data_centre: ids.DataCentreId = ids.DataCentreId("")
     # Name of the route.
     route: str = ""
-    # What the entry knows of the limits of the cell's servers.
-    limits: tuple[StatedLimit, ...] = ()
+    # What the servers of the pool have stated to the entry.
+    statements: tuple[ServerStatement, ...] = ()
 
 
 class Queued(message.Message):
@@ -155,11 +162,11 @@
     first_token_seconds: float
 
 
-class LimitReport(message.Message):
-    """A server's answer stated another limit than the dispatcher assumed."""
+class StatementReport(message.Message, tag="LimitReport"):
+    """A server's answer to the entry stated what the dispatcher may not know."""
 
     cell: ids.CellId
-    stated: StatedLimit
+    stated: ServerStatement
 
 
 class Done(message.Message):
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tealcove import clock, ids, tasks
-from tealcove.dispatch import messages, pending, spread, statedlimits
+from tealcove.dispatch import cells, messages, pending, spread, statements
 from tealcove.membership import members, unresponsive
 from tealcove.peers import mesh, message
 
@@ -44,7 +44,7 @@
         self.informed: set[tuple[ids.CellId, ids.InstanceId]] = set()
         # Dispatchers that left a ticket unanswered.
         self.silence = unresponsive.UnresponsivePeers(RETRY_SILENT_AFTER)
-        self.stated = statedlimits.StatedLimits()
+        self.stated = statements.Statements()
         # Called at the end of each dispatched request.
         self.listeners: list[Listener] = []
         self.refreshing: asyncio.Task[None] | None = None
@@ -272,30 +272,22 @@
     def current(
         self, request: pending.PendingTicket, now: ids.Instant
     ) -> messages.Ticket:
-        """Return a ticket as it is sent now, with the known limits of servers."""
-        limits = self.stated.of_cell(request.ticket.cell, now)
-        return msgspec.structs.replace(pending.current(request, now), limits=limits)
+        """Return a ticket as it is sent now, with the statements of its servers."""
+        stated = self.stated.of_pool(cells.pool_of(request.ticket.cell), now)
+        return msgspec.structs.replace(pending.current(request, now), statements=stated)
 
-    def record_limit(
+    def record_statement(
         self,
         request: pending.PendingTicket,
         grant: messages.Grant,
-        rate: float | None,
+        said: statements.Statement,
         now: ids.Instant,
     ) -> None:
-        """Record the limit that an answer states, and report it if it is news.
-
-        Without a limit, an answer counts only if its request was granted under one: an
-        answer from before the limit may arrive after another that names it.
-        """
-        if rate is None and grant.request_limit is None:
-            return
-        said = statedlimits.Statement(grant.start, rate, now)
-        self.stated.record(request.ticket.cell, grant, said)
-        if rate != grant.request_limit:
-            stated = messages.StatedLimit(grant.server, grant.start, rate)
-            report = messages.LimitReport(cell=request.ticket.cell, stated=stated)
-            self.send(request, report)
+        """Record what an answer states, and tell the dispatcher if it is news."""
+        cell = request.ticket.cell
+        stated = self.stated.record(cells.pool_of(cell), grant, said, now)
+        if stated is not None:
+            self.send(request, messages.StatementReport(cell=cell, stated=stated))
 
     def mark_running(
         self,
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -96,7 +96,7 @@
         self.transport.handle(messages.Withdrawal, self.handle_withdrawal)
         self.transport.handle(messages.Progress, self.handle_progress)
         self.transport.handle(messages.Done, self.handle_done)
-        self.transport.handle(messages.LimitReport, self.handle_limit)
+        self.transport.handle(messages.StatementReport, self.handle_statement)
         self.transport.handle(holds.Hold, self.handle_hold)
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
@@ -123,8 +123,8 @@
             )
             self.send([scheduler.Outgoing(ticket.entry, refusal)])
             return
-        for stated in ticket.limits:
-            self.send(held.scheduler.apply_limit(stated, clock.now()))
+        for stated in ticket.statements:
+            self.apply_statement(held, ticket.entry, stated)
         fitting = reading.exclude_unequipped(ticket, held.holdings)
         self.send(held.scheduler.enqueue(fitting, clock.now()))
 
@@ -168,13 +168,22 @@
                 held.lost_at[done.server] = clock.now()
             self.send(held.scheduler.done(done, clock.now()))
 
-    def handle_limit(
-        self, sender: ids.InstanceId, report: messages.LimitReport
+    def handle_statement(
+        self, sender: ids.InstanceId, report: messages.StatementReport
     ) -> None:
-        """Apply what a server said of its limit on requests."""
+        """Apply what a server stated to an entry."""
         held = self.held.get(report.cell)
         if held is not None:
-            self.send(held.scheduler.apply_limit(report.stated, clock.now()))
+            self.apply_statement(held, sender, report.stated)
+
+    def apply_statement(
+        self,
+        held: servedcell.ServedCell,
+        entry: ids.InstanceId,
+        stated: messages.ServerStatement,
+    ) -> None:
+        """Apply a statement, and send the decisions that follow from it."""
+        self.send(held.scheduler.apply_statement(entry, stated, clock.now()))
 
     def serve_cell(self, ticket: messages.Ticket) -> servedcell.ServedCell | None:
         """Return a ticket's cell, and start serving it; None if it doesn't exist."""
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -75,12 +75,15 @@
         """Return the sequence number of the last cache event that was applied."""
         return 0
 
-    def apply_limit(
-        self, stated: messages.StatedLimit, now: ids.Instant
+    def apply_statement(
+        self,
+        entry: ids.InstanceId,
+        stated: messages.ServerStatement,
+        now: ids.Instant,
     ) -> list[Outgoing]:
-        """Apply what a server said of its limit on requests.
+        """Apply what a server stated in its answers to an entry.
 
-        A scheduler for servers that name no limits keeps this default.
+        A scheduler for servers that state nothing keeps this default.
         """
         return []
 
--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -108,7 +108,7 @@
         self, cell_id: ids.CellId, server: ids.BackendServerId, revision: ids.Revision
     ) -> bool:
         """Tell whether a server that a cell had at a revision has left since."""
-        name, _, _ = cell_id.rpartition("/")
+        name = cells.pool_of(cell_id)
         return self.copy.current.has_left(name, server, revision)
 
     def choose(self, pool: kinds.Resource, affinity: str) -> cells.Cell:
--- a/src/tealcove/dispatch/tests/test_request_limits.py
+++ b/src/tealcove/dispatch/tests/test_request_limits.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from tealcove import ids
-from tealcove.dispatch import goal, messages, requestrate, statedlimits, waitingline
+from tealcove.dispatch import goal, messages, requestrate, statements, waitingline
 from tealcove.dispatch.tests import builders
 
 SERVER = ids.BackendServerId("s0")
+POOL = ids.PoolId("engines")
 STEP = 0.05
 
 
@@ -22,13 +24,13 @@
 
 def stated(rate: float | None, age: float = 0.0, **changes: object) -> object:
     found = {"server": SERVER, "start": ids.NO_START, "rate": rate, "age": age}
-    return messages.StatedLimit(**{**found, **changes})
+    return messages.ServerStatement(**{**found, **changes})
 
 
 def apply(
     found: goal.GoalScheduler, rate: float | None, at: float, age: float = 0.0
 ) -> None:
-    found.apply_limit(stated(rate, age), builders.instant(at))
+    found.apply_statement(builders.ENTRY, stated(rate, age), builders.instant(at))
 
 
 def play(found: goal.GoalScheduler, since: float, seconds: float) -> list[float]:
@@ -130,7 +132,7 @@
 
 def test_statements_are_sent_with_their_age_and_dropped() -> None:
     """Old statements would limit servers that answer others by now."""
-    known = statedlimits.StatedLimits()
+    known = statements.Statements()
     grant = messages.Grant(
         ticket_id=ids.TicketId("t"),
         cell=builders.CELL,
@@ -138,10 +140,25 @@
         host="",
         port=0,
     )
-    said = statedlimits.Statement(ids.NO_START, 1.7, builders.instant(0.0))
-    known.record(builders.CELL, grant, said)
-    (found,) = known.of_cell(builders.CELL, builders.instant(2.0))
+    said = statements.Statement(limit=statements.RequestLimit(1.7))
+    known.record(POOL, grant, said, builders.instant(0.0))
+    (found,) = known.of_pool(POOL, builders.instant(2.0))
     assert (found.server, found.rate, found.age) == (SERVER, 1.7, 2.0)
-    late = builders.instant(statedlimits.KEPT_SECONDS + 1.0)
-    assert known.of_cell(builders.CELL, late) == ()
-    assert not known.statements
+    late = builders.instant(statements.LIMIT_KEPT_SECONDS + 1.0)
+    assert known.of_pool(POOL, late) == ()
+    assert not known.known
+
+
+def test_a_limit_that_was_never_stated_ends_none() -> None:
+    """A statement of something else, by another entry, lifted the limit."""
+    found = opened(5)
+    apply(found, 2.0, 5.0)
+    apply(found, None, 6.0, age=float("inf"))
+    assert found.views.servers[SERVER].request_limit == 2.0
+
+
+def test_statements_of_the_version_before_are_understood() -> None:
+    """During an upgrade, tickets with limits were dropped as unreadable."""
+    content = msgspec.msgpack.encode(["s0", 0, 1.5, 0.2])
+    found = msgspec.msgpack.decode(content, type=messages.ServerStatement)
+    assert found == stated(1.5, 0.2)
--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tealcove import clock, ids
-from tealcove.dispatch import messages, pending, requester, spread
+from tealcove.dispatch import messages, pending, requester, spread, statements
 from tealcove.dispatch.tests import transport
 from tealcove.membership import members
 from tealcove.membership.tests import builders
@@ -316,8 +316,9 @@
     asking.grant_from(asking.first)
     grant = msgspec.structs.replace(await asking.obtaining, request_limit=granted)
     now = clock.now()
-    asking.requester.record_limit(asking.pending_ticket, grant, answered, now)
-    sent = asking.mesh.to(asking.port(asking.first), messages.LimitReport)
+    said = statements.Statement(limit=statements.RequestLimit(answered))
+    asking.requester.record_statement(asking.pending_ticket, grant, said, now)
+    sent = asking.mesh.to(asking.port(asking.first), messages.StatementReport)
     assert [one.content.stated.rate for one in sent] == reports
     ticket = asking.requester.current(asking.another_pending_ticket(), now)
-    assert [stated.rate for stated in ticket.limits] == carried
+    assert [stated.rate for stated in ticket.statements] == carried
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -203,7 +203,7 @@
             raise
         except link.NotRunError as error:
             # The server is healthy; it has no capacity, or has been replaced.
-            report.answered(error.stated_limit, clock.now())
+            report.answered(error.statement, clock.now())
             outcome = messages.Outcome.CANCELLED
             raise
         except engine.BrokenStreamError:
@@ -267,7 +267,7 @@
         try:
             async with contextlib.aclosing(response) as parts, silence:
                 head = await anext(parts)
-                report.answered(head.stated_limit, clock.now())
+                report.answered(head.statement, clock.now())
                 if accepted.route.is_stream and head.is_success:
                     return await self.relay_stream(head, parts, report, silence)
                 body = await read_body(server, parts)
--- a/src/tealcove/ingress/link.py
+++ b/src/tealcove/ingress/link.py
@@ -9,16 +9,10 @@
 
 from tealcove import errors, ids
 from tealcove.backends import engine
+from tealcove.dispatch import statements
 from tealcove.ingress import call
 
 
-class StatedLimit(msgspec.Struct, frozen=True):
-    """What a server's answer says of its limit on requests."""
-
-    # Requests a second from all instances together; None: there is no limit.
-    rate: float | None
-
-
 class NotRunError(errors.BackendError):
     """The backend server responded that it hasn't run the request, and won't."""
 
@@ -26,15 +20,14 @@
         self,
         server: ids.BackendServerId,
         status: int,
-        stated_limit: StatedLimit | None = None,
+        statement: statements.Statement = statements.NOTHING,
     ) -> None:
         super().__init__(
             f"{server} responded with status {status}: not run",
             "Send it to another server.",
         )
         self.status = status
-        # None if the answer says nothing of a limit.
-        self.stated_limit = stated_limit
+        self.statement = statement
 
 
 class OutboundRequest(msgspec.Struct, frozen=True):
@@ -56,8 +49,7 @@
     status: int
     # Headers that are returned to the caller.
     headers: call.Headers
-    # None if the response says nothing of a limit.
-    stated_limit: StatedLimit | None = None
+    statement: statements.Statement = statements.NOTHING
 
     @property
     def is_success(self) -> bool:
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from tealcove import ids
-from tealcove.dispatch import messages, pending, requester
-from tealcove.ingress import link
+from tealcove.dispatch import messages, pending, requester, statements
 
 
 class AttemptReport:
@@ -27,11 +26,9 @@
         """Record that the request is about to be written."""
         self.sent_at = now
 
-    def answered(self, stated: link.StatedLimit | None, now: ids.Instant) -> None:
-        """Record what the server's answer says of its limit on requests."""
-        if stated is None:
-            return
-        self.tickets.record_limit(self.pending_ticket, self.grant, stated.rate, now)
+    def answered(self, said: statements.Statement, now: ids.Instant) -> None:
+        """Record what the server's answer states."""
+        self.tickets.record_statement(self.pending_ticket, self.grant, said, now)
 
     def first_event(self, now: ids.Instant) -> None:
         """Report the arrival of the first event."""
--- a/src/tealcove/platform/backendlink.py
+++ b/src/tealcove/platform/backendlink.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-import math
 from collections.abc import AsyncGenerator, Callable
 
 import aiohttp
@@ -15,7 +14,7 @@
 from tealcove.backends import attempt as attempts
 from tealcove.backends import engine
 from tealcove.ingress import link
-from tealcove.platform import callers, names
+from tealcove.platform import answers, callers, names
 
 # Connect timeout in seconds: links between data centres take some milliseconds, and an
 # unreachable server must be detected while the goal can still be met.
@@ -148,7 +147,9 @@
         # Another server has this address now, and rejects requests for its predecessor.
         raise link.NotRunError(server.name, response.status)
     if names.NOT_RUN in headers:
-        raise link.NotRunError(server.name, response.status, stated_limit(response))
+        raise link.NotRunError(
+            server.name, response.status, answers.statement_of(response)
+        )
     echoed = headers.get(names.REQUEST_ID)
     is_signed = names.SIGNATURE in headers
     if echoed != outbound.call.request_id or not is_signed:
@@ -162,26 +163,4 @@
         for name, value in headers.items()
         if name.lower() not in DROPPED_HEADERS
     )
-    return link.Head(response.status, returned, stated_limit(response))
-
-
-def stated_limit(response: aiohttp.ClientResponse) -> link.StatedLimit | None:
-    """Return what a response says of its server's limit on requests, if anything.
-
-    Only a success without the header ends a limit: errors may come from a part of the
-    server that doesn't know of it.
-    """
-    written = response.headers.get(names.REQUEST_LIMIT)
-    if written is None:
-        return link.StatedLimit(None) if response.ok else None
-    rate = read_limit(written)
-    return None if rate is None else link.StatedLimit(rate)
-
-
-def read_limit(written: str) -> float | None:
-    """Return a limit in requests a second; None if it can't be read."""
-    try:
-        rate = float(written)
-    except ValueError:
-        return None
-    return rate if math.isfinite(rate) and rate >= 0.0 else None
+    return link.Head(response.status, returned, answers.statement_of(response))
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -26,6 +26,8 @@
 RETRY_AFTER = "Retry-After"
 # Requests a second that the server takes from all instances together, while it says so.
 REQUEST_LIMIT = "Server-Limit"
+# Whether the server leaves.
+LEAVING = "Server-Leaving"
 
 # Headers that only this system may set. Callers could use them to charge a request to
 # another account, pin it in an engine's memory, or access another request's memory.
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -87,7 +87,7 @@
             await send_all(running)
             (dispatcher,) = [one for one in running.instances if one.dispatcher.held]
             others = [one for one in running.instances if one is not dispatcher]
-            informed = [one for one in others if one.tickets.stated.statements]
+            informed = [one for one in others if one.tickets.stated.known]
         running.instances = others
         await dispatcher.stop()
         before = len(limited.runs)
