--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -60,6 +60,13 @@
     arrived_at: ids.Instant
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """A request that was refused without running."""
+
+    request_id: str
+    arrived_at: ids.Instant
+
+
 class PoolServer:
     """One incarnation of a backend server."""
 
@@ -75,6 +82,11 @@
         self.call_seconds = 0.0
         # The request limit that its answers name, in requests a second.
         self.limit: str | None = None
+        # What its answers say of its leaving; None: nothing.
+        self.leaving: str | None = None
+        # The seconds in `Retry-After` of its rejections; while set, it rejects all.
+        self.rest: str | None = None
+        self.rejections: list[Rejection] = []
         self.faults: collections.deque[Fault] = collections.deque()
         self.runs: list[Run] = []
         self.running = 0
@@ -130,9 +142,8 @@
                 status=HTTP_MISDIRECTED, headers={names.INCARNATION: self.name}
             )
         fault = self.faults.popleft() if self.faults else None
-        if fault is Fault.FULL:
-            headers = {names.NOT_RUN: "1", **self.limit_headers()}
-            return web.Response(status=HTTP_UNAVAILABLE, headers=headers)
+        if fault is Fault.FULL or self.rest is not None:
+            return self.reject(request)
         self.record(request, body)
         self.running += 1
         try:
@@ -140,9 +151,19 @@
         finally:
             self.running -= 1
 
-    def limit_headers(self) -> dict[str, str]:
-        """Return the header that names the limit, if there is one."""
-        return {} if self.limit is None else {names.REQUEST_LIMIT: self.limit}
+    def reject(self, request: web.Request) -> web.Response:
+        """Refuse a request without running it."""
+        rejected_id = request.headers[names.REQUEST_ID]
+        self.rejections.append(Rejection(rejected_id, clock.now()))
+        headers = {names.NOT_RUN: "1", **self.statement_headers()}
+        if self.rest is not None:
+            headers[names.RETRY_AFTER] = self.rest
+        return web.Response(status=HTTP_UNAVAILABLE, headers=headers)
+
+    def statement_headers(self) -> dict[str, str]:
+        """Return the headers that every answer carries."""
+        found = {names.REQUEST_LIMIT: self.limit, names.LEAVING: self.leaving}
+        return {name: value for name, value in found.items() if value is not None}
 
     def record(self, request: web.Request, body: bytes) -> None:
         """Record a request that is run."""
@@ -168,7 +189,7 @@
             names.REQUEST_ID: request.headers[names.REQUEST_ID],
             names.SIGNATURE: f"signed by {self.name}",
         }
-        headers.update(self.limit_headers())
+        headers.update(self.statement_headers())
         if fault is Fault.NO_ANSWER:
             await asyncio.Event().wait()
         if fault is Fault.RESET:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 import msgspec
 
+from tealcove import clock, ids
 from tealcove.front import instance, settings
 from tealcove.membership import messages
 from tealcove.platform import names
@@ -76,6 +78,16 @@
     headers: dict[str, str] = {}
 
 
+class Call(msgspec.Struct, frozen=True):
+    """A caller's request to an instance, and what came of it."""
+
+    request_id: str
+    instance: str
+    sent_at: ids.Instant
+    ended_at: ids.Instant
+    answer: Answer
+
+
 class Site:
     """The store, backend servers and instances of one deployment."""
 
@@ -160,6 +172,34 @@
         except aiohttp.ClientError:
             return Answer(None, b"", False)
 
+    async def call(self, path: str, at: instance.Instance) -> Call:
+        """Send a caller's request, and return it with its answer."""
+        sent_at = clock.now()
+        request_id = f"r-{self.requests + 1}"
+        answer = await self.send(path, at)
+        return Call(request_id, at.settings.instance, sent_at, clock.now(), answer)
+
+    async def call_until(
+        self, done: Callable[[list[Call]], bool], callers: int
+    ) -> list[Call]:
+        """Let callers send safe requests to all instances in turn until a check holds.
+
+        The check gets the calls that have ended, in order.
+        """
+        ended: list[Call] = []
+        numbers = itertools.count()
+        deadline = clock.now() + TIMEOUT_SECONDS
+
+        async def run() -> None:
+            while not done(ended):
+                assert clock.now() < deadline
+                number = next(numbers)
+                at = self.instances[number % len(self.instances)]
+                ended.append(await self.call(f"/safe/{number}", at))
+
+        await asyncio.gather(*(run() for _ in range(callers)))
+        return ended
+
     async def stop(self) -> None:
         """Stop all parts of the site."""
         await self.session.close()
@@ -210,3 +250,16 @@
         yield running
     finally:
         await running.stop()
+
+
+@contextlib.asynccontextmanager
+async def connected_site(servers: int, instances: int) -> AsyncIterator[Site]:
+    """Run a site whose instances know each other."""
+    async with site(servers, instances) as running:
+        await until(
+            lambda: all(
+                len(one.members.serving(clock.now())) == instances
+                for one in running.instances
+            )
+        )
+        yield running
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 
-from tealcove import clock
 from tealcove.standins import poolserver
 from tests import platform_site
 
@@ -20,21 +17,6 @@
 CALLERS = 6
 
 
-@contextlib.asynccontextmanager
-async def connected_site(
-    servers: int, instances: int
-) -> AsyncIterator[platform_site.Site]:
-    """Run a site whose instances know each other."""
-    async with platform_site.site(servers, instances) as running:
-        await platform_site.until(
-            lambda: all(
-                len(one.members.serving(clock.now())) == instances
-                for one in running.instances
-            )
-        )
-        yield running
-
-
 async def send_all(running: platform_site.Site) -> list[int]:
     """Send requests to all instances in turn, and return the statuses."""
     numbers = iter(range(REQUESTS))
@@ -69,7 +51,7 @@
 
 async def test_a_server_that_names_a_limit_gets_no_more():
     """A server in need got requests whenever a slot was free."""
-    async with connected_site(servers=2, instances=3) as running:
+    async with platform_site.connected_site(servers=2, instances=3) as running:
         limited = running.servers[0]
         limited.limit = str(LIMIT)
         assert set(await send_all(running)) == {200}
@@ -79,7 +61,7 @@
 
 async def test_a_limit_outlives_its_dispatcher():
     """The next dispatcher granted every free slot until it heard of the limit."""
-    async with connected_site(servers=2, instances=3) as running:
+    async with platform_site.connected_site(servers=2, instances=3) as running:
         limited = running.servers[0]
         limited.limit = str(LIMIT)
         informed = []
@@ -98,7 +80,7 @@
 
 async def test_a_limit_ends_with_the_need():
     """A server that no longer named its limit got one request a second for good."""
-    async with connected_site(servers=1, instances=2) as running:
+    async with platform_site.connected_site(servers=1, instances=2) as running:
         (server,) = running.servers
         server.limit = str(LIMIT)
         assert (await running.send("/safe/1")).status == 200
@@ -110,7 +92,7 @@
 
 async def test_rejections_name_the_limit_too():
     """A server that rejects what is beyond its slots was asked as often as before."""
-    async with connected_site(servers=2, instances=2) as running:
+    async with platform_site.connected_site(servers=2, instances=2) as running:
         limited = running.servers[0]
         limited.limit = str(LIMIT)
         limited.faults.extend([poolserver.Fault.FULL] * 3)
@@ -121,7 +103,7 @@
 
 async def test_errors_without_a_limit_do_not_end_it():
     """Each error of a server in need lifted its limit until the next answer."""
-    async with connected_site(servers=1, instances=2) as running:
+    async with platform_site.connected_site(servers=1, instances=2) as running:
         (server,) = running.servers
         server.limit = str(LIMIT)
         assert (await running.send("/safe/1")).status == 200
