Leave a server in peace for as long as it asks an instance to

What callers saw: for the 9 s in which two servers of five turned all requests away, 71 of 247 requests to all services were refused, none of 158 in the seconds around.

Cause: no part read `Retry-After` of a backend server. A request that is turned away ends as cancelled, which frees its slot at once, so that the servers that did no work had the most free slots and drew half of all requests. Class: as for DRAIN, a server states something in its answers that no part reads; and a rejection counted as capacity. Evidence: one dispatcher granted all 174 sendings to the two; of 158 that followed a rejection of the same instance, 127 came within half a second; no request was sent to one server twice.

Change: the instance that was told uses no grant of this server until its time is over, and tells the dispatcher, which grants it none to this instance; others go on, by one request at a time until the server runs one, and last of all free servers. Forecasts count the server's slots for an instance from the end of its rest on. When all servers rest for an instance, its callers wait if that ends within their goal, and otherwise are refused at once with that time. An exclusion is dropped when all other servers rest.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -36,6 +36,11 @@
 OVERDUE_GRACE = 0.4
 # Consecutive failures after which a server only gets one request at a time.
 FAILURES_TO_PROBE = 4
+# Seconds by which a repeated statement may seem to end later, since it was sent later.
+REPEAT_TOLERANCE = 0.1
+
+
+NEVER = ids.Instant(float("-inf"))
 
 
 class Run(msgspec.Struct):
@@ -86,9 +91,14 @@
         # it, and when an answer last said something of it.
         self.request_limit: float | None = None
         self.rate: requestrate.RequestRate | None = None
-        self.limit_stated_at = ids.Instant(float("-inf"))
+        self.limit_stated_at = NEVER
         # Whether one of its answers said that it leaves, for good.
         self.is_leaving = False
+        # Until when it wants no requests from an entry.
+        self.rests: dict[ids.InstanceId, ids.Instant] = {}
+        # When it last asked for that, and until when it is likely to reject others too.
+        self.rejected_at = NEVER
+        self.rejects_until = NEVER
 
     def announced_first_seconds(self, run: Run) -> float:
         """Return the seconds to a run's first event that are sent to its entry."""
@@ -112,18 +122,41 @@
         """Return how many more requests it may receive now."""
         if not self.is_serving or now < self.paused_until:
             return 0
-        slots = 1 if self.failed_in_row >= FAILURES_TO_PROBE else self.spec.slots
+        is_probed = self.failed_in_row >= FAILURES_TO_PROBE
+        slots = 1 if is_probed else self.open_slots(now)
         free = slots - len(self.runs)
         if free > 0 and self.rate is not None:
             free = min(free, self.rate.available(now))
         # Checked last, since most servers are full when this is called most often.
         return 0 if free > 0 and self.is_stalled(now) else free
 
+    def open_slots(self, now: ids.Instant) -> int:
+        """Return how many requests it may run at once; one if it may reject them."""
+        return min(1, self.spec.slots) if self.may_reject(now) else self.spec.slots
+
+    def may_reject(self, now: ids.Instant) -> bool:
+        """Tell whether it rejected a request lately and has run none since."""
+        return now < self.rejects_until
+
+    def rest_until(self, entry: ids.InstanceId) -> ids.Instant:
+        """Return until when it wants no requests from an entry."""
+        return self.rests.get(entry, NEVER)
+
     def apply_statement(
-        self, stated: messages.ServerStatement, now: ids.Instant
+        self,
+        entry: ids.InstanceId,
+        stated: messages.ServerStatement,
+        now: ids.Instant,
     ) -> None:
         """Apply what it stated to an entry."""
         self.apply_limit(stated, now)
+        until = ids.Instant(now + stated.rest)
+        if stated.rest > 0.0 and until > self.rest_until(entry) + REPEAT_TOLERANCE:
+            log.info("{} rests from {} for {:.1f} s", self.name, entry, stated.rest)
+            self.rests = {e: at for e, at in self.rests.items() if at > now}
+            self.rests[entry] = until
+            self.rejected_at = now
+            self.rejects_until = max(self.rejects_until, until)
         if stated.is_leaving and not self.is_leaving:
             log.info("{} gets no more requests: it says that it leaves", self.name)
             self.is_leaving = True
@@ -241,6 +274,11 @@
         """Return the weight of a new observation; 1 for the first."""
         return OBSERVATION_WEIGHT if self.observations else 1.0
 
+    def record_service(self, run: Run) -> None:
+        """Record that it runs a request, or ran one, and so doesn't reject all."""
+        if run.started >= self.rejected_at:
+            self.rejects_until = NEVER
+
     def record_success(self) -> None:
         """Update the failure rate after a completed request."""
         self.failures -= FAILURE_WEIGHT * self.failures
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 import logbook
 import msgspec
@@ -75,18 +76,38 @@
             view.call_seconds = middle.call_seconds
         return view
 
-    def excluded(self, ticket: messages.Ticket) -> frozenset[ids.BackendServerId]:
-        """Return the servers that a ticket excludes; none if no other one serves."""
+    def excluded(
+        self, ticket: messages.Ticket, now: ids.Instant
+    ) -> frozenset[ids.BackendServerId]:
+        """Return the servers that a ticket excludes; none if no other one wants it."""
         excluded = frozenset(ticket.excluded)
-        serving = (name for name, server in self.servers.items() if server.is_serving)
-        return frozenset() if excluded.issuperset(serving) else excluded
-
-    def estimate(self, ticket: messages.Ticket) -> Estimate:
+        wanting = (
+            name
+            for name, server in self.servers.items()
+            if server.is_serving and server.rest_until(ticket.entry) <= now
+        )
+        return frozenset() if excluded.issuperset(wanting) else excluded
+
+    def allowed(
+        self,
+        ticket: messages.Ticket,
+        free: Iterable[backendview.BackendView],
+        now: ids.Instant,
+    ) -> list[backendview.BackendView]:
+        """Return those of some servers that a ticket may be sent to."""
+        excluded = self.excluded(ticket, now)
+        return [
+            server
+            for server in free
+            if server.name not in excluded and server.rest_until(ticket.entry) <= now
+        ]
+
+    def estimate(self, ticket: messages.Ticket, now: ids.Instant) -> Estimate:
         """Return the time that a ticket takes; zeros if there are no servers.
 
         One pass over the servers, since it's called for each arrival.
         """
-        excluded = self.excluded(ticket)
+        excluded = self.excluded(ticket, now)
         first = total = math.inf
         slots, ends = 0, 0.0
         for server in self.servers.values():
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -130,7 +130,7 @@
 
     def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingline.Waiting:
         """Return the line's record of a ticket and count its arrival."""
-        estimate = self.views.estimate(ticket)
+        estimate = self.views.estimate(ticket, now)
         slot_seconds = estimate.slot_seconds
         flow = self.shares.flow(ticket.tier_rank, ticket.urgency, slot_seconds)
         end_by = now + ticket.remaining - waitingline.MARGIN
@@ -175,7 +175,7 @@
         server = self.views.servers.get(stated.server)
         if server is None or server.spec.start != stated.start:
             return []
-        server.apply_statement(stated, now)
+        server.apply_statement(entry, stated, now)
         return self.decide(now)
 
     def progress(
@@ -188,6 +188,7 @@
         run = server.runs[progress.ticket_id]
         run.has_first_token = True
         server.last_activity = now
+        server.record_service(run)
         server.learn_first_token(run, progress.first_token_seconds)
         return []
 
@@ -202,6 +203,7 @@
             self.exposure.record_end(view.spec, run.ticket.route, done)
             if done.outcome is messages.Outcome.COMPLETED:
                 view.learn_completion(run, done)
+                view.record_service(run)
         return self.decide(now)
 
     def record_outcome(
@@ -296,8 +298,7 @@
         for waiting in self.ordered(now) if free else ():
             if not free:
                 break
-            excluded = self.views.excluded(waiting.ticket)
-            allowed = [server for server in free if server.name not in excluded]
+            allowed = self.views.allowed(waiting.ticket, free, now)
             server = placement.choose(waiting, allowed, self.exposure, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -13,6 +13,9 @@
 # A server in another data centre than the entry counts as slower by so many seconds, so
 # that among similar servers, prompts and answers stay within the data centre.
 REMOTE_PENALTY_SECONDS = 0.02
+# A server that rejected a request lately counts as slower by so many seconds, so that
+# one that works is chosen before it.
+REJECTION_PENALTY_SECONDS = 1e3
 # Bonus in seconds that puts a server of a version on trial before all others. Chosen by
 # time alone, a failing server would hardly get another request, and the trial would
 # never end.
@@ -41,6 +44,8 @@
         if now + cost > waiting.end_by:
             continue
         cost *= 1.0 + FAILURE_PENALTY * server.failures
+        if server.may_reject(now):
+            cost += REJECTION_PENALTY_SECONDS
         if ticket.data_centre not in ("", server.spec.data_centre):
             cost += REMOTE_PENALTY_SECONDS
         if exposed.is_preferred(server.spec) and now + first <= waiting.goal_at:
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -358,8 +358,9 @@
         """
         self.declined += 1
         log.info(
-            "declined {}, which has left: granted by {} with pool revision {}",
+            "declined {}, which {}: granted by {} with pool revision {}",
             grant.server,
+            "has left" if math.isinf(seconds) else f"rests for {seconds:.1f} s",
             request.dispatcher,
             grant.revision,
             extra={"request": request.ticket.request_id},
@@ -369,8 +370,7 @@
         if grant.server in request.ticket.excluded:
             # The dispatcher has no other server.
             self.forget(request)
-            reason = messages.RefusalReason.NO_BACKEND_SERVER
-            request.answer.set_result(pending.local_refusal(request, reason))
+            request.answer.set_result(no_server(request, seconds))
             return
         excluded = (*request.ticket.excluded, grant.server)
         request.ticket = msgspec.structs.replace(request.ticket, excluded=excluded)
@@ -394,3 +394,12 @@
         request = self.pending_tickets.get(preempt.ticket_id)
         if request is not None and not request.preempted.done():
             request.preempted.set_result(preempt)
+
+
+def no_server(request: pending.PendingTicket, seconds: float) -> messages.Refusal:
+    """Return a refusal since no server can be used for some seconds, or for good."""
+    reason = messages.RefusalReason.NO_BACKEND_SERVER
+    refusal = pending.local_refusal(request, reason)
+    if math.isinf(seconds):
+        return refusal
+    return msgspec.structs.replace(refusal, retry_after=seconds)
--- a/src/tealcove/dispatch/statements.py
+++ b/src/tealcove/dispatch/statements.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import messages
+from tealcove.dispatch import cells, messages
 
 log = logbook.Logger("dispatch")
 
@@ -129,7 +129,10 @@
 
     def usable_in(self, grant: messages.Grant, now: ids.Instant) -> float:
         """Return the seconds until a server may get a request; infinite if it left."""
-        return math.inf if self.has_left(grant) else 0.0
+        if self.has_left(grant):
+            return math.inf
+        known = self.find(cells.pool_of(grant.cell), grant)
+        return 0.0 if known is None else max(0.0, known.rest_until - now)
 
     def repeat_leaving(
         self, pool: ids.PoolId, grant: messages.Grant, now: ids.Instant
@@ -140,12 +143,17 @@
 
     def find_or_add(self, pool: ids.PoolId, grant: messages.Grant) -> Known:
         """Return what is known of the start of the server that a grant names."""
-        servers = self.known.setdefault(pool, {})
-        found = servers.get(grant.server)
-        if found is None or found.start != grant.start:
-            found = servers[grant.server] = Known(grant.start)
+        found = self.find(pool, grant)
+        if found is None:
+            found = Known(grant.start)
+            self.known.setdefault(pool, {})[grant.server] = found
         return found
 
+    def find(self, pool: ids.PoolId, grant: messages.Grant) -> Known | None:
+        """Return what is known of the start of the server that a grant names."""
+        found = self.known.get(pool, {}).get(grant.server)
+        return None if found is None or found.start != grant.start else found
+
     def of_pool(
         self, pool: ids.PoolId, now: ids.Instant
     ) -> tuple[messages.ServerStatement, ...]:
--- a/src/tealcove/dispatch/tests/test_request_limits.py
+++ b/src/tealcove/dispatch/tests/test_request_limits.py
@@ -126,8 +126,8 @@
     found = opened(2)
     apply(found, 0.5, 0.0)
     now = builders.instant(0.0)
-    released = waitingline.slot_release_times(found.views.servers.values(), now)
-    assert [at - now for at, _, _ in released] == [2.0, 4.0]
+    released = waitingline.slot_releases(found.views.servers.values(), now)
+    assert [release.at - now for release in released] == [2.0, 4.0]
 
 
 def test_statements_are_sent_with_their_age_and_dropped() -> None:
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -10,13 +10,12 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import backendview, inflow, messages, shares
+from tealcove.dispatch import backendview, inflow, messages, releases, shares
 
 # Seconds between a predicted end and its deadline that are reserved for network delays
 # between instances and to the caller, and for the granularity of ticks.
@@ -51,7 +50,11 @@
 
     def is_late(self, now: ids.Instant) -> bool:
         """Tell whether the goal can no longer be met."""
-        return now + self.best_first > self.goal_at
+        return self.misses_goal(0.0, now)
+
+    def misses_goal(self, seconds: float, now: ids.Instant) -> bool:
+        """Tell whether the goal is missed by a start in so many seconds."""
+        return now + seconds + self.best_first > self.goal_at
 
 
 class SortKey(msgspec.Struct, frozen=True, order=True):
@@ -104,27 +107,42 @@
     long only to be refused.
     """
     servers = list(servers)
-    slots = slot_release_times(servers, now)
+    slots = releases.Releases(slot_releases(servers, now))
     if not slots:
         return forecast_without_servers(line, servers, now)
-    heapq.heapify(slots)
     count = len(slots)
     too_late = []
     for waiting in line:
-        at, name, server = slots[0]
+        entry = waiting.ticket.entry
+        usable = slots.first(entry)
+        release = usable.release
         tier = waiting.flow.kind.tier
-        free_in = max(0.0, at - now)
-        seconds = free_in / remaining_share(tier, arriving, count, now)
-        if now + seconds + waiting.best_first > waiting.goal_at:
-            seconds = free_in / remaining_share(tier + 1, arriving, count, now)
-        if now + seconds > waiting.start_by:
+        free_in = max(0.0, release.at - now)
+        rest = max(0.0, usable.at - max(release.at, now))
+        seconds = free_in / remaining_share(tier, arriving, count, now) + rest
+        if waiting.misses_goal(seconds, now):
+            seconds = free_in / remaining_share(tier + 1, arriving, count, now) + rest
+        is_too_late = now + seconds > waiting.start_by
+        if rest > 0.0 and not is_too_late:
+            rest_of_all = seconds_until_wanted(servers, entry, now)
+            is_too_late = rest_of_all > 0.0 and waiting.misses_goal(rest_of_all, now)
+        if is_too_late:
             too_late.append((waiting, seconds))
+            slots.pass_over(usable)
             continue
-        length = server.slot_seconds(waiting.ticket)
-        heapq.heapreplace(slots, (max(at, now) + length, name, server))
+        length = release.server.slot_seconds(waiting.ticket)
+        slots.use(usable, max(usable.at, now) + length)
     return Forecast(tuple(too_late))
 
 
+def seconds_until_wanted(
+    servers: Iterable[backendview.BackendView], entry: ids.InstanceId, now: ids.Instant
+) -> float:
+    """Return the seconds until the first server wants requests from an entry again."""
+    serving = [server.rest_until(entry) for server in servers if server.is_serving]
+    return max(0.0, min(serving) - now)
+
+
 def forecast_without_servers(
     line: Iterable[Waiting],
     servers: list[backendview.BackendView],
@@ -154,19 +172,21 @@
     return 1.0 - min(MAX_ARRIVAL_SHARE, arriving.load_above(tier, now) / slots)
 
 
-def slot_release_times(
+def slot_releases(
     servers: Iterable[backendview.BackendView], now: ids.Instant
-) -> list[tuple[float, int, backendview.BackendView]]:
+) -> list[releases.Release]:
     """Return each slot's predicted release, with a number that breaks ties."""
-    found: list[tuple[float, int, backendview.BackendView]] = []
+    found: list[releases.Release] = []
     for server in servers:
         if not server.is_serving:
             continue
         ends = [max(now, run.started + run.total) for run in server.runs.values()]
         ends.sort()
-        free = max(0, server.spec.slots - len(ends))
+        slots = server.open_slots(now)
+        free = max(0, slots - len(ends))
         start = max(now, server.paused_until)
-        ends = [start] * free + ends[: server.spec.slots]
+        ends = [start] * free + ends[:slots]
         for place, at in enumerate(ends):
-            found.append((server.slot_available_at(place, at, now), len(found), server))
+            available_at = server.slot_available_at(place, at, now)
+            found.append(releases.Release(available_at, len(found), server))
     return found
