Soak: let servers state their leaving and rest, and check what they get

Both go on while the store, the ways to it and to servers, and the processes fail, and overlap with limits and listed leaves. Checked are requests that callers sent 2 s or more after their instance had passed on an answer that says so, excused by nothing but a stop of its process, and requests that arrive from .5 s after a rejection until the end of the rest, excused by any disturbance of the instance or its way to the server. The statements of servers have moved to a module of their own; faults and limits are drawn as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -34,6 +34,8 @@
     answer: platform_site.Answer
     # The instance that it was sent to.
     member: str
+    sent_at: ids.Instant
+    ended_at: ids.Instant
 
 
 class Callers:
@@ -64,8 +66,12 @@
             request_id = f"r-{self.count}"
             path = self.random.choice(PATHS)
             member = self.random.choice(self.running.members)
+            sent_at = clock.now()
             answer = await self.send(session, member, request_id, path)
-            self.results.append(CallResult(request_id, path, answer, member.name))
+            ended = CallResult(
+                request_id, path, answer, member.name, sent_at, clock.now()
+            )
+            self.results.append(ended)
             await asyncio.sleep(PAUSE)
 
     def key_at(self, member: deployment.Member, now: ids.Instant) -> str:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -97,6 +97,8 @@
         self.server_proxies: list[proxy.Proxy] = []
         # The proxy's address of each server, by name.
         self.addresses: dict[str, str] = {}
+        # What the row of each server says, by name; None if it has none.
+        self.states: dict[str, str | None] = {}
         # Declared keys besides the first, and the time at which the store had each.
         self.keys: list[str] = []
         self.declared: dict[str, ids.Instant] = {}
@@ -155,6 +157,7 @@
         self, server: poolserver.PoolServer, state: str | None
     ) -> None:
         """Write a server's row, or delete it if `state` is None."""
+        self.states[server.name] = state
         content = None
         if state is not None:
             entry = msgspec.json.decode(server.entry(state))
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -31,18 +31,30 @@
         self.disturbances: list[Disturbance] = []
 
     @contextlib.contextmanager
-    def disturbed(self, part: str) -> Iterator[None]:
-        """Record a part as disturbed while the context is active."""
-        one = Disturbance(part, clock.now())
-        self.disturbances.append(one)
+    def disturbed(self, *parts: str) -> Iterator[None]:
+        """Record parts as disturbed while the context is active."""
+        found = [Disturbance(part, clock.now()) for part in parts]
+        self.disturbances.extend(found)
         try:
             yield
         finally:
-            one.ended = clock.now()
+            for one in found:
+                one.ended = clock.now()
 
     def is_undisturbed(self, at: ids.Instant, *parts: str) -> bool:
         """Tell whether parts were undisturbed and had settled at a time."""
+        return self.is_undisturbed_between(ids.Instant(at - SETTLE_SECONDS), at, *parts)
+
+    def is_undisturbed_between(
+        self, since: ids.Instant, until: ids.Instant, *parts: str
+    ) -> bool:
+        """Tell whether parts were undisturbed for a whole period."""
         return not any(
-            one.part in parts and one.began <= at < one.ended + SETTLE_SECONDS
+            one.part in parts and one.began <= until and since < one.ended
             for one in self.disturbances
         )
+
+
+def process_of(member: str) -> str:
+    """Return the part that is disturbed when an instance's process stands still."""
+    return f"process of {member}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from soak import deployment, disturbances, proxy
+from soak import deployment, disturbances, proxy, statements
 from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
 
@@ -22,12 +22,6 @@
 # Seconds for which a server that left keeps serving before it is listed again.
 LEAVING_SECONDS = 4.0
 
-# Seconds for which a server names a limit, the mean pause until the next one does, and
-# the least and the largest limit in requests a second.
-LIMITED_SECONDS = 8.0
-LIMIT_PAUSE_SECONDS = 1.5
-MIN_LIMIT, MAX_LIMIT = 0.5, 5.0
-
 Step = Callable[[], Awaitable[None]]
 NETWORK = (
     proxy.ProxyFault.DELAYED,
@@ -45,15 +39,6 @@
     until: ids.Instant
 
 
-class Limited(msgspec.Struct, frozen=True):
-    """The period in which a server named a limit, in requests a second."""
-
-    server: str
-    rate: float
-    since: ids.Instant
-    until: ids.Instant
-
-
 class FaultInjector:
     """Draws and injects faults; `done` lists the injected ones in order."""
 
@@ -64,9 +49,7 @@
         self.disturbances = disturbances.DisturbanceLog()
         self.leaves: list[Leave] = []
         self.is_server_leaving = False
-        self.limits: list[Limited] = []
-        # Limits are drawn apart, so that a seed goes on drawing the same faults.
-        self.limit_random = random.Random(f"limits of {seed}")
+        self.stating = statements.StatementInjector(running, seed, self.done)
         self.kinds = (
             self.kill,
             self.freeze,
@@ -84,7 +67,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
-        limiting = asyncio.create_task(self.limit_servers())
+        stating = asyncio.create_task(self.stating.run())
         try:
             while loop.time() < end:
                 kind = self.random.choice(self.kinds)
@@ -94,7 +77,7 @@
             await asyncio.gather(*active)
         finally:
             # A remaining fault would start an instance after the deployment's end.
-            await tasks.stop([limiting, *active])
+            await tasks.stop([stating, *active])
 
     async def inject(self, kind: Callable[..., object], duration: float) -> None:
         """Inject one fault, wait, and remove it."""
@@ -102,22 +85,6 @@
             self.done.append(f"{what} for {duration:.1f} s")
             await asyncio.sleep(duration)
 
-    async def limit_servers(self) -> None:
-        """Let one server after the other name a limit, until cancelled."""
-        while True:
-            pause = self.limit_random.uniform(0.0, 2 * LIMIT_PAUSE_SECONDS)
-            await asyncio.sleep(pause)
-            server = self.limit_random.choice(self.running.servers)
-            rate = round(self.limit_random.uniform(MIN_LIMIT, MAX_LIMIT), 1)
-            server.limit = str(rate)
-            since = clock.now()
-            self.done.append(f"{server.name} names a limit of {rate}")
-            try:
-                await asyncio.sleep(LIMITED_SECONDS)
-            finally:
-                server.limit = None
-                self.limits.append(Limited(server.name, rate, since, clock.now()))
-
     def random_member(self) -> deployment.Member:
         """Return a random instance."""
         return self.random.choice(self.running.members)
@@ -130,7 +97,8 @@
             yield "nothing"
             return
         member.is_stopping = True
-        with self.disturbances.disturbed(member.name):
+        process = disturbances.process_of(member.name)
+        with self.disturbances.disturbed(member.name, process):
             await member.end()
             yield f"kill {member.name}"
             await member.start()
@@ -139,7 +107,8 @@
     async def freeze(self) -> AsyncIterator[str]:
         """Suspend an instance and resume it."""
         member = self.random_member()
-        with self.disturbances.disturbed(member.name):
+        process = disturbances.process_of(member.name)
+        with self.disturbances.disturbed(member.name, process):
             member.send(signal.SIGSTOP)
             yield f"freeze {member.name}"
             member.send(signal.SIGCONT)
@@ -152,7 +121,8 @@
             yield "nothing"
             return
         member.is_stopping = True
-        with self.disturbances.disturbed(member.name):
+        process = disturbances.process_of(member.name)
+        with self.disturbances.disturbed(member.name, process):
             member.send(signal.SIGTERM)
             yield f"terminate {member.name}"
             with contextlib.suppress(TimeoutError):
--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -47,6 +47,49 @@
     return watched, found
 
 
+def late_after_told(
+    running: deployment.Deployment,
+    injector: faults.FaultInjector,
+    ended: list[callers.CallResult],
+) -> tuple[int, list[str]]:
+    """Return the number of checked requests, and the violations among them.
+
+    An instance that has passed on an answer which says that its server leaves must not
+    send it a request that a caller sent later, whatever else has failed. Only a stop or
+    a restart of its own process excuses it.
+    """
+    checked = 0
+    found = []
+    for leave in injector.stating.leaves:
+        (server,) = [one for one in running.servers if one.name == leave.server]
+        ran = {
+            run.request_id
+            for run in server.runs
+            if run.born == leave.born and run.arrived_at >= leave.since
+        }
+        told_at: dict[str, ids.Instant] = {}
+        for one in sorted(ended, key=lambda one: one.ended_at):
+            if one.request_id in ran and one.answer.status is not None:
+                told_at.setdefault(one.member, one.ended_at)
+        for one in ended:
+            told = told_at.get(one.member)
+            if told is None or not told + DRAIN_SECONDS < one.sent_at < leave.until:
+                continue
+            process = disturbances.process_of(one.member)
+            if not injector.disturbances.is_undisturbed_between(
+                told, one.ended_at, process
+            ):
+                continue
+            checked += 1
+            if one.request_id in ran:
+                late = one.sent_at - told
+                found.append(
+                    f"{one.request_id} of {one.member} reached {leave.server}, sent "
+                    f"{late:.2f} s after an answer that said that it leaves"
+                )
+    return checked, found
+
+
 def is_over(
     leave: faults.Leave, injector: faults.FaultInjector, at: ids.Instant
 ) -> bool:
--- a/soak/limiting.py
+++ b/soak/limiting.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from soak import callers, deployment, faults
+from soak import callers, deployment, faults, statements
 from tealcove import ids
 
 # Seconds after a server first named its limit from which it is checked.
@@ -27,7 +27,7 @@
     members = {one.request_id: one.member for one in ended}
     checked = 0
     found = []
-    for limit in injector.limits:
+    for limit in injector.stating.limits:
         arrived = list(arrivals(limit, running, injector, members))
         checked += len(arrived)
         found.extend(check(limit, arrived))
@@ -35,7 +35,7 @@
 
 
 def arrivals(
-    limit: faults.Limited,
+    limit: statements.Limited,
     running: deployment.Deployment,
     injector: faults.FaultInjector,
     members: dict[ids.RequestId, str],
@@ -56,7 +56,7 @@
             yield run.arrived_at
 
 
-def check(limit: faults.Limited, arrived: list[ids.Instant]) -> Iterator[str]:
+def check(limit: statements.Limited, arrived: list[ids.Instant]) -> Iterator[str]:
     """Yield the windows with too many arrivals."""
     allowed = ALLOWED_FACTOR * limit.rate * WINDOW_SECONDS + ALLOWED_EXTRA
     for since in arrived:
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from soak import callers, deployment, faults, leaving, limiting
+from soak import callers, deployment, faults, leaving, limiting, resting
 
 MEMBERS = 3
 SERVERS = 3
@@ -32,6 +32,10 @@
     watched: int
     # Requests of undisturbed instances at servers that had named a limit.
     limited: int
+    # Requests to instances that a server had told that it leaves.
+    told: int
+    # Rests that were checked.
+    rests: int
     broken: tuple[str, ...]
 
 
@@ -58,6 +62,10 @@
             running, injector, calling.results
         )
         broken.extend(excessive)
+        told, late = leaving.late_after_told(running, injector, calling.results)
+        broken.extend(late)
+        rests, excessive = resting.excessive_rests(running, injector, calling.results)
+        broken.extend(excessive)
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -70,5 +78,7 @@
         sent_after=len(after),
         watched=watched,
         limited=limited,
+        told=told,
+        rests=rests,
         broken=tuple(broken),
     )
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -58,6 +58,8 @@
     deadline_ms: str | None
     body: bytes
     arrived_at: ids.Instant
+    # The start of the server.
+    born: int
 
 
 class Rejection(msgspec.Struct, frozen=True):
@@ -65,6 +67,8 @@
 
     request_id: str
     arrived_at: ids.Instant
+    # The start of the server.
+    born: int
 
 
 class PoolServer:
@@ -73,6 +77,8 @@
     def __init__(self, name: str, service: str, events: int = 5) -> None:
         self.name = name
         self.service = service
+        # When it started, in Unix milliseconds.
+        self.born = 1
         # The version of the server's software.
         self.version = "v1"
         # Number of events of each stream, and the seconds between them.
@@ -115,11 +121,8 @@
             await self.runner.cleanup()
             self.runner = None
 
-    def entry(self, state: str = "ready", born: int = 1) -> bytes:
-        """Return the row of this server in the store.
-
-        `born` is its start time in Unix milliseconds.
-        """
+    def entry(self, state: str = "ready", born: int | None = None) -> bytes:
+        """Return the row of this server in the store; `born` replaces its own."""
         found = {
             "service": self.service,
             "addr": f"127.0.0.1:{self.port}",
@@ -129,7 +132,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": born,
+            "born": self.born if born is None else born,
         }
         return msgspec.json.encode(found)
 
@@ -154,7 +157,7 @@
     def reject(self, request: web.Request) -> web.Response:
         """Refuse a request without running it."""
         rejected_id = request.headers[names.REQUEST_ID]
-        self.rejections.append(Rejection(rejected_id, clock.now()))
+        self.rejections.append(Rejection(rejected_id, clock.now(), self.born))
         headers = {names.NOT_RUN: "1", **self.statement_headers()}
         if self.rest is not None:
             headers[names.RETRY_AFTER] = self.rest
@@ -178,6 +181,7 @@
                 deadline_ms=headers.get(names.DEADLINE_MS),
                 body=body,
                 arrived_at=clock.now(),
+                born=self.born,
             )
         )
 
