Keep what a server has stated in a module of its own

Read in the same pass: a rest went on for the next process of an entry that was killed, up to an hour after a garbled header; a rest carried a limit from more than a minute ago to new dispatchers; a ticket without a goal and one with a goal of more than a second were refused alike when every server had left.

Change: `dispatch/restrictions.py` holds all three statements as the dispatcher knows them. Rests of a lost entry end, old limits are left out, and tickets with a goal wait for no server as long as it can be met.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import messages, prefill, requestrate
+from tealcove.dispatch import messages, prefill, restrictions
 from tealcove.resources import kinds
 
 log = logbook.Logger("dispatch")
@@ -36,11 +36,6 @@
 OVERDUE_GRACE = 0.4
 # Consecutive failures after which a server only gets one request at a time.
 FAILURES_TO_PROBE = 4
-# Seconds by which a repeated statement may seem to end later, since it was sent later.
-REPEAT_TOLERANCE = 0.1
-
-
-NEVER = ids.Instant(float("-inf"))
 
 
 class Run(msgspec.Struct):
@@ -87,18 +82,8 @@
         # When a run last produced a first token or completed.
         self.last_activity = ids.Instant(0.0)
         self.pause = MIN_PAUSE
-        # The limit that it has named, in requests a second, what may be granted within
-        # it, and when an answer last said something of it.
-        self.request_limit: float | None = None
-        self.rate: requestrate.RequestRate | None = None
-        self.limit_stated_at = NEVER
-        # Whether one of its answers said that it leaves, for good.
-        self.is_leaving = False
-        # Until when it wants no requests from an entry.
-        self.rests: dict[ids.InstanceId, ids.Instant] = {}
-        # When it last asked for that, and until when it is likely to reject others too.
-        self.rejected_at = NEVER
-        self.rejects_until = NEVER
+        # What its answers have stated.
+        self.restrictions = restrictions.Restrictions(self.name)
 
     def announced_first_seconds(self, run: Run) -> float:
         """Return the seconds to a run's first event that are sent to its entry."""
@@ -107,12 +92,16 @@
     @property
     def is_serving(self) -> bool:
         """Whether it takes requests, by the list of servers and its own answers."""
-        return self.spec.state is kinds.ServerState.SERVING and not self.is_leaving
+        return (
+            self.spec.state is kinds.ServerState.SERVING
+            and not self.restrictions.is_leaving
+        )
 
     @property
     def is_leaving_unlisted(self) -> bool:
         """Whether it leaves by its own answers only."""
-        return self.is_leaving and self.spec.state is kinds.ServerState.SERVING
+        is_listed = self.spec.state is kinds.ServerState.SERVING
+        return is_listed and self.restrictions.is_leaving
 
     def is_measured(self) -> bool:
         """Tell whether its own speed was observed."""
@@ -125,68 +114,19 @@
         is_probed = self.failed_in_row >= FAILURES_TO_PROBE
         slots = 1 if is_probed else self.open_slots(now)
         free = slots - len(self.runs)
-        if free > 0 and self.rate is not None:
-            free = min(free, self.rate.available(now))
+        if free > 0 and self.restrictions.rate is not None:
+            free = min(free, self.restrictions.rate.available(now))
         # Checked last, since most servers are full when this is called most often.
         return 0 if free > 0 and self.is_stalled(now) else free
 
+    def accepts(self, entry: ids.InstanceId, now: ids.Instant) -> bool:
+        """Tell whether it takes requests from an entry now."""
+        return self.is_serving and self.restrictions.rest_until(entry) <= now
+
     def open_slots(self, now: ids.Instant) -> int:
         """Return how many requests it may run at once; one if it may reject them."""
-        return min(1, self.spec.slots) if self.may_reject(now) else self.spec.slots
-
-    def may_reject(self, now: ids.Instant) -> bool:
-        """Tell whether it rejected a request lately and has run none since."""
-        return now < self.rejects_until
-
-    def rest_until(self, entry: ids.InstanceId) -> ids.Instant:
-        """Return until when it wants no requests from an entry."""
-        return self.rests.get(entry, NEVER)
-
-    def apply_statement(
-        self,
-        entry: ids.InstanceId,
-        stated: messages.ServerStatement,
-        now: ids.Instant,
-    ) -> None:
-        """Apply what it stated to an entry."""
-        self.apply_limit(stated, now)
-        until = ids.Instant(now + stated.rest)
-        if stated.rest > 0.0 and until > self.rest_until(entry) + REPEAT_TOLERANCE:
-            log.info("{} rests from {} for {:.1f} s", self.name, entry, stated.rest)
-            self.rests = {e: at for e, at in self.rests.items() if at > now}
-            self.rests[entry] = until
-            self.rejected_at = now
-            self.rejects_until = max(self.rejects_until, until)
-        if stated.is_leaving and not self.is_leaving:
-            log.info("{} gets no more requests: it says that it leaves", self.name)
-            self.is_leaving = True
-
-    def apply_limit(self, stated: messages.ServerStatement, now: ids.Instant) -> None:
-        """Apply a statement of its limit, unless a newer one is known."""
-        stated_at = ids.Instant(now - stated.age)
-        if stated_at <= self.limit_stated_at:
-            return
-        self.limit_stated_at = stated_at
-        if stated.rate == self.request_limit:
-            return
-        log.info(
-            "{} limits its requests a second to {}, {} before",
-            self.name,
-            stated.rate,
-            self.request_limit,
-        )
-        self.request_limit = stated.rate
-        if stated.rate is None:
-            self.rate = None
-        elif self.rate is None:
-            self.rate = requestrate.RequestRate(stated.rate, now)
-        else:
-            self.rate.change(stated.rate, now)
-
-    def record_grant(self, now: ids.Instant) -> None:
-        """Count a granted request against the limit."""
-        if self.rate is not None:
-            self.rate.take(now)
+        may_reject = self.restrictions.may_reject(now)
+        return min(1, self.spec.slots) if may_reject else self.spec.slots
 
     def slot_available_at(self, place: int, at: ids.Instant, now: ids.Instant) -> float:
         """Return when a slot that is released at `at` can be granted.
@@ -194,16 +134,16 @@
         `place` is its number, from 0, in the order in which the slots are released:
         each grant before uses up one request of the limit.
         """
-        if self.rate is None:
+        if self.restrictions.rate is None:
             return at
-        return max(at, self.rate.available_at(place + 1, now))
+        return max(at, self.restrictions.rate.available_at(place + 1, now))
 
     def slot_seconds(self, ticket: messages.Ticket) -> float:
         """Return the seconds from a grant of one of its slots until the next of it."""
         seconds = self.total_seconds(ticket, 0.0)
-        if self.rate is None:
+        if self.restrictions.rate is None:
             return seconds
-        return max(seconds, self.spec.slots / self.rate.rate)
+        return max(seconds, self.spec.slots / self.restrictions.rate.rate)
 
     def is_stalled(self, now: ids.Instant) -> bool:
         """Tell whether it hangs: a run is overdue, and no later activity was seen.
@@ -274,11 +214,6 @@
         """Return the weight of a new observation; 1 for the first."""
         return OBSERVATION_WEIGHT if self.observations else 1.0
 
-    def record_service(self, run: Run) -> None:
-        """Record that it runs a request, or ran one, and so doesn't reject all."""
-        if run.started >= self.rejected_at:
-            self.rejects_until = NEVER
-
     def record_success(self) -> None:
         """Update the failure rate after a completed request."""
         self.failures -= FAILURE_WEIGHT * self.failures
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -84,7 +84,7 @@
         wanting = (
             name
             for name, server in self.servers.items()
-            if server.is_serving and server.rest_until(ticket.entry) <= now
+            if server.accepts(ticket.entry, now)
         )
         return frozenset() if excluded.issuperset(wanting) else excluded
 
@@ -99,7 +99,7 @@
         return [
             server
             for server in free
-            if server.name not in excluded and server.rest_until(ticket.entry) <= now
+            if server.name not in excluded and server.accepts(ticket.entry, now)
         ]
 
     def estimate(self, ticket: messages.Ticket, now: ids.Instant) -> Estimate:
@@ -157,10 +157,13 @@
         return server, server.runs.pop(ticket_id)
 
     def release_entry(self, entry: ids.InstanceId) -> None:
-        """Release the slots of a lost entry.
+        """Release the slots of a lost entry, and end its rests.
 
-        The servers stop its requests as soon as its connections are closed.
+        The servers stop its requests as soon as its connections are closed. What they
+        asked of it doesn't bind its next process.
         """
+        for server in self.servers.values():
+            server.restrictions.end_rest(entry)
         for ticket_id, server in list(self.server_by_ticket.items()):
             if server.runs[ticket_id].ticket.entry == entry:
                 self.release(ticket_id)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -175,7 +175,7 @@
         server = self.views.servers.get(stated.server)
         if server is None or server.spec.start != stated.start:
             return []
-        server.apply_statement(entry, stated, now)
+        server.restrictions.apply(entry, stated, now)
         return self.decide(now)
 
     def progress(
@@ -188,7 +188,7 @@
         run = server.runs[progress.ticket_id]
         run.has_first_token = True
         server.last_activity = now
-        server.record_service(run)
+        server.restrictions.record_service(run.started)
         server.learn_first_token(run, progress.first_token_seconds)
         return []
 
@@ -203,7 +203,7 @@
             self.exposure.record_end(view.spec, run.ticket.route, done)
             if done.outcome is messages.Outcome.COMPLETED:
                 view.learn_completion(run, done)
-                view.record_service(run)
+                view.restrictions.record_service(run.started)
         return self.decide(now)
 
     def record_outcome(
@@ -315,7 +315,7 @@
         ticket = waiting.ticket
         del self.line[ticket.ticket_id]
         run = self.views.start(ticket, server, now)
-        server.record_grant(now)
+        server.restrictions.record_grant(now)
         self.exposure.record_grant(server.spec)
         if now + run.first <= waiting.goal_at:
             self.shares.record_grant(waiting.flow, now)
@@ -376,6 +376,6 @@
         first_seconds=server.announced_first_seconds(server.runs[ticket.ticket_id]),
         start=server.spec.start,
         revision=revision,
-        request_limit=server.request_limit,
+        request_limit=server.restrictions.request_limit,
     )
     return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -44,7 +44,7 @@
         if now + cost > waiting.end_by:
             continue
         cost *= 1.0 + FAILURE_PENALTY * server.failures
-        if server.may_reject(now):
+        if server.restrictions.may_reject(now):
             cost += REJECTION_PENALTY_SECONDS
         if ticket.data_centre not in ("", server.spec.data_centre):
             cost += REMOTE_PENALTY_SECONDS
--- a/src/tealcove/dispatch/releases.py
+++ b/src/tealcove/dispatch/releases.py
@@ -47,7 +47,7 @@
         are released.
         """
         release = self.heap[0]
-        if not release.server.rests or release.server.rest_until(entry) <= release.at:
+        if release.server.restrictions.rest_until(entry) <= release.at:
             return Usable(release, release.at, True)
         return self.first_after_rest(entry)
 
@@ -58,7 +58,7 @@
         while self.heap and self.heap[0].at < best_at:
             release = heapq.heappop(self.heap)
             passed.append(release)
-            at = max(release.at, release.server.rest_until(entry))
+            at = max(release.at, release.server.restrictions.rest_until(entry))
             if at < best_at:
                 best, best_at = release, at
         for release in passed:
--- a/src/tealcove/dispatch/statements.py
+++ b/src/tealcove/dispatch/statements.py
@@ -60,11 +60,12 @@
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> messages.ServerStatement:
         """Return what a dispatcher is told."""
+        has_limit = now - self.limit_at <= KEPT_SECONDS
         return messages.ServerStatement(
             server=server,
             start=self.start,
-            rate=self.rate,
-            age=now - self.limit_at,
+            rate=self.rate if has_limit else None,
+            age=now - self.limit_at if has_limit else math.inf,
             is_leaving=now - self.leaving_at <= KEPT_SECONDS,
             rest=max(0.0, self.rest_until - now),
         )
--- a/src/tealcove/dispatch/tests/test_request_limits.py
+++ b/src/tealcove/dispatch/tests/test_request_limits.py
@@ -79,10 +79,10 @@
     server = found.views.servers[SERVER]
     apply(found, 2.0, 5.0)
     apply(found, None, 6.0, age=3.0)
-    assert server.request_limit == 2.0
+    assert server.restrictions.request_limit == 2.0
     apply(found, None, 7.0)
     apply(found, 2.0, 8.0, age=3.0)
-    assert server.request_limit is None
+    assert server.restrictions.request_limit is None
 
 
 def test_a_restarted_server_has_no_limit() -> None:
@@ -92,7 +92,7 @@
     server = builders.server("s0", 5, start=ids.ServerStart(2))
     found.configure(builders.cell(server), builders.instant(1.0))
     apply(found, 1.0, 2.0)
-    assert found.views.servers[SERVER].request_limit is None
+    assert found.views.servers[SERVER].restrictions.request_limit is None
 
 
 def test_a_changed_limit_keeps_what_is_used_up() -> None:
@@ -154,7 +154,7 @@
     found = opened(5)
     apply(found, 2.0, 5.0)
     apply(found, None, 6.0, age=float("inf"))
-    assert found.views.servers[SERVER].request_limit == 2.0
+    assert found.views.servers[SERVER].restrictions.request_limit == 2.0
 
 
 def test_statements_of_the_version_before_are_understood() -> None:
--- a/src/tealcove/dispatch/tests/test_rests.py
+++ b/src/tealcove/dispatch/tests/test_rests.py
@@ -152,6 +152,14 @@
     assert builders.refused(outgoing) == []
 
 
+def test_the_next_process_of_an_entry_is_not_bound() -> None:
+    """An instance that was killed and started again stayed without a server."""
+    found = opened(1)
+    rest(found, "s0", seconds=600.0)
+    found.lose_entry(TOLD, builders.instant(1.0))
+    assert granted_server(ask(found, 1.1, TOLD)) == ["s0"]
+
+
 def test_a_slot_at_rest_is_forecast_for_others() -> None:
     """A rest for one instance made the forecasts of all later."""
     found = opened(1, 1)
@@ -197,3 +205,14 @@
     assert known.usable_in(grant, builders.instant(1.0)) == pytest.approx(REST - 1.0)
     assert known.of_pool(POOL, builders.instant(REST)) == ()
     assert known.usable_in(grant, builders.instant(REST)) == 0.0
+
+
+def test_a_rest_does_not_carry_an_old_limit() -> None:
+    """A limit that was stated long ago was told to a new dispatcher."""
+    known = statements.Statements()
+    grant = askers.grant("s")
+    limit = statements.Statement(limit=statements.RequestLimit(1.7))
+    known.record(POOL, grant, limit, builders.instant(0.0))
+    late = builders.instant(statements.KEPT_SECONDS + 1.0)
+    stated = known.record(POOL, grant, statements.Statement(rest=REST), late)
+    assert (stated.rate, stated.age, stated.rest) == (None, math.inf, REST)
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -56,6 +57,15 @@
         """Tell whether the goal is missed by a start in so many seconds."""
         return now + seconds + self.best_first > self.goal_at
 
+    def latest_in_time(self) -> float:
+        """Return the last instant at which a start meets the goal.
+
+        Without a goal, it is some time after its arrival.
+        """
+        if math.isinf(self.goal_at):
+            return self.since + NO_SERVER_SECONDS
+        return self.goal_at - self.best_first
+
 
 class SortKey(msgspec.Struct, frozen=True, order=True):
     """A ticket's position in the line; compared field by field, lowest first."""
@@ -139,8 +149,10 @@
     servers: Iterable[backendview.BackendView], entry: ids.InstanceId, now: ids.Instant
 ) -> float:
     """Return the seconds until the first server wants requests from an entry again."""
-    serving = [server.rest_until(entry) for server in servers if server.is_serving]
-    return max(0.0, min(serving) - now)
+    wanted_at = min(
+        server.restrictions.rest_until(entry) for server in servers if server.is_serving
+    )
+    return max(0.0, wanted_at - now)
 
 
 def forecast_without_servers(
@@ -156,13 +168,12 @@
     if not any(server.is_leaving_unlisted for server in servers):
         overdue = [(waiting, 0.0) for waiting in line if now > waiting.start_by]
         return Forecast(tuple(overdue))
-    hopeless = [
+    too_late = [
         (waiting, NO_SERVER_SECONDS)
         for waiting in line
-        if waiting.is_late(now)
-        or now > min(waiting.start_by, waiting.since + NO_SERVER_SECONDS)
+        if now > min(waiting.start_by, waiting.latest_in_time())
     ]
-    return Forecast(tuple(hopeless), messages.RefusalReason.NO_BACKEND_SERVER)
+    return Forecast(tuple(too_late), messages.RefusalReason.NO_BACKEND_SERVER)
 
 
 def remaining_share(
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -46,7 +46,7 @@
     (dispatcher,) = [one for one in running.instances if one.dispatcher.held]
     (held,) = dispatcher.dispatcher.held.values()
     views = held.scheduler.backend_views()
-    return {view.name: view.request_limit for view in views}
+    return {view.name: view.restrictions.request_limit for view in views}
 
 
 async def test_a_server_that_names_a_limit_gets_no_more():
