--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,12 +13,14 @@
 from soak import run
 
 
-async def one(folder: pathlib.Path, seed: int, seconds: float) -> run.Verdict:
+async def one(
+    folder: pathlib.Path, seed: int, found: argparse.Namespace
+) -> run.Verdict:
     """Run one soak; SIGTERM ends it and the instances that it started."""
     current = asyncio.current_task()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, current.cancel)
-    return await run.soak(folder, seed, seconds)
+    return await run.soak(folder, seed, found.seconds, found.members, found.servers)
 
 
 def main() -> int:
@@ -27,13 +29,15 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--count", type=int, default=1, help="so many seeds")
     parser.add_argument("--seconds", type=float, default=10.0, help="of faults, each")
+    parser.add_argument("--members", type=int, default=run.MEMBERS, help="instances")
+    parser.add_argument("--servers", type=int, default=run.SERVERS, help="of a service")
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
     for seed in range(found.seed, found.seed + found.count):
         folder = found.logs / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        verdict = asyncio.run(one(folder, seed, found.seconds))
+        verdict = asyncio.run(one(folder, seed, found))
         print(msgspec.json.encode(verdict).decode(), flush=True)
         failed += bool(verdict.broken)
     return 1 if failed else 0
--- a/soak/run.py
+++ b/soak/run.py
@@ -39,9 +39,15 @@
     broken: tuple[str, ...]
 
 
-async def soak(folder: pathlib.Path, seed: int, seconds: float) -> Verdict:
+async def soak(
+    folder: pathlib.Path,
+    seed: int,
+    seconds: float,
+    members: int = MEMBERS,
+    servers: int = SERVERS,
+) -> Verdict:
     """Run one soak; its logs are kept in the folder."""
-    async with deployment.Deployment(folder, MEMBERS, SERVERS) as running:
+    async with deployment.Deployment(folder, members, servers) as running:
         injector = faults.FaultInjector(running, seed)
         calling = callers.Callers(running, injector.disturbances, seed)
         task = asyncio.create_task(calling.run())
