Build refusals of an entry in one place, and name why a rest ends a wait

Found on reading the change: the refusal after a declined grant was built twice, the instant before all others was defined twice, and nothing told why callers don't wait for a rest beyond their goal. Behaviour is as it was. All tests of dispatch and of sites with statements pass.

--- a/src/tealcove/dispatch/pending.py
+++ b/src/tealcove/dispatch/pending.py
@@ -9,6 +9,9 @@
 from tealcove import clock, ids
 from tealcove.dispatch import messages
 
+# Seconds after which callers may retry when nothing tells how long it takes.
+RETRY_AFTER = 1.0
+
 
 class PendingTicket:
     """A ticket with its dispatcher and the futures of its answers."""
@@ -72,9 +75,11 @@
 
 
 def local_refusal(
-    request: PendingTicket, reason: messages.RefusalReason
+    request: PendingTicket,
+    reason: messages.RefusalReason,
+    retry_after: float = RETRY_AFTER,
 ) -> messages.Refusal:
     """Return a refusal that the entry itself decides."""
     return messages.Refusal(
-        ticket_id=request.ticket.ticket_id, reason=reason, retry_after=1.0
+        ticket_id=request.ticket.ticket_id, reason=reason, retry_after=retry_after
     )
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -370,7 +370,9 @@
         if grant.server in request.ticket.excluded:
             # The dispatcher has no other server.
             self.forget(request)
-            request.answer.set_result(no_server(request, seconds))
+            reason = messages.RefusalReason.NO_BACKEND_SERVER
+            after = pending.RETRY_AFTER if math.isinf(seconds) else seconds
+            request.answer.set_result(pending.local_refusal(request, reason, after))
             return
         excluded = (*request.ticket.excluded, grant.server)
         request.ticket = msgspec.structs.replace(request.ticket, excluded=excluded)
@@ -394,12 +396,3 @@
         request = self.pending_tickets.get(preempt.ticket_id)
         if request is not None and not request.preempted.done():
             request.preempted.set_result(preempt)
-
-
-def no_server(request: pending.PendingTicket, seconds: float) -> messages.Refusal:
-    """Return a refusal since no server can be used for some seconds, or for good."""
-    reason = messages.RefusalReason.NO_BACKEND_SERVER
-    refusal = pending.local_refusal(request, reason)
-    if math.isinf(seconds):
-        return refusal
-    return msgspec.structs.replace(refusal, retry_after=seconds)
--- a/src/tealcove/dispatch/restrictions.py
+++ b/src/tealcove/dispatch/restrictions.py
@@ -5,13 +5,12 @@
 import logbook
 
 from tealcove import ids
-from tealcove.dispatch import messages, requestrate
+from tealcove.dispatch import messages, requestrate, statements
 
 log = logbook.Logger("dispatch")
 
 # Seconds by which a repeated statement may seem to end later, since it was sent later.
 REPEAT_TOLERANCE = 0.1
-NEVER = ids.Instant(float("-inf"))
 
 
 class Restrictions:
@@ -26,14 +25,14 @@
         # answer last said something of it.
         self.request_limit: float | None = None
         self.rate: requestrate.RequestRate | None = None
-        self.limit_stated_at = NEVER
+        self.limit_stated_at = statements.NEVER
         # Whether an answer said that the server leaves, for good.
         self.is_leaving = False
         # Until when the server wants no requests from an entry.
         self.rests: dict[ids.InstanceId, ids.Instant] = {}
         # When it last asked for that, and until when it is likely to reject others too.
-        self.rejected_at = NEVER
-        self.rejects_until = NEVER
+        self.rejected_at = statements.NEVER
+        self.rejects_until = statements.NEVER
 
     def apply(
         self,
@@ -90,7 +89,7 @@
 
     def rest_until(self, entry: ids.InstanceId) -> ids.Instant:
         """Return until when the server wants no requests from an entry."""
-        return self.rests.get(entry, NEVER)
+        return self.rests.get(entry, statements.NEVER)
 
     def end_rest(self, entry: ids.InstanceId) -> None:
         """Forget the rest of an entry, whose process has ended."""
@@ -103,7 +102,7 @@
     def record_service(self, started: ids.Instant) -> None:
         """Record that a request that was granted at an instant runs, or has run."""
         if started >= self.rejected_at:
-            self.rejects_until = NEVER
+            self.rejects_until = statements.NEVER
 
     def record_grant(self, now: ids.Instant) -> None:
         """Count a granted request against the limit."""
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -133,6 +133,8 @@
         if waiting.misses_goal(seconds, now):
             seconds = free_in / remaining_share(tier + 1, arriving, count, now) + rest
         is_too_late = now + seconds > waiting.start_by
+        # While all servers rest for one instance, another may serve the caller, so that
+        # waiting beyond the goal gains nothing.
         if rest > 0.0 and not is_too_late:
             rest_of_all = seconds_until_wanted(servers, entry, now)
             is_too_late = rest_of_all > 0.0 and waiting.misses_goal(rest_of_all, now)
