Tests: build goal schedulers and statements in the builders' module

Three test modules of statements each had their own builder of the same scheduler, and two of the same message.

--- a/src/tealcove/dispatch/tests/builders.py
+++ b/src/tealcove/dispatch/tests/builders.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 import msgspec
 
 from tealcove import ids
 from tealcove.backends import engine
-from tealcove.dispatch import cells, fair, messages, scheduler
+from tealcove.dispatch import cells, fair, goal, messages, scheduler
 from tealcove.resources import kinds
 
 CELL = ids.CellId("engines/0")
@@ -97,6 +98,20 @@
     return found
 
 
+def goal_scheduler(*slots: int) -> goal.GoalScheduler:
+    """Return a goal scheduler with servers of these numbers of slots: s0, s1, ..."""
+    found = goal.GoalScheduler()
+    servers = [server(f"s{number}", count) for number, count in enumerate(slots)]
+    found.configure(cell(*servers), instant(0.0))
+    return found
+
+
+def statement(name: str, **changes: object) -> messages.ServerStatement:
+    """Return what a server's answers state; nothing of a limit if not changed."""
+    found = {"start": ids.NO_START, "rate": None, "age": math.inf, **changes}
+    return messages.ServerStatement(server=ids.BackendServerId(name), **found)
+
+
 def train(found: fair.FairScheduler, name: str, factor: float = 1.0) -> None:
     """Let a server complete requests at `factor` times the usual duration."""
     grant = messages.Grant(
--- a/src/tealcove/dispatch/tests/test_request_limits.py
+++ b/src/tealcove/dispatch/tests/test_request_limits.py
@@ -14,23 +14,11 @@
 STEP = 0.05
 
 
-def opened(*slots: int) -> goal.GoalScheduler:
-    """Return a scheduler with servers of these numbers of slots."""
-    found = goal.GoalScheduler()
-    servers = [builders.server(f"s{n}", count) for n, count in enumerate(slots)]
-    found.configure(builders.cell(*servers), builders.instant(0.0))
-    return found
-
-
-def stated(rate: float | None, age: float = 0.0, **changes: object) -> object:
-    found = {"server": SERVER, "start": ids.NO_START, "rate": rate, "age": age}
-    return messages.ServerStatement(**{**found, **changes})
-
-
 def apply(
     found: goal.GoalScheduler, rate: float | None, at: float, age: float = 0.0
 ) -> None:
-    found.apply_statement(builders.ENTRY, stated(rate, age), builders.instant(at))
+    stated = builders.statement(SERVER, rate=rate, age=age)
+    found.apply_statement(builders.ENTRY, stated, builders.instant(at))
 
 
 def play(found: goal.GoalScheduler, since: float, seconds: float) -> list[float]:
@@ -50,7 +38,7 @@
 @pytest.mark.parametrize("rate", [0.0, 0.3, 1.0, 1.3, 2.3, 10.0])
 def test_grants_stay_within_a_named_limit(rate: float) -> None:
     """Servers in need got a request whenever a slot was free."""
-    found = opened(5)
+    found = builders.goal_scheduler(5)
     apply(found, rate, 0.0)
     grants = play(found, 0.0, 30.0)
     most = max(sum(at <= other < at + 4.0 for other in grants) for at in grants)
@@ -60,14 +48,14 @@
 
 def test_other_servers_take_what_a_limited_one_does_not() -> None:
     """Requests waited for the limited server while another one was free."""
-    found = opened(5, 5)
+    found = builders.goal_scheduler(5, 5)
     apply(found, 0.5, 0.0)
     assert len(play(found, 0.0, 10.0)) > 150
 
 
 def test_a_limit_ends_when_an_answer_names_none() -> None:
     """A server kept its limit after its need was over."""
-    found = opened(5)
+    found = builders.goal_scheduler(5)
     apply(found, 0.5, 0.0)
     apply(found, None, 5.0)
     assert len(play(found, 5.0, 5.0)) > 50
@@ -75,7 +63,7 @@
 
 def test_older_statements_are_ignored() -> None:
     """A ticket that was sent before restored or ended a limit."""
-    found = opened(5)
+    found = builders.goal_scheduler(5)
     server = found.views.servers[SERVER]
     apply(found, 2.0, 5.0)
     apply(found, None, 6.0, age=3.0)
@@ -87,7 +75,7 @@
 
 def test_a_restarted_server_has_no_limit() -> None:
     """The limit of an earlier start held for the next one."""
-    found = opened(5)
+    found = builders.goal_scheduler(5)
     apply(found, 1.0, 0.0)
     server = builders.server("s0", 5, start=ids.ServerStart(2))
     found.configure(builders.cell(server), builders.instant(1.0))
@@ -112,7 +100,7 @@
 
 def test_callers_beyond_the_limits_are_told_at_once() -> None:
     """A forecast by free slots let callers wait for a slot until their deadlines."""
-    found = opened(5)
+    found = builders.goal_scheduler(5)
     apply(found, 0.5, 0.0)
     refused = []
     for _ in range(20):
@@ -123,7 +111,7 @@
 
 def test_a_limited_slot_is_released_by_the_limit() -> None:
     """A free slot counted as available although the limit was used up."""
-    found = opened(2)
+    found = builders.goal_scheduler(2)
     apply(found, 0.5, 0.0)
     now = builders.instant(0.0)
     released = waitingline.slot_releases(found.views.servers.values(), now)
@@ -151,7 +139,7 @@
 
 def test_a_limit_that_was_never_stated_ends_none() -> None:
     """A statement of something else, by another entry, lifted the limit."""
-    found = opened(5)
+    found = builders.goal_scheduler(5)
     apply(found, 2.0, 5.0)
     apply(found, None, 6.0, age=float("inf"))
     assert found.views.servers[SERVER].restrictions.request_limit == 2.0
@@ -161,4 +149,4 @@
     """During an upgrade, tickets with limits were dropped as unreadable."""
     content = msgspec.msgpack.encode(["s0", 0, 1.5, 0.2])
     found = msgspec.msgpack.decode(content, type=messages.ServerStatement)
-    assert found == stated(1.5, 0.2)
+    assert found == builders.statement("s0", rate=1.5, age=0.2)
--- a/src/tealcove/dispatch/tests/test_rests.py
+++ b/src/tealcove/dispatch/tests/test_rests.py
@@ -17,14 +17,6 @@
 STEP = 0.05
 
 
-def opened(*slots: int) -> goal.GoalScheduler:
-    """Return a scheduler with servers of these numbers of slots."""
-    found = goal.GoalScheduler()
-    servers = [builders.server(f"s{n}", count) for n, count in enumerate(slots)]
-    found.configure(builders.cell(*servers), builders.instant(0.0))
-    return found
-
-
 def rest(
     found: goal.GoalScheduler,
     server: str,
@@ -33,13 +25,7 @@
     entry: ids.InstanceId = TOLD,
 ) -> None:
     """Apply that a server wants no requests from an entry."""
-    stated = messages.ServerStatement(
-        server=ids.BackendServerId(server),
-        start=ids.NO_START,
-        rate=None,
-        age=math.inf,
-        rest=seconds,
-    )
+    stated = builders.statement(server, rest=seconds)
     found.apply_statement(entry, stated, builders.instant(at))
 
 
@@ -58,7 +44,7 @@
 
 def test_only_the_entry_that_was_told_keeps_the_rest() -> None:
     """A server that rejected one instance got no requests of any."""
-    found = opened(2)
+    found = builders.goal_scheduler(2)
     rest(found, "s0")
     assert granted_server(ask(found, 0.1, TOLD)) == []
     assert granted_server(ask(found, 0.2, OTHER)) == ["s0"]
@@ -66,7 +52,7 @@
 
 def test_a_rest_ends_by_itself() -> None:
     """A server that had rejected requests once stayed without work."""
-    found = opened(1)
+    found = builders.goal_scheduler(1)
     rest(found, "s0")
     assert granted_server(ask(found, REST - 0.1, TOLD)) == []
     (grant,) = builders.granted(found.tick(builders.instant(REST + 0.01)))
@@ -75,7 +61,7 @@
 
 def test_a_shorter_rest_does_not_end_a_longer_one() -> None:
     """Rejections that arrived out of order ended a rest early."""
-    found = opened(1)
+    found = builders.goal_scheduler(1)
     rest(found, "s0")
     rest(found, "s0", 0.5, 0.5)
     assert granted_server(ask(found, 2.0, TOLD)) == []
@@ -83,7 +69,7 @@
 
 def test_servers_that_work_go_before_those_that_reject() -> None:
     """Other instances were rejected by a server that had just rejected one."""
-    found = opened(4, 4)
+    found = builders.goal_scheduler(4, 4)
     rest(found, "s0")
     servers = [granted_server(ask(found, 0.1, OTHER)) for _ in range(5)]
     assert servers == [["s1"]] * 4 + [["s0"]]
@@ -91,7 +77,7 @@
 
 def test_a_server_that_rejects_is_tried_by_one_request_at_a_time() -> None:
     """Each instance sent as many requests as there were slots, to be rejected."""
-    found = opened(4)
+    found = builders.goal_scheduler(4)
     rest(found, "s0")
     first = ask(found, 0.1, OTHER)
     assert granted_server(first) == ["s0"]
@@ -108,7 +94,7 @@
 
 def test_a_request_from_before_does_not_show_that_a_server_takes_more() -> None:
     """The end of an older request let a server that rejects get four more."""
-    found = opened(4)
+    found = builders.goal_scheduler(4)
     (grant,) = builders.granted(ask(found, 0.0, OTHER))
     rest(found, "s0", 0.5)
     found.done(builders.done(grant), builders.instant(1.0))
@@ -118,7 +104,7 @@
 
 def test_a_ticket_may_return_to_the_only_server_that_wants_it() -> None:
     """A ticket waited for a server at rest, with one free that had rejected it."""
-    found = opened(1, 1)
+    found = builders.goal_scheduler(1, 1)
     rest(found, "s0")
     excluded = (ids.BackendServerId("s1"),)
     assert granted_server(ask(found, 0.1, TOLD, excluded=excluded)) == ["s1"]
@@ -132,7 +118,7 @@
     goal_seconds: float, seconds: float, waits: bool
 ) -> None:
     """Callers waited until their deadlines for servers that all were at rest."""
-    found = opened(2, 2)
+    found = builders.goal_scheduler(2, 2)
     rest(found, "s0", seconds=seconds + 1.0)
     rest(found, "s1", seconds=seconds)
     outgoing = ask(found, 0.0, TOLD, goal=goal_seconds)
@@ -144,7 +130,7 @@
 
 def test_a_late_caller_waits_for_a_server_that_is_not_at_rest() -> None:
     """Callers of a service with one server at rest were refused at once."""
-    found = opened(1, 1)
+    found = builders.goal_scheduler(1, 1)
     ask(found, 0.0, OTHER)
     ask(found, 0.0, OTHER)
     rest(found, "s0", 0.1, 20.0)
@@ -154,7 +140,7 @@
 
 def test_the_next_process_of_an_entry_is_not_bound() -> None:
     """An instance that was killed and started again stayed without a server."""
-    found = opened(1)
+    found = builders.goal_scheduler(1)
     rest(found, "s0", seconds=600.0)
     found.lose_entry(TOLD, builders.instant(1.0))
     assert granted_server(ask(found, 1.1, TOLD)) == ["s0"]
@@ -162,7 +148,7 @@
 
 def test_a_slot_at_rest_is_forecast_for_others() -> None:
     """A rest for one instance made the forecasts of all later."""
-    found = opened(1, 1)
+    found = builders.goal_scheduler(1, 1)
     rest(found, "s0")
     now = builders.instant(0.0)
     views = found.views.servers.values()
--- a/src/tealcove/dispatch/tests/test_stated_leaving.py
+++ b/src/tealcove/dispatch/tests/test_stated_leaving.py
@@ -15,23 +15,9 @@
 STEP = 0.05
 
 
-def opened(*names: str) -> goal.GoalScheduler:
-    """Return a scheduler with servers of one slot each."""
-    found = goal.GoalScheduler()
-    servers = [builders.server(name, 1) for name in names]
-    found.configure(builders.cell(*servers), builders.instant(0.0))
-    return found
-
-
 def leave(found: goal.GoalScheduler, server: str, at: float = 0.0) -> list:
     """Apply that a server's answer to an entry said that it leaves."""
-    stated = messages.ServerStatement(
-        server=ids.BackendServerId(server),
-        start=ids.NO_START,
-        rate=None,
-        age=math.inf,
-        is_leaving=True,
-    )
+    stated = builders.statement(server, is_leaving=True)
     return found.apply_statement(builders.ENTRY, stated, builders.instant(at))
 
 
@@ -46,7 +32,7 @@
 
 def test_no_entry_is_granted_a_server_that_leaves() -> None:
     """Only the instance that was told stopped sending requests to a leaving server."""
-    found = opened("s0", "s1")
+    found = builders.goal_scheduler(1, 1)
     leave(found, "s0")
     now = builders.instant(0.1)
     grants = []
@@ -60,7 +46,7 @@
 
 def test_a_ticket_may_return_to_the_only_server_that_stays() -> None:
     """A ticket waited in vain, with a free server that had turned it away once."""
-    found = opened("s0", "s1")
+    found = builders.goal_scheduler(1, 1)
     leave(found, "s0")
     ticket = builders.ticket(excluded=(ids.BackendServerId("s1"),))
     (grant,) = builders.granted(found.enqueue(ticket, builders.instant(0.1)))
@@ -69,7 +55,7 @@
 
 def test_callers_wait_for_no_server_beyond_their_goal() -> None:
     """Callers waited until their deadlines while all servers were leaving."""
-    found = opened("s0")
+    found = builders.goal_scheduler(1)
     leave(found, "s0")
     found.enqueue(builders.ticket(goal=0.5, remaining=30.0), builders.instant(0.0))
     assert refused_at(found, 5.0) <= 0.5 + goal.REVIEW_INTERVAL + STEP
@@ -77,7 +63,7 @@
 
 def test_callers_without_a_goal_wait_for_no_server_for_long() -> None:
     """Without a goal, callers waited until their deadlines."""
-    found = opened("s0")
+    found = builders.goal_scheduler(1)
     leave(found, "s0")
     found.enqueue(builders.ticket(remaining=30.0), builders.instant(0.0))
     refused = refused_at(found, 5.0)
@@ -86,7 +72,7 @@
 
 def test_callers_are_told_that_there_is_no_server() -> None:
     """Callers were told of an overload, to come back at once."""
-    found = opened("s0")
+    found = builders.goal_scheduler(1)
     leave(found, "s0")
     found.enqueue(builders.ticket(goal=0.5), builders.instant(0.0))
     (refusal,) = builders.refused(found.tick(builders.instant(1.0)))
@@ -106,7 +92,7 @@
 
 def test_the_next_start_of_a_server_is_used() -> None:
     """A statement of an earlier start kept the next one out of service."""
-    found = opened("s0")
+    found = builders.goal_scheduler(1)
     leave(found, "s0")
     spec = builders.server("s0", 1, start=ids.ServerStart(2))
     found.configure(builders.cell(spec), builders.instant(1.0))
