Log the store's era and configurations that count as older

The record of CONFIG shows by the absence of lines that rows were dropped after the store's return. Two lines were missing to tell that from rows that were never received: one when the store names another era, one when a configuration isn't put in force since a newer one is. No change of logic.

--- a/src/tealcove/catalog/copies.py
+++ b/src/tealcove/catalog/copies.py
@@ -82,6 +82,12 @@
     def put(self, content: bytes, revision: ids.Revision) -> None:
         """Put an encoded configuration in force, unless a newer one is."""
         if revision <= self.revision:
+            if revision < self.revision:
+                log.info(
+                    "configuration {} is not in force: {} is newer",
+                    revision,
+                    self.revision,
+                )
             return
         try:
             catalog = self.decode(content)
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -62,6 +62,10 @@
 GET_OBJECT_PATH = "/blob-get/"
 DROP_OBJECT_PATH = "/blob-drop/"
 
+# Header of all answers of the store: rises by one each time that it was restored from a
+# copy, lacks acknowledged writes and gives out their versions again.
+STORE_ERA = "Store-Era"
+
 # Tables that the operator and the backend servers write.
 OPERATOR_TABLE = "op"
 SERVERS_TABLE = "servers"
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -8,15 +8,18 @@
 from typing import NoReturn, TypeVar
 
 import aiohttp
+import logbook
 import msgspec
 
-from tealcove import errors, keepalive
+from tealcove import count, errors, keepalive
 from tealcove.backends import attempt as attempts
 from tealcove.platform import names
 from tealcove.storage import feed
 
 T = TypeVar("T")
 
+log = logbook.Logger("store")
+
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
@@ -141,6 +144,8 @@
         # Counters for metrics; a failure is a call without a usable reply.
         self.calls = 0
         self.failures = 0
+        # The era that the last answer with one named; None: none has named one.
+        self.era: int | None = None
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 ssl=tls or True, socket_factory=keepalive.new_socket
@@ -295,6 +300,7 @@
             ) as response:
                 if arriving is not None and response.status == HTTP_OK:
                     arriving()
+                self.note_era(response.headers.getall(names.STORE_ERA, []))
                 reply = Reply(response.status, await response.read())
             is_usable = reply.status not in REFUSED_STATUSES
             is_usable = is_usable and reply.status < HTTP_SERVER_ERROR
@@ -302,6 +308,14 @@
         finally:
             self.failures += not is_usable
 
+    def note_era(self, values: list[str]) -> None:
+        """Record and log the era of an answer; an unreadable one says nothing."""
+        era = count.read(values[0]) if len(values) == 1 else None
+        if era is None or era == self.era:
+            return
+        log.info("the store names era {}, {} before", era, self.era)
+        self.era = era
+
 
 def decode_read(content: bytes, kind: type[T]) -> T:
     """Decode the reply to a read; raises PlatformUnavailableError."""
