--- a/src/tealcove/platform/tests/test_boundary.py
+++ b/src/tealcove/platform/tests/test_boundary.py
@@ -15,6 +15,7 @@
     r"|expect_rev|tombstone|goal_ms|gap_target_ms|api_keys|rate_per_s"
     r"|Tealcove-(Request-Id|Deadline-Ms|Response-Stamp|Token-Count|Prefix-Hash"
     r"|Tenant|Expect-Instance|Not-Executed|Instance|Length-Hint)"
+    r"|Store-Era"
     r"|\btenants?\b",
     re.IGNORECASE,
 )
--- a/src/tealcove/standins/platform.py
+++ b/src/tealcove/standins/platform.py
@@ -45,6 +45,8 @@
     # Bytes per second that the weight store serves.
     weight_rate: float = rowweights.DEFAULT_RATE
     faults: faults.Faults = msgspec.field(default_factory=faults.Faults)
+    # The era that all answers name; None: they name none.
+    era: int | None = None
 
 
 class Counts(msgspec.Struct, frozen=True):
@@ -62,6 +64,7 @@
         self.memory = memory.MemoryPlatform(weight_rate=self.settings.weight_rate)
         self.memory.faults = self.settings.faults
         self.port = self.settings.port
+        self.era = self.settings.era
         self.runner: web.AppRunner | None = None
 
     @property
@@ -93,7 +96,8 @@
     def application(self) -> web.Application:
         """Return the application with all routes."""
         application = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self.handle_errors]
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[self.name_era, self.handle_errors],
         )
         router = application.router
         router.add_post(names.TRANSACT_PATH, self.transact)
@@ -199,6 +203,11 @@
         await self.memory.table.discard_history()
         return web.Response(status=NO_CONTENT)
 
+    async def restore(self, saved: memory.SavedTable) -> None:
+        """Return to a copy of the table, under an era that is one higher."""
+        self.era = 1 if self.era is None else self.era + 1
+        await self.memory.table.restore(saved)
+
     async def write_row(self, request: web.Request) -> web.Response:
         """Write a row on behalf of the operator or a backend server."""
         place = request.match_info
@@ -220,6 +229,16 @@
         async with rows.changed:
             rows.changed.notify_all()
 
+    @web.middleware
+    async def name_era(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Add the era to an answer, whatever its status."""
+        response = await handler(request)
+        if self.era is not None:
+            response.headers[names.STORE_ERA] = str(self.era)
+        return response
+
     @web.middleware
     async def handle_errors(
         self, request: web.Request, handler: Handler
--- a/src/tealcove/storage/memory.py
+++ b/src/tealcove/storage/memory.py
@@ -32,6 +32,16 @@
     entry: feed.Entry
 
 
+class SavedTable(msgspec.Struct, frozen=True):
+    """A copy of a table service's rows, history and counter."""
+
+    last_version: int
+    rows: dict[tuple[str, str], table.Row]
+    sorted_keys: dict[str, list[str]]
+    changes: list[RowChange]
+    history_start: int
+
+
 class MemoryTableService(table.TimedTable, feed.Feed):
     """Rows in memory; all versions, also over deletes, come from one counter."""
 
@@ -84,7 +94,7 @@
             async with asyncio.timeout(seconds), self.changed:
                 await self.changed.wait_for(lambda: self.has_changes(table, since))
         self.gate.refuse_when_down()
-        if since < self.history_start:
+        if not self.has_history(since):
             raise feed.HistoryLostError(
                 f"the changes since {since} are gone", "Read the whole table."
             )
@@ -92,7 +102,11 @@
 
     def has_changes(self, table: str, since: int) -> bool:
         """Tell whether a table has, or may have, changed after a version."""
-        return since < self.history_start or bool(self.changes_after(table, since))
+        return not self.has_history(since) or bool(self.changes_after(table, since))
+
+    def has_history(self, since: int) -> bool:
+        """Tell whether all changes after a version are kept, and it was given out."""
+        return self.history_start <= since <= self.last_version
 
     def changes_after(self, table: str, since: int) -> list[feed.Entry]:
         """Return the changes of a table after a version, in order."""
@@ -109,6 +123,26 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def save(self) -> SavedTable:
+        """Return a copy of all rows, the history and the counter."""
+        return SavedTable(
+            self.last_version,
+            dict(self.rows),
+            {name: list(keys) for name, keys in self.sorted_keys.items()},
+            list(self.changes),
+            self.history_start,
+        )
+
+    async def restore(self, saved: SavedTable) -> None:
+        """Return to a copy; what was written since is lost, its versions are free."""
+        self.last_version = saved.last_version
+        self.rows = dict(saved.rows)
+        self.sorted_keys = {name: list(k) for name, k in saved.sorted_keys.items()}
+        self.changes = list(saved.changes)
+        self.history_start = saved.history_start
+        async with self.changed:
+            self.changed.notify_all()
+
     def record_change(self, table: str, entry: feed.Entry) -> None:
         """Add a change to the history and discard the oldest beyond `MAX_CHANGES`."""
         self.changes.append(RowChange(table, entry))
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -91,8 +91,8 @@
 class Site:
     """The store, backend servers and instances of one deployment."""
 
-    def __init__(self) -> None:
-        self.store = platform.PlatformStandin()
+    def __init__(self, era: int | None = None) -> None:
+        self.store = platform.PlatformStandin(platform.PlatformSettings(era=era))
         self.servers: list[poolserver.PoolServer] = []
         self.instances: list[instance.Instance] = []
         self.session: aiohttp.ClientSession | None = None
@@ -229,9 +229,11 @@
 
 
 @contextlib.asynccontextmanager
-async def site(servers: int = 2, instances: int = 1) -> AsyncIterator[Site]:
+async def site(
+    servers: int = 2, instances: int = 1, era: int | None = None
+) -> AsyncIterator[Site]:
     """Run a site and stop it at the end."""
-    running = Site()
+    running = Site(era)
     running.session = aiohttp.ClientSession()
     await running.store.start()
     try:
@@ -253,9 +255,11 @@
 
 
 @contextlib.asynccontextmanager
-async def connected_site(servers: int, instances: int) -> AsyncIterator[Site]:
+async def connected_site(
+    servers: int, instances: int, era: int | None = None
+) -> AsyncIterator[Site]:
     """Run a site whose instances know each other."""
-    async with site(servers, instances) as running:
+    async with site(servers, instances, era) as running:
         await until(
             lambda: all(
                 len(one.members.serving(clock.now())) == instances
