Order what the store gives out by era and version, across its returns

Callers saw that a revoked key was accepted, a changed route wasn't in force, and requests went to servers that had left, for seconds after the store had come back from a copy and longer if few changes followed.

Cause: the store's row version was taken for an order that never turns back. After the return versions are given out again, and rows below the last known one were dropped as older. Evidence: in the record, the first configuration in force after each of three returns is the one just above the last known row version (24 to 25, 37 to 38, 48 to 49), and all acknowledged before it are missing.

Change: the client of the store turns each version into a revision, the era and the version in one integer, so that every comparison, stored or sent number has the right order. A feed goes on only in the era that it was read in. The copy may be older than what is in force: configurations are ordered by the operator's own version, and entries of servers that contradict what was known are withheld until they change or have outlived a silent server. Peers exchange both; an instance that has started since asks for what the restored store lacks. A condition on a row of an earlier era counts as failed.

--- a/src/tealcove/catalog/copies.py
+++ b/src/tealcove/catalog/copies.py
@@ -1,4 +1,4 @@
-"""This instance's copies of the catalog; they only move to newer revisions."""
+"""This instance's copies of the catalog; they only move to newer positions."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 import logbook
 
 from tealcove import errors, ids
-from tealcove.catalog import declared, lookup, messages, packing
-from tealcove.storage import feed
+from tealcove.catalog import declared, lookup, messages, packing, position
+from tealcove.storage import feed, revisions
 
 log = logbook.Logger("catalog")
 
@@ -23,11 +23,18 @@
 
     def __init__(self) -> None:
         self.revision = NOTHING
+        # The writer's own number; see position.Position.
+        self.version = 0
         # Called after each change.
         self.listeners: list[Callable[[], None]] = []
         # The encoded copy for peers, until the next change.
         self.packed: bytes | None = None
 
+    @property
+    def position(self) -> position.Position:
+        """The place of this copy in the order of all copies."""
+        return position.Position(self.revision, self.version)
+
     @abc.abstractmethod
     def replace(self, page: feed.Page, now: ids.Instant) -> None:
         """Replace the copy by all rows as of one version of the store."""
@@ -81,20 +88,31 @@
 
     def put(self, content: bytes, revision: ids.Revision) -> None:
         """Put an encoded configuration in force, unless a newer one is."""
-        if revision <= self.revision:
-            if revision < self.revision:
-                log.info(
-                    "configuration {} is not in force: {} is newer",
-                    revision,
-                    self.revision,
-                )
+        is_same_era = revisions.era_of(revision) == revisions.era_of(self.revision)
+        if is_same_era and revision <= self.revision:
             return
         try:
             catalog = self.decode(content)
         except errors.PlatformError as error:
             log.error("revision {} is not in force: {}", revision, error)
             return
-        self.install(catalog, revision, "the store")
+        self.offer(catalog, revision, "the store")
+
+    def offer(
+        self, catalog: declared.Catalog, revision: ids.Revision, source: str
+    ) -> None:
+        """Put a decoded configuration in force, unless a newer one is."""
+        offered = position.Position(revision, catalog.version)
+        if offered.is_after(self.position):
+            self.install(catalog, revision, source)
+            return
+        log.info(
+            "configuration {} from {}, version {}, is not in force: version {} is",
+            revision,
+            source,
+            catalog.version,
+            self.version,
+        )
 
     def install(
         self, catalog: declared.Catalog, revision: ids.Revision, source: str
@@ -102,10 +120,14 @@
         """Put a decoded configuration in force in one step."""
         before = self.revision
         self.revision = revision
+        # An instance of the version before tells no number.
+        self.version = max(self.version, catalog.version)
         self.current = lookup.Lookup(catalog, revision)
         log.info(
-            "configuration {} in force from {}, {} before: {} routes, {} accounts",
+            "configuration {}, version {}, in force from {}, {} before: "
+            "{} routes, {} accounts",
             revision,
+            self.version,
             source,
             before,
             len(catalog.routes),
@@ -119,7 +141,7 @@
 
     def adopt(self, told: messages.Told, now: ids.Instant) -> None:
         """See Copy."""
-        if told.revision <= self.revision:
+        if not position.Position(told.revision, told.version).is_after(self.position):
             return
         found = packing.unpack(told.content, declared.Catalog | None)
         if found is not None:
--- a/src/tealcove/catalog/copysender.py
+++ b/src/tealcove/catalog/copysender.py
@@ -35,8 +35,9 @@
         self.members = known
         self.copies = held
         self.bytes_per_second = bytes_per_second
-        # Recipients and topics in order of sending.
-        self.queue: dict[tuple[ids.InstanceId, messages.Topic], None] = {}
+        # Recipients and topics in order of sending, and whether to send a copy that the
+        # recipient seems to have.
+        self.queue: dict[tuple[ids.InstanceId, messages.Topic], bool] = {}
         self.has_queued = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         # Seconds of the link's share that were used and not yet paused for.
@@ -51,9 +52,12 @@
         if self.task is not None:
             await tasks.stop([self.task])
 
-    def add(self, instance: ids.InstanceId, topic: messages.Topic) -> None:
-        """Queue a copy for a peer."""
-        self.queue[instance, topic] = None
+    def add(
+        self, instance: ids.InstanceId, topic: messages.Topic, is_due: bool = False
+    ) -> None:
+        """Queue a copy for a peer; `is_due`: even if it seems to be up to date."""
+        queued = self.queue.get((instance, topic), False)
+        self.queue[instance, topic] = queued or is_due
         self.has_queued.set()
 
     async def run(self) -> None:
@@ -63,23 +67,32 @@
                 self.has_queued.clear()
                 await self.has_queued.wait()
             instance, topic = next(iter(self.queue))
-            del self.queue[instance, topic]
-            self.unpaused_seconds += (
-                self.send(instance, topic) / self.bytes_per_second / LINK_SHARE
-            )
+            is_due = self.queue.pop((instance, topic))
+            sent = self.send(instance, topic, is_due)
+            self.unpaused_seconds += sent / self.bytes_per_second / LINK_SHARE
             if self.unpaused_seconds >= MIN_PAUSE:
                 pause, self.unpaused_seconds = self.unpaused_seconds, 0.0
                 await asyncio.sleep(pause)
 
-    def send(self, instance: ids.InstanceId, topic: messages.Topic) -> int:
+    def send(
+        self, instance: ids.InstanceId, topic: messages.Topic, is_due: bool = False
+    ) -> int:
         """Send to one peer, unless it is up to date; return the bytes sent."""
         copy = self.copies[topic]
         heard = self.members.find(instance)
-        if heard is None or copy.revision <= messages.revision_in(heard, topic):
+        if heard is None:
+            return 0
+        if not is_due and not copy.position.is_after(
+            messages.position_in(heard, topic)
+        ):
             return 0
-        content = copy.encode(clock.now())
-        told = messages.Told(topic=topic, revision=copy.revision, content=content)
+        told = messages.Told(
+            topic=topic,
+            revision=copy.revision,
+            content=copy.encode(clock.now()),
+            version=copy.version,
+        )
         if not self.transport.send(heard.endpoint, told):
             log.debug("{} is not sent the {}", instance, topic.value)
             return 0
-        return len(content)
+        return len(told.content)
--- a/src/tealcove/catalog/declared.py
+++ b/src/tealcove/catalog/declared.py
@@ -97,6 +97,8 @@
     # Account by key.
     keys: dict[str, ids.AccountId] = {}
     bounds: Bounds = Bounds()
+    # The operator's own number, which rises with each configuration; 0: none.
+    version: int = 0
 
 
 class ServerState(enum.Enum):
--- a/src/tealcove/catalog/follower.py
+++ b/src/tealcove/catalog/follower.py
@@ -63,6 +63,8 @@
         # When the last failed call started.
         self.failed_call_at = ids.Instant(0.0)
         self.pause = FIRST_RETRY_SECONDS
+        # Losses of the history in a row, without an answer of changes between.
+        self.losses = 0
         # Since when an answer is being received.
         self.receiving_since: ids.Instant | None = None
 
@@ -78,6 +80,7 @@
             except feed.HistoryLostError as error:
                 log.info("{}", error)
                 self.version = None
+                await asyncio.sleep(self.pause_after_loss())
             except errors.PlatformError as error:
                 self.failed_call_at = began
                 self.note_failure(error, clock.now())
@@ -85,6 +88,11 @@
                 await asyncio.sleep(max(MIN_PAUSE, self.pause - taken))
                 self.pause = min(MAX_RETRY_SECONDS, 2 * self.pause)
 
+    def pause_after_loss(self) -> float:
+        """Return the seconds until the table is read whole, 0 after a first loss."""
+        self.losses += 1
+        return min(MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * (self.losses - 1))
+
     async def step(self) -> None:
         """Read once; raises PlatformError."""
         if self.version is None:
@@ -104,6 +112,7 @@
             # servers that left 2 s ago.
             self.receiving_since = None
         self.note_success(clock.now())
+        self.losses = 0
         self.copy.apply(page, clock.now())
         self.version = page.version
         if page.entries:
--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -9,6 +9,7 @@
 from tealcove import clock, ids, tasks
 from tealcove.catalog import copies, follower
 from tealcove.membership import members, messages, ranking
+from tealcove.storage import revisions
 
 log = logbook.Logger("catalog")
 
@@ -117,14 +118,19 @@
     def chosen(self, now: ids.Instant) -> list[ids.InstanceId]:
         """Return the followers of this data centre, by the local membership.
 
-        Instances that reach the store go first, then those with the fastest links: each
-        follower sends a whole configuration to half of its data centre.
+        Instances that reach the store and know its era go first, then those with the
+        fastest links: each follower sends a whole configuration to half of its data
+        centre.
         """
         own = self.members.own.data_centre
         near = [beat for beat in self.members.serving(now) if beat.data_centre == own]
+        eras = [revisions.era_of(beat.servers_revision) for beat in near]
+        newest = max(eras, default=ids.NO_ERA)
         link_classes = {
-            beat.instance: beat.link_class if beat.reaches_store else -1
-            for beat in near
+            beat.instance: (
+                beat.link_class if beat.reaches_store and era == newest else -1
+            )
+            for beat, era in zip(near, eras, strict=True)
         }
         return ranking.rank_by_strength(f"followers of {own}", link_classes)[:FOLLOWERS]
 
--- a/src/tealcove/catalog/messages.py
+++ b/src/tealcove/catalog/messages.py
@@ -5,6 +5,7 @@
 import enum
 
 from tealcove import ids
+from tealcove.catalog import position
 from tealcove.membership import messages as membership_messages
 from tealcove.peers import message
 
@@ -21,6 +22,8 @@
 
     topic: Topic
     since: ids.Revision
+    # See position.Position.
+    version: int = 0
 
 
 class Told(message.Message):
@@ -30,10 +33,14 @@
     revision: ids.Revision
     # See catalog.packing.
     content: bytes
+    # See position.Position.
+    version: int = 0
 
 
-def revision_in(heartbeat: membership_messages.Heartbeat, topic: Topic) -> ids.Revision:
-    """Return the revision of a topic that a heartbeat reports."""
+def position_in(
+    heartbeat: membership_messages.Heartbeat, topic: Topic
+) -> position.Position:
+    """Return the position of a topic's copy that a heartbeat reports."""
     if topic is Topic.CONFIGURATION:
-        return heartbeat.revision
-    return heartbeat.servers_revision
+        return position.Position(heartbeat.revision, heartbeat.configuration_version)
+    return position.Position(heartbeat.servers_revision)
--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -5,11 +5,18 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 
 from tealcove import errors, ids
-from tealcove.catalog import copies, declared, messages, packing
-from tealcove.storage import feed
+from tealcove.catalog import (
+    changelog,
+    copies,
+    declared,
+    messages,
+    packing,
+    restoration,
+    snapshot,
+)
+from tealcove.storage import feed, revisions
 
 log = logbook.Logger("catalog")
 
@@ -18,30 +25,6 @@
 LAPSE_SECONDS = 2.0
 # Dropped servers whose version is kept, so that an old row can't restore one.
 MAX_DROPPED = 4000
-# Changes of servers listed in one log line; further ones are only counted.
-MAX_LOGGED_CHANGES = 10
-
-
-class Known(msgspec.Struct, frozen=True):
-    """A server's entry and the version of its row."""
-
-    server: declared.BackendServer
-    version: int
-
-
-class Lapse(msgspec.Struct, frozen=True, array_like=True):
-    """A server whose entry expired in an outage, and may be written again."""
-
-    name: ids.BackendServerId
-    # Seconds that remain for that.
-    seconds: float
-
-
-class ServersSnapshot(msgspec.Struct, frozen=True):
-    """The whole list of servers as sent to a peer."""
-
-    known: tuple[Known, ...]
-    lapsed: tuple[Lapse, ...]
 
 
 class ServersCopy(copies.Copy):
@@ -52,7 +35,7 @@
     def __init__(self, decode: Callable[[str, bytes], declared.BackendServer]) -> None:
         super().__init__()
         self.decode = decode
-        self.known: dict[ids.BackendServerId, Known] = {}
+        self.known: dict[ids.BackendServerId, snapshot.Known] = {}
         self.dropped: dict[ids.BackendServerId, int] = {}
         # Keys of entries that can't be decoded, each logged once.
         self.unreadable: set[ids.BackendServerId] = set()
@@ -60,24 +43,18 @@
         # they are kept.
         self.lapsed: dict[ids.BackendServerId, ids.Instant] = {}
         self.outage_ended = ids.Instant(float("-inf"))
+        self.restoration = restoration.Restoration()
         # Changes since the last log line.
-        self.changes: list[str] = []
+        self.changes = changelog.ChangeLog()
 
     def notify(self) -> None:
-        """See Copy; also log the changes, in one line per revision.
-
-        With one line per server, the log's rate limit would drop lines of requests in
-        the first seconds of a large group.
-        """
-        changes, self.changes = self.changes, []
-        if changes:
-            shown = "; ".join(changes[:MAX_LOGGED_CHANGES])
-            more = len(changes) - MAX_LOGGED_CHANGES
+        """See Copy; also log the changes."""
+        changes = self.changes.take()
+        if changes is not None:
             log.info(
-                "backend servers at revision {}: {}{}; {} known",
+                "backend servers at revision {}: {}; {} known",
                 self.revision,
-                shown,
-                f"; and {more} more changes" if more > 0 else "",
+                changes,
                 len(self.known),
             )
         super().notify()
@@ -88,6 +65,7 @@
 
     def replace(self, page: feed.Page, now: ids.Instant) -> None:
         """See Copy."""
+        self.note_era(page.version, now)
         present = {ids.BackendServerId(entry.key) for entry in page.entries}
         self.drop_missing(present, page.version, now)
         self.apply_entries(page, now)
@@ -118,14 +96,41 @@
                 self.forget(name, entry.version, error)
                 continue
             self.unreadable.discard(name)
-            self.put(Known(server, entry.version))
+            self.take(snapshot.Known(server, entry.version), now)
+
+    def note_era(self, revision: int, now: ids.Instant) -> None:
+        """Note the era of a whole list; a later one means that the store returned."""
+        if self.restoration.begin(revision, self.revision):
+            log.info("the store was restored: {}, {} before", revision, self.revision)
+            # Servers write the entries that the copy lacks again, as after an outage.
+            self.outage_ended = max(self.outage_ended, now)
+
+    def take(self, entry: snapshot.Known, now: ids.Instant) -> None:
+        """Store an entry that is newer by its revision, unless it may be outdated."""
+        name = entry.server.name
+        known = self.known.get(name)
+        version = self.version_of(name)
+        until = self.restoration.withheld_until(entry, known, version, now)
+        if until is None:
+            self.put(entry)
+            return
+        if known is None:
+            self.note_dropped(name, entry.version)
+        else:
+            self.put(snapshot.Known(known.server, entry.version))
+        self.withhold(entry, until)
+
+    def withhold(self, entry: snapshot.Known, until: ids.Instant) -> None:
+        """Keep an entry that is older than what is known, without using it."""
+        self.restoration.hold(entry, until)
+        self.changes.add(f"the store's older entry of {entry.server.name} is unused")
 
     def drop_missing(
         self, present: set[ids.BackendServerId], version: int, now: ids.Instant
     ) -> None:
         """Drop the servers that are missing in the whole list of a version."""
-        for name in [name for name in self.known if name not in present]:
-            if self.known[name].version <= version:
+        for name in dict.fromkeys((*self.known, *self.restoration.withheld)):
+            if name not in present and self.version_of(name) <= version:
                 self.drop(name, version, now)
 
     def version_of(self, name: ids.BackendServerId) -> int:
@@ -141,14 +146,15 @@
             return name in self.dropped
         return known.server.state is declared.ServerState.LEAVING
 
-    def put(self, known: Known) -> None:
+    def put(self, known: snapshot.Known) -> None:
         """Store a server's entry."""
         server = known.server
+        self.restoration.forget(server.name)
         before = self.known.get(server.name)
         self.lapsed.pop(server.name, None)
         self.known[server.name] = known
         if before is None or before.server != server:
-            self.changes.append(
+            self.changes.add(
                 f"{server.name} of {server.service} is {server.state.value} at "
                 f"{server.host}:{server.port}, start {server.start}"
             )
@@ -163,6 +169,7 @@
         """
         self.note_dropped(name, version)
         self.lapsed.pop(name, None)
+        self.restoration.forget(name)
         was_known = self.known.pop(name, None) is not None
         # Its writer may repeat the write several times a second.
         if name in self.unreadable or len(self.unreadable) >= MAX_DROPPED:
@@ -191,6 +198,7 @@
         """
         self.note_dropped(name, version)
         self.unreadable.discard(name)
+        self.restoration.forget(name)
         known = self.known.get(name)
         if known is None:
             return
@@ -198,11 +206,11 @@
         is_leaving = known.server.state is declared.ServerState.LEAVING
         if now < until and not is_leaving:
             self.lapsed[name] = min(until, self.lapsed.get(name, until))
-            self.changes.append(f"{name} lapsed")
+            self.changes.add(f"{name} lapsed")
             return
         del self.known[name]
         self.lapsed.pop(name, None)
-        self.changes.append(f"{name} is gone")
+        self.changes.add(f"{name} is gone")
 
     def expire_lapses(self, now: ids.Instant) -> None:
         """Drop the lapsed servers whose entries were not written again in time."""
@@ -212,39 +220,76 @@
             # A peer that keeps it for longer must not restore it.
             self.note_dropped(name, self.version_of(name))
             del self.known[name]
-            self.changes.append(f"{name} is gone: its entry didn't come back")
+            self.changes.add(f"{name} is gone: its entry didn't come back")
+        if due:
+            self.notify()
+
+    def release_withheld(self, now: ids.Instant) -> None:
+        """Use the withheld entries that still stand: their servers renewed them."""
+        due = self.restoration.due(now)
+        for entry in due:
+            self.put(entry)
         if due:
             self.notify()
 
     def encode(self, now: ids.Instant) -> bytes:
-        """See Copy; repacked while the remaining seconds of lapses change."""
-        if self.lapsed:
+        """See Copy; repacked while the remaining seconds change."""
+        if self.lapsed or self.restoration.withheld:
             self.packed = None
         return super().encode(now)
 
     def content(self, now: ids.Instant) -> object:
         """See Copy."""
         lapsed = tuple(
-            Lapse(name, max(0.0, until - now)) for name, until in self.lapsed.items()
+            snapshot.Lapse(name, max(0.0, until - now))
+            for name, until in self.lapsed.items()
+        )
+        return snapshot.ServersSnapshot(
+            tuple(self.known.values()), lapsed, self.restoration.sent(now)
         )
-        return ServersSnapshot(tuple(self.known.values()), lapsed)
 
     def adopt(self, told: messages.Told, now: ids.Instant) -> None:
         """See Copy."""
-        if told.revision <= self.revision:
+        is_newer = told.revision > self.revision
+        is_same_era = revisions.era_of(told.revision) == revisions.era_of(self.revision)
+        found = packing.unpack(told.content, snapshot.ServersSnapshot)
+        if not is_newer and not (is_same_era and found.withheld):
             return
-        found = packing.unpack(told.content, ServersSnapshot)
-        present = {known.server.name for known in found.known}
-        self.drop_missing(present, told.revision, now)
+        if is_newer:
+            self.note_era(told.revision, now)
+            present = {known.server.name for known in found.known}
+            present.update(one.entry.server.name for one in found.withheld)
+            self.drop_missing(present, told.revision, now)
+            self.revision = told.revision
         for known in found.known:
             if known.version > self.version_of(known.server.name):
-                self.put(known)
+                self.take(known, now)
         for lapse in found.lapsed:
             self.adopt_lapse(lapse, now)
-        self.revision = told.revision
+        for one in found.withheld:
+            self.adopt_withheld(one, found, now)
         self.notify()
 
-    def adopt_lapse(self, lapse: Lapse, now: ids.Instant) -> None:
+    def adopt_withheld(
+        self,
+        sent: snapshot.SentWithheld,
+        found: snapshot.ServersSnapshot,
+        now: ids.Instant,
+    ) -> None:
+        """Withhold an entry as a peer does, unless the server's row is newer here."""
+        name = sent.entry.server.name
+        if self.version_of(name) > sent.entry.version:
+            return
+        kept = next((one for one in found.known if one.server.name == name), None)
+        if kept is not None:
+            self.put(kept)
+        else:
+            self.note_dropped(name, sent.entry.version)
+            self.lapsed.pop(name, None)
+            self.known.pop(name, None)
+        self.withhold(sent.entry, ids.Instant(now + sent.seconds))
+
+    def adopt_lapse(self, lapse: snapshot.Lapse, now: ids.Instant) -> None:
         """Keep a lapsed server for the seconds that remain at the peer."""
         if lapse.name in self.known:
             self.lapsed.setdefault(lapse.name, ids.Instant(now + lapse.seconds))
--- a/src/tealcove/catalog/sharing.py
+++ b/src/tealcove/catalog/sharing.py
@@ -8,7 +8,14 @@
 import msgspec
 
 from tealcove import clock, errors, ids
-from tealcove.catalog import copies, copysender, following, messages, serverlist
+from tealcove.catalog import (
+    copies,
+    copysender,
+    following,
+    messages,
+    position,
+    serverlist,
+)
 from tealcove.membership import heartbeats, members, ranking
 from tealcove.membership import messages as membership_messages
 from tealcove.peers import mesh
@@ -30,9 +37,9 @@
 
 
 class Missing(msgspec.Struct):
-    """A revision that peers have and this instance does not."""
+    """A position that peers have and this instance does not."""
 
-    revision: ids.Revision
+    position: position.Position
     timer: asyncio.TimerHandle
     # Peers that were asked for it.
     asked: tuple[ids.InstanceId, ...] = ()
@@ -60,11 +67,14 @@
         self.members = known
         self.heartbeats = heartbeat_service
         self.copies = {copy.topic: copy for copy in held}
+        self.servers = held[1]
         self.following = follows
         self.sender = copysender.CopySender(
             transport, known, self.copies, bytes_per_second
         )
         self.missing: dict[messages.Topic, Missing] = {}
+        # When a peer was last asked for entries that the restored store lacks.
+        self.asked_withheld_at = ids.Instant(float("-inf"))
 
     def start(self) -> None:
         """Register the handlers and listeners, and start sending."""
@@ -85,11 +95,14 @@
 
     def announce_configuration(self) -> None:
         """Announce a revision to all peers at once, so that revoked keys stop soon."""
-        self.note_progress(messages.Topic.CONFIGURATION)
-        revision = self.copies[messages.Topic.CONFIGURATION].revision
-        if self.members.own.revision != revision:
-            self.send_to_data_centre(messages.Topic.CONFIGURATION, clock.now())
-            self.members.update_own(revision=revision)
+        topic = messages.Topic.CONFIGURATION
+        self.note_progress(topic)
+        current = self.copies[topic].position
+        if messages.position_in(self.members.own, topic) != current:
+            self.send_to_data_centre(topic, clock.now())
+            self.members.update_own(
+                revision=current.revision, configuration_version=current.version
+            )
             self.heartbeats.broadcast()
 
     def note_servers(self) -> None:
@@ -99,10 +112,13 @@
         started within 4 s among 63 instances.
         """
         self.note_progress(messages.Topic.SERVERS)
-        revision = self.copies[messages.Topic.SERVERS].revision
+        revision = self.servers.revision
         if self.members.own.servers_revision != revision:
             self.send_to_data_centre(messages.Topic.SERVERS, clock.now())
             self.members.update_own(servers_revision=revision)
+        withholds = bool(self.servers.restoration.withheld)
+        if self.members.own.withholds_servers != withholds:
+            self.members.update_own(withholds_servers=withholds)
 
     def send_to_data_centre(self, topic: messages.Topic, now: ids.Instant) -> None:
         """Queue a copy for this follower's share of its data centre."""
@@ -122,17 +138,35 @@
             self.sender.add(instance, topic)
 
     def compare(self, heartbeat: membership_messages.Heartbeat) -> None:
-        """Schedule a request if a heartbeat announces a newer revision."""
+        """Schedule a request if a heartbeat announces a newer copy."""
+        if heartbeat.withholds_servers:
+            self.ask_withheld(heartbeat, clock.now())
         for topic, copy in self.copies.items():
-            revision = messages.revision_in(heartbeat, topic)
-            if revision <= copy.revision:
+            announced = messages.position_in(heartbeat, topic)
+            if not announced.is_after(copy.position):
                 continue
             missing = self.missing.get(topic)
-            if missing is not None:
-                missing.revision = max(missing.revision, revision)
-                continue
-            patience = STORE_PATIENCE if self.following.tasks else PUSH_PATIENCE
-            self.missing[topic] = Missing(revision, self.schedule(topic, patience))
+            if missing is None:
+                patience = STORE_PATIENCE if self.following.tasks else PUSH_PATIENCE
+                self.missing[topic] = Missing(announced, self.schedule(topic, patience))
+            elif announced.is_after(missing.position):
+                missing.position = announced
+
+    def ask_withheld(
+        self, heartbeat: membership_messages.Heartbeat, now: ids.Instant
+    ) -> None:
+        """Ask a peer for what it knew before the store was restored.
+
+        An instance that has started since knows only what the restored store has.
+        """
+        known = self.servers.restoration
+        if known.was_restored or known.withheld:
+            return
+        if now - self.asked_withheld_at < ANSWER_SECONDS:
+            return
+        self.asked_withheld_at = now
+        ask = messages.Ask(topic=messages.Topic.SERVERS, since=copies.NOTHING)
+        self.transport.send(heartbeat.endpoint, ask)
 
     def note_progress(self, topic: messages.Topic) -> None:
         """Reschedule the request for a missing revision after a copy has advanced.
@@ -145,7 +179,7 @@
         if missing is None:
             return
         missing.timer.cancel()
-        if self.copies[topic].revision >= missing.revision:
+        if not missing.position.is_after(self.copies[topic].position):
             del self.missing[topic]
             return
         missing.asked = ()
@@ -161,7 +195,7 @@
         now = clock.now()
         copy = self.copies[topic]
         missing = self.missing[topic]
-        if copy.revision >= missing.revision:
+        if not missing.position.is_after(copy.position):
             del self.missing[topic]
             return
         if self.following.is_receiving(copy, now):
@@ -179,17 +213,18 @@
         log.info(
             "asking {} for the {} after revision {}", chosen, topic.value, copy.revision
         )
-        self.transport.send(peer, messages.Ask(topic=topic, since=copy.revision))
+        ask = messages.Ask(topic=topic, since=copy.revision, version=copy.version)
+        self.transport.send(peer, ask)
 
     def choose(
         self, topic: messages.Topic, missing: Missing, now: ids.Instant
     ) -> ids.InstanceId | None:
-        """Return the peer to ask: one with the revision, near ones first, by hash."""
+        """Return the peer to ask: one with the position, near ones first, by hash."""
         own = self.members.own
         knowing = {
             beat.instance: int(beat.data_centre == own.data_centre)
             for beat in self.members.alive(now)
-            if messages.revision_in(beat, topic) >= missing.revision
+            if not missing.position.is_after(messages.position_in(beat, topic))
             and beat.instance not in missing.asked
         }
         ranked = ranking.rank_by_strength(f"{own.instance}|{topic.value}", knowing)
@@ -197,8 +232,13 @@
 
     def handle_ask(self, sender: ids.InstanceId, ask: messages.Ask) -> None:
         """Queue the copy for the sender, if it is newer than the sender's."""
-        if self.copies[ask.topic].revision > ask.since:
-            self.sender.add(sender, ask.topic)
+        asked = position.Position(ask.since, ask.version)
+        if self.copies[ask.topic].position.is_after(asked):
+            # It may have the same revision, and lack what the restored store lacks.
+            is_due = ask.since == copies.NOTHING and bool(
+                self.servers.restoration.withheld
+            )
+            self.sender.add(sender, ask.topic, is_due)
 
     def handle_told(self, sender: ids.InstanceId, told: messages.Told) -> None:
         """Adopt a peer's copy."""
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -238,6 +238,7 @@
         while True:
             now = clock.now()
             self.servers.expire_lapses(now)
+            self.servers.release_withheld(now)
             self.check_readiness()
             await asyncio.sleep(CHECK_INTERVAL)
 
--- a/src/tealcove/ids.py
+++ b/src/tealcove/ids.py
@@ -30,7 +30,11 @@
 CellId = NewType("CellId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 # The position of a change in the log of configuration changes; 0 if there is none yet.
+# For what the platform's store gives out, see storage.revisions.
 Revision = NewType("Revision", int)
+# Rises each time that the platform's store returns from a copy; 0: it names none.
+Era = NewType("Era", int)
+NO_ERA = Era(0)
 FencingNumber = NewType("FencingNumber", int)
 # Seconds of the monotonic clock; comparable only within one process.
 Instant = NewType("Instant", float)
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -50,6 +50,11 @@
     link_class: int = 0
     # Whether the store answered this instance's recent calls.
     reaches_store: bool = True
+    # The operator's own number of the configuration in force; 0: none.
+    configuration_version: int = 0
+    # Whether the instance knows newer entries of backend servers than the store, which
+    # was restored from a copy.
+    withholds_servers: bool = False
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -4,7 +4,7 @@
 
 import enum
 import ipaddress
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -19,6 +19,8 @@
 # Rank of a route without one: after all routes that have one.
 DEFAULT_RANK = 9
 DEFAULT_TIMEOUT_MS = 30_000.0
+# The largest number that messages between instances can hold.
+MAX_VERSION = 2**63 - 1
 # The largest TCP port number.
 MAX_PORT = 65_535
 
@@ -89,6 +91,8 @@
 class WireConfiguration(msgspec.Struct):
     """The complete configuration as the operator writes it."""
 
+    # Rises with each configuration; one that is no count is taken for none.
+    version: Any = 0
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -141,9 +145,16 @@
             header_seconds=found.limits.header_timeout_ms / MILLISECONDS,
             idle_seconds=found.limits.idle_timeout_ms / MILLISECONDS,
         ),
+        version=version_of(found.version),
     )
 
 
+def version_of(written: object) -> int:
+    """Return the operator's number of a configuration; 0: it has none."""
+    is_count = isinstance(written, int) and not isinstance(written, bool)
+    return written if is_count and 0 < written <= MAX_VERSION else 0
+
+
 def route_of(route: WireRoute) -> declared.Route:
     """Convert a route to the internal representation."""
     is_stream = route.type == names.STREAM
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -11,14 +11,14 @@
 import logbook
 import msgspec
 
-from tealcove import count, errors, keepalive
+from tealcove import count, errors, ids, keepalive
 from tealcove.backends import attempt as attempts
 from tealcove.platform import names
-from tealcove.storage import feed
+from tealcove.storage import feed, revisions
 
 T = TypeVar("T")
 
-log = logbook.Logger("store")
+log = logbook.Logger("platform")
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -57,7 +57,7 @@
 
 
 class WireRow(msgspec.Struct, omit_defaults=True):
-    """A row in the store's wire format."""
+    """A row in the store's wire format; decode_page replaces its version."""
 
     table: str
     key: str
@@ -124,6 +124,8 @@
 
     status: int
     content: bytes
+    # The era that it names, or the one known when the call began.
+    era: ids.Era = ids.NO_ERA
 
 
 class StoreClient(feed.Feed):
@@ -144,8 +146,8 @@
         # Counters for metrics; a failure is a call without a usable reply.
         self.calls = 0
         self.failures = 0
-        # The era that the last answer with one named; None: none has named one.
-        self.era: int | None = None
+        # The highest era that an answer named.
+        self.era = ids.NO_ERA
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 ssl=tls or True, socket_factory=keepalive.new_socket
@@ -181,6 +183,8 @@
             wanted = PAGE_ROWS if limit is None else min(PAGE_ROWS, limit - len(found))
             page = await self.read_page(table, start, wanted)
             version = page.row_version if version is None else version
+            if revisions.era_of(page.row_version) != revisions.era_of(version):
+                raise unavailable("the store was restored between two pages")
             found.extend(page.rows)
             is_enough = limit is not None and len(found) >= limit
             if not page.has_more or not page.rows or is_enough:
@@ -195,7 +199,7 @@
         reply = await self.read(names.READ_PATH, params, self.timeouts.total)
         if reply.status != HTTP_OK:
             raise unavailable(f"a read was answered by status {reply.status}")
-        return decode_read(reply.content, WirePage)
+        return decode_page(reply)
 
     async def wait_for_changes(
         self,
@@ -208,7 +212,7 @@
         # Despite its name, since_rev is the store version from which to continue.
         params = {
             "table": table,
-            "since_rev": str(since),
+            "since_rev": str(revisions.number_of(since)),
             "wait_ms": str(int(seconds * 1000)),
         }
         silence = seconds + FEED_MARGIN if seconds else PROBE_MARGIN
@@ -220,7 +224,14 @@
             )
         if reply.status != HTTP_OK:
             raise unavailable(f"a feed was answered by status {reply.status}")
-        page = decode_read(reply.content, WirePage)
+        if reply.era != revisions.era_of(since):
+            # What was written below the same number of this era would be missed.
+            raise feed.HistoryLostError(
+                f"the store was restored: era {reply.era}, "
+                f"{revisions.era_of(since)} before",
+                "Read the whole table.",
+            )
+        page = decode_page(reply)
         entries = tuple(row.entry() for row in page.rows)
         return feed.Page(entries, page.row_version)
 
@@ -287,6 +298,7 @@
     ) -> Reply:
         """Send one request and return the complete reply; raises aiohttp's errors."""
         self.calls += 1
+        era = self.era
         is_usable = False
         try:
             async with self.session.request(
@@ -300,21 +312,42 @@
             ) as response:
                 if arriving is not None and response.status == HTTP_OK:
                     arriving()
-                self.note_era(response.headers.getall(names.STORE_ERA, []))
-                reply = Reply(response.status, await response.read())
+                named = era_named(response.headers.getall(names.STORE_ERA, []))
+                if named is not None:
+                    era = named
+                    self.note_era(named)
+                reply = Reply(response.status, await response.read(), era)
             is_usable = reply.status not in REFUSED_STATUSES
             is_usable = is_usable and reply.status < HTTP_SERVER_ERROR
             return reply
         finally:
             self.failures += not is_usable
 
-    def note_era(self, values: list[str]) -> None:
-        """Record and log the era of an answer; an unreadable one says nothing."""
-        era = count.read(values[0]) if len(values) == 1 else None
-        if era is None or era == self.era:
-            return
-        log.info("the store names era {}, {} before", era, self.era)
-        self.era = era
+    def note_era(self, era: ids.Era) -> None:
+        """Record and log a higher era; a late answer may name an earlier one."""
+        if era > self.era:
+            log.info("the store names era {}, {} before", era, self.era)
+            self.era = era
+
+
+def era_named(values: list[str]) -> ids.Era | None:
+    """Return the era in the values of a header, or None if they name none."""
+    era = count.read(values[0]) if len(values) == 1 else None
+    return None if era is None or era > revisions.MAX_ERA else ids.Era(era)
+
+
+def decode_page(
+    reply: Reply, decode: Callable[[bytes, type[WirePage]], WirePage] | None = None
+) -> WirePage:
+    """Decode a page, its versions as revisions of the reply's era.
+
+    Raises the errors of `decode`, by default those of decode_read.
+    """
+    page = (decode or decode_read)(reply.content, WirePage)
+    page.row_version = revisions.revision_of(reply.era, page.row_version)
+    for row in page.rows:
+        row.row_version = revisions.revision_of(reply.era, row.row_version)
+    return page
 
 
 def decode_read(content: bytes, kind: type[T]) -> T:
--- a/src/tealcove/platform/storeadapter.py
+++ b/src/tealcove/platform/storeadapter.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
+from tealcove import ids
 from tealcove.platform import names, store
-from tealcove.storage import objects, table
+from tealcove.storage import objects, revisions, table
 
 OBJECT_TYPE = "application/octet-stream"
 MILLISECONDS = 1000.0
@@ -22,22 +23,41 @@
 
     async def commit(self, transaction: table.Transaction) -> table.Committed:
         """Apply a transaction; see the base class."""
+        outdated = await self.find_outdated(transaction)
+        if outdated:
+            raise table.ConditionFailedError(outdated)
         body = msgspec.json.encode(wire_transaction(transaction))
         reply = await self.client.write(
             "POST", names.TRANSACT_PATH, body, {"Content-Type": store.JSON_TYPE}
         )
         if reply.status == store.HTTP_PRECONDITION_FAILED:
             raise conflicts(transaction, reply)
-        page = store.decode_write(reply.content, store.WirePage)
+        if not all(is_of_era(one, reply.era) for one in transaction.conditions):
+            raise store.unknown("the store was restored since a row was read")
+        page = store.decode_page(reply, store.decode_write)
         return table.Committed(page.row_version)
 
+    async def find_outdated(
+        self, transaction: table.Transaction
+    ) -> tuple[table.Conflict, ...]:
+        """Return the conditions on rows that were read in an earlier era.
+
+        The store compares the number alone, which another write of this era may have.
+        """
+        found = []
+        for index, condition in enumerate(transaction.conditions):
+            if not is_of_era(condition, self.client.era):
+                row = await self.read(condition.table, condition.key)
+                found.append(table.Conflict(index, row))
+        return tuple(found)
+
     async def read_at(self, table_name: str, key: str) -> table.Reading:
         """Return a row and the time; see the base class."""
         page = await self.client.read_page(table_name, key, 1)
         row = None
         if page.rows and page.rows[0].key == key:
             row = row_of(page.rows[0])
-        return table.Reading(row, page.now_ms / MILLISECONDS)
+        return table.Reading(row, page.now_ms / MILLISECONDS, page.row_version)
 
     async def scan(
         self, table: str, after: str = "", limit: int = 1000
@@ -83,7 +103,9 @@
     drops = [one for one in transaction.writes if isinstance(one, table.Delete)]
     return store.WireTransaction(
         expect_rev=tuple(
-            store.WireCondition(one.table, one.key, expected_version(one))
+            store.WireCondition(
+                one.table, one.key, revisions.number_of(expected_version(one))
+            )
             for one in transaction.conditions
         ),
         puts=tuple(
@@ -96,6 +118,12 @@
     )
 
 
+def is_of_era(condition: table.Absent | table.VersionIs, era: ids.Era) -> bool:
+    """Return whether a condition can be compared with rows of an era."""
+    version = expected_version(condition)
+    return version == 0 or revisions.era_of(version) == era
+
+
 def expected_version(condition: table.Absent | table.VersionIs) -> int:
     """Return the version that a condition requires; 0: the row must be absent."""
     return condition.version if isinstance(condition, table.VersionIs) else 0
@@ -109,7 +137,7 @@
     Raises PlatformUnavailableError if the reply can't be decoded, since a rejected
     transaction was certainly not applied.
     """
-    page = store.decode_read(reply.content, store.WirePage)
+    page = store.decode_page(reply)
     present = {(row.table, row.key): row for row in page.rows if not row.tombstone}
     found = []
     for index, condition in enumerate(transaction.conditions):
--- a/src/tealcove/storage/memory.py
+++ b/src/tealcove/storage/memory.py
@@ -72,7 +72,8 @@
     async def read_at(self, table_name: str, key: str) -> table.Reading:
         """Return a row and the time; see the base class."""
         await self.gate.admit_read()
-        return table.Reading(self.rows.get((table_name, key)), self.gate.clock())
+        row = self.rows.get((table_name, key))
+        return table.Reading(row, self.gate.clock(), self.last_version)
 
     async def read_all(self, table: str) -> feed.Page:
         """Return all rows of a table; see the base class."""
--- a/src/tealcove/storage/table.py
+++ b/src/tealcove/storage/table.py
@@ -66,6 +66,8 @@
 
     row: Row | None
     seconds: float
+    # The newest version of the whole table service at that time; 0: unknown.
+    version: int = 0
 
 
 class Conflict(msgspec.Struct, frozen=True):
