Write the instance's row again after the store was restored

An instance wrote its row of the instance list once, at its start. After the store had come back from an older copy the row was gone for good, and an instance whose seeds are all gone would find nobody.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -110,6 +110,7 @@
         self.servers = serverlist.ServersCopy(documents.decode_server)
         self.pools = pools.Pools(self.servers)
         self.servers.listeners.append(self.apply_server_list)
+        self.servers.restoration.listeners.append(self.heartbeats.relist)
         followers = factories.new_followers(
             self.store, self.configuration, self.servers
         )
--- a/src/tealcove/membership/heartbeats.py
+++ b/src/tealcove/membership/heartbeats.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 from collections.abc import Callable
 
 import logbook
@@ -35,6 +37,11 @@
 KNOWN_INTERVAL = 10.0
 
 
+# Maximum seconds from the store's return to the check that this instance is listed,
+# spread so that hundreds of instances don't call at once.
+RELIST_SECONDS = 5.0
+
+
 # The first heartbeat to a peer is lost while the connection is being established. It
 # is retried at the pause below for so many seconds. A dispatcher without a heartbeat
 # of an entry has no address for its answers: they are lost, and their slots stay
@@ -71,6 +78,7 @@
         self.addresses: frozenset[str] | None = None
         self.addresses_at = ids.Instant(0.0)
         self.listed: tuple[instances.ListedInstance, ...] = ()
+        self.is_relisting = asyncio.Event()
         # Called with each received heartbeat, such as the configuration reader that
         # learns of higher revisions.
         self.listeners: list[Callable[[messages.Heartbeat], None]] = []
@@ -231,11 +239,25 @@
                 self.add_listed_peers()
             except errors.PlatformError as error:
                 log.debug("cannot read the list of instances: {}", error)
-            await asyncio.sleep(pause)
+            await self.pause_list(pause)
             pause = min(self.list_intervals.longest, 2 * pause)
             if self.has_heard_all_listed():
                 pause = self.list_intervals.longest
 
+    async def pause_list(self, seconds: float) -> None:
+        """Wait until the next read of the list, for less if the store was restored."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.is_relisting.wait()
+                await asyncio.sleep(random.uniform(0.0, RELIST_SECONDS))
+        if self.is_relisting.is_set():
+            self.is_relisting.clear()
+            self.instance_list.forget_own()
+
+    def relist(self) -> None:
+        """Read the list soon, and write this instance's row if it was lost."""
+        self.is_relisting.set()
+
     def has_heard_all_listed(self) -> bool:
         """Return whether the list names other instances, all of them alive."""
         own = self.transport.listen
--- a/src/tealcove/membership/tests/test_heartbeats.py
+++ b/src/tealcove/membership/tests/test_heartbeats.py
@@ -88,6 +88,9 @@
         self.reads += 1
         return self.found
 
+    def forget_own(self) -> None:
+        """See InstanceList."""
+
 
 class One:
     """The membership part of one instance."""
--- a/src/tealcove/storage/instances.py
+++ b/src/tealcove/storage/instances.py
@@ -42,3 +42,7 @@
     @abc.abstractmethod
     async def listed(self) -> tuple[ListedInstance, ...]:
         """Return all entries; raises PlatformUnavailableError."""
+
+    @abc.abstractmethod
+    def forget_own(self) -> None:
+        """Check with the next call that this instance is listed."""
--- a/src/tealcove/storage/memory.py
+++ b/src/tealcove/storage/memory.py
@@ -253,6 +253,9 @@
                 merge(entries, change)
         return tuple(entries[name] for name in sorted(entries))
 
+    def forget_own(self) -> None:
+        """See InstanceList; tests register the entries."""
+
     def register(self, entry: instances.ListedInstance) -> None:
         """Add an entry, or replace the one with its name."""
         self.record(entry.name, entry)
--- a/src/tealcove/storage/rowlist.py
+++ b/src/tealcove/storage/rowlist.py
@@ -18,9 +18,9 @@
 class RowInstanceList(instances.InstanceList):
     """Lets instances discover each other when none of the seeds responds.
 
-    Each writes its row once, at its start. Rows of stopped instances remain until
-    an instance of that name starts again; readers of the list determine by
-    heartbeats which instances are alive.
+    Each writes its row at its start and after the store was restored. Rows of stopped
+    instances remain until an instance of that name starts again; readers of the list
+    determine by heartbeats which instances are alive.
     """
 
     def __init__(
@@ -43,6 +43,10 @@
             self.is_listed = True
         return tuple(entry for entry in listed.values() if entry is not None)
 
+    def forget_own(self) -> None:
+        """See InstanceList."""
+        self.is_listed = False
+
     async def write_own(self, own: instances.ListedInstance) -> None:
         """Write this instance's row unconditionally."""
         put = table.Put(TABLE, own.name, msgspec.json.encode(own))
