Roll-outs go on when the store was restored

An order's revision tells it from one that replaces it. In a new era the same row, or the order written again, has another revision: a finished or rolled-back roll-out would begin anew, and one whose order the copy lacks would end, so that the version that was rolled back gets requests again.

An order with the same content from another era goes on, with its status, which is written again if it was lost; an order that only the restored store lacks or holds in an older form goes on for 10 s, in which the operator writes it again.

--- a/src/tealcove/platform/rollouts.py
+++ b/src/tealcove/platform/rollouts.py
@@ -40,12 +40,13 @@
         """See OrderStore."""
         key = names.ROLLOUT_KEY + service
         reading = await self.rows.read_at(names.OPERATOR_TABLE, key)
+        newest = ids.Revision(reading.version)
         if reading.row is None:
-            return order.Snapshot(None, None, None, reading.seconds)
+            return order.Snapshot(None, None, None, reading.seconds, newest)
         stored = await self.rows.read_at(names.STATUS_TABLE, key)
         status = None if stored.row is None else status_of(stored.row)
         found = order_of(service, reading.row)
-        return order.Snapshot(found, status, stored.row, reading.seconds)
+        return order.Snapshot(found, status, stored.row, reading.seconds, newest)
 
     async def write_status(
         self, service: ids.PoolId, status: order.Status, snapshot: order.Snapshot
--- a/src/tealcove/rollout/controller.py
+++ b/src/tealcove/rollout/controller.py
@@ -12,7 +12,7 @@
 from tealcove.dispatch import backendview, exposure, messages
 from tealcove.resources import kinds
 from tealcove.rollout import evidence, order, progress
-from tealcove.storage import table
+from tealcove.storage import revisions, table
 
 log = logbook.Logger("rollout")
 
@@ -23,6 +23,10 @@
 IDLE_READ_INTERVAL = 5.0
 ACTIVE_READ_INTERVAL = 1.0
 
+# Seconds after the store was restored for which an order that it lacks goes on:
+# operators write again what was lost.
+RESTORED_SECONDS = 10.0
+
 # Returns the servers of each service that this instance dispatches.
 DispatchedServers = Callable[[], Mapping[ids.PoolId, Iterable[backendview.BackendView]]]
 
@@ -33,6 +37,8 @@
     read_at: ids.Instant = ids.Instant(float("-inf"))
     versions: frozenset[str] = frozenset()
     snapshot: order.Snapshot | None = None
+    # When the snapshot was applied.
+    applied_at: ids.Instant = ids.Instant(float("-inf"))
     rollout: progress.Rollout | None = None
     # Statistics of the service's answers, also recorded while no rollout runs.
     evidence: evidence.Evidence = msgspec.field(default_factory=evidence.Evidence)
@@ -42,6 +48,10 @@
     next_write: ids.Instant = ids.Instant(float("-inf"))
     # Revision of the invalid order that was last logged.
     rejected_revision: ids.Revision | None = None
+    # Until when the current order goes on although the restored store lacks it, and the
+    # era for which that was decided.
+    kept_until: ids.Instant = ids.Instant(float("-inf"))
+    kept_era: ids.Era = ids.NO_ERA
 
 
 class Controller(exposure.Exposures):
@@ -129,7 +139,10 @@
     ) -> None:
         """Start, continue or drop a rollout according to the snapshot."""
         service_state.snapshot = snapshot
+        service_state.applied_at = now
         found = snapshot.order
+        if self.keeps_order(service_state, snapshot, now):
+            return
         problem = None if found is None else found.problem()
         if problem is not None and service_state.rejected_revision != found.revision:
             service_state.rejected_revision = found.revision
@@ -140,9 +153,11 @@
             service_state.rollout = service_state.stored_state = None
             return
         status = snapshot.status
-        is_known = status is not None and status.revision == found.revision
+        is_known = status is not None and status.belongs_to(found)
         service_state.stored_state = status.state if is_known else None
-        if service_state.rollout is not None and service_state.rollout.order == found:
+        current = service_state.rollout
+        if current is not None and found.continues(current.order):
+            current.order = found
             if is_known and status.state is not order.State.RUNNING:
                 # Another dispatcher has ended the rollout.
                 service_state.rollout.state = status.state
@@ -162,6 +177,28 @@
             found, started, state, service_state.evidence
         )
 
+    def keeps_order(
+        self, service_state: ServiceState, snapshot: order.Snapshot, now: ids.Instant
+    ) -> bool:
+        """Return whether the current order goes on although the store has another.
+
+        A restored store may lack the newest order, or hold the one before.
+        """
+        current = service_state.rollout
+        if current is None:
+            return False
+        found, known = snapshot.order, current.order.revision
+        if found is not None and (
+            found.continues(current.order)
+            or not revisions.may_be_outdated(found.revision, known)
+        ):
+            return False
+        era = revisions.era_of(snapshot.revision)
+        if era > max(revisions.era_of(known), service_state.kept_era):
+            service_state.kept_era = era
+            service_state.kept_until = ids.Instant(now + RESTORED_SECONDS)
+        return now < service_state.kept_until
+
     async def write_status(
         self, service: ids.PoolId, service_state: ServiceState
     ) -> None:
@@ -172,12 +209,13 @@
         """
         rollout, snapshot = service_state.rollout, service_state.snapshot
         known = snapshot.status
-        is_known = known is not None and known.revision == rollout.order.revision
+        is_known = known is not None and known.belongs_to(rollout.order)
+        running = max(0.0, service_state.applied_at - rollout.began)
         status = order.Status(
             to=rollout.order.to,
             state=rollout.state,
             revision=rollout.order.revision,
-            began=known.began if is_known else snapshot.store_seconds,
+            began=known.began if is_known else snapshot.store_seconds - running,
             reason=rollout.reason,
         )
         try:
--- a/src/tealcove/rollout/order.py
+++ b/src/tealcove/rollout/order.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from tealcove import ids
+from tealcove.storage import revisions
 
 # Bounds in seconds of the period that an order may ask for.
 MIN_PERIOD = 1.0
@@ -34,6 +35,17 @@
     # Distinguishes an order from one that replaces it.
     revision: ids.Revision
 
+    def continues(self, other: Order) -> bool:
+        """Return whether this is another order's row, or that row written again.
+
+        After the store was restored, operators write their orders again.
+        """
+        renumbered = msgspec.structs.replace(other, revision=self.revision)
+        is_same_row = self.revision == other.revision
+        return self == renumbered and (
+            is_same_row or is_of_other_era(self.revision, other.revision)
+        )
+
     def problem(self) -> str | None:
         """Return why the order is invalid, or None if it's valid."""
         if not self.to:
@@ -54,6 +66,18 @@
     began: float
     reason: str = ""
 
+    def belongs_to(self, found: Order) -> bool:
+        """Return whether this is the status of an order."""
+        if self.revision == found.revision:
+            return True
+        is_other_era = is_of_other_era(self.revision, found.revision)
+        return is_other_era and self.to == found.to
+
+
+def is_of_other_era(one: ids.Revision, other: ids.Revision) -> bool:
+    """Return whether the store was restored between two revisions."""
+    return revisions.era_of(one) != revisions.era_of(other)
+
 
 class Snapshot(msgspec.Struct, frozen=True):
     """Order and status of a service's rollout, as read from the store."""
@@ -64,6 +88,8 @@
     stored: object
     # Time of the read, in seconds of the store's clock.
     store_seconds: float
+    # The store's newest revision at that time.
+    revision: ids.Revision = ids.Revision(0)
 
 
 class OrderStore(abc.ABC):
