Soak: the store comes back from copies

The soak's store never lost anything. A process that has accepted a key must go on accepting it, and an instance that knew that a server had left must not use it by the copy's row; both are checked also while the store is away.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,9 @@
     current = asyncio.current_task()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, current.cancel)
-    return await run.soak(folder, seed, found.seconds, found.members, found.servers)
+    return await run.soak(
+        folder, seed, found.seconds, found.members, found.servers, found.restores
+    )
 
 
 def main() -> int:
@@ -31,6 +33,9 @@
     parser.add_argument("--seconds", type=float, default=10.0, help="of faults, each")
     parser.add_argument("--members", type=int, default=run.MEMBERS, help="instances")
     parser.add_argument("--servers", type=int, default=run.SERVERS, help="of a service")
+    parser.add_argument(
+        "--restores", action="store_true", help="bring the store back from copies"
+    )
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -53,6 +53,8 @@
         self.results: list[CallResult] = []
         self.count = 0
         self.is_stopping = False
+        # The newest key that each process has accepted, by its instance and number.
+        self.accepted: dict[tuple[str, int], int] = {}
 
     async def run(self) -> None:
         """Run all callers until `is_stopping` is set."""
@@ -67,7 +69,11 @@
             path = self.random.choice(PATHS)
             member = self.random.choice(self.running.members)
             sent_at = clock.now()
-            answer = await self.send(session, member, request_id, path)
+            process = (member.name, member.process.pid)
+            key = self.key_at(member, sent_at)
+            answer = await self.send(session, member, request_id, path, key)
+            if answer.status == 200 and process[1] == member.process.pid:
+                self.note_accepted(process, key)
             ended = CallResult(
                 request_id, path, answer, member.name, sent_at, clock.now()
             )
@@ -75,15 +81,25 @@
             await asyncio.sleep(PAUSE)
 
     def key_at(self, member: deployment.Member, now: ids.Instant) -> str:
-        """Return the newest key that must be in force at an instance."""
-        if not self.disturbances.is_undisturbed(now, member.name, disturbances.STORE):
-            return platform_site.KEY
-        in_force = [
-            key
-            for key, since in self.running.declared.items()
-            if now - since > IN_FORCE_SECONDS
-        ]
-        return in_force[-1] if in_force else platform_site.KEY
+        """Return the newest key that an instance must accept.
+
+        One that its process has accepted must be accepted for as long as it runs.
+        """
+        newest = self.accepted.get((member.name, member.process.pid), -1)
+        if self.disturbances.is_undisturbed(now, member.name, disturbances.STORE):
+            in_force = [
+                number
+                for number, key in enumerate(self.running.keys)
+                if now - self.running.declared.get(key, now) > IN_FORCE_SECONDS
+            ]
+            newest = max(newest, *in_force, -1)
+        return platform_site.KEY if newest < 0 else self.running.keys[newest]
+
+    def note_accepted(self, process: tuple[str, int], key: str) -> None:
+        """Record that a process accepted a key."""
+        if key in self.running.keys:
+            number = self.running.keys.index(key)
+            self.accepted[process] = max(number, self.accepted.get(process, -1))
 
     async def send(
         self,
@@ -91,12 +107,13 @@
         member: deployment.Member,
         request_id: str,
         path: str,
+        key: str,
     ) -> platform_site.Answer:
-        """Send one request."""
+        """Send one request with a key."""
         headers = {
             "Host": platform_site.HOST,
             names.REQUEST_ID: request_id,
-            names.API_KEY: self.key_at(member, clock.now()),
+            names.API_KEY: key,
             names.DEADLINE_MS: "3000",
         }
         url = f"http://{member.listen['callers']}{path}"
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -6,9 +6,11 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
+from collections.abc import AsyncIterator
 
 import msgspec
 from tests import deployment as networks
@@ -18,11 +20,15 @@
 from tealcove import clock, ids
 from tealcove.platform import names
 from tealcove.standins import platform, poolserver
+from tealcove.storage import memory
 
 READY_SECONDS = 30.0
 LISTENERS = ("callers", "ready", "directory", "peers")
 FIRST_PORT = 7000
 GRACE_SECONDS = 3.0
+FIRST_ERA = 1
+# Maximum seconds from the store's return until what was lost is written again.
+WRITE_AGAIN_SECONDS = 1.5
 
 
 class Member:
@@ -87,7 +93,12 @@
     """All parts of the deployment; use it as a context manager."""
 
     def __init__(self, folder: pathlib.Path, members: int, servers: int) -> None:
-        self.store = platform.PlatformStandin()
+        self.store = platform.PlatformStandin(platform.PlatformSettings(era=FIRST_ERA))
+        # Cleared while the store is away; the operator and the servers wait for it.
+        self.store_is_back = asyncio.Event()
+        self.store_is_back.set()
+        # The operator writes one configuration after the other.
+        self.declaring = asyncio.Lock()
         self.network, self.network_socket = networks.reserve_network()
         self.members = [
             Member(f"i-{n}", f"{self.network}.{n + 1}", folder) for n in range(members)
@@ -99,6 +110,8 @@
         self.addresses: dict[str, str] = {}
         # What the row of each server says, by name; None if it has none.
         self.states: dict[str, str | None] = {}
+        # Milliseconds for which servers say that they are slow after their start.
+        self.cold_left_ms = 0
         # Declared keys besides the first, and the time at which the store had each.
         self.keys: list[str] = []
         self.declared: dict[str, ids.Instant] = {}
@@ -157,26 +170,79 @@
         self, server: poolserver.PoolServer, state: str | None
     ) -> None:
         """Write a server's row, or delete it if `state` is None."""
+        await self.store_is_back.wait()
         self.states[server.name] = state
         content = None
         if state is not None:
             entry = msgspec.json.decode(server.entry(state))
             entry["addr"] = self.addresses[server.name]
+            entry["cold_left_ms"] = self.cold_left_ms
             content = msgspec.json.encode(entry)
         await self.store.put_row(names.SERVERS_TABLE, server.name, content)
 
     async def declare_key(self) -> str:
         """Write a configuration with an additional key; return the key."""
-        key = f"key-{len(self.keys)}"
-        self.keys.append(key)
+        async with self.declaring:
+            await self.store_is_back.wait()
+            key = f"key-{len(self.keys)}"
+            self.keys.append(key)
+            await self.write_configuration(self.keys)
+            self.declared[key] = clock.now()
+            return key
+
+    async def write_configuration(self, keys: list[str]) -> None:
+        """Write the configuration that adds the last of some keys."""
         own = {
             "name": platform_site.ACCOUNT,
-            "api_keys": [platform_site.KEY, *self.keys],
+            "api_keys": [platform_site.KEY, *keys],
         }
-        content = platform_site.configuration(tenants=[own])
+        content = platform_site.configuration(version=len(keys) + 1, tenants=[own])
         await self.store.put_row(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, content)
-        self.declared[key] = clock.now()
-        return key
+
+    @contextlib.asynccontextmanager
+    async def store_away(self, saved: memory.SavedTable) -> AsyncIterator[None]:
+        """Take the store away, and bring it back from a copy in the end."""
+        faults = self.store.memory.faults
+        self.store_is_back.clear()
+        faults.down = True
+        try:
+            yield
+        finally:
+            await self.store.restore(saved)
+            faults.down = False
+            self.store_is_back.set()
+
+    async def write_again(self, source: random.Random) -> None:
+        """Let the operator and the servers write what was lost, in any order."""
+        await asyncio.gather(
+            self.declare_again(source),
+            *(self.list_again(s, source) for s in self.servers),
+        )
+
+    async def declare_again(self, source: random.Random) -> None:
+        """Write the last configurations again, one after the other."""
+        count = source.randrange(1, 4)
+        async with self.declaring:
+            await asyncio.sleep(source.uniform(0.0, WRITE_AGAIN_SECONDS))
+            for behind in reversed(range(min(count, len(self.keys) + 1))):
+                await self.write_configuration(self.keys[: len(self.keys) - behind])
+
+    async def list_again(
+        self, server: poolserver.PoolServer, source: random.Random
+    ) -> None:
+        """Write a server's row as it is by then, unless the copy has it so."""
+        await asyncio.sleep(source.uniform(0.0, WRITE_AGAIN_SECONDS))
+        row = self.store.memory.table.rows.get((names.SERVERS_TABLE, server.name))
+        state = None if row is None else msgspec.json.decode(row.value)["state"]
+        if state != self.states[server.name]:
+            await self.list_server(server, self.states[server.name])
+
+    async def change_rows(self, count: int) -> None:
+        """Let servers change what their rows say besides their state."""
+        listed = [one for one in self.servers if self.states[one.name] is not None]
+        for server in listed * (count // max(1, len(listed))):
+            self.cold_left_ms += 1
+            await self.list_server(server, self.states[server.name])
 
     async def until_ready(self) -> None:
         """Wait until every instance listens for callers."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from soak import deployment, disturbances, proxy, statements
+from soak import deployment, disturbances, proxy, restoring, statements
 from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
 
@@ -42,14 +42,20 @@
 class FaultInjector:
     """Draws and injects faults; `done` lists the injected ones in order."""
 
-    def __init__(self, running: deployment.Deployment, seed: int) -> None:
+    def __init__(
+        self, running: deployment.Deployment, seed: int, restores_store: bool = False
+    ) -> None:
         self.running = running
+        self.restores_store = restores_store
         self.random = random.Random(seed)
         self.done: list[str] = []
         self.disturbances = disturbances.DisturbanceLog()
         self.leaves: list[Leave] = []
         self.is_server_leaving = False
         self.stating = statements.StatementInjector(running, seed, self.done)
+        self.restoring = restoring.RestoreInjector(
+            running, seed, self.disturbances, self.done
+        )
         self.kinds = (
             self.kill,
             self.freeze,
@@ -68,6 +74,9 @@
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
         stating = asyncio.create_task(self.stating.run())
+        if not self.restores_store:
+            self.restoring.stopping.set()
+        restoring_store = tasks.start(self.restoring.run(), "returns of the store")
         try:
             while loop.time() < end:
                 kind = self.random.choice(self.kinds)
@@ -75,9 +84,11 @@
                 active.add(asyncio.create_task(self.inject(kind, duration)))
                 await asyncio.sleep(self.random.uniform(0.0, 2 * MEAN_PAUSE_SECONDS))
             await asyncio.gather(*active)
+            self.restoring.stopping.set()
+            await restoring_store
         finally:
             # A remaining fault would start an instance after the deployment's end.
-            await tasks.stop([stating, *active])
+            await tasks.stop([stating, restoring_store, *active])
 
     async def inject(self, kind: Callable[..., object], duration: float) -> None:
         """Inject one fault, wait, and remove it."""
--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -7,6 +7,9 @@
 
 # Seconds after the store's row from which a leaving server must get no requests.
 DRAIN_SECONDS = 2.0
+# Seconds for which an instance must have known that a server left: one that gathers
+# changes may miss the last before the store is away.
+KNOWN_SECONDS = 1.0
 
 
 def late_arrivals(
@@ -98,3 +101,54 @@
         leave.since, disturbances.STORE
     )
     return is_acknowledged and leave.since + DRAIN_SECONDS < at < leave.until
+
+
+def used_after_leaving(
+    running: deployment.Deployment,
+    injector: faults.FaultInjector,
+    ended: list[callers.CallResult],
+) -> tuple[int, list[str]]:
+    """Return the number of checked requests, and the violations among them.
+
+    An instance that has known since before an absence that a server left must not use
+    it during the absence and after the return, although the copy has its old row.
+    """
+    members = {one.request_id: one.member for one in ended}
+    checked = 0
+    found = []
+    for leave in injector.leaves:
+        for server in running.servers:
+            for run in server.runs:
+                member = members.get(run.request_id, "")
+                if not is_bound(leave, injector, member, run.arrived_at):
+                    continue
+                checked += 1
+                if server.name == leave.server:
+                    found.append(
+                        f"{run.request_id} of {member} reached {server.name} "
+                        f"{run.arrived_at - leave.since:.2f} s after it had left, "
+                        "by an entry of the restored store"
+                    )
+    return checked, found
+
+
+def is_bound(
+    leave: faults.Leave,
+    injector: faults.FaultInjector,
+    member: str,
+    at: ids.Instant,
+) -> bool:
+    """Return whether an instance knew of a leave before an absence that spans `at`."""
+    is_spanned = any(
+        leave.since + KNOWN_SECONDS < one.away_since < at
+        and at < one.over_at + disturbances.SETTLE_SECONDS
+        for one in injector.restoring.returns
+    )
+    if not is_spanned or not leave.since + DRAIN_SECONDS < at < leave.until:
+        return False
+    known_at = ids.Instant(leave.since + KNOWN_SECONDS)
+    return injector.disturbances.is_undisturbed(
+        known_at, member, disturbances.STORE
+    ) and injector.disturbances.is_undisturbed_between(
+        known_at, at, member, disturbances.process_of(member)
+    )
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,6 +36,10 @@
     told: int
     # Rests that were checked.
     rests: int
+    # Returns of the store from a copy, and requests that were checked for servers that
+    # left before one.
+    returns: int
+    spanned: int
     broken: tuple[str, ...]
 
 
@@ -45,10 +49,15 @@
     seconds: float,
     members: int = MEMBERS,
     servers: int = SERVERS,
+    restores_store: bool = False,
 ) -> Verdict:
-    """Run one soak; its logs are kept in the folder."""
+    """Run one soak; its logs are kept in the folder.
+
+    A store that is restored again and again is disturbed for most of the time, so that
+    fewer requests show how instances act on what is written.
+    """
     async with deployment.Deployment(folder, members, servers) as running:
-        injector = faults.FaultInjector(running, seed)
+        injector = faults.FaultInjector(running, seed, restores_store)
         calling = callers.Callers(running, injector.disturbances, seed)
         task = asyncio.create_task(calling.run())
         await injector.run(seconds)
@@ -70,6 +79,8 @@
         broken.extend(excessive)
         told, late = leaving.late_after_told(running, injector, calling.results)
         broken.extend(late)
+        spanned, late = leaving.used_after_leaving(running, injector, calling.results)
+        broken.extend(late)
         rests, excessive = resting.excessive_rests(running, injector, calling.results)
         broken.extend(excessive)
     served_after = sum(one.answer.status == 200 for one in after)
@@ -86,5 +97,7 @@
         limited=limited,
         told=told,
         rests=rests,
+        returns=len(injector.restoring.returns),
+        spanned=spanned,
         broken=tuple(broken),
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,8 @@
 # Seconds of faults for each seed. Leaving servers and new keys are checked only
 # after 2 s.
 SEEDS = {1: 3.0, 2: 3.0, 3: 10.0}
+# The same with a store that comes back from copies.
+RESTORED_SEEDS = {1: 8.0, 4: 8.0}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -42,6 +44,15 @@
     assert verdict.served > 0
 
 
+@pytest.mark.parametrize("seed", RESTORED_SEEDS)
+async def test_promises_hold_when_the_store_is_restored(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    verdict = await run.soak(tmp_path, seed, RESTORED_SEEDS[seed], restores_store=True)
+    assert verdict.broken == ()
+    assert verdict.returns > 0
+
+
 async def test_a_fault_while_a_member_starts_leaves_no_second_process(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
