--- a/src/tealcove/catalog/tests/builders.py
+++ b/src/tealcove/catalog/tests/builders.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from tealcove import clock, errors
+from tealcove import clock, errors, ids
 from tealcove.catalog import copies, follower, following, serverlist, sharing
 from tealcove.membership import members, messages
 from tealcove.membership.tests import builders as membership_builders
 from tealcove.peers import endpoint, message
 from tealcove.platform import documents
 from tealcove.platform.tests import builders as platform_builders
-from tealcove.storage import feed
+from tealcove.storage import feed, revisions
 
 KEY = "config"
 CONFIGURATION_TABLE = "declared"
@@ -122,22 +122,26 @@
             # A refusal is an answer, too.
             arriving()
         await self.admit()
-        if since < self.table.kept_from:
-            raise feed.HistoryLostError("changes are gone", "Read the whole table.")
+        self.check_history(since)
         try:
             async with asyncio.timeout(seconds):
-                while self.table.version <= since or self.is_mute:
+                while self.table.revision() <= since or self.is_mute:
                     await self.table.wait()
                     self.check()
         except TimeoutError:
             if self.is_mute:
                 raise unavailable() from None
-        if since < self.table.kept_from:
-            raise feed.HistoryLostError("changes are gone", "Read the whole table.")
+        self.check_history(since)
         if arriving is not None:
             arriving()
         return await self.answer(since, paid=True)
 
+    def check_history(self, since: int) -> None:
+        """Raise HistoryLostError unless the changes since a revision are kept."""
+        is_other_era = revisions.era_of(since) != self.table.era
+        if is_other_era or revisions.number_of(since) < self.table.kept_from:
+            raise feed.HistoryLostError("changes are gone", "Read the whole table.")
+
     async def admit(self) -> None:
         """Accept a call; raises PlatformUnavailableError."""
         await asyncio.sleep(ANSWER_SECONDS)
@@ -153,8 +157,8 @@
         if not paid:
             self.table.calls += 1
             await self.admit()
-        rows = [row for row in self.table.rows.values() if row.version > since]
-        version = self.table.version
+        rows = [row for row in self.table.numbered() if row.version > since]
+        version = self.table.revision()
         size = sum(len(row.value or b"") for row in rows) * BASE64
         until = self.network.carry(self.number, "down", size, clock.now())
         await asyncio.sleep(until - clock.now())
@@ -172,6 +176,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, feed.Entry] = {}
         self.version = 0
+        self.era = ids.NO_ERA
         self.kept_from = 0
         self.calls = 0
         self.is_down = False
@@ -183,6 +188,24 @@
         self.rows[key] = feed.Entry(key, value, self.version)
         self.wake()
 
+    def revision(self) -> int:
+        """Return the newest version as a revision."""
+        return revisions.revision_of(self.era, self.version)
+
+    def numbered(self) -> list[feed.Entry]:
+        """Return the rows with their revisions."""
+        return [
+            feed.Entry(row.key, row.value, revisions.revision_of(self.era, row.version))
+            for row in self.rows.values()
+        ]
+
+    def restore(self, rows: dict[str, feed.Entry], version: int) -> None:
+        """Return from a copy that has some rows, as of a version."""
+        self.era = ids.Era(self.era + 1)
+        self.rows = dict(rows)
+        self.version = version
+        self.wake()
+
     def forget(self) -> None:
         """Discard the history of changes."""
         self.kept_from = self.version + 1
@@ -376,6 +399,14 @@
         """Return the instances that follow the store."""
         return [number for number, part in enumerate(self.parts) if part.follows()]
 
+    async def in_force_version(self, version: int) -> float:
+        """Return the seconds until all have the operator's version."""
+        began = clock.now()
+        while any(p.configuration.version < version for p in self.living()):
+            await asyncio.sleep(0.01)
+            assert clock.now() - began < 60.0
+        return clock.now() - began
+
     async def in_force(self) -> float:
         """Return the seconds until the newest configuration is in force everywhere."""
         began = clock.now()
--- a/src/tealcove/catalog/tests/test_follower.py
+++ b/src/tealcove/catalog/tests/test_follower.py
@@ -161,3 +161,29 @@
     assert keys == wanted
     # One at once, one for each group of changes, and the open call.
     assert calls <= 2 + CHANGES * BETWEEN / GATHERED + 2
+
+
+class ForgetfulFeed(ChangingFeed):
+    """A table whose history is lost with each answer."""
+
+    async def wait_for_changes(self, *arguments: object) -> feed.Page:
+        """Raise HistoryLostError."""
+        self.calls += 1
+        raise feed.HistoryLostError("another era", "Read the whole table.")
+
+
+def test_a_store_that_alternates_between_eras_is_not_called_without_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each answer of another era led to the next call at once."""
+    source = ForgetfulFeed()
+
+    async def main() -> None:
+        following = asyncio.create_task(
+            follower.Follower(source, TABLE, RecordingCopy(), follower.Pace(1.0)).run()
+        )
+        await asyncio.sleep(20.0)
+        following.cancel()
+
+    virtual.run(monkeypatch, main())
+    assert source.calls < 2 * 20.0 / follower.FIRST_RETRY_SECONDS
--- a/src/tealcove/catalog/tests/test_sharing.py
+++ b/src/tealcove/catalog/tests/test_sharing.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Coroutine
 
+import msgspec
 import pytest
 
+from tealcove import clock, ids
 from tealcove.catalog import following
 from tealcove.catalog.tests import builders
 from tealcove.tests import virtual
@@ -217,3 +219,83 @@
         await group.stop()
 
     play(run())
+
+
+@pytest.mark.parametrize("count", [9, COUNT])
+def test_a_change_after_the_stores_return_reaches_all(count: int, play) -> None:
+    """Instances with a copy of the earlier era had the highest revision."""
+
+    async def run() -> None:
+        group = builders.Group(count, DATA_CENTRES)
+        await builders.settled(group)
+        table = group.configurations
+        saved, version = dict(table.rows), table.version
+        for number in range(2, 9):
+            table.put(builders.KEY, builders.big_configuration(9, number))
+        await group.in_force_version(8)
+        # One follows the store in vain, and hears of the new era by peers only.
+        group.parts[0].stores[0].refuses = True
+        for one in (group.configurations, group.servers):
+            one.fail(True)
+        await asyncio.sleep(1.0)
+        table.restore(saved, version)
+        group.servers.restore({}, 0)
+        for one in (group.configurations, group.servers):
+            one.fail(False)
+        await asyncio.sleep(1.0)
+        assert all(part.configuration.version == 8 for part in group.parts)
+        table.put(builders.KEY, builders.big_configuration(9, 9))
+        assert await group.in_force_version(9) < BOUND - MARGIN
+        await group.stop()
+
+    play(run())
+
+
+def test_halves_that_know_different_eras_agree_once_they_meet(play) -> None:
+    """An instance cut off from all others went on with the earlier era's copy."""
+
+    async def run() -> None:
+        group = builders.Group(9, DATA_CENTRES)
+        await builders.settled(group)
+        table = group.configurations
+        saved, version = dict(table.rows), table.version
+        for number in range(2, 9):
+            table.put(builders.KEY, builders.big_configuration(9, number))
+        await group.in_force_version(8)
+        group.network.alone.add(0)
+        for store in group.parts[0].stores:
+            store.refuses = True
+        table.restore(saved, version)
+        table.put(builders.KEY, builders.big_configuration(9, 9))
+        await asyncio.sleep(5.0)
+        assert group.parts[0].configuration.version == 8
+        group.network.alone.clear()
+        assert await group.in_force_version(9) < BOUND - MARGIN
+        await group.stop()
+
+    play(run())
+
+
+def test_followers_that_know_the_newest_era_go_first(play) -> None:
+    """Instances of the version before, which know no eras, were all that followed."""
+
+    async def run() -> None:
+        group = builders.Group(30, 1)
+        group.servers.era = ids.Era(1)
+        group.servers.put("s-0", builders.server())
+        await builders.settled(group)
+        part = group.parts[0]
+        now = clock.now()
+        own = part.members.own.instance
+        outdated = [name for name in part.following.chosen(now) if name != own]
+        for instance in outdated:
+            heard = part.members.find(instance)
+            old = msgspec.structs.replace(
+                heard, servers_revision=ids.Revision(7), change=heard.change + 1
+            )
+            part.members.record_heartbeat(old, now)
+        assert outdated
+        assert not set(outdated) & set(part.following.chosen(now))
+        await group.stop()
+
+    play(run())
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import hypothesis
+import msgspec
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from tealcove import ids
 from tealcove.membership import messages, ranking, revision_status
 from tealcove.membership.tests import builders
+from tealcove.peers import message
 
 INSTANCES = 5
 
@@ -157,3 +159,15 @@
     max_examples=50, deadline=None, derandomize=True
 )
 TestMembership = MembershipMachine.TestCase
+
+
+def test_a_heartbeat_of_the_version_before_is_understood():
+    """Guards against instances that don't know each other during an upgrade."""
+    codec = message.Codec()
+    codec.register(messages.Heartbeat)
+    encoded = codec.encode(builders.heartbeat(1, revision=48))
+    fields = msgspec.msgpack.decode(encoded)
+    new_fields = ("configuration_version", "withholds_servers")
+    assert messages.Heartbeat.__struct_fields__[-2:] == new_fields
+    found = codec.decode(msgspec.msgpack.encode(fields[: -len(new_fields)]))
+    assert found == builders.heartbeat(1, revision=48)
