Name revisions in logs as ERA:NUMBER, and the row version in a roll-out's status

Operators compare `order` of a roll-out's status with the version of the row that they wrote, so the era stands beside it in a field of its own.

--- a/src/tealcove/catalog/copies.py
+++ b/src/tealcove/catalog/copies.py
@@ -94,7 +94,8 @@
         try:
             catalog = self.decode(content)
         except errors.PlatformError as error:
-            log.error("revision {} is not in force: {}", revision, error)
+            shown = revisions.text(revision)
+            log.error("revision {} is not in force: {}", shown, error)
             return
         self.offer(catalog, revision, "the store")
 
@@ -108,7 +109,7 @@
             return
         log.info(
             "configuration {} from {}, version {}, is not in force: version {} is",
-            revision,
+            revisions.text(revision),
             source,
             catalog.version,
             self.version,
@@ -126,10 +127,10 @@
         log.info(
             "configuration {}, version {}, in force from {}, {} before: "
             "{} routes, {} accounts",
-            revision,
+            revisions.text(revision),
             self.version,
             source,
-            before,
+            revisions.text(before),
             len(catalog.routes),
             len(catalog.accounts),
         )
--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -53,7 +53,7 @@
         if changes is not None:
             log.info(
                 "backend servers at revision {}: {}; {} known",
-                self.revision,
+                revisions.text(self.revision),
                 changes,
                 len(self.known),
             )
@@ -101,7 +101,11 @@
     def note_era(self, revision: int, now: ids.Instant) -> None:
         """Note the era of a whole list; a later one means that the store returned."""
         if self.restoration.begin(revision, self.revision):
-            log.info("the store was restored: {}, {} before", revision, self.revision)
+            log.info(
+                "the store was restored: at {}, {} before",
+                revisions.text(revision),
+                revisions.text(self.revision),
+            )
             # Servers write the entries that the copy lacks again, as after an outage.
             self.outage_ended = max(self.outage_ended, now)
 
--- a/src/tealcove/catalog/sharing.py
+++ b/src/tealcove/catalog/sharing.py
@@ -19,6 +19,7 @@
 from tealcove.membership import heartbeats, members, ranking
 from tealcove.membership import messages as membership_messages
 from tealcove.peers import mesh
+from tealcove.storage import revisions
 
 log = logbook.Logger("catalog")
 
@@ -211,7 +212,10 @@
         missing.asked = (*missing.asked, chosen)
         peer = self.members.endpoint_of(chosen)
         log.info(
-            "asking {} for the {} after revision {}", chosen, topic.value, copy.revision
+            "asking {} for the {} after revision {}",
+            chosen,
+            topic.value,
+            revisions.text(copy.revision),
         )
         ask = messages.Ask(topic=topic, since=copy.revision, version=copy.version)
         self.transport.send(peer, ask)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -24,6 +24,7 @@
     suspicion,
     waitingline,
 )
+from tealcove.storage import revisions
 
 log = logbook.Logger("dispatch")
 
@@ -331,7 +332,7 @@
             server.spec.slots,
             run.first,
             waiting.goal_at - now,
-            self.revision,
+            revisions.text(self.revision),
             extra={"request": ticket.request_id},
         )
         return grant_message(ticket, server, self.revision)
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -13,6 +13,7 @@
 from tealcove.dispatch import cells, messages, pending, spread, statements
 from tealcove.membership import members, unresponsive
 from tealcove.peers import mesh, message
+from tealcove.storage import revisions
 
 log = logbook.Logger("dispatch")
 
@@ -362,7 +363,7 @@
             grant.server,
             "has left" if math.isinf(seconds) else f"rests for {seconds:.1f} s",
             request.dispatcher,
-            grant.revision,
+            revisions.text(grant.revision),
             extra={"request": request.ticket.request_id},
         )
         self.stated.repeat_leaving(cells.pool_of(grant.cell), grant, now)
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -34,6 +34,7 @@
 )
 from tealcove.quarantine import role as quarantine_role
 from tealcove.rollout import controller
+from tealcove.storage import revisions
 
 log = logbook.Logger("front")
 
@@ -247,7 +248,8 @@
         """Start to serve as soon as a configuration is known."""
         is_joining = self.members.own.lifecycle is messages.Lifecycle.JOINING
         if is_joining and self.configuration.current is not None:
-            log.info("serving with configuration {}", self.configuration.revision)
+            revision = revisions.text(self.configuration.revision)
+            log.info("serving with configuration {}", revision)
             self.members.update_own(lifecycle=messages.Lifecycle.SERVING)
             self.heartbeats.broadcast()
 
--- a/src/tealcove/ingress/acceptance.py
+++ b/src/tealcove/ingress/acceptance.py
@@ -10,6 +10,7 @@
 from tealcove.dispatch import messages
 from tealcove.entry import problem
 from tealcove.ingress import call, tickets
+from tealcove.storage import revisions
 
 DIGEST_BYTES = 16
 SEPARATOR = b"\0"
@@ -32,17 +33,19 @@
         raise problem.not_run(messages.RefusalReason.NOT_READY, NOT_READY_RETRY)
     route = current.find_route(received.host, received.path)
     if route is None:
+        revision = revisions.text(current.revision)
         raise problem.rejected(
             HTTP_NOT_FOUND,
             "No route leads there",
-            f"See host and path; routes of revision {current.revision}.",
+            f"See host and path; routes of revision {revision}.",
         )
     account = current.find_account(received.key)
     if account is None and current.requires_keys and not route.is_public:
+        revision = revisions.text(current.revision)
         raise problem.rejected(
             HTTP_UNAUTHORIZED,
             "The key is not known",
-            f"Send a key that is valid now; keys of revision {current.revision}.",
+            f"Send a key that is valid now; keys of revision {revision}.",
         )
     if route.is_public and received.key is None:
         account = None
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -21,6 +21,7 @@
 )
 from tealcove.limits import admission, central
 from tealcove.quarantine import role as quarantine_role
+from tealcove.storage import revisions
 
 log = logbook.Logger("ingress")
 
@@ -109,7 +110,7 @@
             accepted.tier_rank,
             accepted.route.rank,
             accepted.deadline - accepted.arrived,
-            self.configuration.revision,
+            revisions.text(self.configuration.revision),
             extra={"request": received.request_id},
         )
         charge = await self.charge(accepted)
--- a/src/tealcove/platform/rollouts.py
+++ b/src/tealcove/platform/rollouts.py
@@ -7,7 +7,7 @@
 from tealcove import errors, ids
 from tealcove.platform import documents, names, storeadapter
 from tealcove.rollout import order
-from tealcove.storage import table
+from tealcove.storage import revisions, table
 
 STATE_BY_VALUE = {state.value: state for state in order.State}
 
@@ -21,13 +21,15 @@
 
 
 class WireStatus(msgspec.Struct, omit_defaults=True):
-    """The status as the operator reads it; the last three fields are internal."""
+    """The status as the operator reads it; the fields after `to` are internal."""
 
     state: str
     to: str
     order: int = 0
     began_s: float = 0.0
     reason: str = ""
+    # The era of `order`, the row version of the order.
+    era: int = 0
 
 
 class StoreOrders(order.OrderStore):
@@ -55,9 +57,10 @@
         wire = WireStatus(
             state=status.state.value,
             to=status.to,
-            order=status.revision,
+            order=revisions.number_of(status.revision),
             began_s=status.began,
             reason=status.reason,
+            era=revisions.era_of(status.revision),
         )
         await table.replace(
             self.rows,
@@ -87,6 +90,7 @@
     state = STATE_BY_VALUE.get(found.state)
     if state is None:
         return None
+    revision = revisions.revision_of(ids.Era(found.era), found.order)
     return order.Status(
-        found.to, state, ids.Revision(found.order), found.began_s, found.reason
+        found.to, state, ids.Revision(revision), found.began_s, found.reason
     )
--- a/src/tealcove/platform/tests/test_eras.py
+++ b/src/tealcove/platform/tests/test_eras.py
@@ -5,10 +5,12 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+import msgspec
 import pytest
 
 from tealcove import errors, ids
-from tealcove.platform import names, store, storeadapter
+from tealcove.platform import names, rollouts, store, storeadapter
+from tealcove.rollout import order
 from tealcove.standins import platform
 from tealcove.storage import feed, memory, revisions, table
 from tealcove.storage.tests import builders
@@ -147,4 +149,20 @@
         with pytest.raises(errors.PlatformUnavailableError):
             await client.read_all(TABLE)
         assert client.era == ids.Era(5)
-        assert names.STORE_ERA == "Store-Era"
+
+
+async def test_a_roll_outs_status_names_the_row_version_of_its_order():
+    """Operators compare it with the version of the row that they wrote."""
+    async with serving() as (standin, client):
+        orders = rollouts.StoreOrders(storeadapter.StoreTable(client))
+        wanted = b'{"service":"pool","to":"v2","period_s":9}'
+        key = names.ROLLOUT_KEY + "pool"
+        await standin.put_row(names.OPERATOR_TABLE, key, wanted)
+        version = standin.memory.table.last_version
+        read = await orders.read("pool")
+        assert revisions.era_of(read.revision) == 1
+        running = order.Status("v2", order.State.RUNNING, read.order.revision, 1.0)
+        await orders.write_status("pool", running, read)
+        assert (await orders.read("pool")).status == running
+        stored = standin.memory.table.rows[names.STATUS_TABLE, key]
+        assert msgspec.json.decode(stored.value)["order"] == version
--- a/src/tealcove/storage/revisions.py
+++ b/src/tealcove/storage/revisions.py
@@ -32,6 +32,12 @@
     return revision & (1 << NUMBER_BITS) - 1
 
 
+def text(revision: int) -> str:
+    """Return a revision as ERA:NUMBER, or the number if it has no era, for logs."""
+    era = era_of(revision)
+    return f"{era}:{number_of(revision)}" if era else str(revision)
+
+
 def may_be_outdated(found: int, known: int) -> bool:
     """Return whether a row of a new era may be older than one that was known before.
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -338,6 +338,28 @@
         await self.put(kinds.Kind.ENGINE_POOL, "engines", pool)
         rule = kinds.RoutingRuleSpec(pool="engines", path_prefix="/v1/")
         await self.put(kinds.Kind.ROUTING_RULE, "engines", rule)
+        await self.until_in_force()
+
+    async def until_in_force(self) -> None:
+        """Wait until all that was put is in force at every instance.
+
+        An instance may be ready before: it was up to date when it began to serve.
+        """
+        newest = self.resources.current.revision
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+
+        async def are_up_to_date() -> bool:
+            for instance in self.instances:
+                url = f"{instance.url}/admin/v1/status"
+                async with self.session.get(url, headers=headers) as response:
+                    found = await response.json()
+                if response.status != 200 or found["revision"] < newest:
+                    return False
+            return True
+
+        for instance in self.instances:
+            await self.wait_for_port(instance)
+        await until(are_up_to_date)
 
     def spawn(self, call: Coroutine[object, object, T]) -> asyncio.Task[T]:
         """Run a call in the background."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,7 +9,7 @@
 import aiohttp
 import syrupy
 
-from tests import deployment
+from tests import callers, deployment
 
 OPERATOR = {"Authorization": f"Bearer {deployment.OPERATOR_KEY}"}
 TIER = "/admin/v1/service-tiers/middle"
@@ -179,3 +179,22 @@
         if code == 200:
             return
         assert code == 409
+
+
+async def test_declared_resources_are_in_force_before_requests_are_sent(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against tests whose first requests get 404 from an instance behind."""
+    async with deployment.Deployment(tmp_path) as running:
+        await running.add_engine(decode_seconds_per_token=0.005)
+        for _ in range(2):
+            await running.add_instance()
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.set_faults(running.platform, {"slow": 0.3})
+        await running.declare()
+        found = [
+            await callers.complete(running.session, instance.url, "first", 5)
+            for instance in running.instances
+        ]
+        assert [reply.outcome for reply in found] == ["completed"] * 2
