--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -219,7 +219,8 @@
         reply = await self.read(names.FEED_PATH, params, silence, arriving)
         if reply.status == HTTP_GONE:
             raise feed.HistoryLostError(
-                f"the changes of {table} since {since} are no longer kept",
+                f"the changes of {table} since {revisions.text(since)} are no longer "
+                "kept",
                 "Read the whole table.",
             )
         if reply.status != HTTP_OK:
