Don't wait for a feed of an earlier era

A feed whose era is known to have ended was asked all the same. If the store had passed its number again, and nothing of the table had changed since, the store held the call for up to 2 s before its answer named the new era: as long as a change may take to be in force. Read in the code; the new test failed without it.

--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -209,6 +209,9 @@
         arriving: Callable[[], None] | None = None,
     ) -> feed.Page:
         """See Feed."""
+        if self.era > revisions.era_of(since):
+            # The store might hold the call for its whole wait before it answers.
+            raise restored(self.era, since)
         # Despite its name, since_rev is the store version from which to continue.
         params = {
             "table": table,
@@ -227,11 +230,7 @@
             raise unavailable(f"a feed was answered by status {reply.status}")
         if reply.era != revisions.era_of(since):
             # What was written below the same number of this era would be missed.
-            raise feed.HistoryLostError(
-                f"the store was restored: era {reply.era}, "
-                f"{revisions.era_of(since)} before",
-                "Read the whole table.",
-            )
+            raise restored(reply.era, since)
         page = decode_page(reply)
         entries = tuple(row.entry() for row in page.rows)
         return feed.Page(entries, page.row_version)
@@ -367,6 +366,14 @@
         raise unknown(f"a reply can't be understood: {error}") from error
 
 
+def restored(era: ids.Era, since: int) -> feed.HistoryLostError:
+    """Return the error for a feed that was read in another era."""
+    return feed.HistoryLostError(
+        f"the store is in era {era}: nothing goes on from {revisions.text(since)}",
+        "Read the whole table.",
+    )
+
+
 def raise_for_status(reply: Reply) -> NoReturn:
     """Raise the error for the status of a write's reply."""
     problem = f"a write was answered by status {reply.status}"
--- a/src/tealcove/platform/tests/test_eras.py
+++ b/src/tealcove/platform/tests/test_eras.py
@@ -166,3 +166,16 @@
         assert (await orders.read("pool")).status == running
         stored = standin.memory.table.rows[names.STATUS_TABLE, key]
         assert msgspec.json.decode(stored.value)["order"] == version
+
+
+async def test_a_feed_of_an_earlier_era_is_not_waited_for():
+    """The store held the call for its whole wait, while a key was still accepted."""
+    async with serving() as (standin, client):
+        await standin.put_row(TABLE, "a", b"x")
+        page = await client.read_all(TABLE)
+        standin.era = 2
+        await client.read_all("another")
+        calls = client.calls
+        with pytest.raises(feed.HistoryLostError):
+            await client.wait_for_changes(TABLE, page.version, 30.0)
+        assert client.calls == calls
