--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -18,11 +18,13 @@
 
     def refresh(self) -> None:
         """Rebuild the pools whose servers have changed."""
-        by_service = self.servers.by_service()
+        by_service: dict[ids.PoolId, list[declared.BackendServer]] = {}
+        for known in self.servers.known.values():
+            by_service.setdefault(known.server.service, []).append(known.server)
         for service in set(self.found) | set(by_service):
             spec = spec_of(by_service.get(service, []))
-            known = self.found.get(service)
-            if known is None or known.spec != spec:
+            before = self.found.get(service)
+            if before is None or before.spec != spec:
                 self.found[service] = resource(service, spec, self.servers.revision)
 
     @property
--- a/src/tealcove/catalog/serverlist.py
+++ b/src/tealcove/catalog/serverlist.py
@@ -297,10 +297,3 @@
         """Keep a lapsed server for the seconds that remain at the peer."""
         if lapse.name in self.known:
             self.lapsed.setdefault(lapse.name, ids.Instant(now + lapse.seconds))
-
-    def by_service(self) -> dict[ids.PoolId, list[declared.BackendServer]]:
-        """Return all servers by service."""
-        found: dict[ids.PoolId, list[declared.BackendServer]] = {}
-        for known in self.known.values():
-            found.setdefault(known.server.service, []).append(known.server)
-        return found
