A roll-out's status goes on under its order's new revision

The status of an earlier era was taken for that of every order with the same version, for as long as the era lasted: an operator who repeated an order after a roll-back was ignored. Read in the code; the new test failed without it.

--- a/src/tealcove/rollout/controller.py
+++ b/src/tealcove/rollout/controller.py
@@ -154,7 +154,9 @@
             return
         status = snapshot.status
         is_known = status is not None and status.belongs_to(found)
-        service_state.stored_state = status.state if is_known else None
+        # A status of an earlier era is written again, under the order's new revision.
+        is_stored = is_known and status.revision == found.revision
+        service_state.stored_state = status.state if is_stored else None
         current = service_state.rollout
         if current is not None and found.continues(current.order):
             current.order = found
--- a/src/tealcove/rollout/tests/test_restored_orders.py
+++ b/src/tealcove/rollout/tests/test_restored_orders.py
@@ -64,6 +64,18 @@
     assert one.service.rollout.order == again
 
 
+def test_a_status_is_written_again_under_the_new_revision():
+    """An order that repeats a rolled-back one in the new era was ignored."""
+    one = Ended()
+    one.apply(builders.ordered(at(2, 4)), one.status, at(2, 4), 20.0)
+    assert one.service.stored_state is None
+    renumbered = msgspec.structs.replace(one.status, revision=at(2, 4))
+    one.apply(builders.ordered(at(2, 4)), renumbered, at(2, 5), 21.0)
+    assert one.service.stored_state is order.State.ROLLED_BACK
+    one.apply(builders.ordered(at(2, 7)), renumbered, at(2, 7), 22.0)
+    assert one.state is order.State.RUNNING
+
+
 def test_a_lost_status_is_written_again():
     one = Ended(order.State.DONE)
     one.apply(builders.ordered(at(2, 9)), None, at(2, 9), 20.0)
