--- a/src/tealcove/standins/tests/test_platform.py
+++ b/src/tealcove/standins/tests/test_platform.py
@@ -12,7 +12,7 @@
 from tealcove.platform import store as store_client
 from tealcove.platform import storeadapter
 from tealcove.standins import platform
-from tealcove.storage import faults, rowlist
+from tealcove.storage import faults, feed, revisions, rowlist
 from tealcove.storage.tests import builders
 
 
@@ -91,3 +91,19 @@
         await serving
     with pytest.raises(OSError, match="Connect call failed"):
         await asyncio.open_connection("127.0.0.1", standin.port)
+
+
+async def test_a_restored_stand_in_gives_versions_out_again():
+    async with builders.serving() as (standin, connected):
+        rows = storeadapter.StoreTable(connected)
+        await rows.commit(builders.put("a", b"kept"))
+        saved = standin.memory.table.save()
+        lost = await rows.commit(builders.put("b", b"lost"))
+        await standin.restore(saved)
+        assert standin.era == 1
+        with pytest.raises(feed.HistoryLostError):
+            await standin.memory.table.wait_for_changes("t", lost.version, 0.0)
+        assert await rows.read("b", "b") is None
+        again = await rows.commit(builders.put("c", b"new"))
+        assert revisions.number_of(again.version) == lost.version
+        assert (await rows.read("t", "a")).value == b"kept"
