Move the store's wire format to a module of its own

No change of behaviour: the tests of platform, storage, stand-ins, front and the restored store pass.

--- a/src/tealcove/front/tests/test_unanswered_polls.py
+++ b/src/tealcove/front/tests/test_unanswered_polls.py
@@ -13,7 +13,7 @@
 from tealcove import clock, ids
 from tealcove.catalog import copies, serverlist
 from tealcove.front import factories
-from tealcove.platform import documents, names, store
+from tealcove.platform import documents, names, store, wire
 from tealcove.platform.tests import builders
 from tealcove.tests import virtual
 
@@ -54,7 +54,7 @@
         content: bytes | None,
         limits: aiohttp.ClientTimeout,
         *_: object,
-    ) -> store.Reply:
+    ) -> wire.Reply:
         """See StoreClient; raises TimeoutError in place of an answer."""
         if clock.now() < self.silent_until:
             await asyncio.sleep(limits.sock_read)
@@ -64,13 +64,13 @@
             changed = asyncio.ensure_future(self.changed.wait())
             await asyncio.wait([changed], timeout=wait)
             changed.cancel()
-        return store.Reply(store.HTTP_OK, self.page(int(params["since_rev"])))
+        return wire.Reply(store.HTTP_OK, self.page(int(params["since_rev"])))
 
     def page(self, since: int) -> bytes:
         """Return the rows after a version, encoded."""
         value = base64.b64encode(msgspec.json.encode(builders.WRITTEN)).decode()
         rows = tuple(
-            store.WireRow(
+            wire.WireRow(
                 names.SERVERS_TABLE,
                 server,
                 value=value,
@@ -80,7 +80,7 @@
             for server, version in self.rows.items()
             if version > since
         )
-        return msgspec.json.encode(store.WirePage(rows, self.version))
+        return msgspec.json.encode(wire.WirePage(rows, self.version))
 
 
 async def seconds_to_learn(
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import ssl
 from collections.abc import Callable
 from typing import NoReturn, TypeVar
@@ -11,9 +10,9 @@
 import logbook
 import msgspec
 
-from tealcove import count, errors, ids, keepalive
+from tealcove import errors, ids, keepalive
 from tealcove.backends import attempt as attempts
-from tealcove.platform import names
+from tealcove.platform import names, wire
 from tealcove.storage import feed, revisions
 
 T = TypeVar("T")
@@ -56,78 +55,6 @@
     total: float = 5.0
 
 
-class WireRow(msgspec.Struct, omit_defaults=True):
-    """A row in the store's wire format; decode_page replaces its version."""
-
-    table: str
-    key: str
-    part: str = ""
-    # Base64.
-    value: str = ""
-    # The version of the row's last change; in a condition, the required one.
-    row_version: int = 0
-    # In a feed: the row was deleted.
-    tombstone: bool = False
-
-    def content(self) -> bytes:
-        """Decode the value; raises PlatformUnavailableError."""
-        try:
-            return base64.b64decode(self.value, validate=True)
-        except ValueError as error:
-            raise unavailable(f"a row's value can't be read: {error}") from error
-
-    def entry(self) -> feed.Entry:
-        """Convert the row to an entry of a feed.
-
-        One row that isn't valid base64 must not make the whole table unreadable: its
-        text is returned undecoded, so that the consumer skips only this row.
-        """
-        if self.tombstone:
-            return feed.Entry(self.key, None, self.row_version)
-        try:
-            content = self.content()
-        except errors.PlatformUnavailableError:
-            content = self.value.encode()
-        return feed.Entry(self.key, content, self.row_version)
-
-
-class WireTransaction(msgspec.Struct):
-    """The request body of a transaction."""
-
-    # Conditions: version 0 means that the row must be absent.
-    expect_rev: tuple[WireCondition, ...] = ()
-    puts: tuple[WireRow, ...] = ()
-    drop: tuple[WireRow, ...] = ()
-
-
-class WireCondition(msgspec.Struct):
-    """The version that a row must have; always encoded, since 0 has a meaning."""
-
-    table: str
-    key: str
-    row_version: int
-    part: str = ""
-
-
-class WirePage(msgspec.Struct):
-    """Rows, and the newest version of the whole store at that time."""
-
-    rows: tuple[WireRow, ...] = ()
-    row_version: int = 0
-    has_more: bool = False
-    # The store's own monotonic clock in milliseconds.
-    now_ms: float = 0.0
-
-
-class Reply(msgspec.Struct, frozen=True):
-    """A complete reply of the store."""
-
-    status: int
-    content: bytes
-    # The era that it names, or the one known when the call began.
-    era: ids.Era = ids.NO_ERA
-
-
 class StoreClient(feed.Feed):
     """Calls the store in one HTTP session that all its users share.
 
@@ -171,35 +98,35 @@
 
     async def read_range(
         self, table: str, start: str, limit: int | None
-    ) -> tuple[list[WireRow], int]:
+    ) -> tuple[list[wire.WireRow], int]:
         """Return rows from a key on, all of them without a limit, and the version.
 
         The version is that of the first page: changes during the read of further pages
         are in the feed from that version on.
         """
-        found: list[WireRow] = []
+        found: list[wire.WireRow] = []
         version = None
         while True:
             wanted = PAGE_ROWS if limit is None else min(PAGE_ROWS, limit - len(found))
             page = await self.read_page(table, start, wanted)
             version = page.row_version if version is None else version
             if revisions.era_of(page.row_version) != revisions.era_of(version):
-                raise unavailable("the store was restored between two pages")
+                raise wire.unavailable("the store was restored between two pages")
             found.extend(page.rows)
             is_enough = limit is not None and len(found) >= limit
             if not page.has_more or not page.rows or is_enough:
                 return found, version
             start = page.rows[-1].key + "\0"
 
-    async def read_page(self, table: str, start: str, limit: int) -> WirePage:
+    async def read_page(self, table: str, start: str, limit: int) -> wire.WirePage:
         """Return one page of rows from a key on."""
         params = {"table": table, "part": "", "limit": str(limit)}
         if start:
             params["from"] = start
         reply = await self.read(names.READ_PATH, params, self.timeouts.total)
         if reply.status != HTTP_OK:
-            raise unavailable(f"a read was answered by status {reply.status}")
-        return decode_page(reply)
+            raise wire.unavailable(f"a read was answered by status {reply.status}")
+        return wire.decode_page(reply)
 
     async def wait_for_changes(
         self,
@@ -211,7 +138,7 @@
         """See Feed."""
         if self.era > revisions.era_of(since):
             # The store might hold the call for its whole wait before it answers.
-            raise restored(self.era, since)
+            raise wire.restored(self.era, since)
         # Despite its name, since_rev is the store version from which to continue.
         params = {
             "table": table,
@@ -227,11 +154,11 @@
                 "Read the whole table.",
             )
         if reply.status != HTTP_OK:
-            raise unavailable(f"a feed was answered by status {reply.status}")
+            raise wire.unavailable(f"a feed was answered by status {reply.status}")
         if reply.era != revisions.era_of(since):
             # What was written below the same number of this era would be missed.
-            raise restored(reply.era, since)
-        page = decode_page(reply)
+            raise wire.restored(reply.era, since)
+        page = wire.decode_page(reply)
         entries = tuple(row.entry() for row in page.rows)
         return feed.Page(entries, page.row_version)
 
@@ -241,7 +168,7 @@
         params: dict[str, str],
         silence: float,
         arriving: Callable[[], None] | None = None,
-    ) -> Reply:
+    ) -> wire.Reply:
         """Return the reply to a read; `silence` limits the seconds without a byte.
 
         With a short limit on the whole reply, a large document would never get through
@@ -257,14 +184,14 @@
         try:
             reply = await self.call("GET", path, params, None, limits, None, arriving)
         except CALL_ERRORS as error:
-            raise unavailable(f"a read failed: {error_text(error)}") from error
+            raise wire.unavailable(f"a read failed: {error_text(error)}") from error
         if reply.status not in READ_STATUSES:
-            raise unavailable(f"a read was answered by status {reply.status}")
+            raise wire.unavailable(f"a read was answered by status {reply.status}")
         return reply
 
     async def write(
         self, method: str, path: str, content: bytes, headers: dict[str, str]
-    ) -> Reply:
+    ) -> wire.Reply:
         """Return the reply to a write that was applied or whose condition failed.
 
         Raises PlatformUnavailableError if it was certainly not applied, and
@@ -279,9 +206,9 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            raise unavailable(f"no connection: {error_text(error)}") from error
+            raise wire.unavailable(f"no connection: {error_text(error)}") from error
         except CALL_ERRORS as error:
-            raise unknown(f"the reply is missing: {error_text(error)}") from error
+            raise wire.unknown(f"the reply is missing: {error_text(error)}") from error
         if reply.status in (HTTP_OK, HTTP_PRECONDITION_FAILED):
             return reply
         raise_for_status(reply)
@@ -295,7 +222,7 @@
         limits: aiohttp.ClientTimeout,
         headers: dict[str, str] | None = None,
         arriving: Callable[[], None] | None = None,
-    ) -> Reply:
+    ) -> wire.Reply:
         """Send one request and return the complete reply; raises aiohttp's errors."""
         self.calls += 1
         era = self.era
@@ -312,11 +239,11 @@
             ) as response:
                 if arriving is not None and response.status == HTTP_OK:
                     arriving()
-                named = era_named(response.headers.getall(names.STORE_ERA, []))
+                named = wire.era_named(response.headers.getall(names.STORE_ERA, []))
                 if named is not None:
                     era = named
                     self.note_era(named)
-                reply = Reply(response.status, await response.read(), era)
+                reply = wire.Reply(response.status, await response.read(), era)
             is_usable = reply.status not in REFUSED_STATUSES
             is_usable = is_usable and reply.status < HTTP_SERVER_ERROR
             return reply
@@ -330,80 +257,20 @@
             self.era = era
 
 
-def era_named(values: list[str]) -> ids.Era | None:
-    """Return the era in the values of a header, or None if they name none."""
-    era = count.read(values[0]) if len(values) == 1 else None
-    return None if era is None or era > revisions.MAX_ERA else ids.Era(era)
-
-
-def decode_page(
-    reply: Reply, decode: Callable[[bytes, type[WirePage]], WirePage] | None = None
-) -> WirePage:
-    """Decode a page, its versions as revisions of the reply's era.
-
-    Raises the errors of `decode`, by default those of decode_read.
-    """
-    page = (decode or decode_read)(reply.content, WirePage)
-    page.row_version = revisions.revision_of(reply.era, page.row_version)
-    for row in page.rows:
-        row.row_version = revisions.revision_of(reply.era, row.row_version)
-    return page
-
-
-def decode_read(content: bytes, kind: type[T]) -> T:
-    """Decode the reply to a read; raises PlatformUnavailableError."""
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
-        raise unavailable(f"a reply can't be understood: {error}") from error
-
-
-def decode_write(content: bytes, kind: type[T]) -> T:
-    """Decode the reply to a write; raises OutcomeUnknownError."""
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
-        raise unknown(f"a reply can't be understood: {error}") from error
-
-
-def restored(era: ids.Era, since: int) -> feed.HistoryLostError:
-    """Return the error for a feed that was read in another era."""
-    return feed.HistoryLostError(
-        f"the store is in era {era}: nothing goes on from {revisions.text(since)}",
-        "Read the whole table.",
-    )
-
-
-def raise_for_status(reply: Reply) -> NoReturn:
+def raise_for_status(reply: wire.Reply) -> NoReturn:
     """Raise the error for the status of a write's reply."""
     problem = f"a write was answered by status {reply.status}"
     if reply.status in REFUSED_STATUSES:
-        raise unavailable(problem)
+        raise wire.unavailable(problem)
     if reply.status >= HTTP_SERVER_ERROR:
         # The store or a proxy may respond like this after the write was applied.
-        raise unknown(problem)
+        raise wire.unknown(problem)
     raise errors.PlatformError(
         f"the platform refused a call: status {reply.status}",
         "Check that the platform's address and version are the right ones.",
     )
 
 
-def unavailable(problem: str) -> errors.PlatformUnavailableError:
-    """Return the error for a call that certainly changed nothing."""
-    return errors.PlatformUnavailableError(
-        f"the platform can't be used: {problem}",
-        "Try again later; check the platform's address and state.",
-    )
-
-
-def unknown(problem: str) -> errors.OutcomeUnknownError:
-    """Return the error for a write that may have been applied."""
-    return errors.OutcomeUnknownError(
-        f"a write may have been applied: {problem}",
-        "Read what it would have changed to find out.",
-    )
-
-
 def error_text(error: BaseException) -> str:
     """Return an error's text, or its type if it has none, as for a timeout."""
     return str(error) or type(error).__name__
--- a/src/tealcove/platform/storeadapter.py
+++ b/src/tealcove/platform/storeadapter.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.platform import names, store
+from tealcove.platform import names, store, wire
 from tealcove.storage import objects, revisions, table
 
 OBJECT_TYPE = "application/octet-stream"
@@ -33,8 +33,8 @@
         if reply.status == store.HTTP_PRECONDITION_FAILED:
             raise conflicts(transaction, reply)
         if not all(is_of_era(one, reply.era) for one in transaction.conditions):
-            raise store.unknown("the store was restored since a row was read")
-        page = store.decode_page(reply, store.decode_write)
+            raise wire.unknown("the store was restored since a row was read")
+        page = wire.decode_page(reply, wire.decode_write)
         return table.Committed(page.row_version)
 
     async def find_outdated(
@@ -97,24 +97,22 @@
     return urllib.parse.quote(name, safe="")
 
 
-def wire_transaction(transaction: table.Transaction) -> store.WireTransaction:
+def wire_transaction(transaction: table.Transaction) -> wire.WireTransaction:
     """Convert a transaction to the store's wire format."""
     puts = [one for one in transaction.writes if isinstance(one, table.Put)]
     drops = [one for one in transaction.writes if isinstance(one, table.Delete)]
-    return store.WireTransaction(
+    return wire.WireTransaction(
         expect_rev=tuple(
-            store.WireCondition(
+            wire.WireCondition(
                 one.table, one.key, revisions.number_of(expected_version(one))
             )
             for one in transaction.conditions
         ),
         puts=tuple(
-            store.WireRow(
-                one.table, one.key, value=base64.b64encode(one.value).decode()
-            )
+            wire.WireRow(one.table, one.key, value=base64.b64encode(one.value).decode())
             for one in puts
         ),
-        drop=tuple(store.WireRow(one.table, one.key) for one in drops),
+        drop=tuple(wire.WireRow(one.table, one.key) for one in drops),
     )
 
 
@@ -130,14 +128,14 @@
 
 
 def conflicts(
-    transaction: table.Transaction, reply: store.Reply
+    transaction: table.Transaction, reply: wire.Reply
 ) -> table.ConditionFailedError:
     """Return the error that lists every failed condition.
 
     Raises PlatformUnavailableError if the reply can't be decoded, since a rejected
     transaction was certainly not applied.
     """
-    page = store.decode_page(reply)
+    page = wire.decode_page(reply)
     present = {(row.table, row.key): row for row in page.rows if not row.tombstone}
     found = []
     for index, condition in enumerate(transaction.conditions):
@@ -149,6 +147,6 @@
     return table.ConditionFailedError(tuple(found))
 
 
-def row_of(row: store.WireRow) -> table.Row:
+def row_of(row: wire.WireRow) -> table.Row:
     """Convert a row to the internal representation."""
     return table.Row(row.table, row.key, row.content(), row.row_version)
--- a/src/tealcove/platform/tests/test_eras.py
+++ b/src/tealcove/platform/tests/test_eras.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tealcove import errors, ids
-from tealcove.platform import names, rollouts, store, storeadapter
+from tealcove.platform import names, rollouts, store, storeadapter, wire
 from tealcove.rollout import order
 from tealcove.standins import platform
 from tealcove.storage import feed, memory, revisions, table
@@ -55,7 +55,7 @@
     ],
 )
 def test_only_a_single_number_names_an_era(values: list[str], era: int | None):
-    assert store.era_named(values) == era
+    assert wire.era_named(values) == era
 
 
 async def test_a_feed_does_not_go_on_in_another_era():
@@ -104,7 +104,7 @@
         saved = standin.memory.table.save()
         read_page = client.read_page
 
-        async def read_and_restore(*arguments: object) -> store.WirePage:
+        async def read_and_restore(*arguments: object) -> wire.WirePage:
             page = await read_page(*arguments)
             await standin.restore(saved)
             return page
--- a/src/tealcove/platform/tests/test_rows.py
+++ b/src/tealcove/platform/tests/test_rows.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from tealcove import errors
-from tealcove.platform import documents, store
+from tealcove.platform import documents, wire
 from tealcove.platform.tests import builders
 from tealcove.storage import feed
 
@@ -16,9 +16,9 @@
 
 
 def test_entry_has_decoded_value():
-    row = store.WireRow(TABLE, "a", value="YWJj", row_version=3)
+    row = wire.WireRow(TABLE, "a", value="YWJj", row_version=3)
     assert row.entry() == feed.Entry("a", b"abc", 3)
-    dropped = store.WireRow(TABLE, "a", row_version=4, tombstone=True)
+    dropped = wire.WireRow(TABLE, "a", row_version=4, tombstone=True)
     assert dropped.entry() == feed.Entry("a", None, 4)
 
 
@@ -29,7 +29,7 @@
     If a row's value isn't base64 and the whole page is rejected for it, the store
     counts as unavailable for as long as the row exists.
     """
-    entry = store.WireRow(TABLE, "a", value=text, row_version=3).entry()
+    entry = wire.WireRow(TABLE, "a", value=text, row_version=3).entry()
     assert entry.version == 3
     with pytest.raises(errors.PlatformError):
         documents.decode_server("a", entry.value)
@@ -37,7 +37,7 @@
 
 def is_base64(text: str) -> bool:
     try:
-        store.WireRow(TABLE, "a", value=text).content()
+        wire.WireRow(TABLE, "a", value=text).content()
     except errors.PlatformUnavailableError:
         return False
     return True
--- a/src/tealcove/platform/tests/test_slow_links.py
+++ b/src/tealcove/platform/tests/test_slow_links.py
@@ -10,7 +10,7 @@
 from aiohttp.test_utils import TestServer
 
 from tealcove import errors
-from tealcove.platform import names, store
+from tealcove.platform import names, store, wire
 
 TABLE = "declared"
 VALUE = "eA=="
@@ -22,8 +22,8 @@
 
 def page() -> bytes:
     """Return the store's reply with one row."""
-    row = store.WireRow(TABLE, "config", value=VALUE, row_version=3)
-    return msgspec.json.encode(store.WirePage((row,), 3))
+    row = wire.WireRow(TABLE, "config", value=VALUE, row_version=3)
+    return msgspec.json.encode(wire.WirePage((row,), 3))
 
 
 async def answer_slowly(request: web.Request) -> web.StreamResponse:
--- a/src/tealcove/standins/platform.py
+++ b/src/tealcove/standins/platform.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from tealcove import errors
-from tealcove.platform import names, store
+from tealcove.platform import names, store, wire
 from tealcove.storage import (
     faults,
     feed,
@@ -117,7 +117,7 @@
 
     async def transact(self, request: web.Request) -> web.Response:
         """Apply a transaction; 412 carries the rows of its conditions."""
-        body = msgspec.json.decode(await request.read(), type=store.WireTransaction)
+        body = msgspec.json.decode(await request.read(), type=wire.WireTransaction)
         if any(row.table in READ_ONLY_TABLES for row in (*body.puts, *body.drop)):
             return web.Response(status=FORBIDDEN, text="The operator's own table.")
         if len(body.expect_rev) + len(body.puts) + len(body.drop) > MAX_ENTRIES:
@@ -166,7 +166,7 @@
 
     def page(
         self,
-        rows: list[store.WireRow],
+        rows: list[wire.WireRow],
         version: int | None = None,
         has_more: bool = False,
         status: int = store.HTTP_OK,
@@ -174,7 +174,7 @@
         """Return the response with a page of rows."""
         newest = self.memory.table.last_version if version is None else version
         now_ms = self.memory.gate.clock() * MILLISECONDS
-        found = store.WirePage(tuple(rows), newest, has_more, now_ms)
+        found = wire.WirePage(tuple(rows), newest, has_more, now_ms)
         body = msgspec.json.encode(found)
         return web.Response(status=status, body=body, content_type=JSON_TYPE)
 
@@ -289,7 +289,7 @@
         return web.Response(status=NO_CONTENT)
 
 
-def to_transaction(body: store.WireTransaction) -> table.Transaction:
+def to_transaction(body: wire.WireTransaction) -> table.Transaction:
     """Convert a transaction to the form of the in-memory platform."""
     conditions = tuple(
         table.VersionIs(one.table, one.key, one.row_version)
@@ -302,16 +302,16 @@
     return table.Transaction(conditions, puts + drops)
 
 
-def wire_row(row: table.Row) -> store.WireRow:
+def wire_row(row: table.Row) -> wire.WireRow:
     """Convert a row to its wire format."""
     value = base64.b64encode(row.value).decode()
-    return store.WireRow(row.table, row.key, value=value, row_version=row.version)
+    return wire.WireRow(row.table, row.key, value=value, row_version=row.version)
 
 
-def wire_change(name: str, entry: feed.Entry) -> store.WireRow:
+def wire_change(name: str, entry: feed.Entry) -> wire.WireRow:
     """Convert a change to its wire format."""
     if entry.value is None:
-        return store.WireRow(name, entry.key, row_version=entry.version, tombstone=True)
+        return wire.WireRow(name, entry.key, row_version=entry.version, tombstone=True)
     return wire_row(table.Row(name, entry.key, entry.value, entry.version))
 
 
--- a/src/tealcove/storage/tests/test_services.py
+++ b/src/tealcove/storage/tests/test_services.py
@@ -8,7 +8,7 @@
 
 from tealcove import errors
 from tealcove.platform import store as store_client
-from tealcove.platform import storeadapter
+from tealcove.platform import storeadapter, wire
 from tealcove.storage import faults, rowlist, rowweights, table
 from tealcove.storage.tests import builders
 
@@ -161,5 +161,5 @@
 )
 def test_status_of_a_refused_write(status, error):
     with pytest.raises(error) as raised:
-        store_client.raise_for_status(store_client.Reply(status, b""))
+        store_client.raise_for_status(wire.Reply(status, b""))
     assert type(raised.value) is error
