Decline a grant by the restored store's entry of an earlier start

The server had started again in the lost part; a dispatcher that had just started read the copy, which has the start before, and granted that. The entry keeps what servers state by their start, and its list by name, so that neither told it that the granted start was over.

An entry declines such a grant now if it withholds just this entry. The soak's part in it: a server whose new start was lost did not write it again, as servers do; its whole entry counts now. The new test failed without the change.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -233,9 +233,11 @@
         """Write a server's row as it is by then, unless the copy has it so."""
         await asyncio.sleep(source.uniform(0.0, WRITE_AGAIN_SECONDS))
         row = self.store.memory.table.rows.get((names.SERVERS_TABLE, server.name))
-        state = None if row is None else msgspec.json.decode(row.value)["state"]
-        if state != self.states[server.name]:
-            await self.list_server(server, self.states[server.name])
+        found = None if row is None else msgspec.json.decode(row.value)
+        said = None if found is None else (found["state"], found["born"])
+        state = self.states[server.name]
+        if said != (None if state is None else (state, server.born)):
+            await self.list_server(server, state)
 
     async def change_rows(self, count: int) -> None:
         """Let servers change what their rows say besides their state."""
--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -37,14 +37,25 @@
         return self.found.get(name)
 
     def has_left(
-        self, name: str, server: ids.BackendServerId, revision: ids.Revision
+        self,
+        name: str,
+        server: ids.BackendServerId,
+        start: ids.ServerStart,
+        revision: ids.Revision,
     ) -> bool:
         """Return whether a server is known to be leaving or gone.
 
         The revision is ignored: a dispatcher at a newer one may keep a server whose
         entry has lapsed there.
         """
-        return self.servers.has_left(server)
+        return self.servers.has_left(server) or self.is_withheld(server, start)
+
+    def is_withheld(self, server: ids.BackendServerId, start: ids.ServerStart) -> bool:
+        """Return whether a start of a server is over, by the restored store's entry."""
+        known = self.servers.known.get(server)
+        if known is None or known.server.start == start:
+            return False
+        return self.servers.restoration.start_of(server) == start
 
 
 def spec_of(found: list[declared.BackendServer]) -> kinds.ServicePoolSpec:
--- a/src/tealcove/catalog/restoration.py
+++ b/src/tealcove/catalog/restoration.py
@@ -81,6 +81,11 @@
         """Forget a server's withheld entry, as its row has changed."""
         self.withheld.pop(name, None)
 
+    def start_of(self, name: ids.BackendServerId) -> ids.ServerStart | None:
+        """Return the start in a server's withheld entry, or None without one."""
+        withheld = self.withheld.get(name)
+        return None if withheld is None else withheld.entry.server.start
+
     def due(self, now: ids.Instant) -> list[snapshot.Known]:
         """Return the entries that still stand and are no longer withheld."""
         return [one.entry for one in self.withheld.values() if one.until <= now]
--- a/src/tealcove/catalog/tests/test_restoration.py
+++ b/src/tealcove/catalog/tests/test_restoration.py
@@ -6,7 +6,14 @@
 import pytest
 
 from tealcove import ids
-from tealcove.catalog import copies, declared, messages, restoration, serverlist
+from tealcove.catalog import (
+    copies,
+    declared,
+    messages,
+    pools,
+    restoration,
+    serverlist,
+)
 from tealcove.platform import documents
 from tealcove.platform.tests import builders
 from tealcove.storage import feed, revisions
@@ -174,6 +181,19 @@
     assert "x" not in fresh.known
 
 
+def test_a_grant_by_the_copys_older_start_is_declined():
+    """A dispatcher that has just started granted a start of a server that was over."""
+    held = servers(page(at(1, 9), row("a", at(1, 9), born=2)))
+    held.replace(page(at(2, 5), row("a", at(2, 3), born=1)), instant(20))
+    found = pools.Pools(held)
+    older, newer, newest = (ids.ServerStart(number) for number in (1, 2, 3))
+    assert found.has_left("pool", "a", older, held.revision)
+    assert not found.has_left("pool", "a", newer, held.revision)
+    assert not found.has_left("pool", "a", newest, held.revision)
+    held.apply(page(at(2, 8), row("a", at(2, 8), born=1)), instant(21))
+    assert not found.has_left("pool", "a", older, held.revision)
+
+
 def test_the_restored_store_is_told_once():
     held = serverlist.ServersCopy(documents.decode_server)
     heard = []
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -341,7 +341,7 @@
 
         They are infinite if it has left, by the list of servers or its own answers.
         """
-        if self.spread.has_left(grant.cell, grant.server, grant.revision):
+        if self.spread.has_left(grant.cell, grant.server, grant.start, grant.revision):
             return math.inf
         return self.stated.usable_in(grant, now)
 
--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -28,9 +28,13 @@
         """Return a pool; None when there is none of that name."""
 
     def has_left(
-        self, name: str, server: ids.BackendServerId, revision: ids.Revision
+        self,
+        name: str,
+        server: ids.BackendServerId,
+        start: ids.ServerStart,
+        revision: ids.Revision,
     ) -> bool:
-        """Tell whether a server that a pool had at a revision has left since."""
+        """Tell whether a start of a server, in a pool at a revision, has left since."""
 
 
 class PoolsOwner(typing.Protocol):
@@ -105,11 +109,15 @@
         return pool_cells[number] if number < len(pool_cells) else None
 
     def has_left(
-        self, cell_id: ids.CellId, server: ids.BackendServerId, revision: ids.Revision
+        self,
+        cell_id: ids.CellId,
+        server: ids.BackendServerId,
+        start: ids.ServerStart,
+        revision: ids.Revision,
     ) -> bool:
-        """Tell whether a server that a cell had at a revision has left since."""
+        """Tell whether a start of a server, in a cell at a revision, has left since."""
         name = cells.pool_of(cell_id)
-        return self.copy.current.has_left(name, server, revision)
+        return self.copy.current.has_left(name, server, start, revision)
 
     def choose(self, pool: kinds.Resource, affinity: str) -> cells.Cell:
         """Return the cell for a request; `affinity` is equal for a shared prefix."""
--- a/src/tealcove/resources/copy.py
+++ b/src/tealcove/resources/copy.py
@@ -65,7 +65,11 @@
         return self.engine_pools.get(name) or self.service_pools.get(name)
 
     def has_left(
-        self, name: str, server: ids.BackendServerId, revision: ids.Revision
+        self,
+        name: str,
+        server: ids.BackendServerId,
+        start: ids.ServerStart,
+        revision: ids.Revision,
     ) -> bool:
         """Tell whether a server has left a pool since the given revision."""
         pool = self.pool(name)
