A silent request isn't taken for one that its brittle server runs

What callers saw: a backend server that says how many rejections a second it bears got more while it was full, and fell over; all requests that it ran were cut off.

Cause: `BackendView.unanswered` dropped a request .3 s after its start, though nothing had shown that it ran. Where rejections arrive later than that, the full server got the next ones. Requests that ended here without an answer weren't counted at all.

Why this works: a request counts until its first token, its end, or both its server and its entry were heard of long enough after its start; at the latest until the server's window of 1 s is over. So in no second are more requests sent that may be rejected than the server bears. Rejections that were late make the wait longer. A server that seems to hang only because it gets so few long calls is tried again when its window is over.

Cost: of a sound server with four slots that bears three rejections, calls that show nothing before their ends use the last slot 1.3 s later when it was idle before (.3 s up to now).

`test_a_new_dispatcher_does_not_overrun_servers` fills all slots with long calls, the last of which now starts 1.3 s later: they last 2.5 s in place of 1.5 s, and it waits for a served call where it counted calls before; its checks are the same.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -80,6 +80,10 @@
         self.failed_in_row = 0
         # When a run last produced a first token or completed.
         self.last_activity = ids.Instant(0.0)
+        # Requests that have ended without an answer, while it was brittle.
+        self.abandoned: list[Run] = []
+        # When each entry last reported on one of its runs here.
+        self.reported_at: dict[ids.InstanceId, ids.Instant] = {}
         self.pause = pauses.Pause(MIN_PAUSE, MAX_PAUSE)
         # What its answers have stated.
         self.restrictions = restrictions.Restrictions(self.name)
@@ -118,7 +122,7 @@
         if free > 0:
             free = int(min(free, self.bearable(now)))
         # Checked last, since most servers are full when this is called most often.
-        return 0 if free > 0 and self.is_stalled(now) else free
+        return 0 if free > 0 and self.hangs(now) else free
 
     def bearable(self, now: ids.Instant) -> float:
         """Return how many requests it may get that it would perhaps reject."""
@@ -127,12 +131,43 @@
         return found.bearable(0 if found.limit is None else self.unanswered(now), now)
 
     def unanswered(self, now: ids.Instant) -> int:
-        """Return how many requests it got so lately that it may still reject them."""
-        since = now - rejections.ANSWER_SECONDS
-        return sum(
-            run.started > since and not run.has_first_token
-            for run in self.runs.values()
-        )
+        """Return how many requests it may reject, and count, in its current window."""
+        # A rejection of these won't be known any more, whatever the server answers.
+        self.abandoned = [r for r in self.abandoned if not self.is_window_over(r, now)]
+        running = sum(self.may_be_rejected(run, now) for run in self.runs.values())
+        return running + len(self.abandoned)
+
+    def may_be_rejected(self, run: Run, now: ids.Instant) -> bool:
+        """Tell whether a request may add to the rejections that the server counts.
+
+        It doesn't once it has a first token, once its server and its entry were both
+        heard of long enough after its start, or once the server's window is over.
+        Silence alone doesn't show that it runs: its rejection may be late.
+        """
+        if run.has_first_token and not run.is_adopted:
+            return False
+        if self.is_window_over(run, now):
+            return False
+        answer_seconds = self.restrictions.rejections.answer_seconds
+        reported_at = self.reported_at.get(run.ticket.entry, run.started)
+        heard_at = min(self.last_activity, reported_at)
+        return heard_at < run.started + answer_seconds
+
+    def is_window_over(self, run: Run, now: ids.Instant) -> bool:
+        """Tell whether a brittle server has forgotten a request, if it rejected it."""
+        answer_seconds = self.restrictions.rejections.answer_seconds
+        return now - run.started > rejections.WINDOW + answer_seconds
+
+    def abandon(self, run: Run) -> None:
+        """Keep a request in mind that ended here without an answer of the server."""
+        is_brittle = self.restrictions.rejections.limit is not None
+        if is_brittle and not run.has_first_token:
+            self.abandoned.append(run)
+
+    def refresh(self, run: Run, now: ids.Instant) -> None:
+        """Record that a run's entry has sent its ticket again."""
+        run.refreshed_at = now
+        self.reported_at[run.ticket.entry] = now
 
     @property
     def tried_at(self) -> ids.Instant:
@@ -166,6 +201,20 @@
             return seconds
         return max(seconds, self.spec.slots / self.restrictions.rate.rate)
 
+    def hangs(self, now: ids.Instant) -> bool:
+        """Tell whether it is stalled, and shouldn't be tried by another request.
+
+        A brittle server gets so few requests at once that long calls look like a hang.
+        """
+        if not self.is_stalled(now):
+            return False
+        is_brittle = self.restrictions.rejections.limit is not None
+        return not is_brittle or not all(
+            self.is_window_over(run, now)
+            for run in self.runs.values()
+            if run.is_overdue(now)
+        )
+
     def is_stalled(self, now: ids.Instant) -> bool:
         """Tell whether it hangs: a run is overdue, and no later activity was seen.
 
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -140,7 +140,7 @@
             return
         known = server.runs.get(ticket.ticket_id)
         if known is not None:
-            known.refreshed_at = now
+            server.refresh(known, now)
             return
         self.release(ticket.ticket_id)
         run = self.start(ticket, server, now)
@@ -148,13 +148,19 @@
         run.has_first_token = True
 
     def release(
-        self, ticket_id: ids.TicketId
+        self, ticket_id: ids.TicketId, is_answered: bool = False
     ) -> tuple[backendview.BackendView, backendview.Run] | None:
-        """Release a ticket's slot; return None if it holds none."""
+        """Release a ticket's slot; return None if it holds none.
+
+        `is_answered`: its server has answered, or got no request.
+        """
         server = self.server_by_ticket.pop(ticket_id, None)
         if server is None:
             return None
-        return server, server.runs.pop(ticket_id)
+        run = server.runs.pop(ticket_id)
+        if not is_answered:
+            server.abandon(run)
+        return server, run
 
     def release_entry(self, entry: ids.InstanceId) -> None:
         """Release the slots of a lost entry, and end its rests.
@@ -164,6 +170,7 @@
         """
         for server in self.servers.values():
             server.restrictions.end_rest(entry)
+            server.reported_at.pop(entry, None)
         for ticket_id, server in list(self.server_by_ticket.items()):
             if server.runs[ticket_id].ticket.entry == entry:
                 self.release(ticket_id)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -134,7 +134,7 @@
         server = self.views.server_by_ticket.get(ticket.ticket_id)
         if server is not None:
             # The entry repeats the ticket because it didn't receive the grant.
-            server.runs[ticket.ticket_id].refreshed_at = now
+            server.refresh(server.runs[ticket.ticket_id], now)
             return [grant_message(ticket, server, self.revision)]
         queued = messages.Queued(ticket_id=ticket.ticket_id)
         answer = scheduler.Outgoing(ticket.entry, queued)
@@ -208,20 +208,23 @@
         run = server.runs[progress.ticket_id]
         run.has_first_token = True
         server.last_activity = now
+        server.reported_at[run.ticket.entry] = now
         server.restrictions.record_service(run.started)
         server.learn_first_token(run, progress.first_token_seconds)
         return []
 
     def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
-        released = self.views.release(done.ticket_id)
-        entry = None if released is None else released[1].ticket.entry
+        is_answered = done.is_rejected or done.outcome in outcomes.KNOWN_OUTCOMES
+        released = self.views.release(done.ticket_id, is_answered)
+        view, run = released or (None, None)
+        entry = None if run is None else run.ticket.entry
         is_path_lost = self.paths.explains(entry, done, now)
         server = self.views.servers.get(done.server)
         if server is not None and server.spec.start == done.start:
-            outcomes.record(server, done, is_path_lost, now)
-        if released is not None:
-            view, run = released
+            outcomes.record(server, done, run, is_path_lost, now)
+        if run is not None:
+            view.reported_at[entry] = now
             if not is_path_lost:
                 self.exposure.record_end(view.spec, run.ticket.route, done)
             if done.outcome is messages.Outcome.COMPLETED:
--- a/src/tealcove/dispatch/outcomes.py
+++ b/src/tealcove/dispatch/outcomes.py
@@ -9,20 +9,25 @@
 
 log = logbook.Logger("dispatch")
 
+# Outcomes of requests that the server has certainly not rejected.
+KNOWN_OUTCOMES = (messages.Outcome.COMPLETED, messages.Outcome.NOT_SENT)
+
 
 def record(
     server: backendview.BackendView,
     done: messages.Done,
+    run: backendview.Run | None,
     is_path_lost: bool,
     now: ids.Instant,
 ) -> None:
     """Update a server's statistics, and pause it if it can't be reached.
 
-    A lost path says nothing of the server.
+    `run` is the request's, if it held a slot. A lost path says nothing of the server.
     """
     if done.is_rejected:
         running = len(server.runs.keys() - {done.ticket_id})
-        server.restrictions.rejections.record(running, now)
+        seconds = 0.0 if run is None else now - run.started
+        server.restrictions.rejections.record(running, seconds, now)
     if done.outcome is messages.Outcome.COMPLETED:
         server.record_success()
         server.last_activity = now
--- a/src/tealcove/dispatch/rejections.py
+++ b/src/tealcove/dispatch/rejections.py
@@ -20,8 +20,11 @@
 STEP_SECONDS = 1.0
 # The time over which a brittle server counts its rejections, in seconds.
 WINDOW = 1.0
-# Seconds within which a rejection arrives, if a request is rejected.
+# Seconds within which a rejection arrives from a server that answers. From one that is
+# silent, or by a slow way, it may arrive later.
 ANSWER_SECONDS = 0.3
+# A server whose rejections were late may be this many times as late again.
+LATE_FACTOR = 1.5
 
 
 class Rejections:
@@ -42,6 +45,9 @@
         self.pause = pauses.Pause(MIN_PAUSE, MAX_PAUSE)
         # How many requests it ran when it last rejected one, at least one.
         self.room = math.inf
+        # Seconds after which a request has not been rejected, if the server answers
+        # others.
+        self.answer_seconds = ANSWER_SECONDS
 
     def apply_limit(self, limit: float | None, stated_at: ids.Instant) -> None:
         """Apply how many rejections the server bears, unless a newer one is known."""
@@ -52,9 +58,13 @@
             log.info("{} bears {} rejections a second", self.server, limit)
             self.limit = limit
 
-    def record(self, running: int, now: ids.Instant) -> None:
-        """Record that the server rejected a request, with so many others running."""
+    def record(self, running: int, seconds: float, now: ids.Instant) -> None:
+        """Record that the server rejected a request, with so many others running.
+
+        `seconds` passed until the rejection was known here.
+        """
         self.room = max(1, min(running, self.room_at(now)))
+        self.answer_seconds = max(self.answer_seconds, LATE_FACTOR * seconds)
         self.forget_before(ids.Instant(now - WINDOW))
         self.recent.append(now)
         self.rejected_at = now
@@ -74,8 +84,8 @@
     def bearable(self, unanswered: int, now: ids.Instant) -> float:
         """Return how many more requests the server may get now.
 
-        `unanswered` is the number of those that it got in the last ANSWER_SECONDS and
-        that it may still reject.
+        `unanswered` is the number of those that it may have rejected within its
+        window, though that isn't known here.
         """
         if self.pause.is_active(now):
             return 0
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -100,6 +100,8 @@
         self.room: int | None = None
         # How many rejections in a second it bears; None: any number.
         self.brittle: int | None = None
+        # Seconds by which its rejections are late.
+        self.rejection_seconds = 0.0
         # How often it has fallen over.
         self.falls = 0
         # Whether it ends a request when its connection breaks.
@@ -203,6 +205,7 @@
         rejected_id = request.headers[names.REQUEST_ID]
         self.rejections.append(Rejection(rejected_id, clock.now(), self.born))
         await self.fall_if_overrun(clock.now())
+        await asyncio.sleep(self.rejection_seconds)
         headers = {names.NOT_RUN: "1", **self.statement_headers()}
         if self.rest is not None:
             headers[names.RETRY_AFTER] = self.rest
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from tests import cuts, platform_site
 
 SERVERS = 4
@@ -15,13 +17,15 @@
 # Calls while no server has room, which end with their deadlines only.
 FEW_CALLS = 60
 # Duration of the requests that a lost instance leaves behind, in seconds.
-HELD_SECONDS = 1.5
+HELD_SECONDS = 2.5
 SLOTS = 4
 SILENT_SECONDS = 1.0
 # As many callers as the servers that aren't silent have slots.
 FEW_CALLERS = 8
 # Slots of each server that something else holds.
 HELD_SLOTS = 2
+# Seconds by which rejections are late.
+LATE_SECONDS = 0.5
 SERVED_SHARE = 0.9
 
 
@@ -71,6 +75,33 @@
             await running.call_until(lambda ended: len(ended) > CALLERS, CALLERS)
 
 
+@pytest.mark.parametrize("seconds", [0.35, 0.8])
+async def test_full_servers_whose_rejections_are_late_do_not_fall(
+    seconds: float,
+) -> None:
+    """A request that wasn't rejected within a moment was taken for a running one."""
+    async with platform_site.connected_site(SERVERS, INSTANCES) as running:
+        await make_brittle(running, 0)
+        for server in running.servers:
+            server.rejection_seconds = seconds
+        calls = await running.call_until(lambda ended: len(ended) > FEW_CALLS, CALLERS)
+        assert all(len(server.rejections) > BRITTLE for server in running.servers)
+        assert count_falls(running) == 0
+        assert not any(call.answer.status == 200 for call in calls)
+
+
+async def test_servers_that_lose_slots_and_reject_late_do_not_fall() -> None:
+    """Answers of running requests were taken for the end of late rejections."""
+    async with platform_site.connected_site(SERVERS, INSTANCES) as running:
+        await make_brittle(running, SLOTS - HELD_SLOTS)
+        for server in running.servers:
+            server.rejection_seconds = LATE_SECONDS
+        calls = await running.call_until(lambda ended: len(ended) > CALLS, CALLERS)
+        assert any(server.rejections for server in running.servers)
+        assert count_falls(running) == 0
+        assert any(call.answer.status == 200 for call in calls)
+
+
 async def test_a_new_dispatcher_does_not_overrun_servers() -> None:
     """A new dispatcher took slots for free that requests of a lost instance held."""
     async with platform_site.connected_site(SERVERS, INSTANCES) as running:
@@ -91,7 +122,10 @@
         await asyncio.gather(*callers)
         for server in running.servers:
             server.call_seconds = CALL_SECONDS
-        calls = await running.call_until(lambda ended: len(ended) > CALLS, CALLERS)
+        calls = await running.call_until(
+            lambda ended: len(ended) > CALLS and ended[-1].answer.status == 200,
+            CALLERS,
+        )
         assert any(server.rejections for server in running.servers)
         assert count_falls(running) == 0
         assert any(call.answer.status == 200 for call in calls)
