Measure how long this process stood still, and ask that before judging others

What callers saw: requests went through other instances, were refused or failed after their instance had stood still for a moment.

Cause: after a pause, timers of the event loop are due before the tasks that would see what arrived meanwhile. Connections that the kernel had made, replies of dispatchers and homes, and heartbeats counted as missing.

Change: `stalls.Stalls` measures the time by which a tick of 50 ms is late. Its running time doesn't advance during a pause, its timers and timeouts wait for what a pause has cost, and let tasks go first that were woken in the same turn. Asked by: connections to backend servers, services, engines and the store, writes to the store, the check whether a server refuses connections, polls and control calls of engines, replies of dispatchers, homes, witnesses and peers, the silence of a server and of a stream, the silence of peers and relays, queued first messages, and the dispatcher's own check whether it was frozen. What others may have done meanwhile (leases, slots granted elsewhere) is judged by real time as before.

Left: aiohttp's limit on silence between bytes. It needs none: bytes are received before timers run in the same turn.

--- a/src/tealcove/backends/http_engine.py
+++ b/src/tealcove/backends/http_engine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 import types
 from collections.abc import AsyncIterator, Callable
@@ -11,8 +10,8 @@
 import aiohttp
 import msgspec
 
-from tealcove import errors, ids, telemetry
-from tealcove.backends import engine, events, http_orders, wire
+from tealcove import errors, ids, stalls, telemetry
+from tealcove.backends import engine, events, http_orders, strict, wire
 
 REQUEST_ID_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT = 2.0
@@ -32,7 +31,8 @@
 class HttpEngineClient(engine.EngineClient):
     """Calls engines in two sessions: requests without, polls with keep-alive."""
 
-    def __init__(self) -> None:
+    def __init__(self, own_stalls: stalls.Stalls | None = None) -> None:
+        self.stalls = own_stalls or stalls.Stalls()
         self.session: aiohttp.ClientSession | None = None
         self.polling: aiohttp.ClientSession | None = None
         self.event_decoder = msgspec.json.Decoder(wire.Event)
@@ -43,10 +43,10 @@
         # response, reuse could give one caller another's response, and when the
         # server closes a reused connection, it's unclear whether the request was
         # dispatched.
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT, sock_read=SILENCE_TIMEOUT
+        connector = strict.PatientConnector(
+            self.stalls, CONNECT_TIMEOUT, force_close=True, limit=0
         )
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=SILENCE_TIMEOUT)
         tracing = aiohttp.TraceConfig()
         tracing.on_connection_create_end.append(notify_dispatched)
         self.session = aiohttp.ClientSession(
@@ -62,7 +62,8 @@
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=KEEPALIVE_SECONDS
             ),
-            timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT),
+            # `control` limits the time of each poll.
+            timeout=aiohttp.ClientTimeout(total=None),
         )
 
     async def stop(self) -> None:
@@ -232,12 +233,14 @@
         """Make a short call that is safe to repeat."""
         session = self.polling if method == "GET" else self.session
         try:
-            async with asyncio.timeout(CONTROL_TIMEOUT):
-                async with session.request(
+            async with (
+                self.stalls.timeout(CONTROL_TIMEOUT),
+                session.request(
                     method, f"{server.url}{path}", data=content
-                ) as response:
-                    response.raise_for_status()
-                    return await response.read()
+                ) as response,
+            ):
+                response.raise_for_status()
+                return await response.read()
         except aiohttp.ClientResponseError as error:
             raise engine.RefusedCallError(
                 f"{method} {path} of {server.name} was answered {error.status}",
--- a/src/tealcove/backends/http_service.py
+++ b/src/tealcove/backends/http_service.py
@@ -8,9 +8,9 @@
 import multidict
 import yarl
 
-from tealcove import ids, telemetry
+from tealcove import ids, stalls, telemetry
 from tealcove.backends import attempt as attempts
-from tealcove.backends import engine, service
+from tealcove.backends import engine, service, strict
 
 REQUEST_ID_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT = 2.0
@@ -21,7 +21,8 @@
 class HttpServiceClient(service.ServiceClient):
     """Calls all services in one session, each call on its own connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, own_stalls: stalls.Stalls | None = None) -> None:
+        self.stalls = own_stalls or stalls.Stalls()
         self.session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -29,7 +30,9 @@
         tracing = aiohttp.TraceConfig()
         tracing.on_connection_create_end.append(attempts.notify_dispatched)
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            connector=strict.PatientConnector(
+                self.stalls, CONNECT_TIMEOUT, force_close=True, limit=0
+            ),
             # A cookie jar would send one caller's cookies with another's call.
             cookie_jar=aiohttp.DummyCookieJar(),
             # The body is forwarded in the encoding that its header names.
@@ -52,7 +55,7 @@
     ) -> AsyncGenerator[service.Head | bytes, None]:
         """See ServiceClient."""
         attempt = attempts.Attempt(dispatched)
-        timeout = aiohttp.ClientTimeout(total=remaining, sock_connect=CONNECT_TIMEOUT)
+        timeout = aiohttp.ClientTimeout(total=remaining)
         request = self.session.request(
             call.method,
             yarl.URL(f"{server.url}{call.target}", encoded=True),
--- a/src/tealcove/backends/service.py
+++ b/src/tealcove/backends/service.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.backends import engine
 
 # Pairs, not a mapping: a header such as Set-Cookie may occur several times.
@@ -34,6 +34,9 @@
 class ServiceClient(abc.ABC):
     """Client for calls to plain services."""
 
+    # For how long this process stood still, for judgements on the services.
+    stalls: stalls.Stalls
+
     @abc.abstractmethod
     def call(
         self,
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -20,6 +20,7 @@
     probes,
     readiness,
     settings,
+    stalls,
     tasks,
     tls,
 )
@@ -54,8 +55,9 @@
         self.settings = found
         self.incarnation = ids.new_incarnation()
         self.telemetry = exporting.Telemetry(found, exporter)
-        self.engines = http_engine.HttpEngineClient()
-        self.services = http_service.HttpServiceClient()
+        self.stalls = stalls.Stalls()
+        self.engines = http_engine.HttpEngineClient(self.stalls)
+        self.services = http_service.HttpServiceClient(self.stalls)
         self.platform: store.StoreClient | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.http_port = found.http.port
@@ -63,10 +65,12 @@
     async def start(self) -> None:
         """Start all roles; accepts requests once a configuration is loaded."""
         found = self.settings
+        self.stalls.start()
         self.platform = store.StoreClient(
             found.platform.url,
             store.Timeouts(total=found.platform.timeout_seconds),
             tls.for_platform(found),
+            self.stalls,
         )
         self.rows = storeadapter.StoreTable(self.platform)
         self.objects = storeadapter.StoreObjects(self.platform)
@@ -90,7 +94,7 @@
         instance = ids.InstanceId(found.instance)
         curve = found.peer.curve
         secured = None if curve is None else security.Security(curve)
-        self.mesh = mesh.Mesh(instance, self.incarnation, listen, secured)
+        self.mesh = mesh.Mesh(instance, self.incarnation, listen, secured, self.stalls)
         self.mesh.bind()
         own = messages.Heartbeat(
             instance=instance,
@@ -105,7 +109,7 @@
         )
         heartbeat = found.heartbeat
         self.members = members.Members(
-            own, heartbeat.suspect_after, heartbeat.forget_after
+            own, heartbeat.suspect_after, heartbeat.forget_after, self.stalls
         )
         self.heartbeats = heartbeats.HeartbeatService(
             self.mesh,
@@ -297,6 +301,7 @@
         await self.engines.stop()
         await self.services.stop()
         await self.platform.close()
+        self.stalls.stop()
         self.telemetry.shutdown()
 
 
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -138,8 +138,9 @@
 
     async def wait_for_reply(self, request: pending.PendingTicket) -> bool:
         """Wait for any reply, and tell whether it arrived in time."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self.ticket_timeout, request.set_replied, False)
+        timer = self.members.stalls.call_later(
+            self.ticket_timeout, lambda: request.set_replied(False)
+        )
         try:
             return await request.replied
         finally:
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -40,8 +40,9 @@
 # SETTLED_AFTER ago, or if its first ticket has waited for WAITED_ELSEWHERE or more.
 SETTLED_AFTER = 5.0
 WAITED_ELSEWHERE = 0.1
-# Seconds between two ticks that mean that the process was frozen.
-FROZEN_AFTER = 0.75
+# Seconds for which this process stood still between two ticks, from which on another
+# instance may have dispatched in its place.
+FROZEN_SECONDS = 0.7
 
 FindCell = Callable[[ids.CellId], cells.Cell | None]
 
@@ -287,18 +288,20 @@
 
     async def tick(self) -> None:
         """Advance the schedulers periodically."""
-        before = clock.now()
+        stalls = self.members.stalls
+        before = stalls.lost(clock.now())
         while True:
             if not self.held:
                 # There is nothing to decide until a ticket arrives.
                 self.has_cells.clear()
                 await self.has_cells.wait()
-                before = clock.now()
+                before = stalls.lost(clock.now())
             await asyncio.sleep(TICK_INTERVAL)
             now = clock.now()
-            if now - before > FROZEN_AFTER:
+            lost = stalls.lost(now)
+            if lost - before > FROZEN_SECONDS:
                 self.handle_freeze(now)
-            before = now
+            before = lost
             try:
                 self.advance(now)
             except Exception:
--- a/src/tealcove/entry/forward.py
+++ b/src/tealcove/entry/forward.py
@@ -46,7 +46,7 @@
                 async for part in parts:
                     await self.add_part(part)
         except engine.BrokenStreamError as error:
-            if await reach.refuses_connections(server):
+            if await reach.refuses_connections(server, self.services.stalls):
                 raise failures.CrashError(server.name) from error
             raise
 
--- a/src/tealcove/entry/tests/test_crash.py
+++ b/src/tealcove/entry/tests/test_crash.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp import web
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.backends import engine, reach
 from tealcove.dispatch import messages
 from tealcove.entry.tests import builders
@@ -17,8 +17,8 @@
 
 async def test_only_a_closed_port_refuses_connections() -> None:
     async with builders.listening([]) as port:
-        assert not await reach.refuses_connections(local(port))
-    assert await reach.refuses_connections(local(port))
+        assert not await reach.refuses_connections(local(port), stalls.Stalls())
+    assert await reach.refuses_connections(local(port), stalls.Stalls())
 
 
 @pytest.mark.parametrize(
@@ -34,7 +34,7 @@
     connection alone doesn't show a crash, so the call would never be suspected.
     """
 
-    async def refuses(server: engine.Server) -> bool:
+    async def refuses(server: engine.Server, own_stalls: stalls.Stalls) -> bool:
         return gone
 
     monkeypatch.setattr(reach, "refuses_connections", refuses)
--- a/src/tealcove/front/factories.py
+++ b/src/tealcove/front/factories.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import ids, listener
+from tealcove import ids, listener, stalls
 from tealcove import settings as limit_settings
 from tealcove.catalog import copies, follower, serverlist
 from tealcove.front import settings
@@ -41,16 +41,24 @@
 RELAY_HEADER_BYTES = 4096
 
 
-def new_store(found: settings.FrontSettings) -> store.StoreClient:
+def new_store(
+    found: settings.FrontSettings, own_stalls: stalls.Stalls
+) -> store.StoreClient:
     """Return a client of the store; it connects on its first call."""
     timeouts = store.Timeouts(CONNECT_SECONDS, found.store.timeout_seconds)
-    return store.StoreClient(f"http://{found.store.address}", timeouts)
+    url = f"http://{found.store.address}"
+    return store.StoreClient(url, timeouts, own_stalls=own_stalls)
 
 
-def new_mesh(found: settings.FrontSettings, incarnation: ids.Incarnation) -> mesh.Mesh:
+def new_mesh(
+    found: settings.FrontSettings,
+    incarnation: ids.Incarnation,
+    own_stalls: stalls.Stalls,
+) -> mesh.Mesh:
     """Return a mesh that listens for peers; raises OSError."""
     listen = endpoint.parse(found.listen.peers)
-    transport = mesh.Mesh(ids.InstanceId(found.instance), incarnation, listen)
+    name = ids.InstanceId(found.instance)
+    transport = mesh.Mesh(name, incarnation, listen, own_stalls=own_stalls)
     transport.bind()
     return transport
 
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -14,6 +14,7 @@
     ids,
     listener,
     probes,
+    stalls,
     tasks,
 )
 from tealcove.catalog import copies, following, pools, serverlist, sharing
@@ -66,6 +67,7 @@
         self.settings = found
         self.name = ids.InstanceId(found.instance)
         self.incarnation = ids.new_incarnation()
+        self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
@@ -73,6 +75,7 @@
 
     async def start(self) -> None:
         """Start all roles; accepts requests once a configuration is known."""
+        self.stalls.start()
         self.start_mesh()
         self.start_catalog()
         self.start_dispatcher()
@@ -93,12 +96,12 @@
 
     def start_mesh(self) -> None:
         """Listen for peers."""
-        self.store = factories.new_store(self.settings)
-        self.mesh = factories.new_mesh(self.settings, self.incarnation)
+        self.store = factories.new_store(self.settings, self.stalls)
+        self.mesh = factories.new_mesh(self.settings, self.incarnation, self.stalls)
         own = factories.initial_heartbeat(self.settings, self.mesh, self.incarnation)
         heartbeat = self.settings.heartbeat
         self.members = members.Members(
-            own, heartbeat.suspect_after, heartbeat.forget_after
+            own, heartbeat.suspect_after, heartbeat.forget_after, self.stalls
         )
         self.heartbeats = factories.new_heartbeat_service(
             self.settings, self.mesh, self.members, self.store
@@ -184,7 +187,7 @@
 
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
-        self.link = backendlink.HttpBackendLink()
+        self.link = backendlink.HttpBackendLink(self.stalls)
         await self.link.start()
         evidence = self.dispatcher.paths
         self.path_finder = relaying.PathFinder(
@@ -208,7 +211,7 @@
         """Listen for callers."""
         found = self.settings
         self.streams = hanging.HangingStreams(
-            self.dispatcher.paths, self.members.is_heard
+            self.dispatcher.paths, self.members.is_heard, self.stalls
         )
         self.ingress = http.Ingress(
             exchange.Services(
@@ -382,6 +385,7 @@
         await self.mesh.stop()
         await self.link.stop()
         await self.store.close()
+        self.stalls.stop()
 
 
 async def start(found: settings.FrontSettings) -> Instance:
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -259,7 +259,7 @@
         """Send the request once; raises BackendError."""
         accepted = self.accepted
         server = outbound.server
-        silence = asyncio.timeout(None)
+        silence = self.services.streams.stalls.timeout(None)
         seconds = self.silence_timeout(report.grant, clock.now())
 
         def dispatched() -> None:
@@ -287,7 +287,12 @@
                 head = await anext(parts)
                 report.answered(head.statement, clock.now())
                 if accepted.route.is_stream and head.is_success:
-                    watched = hanging.OpenStream(outbound, self.reserve_retry, silence)
+                    watched = hanging.OpenStream(
+                        outbound,
+                        self.reserve_retry,
+                        silence,
+                        self.services.streams.stalls,
+                    )
                     with self.services.streams.watched(watched):
                         return await self.relay_stream(head, parts, report, watched)
                 body = await read_body(server, parts)
@@ -337,7 +342,7 @@
             # An event that was accepted must be written whole.
             watched.waits_since = None
             await self.stream.forward(head, completed)
-            watched.waits_since = clock.now()
+            watched.wait(clock.now())
         watched.waits_since = None
         return await self.stream.end(head, splitter.remainder)
 
--- a/src/tealcove/ingress/hanging.py
+++ b/src/tealcove/ingress/hanging.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.dispatch import pathevidence
 from tealcove.ingress import link
 
@@ -17,8 +17,6 @@
 # Seconds without an event after which a stream hangs, if its path is lost. Connections
 # may live on after the path for new ones is lost.
 SILENT_SECONDS = 0.5
-# Seconds between two checks beyond which this process stood still.
-MAX_CHECK_SECONDS = 0.4
 
 
 class OpenStream:
@@ -28,20 +26,27 @@
         self,
         outbound: link.OutboundRequest,
         reserve_retry: Callable[[ids.Instant], bool],
-        limit: asyncio.Timeout,
+        limit: stalls.Timeout,
+        own_stalls: stalls.Stalls,
     ) -> None:
         self.outbound = outbound
         # Reserves a retry; returns False if the request may not be sent again.
         self.reserve_retry = reserve_retry
         # Ends the attempt.
         self.limit = limit
-        # Since when it waits for its server; None while its caller is written to.
+        self.stalls = own_stalls
+        # Since when, in running time, it waits for its server; None while its caller is
+        # written to.
         self.waits_since: ids.Instant | None = None
 
+    def wait(self, now: ids.Instant) -> None:
+        """Record that it waits for its server from now on."""
+        self.waits_since = self.stalls.running(now)
+
     def is_silent(self, now: ids.Instant) -> bool:
         """Tell whether its server has sent no event for longer than usual."""
         return self.waits_since is not None and (
-            now - self.waits_since >= SILENT_SECONDS
+            self.stalls.running(now) - self.waits_since >= SILENT_SECONDS
         )
 
 
@@ -56,12 +61,13 @@
         self,
         evidence: pathevidence.PathEvidence,
         is_heard: Callable[[ids.InstanceId, ids.Instant], bool],
+        own_stalls: stalls.Stalls,
     ) -> None:
         self.paths = evidence
+        self.stalls = own_stalls
         # Tells whether an instance was heard of lately.
         self.is_heard = is_heard
         self.open: set[OpenStream] = set()
-        self.checked_at = pathevidence.NEVER
 
     @contextlib.contextmanager
     def watched(self, stream: OpenStream) -> Iterator[None]:
@@ -82,11 +88,6 @@
 
     def end(self, now: ids.Instant) -> None:
         """End all streams that hang."""
-        has_stood_still = now - self.checked_at > MAX_CHECK_SECONDS
-        self.checked_at = now
-        if has_stood_still:
-            # What has arrived meanwhile wasn't read yet.
-            return
         for stream in list(self.open):
             if (
                 stream.is_silent(now)
--- a/src/tealcove/ingress/tests/test_hanging.py
+++ b/src/tealcove/ingress/tests/test_hanging.py
@@ -7,13 +7,14 @@
 
 import pytest
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.dispatch import pathevidence
 from tealcove.ingress import hanging, link
 
 OWN, OTHER, FROZEN = (ids.InstanceId(name) for name in ("own", "other", "frozen"))
 S0, S1 = ids.BackendServerId("s0"), ids.BackendServerId("s1")
 SILENT = ids.Instant(1.0 + hanging.SILENT_SECONDS)
+NO_STALLS = stalls.Stalls()
 
 
 @pytest.fixture
@@ -22,9 +23,9 @@
     evidence = pathevidence.PathEvidence(lambda now: 2)
     evidence.record_lost((OWN,), S0, ids.Instant(1.0))
     evidence.record_reached(OTHER, S0, ids.Instant(1.1), ids.Instant(1.1))
-    found = hanging.HangingStreams(evidence, lambda instance, now: instance != FROZEN)
-    found.end(ids.Instant(SILENT - 0.1))
-    return found
+    return hanging.HangingStreams(
+        evidence, lambda instance, now: instance != FROZEN, stalls.Stalls()
+    )
 
 
 def stream(
@@ -32,12 +33,15 @@
     used: ids.InstanceId | None = OWN,
     may_retry: bool = True,
     waits_since: float | None = 1.0,
+    own_stalls: stalls.Stalls = NO_STALLS,
 ) -> hanging.OpenStream:
     """Return a stream that uses an instance's connection."""
     outbound = unittest.mock.Mock()
     outbound.server.name = server
     outbound.trace = link.PathTrace([], reached=used)
-    found = hanging.OpenStream(outbound, lambda now: may_retry, unittest.mock.Mock())
+    found = hanging.OpenStream(
+        outbound, lambda now: may_retry, unittest.mock.Mock(), own_stalls
+    )
     found.waits_since = waits_since
     return found
 
@@ -96,8 +100,9 @@
     streams: hanging.HangingStreams,
 ) -> None:
     """An instance that had been frozen ended its streams before it read them."""
-    streams.checked_at = ids.Instant(0.0)
-    assert not is_ended(streams, stream())
+    own_stalls = stalls.Stalls()
+    own_stalls.due = ids.Instant(SILENT - 0.1)
+    assert not is_ended(streams, stream(own_stalls=own_stalls))
     assert is_ended(streams, stream())
 
 
--- a/src/tealcove/limits/central.py
+++ b/src/tealcove/limits/central.py
@@ -160,7 +160,7 @@
         answer = asyncio.get_running_loop().create_future()
         self.pending[number] = answer
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT):
+            async with self.members.stalls.timeout(REPLY_TIMEOUT):
                 return await answer
         except TimeoutError:
             return None
--- a/src/tealcove/limits/role.py
+++ b/src/tealcove/limits/role.py
@@ -91,7 +91,7 @@
     ) -> None:
         """Wait up to FIRST_REPLY_TIMEOUT for an account's first lending."""
         try:
-            async with asyncio.timeout(FIRST_REPLY_TIMEOUT):
+            async with self.members.stalls.timeout(FIRST_REPLY_TIMEOUT):
                 await event.wait()
         except TimeoutError:
             self.first_replies.pop(account, None)
--- a/src/tealcove/membership/members.py
+++ b/src/tealcove/membership/members.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.membership import messages, ranking
 from tealcove.peers import endpoint
 
@@ -27,7 +27,7 @@
 
 
 class Member(msgspec.Struct):
-    """A peer with its last heartbeat and the time of the last contact."""
+    """A peer with its last heartbeat and the running time of the last contact."""
 
     heartbeat: messages.Heartbeat
     heard: ids.Instant
@@ -42,9 +42,15 @@
     """The members of the deployment, this instance among them."""
 
     def __init__(
-        self, own: messages.Heartbeat, suspect_after: float, forget_after: float
+        self,
+        own: messages.Heartbeat,
+        suspect_after: float,
+        forget_after: float,
+        own_stalls: stalls.Stalls | None = None,
     ) -> None:
         self.own = own
+        # For how long this process itself stood still, which isn't a peer's silence.
+        self.stalls = own_stalls or stalls.Stalls()
         self.suspect_after = suspect_after
         self.forget_after = forget_after
         self.peers: dict[ids.InstanceId, Member] = {}
@@ -73,13 +79,14 @@
         if known is not None and self.is_outdated(known, heartbeat, now):
             return
         if known is None or self.affects_serving(known, heartbeat, now):
-            self.peers[heartbeat.instance] = Member(heartbeat, now)
+            heard = self.stalls.running(now)
+            self.peers[heartbeat.instance] = Member(heartbeat, heard)
             self.rankings.clear()
             self.notify_if_changed(now)
             return
         # By far the most frequent case; its cost must not grow with the peers.
         known.heartbeat = heartbeat
-        known.heard = now
+        known.heard = self.stalls.running(now)
 
     def affects_serving(
         self, known: Member, heartbeat: messages.Heartbeat, now: ids.Instant
@@ -120,10 +127,10 @@
             return False
         if known.heartbeat.incarnation != incarnation:
             return not self.is_suspect(known, now)
-        if self.is_suspect(known, now):
-            known.heard = now
+        was_suspect = self.is_suspect(known, now)
+        known.heard = self.stalls.running(now)
+        if was_suspect:
             self.notify_if_changed(now)
-        known.heard = now
         return True
 
     def is_large(self) -> bool:
@@ -133,14 +140,18 @@
     def is_suspect(self, member: Member, now: ids.Instant) -> bool:
         """Return whether a peer has been silent for too long."""
         factor = RELAYED_SUSPECT_FACTOR if self.is_large() else 1.0
-        return now - member.heard > self.suspect_after * factor
+        return self.silence(member, now) > self.suspect_after * factor
+
+    def silence(self, member: Member, now: ids.Instant) -> float:
+        """Return the seconds since the last contact in which this process ran."""
+        return self.stalls.running(now) - member.heard
 
     def sweep(self, now: ids.Instant) -> list[Member]:
         """Remove peers silent for longer than `forget_after` and return them."""
         forgotten = [
             member
             for member in self.peers.values()
-            if now - member.heard > self.forget_after
+            if self.silence(member, now) > self.forget_after
         ]
         for member in forgotten:
             del self.peers[member.heartbeat.instance]
@@ -186,7 +197,7 @@
         """Return the seconds since the last contact; 0 for this instance."""
         if instance == self.own.instance:
             return 0.0
-        return now - self.peers[instance].heard
+        return self.silence(self.peers[instance], now)
 
     def endpoint_of(self, instance: ids.InstanceId) -> endpoint.Endpoint | None:
         """Return the peer address of an instance, or None if it is unknown."""
--- a/src/tealcove/membership/relay.py
+++ b/src/tealcove/membership/relay.py
@@ -33,7 +33,7 @@
 
 
 class RelaySelection:
-    """Selects the relays that this instance uses."""
+    """Selects the relays that this instance uses; all instants are running time."""
 
     def __init__(self) -> None:
         # When each relay was selected or last heard, and when each was excluded.
--- a/src/tealcove/membership/relaying.py
+++ b/src/tealcove/membership/relaying.py
@@ -55,7 +55,8 @@
 
     def note_heartbeat(self, heartbeat: messages.Heartbeat, now: ids.Instant) -> None:
         """Record a heartbeat received from its sender."""
-        self.selection.note_contact(heartbeat.endpoint, now)
+        running = self.members.stalls.running(now)
+        self.selection.note_contact(heartbeat.endpoint, running)
         if self.forwarder.record(heartbeat, now):
             self.schedule_forward()
 
@@ -63,13 +64,14 @@
         """Return the relays that this instance sends heartbeats to."""
         own = self.transport.listen
         alive = {beat.endpoint: beat.strength for beat in self.members.alive(now)}
-        chosen = self.selection.choose(own, alive, now)
+        running = self.members.stalls.running(now)
+        chosen = self.selection.choose(own, alive, running)
         self.is_relay = own in chosen
         return chosen - {own}
 
     def has_lost_all_relays(self, now: ids.Instant) -> bool:
         """Return whether all relays fell silent recently."""
-        return self.selection.has_lost_all_relays(now)
+        return self.selection.has_lost_all_relays(self.members.stalls.running(now))
 
     def sweep(self, now: ids.Instant) -> None:
         """Remove state of instances that are gone or long silent."""
@@ -106,7 +108,8 @@
     def handle_digest(self, sender: ids.InstanceId, digest: messages.Digest) -> None:
         """Record the heartbeats of a relay's digest."""
         now = clock.now()
-        self.selection.note_contact(digest.relay.endpoint, now)
+        running = self.members.stalls.running(now)
+        self.selection.note_contact(digest.relay.endpoint, running)
         self.numbers.learn(digest)
         self.record_heartbeat(digest.relay)
         for one in digest.entries:
--- a/src/tealcove/peers/mesh.py
+++ b/src/tealcove/peers/mesh.py
@@ -10,7 +10,7 @@
 import zmq
 import zmq.asyncio
 
-from tealcove import errors, ids
+from tealcove import errors, ids, stalls
 from tealcove.peers import endpoint, message, security
 
 log = logbook.Logger("peers")
@@ -49,7 +49,9 @@
         incarnation: ids.Incarnation,
         listen: endpoint.Endpoint,
         secured: security.Security | None = None,
+        own_stalls: stalls.Stalls | None = None,
     ) -> None:
+        self.stalls = own_stalls or stalls.Stalls()
         self.instance = instance
         self.identity = f"{instance}|{incarnation}".encode()
         self.listen = listen
@@ -194,7 +196,7 @@
         self.links[peer] = socket
         if self.queues_first_messages:
             self.pending[peer] = []
-            self.loop.call_later(PENDING_SECONDS, self.drop_pending, peer)
+            self.stalls.call_later(PENDING_SECONDS, lambda: self.drop_pending(peer))
         return socket
 
     def forget(self, peer: endpoint.Endpoint) -> None:
--- a/src/tealcove/platform/backendlink.py
+++ b/src/tealcove/platform/backendlink.py
@@ -9,7 +9,7 @@
 import multidict
 import yarl
 
-from tealcove import clock
+from tealcove import clock, stalls
 from tealcove.backends import attempt as attempts
 from tealcove.backends import engine, reach, strict
 from tealcove.ingress import link
@@ -40,7 +40,8 @@
 class HttpBackendLink(relaying.Backends):
     """Sends calls to all backend servers and helpers in one HTTP session."""
 
-    def __init__(self) -> None:
+    def __init__(self, own_stalls: stalls.Stalls) -> None:
+        self.stalls = own_stalls
         self.session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -48,7 +49,9 @@
         tracing = aiohttp.TraceConfig()
         tracing.on_connection_create_end.append(attempts.notify_dispatched)
         self.session = aiohttp.ClientSession(
-            connector=strict.StrictConnector(SILENCE_SECONDS),
+            connector=strict.StrictConnector(
+                SILENCE_SECONDS, self.stalls, CONNECT_TIMEOUT
+            ),
             # A cookie jar would send one caller's cookies with another's call.
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -133,9 +136,7 @@
             data=call.body or None,
             # Following a redirect would be a second dispatch.
             allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(
-                total=remaining + TIMEOUT_MARGIN, sock_connect=CONNECT_TIMEOUT
-            ),
+            timeout=aiohttp.ClientTimeout(total=remaining + TIMEOUT_MARGIN),
             trace_request_ctx=attempt,
         )
         try:
@@ -151,7 +152,7 @@
 
     async def is_refused(self, server: engine.Server) -> bool:
         """See RawLink."""
-        return await reach.refuses_connections(server)
+        return await reach.refuses_connections(server, self.stalls)
 
 
 def ignore() -> None:
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -10,8 +10,9 @@
 import logbook
 import msgspec
 
-from tealcove import errors, ids, keepalive
+from tealcove import errors, ids, keepalive, stalls
 from tealcove.backends import attempt as attempts
+from tealcove.backends import strict
 from tealcove.platform import names, wire
 from tealcove.storage import feed, revisions
 
@@ -70,16 +71,20 @@
         url: str,
         timeouts: Timeouts | None = None,
         tls: ssl.SSLContext | None = None,
+        own_stalls: stalls.Stalls | None = None,
     ) -> None:
         self.url = url.rstrip("/")
         self.timeouts = timeouts or Timeouts()
+        self.stalls = own_stalls or stalls.Stalls()
         # Counters for metrics; a failure is a call without a usable reply.
         self.calls = 0
         self.failures = 0
         # The highest era that an answer named.
         self.era = ids.NO_ERA
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=strict.PatientConnector(
+                self.stalls,
+                self.timeouts.connect,
                 ssl=tls or True,
                 socket_factory=keepalive.socket_factory(SILENCE_SECONDS),
             ),
@@ -181,9 +186,7 @@
         retried.
         """
         limits = aiohttp.ClientTimeout(
-            total=silence + READ_TIME_MARGIN,
-            connect=self.timeouts.connect,
-            sock_read=silence,
+            total=silence + READ_TIME_MARGIN, sock_read=silence
         )
         try:
             reply = await self.call("GET", path, params, None, limits, None, arriving)
@@ -201,11 +204,10 @@
         Raises PlatformUnavailableError if it was certainly not applied, and
         OutcomeUnknownError if it may have been applied.
         """
-        limits = aiohttp.ClientTimeout(
-            total=self.timeouts.total, connect=self.timeouts.connect
-        )
+        limits = aiohttp.ClientTimeout(total=None)
         try:
-            reply = await self.call(method, path, {}, content, limits, headers)
+            async with self.stalls.timeout(self.timeouts.total):
+                reply = await self.call(method, path, {}, content, limits, headers)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/src/tealcove/resources/peers.py
+++ b/src/tealcove/resources/peers.py
@@ -78,7 +78,8 @@
             peer, messages.ConfigurationRequest(sender=own, number=number)
         )
         try:
-            return await asyncio.wait_for(pending, FETCH_TIMEOUT)
+            async with self.members.stalls.timeout(FETCH_TIMEOUT):
+                return await pending
         except TimeoutError:
             return None
         finally:
--- a/src/tealcove/witness/role.py
+++ b/src/tealcove/witness/role.py
@@ -174,7 +174,7 @@
                 messages.RecordQuery(query_number=number, request_key=request_key),
             )
         try:
-            async with asyncio.timeout(self.timeout):
+            async with self.members.stalls.timeout(self.timeout):
                 return await pending.answer
         except TimeoutError:
             return None
--- a/tests/cuts.py
+++ b/tests/cuts.py
@@ -41,6 +41,7 @@
         self.tried = 0
         self.open: weakref.WeakSet[connector.Connection] = weakref.WeakSet()
         found = one.link.session.connector
+        self.connect_seconds = found.connect_seconds
         self.connect = found.connect
         found.connect = self.connect_unless_cut
         self.is_refused = one.link.is_refused
@@ -58,7 +59,7 @@
             if self.how is How.REFUSED:
                 refused = ConnectionRefusedError("cut")
                 raise aiohttp.ClientConnectorError(request.connection_key, refused)
-            await asyncio.sleep(timeout.sock_connect)
+            await asyncio.sleep(self.connect_seconds)
             raise aiohttp.ConnectionTimeoutError("cut")
         try:
             made = await self.connect(request, traces, timeout)
