An instance of `tealcove serve` outlives SIGHUP

Cause: the kernel sends SIGHUP and SIGCONT to a process group with a stopped member when the last shell outside the group and in its session ends. `tealcove serve` didn't handle SIGHUP, so it ended at once. `tealcove front` reloads its settings on it.

Change: SIGHUP is logged, and the instance goes on. Settings are read at the start only.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -305,6 +305,11 @@
         self.telemetry.shutdown()
 
 
+def ignore_hang_up() -> None:
+    """Go on: the kernel hangs up on a stopped process whose shell has ended."""
+    LOG.info("SIGHUP ignored: settings are read at the start only; SIGTERM stops")
+
+
 async def serve(found: settings.Settings) -> None:
     """Run an instance until SIGTERM or SIGINT, then shut it down gracefully."""
     logs.install(found)
@@ -312,6 +317,7 @@
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, ignore_hang_up)
     instance = Instance(found)
     await instance.start()
     await stopping.wait()
