Soak: stop and resume instances, which must take nobody else for lost

All requests must be served, and no instance may log that it takes a server or a path for lost.

A stall of .2 s or more is logged. Unit test of the membership table with a pause.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
         found.servers,
         found.restores,
         found.paths,
+        found.pauses,
     )
 
 
@@ -45,6 +46,9 @@
     parser.add_argument(
         "--paths", action="store_true", help="cut instances off from servers"
     )
+    parser.add_argument(
+        "--pauses", action="store_true", help="only stop instances for moments"
+    )
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import pathlib
 import random
@@ -12,6 +13,7 @@
 import sys
 from collections.abc import AsyncIterator
 
+import aiohttp
 import msgspec
 from tests import deployment as networks
 from tests import platform_site
@@ -23,6 +25,7 @@
 from tealcove.storage import memory
 
 READY_SECONDS = 30.0
+HTTP_OK = 200
 LISTENERS = ("callers", "ready", "directory", "peers")
 FIRST_PORT = 7000
 RELAY_PORT = FIRST_PORT + len(LISTENERS)
@@ -253,11 +256,27 @@
         """Wait until every instance listens for callers."""
         await asyncio.wait_for(networks.until(self.all_listen), timeout=READY_SECONDS)
 
+    async def until_serving(self) -> None:
+        """Wait until every instance serves requests."""
+        async with aiohttp.ClientSession() as session:
+            for member in self.members:
+                checked = functools.partial(serves, session, member)
+                await asyncio.wait_for(networks.until(checked), timeout=READY_SECONDS)
+
     async def all_listen(self) -> bool:
         """Tell whether every instance listens for callers."""
         return all(listens(member.listen["callers"]) for member in self.members)
 
 
+async def serves(session: aiohttp.ClientSession, member: Member) -> bool:
+    """Tell whether an instance says that it serves requests."""
+    try:
+        async with session.get(f"http://{member.listen['ready']}/readyz") as response:
+            return response.status == HTTP_OK
+    except aiohttp.ClientConnectorError:
+        return False
+
+
 def listens(address: str) -> bool:
     """Tell whether a process listens on a loopback address."""
     host, _, port = address.partition(":")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,15 @@
 
 import msgspec
 
-from soak import deployment, disturbances, pathcuts, proxy, restoring, statements
+from soak import (
+    deployment,
+    disturbances,
+    pathcuts,
+    pausing,
+    proxy,
+    restoring,
+    statements,
+)
 from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
 
@@ -54,6 +62,7 @@
         seed: int,
         restores_store: bool = False,
         cuts_paths: bool = False,
+        pauses_only: bool = False,
     ) -> None:
         self.running = running
         self.restores_store = restores_store
@@ -79,6 +88,11 @@
         )
         self.cuts_paths = cuts_paths
         self.mean_pause = MEAN_PAUSE_SECONDS
+        self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
+        self.pauses_only = pauses_only
+        if pauses_only:
+            self.kinds = (self.pausing.pause,)
+            self.mean_pause = pausing.MEAN_PAUSE_SECONDS
         if cuts_paths:
             self.mean_pause = MEAN_PAUSE_BETWEEN_CUTS
             self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
@@ -103,8 +117,10 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
-        # In a soak of lost paths, servers state only that they are brittle.
-        stating = [] if self.cuts_paths else [asyncio.create_task(self.stating.run())]
+        # In a soak of lost paths, servers state only that they are brittle, and in one
+        # of pauses nothing.
+        is_silent = self.cuts_paths or self.pauses_only
+        stating = [] if is_silent else [asyncio.create_task(self.stating.run())]
         if not self.restores_store:
             self.restoring.stopping.set()
         restoring_store = tasks.start(self.restoring.run(), "returns of the store")
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,16 @@
 
 import msgspec
 
-from soak import callers, deployment, faults, leaving, limiting, pathcuts, resting
+from soak import (
+    callers,
+    deployment,
+    faults,
+    leaving,
+    limiting,
+    pathcuts,
+    pausing,
+    resting,
+)
 
 MEMBERS = 3
 SERVERS = 3
@@ -42,6 +51,8 @@
     spanned: int
     # Requests of instances without a path to some servers that others reached.
     cut_off: int
+    # Pauses of instances, in a soak of nothing else.
+    pauses: int
     broken: tuple[str, ...]
 
 
@@ -53,17 +64,23 @@
     servers: int = SERVERS,
     restores_store: bool = False,
     cuts_paths: bool = False,
+    pauses_only: bool = False,
 ) -> Verdict:
     """Run one soak; its logs are kept in the folder.
 
     A store that is restored again and again is disturbed for most of the time, so that
     fewer requests show how instances act on what is written. With `cuts_paths`, most
-    faults are lost paths, and the servers are brittle and state nothing else.
+    faults are lost paths, and the servers are brittle and state nothing else. With
+    `pauses_only`, the only faults are short pauses of the instances' processes.
     """
     async with deployment.Deployment(folder, members, servers) as running:
-        injector = faults.FaultInjector(running, seed, restores_store, cuts_paths)
+        injector = faults.FaultInjector(
+            running, seed, restores_store, cuts_paths, pauses_only
+        )
         if cuts_paths:
             pathcuts.make_brittle(running)
+        if pauses_only:
+            await running.until_serving()
         calling = callers.Callers(running, injector.disturbances, seed)
         task = asyncio.create_task(calling.run())
         await injector.run(seconds)
@@ -95,6 +112,9 @@
                 running, injector.disturbances, calling.results
             )
         broken.extend(unserved)
+        if pauses_only:
+            broken.extend(pausing.misjudgements(running))
+            broken.extend(pausing.unserved(calling.results))
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -112,5 +132,6 @@
         returns=len(injector.restoring.returns),
         spanned=spanned,
         cut_off=cut_off,
+        pauses=injector.pausing.count,
         broken=tuple(broken),
     )
--- a/src/tealcove/membership/tests/builders.py
+++ b/src/tealcove/membership/tests/builders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.membership import members, messages
 
 SUSPECT_AFTER = 1.0
@@ -32,9 +32,9 @@
     )
 
 
-def known(number: int = 0) -> members.Members:
+def known(number: int = 0, own_stalls: stalls.Stalls | None = None) -> members.Members:
     """Return the membership table of a new serving instance."""
-    return members.Members(heartbeat(number), SUSPECT_AFTER, FORGET_AFTER)
+    return members.Members(heartbeat(number), SUSPECT_AFTER, FORGET_AFTER, own_stalls)
 
 
 def names(found: list[messages.Heartbeat]) -> set[str]:
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 import hypothesis
 import msgspec
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from tealcove import ids
+from tealcove import ids, stalls
 from tealcove.membership import messages, ranking, revision_status
 from tealcove.membership.tests import builders
 from tealcove.peers import message
@@ -24,6 +26,23 @@
     assert moved == {key for key in keys if before[key] == "i-0"}
 
 
+def test_a_pause_of_this_process_is_no_silence_of_its_peers() -> None:
+    """An instance that had stood still took all others for lost, and decided alone."""
+    own_stalls = stalls.Stalls()
+    found = builders.known(own_stalls=own_stalls)
+    found.record_heartbeat(builders.heartbeat(1), ids.Instant(0.0))
+    # The tick that was due at .1 s is late.
+    own_stalls.due = ids.Instant(0.1)
+    resumed = ids.Instant(60.0)
+    assert len(found.rank("pool/0", resumed)) == 2
+    assert found.sweep(resumed) == []
+    # The peer is silent while this process runs.
+    own_stalls.total = own_stalls.lost(resumed)
+    own_stalls.due = ids.Instant(math.inf)
+    silent = ids.Instant(resumed + builders.SUSPECT_AFTER)
+    assert len(found.rank("pool/0", silent)) == 1
+
+
 def test_the_near_data_centre_ranks_first() -> None:
     found = builders.known()
     now = ids.Instant(0.0)
--- a/src/tealcove/stalls.py
+++ b/src/tealcove/stalls.py
@@ -13,10 +13,16 @@
 import typing
 from collections.abc import Callable
 
+import logbook
+
 from tealcove import clock, ids
 
+log = logbook.Logger("stalls")
+
 # Seconds between two ticks. A pause is measured to this precision.
 TICK_SECONDS = 0.05
+# Seconds from which on a stall is logged.
+LOGGED_SECONDS = 0.2
 
 
 class Stalls:
@@ -53,6 +59,9 @@
     def tick(self) -> None:
         """Add the time by which this tick is late."""
         now = clock.now()
+        late = now - self.due
+        if late >= LOGGED_SECONDS:
+            log.info("stood still for {:.2f} s", late)
         self.total = self.lost(now)
         self.schedule(now)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,12 @@
     3019: 10.0,
 }
 PATH_MEMBERS = 4
+# The same with short pauses of the instances as the only faults.
+PAUSE_SEEDS = {
+    1: 8.0,
+    # A connection that was made in a pause was taken for a lost path.
+    3: 10.0,
+}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -83,6 +89,16 @@
     assert verdict.cut_off > 0
 
 
+@pytest.mark.parametrize("seed", PAUSE_SEEDS)
+async def test_pauses_are_not_taken_for_faults_of_others(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """An instance that had stood still took sound servers and paths for lost."""
+    verdict = await run.soak(tmp_path, seed, PAUSE_SEEDS[seed], pauses_only=True)
+    assert verdict.broken == ()
+    assert verdict.pauses > 0
+
+
 async def test_a_fault_while_a_member_starts_leaves_no_second_process(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
