Grant a cold server no more requests a second than it bears

Cause: nothing read `cold_left_ms` of a server's entry and `cold_per_s` of its service.

Change: the adapter reads both, the list of servers carries them, and the dispatcher limits a cold server's grants (`dispatch/warmup.py`) by the same token bucket as a stated limit. The time left is rounded up to seconds, since each change of it has a pool built anew.

--- a/src/tealcove/catalog/declared.py
+++ b/src/tealcove/catalog/declared.py
@@ -57,6 +57,8 @@
     name: ids.PoolId
     # Output tokens per event of a stream; 0 if the servers aren't model engines.
     event_tokens: int = 0
+    # Requests a second that each of its servers bears while it is cold; 0: any.
+    cold_rate: float = 0.0
 
 
 class Account(msgspec.Struct, frozen=True):
@@ -122,3 +124,5 @@
     start: ids.ServerStart = ids.NO_START
     # Software version.
     version: str = ""
+    # Seconds for which it was still cold when it wrote its entry.
+    cold_seconds: float = 0.0
--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
+
 from tealcove import ids
 from tealcove.catalog import declared, serverlist
 from tealcove.resources import kinds
@@ -12,8 +15,14 @@
 class Pools:
     """Pools by service; each is rebuilt only when its servers have changed."""
 
-    def __init__(self, servers: serverlist.ServersCopy) -> None:
+    def __init__(
+        self,
+        servers: serverlist.ServersCopy,
+        find_service: Callable[[ids.PoolId], declared.Service | None],
+    ) -> None:
         self.servers = servers
+        # Returns a service by the configuration in force.
+        self.find_service = find_service
         self.found: dict[str, kinds.Resource] = {}
 
     def refresh(self) -> None:
@@ -22,7 +31,9 @@
         for known in self.servers.known.values():
             by_service.setdefault(known.server.service, []).append(known.server)
         for service in set(self.found) | set(by_service):
-            spec = spec_of(by_service.get(service, []))
+            found = self.find_service(ids.PoolId(service))
+            cold_rate = 0.0 if found is None else found.cold_rate
+            spec = spec_of(by_service.get(service, []), cold_rate)
             before = self.found.get(service)
             if before is None or before.spec != spec:
                 self.found[service] = resource(service, spec, self.servers.revision)
@@ -58,8 +69,14 @@
         return self.servers.restoration.start_of(server) == start
 
 
-def spec_of(found: list[declared.BackendServer]) -> kinds.ServicePoolSpec:
-    """Return the spec of a pool of servers, sorted by name."""
+def spec_of(
+    found: list[declared.BackendServer], cold_rate: float
+) -> kinds.ServicePoolSpec:
+    """Return the spec of a pool of servers, sorted by name.
+
+    Whole seconds are left of a cold server's time, since each change of them has the
+    pool built anew.
+    """
     servers = tuple(
         kinds.BackendServerSpec(
             name=server.name,
@@ -70,6 +87,8 @@
             state=state_of(server),
             start=server.start,
             version=server.version,
+            cold_rate=cold_rate,
+            cold_seconds=math.ceil(server.cold_seconds) if cold_rate else 0.0,
         )
         for server in sorted(found, key=lambda server: server.name)
     )
--- a/src/tealcove/catalog/tests/test_restoration.py
+++ b/src/tealcove/catalog/tests/test_restoration.py
@@ -185,7 +185,7 @@
     """A dispatcher that has just started granted a start of a server that was over."""
     held = servers(page(at(1, 9), row("a", at(1, 9), born=2)))
     held.replace(page(at(2, 5), row("a", at(2, 3), born=1)), instant(20))
-    found = pools.Pools(held)
+    found = pools.Pools(held, lambda service: None)
     older, newer, newest = (ids.ServerStart(number) for number in (1, 2, 3))
     assert found.has_left("pool", "a", older, held.revision)
     assert not found.has_left("pool", "a", newer, held.revision)
--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import messages, pauses, prefill, rejections, restrictions
+from tealcove.dispatch import (
+    messages,
+    pauses,
+    prefill,
+    rejections,
+    restrictions,
+    warmup,
+)
 from tealcove.resources import kinds
 
 log = logbook.Logger("dispatch")
@@ -85,6 +92,7 @@
         # When each entry last reported on one of its runs here.
         self.reported_at: dict[ids.InstanceId, ids.Instant] = {}
         self.pause = pauses.Pause(MIN_PAUSE, MAX_PAUSE)
+        self.warmup = warmup.Warmup()
         # What its answers have stated.
         self.restrictions = restrictions.Restrictions(self.name)
 
@@ -120,10 +128,21 @@
         if free > 0 and self.restrictions.rate is not None:
             free = min(free, self.restrictions.rate.available(now))
         if free > 0:
-            free = int(min(free, self.bearable(now)))
+            free = int(min(free, self.bearable(now), self.warmup.available(now)))
         # Checked last, since most servers are full when this is called most often.
         return 0 if free > 0 and self.hangs(now) else free
 
+    def update(self, spec: kinds.BackendServerSpec, now: ids.Instant) -> None:
+        """Apply its new entry in the list of servers."""
+        if spec.cold_seconds != self.spec.cold_seconds:
+            self.warmup.update(spec, now)
+        self.spec = spec
+
+    def record_grant(self, now: ids.Instant) -> None:
+        """Count a granted request against its limits."""
+        self.restrictions.record_grant(now)
+        self.warmup.record_grant(now)
+
     def bearable(self, now: ids.Instant) -> float:
         """Return how many requests it may get that it would perhaps reject."""
         found = self.restrictions.rejections
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -36,7 +36,7 @@
         self.quadratic = prefill.QuadraticCost()
         self.server_by_ticket: dict[ids.TicketId, backendview.BackendView] = {}
 
-    def configure(self, cell: cells.Cell) -> None:
+    def configure(self, cell: cells.Cell, now: ids.Instant) -> None:
         """Apply a new list of servers, and drop the runs on removed ones."""
         names = set()
         for spec in cell.servers:
@@ -53,9 +53,9 @@
                 self.remove(name)
                 known = None
             if known is None:
-                self.servers[name] = self.create_view(spec)
+                self.servers[name] = self.create_view(spec, now)
             else:
-                known.spec = spec
+                known.update(spec, now)
         for name in [name for name in self.servers if name not in names]:
             self.remove(name)
 
@@ -64,9 +64,12 @@
         for ticket_id in self.servers.pop(name).runs:
             del self.server_by_ticket[ticket_id]
 
-    def create_view(self, spec: kinds.BackendServerSpec) -> backendview.BackendView:
+    def create_view(
+        self, spec: kinds.BackendServerSpec, now: ids.Instant
+    ) -> backendview.BackendView:
         """Return a new server's state, with the speed of the median known server."""
         view = backendview.BackendView(spec, self.quadratic)
+        view.warmup.update(spec, now)
         known = [other for other in self.servers.values() if other.observations]
         if known:
             known.sort(key=lambda other: other.prefill.rate)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -120,7 +120,7 @@
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
         self.revision = cell.revision
-        self.views.configure(cell)
+        self.views.configure(cell, now)
         return self.decide(now)
 
     def enqueue(
@@ -323,7 +323,7 @@
         ticket = waiting.ticket
         del self.line[ticket.ticket_id]
         run = self.views.start(ticket, server, now)
-        server.restrictions.record_grant(now)
+        server.record_grant(now)
         self.exposure.record_grant(server.spec)
         if now + run.first <= waiting.goal_at:
             self.shares.record_grant(waiting.flow, now)
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,7 +17,7 @@
     stalls,
     tasks,
 )
-from tealcove.catalog import copies, following, pools, serverlist, sharing
+from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
 from tealcove.front import addresses, factories, metrics, settings
 from tealcove.ingress import budget, exchange, hanging, http, tickets
@@ -116,8 +116,9 @@
         # ranks no peers and would refuse the first requests after a full restart.
         self.configuration.listeners.append(self.check_readiness)
         self.servers = serverlist.ServersCopy(documents.decode_server)
-        self.pools = pools.Pools(self.servers)
+        self.pools = pools.Pools(self.servers, self.find_service)
         self.servers.listeners.append(self.apply_server_list)
+        self.configuration.listeners.append(self.apply_server_list)
         self.servers.restoration.listeners.append(self.heartbeats.relist)
         followers = factories.new_followers(
             self.store, self.configuration, self.servers
@@ -343,6 +344,11 @@
         found = None if current is None else current.accounts.get(account)
         return None if found is None else found.limit
 
+    def find_service(self, name: ids.PoolId) -> declared.Service | None:
+        """Return a service by the configuration in force."""
+        current = self.configuration.current
+        return None if current is None else current.services.get(name)
+
     async def leave(self) -> None:
         """Shut down gracefully: let requests in progress end if time allows.
 
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -64,6 +64,8 @@
 
     name: str
     engine: WireEngine | None = None
+    # Requests a second that a cold server bears; 0: any.
+    cold_per_s: float = 0.0
 
 
 class WireLimits(msgspec.Struct):
@@ -185,7 +187,7 @@
 def service_of(service: WireService) -> declared.Service:
     """Convert a service to the internal representation."""
     tokens = 0 if service.engine is None else service.engine.stride
-    return declared.Service(ids.PoolId(service.name), tokens)
+    return declared.Service(ids.PoolId(service.name), tokens, service.cold_per_s)
 
 
 def account_of(tenant: WireTenant) -> declared.Account:
@@ -222,6 +224,7 @@
         state=state,
         start=ids.ServerStart(found.born),
         version=found.version,
+        cold_seconds=found.cold_left_ms / MILLISECONDS,
     )
 
 
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -88,6 +88,10 @@
     start: ids.ServerStart = ids.NO_START
     # Software version; empty if the server doesn't report it.
     version: str = ""
+    # Requests a second that it bears while it is cold, 0 for any; and the seconds for
+    # which it is, from when this was listed.
+    cold_rate: float = 0.0
+    cold_seconds: float = 0.0
 
 
 class EnginePoolSpec(Spec):
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -85,6 +85,8 @@
         self.born = 1
         # The version of the server's software.
         self.version = "v1"
+        # Milliseconds for which it says that it is still cold.
+        self.cold_left_ms = 0
         # Number of events of each stream, and the seconds between them.
         self.event_count = events
         self.event_interval = 0.0
@@ -156,7 +158,7 @@
             "version": self.version,
             "slots": SLOTS,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": 1,
             "born": self.born if born is None else born,
         }
