--- a/src/tealcove/backends/http_engine.py
+++ b/src/tealcove/backends/http_engine.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from tealcove import errors, ids, stalls, telemetry
-from tealcove.backends import engine, events, http_orders, strict, wire
+from tealcove.backends import connector, engine, events, http_orders, wire
 
 REQUEST_ID_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT = 2.0
@@ -43,14 +43,14 @@
         # response, reuse could give one caller another's response, and when the
         # server closes a reused connection, it's unclear whether the request was
         # dispatched.
-        connector = strict.PatientConnector(
+        found = connector.StallTolerantConnector(
             self.stalls, CONNECT_TIMEOUT, force_close=True, limit=0
         )
         timeout = aiohttp.ClientTimeout(total=None, sock_read=SILENCE_TIMEOUT)
         tracing = aiohttp.TraceConfig()
         tracing.on_connection_create_end.append(notify_dispatched)
         self.session = aiohttp.ClientSession(
-            connector=connector,
+            connector=found,
             timeout=timeout,
             read_bufsize=events.MAX_LINE_BYTES,
             trace_configs=[tracing],
--- a/src/tealcove/backends/http_service.py
+++ b/src/tealcove/backends/http_service.py
@@ -10,7 +10,7 @@
 
 from tealcove import ids, stalls, telemetry
 from tealcove.backends import attempt as attempts
-from tealcove.backends import engine, service, strict
+from tealcove.backends import connector, engine, service
 
 REQUEST_ID_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT = 2.0
@@ -30,7 +30,7 @@
         tracing = aiohttp.TraceConfig()
         tracing.on_connection_create_end.append(attempts.notify_dispatched)
         self.session = aiohttp.ClientSession(
-            connector=strict.PatientConnector(
+            connector=connector.StallTolerantConnector(
                 self.stalls, CONNECT_TIMEOUT, force_close=True, limit=0
             ),
             # A cookie jar would send one caller's cookies with another's call.
--- a/src/tealcove/platform/store.py
+++ b/src/tealcove/platform/store.py
@@ -12,7 +12,7 @@
 
 from tealcove import errors, ids, keepalive, stalls
 from tealcove.backends import attempt as attempts
-from tealcove.backends import strict
+from tealcove.backends import connector
 from tealcove.platform import names, wire
 from tealcove.storage import feed, revisions
 
@@ -82,7 +82,7 @@
         # The highest era that an answer named.
         self.era = ids.NO_ERA
         self.session = aiohttp.ClientSession(
-            connector=strict.PatientConnector(
+            connector=connector.StallTolerantConnector(
                 self.stalls,
                 self.timeouts.connect,
                 ssl=tls or True,
