--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -289,19 +289,19 @@
     async def tick(self) -> None:
         """Advance the schedulers periodically."""
         stalls = self.members.stalls
-        before = stalls.lost(clock.now())
+        before = stalls.stalled_seconds(clock.now())
         while True:
             if not self.held:
                 # There is nothing to decide until a ticket arrives.
                 self.has_cells.clear()
                 await self.has_cells.wait()
-                before = stalls.lost(clock.now())
+                before = stalls.stalled_seconds(clock.now())
             await asyncio.sleep(TICK_INTERVAL)
             now = clock.now()
-            lost = stalls.lost(now)
-            if lost - before > FROZEN_SECONDS:
+            stalled = stalls.stalled_seconds(now)
+            if stalled - before > FROZEN_SECONDS:
                 self.handle_freeze(now)
-            before = lost
+            before = stalled
             try:
                 self.advance(now)
             except Exception:
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -37,7 +37,7 @@
     assert len(found.rank("pool/0", resumed)) == 2
     assert found.sweep(resumed) == []
     # The peer is silent while this process runs.
-    own_stalls.total = own_stalls.lost(resumed)
+    own_stalls.total = own_stalls.stalled_seconds(resumed)
     own_stalls.due = ids.Instant(math.inf)
     silent = ids.Instant(resumed + builders.SUSPECT_AFTER)
     assert len(found.rank("pool/0", silent)) == 1
--- a/src/tealcove/stalls.py
+++ b/src/tealcove/stalls.py
@@ -62,10 +62,10 @@
         late = now - self.due
         if late >= LOGGED_SECONDS:
             log.info("stood still for {:.2f} s", late)
-        self.total = self.lost(now)
+        self.total = self.stalled_seconds(now)
         self.schedule(now)
 
-    def lost(self, now: ids.Instant) -> float:
+    def stalled_seconds(self, now: ids.Instant) -> float:
         """Return the seconds for which this process stood still since its start."""
         return self.total + max(0.0, now - self.due)
 
@@ -74,7 +74,7 @@
 
         Only instants of this kind may be compared with each other.
         """
-        return ids.Instant(now - self.lost(now))
+        return ids.Instant(now - self.stalled_seconds(now))
 
     def call_later(self, seconds: float, callback: Callable[[], object]) -> Timer:
         """Call a function after so many seconds of running time."""
--- a/src/tealcove/tests/test_stalls.py
+++ b/src/tealcove/tests/test_stalls.py
@@ -38,14 +38,16 @@
     passed = own_stalls.running(clock.now()) - running
     assert passed <= stalls.TICK_SECONDS
     await asyncio.sleep(2 * stalls.TICK_SECONDS)
-    assert own_stalls.lost(clock.now()) >= PAUSE_SECONDS - stalls.TICK_SECONDS
-    assert own_stalls.lost(clock.now()) <= clock.now() - before
+    assert (
+        own_stalls.stalled_seconds(clock.now()) >= PAUSE_SECONDS - stalls.TICK_SECONDS
+    )
+    assert own_stalls.stalled_seconds(clock.now()) <= clock.now() - before
 
 
 def test_stalls_that_are_not_measured_are_none() -> None:
     """A component without an instance took all time for a stall."""
     assert stalls.Stalls().running(clock.now()) <= clock.now()
-    assert stalls.Stalls().lost(clock.now()) == 0.0
+    assert stalls.Stalls().stalled_seconds(clock.now()) == 0.0
 
 
 async def answer_meanwhile(limit: stalls.Timeout) -> bytes:
