Log versions with each dispatch, and what a caller's stream resumes

A grant carries the version of its server now (a new last field), the line of each dispatch names it, and the line of each accepted request names what it resumes.

--- a/src/tealcove/catalog/declared.py
+++ b/src/tealcove/catalog/declared.py
@@ -122,7 +122,6 @@
     slots: int
     state: ServerState
     start: ids.ServerStart = ids.NO_START
-    # Software version.
-    version: str = ""
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
     # Seconds for which it was still cold when it wrote its entry.
     cold_seconds: float = 0.0
--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -113,6 +113,7 @@
             port=server.spec.port,
             alone=server.isolated_ticket == ticket.ticket_id,
             revision=self.fleet.revision,
+            version=server.spec.version,
         )
         return scheduler.Outgoing(ticket.entry, grant)
 
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -385,5 +385,6 @@
         start=server.spec.start,
         revision=revision,
         request_limit=server.restrictions.request_limit,
+        version=server.spec.version,
     )
     return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -134,6 +134,8 @@
     revision: ids.Revision = ids.Revision(0)
     # The server's limit in requests a second, by the dispatcher's knowledge.
     request_limit: float | None = None
+    # The software version of the server; None: not stated.
+    version: ids.SoftwareVersion | None = None
 
 
 class Refusal(message.Message):
--- a/src/tealcove/ids.py
+++ b/src/tealcove/ids.py
@@ -20,6 +20,8 @@
 ServerStart = NewType("ServerStart", int)
 # The start of a server that doesn't report it.
 NO_START = ServerStart(0)
+# The version of a backend server's software, not of the weights of its models.
+SoftwareVersion = NewType("SoftwareVersion", str)
 ModelId = NewType("ModelId", str)
 AdapterId = NewType("AdapterId", str)
 # A request from acceptance to final answer; backend servers return its id.
--- a/src/tealcove/ingress/call.py
+++ b/src/tealcove/ingress/call.py
@@ -38,6 +38,8 @@
     work: Work
     # Number of the last event that the caller received, when it resumes a stream.
     last_event: int | None = None
+    # The attempt that brought the first event of the stream, when it resumes one.
+    resumes: ids.RequestId | None = None
 
 
 class UnreadableError(Exception):
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -274,8 +274,10 @@
             self.sent += 1
             self.runs += 1
             self.log_decision(
-                "dispatched to {} (run {}, route {}), first event expected in {:.3f} s",
+                "dispatched to {} of version {} (run {}, route {}), first event "
+                "expected in {:.3f} s",
                 server.name,
+                report.grant.version,
                 self.runs,
                 accepted.route.name,
                 report.grant.first_seconds,
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -103,7 +103,8 @@
             raise refused(received, reason, remaining)
         log.info(
             "accepted: route {}, service {}, account {}, tier {}, urgency {}, "
-            "deadline in {:.3f} s, configuration revision {}",
+            "deadline in {:.3f} s, configuration revision {}, resumes {} after event "
+            "{}",
             accepted.route.name,
             accepted.service,
             accepted.account_name,
@@ -111,6 +112,8 @@
             accepted.route.rank,
             accepted.deadline - accepted.arrived,
             revisions.text(self.configuration.revision),
+            received.resumes,
+            received.last_event,
             extra={"request": received.request_id},
         )
         charge = await self.charge(accepted)
--- a/src/tealcove/platform/callers.py
+++ b/src/tealcove/platform/callers.py
@@ -55,6 +55,7 @@
             caller_timeout=None if deadline is None else deadline / MILLISECONDS,
             work=read_work(request),
             last_event=None if last is None else int(last),
+            resumes=ids.RequestId(headers.get(names.RESUMES, "")) or None,
         )
 
     def respond(self, found: problem.Problem) -> web.Response:
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -223,7 +223,7 @@
         slots=found.slots,
         state=state,
         start=ids.ServerStart(found.born),
-        version=found.version,
+        version=ids.SoftwareVersion(found.version),
         cold_seconds=found.cold_left_ms / MILLISECONDS,
     )
 
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -6,13 +6,12 @@
 REQUEST_ID = "Tealcove-Request-Id"
 DEADLINE_MS = "Tealcove-Deadline-Ms"
 API_KEY = "Api-Key"
-MODEL = "Tealcove-Model"
 # Two numbers: prompt tokens and the maximum of output tokens.
 TOKEN_COUNT = "Tealcove-Token-Count"
-# Despite its name not a hash: the prompt's parts in order, as ID:TOKENS.
-PROMPT_PARTS = "Tealcove-Prefix-Hash"
 LENGTH_HINT = "Tealcove-Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
+# The request that brought the first event of the stream that is resumed.
+RESUMES = "Resumes"
 
 # Headers that this system sets for a backend server.
 ACCOUNT = "Tealcove-Tenant"
--- a/src/tealcove/platform/tests/test_callers.py
+++ b/src/tealcove/platform/tests/test_callers.py
@@ -83,3 +83,9 @@
         return
     assert found.path.startswith("/")
     assert "?" not in found.path
+
+
+@pytest.mark.parametrize("sent", [None, "", "r-0"])
+def test_the_attempt_that_a_stream_resumes_is_read(sent: str | None) -> None:
+    found = read({} if sent is None else {names.RESUMES: sent})
+    assert found.resumes == (sent or None)
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -87,7 +87,7 @@
     # Identifies a run of the server, if the server reports when it started.
     start: ids.ServerStart = ids.NO_START
     # Software version; empty if the server doesn't report it.
-    version: str = ""
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
     # Requests a second that it bears while it is cold, 0 for any; and the seconds for
     # which it is, from when this was listed.
     cold_rate: float = 0.0
