--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 from soak import deployment, disturbances
 from tealcove import clock, ids
 from tealcove.platform import names
+from tealcove.standins import poolserver
 
 PATHS = ("/safe/x", "/once/x", "/stream/x")
 CALLERS = 6
@@ -21,9 +22,7 @@
 IN_FORCE_SECONDS = 2.0
 # Statuses which state that a request has not run, and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-COMPLETE_STREAM = b"".join(
-    f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6)
-)
+COMPLETE_STREAM = poolserver.stream_of(poolserver.FIRST_VERSION)
 
 
 class CallResult(msgspec.Struct, frozen=True):
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -20,6 +20,9 @@
 # Concurrent requests that a server reports it can run.
 SLOTS = 4
 EVENT_STREAM = "text/event-stream"
+# The events of each stream, and the version of each server, unless they are changed.
+EVENTS = 5
+FIRST_VERSION = "v1"
 # The time over which a brittle server counts its rejections, and for which it is away
 # after a fall, in seconds.
 BRITTLE_SECONDS = 1.0
@@ -78,13 +81,13 @@
 class PoolServer:
     """One incarnation of a backend server."""
 
-    def __init__(self, name: str, service: str, events: int = 5) -> None:
+    def __init__(self, name: str, service: str, events: int = EVENTS) -> None:
         self.name = name
         self.service = service
         # When it started, in Unix milliseconds.
         self.born = 1
         # The version of the server's software.
-        self.version = "v1"
+        self.version = FIRST_VERSION
         # Milliseconds for which it says that it is still cold.
         self.cold_left_ms = 0
         # Number of events of each stream, and the seconds between them.
@@ -302,7 +305,7 @@
         await response.prepare(request)
         half = self.event_count // 2 + 1
         for number in range(last + 1, self.event_count + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = event_of(number, self.version)
             if fault is Fault.CUT and number == half:
                 await response.write(event[:-4])
                 request.transport.abort()
@@ -314,6 +317,16 @@
         return response
 
 
+def event_of(number: int, version: str) -> bytes:
+    """Return an event of a stream, which names the version that wrote it."""
+    return f"id: {number}\ndata: piece {number} by {version}\n\n".encode()
+
+
+def stream_of(version: str, events: int = EVENTS) -> bytes:
+    """Return a whole stream that one version wrote."""
+    return b"".join(event_of(number, version) for number in range(1, events + 1))
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Close a connection with a TCP reset."""
     connection = transport.get_extra_info("socket")
--- a/tests/test_platformed.py
+++ b/tests/test_platformed.py
@@ -16,9 +16,7 @@
 Fault = poolserver.Fault
 # Longer than any wait in the tests.
 LONG_TIMEOUT_MS = 10 * int(1000 * platform_site.TIMEOUT_SECONDS)
-COMPLETE_STREAM = b"".join(
-    f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6)
-)
+COMPLETE_STREAM = poolserver.stream_of(poolserver.FIRST_VERSION)
 
 
 def fail_next(running: platform_site.Site, fault: Fault, servers: int = 9) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -118,10 +118,9 @@
         (helper,) = helpers_of(running)
         await running.end(helper)
         answer = await caller
-        events = [f"id: {n}\ndata: piece {n}\n\n" for n in range(1, EVENTS + 1)]
         assert answer.status == 200
         assert answer.is_complete
-        assert answer.body.decode() == "".join(events)
+        assert answer.body == poolserver.stream_of(server.version, EVENTS)
         first_run, second_run = server.runs
         assert first_run.last_event is None
         assert int(second_run.last_event) >= MIDWAY
