A stream that breaks goes on only at the version that began it

What callers saw: a stream whose server broke off went on at a server of another software version within one answer, and held events of both.

Cause: all servers of a service counted as interchangeable. No ticket named the version of the stream, so that the next attempt got whichever server was free.

The entry learns the version with the grant of the attempt that brought the first event, and every later ticket names it. Both schedulers filter by it wherever they choose: exclusions are dropped among its servers only, its forecast counts only their slots, and a ticket whose version has no server left is refused at once. The entry declines a grant of another version, so that an older dispatcher, which ignores the field, can't break the bound. Streams bound to one version go before other requests of their tier, and hold up nobody behind them. During a roll-out a stream may go on at the old and the new version, unless that was rolled back.

Why it works: nothing is sent without a grant, and no grant of another version is used. Where one version is listed nothing changes in order or forecast.

--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -35,9 +35,12 @@
         # Shared by all servers, since they run the same model.
         self.quadratic = prefill.QuadraticCost()
         self.server_by_ticket: dict[ids.TicketId, backendview.BackendView] = {}
+        # The software versions of the listed servers.
+        self.versions: frozenset[ids.SoftwareVersion] = frozenset()
 
     def configure(self, cell: cells.Cell, now: ids.Instant) -> None:
         """Apply a new list of servers, and drop the runs on removed ones."""
+        self.versions = frozenset(spec.version for spec in cell.servers)
         names = set()
         for spec in cell.servers:
             name = ids.BackendServerId(spec.name)
@@ -88,6 +91,7 @@
             name
             for name, server in self.servers.items()
             if server.accepts(ticket.entry, now)
+            and ticket.may_run_on(server.spec.version)
         )
         return frozenset() if excluded.issuperset(wanting) else excluded
 
@@ -102,7 +106,9 @@
         return [
             server
             for server in free
-            if server.name not in excluded and server.accepts(ticket.entry, now)
+            if server.name not in excluded
+            and server.accepts(ticket.entry, now)
+            and ticket.may_run_on(server.spec.version)
         ]
 
     def estimate(self, ticket: messages.Ticket, now: ids.Instant) -> Estimate:
@@ -114,6 +120,8 @@
         first = total = math.inf
         slots, ends = 0, 0.0
         for server in self.servers.values():
+            if not ticket.may_run_on(server.spec.version):
+                continue
             to_first = server.first_seconds(ticket, 0.0)
             to_end = to_first + backendview.stream_seconds(ticket, server)
             slots += server.spec.slots
@@ -124,6 +132,10 @@
             return Estimate(0.0, 0.0, 0.0)
         return Estimate(first, total, slots / ends)
 
+    def is_bound(self, ticket: messages.Ticket) -> bool:
+        """Tell whether its version keeps a ticket from some of the servers."""
+        return ticket.version is not None and self.versions != {ticket.version}
+
     def start(
         self,
         ticket: messages.Ticket,
--- a/src/tealcove/dispatch/choice.py
+++ b/src/tealcove/dispatch/choice.py
@@ -70,6 +70,8 @@
             continue
         if server.name in waiting.ticket.excluded:
             continue
+        if not waiting.ticket.may_run_on(server.spec.version):
+            continue
         if server.pace is not servers.Pace.NORMAL and is_probe(server, waiting, now):
             return server
         if server.pace is servers.Pace.PROBED:
--- a/src/tealcove/dispatch/exposure.py
+++ b/src/tealcove/dispatch/exposure.py
@@ -16,6 +16,10 @@
     def may_receive(self, server: kinds.BackendServerSpec) -> bool:
         """Tell whether a server may receive one more request."""
 
+    def may_resume(self, server: kinds.BackendServerSpec) -> bool:
+        """Tell whether a server may go on with a stream that its version began."""
+        return self.may_receive(server)
+
     @abc.abstractmethod
     def is_preferred(self, server: kinds.BackendServerSpec) -> bool:
         """Tell whether a server should be preferred to others for a request."""
--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -84,7 +84,20 @@
             # The server has left the cell; its requests run on without a slot.
             fleet.end(ticket_id, now)
         stragglers.update_paces(fleet.servers.values(), now)
-        return self.decide(fleet.servers.values(), now)
+        refused = self.refuse_lost_versions()
+        return [*refused, *self.decide(fleet.servers.values(), now)]
+
+    def refuse_lost_versions(self) -> list[scheduler.Outgoing]:
+        """Refuse the streams whose software version has no server left."""
+        listed = {one.spec.version for one in self.state.fleet.servers.values()}
+        lost = [
+            waiting
+            for waiting in self.state.queue.tickets.values()
+            if waiting.ticket.version is not None
+            and waiting.ticket.version not in listed
+        ]
+        reason = messages.RefusalReason.NO_BACKEND_SERVER
+        return [self.state.refuse(waiting, reason) for waiting in lost]
 
     def enqueue(
         self, ticket: messages.Ticket, now: ids.Instant
@@ -134,7 +147,10 @@
     def may_become_usable(self, ticket: messages.Ticket) -> bool:
         """Tell whether an unreachable server may become usable again."""
         return any(
-            name not in ticket.excluded and not server.leaving and not server.reachable
+            name not in ticket.excluded
+            and ticket.may_run_on(server.spec.version)
+            and not server.leaving
+            and not server.reachable
             for name, server in self.state.fleet.servers.items()
         )
 
--- a/src/tealcove/dispatch/fleet.py
+++ b/src/tealcove/dispatch/fleet.py
@@ -146,9 +146,11 @@
         return self.non_preemptible_lower >= max(1, self.slots - kept)
 
     def usable(self, ticket: messages.Ticket) -> list[servers.ServerState]:
-        """Return the usable servers that a ticket doesn't exclude."""
+        """Return the usable servers that may run a ticket, and that it allows."""
         return [
             server
             for name, server in self.servers.items()
-            if server.is_usable and name not in ticket.excluded
+            if server.is_usable
+            and name not in ticket.excluded
+            and ticket.may_run_on(server.spec.version)
         ]
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -96,19 +96,26 @@
         servers = self.views.servers.values()
         return [server for server in servers if self.exposure.may_receive(server.spec)]
 
-    def with_free_slots(
-        self, servers: Iterable[backendview.BackendView], now: ids.Instant
+    def resuming_servers(
+        self, version: ids.SoftwareVersion
     ) -> list[backendview.BackendView]:
-        """Return the servers that have a free slot and may receive a request.
-
-        Free slots are checked first, since under load most servers have none.
-        """
+        """Return the servers that may go on with the streams of a version."""
         return [
             server
-            for server in servers
-            if server.free_slots(now) > 0 and self.exposure.may_receive(server.spec)
+            for server in self.views.servers.values()
+            if server.spec.version == version
+            and server.is_serving
+            and self.exposure.may_resume(server.spec)
         ]
 
+    def permitted(
+        self, ticket: messages.Ticket, free: Iterable[backendview.BackendView]
+    ) -> list[backendview.BackendView]:
+        """Return those of some servers whose version may receive a ticket now."""
+        if ticket.version is None:
+            return [one for one in free if self.exposure.may_receive(one.spec)]
+        return [one for one in free if self.exposure.may_resume(one.spec)]
+
     def gather(self, until: ids.Instant) -> None:
         """See Scheduler."""
         self.gather_until = until
@@ -283,34 +290,54 @@
         levels = self.shares.service_levels()
         return sorted(
             self.line.values(),
-            key=lambda w: waitingline.sort_key(w, levels, now),
+            key=lambda w: waitingline.sort_key(
+                w, levels, self.views.is_bound(w.ticket), now
+            ),
         )
 
     def refuse_too_late(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Refuse the tickets that are forecast to start too late."""
-        line = self.ordered(now)
-        found = waitingline.forecast(line, self.eligible_servers(), self.inflow, now)
         outgoing = []
-        for waiting, seconds in found.too_late:
-            del self.line[waiting.ticket.ticket_id]
-            outgoing.append(self.refusal(waiting.ticket, found.reason, seconds, now))
+        for found in self.forecasts(now):
+            for waiting, seconds in found.too_late:
+                ticket = waiting.ticket
+                del self.line[ticket.ticket_id]
+                outgoing.append(self.refusal(ticket, found.reason, seconds, now))
         return outgoing
 
+    def forecasts(self, now: ids.Instant) -> list[waitingline.Forecast]:
+        """Return the forecasts of the line, and of the streams of each version."""
+        line = []
+        bound: dict[ids.SoftwareVersion, list[waitingline.Waiting]] = {}
+        for waiting in self.ordered(now):
+            is_bound = self.views.is_bound(waiting.ticket)
+            own = bound.setdefault(waiting.ticket.version, []) if is_bound else line
+            own.append(waiting)
+        found = [waitingline.forecast(line, self.eligible_servers(), self.inflow, now)]
+        for version, streams in bound.items():
+            servers = self.resuming_servers(version)
+            if servers:
+                found.append(waitingline.forecast(streams, servers, self.inflow, now))
+            else:
+                found.append(waitingline.forecast_of_lost_version(streams))
+        return found
+
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
-        free = self.with_free_slots(self.views.servers.values(), now)
+        free = with_free_slots(self.views.servers.values(), now)
         outgoing = []
         # The line is sorted only if a slot is free: under overload, none is after most
         # events.
         for waiting in self.ordered(now) if free else ():
             if not free:
                 break
-            allowed = self.views.allowed(waiting.ticket, free, now)
+            permitted = self.permitted(waiting.ticket, free)
+            allowed = self.views.allowed(waiting.ticket, permitted, now)
             reached = self.paths.prefer_reached(waiting.ticket.entry, allowed, now)
             server = placement.choose(waiting, reached, self.exposure, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
-                free = self.with_free_slots(free, now)
+                free = with_free_slots(free, now)
         return outgoing
 
     def grant(
@@ -371,6 +398,13 @@
         return scheduler.Outgoing(ticket.entry, refusal)
 
 
+def with_free_slots(
+    servers: Iterable[backendview.BackendView], now: ids.Instant
+) -> list[backendview.BackendView]:
+    """Return the servers that have a free slot."""
+    return [server for server in servers if server.free_slots(now) > 0]
+
+
 def grant_message(
     ticket: messages.Ticket, server: backendview.BackendView, revision: ids.Revision
 ) -> scheduler.Outgoing:
--- a/src/tealcove/dispatch/granting.py
+++ b/src/tealcove/dispatch/granting.py
@@ -49,9 +49,12 @@
         accounts = self.state.queue.tiers[rank].accounts.values()
         waiting_accounts = [account for account in accounts if account.count]
         for account in sorted(waiting_accounts, key=account_order):
-            for waiting in itertools.islice(
-                account.tickets_in_order(lanes), LOOK_AHEAD
-            ):
+            fitting = (
+                waiting
+                for waiting in account.tickets_in_order(lanes)
+                if any(waiting.ticket.may_run_on(one.spec.version) for one in free)
+            )
+            for waiting in itertools.islice(fitting, LOOK_AHEAD):
                 server = self.choose(waiting, free, now)
                 if server is not None:
                     return self.grant(waiting, server, now)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -108,6 +108,12 @@
     route: str = ""
     # What the servers of the pool have stated to the entry.
     statements: tuple[ServerStatement, ...] = ()
+    # The software version that began its stream, and must go on with it; None: any.
+    version: ids.SoftwareVersion | None = None
+
+    def may_run_on(self, version: ids.SoftwareVersion) -> bool:
+        """Return whether a server of a software version may run the request."""
+        return self.version is None or self.version == version
 
 
 class Queued(message.Message):
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -325,6 +325,8 @@
         ):
             request.set_replied()
             seconds = self.usable_in(grant, clock.now())
+            if not self.is_of_version(grant, request.ticket):
+                seconds = math.inf
             if seconds > 0.0:
                 self.decline(request, grant, seconds, clock.now())
             else:
@@ -346,6 +348,19 @@
             return math.inf
         return self.stated.usable_in(grant, now)
 
+    def version_of(self, grant: messages.Grant) -> ids.SoftwareVersion | None:
+        """Return the software version of a granted server; None if not known.
+
+        An older dispatcher doesn't state it.
+        """
+        if grant.version is not None:
+            return grant.version
+        return self.spread.version_of(grant.cell, grant.server, grant.start)
+
+    def is_of_version(self, grant: messages.Grant, ticket: messages.Ticket) -> bool:
+        """Tell whether a granted server may go on with a ticket's stream."""
+        return ticket.version is None or self.version_of(grant) == ticket.version
+
     def decline(
         self,
         request: pending.PendingTicket,
@@ -360,9 +375,10 @@
         """
         self.declined += 1
         log.info(
-            "declined {}, which {}: granted by {} with pool revision {}",
+            "declined {} of version {}, which {}: granted by {} with pool revision {}",
             grant.server,
-            "has left" if math.isinf(seconds) else f"rests for {seconds:.1f} s",
+            grant.version,
+            "can't be used" if math.isinf(seconds) else f"rests for {seconds:.1f} s",
             request.dispatcher,
             revisions.text(grant.revision),
             extra={"request": request.ticket.request_id},
--- a/src/tealcove/dispatch/spread.py
+++ b/src/tealcove/dispatch/spread.py
@@ -119,6 +119,33 @@
         name = cells.pool_of(cell_id)
         return self.copy.current.has_left(name, server, start, revision)
 
+    def version_of(
+        self,
+        cell_id: ids.CellId,
+        server: ids.BackendServerId,
+        start: ids.ServerStart,
+    ) -> ids.SoftwareVersion | None:
+        """Return the software version of a start of a server; None if not known."""
+        pool = self.copy.current.pool(cells.pool_of(cell_id))
+        for spec in () if pool is None else pool.spec.servers:
+            if spec.name == server and spec.start == start:
+                return spec.version
+        return None
+
+    def choose_of_version(
+        self, pool: kinds.Resource, affinity: str, version: ids.SoftwareVersion
+    ) -> cells.Cell | None:
+        """Return the cell for a stream that a version began; None if it has left."""
+        fitting = [
+            cell
+            for cell in self.divide(pool).cells
+            if any(server.version == version for server in cell.servers)
+        ]
+        chosen = self.choose(pool, affinity)
+        if chosen in fitting:
+            return chosen
+        return min(fitting, key=self.load, default=None)
+
     def choose(self, pool: kinds.Resource, affinity: str) -> cells.Cell:
         """Return the cell for a request; `affinity` is equal for a shared prefix."""
         divided = self.divide(pool)
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -71,6 +71,8 @@
     """A ticket's position in the line; compared field by field, lowest first."""
 
     tier: int
+    # Streams that can go on at one version only go first: they can't wait elsewhere.
+    is_unbound: bool
     is_late: bool
     # The flow's service level; for a late ticket, its cost in slot time.
     score: float
@@ -88,19 +90,24 @@
 
 
 def sort_key(
-    waiting: Waiting, levels: Mapping[shares.Flow, float], now: ids.Instant
+    waiting: Waiting,
+    levels: Mapping[shares.Flow, float],
+    is_bound: bool,
+    now: ids.Instant,
 ) -> SortKey:
-    """Return the sort key of a ticket.
+    """Return the sort key of a ticket; `is_bound`: only some servers may run it.
 
     Late tickets sort after those of their tier that can still meet their goal: under
     overload, ordering by deadline alone would make each ticket late in turn. Late
     tickets are sorted by cost, since more short ones can be served.
     """
     flow = waiting.flow
+    tier = flow.kind.tier
     if waiting.is_late(now):
         cost = waiting.slot_seconds * (1 + flow.kind.urgency)
-        return SortKey(flow.kind.tier, True, cost, waiting.start_by)
-    return SortKey(flow.kind.tier, False, levels.get(flow, 0.0), waiting.goal_at)
+        return SortKey(tier, not is_bound, True, cost, waiting.start_by)
+    level = levels.get(flow, 0.0)
+    return SortKey(tier, not is_bound, False, level, waiting.goal_at)
 
 
 def forecast(
@@ -204,6 +211,12 @@
     return Forecast(tuple(too_late), messages.RefusalReason.NO_BACKEND_SERVER)
 
 
+def forecast_of_lost_version(line: Iterable[Waiting]) -> Forecast:
+    """Return all tickets: no server is left that may go on with their streams."""
+    too_late = tuple((waiting, NO_SERVER_SECONDS) for waiting in line)
+    return Forecast(too_late, messages.RefusalReason.NO_BACKEND_SERVER)
+
+
 def remaining_share(
     tier: int, arriving: inflow.Inflow, slots: int, now: ids.Instant
 ) -> float:
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -83,6 +83,8 @@
         http: web.Request,
     ) -> None:
         self.http = http
+        # The version that began the stream; None: any may run the request.
+        self.version: ids.SoftwareVersion | None = None
         self.services = services
         self.accepted = accepted
         self.cell = cell
@@ -171,6 +173,7 @@
             self.excluded,
             self.stream.response is not None,
             now,
+            self.version,
         )
         try:
             found = await self.services.tickets.obtain(pending_ticket)
@@ -335,6 +338,7 @@
             if not self.events:
                 watched.limit.reschedule(None)
                 report.first_event(clock.now())
+                self.bind_to_version(report.grant)
             self.events += len(completed)
             # An event that was accepted must be written whole.
             watched.waits_since = None
@@ -343,6 +347,11 @@
         watched.waits_since = None
         return await self.stream.end(head, splitter.remainder)
 
+    def bind_to_version(self, grant: messages.Grant) -> None:
+        """Bind all later attempts to the version that began the stream."""
+        if self.version is None:
+            self.version = self.services.tickets.version_of(grant)
+
     def check_retry(
         self, server: ids.BackendServerId, error: errors.BackendError, now: ids.Instant
     ) -> None:
@@ -370,6 +379,9 @@
 
     def may_retry(self, now: ids.Instant, runs: int) -> bool:
         """Return whether a request may run again after this many runs."""
+        if self.stream.response is not None and self.version is None:
+            # Nothing tells at which version the stream could go on.
+            return False
         route = self.accepted.route
         is_once = route.repeat is declared.Repeat.ONCE
         has_time = self.accepted.deadline - now > link.MIN_REMAINING
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -63,6 +63,12 @@
         """Return whether it may run again after a lost response."""
         return self.route.repeat is not declared.Repeat.ONCE
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether its caller has received a part of its stream already."""
+        is_resumable = self.route.repeat is declared.Repeat.RESUMABLE
+        return is_resumable and bool(self.call.last_event)
+
 
 def new_ticket(
     accepted: AcceptedRequest,
@@ -71,11 +77,13 @@
     excluded: tuple[ids.BackendServerId, ...],
     has_events: bool,
     now: ids.Instant,
+    version: ids.SoftwareVersion | None = None,
 ) -> pending.PendingTicket:
     """Return a ticket for the next attempt of a request.
 
     `has_events` means that the caller already received part of its stream, so that
     the goal for the next gap applies in place of the goal for the first event.
+    `version` is the one that began the stream; None: any may run the request.
     """
     work = accepted.call.work
     route = accepted.route
@@ -105,6 +113,7 @@
         expected_tokens=work.expected_tokens,
         # A resumed stream is measured from its last event, not from a first attempt.
         caller_remaining=0.0 if has_events else caller_remaining(accepted, now),
+        version=version,
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
--- a/src/tealcove/rollout/controller.py
+++ b/src/tealcove/rollout/controller.py
@@ -247,6 +247,11 @@
         found = self.rollout()
         return found is None or found.may_receive(server)
 
+    def may_resume(self, server: kinds.BackendServerSpec) -> bool:
+        """See Exposure."""
+        found = self.rollout()
+        return found is None or found.may_resume(server)
+
     def is_preferred(self, server: kinds.BackendServerSpec) -> bool:
         """See Exposure."""
         found = self.rollout()
--- a/src/tealcove/rollout/progress.py
+++ b/src/tealcove/rollout/progress.py
@@ -98,6 +98,10 @@
         # The old servers keep serving if the new ones are lost.
         return server.version not in self.replaced_versions or not self.has_new_servers
 
+    def may_resume(self, server: kinds.BackendServerSpec) -> bool:
+        """See Exposure; its stream can't go on anywhere else."""
+        return self.state is not order.State.ROLLED_BACK or not self.is_new(server)
+
     def is_preferred(self, server: kinds.BackendServerSpec) -> bool:
         """See Exposure."""
         if self.stage is not Stage.TRIAL or not self.may_trial(server):
--- a/src/tealcove/rollout/tests/test_progress.py
+++ b/src/tealcove/rollout/tests/test_progress.py
@@ -156,3 +156,18 @@
     ]
     assert len(tries) == progress.TRIAL_SERVERS
     assert max(tries) - min(tries) <= 1
+
+
+@pytest.mark.parametrize("state", list(order.State))
+@pytest.mark.parametrize("stage", list(progress.Stage))
+def test_streams_go_on_at_any_version_but_one_rolled_back(
+    state: order.State, stage: progress.Stage
+) -> None:
+    """Streams that began at an old version can't end at the new one."""
+    traffic = begun(0)
+    traffic.rollout.state, traffic.rollout.stage = state, stage
+    old = dispatching.server("s0", version="old")
+    new = dispatching.server("s1", version=traffic.rollout.order.to)
+    assert traffic.rollout.may_resume(old)
+    is_rolled_back = state is order.State.ROLLED_BACK
+    assert traffic.rollout.may_resume(new) is not is_rolled_back
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -13,6 +13,8 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \1 by (\S+)\n\n")
 SUCCESS = 200
 NOT_RUN = 503
+# Servers that one try is sent to at most.
+ATTEMPTS = 2
 
 
 class Stream:
@@ -90,7 +92,7 @@
     for number in range(count):
         for server in running.servers:
             server.faults.clear()
-            server.faults.append(poolserver.Fault.CUT)
+            server.faults.extend([poolserver.Fault.CUT] * ATTEMPTS)
         stream = Stream(running, number)
         await stream.send(at)
         begun.append(stream)
