A stream that its caller takes up goes on only at the version that began it

What callers saw: after a broken connection a caller's next try, which names the first one in Resumes, got a server of any version, at whatever instance it arrived, and the stream held events of two versions.

Cause: Resumes wasn't read, and nothing outlived an exchange that told at which version its stream began.

New slice origins/: each instance remembers which version began its streams. While several versions of a service serve, or have done so within the life of a stream, it reports them to two homes by the ranking, and the first home keeps them in the store, in rows that are dropped after that time. An instance that gets a caller's next try looks in its memory, asks the homes, then reads the store. If nobody knows, the stream goes on where one version alone has served, by a list that is current, and is refused at once otherwise (503, version_unknown, not run, with a time). If no server of its version is left, it is refused with version_gone. Two counters show both.

Where one version serves, nothing is sent but for a try that resumes.

--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -158,6 +158,24 @@
         if reaches != self.members.own.reaches_store:
             self.members.update_own(reaches_store=reaches)
 
+    def is_current(self, now: ids.Instant) -> bool:
+        """Return whether no known instance can have a newer list of servers.
+
+        While the store is away for all of them, none can have one.
+        """
+        own = self.members.own
+        alive = self.members.alive(now)
+        if any(beat.servers_revision > own.servers_revision for beat in alive):
+            return False
+        if any(beat.reaches_store for beat in alive):
+            return True
+        lost = (
+            member.heartbeat
+            for member in self.members.peers.values()
+            if member.heartbeat not in alive
+        )
+        return not any(beat.reaches_store for beat in lost)
+
     def is_receiving(self, wanted: copies.Copy, now: ids.Instant) -> bool:
         """Return whether the store's answer for a copy is being received."""
         return bool(self.tasks) and any(
--- a/src/tealcove/catalog/pools.py
+++ b/src/tealcove/catalog/pools.py
@@ -47,6 +47,13 @@
         """Return a service's pool, or None if it never had a server."""
         return self.found.get(name)
 
+    def versions(self) -> dict[ids.PoolId, frozenset[ids.SoftwareVersion]]:
+        """Return the software versions of each service's listed servers."""
+        return {
+            ids.PoolId(service): frozenset(one.version for one in pool.spec.servers)
+            for service, pool in self.found.items()
+        }
+
     def has_left(
         self,
         name: str,
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -23,6 +23,9 @@
     PLATFORM_DOWN = "platform_down"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
+    # Decided by entries only, since an older instance doesn't know these two.
+    VERSION_UNKNOWN = "version_unknown"
+    VERSION_GONE = "version_gone"
 
 
 class Outcome(enum.Enum):
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -23,6 +23,8 @@
 from tealcove.ingress import budget, exchange, hanging, http, tickets
 from tealcove.limits import central, limit
 from tealcove.membership import members, messages
+from tealcove.origins import keeping
+from tealcove.origins import role as origins
 from tealcove.peers import endpoint
 from tealcove.platform import (
     backendlink,
@@ -180,6 +182,23 @@
         )
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.record_end)
+        self.origins = origins.OriginFinder(
+            self.mesh,
+            self.members,
+            keeping.Keeper(storeadapter.StoreTable(self.store), self.incarnation),
+            self.following.is_current,
+        )
+        self.origins.start()
+        self.metrics.add_observable_counter(
+            "tealcove.streams.version_unknown",
+            "Streams refused to callers since nobody knew their software version.",
+            lambda: self.origins.counts[origins.Source.UNKNOWN],
+        )
+        self.metrics.add_observable_counter(
+            "tealcove.streams.version_gone",
+            "Streams refused to callers since no server of their version is left.",
+            lambda: self.ingress.lost_versions,
+        )
         self.metrics.add_observable_counter(
             "tealcove.grants.declined",
             "Grants given back since their backend servers have left.",
@@ -227,6 +246,7 @@
                     self.name, ids.DataCentreId(found.data_centre)
                 ),
                 streams=self.streams,
+                origins=self.origins,
             ),
             self.configuration,
             self.spread,
@@ -307,6 +327,7 @@
         """Apply a new list of backend servers."""
         self.pools.refresh()
         self.dispatcher.reconfigure()
+        self.origins.apply_servers(self.pools.versions(), clock.now())
 
     def reload(self, found: settings.FrontSettings) -> None:
         """Apply the settings that can change at run time; log those that can't."""
@@ -385,6 +406,7 @@
         await self.sharing.stop()
         await self.heartbeats.stop()
         await self.rollouts.stop()
+        await self.origins.stop()
         await self.dispatcher.stop()
         await self.quarantine.stop()
         await self.tickets.stop()
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -27,6 +27,7 @@
     tickets,
 )
 from tealcove.ingress import report as reporting
+from tealcove.origins import role as origins
 
 log = logbook.Logger("ingress")
 
@@ -59,6 +60,7 @@
     budget: budget.RetryBudget
     entry: tickets.EntryInstance
     streams: hanging.HangingStreams
+    origins: origins.OriginFinder
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -81,10 +83,11 @@
         accepted: tickets.AcceptedRequest,
         cell: ids.CellId,
         http: web.Request,
+        version: ids.SoftwareVersion | None = None,
     ) -> None:
         self.http = http
         # The version that began the stream; None: any may run the request.
-        self.version: ids.SoftwareVersion | None = None
+        self.version = version
         self.services = services
         self.accepted = accepted
         self.cell = cell
@@ -338,7 +341,7 @@
             if not self.events:
                 watched.limit.reschedule(None)
                 report.first_event(clock.now())
-                self.bind_to_version(report.grant)
+                self.record_origin(report.grant, clock.now())
             self.events += len(completed)
             # An event that was accepted must be written whole.
             watched.waits_since = None
@@ -347,10 +350,19 @@
         watched.waits_since = None
         return await self.stream.end(head, splitter.remainder)
 
-    def bind_to_version(self, grant: messages.Grant) -> None:
-        """Bind all later attempts to the version that began the stream."""
+    def record_origin(self, grant: messages.Grant, now: ids.Instant) -> None:
+        """Record the version of the stream, to which all later attempts are bound."""
         if self.version is None:
             self.version = self.services.tickets.version_of(grant)
+        if self.version is None or self.accepted.route.repeat is not (
+            declared.Repeat.RESUMABLE
+        ):
+            return
+        call = self.accepted.call
+        request = call.request_id
+        if self.accepted.resumes_stream and call.resumes is not None:
+            request = call.resumes
+        self.services.origins.record(self.accepted.service, request, self.version, now)
 
     def check_retry(
         self, server: ids.BackendServerId, error: errors.BackendError, now: ids.Instant
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -56,6 +56,8 @@
         self.is_leaving = False
         # Set when it refuses all new requests.
         self.is_closed = False
+        # Count of streams whose software version has no server left.
+        self.lost_versions = 0
 
     def routes(self) -> list[web.RouteDef]:
         """Return the route of the handler."""
@@ -116,9 +118,10 @@
             received.last_event,
             extra={"request": received.request_id},
         )
+        version = await self.find_version(accepted)
         charge = await self.charge(accepted)
-        cell = self.find_cell(accepted)
-        running = exchange.Exchange(self.services, accepted, cell, request)
+        cell = self.find_cell(accepted, version)
+        running = exchange.Exchange(self.services, accepted, cell, request, version)
         try:
             return await running.run()
         finally:
@@ -166,13 +169,46 @@
             reason = messages.RefusalReason.ACCOUNT_LIMIT
             raise refused(accepted.call, reason, error.retry_after) from error
 
-    def find_cell(self, accepted: tickets.AcceptedRequest) -> ids.CellId:
+    async def find_version(
+        self, accepted: tickets.AcceptedRequest
+    ) -> ids.SoftwareVersion | None:
+        """Return the only version that may run a request; None: any.
+
+        Raises ProblemError if it goes on with a stream of an unknown version.
+        """
+        if not accepted.resumes_stream:
+            return None
+        received = accepted.call
+        found = await self.services.origins.find(accepted.service, received.resumes)
+        if found.version is None:
+            reason = messages.RefusalReason.VERSION_UNKNOWN
+            raise refused(received, reason, exchange.RETRY_AFTER)
+        log.info(
+            "stream {} goes on at version {}: {}",
+            received.resumes,
+            found.version,
+            found.source.value,
+            extra={"request": received.request_id},
+        )
+        return found.version
+
+    def find_cell(
+        self, accepted: tickets.AcceptedRequest, version: ids.SoftwareVersion | None
+    ) -> ids.CellId:
         """Return the cell whose dispatcher handles a request; raises ProblemError."""
+        received = accepted.call
         pool = self.spread.copy.current.pool(accepted.service)
         if pool is None:
             reason = messages.RefusalReason.NO_BACKEND_SERVER
-            raise refused(accepted.call, reason, exchange.RETRY_AFTER)
-        return self.spread.choose(pool, accepted.call.request_id).cell_id
+            raise refused(received, reason, exchange.RETRY_AFTER)
+        if version is None:
+            return self.spread.choose(pool, received.request_id).cell_id
+        cell = self.spread.choose_of_version(pool, received.request_id, version)
+        if cell is None:
+            self.lost_versions += 1
+            reason = messages.RefusalReason.VERSION_GONE
+            raise refused(received, reason, exchange.RETRY_AFTER)
+        return cell.cell_id
 
 
 def refused(
--- /dev/null
+++ b/src/tealcove/origins/__init__.py
@@ -0,0 +1,1 @@
+"""The software versions at which callers' streams began."""
--- /dev/null
+++ b/src/tealcove/origins/role.py
@@ -0,0 +1,345 @@
+"""Finds out at which software version a stream began, at whatever instance."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import itertools
+from collections.abc import Callable, Iterable, Mapping
+
+import logbook
+import msgspec
+
+from tealcove import clock, errors, ids, tasks
+from tealcove.membership import members
+from tealcove.origins import keeping, known, messages
+from tealcove.peers import mesh
+
+log = logbook.Logger("origins")
+
+# Instances that know the origins of a service's streams, of all entries.
+HOMES = 2
+# Seconds for which an entry collects origins before it reports them.
+REPORT_INTERVAL = 0.03
+# Seconds after which a report that was dropped is sent again.
+RETRY_INTERVAL = 0.5
+# Seconds that an entry waits for the homes, and for the store after them.
+ANSWER_TIMEOUT = 0.1
+STORE_TIMEOUT = 0.5
+
+# Tells whether no known instance has a newer list of servers than this one.
+IsCurrent = Callable[[ids.Instant], bool]
+
+
+class Source(enum.Enum):
+    """How the version of a stream is known."""
+
+    MEMORY = "reported to this instance"
+    HOME = "a home knows it"
+    STORE = "kept in the store"
+    ONLY = "no other version has served"
+    UNKNOWN = "not known"
+
+
+class Found(msgspec.Struct, frozen=True):
+    """The version at which a stream began; None: not known."""
+
+    version: ids.SoftwareVersion | None
+    source: Source
+
+
+UNKNOWN = Found(None, Source.UNKNOWN)
+
+
+class OriginFinder:
+    """Records origins of streams, shares and keeps them, and answers for others.
+
+    Each instance knows the streams that began there. While several versions serve,
+    or have done so within the life of a stream, it also reports them to two homes by
+    the ranking, and the first of these keeps them in the store. Where one version has
+    served alone, nothing is sent until a caller returns.
+    """
+
+    def __init__(
+        self,
+        transport: mesh.Mesh,
+        known_members: members.Members,
+        keeper: keeping.Keeper,
+        is_current: IsCurrent,
+    ) -> None:
+        self.transport = transport
+        self.members = known_members
+        self.keeper = keeper
+        self.is_current = is_current
+        self.services: dict[ids.PoolId, known.Service] = {}
+        self.question_numbers = itertools.count(1)
+        self.questions: dict[int, asyncio.Future[messages.OriginAnswer]] = {}
+        self.has_news = asyncio.Event()
+        self.reporting: asyncio.Task[None] | None = None
+        # Counts of streams that callers took up, by how their version was known.
+        self.counts: dict[Source, int] = dict.fromkeys(Source, 0)
+
+    def start(self) -> None:
+        """Register the message handlers and start to report."""
+        self.transport.handle(messages.OriginReport, self.handle_report)
+        self.transport.handle(messages.OriginQuestion, self.handle_question)
+        self.transport.handle(messages.OriginAnswer, self.handle_answer)
+        self.members.listen(self.has_news.set)
+        self.reporting = tasks.start(self.report_periodically(), "reports of origins")
+        self.keeper.start()
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        await tasks.stop([self.reporting])
+        await self.keeper.stop()
+
+    def of_service(self, service: ids.PoolId) -> known.Service:
+        """Return what is known of a service."""
+        found = self.services.get(service)
+        if found is None:
+            found = self.services[service] = known.Service()
+        return found
+
+    def apply_servers(
+        self,
+        listed: Mapping[ids.PoolId, Iterable[ids.SoftwareVersion]],
+        now: ids.Instant,
+    ) -> None:
+        """Apply the versions of the listed servers of all services."""
+        for service in {*listed, *self.services}:
+            found = self.of_service(service)
+            before = found.history.listed
+            found.history.update(listed.get(service, ()), now)
+            if found.history.listed != before and found.is_mixed(now):
+                served = sorted(found.history.served(now))
+                log.info("versions of {} that serve or did: {}", service, served)
+                self.has_news.set()
+
+    def record(
+        self,
+        service: ids.PoolId,
+        request: ids.RequestId,
+        version: ids.SoftwareVersion,
+        now: ids.Instant,
+    ) -> None:
+        """Record the version of a stream, by the request that brought its first event.
+
+        Also called for a stream that goes on here, so that it's known for longer.
+        """
+        found = self.of_service(service)
+        found.history.note(version, now)
+        origin = messages.Origin(messages.digest(request), version)
+        found.own.add(origin, now)
+        if found.is_mixed(now):
+            found.unreported.append(origin)
+            self.has_news.set()
+
+    async def report_periodically(self) -> None:
+        """Report origins while several versions serve, until cancelled."""
+        while True:
+            await self.has_news.wait()
+            self.has_news.clear()
+            for service, found in self.services.items():
+                if found.is_mixed(clock.now()):
+                    self.report(service, found, clock.now())
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    def homes(self, service: ids.PoolId, now: ids.Instant) -> list[ids.InstanceId]:
+        """Return the instances that know the origins of a service's streams."""
+        return self.members.rank(f"origins of {service}", now)[:HOMES]
+
+    def report(
+        self, service: ids.PoolId, found: known.Service, now: ids.Instant
+    ) -> None:
+        """Report the new origins to the homes, and all of them to a new home."""
+        homes = self.homes(service, now)
+        informed = set()
+        for home in homes:
+            heartbeat = self.members.find(home)
+            process = (home, heartbeat.incarnation)
+            is_new = process not in found.informed
+            origins = found.own.all() if is_new else tuple(found.unreported)
+            if self.send_report(service, home, origins, now):
+                informed.add(process)
+        found.informed = frozenset(informed)
+        found.unreported.clear()
+        if len(informed) < len(homes):
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETRY_INTERVAL, self.has_news.set)
+        is_first = bool(homes) and homes[0] == self.members.own.instance
+        if is_first:
+            self.keep(service, found, now)
+        found.is_keeping = is_first
+
+    def send_report(
+        self,
+        service: ids.PoolId,
+        home: ids.InstanceId,
+        origins: tuple[messages.Origin, ...],
+        now: ids.Instant,
+    ) -> bool:
+        """Send origins to a home; return False if the message was dropped."""
+        report = messages.OriginReport(service=service, origins=origins)
+        if home == self.members.own.instance:
+            self.handle_report(home, report)
+            return True
+        peer = self.members.endpoint_of(home)
+        if peer is None:
+            return False
+        return not origins or self.transport.send(peer, report)
+
+    def keep(self, service: ids.PoolId, found: known.Service, now: ids.Instant) -> None:
+        """Keep the versions of a service in the store, and what an earlier home had."""
+        if not found.is_keeping:
+            self.keeper.add(service, found.reported.all(), now)
+            found.kept_versions = None
+        if found.kept_versions != found.history.listed:
+            found.kept_versions = found.history.listed
+            self.keeper.note_versions(service, found.history.times())
+
+    def handle_report(
+        self, sender: ids.InstanceId, report: messages.OriginReport
+    ) -> None:
+        """Record what an entry reports, and keep it in the store as the first home."""
+        now = clock.now()
+        found = self.of_service(report.service)
+        for origin in report.origins:
+            found.reported.add(origin, now)
+            found.history.note(origin.version, now)
+        if found.is_keeping and report.origins:
+            self.keeper.add(report.service, report.origins, now)
+        elif not found.is_keeping:
+            self.has_news.set()
+
+    def handle_question(
+        self, sender: ids.InstanceId, question: messages.OriginQuestion
+    ) -> None:
+        """Answer an entry's question."""
+        now = clock.now()
+        found = self.of_service(question.service)
+        answer = messages.OriginAnswer(
+            number=question.number,
+            version=found.find(question.stream),
+            served=tuple(found.history.served(now)),
+            is_complete=found.history.is_complete(now) and self.is_current(now),
+        )
+        peer = self.members.endpoint_of(sender)
+        if peer is not None:
+            self.transport.send(peer, answer)
+
+    def handle_answer(
+        self, sender: ids.InstanceId, answer: messages.OriginAnswer
+    ) -> None:
+        """Pass a home's answer to the request that waits for it."""
+        waiting = self.questions.get(answer.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    async def find(self, service: ids.PoolId, request: ids.RequestId | None) -> Found:
+        """Return the version of a stream that a caller takes up.
+
+        `request`: the one that brought its first event; None if it isn't named.
+        """
+        found = await self.search(service, request)
+        self.counts[found.source] += 1
+        return found
+
+    async def search(self, service: ids.PoolId, request: ids.RequestId | None) -> Found:
+        """Search in memory, at the homes and in the store, in this order."""
+        own = self.of_service(service)
+        stream = None if request is None else messages.digest(request)
+        version = None if stream is None else own.find(stream)
+        if version is not None:
+            return Found(version, Source.MEMORY)
+        answers = await self.ask_homes(service, stream or b"", clock.now())
+        for answer in answers or ():
+            if answer.version is not None:
+                return Found(answer.version, Source.HOME)
+            for served in answer.served:
+                own.history.note(served, clock.now())
+        now = clock.now()
+        if answers is not None and self.is_history_known(own, answers, now):
+            only = only_version(own.history.served(now))
+            if only is not None:
+                return Found(only, Source.ONLY)
+        return await self.search_store(service, own, stream)
+
+    def is_history_known(
+        self,
+        own: known.Service,
+        answers: list[messages.OriginAnswer],
+        now: ids.Instant,
+    ) -> bool:
+        """Tell whether this instance or a home knows all versions that served."""
+        is_complete = own.history.is_complete(now) and self.is_current(now)
+        return is_complete or any(answer.is_complete for answer in answers)
+
+    async def search_store(
+        self, service: ids.PoolId, own: known.Service, stream: bytes | None
+    ) -> Found:
+        """Search in the store; whatever it has is recorded here."""
+        try:
+            async with self.members.stalls.timeout(STORE_TIMEOUT):
+                kept = await self.keeper.read(service)
+        except (errors.PlatformError, TimeoutError) as error:
+            log.info("origins of {} can't be read: {}", service, error)
+            return UNKNOWN
+        now = clock.now()
+        for origin in kept.origins:
+            own.reported.add(origin, now)
+        version = None if stream is None else own.find(stream)
+        if version is not None:
+            return Found(version, Source.STORE)
+        own.history.complete(kept.served, now)
+        only = only_version(own.history.served(now))
+        return UNKNOWN if only is None else Found(only, Source.ONLY)
+
+    async def ask_homes(
+        self, service: ids.PoolId, stream: bytes, now: ids.Instant
+    ) -> list[messages.OriginAnswer] | None:
+        """Return the answers of the other homes; None if none of them answers.
+
+        It is also None if no other instance is left to ask, though some were known:
+        these may be alive, and know more.
+        """
+        asked = {}
+        for home in self.homes(service, now):
+            peer = self.members.endpoint_of(home)
+            if home == self.members.own.instance or peer is None:
+                continue
+            number = next(self.question_numbers)
+            question = messages.OriginQuestion(
+                number=number, service=service, stream=stream
+            )
+            if self.transport.send(peer, question):
+                asked[number] = asyncio.get_running_loop().create_future()
+        if not asked:
+            return None if self.members.peers else []
+        self.questions.update(asked)
+        try:
+            return await self.wait_for_answers(list(asked.values())) or None
+        finally:
+            for number in asked:
+                del self.questions[number]
+
+    async def wait_for_answers(
+        self, waiting: list[asyncio.Future[messages.OriginAnswer]]
+    ) -> list[messages.OriginAnswer]:
+        """Return the answers that arrive in time, up to one that knows the version."""
+        answers = []
+        try:
+            async with self.members.stalls.timeout(ANSWER_TIMEOUT):
+                for answered in asyncio.as_completed(waiting):
+                    answers.append(await answered)
+                    if answers[-1].version is not None:
+                        break
+        except TimeoutError:
+            pass
+        return answers
+
+
+def only_version(
+    served: frozenset[ids.SoftwareVersion],
+) -> ids.SoftwareVersion | None:
+    """Return the version that has served alone, or None."""
+    return next(iter(served)) if len(served) == 1 else None
