Origins: report all to homes when another version comes, write less at once

By reading: homes that had been told in an earlier mixture didn't get the streams that began between two mixtures; a process that learned from the store that several versions had served didn't report its own; a home with many origins wrote them in one transaction, which may exceed the store's bound of 1 MB.

--- a/src/tealcove/origins/keeping.py
+++ b/src/tealcove/origins/keeping.py
@@ -21,7 +21,8 @@
 # The most origins in a row, 25 bytes each, and the seconds for which a row is added to.
 ROW_ORIGINS = 1000
 ROW_SECONDS = 1.0
-# Rows that one transaction deletes at most.
+# Rows that one transaction writes and deletes at most.
+MAX_WRITTEN = 10
 MAX_DELETED = 50
 # Rows that are read at most.
 MAX_ROWS = 2000
@@ -160,7 +161,7 @@
         """Write the rows of a service that have changed; raises PlatformError."""
         if found.versions is not None:
             await self.write_versions(found, now)
-        changed = [one for one in found.open if not one.is_written]
+        changed = [one for one in found.open if not one.is_written][:MAX_WRITTEN]
         if not changed:
             return
         if found.foreign is None:
--- a/src/tealcove/origins/role.py
+++ b/src/tealcove/origins/role.py
@@ -133,6 +133,9 @@
         if found.is_mixed(now):
             found.unreported.append(origin)
             self.has_news.set()
+        else:
+            # Homes get all origins as soon as another version comes.
+            found.informed = frozenset()
 
     async def report_periodically(self) -> None:
         """Report origins while several versions serve, until cancelled."""
@@ -179,14 +182,14 @@
         now: ids.Instant,
     ) -> bool:
         """Send origins to a home; return False if the message was dropped."""
+        if not origins:
+            return True
         report = messages.OriginReport(service=service, origins=origins)
         if home == self.members.own.instance:
             self.handle_report(home, report)
             return True
         peer = self.members.endpoint_of(home)
-        if peer is None:
-            return False
-        return not origins or self.transport.send(peer, report)
+        return peer is not None and self.transport.send(peer, report)
 
     def keep(self, service: ids.PoolId, found: known.Service, now: ids.Instant) -> None:
         """Keep the versions of a service in the store, and what an earlier home had."""
@@ -206,10 +209,8 @@
         for origin in report.origins:
             found.reported.add(origin, now)
             found.history.note(origin.version, now)
-        if found.is_keeping and report.origins:
+        if found.is_keeping:
             self.keeper.add(report.service, report.origins, now)
-        elif not found.is_keeping:
-            self.has_news.set()
 
     def handle_question(
         self, sender: ids.InstanceId, question: messages.OriginQuestion
@@ -291,6 +292,8 @@
         if version is not None:
             return Found(version, Source.STORE)
         own.history.complete(kept.served, now)
+        if own.is_mixed(now):
+            self.has_news.set()
         only = only_version(own.history.served(now))
         return UNKNOWN if only is None else Found(only, Source.ONLY)
 
