Soak: servers of several software versions, and streams over all their tries

Callers take broken streams up again, at any instance, in every soak, and check them over all tries; a refusal for its version must be truly not run. A cut stream of the stand-in brings events before it breaks also when it was resumed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,7 @@
         found.restores,
         found.paths,
         found.pauses,
+        found.versions,
     )
 
 
@@ -49,6 +50,9 @@
     parser.add_argument(
         "--pauses", action="store_true", help="only stop instances for moments"
     )
+    parser.add_argument(
+        "--versions", action="store_true", help="mix servers of several versions"
+    )
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,8 @@
 from tealcove.standins import poolserver
 
 PATHS = ("/safe/x", "/once/x", "/stream/x")
+# The same where streams are tested.
+STREAM_PATHS = (*PATHS, *("/stream/x",) * 4)
 CALLERS = 6
 PAUSE = 0.03
 TIMEOUT = aiohttp.ClientTimeout(total=4.0, sock_connect=1.0)
@@ -22,7 +24,13 @@
 IN_FORCE_SECONDS = 2.0
 # Statuses which state that a request has not run, and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-COMPLETE_STREAM = poolserver.stream_of(poolserver.FIRST_VERSION)
+# The software versions that servers may have, and the whole stream of each.
+VERSIONS = (poolserver.FIRST_VERSION, "v2", "v3")
+WHOLE_STREAMS = {version: poolserver.stream_of(version) for version in VERSIONS}
+HTTP_OK = 200
+# Tries of a caller whose stream breaks, at any instance each time.
+MAX_TRIES = 3
+EVENT_END = b"\n\n"
 
 
 class CallResult(msgspec.Struct, frozen=True):
@@ -35,6 +43,23 @@
     member: str
     sent_at: ids.Instant
     ended_at: ids.Instant
+    # What the caller had of its stream before, and the try that brought its first
+    # event.
+    received: bytes = b""
+    resumes: str | None = None
+    # How many listed servers had the version of that stream when it was sent.
+    version_servers: int = 0
+
+    @property
+    def stream(self) -> bytes:
+        """The events of the stream over all its tries, in order."""
+        return self.received + self.answer.body
+
+    @property
+    def is_broken_stream(self) -> bool:
+        """Whether its caller may take the stream up."""
+        is_whole = self.answer.status == HTTP_OK and self.answer.is_complete
+        return is_stream(self.path) and not is_whole
 
 
 class Callers:
@@ -45,8 +70,10 @@
         running: deployment.Deployment,
         log: disturbances.DisturbanceLog,
         seed: int,
+        paths: tuple[str, ...] = PATHS,
     ) -> None:
         self.running = running
+        self.paths = paths
         self.disturbances = log
         self.random = random.Random(seed)
         self.results: list[CallResult] = []
@@ -63,22 +90,56 @@
     async def call(self, session: aiohttp.ClientSession) -> None:
         """Run one caller, which sends each request to a random instance."""
         while not self.is_stopping:
-            self.count += 1
-            request_id = f"r-{self.count}"
-            path = self.random.choice(PATHS)
-            member = self.random.choice(self.running.members)
-            sent_at = clock.now()
-            process = (member.name, member.process.pid)
-            key = self.key_at(member, sent_at)
-            answer = await self.send(session, member, request_id, path, key)
-            if answer.status == 200 and process[1] == member.process.pid:
-                self.note_accepted(process, key)
-            ended = CallResult(
-                request_id, path, answer, member.name, sent_at, clock.now()
-            )
-            self.results.append(ended)
+            path = self.random.choice(self.paths)
+            ended = await self.try_once(session, path)
+            for _ in range(MAX_TRIES - 1):
+                if not ended.is_broken_stream:
+                    break
+                ended = await self.try_once(session, path, ended)
             await asyncio.sleep(PAUSE)
 
+    async def try_once(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        before: CallResult | None = None,
+    ) -> CallResult:
+        """Send a request to a random instance; it takes a stream up that has broken."""
+        self.count += 1
+        request_id = f"r-{self.count}"
+        member = self.random.choice(self.running.members)
+        process = (member.name, member.process.pid)
+        received, resumes = taken_up(before)
+        version_servers = self.count_servers(received)
+        sent_at = clock.now()
+        key = self.key_at(member, sent_at)
+        answer = await self.send(
+            session, member, request_id, path, key, resuming(received, resumes)
+        )
+        if answer.status == HTTP_OK and process[1] == member.process.pid:
+            self.note_accepted(process, key)
+        ended = CallResult(
+            request_id=request_id,
+            path=path,
+            answer=answer,
+            member=member.name,
+            sent_at=sent_at,
+            ended_at=clock.now(),
+            received=received,
+            resumes=resumes,
+            version_servers=version_servers,
+        )
+        self.results.append(ended)
+        return ended
+
+    def count_servers(self, received: bytes) -> int:
+        """Return how many listed servers have the version of a begun stream."""
+        version = version_of(received)
+        return sum(
+            server.version == version and self.running.states[server.name] == "ready"
+            for server in self.running.servers
+        )
+
     def key_at(self, member: deployment.Member, now: ids.Instant) -> str:
         """Return the newest key that an instance must accept.
 
@@ -107,13 +168,15 @@
         request_id: str,
         path: str,
         key: str,
+        more: dict[str, str],
     ) -> platform_site.Answer:
-        """Send one request with a key."""
+        """Send one request with a key and more headers."""
         headers = {
             "Host": platform_site.HOST,
             names.REQUEST_ID: request_id,
             names.API_KEY: key,
             names.DEADLINE_MS: "3000",
+            **more,
         }
         url = f"http://{member.listen['callers']}{path}"
         try:
@@ -123,6 +186,46 @@
             return platform_site.Answer(None, b"", False)
 
 
+def is_stream(path: str) -> bool:
+    """Tell whether the answers of a path are streams."""
+    return path.startswith("/stream/")
+
+
+def taken_up(before: CallResult | None) -> tuple[bytes, str | None]:
+    """Return the events that a caller has, and the try that brought the first one."""
+    if before is None:
+        return b"", None
+    if before.answer.status != HTTP_OK:
+        return before.received, before.resumes
+    events = before.stream[: before.stream.rfind(EVENT_END) + len(EVENT_END)]
+    if EVENT_END not in events:
+        return b"", None
+    return events, before.resumes or before.request_id
+
+
+def resuming(received: bytes, resumes: str | None) -> dict[str, str]:
+    """Return the headers of a try that takes a stream up; none if it begins."""
+    if resumes is None:
+        return {}
+    last = received.count(EVENT_END)
+    return {names.LAST_EVENT_ID: str(last), names.RESUMES: resumes}
+
+
+def version_of(received: bytes) -> str | None:
+    """Return the version that wrote the events of a stream, or None."""
+    if not received:
+        return None
+    fitting = (v for v, whole in WHOLE_STREAMS.items() if whole.startswith(received))
+    return next(fitting, None)
+
+
+def reason_of(answer: platform_site.Answer) -> str | None:
+    """Return why a request was refused, or None."""
+    if answer.status not in NOT_RUN_STATUSES or not answer.is_complete:
+        return None
+    return msgspec.json.decode(answer.body).get("reason")
+
+
 def find_violations(
     running: deployment.Deployment, ended: list[CallResult]
 ) -> list[str]:
@@ -160,9 +263,12 @@
             found.append("a success without a signature")
         if answer.headers.get(names.REQUEST_ID) != one.request_id:
             found.append("another request's answer")
-        is_stream = one.path.startswith("/stream/")
-        if is_stream and answer.is_complete and answer.body != COMPLETE_STREAM:
-            found.append(f"a complete stream with wrong events: {answer.body!r}")
-        if is_stream and not COMPLETE_STREAM.startswith(answer.body):
-            found.append(f"events out of order: {answer.body!r}")
+        wholes = WHOLE_STREAMS.values()
+        if is_stream(one.path) and answer.is_complete and one.stream not in wholes:
+            found.append(f"a complete stream with wrong events: {one.stream!r}")
+        if is_stream(one.path) and not any(w.startswith(one.stream) for w in wholes):
+            found.append(f"events out of order, or of two versions: {one.stream!r}")
+    reason = reason_of(answer)
+    if runs and reason is not None and reason.startswith("version_"):
+        found.append(f"refused as {reason}, but has run")
     return found
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
     proxy,
     restoring,
     statements,
+    versions,
 )
 from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
@@ -30,6 +31,9 @@
 # kind of fault.
 MEAN_PAUSE_BETWEEN_CUTS = 1.5
 CUT_WEIGHT = 12
+# The same for cuts of streams and replaced servers in a soak of software versions.
+STREAM_CUT_WEIGHT = 8
+REPLACEMENT_WEIGHT = 3
 
 # Seconds for which a sound server may be silent.
 SILENT_SECONDS = 1.0
@@ -63,6 +67,7 @@
         restores_store: bool = False,
         cuts_paths: bool = False,
         pauses_only: bool = False,
+        mixes_versions: bool = False,
     ) -> None:
         self.running = running
         self.restores_store = restores_store
@@ -90,9 +95,24 @@
         self.mean_pause = MEAN_PAUSE_SECONDS
         self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
         self.pauses_only = pauses_only
+        self.mixes_versions = mixes_versions
         if pauses_only:
             self.kinds = (self.pausing.pause,)
             self.mean_pause = pausing.MEAN_PAUSE_SECONDS
+        if mixes_versions:
+            changing = versions.VersionChanger(running, self.random, self.disturbances)
+            self.kinds = (
+                *(changing.cut_streams,) * STREAM_CUT_WEIGHT,
+                *(changing.replace_server,) * REPLACEMENT_WEIGHT,
+                changing.kill_all,
+                changing.kill_several,
+                self.kill,
+                self.freeze,
+                self.terminate,
+                self.cut_store,
+                self.store_fault,
+                self.server_faults,
+            )
         if cuts_paths:
             self.mean_pause = MEAN_PAUSE_BETWEEN_CUTS
             self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
@@ -118,8 +138,8 @@
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
         # In a soak of lost paths, servers state only that they are brittle, and in one
-        # of pauses nothing.
-        is_silent = self.cuts_paths or self.pauses_only
+        # of pauses or of versions nothing.
+        is_silent = self.cuts_paths or self.pauses_only or self.mixes_versions
         stating = [] if is_silent else [asyncio.create_task(self.stating.run())]
         if not self.restores_store:
             self.restoring.stopping.set()
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
     pathcuts,
     pausing,
     resting,
+    versions,
 )
 
 MEMBERS = 3
@@ -53,6 +54,8 @@
     cut_off: int
     # Pauses of instances, in a soak of nothing else.
     pauses: int
+    # Streams that callers took up.
+    taken_up: versions.TakenUp
     broken: tuple[str, ...]
 
 
@@ -65,23 +68,29 @@
     restores_store: bool = False,
     cuts_paths: bool = False,
     pauses_only: bool = False,
+    mixes_versions: bool = False,
 ) -> Verdict:
     """Run one soak; its logs are kept in the folder.
 
     A store that is restored again and again is disturbed for most of the time, so that
     fewer requests show how instances act on what is written. With `cuts_paths`, most
     faults are lost paths, and the servers are brittle and state nothing else. With
-    `pauses_only`, the only faults are short pauses of the instances' processes.
+    `pauses_only`, the only faults are short pauses of the instances' processes. With
+    `mixes_versions`, the servers have several software versions, and streams break.
     """
-    async with deployment.Deployment(folder, members, servers) as running:
+    created = deployment.Deployment(folder, members, servers)
+    if mixes_versions:
+        versions.mix(created)
+    async with created as running:
         injector = faults.FaultInjector(
-            running, seed, restores_store, cuts_paths, pauses_only
+            running, seed, restores_store, cuts_paths, pauses_only, mixes_versions
         )
         if cuts_paths:
             pathcuts.make_brittle(running)
         if pauses_only:
             await running.until_serving()
-        calling = callers.Callers(running, injector.disturbances, seed)
+        paths = callers.STREAM_PATHS if mixes_versions else callers.PATHS
+        calling = callers.Callers(running, injector.disturbances, seed, paths)
         task = asyncio.create_task(calling.run())
         await injector.run(seconds)
         for server in running.servers:
@@ -112,6 +121,7 @@
                 running, injector.disturbances, calling.results
             )
         broken.extend(unserved)
+        broken.extend(versions.lost_streams(injector.disturbances, calling.results))
         if pauses_only:
             broken.extend(pausing.misjudgements(running))
             broken.extend(pausing.unserved(calling.results))
@@ -133,5 +143,6 @@
         spanned=spanned,
         cut_off=cut_off,
         pauses=injector.pausing.count,
+        taken_up=versions.taken_up(injector.disturbances, calling.results),
         broken=tuple(broken),
     )
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -303,7 +303,7 @@
         last = int(request.headers.get(names.LAST_EVENT_ID, 0))
         response = web.StreamResponse(headers={**headers, "Content-Type": EVENT_STREAM})
         await response.prepare(request)
-        half = self.event_count // 2 + 1
+        half = (last + self.event_count) // 2 + 1
         for number in range(last + 1, self.event_count + 1):
             event = event_of(number, self.version)
             if fault is Fault.CUT and number == half:
