Tests of origins, and two mends that writing them showed

A question was sent before the entry waited for its answer; an answer that came at once was lost (never seen between processes, where none does). Whether the list is current compared whole heartbeats of all peers with each other while the store is away for all, which grows with the square of the instances.

--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -163,18 +163,16 @@
 
         While the store is away for all of them, none can have one.
         """
-        own = self.members.own
+        newest = self.members.own.servers_revision
         alive = self.members.alive(now)
-        if any(beat.servers_revision > own.servers_revision for beat in alive):
+        if any(beat.servers_revision > newest for beat in alive):
             return False
         if any(beat.reaches_store for beat in alive):
             return True
-        lost = (
-            member.heartbeat
+        return not any(
+            member.heartbeat.reaches_store and self.members.is_suspect(member, now)
             for member in self.members.peers.values()
-            if member.heartbeat not in alive
         )
-        return not any(beat.reaches_store for beat in lost)
 
     def is_receiving(self, wanted: copies.Copy, now: ids.Instant) -> bool:
         """Return whether the store's answer for a copy is being received."""
--- a/src/tealcove/origins/role.py
+++ b/src/tealcove/origins/role.py
@@ -314,11 +314,13 @@
             question = messages.OriginQuestion(
                 number=number, service=service, stream=stream
             )
+            self.questions[number] = asyncio.get_running_loop().create_future()
             if self.transport.send(peer, question):
-                asked[number] = asyncio.get_running_loop().create_future()
+                asked[number] = self.questions[number]
+            else:
+                del self.questions[number]
         if not asked:
             return None if self.members.peers else []
-        self.questions.update(asked)
         try:
             return await self.wait_for_answers(list(asked.values())) or None
         finally:
