--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,9 @@
     3019: 10.0,
 }
 PATH_MEMBERS = 4
+# The same with servers of several software versions.
+VERSION_SEEDS = {11: 12.0, 13: 12.0}
+VERSION_MEMBERS, VERSION_SERVERS = 4, 6
 # The same with short pauses of the instances as the only faults.
 PAUSE_SEEDS = {
     1: 8.0,
@@ -99,6 +102,23 @@
     assert verdict.pauses > 0
 
 
+@pytest.mark.parametrize("seed", VERSION_SEEDS)
+async def test_streams_stay_at_the_version_that_began_them(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Streams that callers took up held events of two software versions."""
+    verdict = await run.soak(
+        tmp_path,
+        seed,
+        VERSION_SEEDS[seed],
+        VERSION_MEMBERS,
+        VERSION_SERVERS,
+        mixes_versions=True,
+    )
+    assert verdict.broken == ()
+    assert verdict.taken_up.went_on > 0
+
+
 async def test_a_fault_while_a_member_starts_leaves_no_second_process(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
