--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -317,9 +317,12 @@
         for version, streams in bound.items():
             servers = self.resuming_servers(version)
             if servers:
-                found.append(waitingline.forecast(streams, servers, self.inflow, now))
+                forecast = waitingline.forecast(
+                    streams, servers, self.inflow, now, is_bound=True
+                )
             else:
-                found.append(waitingline.forecast_of_lost_version(streams))
+                forecast = waitingline.forecast_of_lost_version(streams)
+            found.append(forecast)
         return found
 
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
--- a/src/tealcove/dispatch/tests/test_versions.py
+++ b/src/tealcove/dispatch/tests/test_versions.py
@@ -106,6 +106,22 @@
     assert [grant.ticket_id for grant in builders.granted(ended)] == [bound.ticket_id]
 
 
+def test_a_stream_waits_for_a_server_that_takes_the_place_of_its_own() -> None:
+    """Guards against the loss of streams whose only server crashed and starts again."""
+    found = opened(goal.GoalScheduler, "v1", "v2")
+    first = builders.granted(found.enqueue(builders.ticket(version=V1), NOW))[0]
+    crashed = builders.done(first, outcome=messages.Outcome.CRASHED)
+    found.done(crashed, builders.instant(10.1))
+    again = builders.ticket(version=V1, goal=0.05, patience=2.0)
+    assert not builders.refused(found.enqueue(again, builders.instant(10.1)))
+    assert not builders.refused(found.tick(builders.instant(10.3)))
+    listed = builders.cell(
+        builders.server("s1", 2, version="v2"),
+        builders.server("s2", 2, version="v1"),
+    )
+    assert servers_of(found.configure(listed, builders.instant(10.4))) == ["s2"]
+
+
 def test_one_version_changes_nothing_in_the_order_of_the_line() -> None:
     found = opened(goal.GoalScheduler, "v1", slots=1)
     first = builders.granted(found.enqueue(builders.ticket(), NOW))[0]
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -115,6 +115,7 @@
     servers: Iterable[backendview.BackendView],
     arriving: inflow.Inflow,
     now: ids.Instant,
+    is_bound: bool = False,
 ) -> Forecast:
     """Simulate the line, assigning to each ticket the slot that is released first.
 
@@ -122,6 +123,8 @@
     a ticket that is or will be late, those of its own tier as well. Without them a
     ticket would seem about to start until its deadline, and its caller would wait that
     long only to be refused.
+
+    `is_bound`: the line consists of streams that only these servers may go on with.
     """
     servers = list(servers)
     slots = releases.Releases(slot_releases(servers, now))
@@ -129,7 +132,7 @@
         return forecast_without_servers(line, servers, now)
     pause = seconds_until_tried(servers, now)
     if pause > 0.0:
-        return forecast_of_unreachable(line, pause, now)
+        return forecast_of_unreachable(line, pause, is_bound, now)
     count = len(slots)
     too_late = []
     for waiting in line:
@@ -176,16 +179,19 @@
 
 
 def forecast_of_unreachable(
-    line: Iterable[Waiting], pause: float, now: ids.Instant
+    line: Iterable[Waiting], pause: float, is_bound: bool, now: ids.Instant
 ) -> Forecast:
     """Return the tickets that shouldn't wait until a server is tried again.
 
-    No instance reaches one, so waiting beyond the goal is likely to gain nothing.
+    No instance reaches one, so waiting beyond the goal is likely to gain nothing. A
+    stream that is refused is lost, though: its server, or one that takes its place,
+    may be back before the caller leaves.
     """
     too_late = [
         (waiting, pause)
         for waiting in line
-        if now + pause > min(waiting.start_by, waiting.latest_in_time())
+        if now + pause > waiting.start_by
+        or (now + pause > waiting.latest_in_time() and not is_bound)
     ]
     return Forecast(tuple(too_late), messages.RefusalReason.NO_BACKEND_SERVER)
 
