--- a/src/tealcove/origins/keeping.py
+++ b/src/tealcove/origins/keeping.py
@@ -147,7 +147,8 @@
             await self.has_work.wait()
             self.has_work.clear()
             pause = WRITE_INTERVAL
-            for found in self.services.values():
+            # More services may come while one is written.
+            for found in list(self.services.values()):
                 try:
                     await self.write(found, clock.now())
                 except errors.PlatformError as error:
@@ -202,6 +203,9 @@
         for version, left in before.items():
             if version not in versions and is_recent(left, reading):
                 versions[version] = reading.seconds if left is None else left
+            elif left is not None and versions.get(version) is not None:
+                # Whoever wrote that has seen it leave.
+                versions[version] = left
         if versions != before:
             value = msgspec.msgpack.encode(versions)
             put = table.Put(TABLE, found.service, value)
--- a/src/tealcove/origins/role.py
+++ b/src/tealcove/origins/role.py
@@ -293,6 +293,8 @@
             return Found(version, Source.STORE)
         own.history.complete(kept.served, now)
         if own.is_mixed(now):
+            # Also where all instances that knew these versions have died.
+            self.keeper.note_versions(service, own.history.times())
             self.has_news.set()
         only = only_version(own.history.served(now))
         return UNKNOWN if only is None else Found(only, Source.ONLY)
--- a/src/tealcove/origins/tests/test_keeping.py
+++ b/src/tealcove/origins/tests/test_keeping.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tealcove import clock, errors, ids
@@ -92,12 +94,47 @@
         found.note_versions(SERVICE, times)
         await write(found, instant(0.0))
     assert (await found.read(SERVICE)).served == {V1, V2}
+
+
+async def test_a_version_that_left_long_ago_has_not_served(
+    platform: memory.MemoryPlatform,
+) -> None:
+    found = keeper(platform)
     long_ago = instant(-known.STREAM_SECONDS - 1.0)
     found.note_versions(SERVICE, {V1: long_ago, V2: None})
     await write(found, instant(0.0))
     assert (await found.read(SERVICE)).served == {V2}
 
 
+async def test_the_time_when_a_version_left_is_kept(
+    platform: memory.MemoryPlatform,
+) -> None:
+    """A process that reads of a version later takes it for one that just left."""
+    seen, late = keeper(platform), keeper(platform, "b")
+    seen.note_versions(SERVICE, {V1: instant(-20.0), V2: None})
+    await write(seen, instant(0.0))
+    before = await platform.table.read(keeping.TABLE, SERVICE)
+    late.note_versions(SERVICE, {V1: instant(0.0), V2: None})
+    await write(late, instant(0.0))
+    assert await platform.table.read(keeping.TABLE, SERVICE) == before
+
+
+async def test_a_service_that_comes_during_a_write_is_kept_too(
+    platform: memory.MemoryPlatform,
+) -> None:
+    found = keeper(platform)
+    other = ids.PoolId("others")
+    platform.faults.slow = 0.05
+    found.start()
+    try:
+        found.add(SERVICE, origins(1), clock.now())
+        await asyncio.sleep(0.0)
+        found.add(other, origins(1), clock.now())
+        await builders.until(lambda: len(keys(platform)) == 2)
+    finally:
+        await found.stop()
+
+
 async def test_nothing_is_written_twice_for_the_same_versions(
     platform: memory.MemoryPlatform,
 ) -> None:
--- a/src/tealcove/origins/tests/test_role.py
+++ b/src/tealcove/origins/tests/test_role.py
@@ -181,6 +181,20 @@
         assert await find(finder) == role.UNKNOWN
 
 
+async def test_a_version_that_left_while_nobody_ran_is_forgotten_in_the_end(
+    group: builders.Group,
+) -> None:
+    """Guards against a row that names a version as serving for ever."""
+    group.list_versions(V1, V2)
+    key = (keeping.TABLE, SERVICE)
+    await builders.until(lambda: key in group.rows.rows)
+    before = group.rows.rows[key]
+    await group.replace_all()
+    group.list_versions(V2)
+    assert await find(group.others()[0]) == role.UNKNOWN
+    await builders.until(lambda: group.rows.rows[key] != before)
+
+
 async def test_new_processes_go_on_where_the_store_names_no_other_version(
     group: builders.Group,
 ) -> None:
