Goal scheduler: the servers that may receive are found once for each grant

They were found anew for each waiting ticket since streams may be bound to a version. A stream whose version has no server is refused before its account is charged, which wasn't refunded.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -93,28 +93,29 @@
 
     def eligible_servers(self) -> list[backendview.BackendView]:
         """Return the servers whose version may receive a request now."""
-        servers = self.views.servers.values()
-        return [server for server in servers if self.exposure.may_receive(server.spec)]
+        return self.receiving(self.views.servers.values())
 
     def resuming_servers(
         self, version: ids.SoftwareVersion
     ) -> list[backendview.BackendView]:
         """Return the servers that may go on with the streams of a version."""
-        return [
+        return self.resuming(
             server
             for server in self.views.servers.values()
-            if server.spec.version == version
-            and server.is_serving
-            and self.exposure.may_resume(server.spec)
-        ]
+            if server.spec.version == version and server.is_serving
+        )
+
+    def receiving(
+        self, servers: Iterable[backendview.BackendView]
+    ) -> list[backendview.BackendView]:
+        """Return those of some servers whose version may receive a request now."""
+        return [one for one in servers if self.exposure.may_receive(one.spec)]
 
-    def permitted(
-        self, ticket: messages.Ticket, free: Iterable[backendview.BackendView]
+    def resuming(
+        self, servers: Iterable[backendview.BackendView]
     ) -> list[backendview.BackendView]:
-        """Return those of some servers whose version may receive a ticket now."""
-        if ticket.version is None:
-            return [one for one in free if self.exposure.may_receive(one.spec)]
-        return [one for one in free if self.exposure.may_resume(one.spec)]
+        """Return those of some servers that may go on with streams of their version."""
+        return [one for one in servers if self.exposure.may_resume(one.spec)]
 
     def gather(self, until: ids.Instant) -> None:
         """See Scheduler."""
@@ -328,19 +329,24 @@
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
         free = with_free_slots(self.views.servers.values(), now)
+        receiving = self.receiving(free)
         outgoing = []
         # The line is sorted only if a slot is free: under overload, none is after most
         # events.
         for waiting in self.ordered(now) if free else ():
             if not free:
                 break
-            permitted = self.permitted(waiting.ticket, free)
+            is_any = waiting.ticket.version is None
+            permitted = receiving if is_any else self.resuming(free)
+            if not permitted:
+                continue
             allowed = self.views.allowed(waiting.ticket, permitted, now)
             reached = self.paths.prefer_reached(waiting.ticket.entry, allowed, now)
             server = placement.choose(waiting, reached, self.exposure, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
                 free = with_free_slots(free, now)
+                receiving = self.receiving(free)
         return outgoing
 
     def grant(
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -119,8 +119,8 @@
             extra={"request": received.request_id},
         )
         version = await self.find_version(accepted)
-        charge = await self.charge(accepted)
         cell = self.find_cell(accepted, version)
+        charge = await self.charge(accepted)
         running = exchange.Exchange(self.services, accepted, cell, request, version)
         try:
             return await running.run()
