Origins: what instances tell each other of versions keeps its age

By reading: an instance that was told which versions had served took each for one that had just left, and told it on. Instances that ask each other would so never forget a version, report streams and refuse unknown ones for ever after a change of version. Answers and the store's row give the seconds since each was last listed. The new test fails without the change (unknown after the life of a stream). A version with an empty name counts as known.

--- a/bench/stream_origins.py
+++ b/bench/stream_origins.py
@@ -82,7 +82,7 @@
 
     async def read(self, service: ids.PoolId) -> keeping.Kept:
         """Return nothing; the versions that serve are in the list."""
-        return keeping.Kept((), frozenset())
+        return keeping.Kept((), {})
 
 
 class Load:
--- a/src/tealcove/origins/keeping.py
+++ b/src/tealcove/origins/keeping.py
@@ -37,8 +37,8 @@
     """What the store has of one service."""
 
     origins: tuple[messages.Origin, ...]
-    # The versions that served within the life of a stream; empty: never several.
-    served: frozenset[ids.SoftwareVersion]
+    # The seconds since each version was last listed; empty: there were never several.
+    served: dict[ids.SoftwareVersion, float]
 
 
 class OpenRow(msgspec.Struct):
@@ -220,10 +220,10 @@
             self.rows.read_at(TABLE, service), self.rows_of(service)
         )
         origins = itertools.chain.from_iterable(decode(row.value) for row in rows)
-        versions = decode_versions(reading)
-        served = frozenset(
-            v for v, left in versions.items() if is_recent(left, reading)
-        )
+        served = {
+            version: 0.0 if left is None else reading.seconds - left
+            for version, left in decode_versions(reading).items()
+        }
         return Kept(tuple(origins), served)
 
 
--- a/src/tealcove/origins/known.py
+++ b/src/tealcove/origins/known.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -77,10 +77,10 @@
             self.left[version] = now
         self.listed = listed
 
-    def note(self, version: ids.SoftwareVersion, now: ids.Instant) -> None:
-        """Record that a version serves, which the list may not have yet."""
+    def note(self, version: ids.SoftwareVersion, at: ids.Instant) -> None:
+        """Record that a version served at a time, whether or not the list has it."""
         if version not in self.listed:
-            self.left[version] = now
+            self.left[version] = max(at, self.left.get(version, at))
 
     def served(self, now: ids.Instant) -> frozenset[ids.SoftwareVersion]:
         """Return the versions that served within the life of a stream."""
@@ -91,10 +91,20 @@
         }
         return self.listed.union(self.left)
 
-    def complete(self, served: Iterable[ids.SoftwareVersion], now: ids.Instant) -> None:
-        """Add what the store has of the time before the first list."""
-        for version in served:
-            self.note(version, now)
+    def add(
+        self, served: Mapping[ids.SoftwareVersion, float], now: ids.Instant
+    ) -> None:
+        """Add versions with the seconds since each was last listed elsewhere."""
+        for version, age in served.items():
+            self.note(version, ids.Instant(now - age))
+
+    def ages(self, now: ids.Instant) -> dict[ids.SoftwareVersion, float]:
+        """Return the seconds since each version was last listed; 0: it serves."""
+        left = {version: now - at for version, at in self.left.items()}
+        return {**left, **dict.fromkeys(self.listed, 0.0)}
+
+    def set_complete(self) -> None:
+        """Record that all versions are known, also of the time before the list."""
         self.since = ids.Instant(-math.inf)
 
     def times(self) -> dict[ids.SoftwareVersion, ids.Instant | None]:
@@ -106,7 +116,7 @@
         return self.since is not None and now - self.since > STREAM_SECONDS
 
 
-class Service:
+class ServiceOrigins:
     """What an instance knows of the streams of one service."""
 
     def __init__(self) -> None:
@@ -125,7 +135,8 @@
 
     def find(self, stream: bytes) -> ids.SoftwareVersion | None:
         """Return the version at which a stream began, or None."""
-        return self.own.find(stream) or self.reported.find(stream)
+        found = self.own.find(stream)
+        return self.reported.find(stream) if found is None else found
 
     def is_mixed(self, now: ids.Instant) -> bool:
         """Tell whether streams of several versions may be open."""
--- a/src/tealcove/origins/messages.py
+++ b/src/tealcove/origins/messages.py
@@ -41,8 +41,8 @@
     number: int
     # None: not known.
     version: ids.SoftwareVersion | None
-    # The versions that served within the life of a stream, as far as known.
-    served: tuple[ids.SoftwareVersion, ...]
+    # The seconds since each version that is known was last listed; 0: it serves.
+    served: dict[ids.SoftwareVersion, float]
     # Whether the home has known all servers for so long.
     is_complete: bool
 
--- a/src/tealcove/origins/role.py
+++ b/src/tealcove/origins/role.py
@@ -71,7 +71,7 @@
         self.members = known_members
         self.keeper = keeper
         self.is_current = is_current
-        self.services: dict[ids.PoolId, known.Service] = {}
+        self.services: dict[ids.PoolId, known.ServiceOrigins] = {}
         self.question_numbers = itertools.count(1)
         self.questions: dict[int, asyncio.Future[messages.OriginAnswer]] = {}
         self.has_news = asyncio.Event()
@@ -93,11 +93,11 @@
         await tasks.stop([self.reporting])
         await self.keeper.stop()
 
-    def of_service(self, service: ids.PoolId) -> known.Service:
+    def of_service(self, service: ids.PoolId) -> known.ServiceOrigins:
         """Return what is known of a service."""
         found = self.services.get(service)
         if found is None:
-            found = self.services[service] = known.Service()
+            found = self.services[service] = known.ServiceOrigins()
         return found
 
     def apply_servers(
@@ -152,7 +152,7 @@
         return self.members.rank(f"origins of {service}", now)[:HOMES]
 
     def report(
-        self, service: ids.PoolId, found: known.Service, now: ids.Instant
+        self, service: ids.PoolId, found: known.ServiceOrigins, now: ids.Instant
     ) -> None:
         """Report the new origins to the homes, and all of them to a new home."""
         homes = self.homes(service, now)
@@ -191,7 +191,9 @@
         peer = self.members.endpoint_of(home)
         return peer is not None and self.transport.send(peer, report)
 
-    def keep(self, service: ids.PoolId, found: known.Service, now: ids.Instant) -> None:
+    def keep(
+        self, service: ids.PoolId, found: known.ServiceOrigins, now: ids.Instant
+    ) -> None:
         """Keep the versions of a service in the store, and what an earlier home had."""
         if not found.is_keeping:
             self.keeper.add(service, found.reported.all(), now)
@@ -221,7 +223,7 @@
         answer = messages.OriginAnswer(
             number=question.number,
             version=found.find(question.stream),
-            served=tuple(found.history.served(now)),
+            served=found.history.ages(now),
             is_complete=found.history.is_complete(now) and self.is_current(now),
         )
         peer = self.members.endpoint_of(sender)
@@ -256,8 +258,7 @@
         for answer in answers or ():
             if answer.version is not None:
                 return Found(answer.version, Source.HOME)
-            for served in answer.served:
-                own.history.note(served, clock.now())
+            own.history.add(answer.served, clock.now())
         now = clock.now()
         if answers is not None and self.is_history_known(own, answers, now):
             only = only_version(own.history.served(now))
@@ -267,7 +268,7 @@
 
     def is_history_known(
         self,
-        own: known.Service,
+        own: known.ServiceOrigins,
         answers: list[messages.OriginAnswer],
         now: ids.Instant,
     ) -> bool:
@@ -276,7 +277,7 @@
         return is_complete or any(answer.is_complete for answer in answers)
 
     async def search_store(
-        self, service: ids.PoolId, own: known.Service, stream: bytes | None
+        self, service: ids.PoolId, own: known.ServiceOrigins, stream: bytes | None
     ) -> Found:
         """Search in the store; whatever it has is recorded here."""
         try:
@@ -291,7 +292,8 @@
         version = None if stream is None else own.find(stream)
         if version is not None:
             return Found(version, Source.STORE)
-        own.history.complete(kept.served, now)
+        own.history.add(kept.served, now)
+        own.history.set_complete()
         if own.is_mixed(now):
             # Also where all instances that knew these versions have died.
             self.keeper.note_versions(service, own.history.times())
--- a/src/tealcove/origins/tests/test_keeping.py
+++ b/src/tealcove/origins/tests/test_keeping.py
@@ -93,7 +93,7 @@
     for times in ({V1: None, V2: None}, {V2: None}):
         found.note_versions(SERVICE, times)
         await write(found, instant(0.0))
-    assert (await found.read(SERVICE)).served == {V1, V2}
+    assert (await found.read(SERVICE)).served.keys() == {V1, V2}
 
 
 async def test_a_version_that_left_long_ago_has_not_served(
@@ -103,7 +103,9 @@
     long_ago = instant(-known.STREAM_SECONDS - 1.0)
     found.note_versions(SERVICE, {V1: long_ago, V2: None})
     await write(found, instant(0.0))
-    assert (await found.read(SERVICE)).served == {V2}
+    served = (await found.read(SERVICE)).served
+    assert served[V1] > known.STREAM_SECONDS
+    assert served[V2] == 0.0
 
 
 async def test_the_time_when_a_version_left_is_kept(
@@ -161,7 +163,7 @@
     finally:
         await found.stop()
     kept = await found.read(SERVICE)
-    assert kept == keeping.Kept(origins(3), frozenset((V1, V2)))
+    assert kept == keeping.Kept(origins(3), {V1: 0.0, V2: 0.0})
 
 
 def test_an_undecodable_row_is_ignored() -> None:
--- a/src/tealcove/origins/tests/test_role.py
+++ b/src/tealcove/origins/tests/test_role.py
@@ -9,10 +9,12 @@
 import pytest_asyncio
 
 from tealcove import clock, ids
-from tealcove.origins import keeping, messages, role
+from tealcove.origins import keeping, known, messages, role
 from tealcove.origins.tests import builders
 
 STREAM = ids.RequestId("r-1")
+# Until the life of a stream is over, in seconds.
+AGE_SECONDS = 0.7
 V1, V2, SERVICE = builders.V1, builders.V2, builders.SERVICE
 
 
@@ -36,9 +38,14 @@
     return await at.find(SERVICE, request)
 
 
-def is_reported(homes: list[role.OriginFinder], request: str = STREAM) -> bool:
+def is_reported(
+    homes: list[role.OriginFinder],
+    request: str = STREAM,
+    version: ids.SoftwareVersion | None = None,
+) -> bool:
     stream = messages.digest(ids.RequestId(request))
-    return all(home.of_service(SERVICE).reported.find(stream) for home in homes)
+    found = [home.of_service(SERVICE).reported.find(stream) for home in homes]
+    return all(one is not None and one == (version or one) for one in found)
 
 
 def is_kept(group: builders.Group, count: int = 1) -> bool:
@@ -247,6 +254,34 @@
     assert await find(group.others()[0]) == role.UNKNOWN
 
 
+async def test_instances_that_ask_each_other_forget_a_version_in_time(
+    group: builders.Group,
+) -> None:
+    """Each took a version that it was told of for one that had just left."""
+    group.list_versions(V1)
+    group.list_versions(V2)
+    group.age()
+    left = clock.now() - known.STREAM_SECONDS + AGE_SECONDS
+    for finder in group.finders:
+        finder.of_service(SERVICE).history.left[V1] = ids.Instant(left)
+    for finder in group.finders:
+        assert await find(finder) == role.UNKNOWN
+    await asyncio.sleep(2 * AGE_SECONDS)
+    for finder in group.finders:
+        assert (await find(finder)).version == V2
+
+
+async def test_a_version_without_a_name_is_one_like_others(
+    group: builders.Group,
+) -> None:
+    unnamed = ids.SoftwareVersion("")
+    group.list_versions(unnamed, V2)
+    begin(group.others()[0], unnamed)
+    await builders.until(lambda: is_reported(group.homes(), version=unnamed))
+    for finder in group.finders:
+        assert (await find(finder)).version == unnamed
+
+
 async def test_refusals_are_counted(group: builders.Group) -> None:
     group.list_versions(V1, V2)
     await find(group.finders[0])
