--- a/src/tealcove/origins/role.py
+++ b/src/tealcove/origins/role.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import enum
-import itertools
 from collections.abc import Callable, Iterable, Mapping
 
 import logbook
@@ -12,7 +11,7 @@
 
 from tealcove import clock, errors, ids, tasks
 from tealcove.membership import members
-from tealcove.origins import keeping, known, messages
+from tealcove.origins import keeping, known, messages, questions
 from tealcove.peers import mesh
 
 log = logbook.Logger("origins")
@@ -23,8 +22,7 @@
 REPORT_INTERVAL = 0.03
 # Seconds after which a report that was dropped is sent again.
 RETRY_INTERVAL = 0.5
-# Seconds that an entry waits for the homes, and for the store after them.
-ANSWER_TIMEOUT = 0.1
+# Seconds that an entry waits for the store.
 STORE_TIMEOUT = 0.5
 
 # Tells whether no known instance has a newer list of servers than this one.
@@ -34,7 +32,7 @@
 class Source(enum.Enum):
     """How the version of a stream is known."""
 
-    MEMORY = "reported to this instance"
+    MEMORY = "known to this instance"
     HOME = "a home knows it"
     STORE = "kept in the store"
     ONLY = "no other version has served"
@@ -72,8 +70,7 @@
         self.keeper = keeper
         self.is_current = is_current
         self.services: dict[ids.PoolId, known.ServiceOrigins] = {}
-        self.question_numbers = itertools.count(1)
-        self.questions: dict[int, asyncio.Future[messages.OriginAnswer]] = {}
+        self.questions = questions.Questions(transport, known_members)
         self.has_news = asyncio.Event()
         self.reporting: asyncio.Task[None] | None = None
         # Counts of streams that callers took up, by how their version was known.
@@ -83,7 +80,7 @@
         """Register the message handlers and start to report."""
         self.transport.handle(messages.OriginReport, self.handle_report)
         self.transport.handle(messages.OriginQuestion, self.handle_question)
-        self.transport.handle(messages.OriginAnswer, self.handle_answer)
+        self.questions.start()
         self.members.listen(self.has_news.set)
         self.reporting = tasks.start(self.report_periodically(), "reports of origins")
         self.keeper.start()
@@ -230,14 +227,6 @@
         if peer is not None:
             self.transport.send(peer, answer)
 
-    def handle_answer(
-        self, sender: ids.InstanceId, answer: messages.OriginAnswer
-    ) -> None:
-        """Pass a home's answer to the request that waits for it."""
-        waiting = self.questions.get(answer.number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(answer)
-
     async def find(self, service: ids.PoolId, request: ids.RequestId | None) -> Found:
         """Return the version of a stream that a caller takes up.
 
@@ -254,7 +243,8 @@
         version = None if stream is None else own.find(stream)
         if version is not None:
             return Found(version, Source.MEMORY)
-        answers = await self.ask_homes(service, stream or b"", clock.now())
+        homes = self.homes(service, clock.now())
+        answers = await self.questions.ask(homes, service, stream or b"")
         for answer in answers or ():
             if answer.version is not None:
                 return Found(answer.version, Source.HOME)
@@ -301,51 +291,6 @@
         only = only_version(own.history.served(now))
         return UNKNOWN if only is None else Found(only, Source.ONLY)
 
-    async def ask_homes(
-        self, service: ids.PoolId, stream: bytes, now: ids.Instant
-    ) -> list[messages.OriginAnswer] | None:
-        """Return the answers of the other homes; None if none of them answers.
-
-        It is also None if no other instance is left to ask, though some were known:
-        these may be alive, and know more.
-        """
-        asked = {}
-        for home in self.homes(service, now):
-            peer = self.members.endpoint_of(home)
-            if home == self.members.own.instance or peer is None:
-                continue
-            number = next(self.question_numbers)
-            question = messages.OriginQuestion(
-                number=number, service=service, stream=stream
-            )
-            self.questions[number] = asyncio.get_running_loop().create_future()
-            if self.transport.send(peer, question):
-                asked[number] = self.questions[number]
-            else:
-                del self.questions[number]
-        if not asked:
-            return None if self.members.peers else []
-        try:
-            return await self.wait_for_answers(list(asked.values())) or None
-        finally:
-            for number in asked:
-                del self.questions[number]
-
-    async def wait_for_answers(
-        self, waiting: list[asyncio.Future[messages.OriginAnswer]]
-    ) -> list[messages.OriginAnswer]:
-        """Return the answers that arrive in time, up to one that knows the version."""
-        answers = []
-        try:
-            async with self.members.stalls.timeout(ANSWER_TIMEOUT):
-                for answered in asyncio.as_completed(waiting):
-                    answers.append(await answered)
-                    if answers[-1].version is not None:
-                        break
-        except TimeoutError:
-            pass
-        return answers
-
 
 def only_version(
     served: frozenset[ids.SoftwareVersion],
--- a/tests/streams.py
+++ b/tests/streams.py
@@ -62,12 +62,12 @@
             and float(answer.headers["Retry-After"]) > 0.0
         )
 
-    async def send(self, at: instance.Instance, names_first_try: bool = True) -> None:
+    async def send(self, at: instance.Instance) -> None:
         """Send one try to an instance, which resumes the stream if it has begun."""
         headers = {}
         if self.last_event:
             headers["Last_Event_Id"] = str(self.last_event)
-        if self.first_try is not None and names_first_try:
+        if self.first_try is not None:
             headers["Resumes"] = self.first_try
         # Others may send meanwhile.
         self.request_ids.append(f"r-{self.running.requests + 1}")
