--- a/soak/callers.py
+++ b/soak/callers.py
@@ -57,9 +57,9 @@
 
     @property
     def is_broken_stream(self) -> bool:
-        """Whether its caller may take the stream up."""
+        """Whether its caller has a part of a stream, and takes it up."""
         is_whole = self.answer.status == HTTP_OK and self.answer.is_complete
-        return is_stream(self.path) and not is_whole
+        return is_stream(self.path) and not is_whole and bool(taken_up(self)[0])
 
 
 class Callers:
@@ -95,6 +95,7 @@
             for _ in range(MAX_TRIES - 1):
                 if not ended.is_broken_stream:
                     break
+                await asyncio.sleep(PAUSE)
                 ended = await self.try_once(session, path, ended)
             await asyncio.sleep(PAUSE)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,6 +40,11 @@
 # Seconds for which a server that left keeps serving before it is listed again.
 LEAVING_SECONDS = 4.0
 
+# The faults that any soak draws; seeds depend on their number.
+SERVER_FAULTS = [
+    fault for fault in poolserver.Fault if fault is not poolserver.Fault.CUT_EARLY
+]
+
 Step = Callable[[], Awaitable[None]]
 NETWORK = (
     proxy.ProxyFault.DELAYED,
@@ -274,7 +279,7 @@
     async def server_faults(self) -> AsyncIterator[str]:
         """Queue a random fault for the next requests of a backend server."""
         server = self.random.choice(self.running.servers)
-        fault = self.random.choice(list(poolserver.Fault))
+        fault = self.random.choice(SERVER_FAULTS)
         server.faults.extend([fault] * self.random.randrange(1, 5))
         yield f"{server.name} {fault.value}"
 
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -52,7 +52,7 @@
         """Let each server cut its next streams in their middle."""
         count = self.random.randrange(1, MAX_CUTS + 1)
         for server in self.running.servers:
-            server.faults.extend([poolserver.Fault.CUT] * count)
+            server.faults.extend([poolserver.Fault.CUT_EARLY] * count)
         yield f"{count} streams of each server are cut"
 
     @contextlib.asynccontextmanager
