--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,7 +27,6 @@
 # The software versions that servers may have, and the whole stream of each.
 VERSIONS = (poolserver.FIRST_VERSION, "v2", "v3")
 WHOLE_STREAMS = {version: poolserver.stream_of(version) for version in VERSIONS}
-HTTP_OK = 200
 # Tries of a caller whose stream breaks, at any instance each time.
 MAX_TRIES = 3
 EVENT_END = b"\n\n"
@@ -58,7 +57,7 @@
     @property
     def is_broken_stream(self) -> bool:
         """Whether its caller has a part of a stream, and takes it up."""
-        is_whole = self.answer.status == HTTP_OK and self.answer.is_complete
+        is_whole = self.answer.status == deployment.HTTP_OK and self.answer.is_complete
         return is_stream(self.path) and not is_whole and bool(taken_up(self)[0])
 
 
@@ -117,7 +116,7 @@
         answer = await self.send(
             session, member, request_id, path, key, resuming(received, resumes)
         )
-        if answer.status == HTTP_OK and process[1] == member.process.pid:
+        if answer.status == deployment.HTTP_OK and process[1] == member.process.pid:
             self.note_accepted(process, key)
         ended = CallResult(
             request_id=request_id,
@@ -196,7 +195,7 @@
     """Return the events that a caller has, and the try that brought the first one."""
     if before is None:
         return b"", None
-    if before.answer.status != HTTP_OK:
+    if before.answer.status != deployment.HTTP_OK:
         return before.received, before.resumes
     events = before.stream[: before.stream.rfind(EVENT_END) + len(EVENT_END)]
     if EVENT_END not in events:
--- a/soak/pathcuts.py
+++ b/soak/pathcuts.py
@@ -10,7 +10,7 @@
 import msgspec
 from tests import cuts
 
-from soak import callers, deployment, disturbances, member
+from soak import callers, deployment, disturbances, injector, member
 from tealcove import ids
 from tealcove.standins import poolserver
 
@@ -31,7 +31,7 @@
 PATHS = "paths"
 
 
-class PathCutter:
+class PathCutter(injector.Injector):
     """Cuts the ways of some instances, never of all."""
 
     def __init__(
@@ -40,9 +40,7 @@
         source: random.Random,
         log: disturbances.DisturbanceLog,
     ) -> None:
-        self.running = running
-        self.random = source
-        self.disturbances = log
+        super().__init__(running, source, log)
         self.cut_off: set[str] = set()
 
     @contextlib.asynccontextmanager
--- a/soak/pausing.py
+++ b/soak/pausing.py
@@ -8,7 +8,7 @@
 import signal
 from collections.abc import AsyncIterator
 
-from soak import callers, deployment, disturbances
+from soak import callers, deployment, disturbances, injector
 
 # Duration of a pause in seconds; peers suspect an instance after a second.
 MIN_SECONDS, MAX_SECONDS = 0.1, 0.9
@@ -26,7 +26,7 @@
 )
 
 
-class PauseInjector:
+class PauseInjector(injector.Injector):
     """Stops instances and resumes them, again and again, never all of them."""
 
     def __init__(
@@ -35,9 +35,7 @@
         source: random.Random,
         log: disturbances.DisturbanceLog,
     ) -> None:
-        self.running = running
-        self.random = source
-        self.disturbances = log
+        super().__init__(running, source, log)
         self.paused: set[str] = set()
         self.count = 0
 
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from soak import callers, deployment, disturbances
+from soak import callers, deployment, disturbances, injector
 from tealcove.standins import poolserver
 
 # Streams that each server cuts in one go, at most.
@@ -33,7 +33,7 @@
         server.version = callers.VERSIONS[number % 2]
 
 
-class VersionChanger:
+class VersionChanger(injector.Injector):
     """Cuts streams, replaces servers by others, and kills instances together."""
 
     def __init__(
@@ -42,9 +42,7 @@
         source: random.Random,
         log: disturbances.DisturbanceLog,
     ) -> None:
-        self.running = running
-        self.random = source
-        self.disturbances = log
+        super().__init__(running, source, log)
         self.started = 0
 
     @contextlib.asynccontextmanager
@@ -164,4 +162,4 @@
 
 def has_events(one: callers.CallResult) -> bool:
     """Tell whether a stream brought events."""
-    return one.answer.status == callers.HTTP_OK and bool(one.answer.body)
+    return one.answer.status == deployment.HTTP_OK and bool(one.answer.body)
