Parts of prompts in tickets and log lines

Cause: hypotheses on requests that crash their servers can't be told apart, since no log line names the parts of a request: the header that lists them was passed on unread.

Change: the adapter reads the parts that a request shares with others, all but the last, at most 64 with ids of at most 64 hex digits. The lines of accepted requests and of lost ones name them, and a ticket carries them (the last field, empty by default). No decision uses them yet.

--- a/src/tealcove/checked.py
+++ b/src/tealcove/checked.py
@@ -9,6 +9,15 @@
 LARGEST_PORT = 65535
 
 
+def is_ip(host: str) -> bool:
+    """Return whether a host is an IP address; names aren't resolved."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 class Checked(str):
     """Base class of validated strings; `example` describes a valid one."""
 
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -113,6 +113,8 @@
     statements: tuple[ServerStatement, ...] = ()
     # The software version that began its stream, and must go on with it; None: any.
     version: ids.SoftwareVersion | None = None
+    # The parts of its prompt that other requests may share, in order.
+    parts: tuple[ids.PartId, ...] = ()
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/ids.py
+++ b/src/tealcove/ids.py
@@ -24,6 +24,8 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 ModelId = NewType("ModelId", str)
 AdapterId = NewType("AdapterId", str)
+# A part of a prompt, which many requests may share; from the caller.
+PartId = NewType("PartId", str)
 # A request from acceptance to final answer; backend servers return its id.
 RequestId = NewType("RequestId", str)
 # One entry of a request in a dispatcher's queue.
--- a/src/tealcove/ingress/call.py
+++ b/src/tealcove/ingress/call.py
@@ -36,6 +36,8 @@
     # Seconds that the caller waits; None if it sent no deadline.
     caller_timeout: float | None
     work: Work
+    # The parts of its prompt that other requests may share, in order.
+    parts: tuple[ids.PartId, ...] = ()
     # Number of the last event that the caller received, when it resumes a stream.
     last_event: int | None = None
     # The attempt that brought the first event of the stream, when it resumes one.
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -106,7 +106,7 @@
         log.info(
             "accepted: route {}, service {}, account {}, tier {}, urgency {}, "
             "deadline in {:.3f} s, configuration revision {}, resumes {} after event "
-            "{}",
+            "{}, parts {}",
             accepted.route.name,
             accepted.service,
             accepted.account_name,
@@ -116,6 +116,7 @@
             revisions.text(self.configuration.revision),
             received.resumes,
             received.last_event,
+            " ".join(received.parts) or "none",
             extra={"request": received.request_id},
         )
         version = await self.find_version(accepted)
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -114,6 +114,7 @@
         # A resumed stream is measured from its last event, not from a first attempt.
         caller_remaining=0.0 if has_events else caller_remaining(accepted, now),
         version=version,
+        parts=accepted.call.parts,
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
--- a/src/tealcove/platform/answers.py
+++ b/src/tealcove/platform/answers.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import math
-
 import aiohttp
 import msgspec
 
+from tealcove import count
 from tealcove.dispatch import statements
 from tealcove.platform import names
 
@@ -57,7 +56,7 @@
     written = response.headers.get(name)
     if written is None:
         return StatedNumber(None) if response.ok else None
-    found = read_number(written)
+    found = count.read_number(written)
     return None if found is None else StatedNumber(found)
 
 
@@ -74,7 +73,7 @@
     """
     if response.status != HTTP_UNAVAILABLE:
         return 0.0
-    seconds = map(read_number, values_of(response, names.RETRY_AFTER))
+    seconds = map(count.read_number, values_of(response, names.RETRY_AFTER))
     longest = max((found for found in seconds if found is not None), default=0.0)
     return min(MAX_REST_SECONDS, longest)
 
@@ -83,12 +82,3 @@
     """Return the values of a header, which may be repeated or hold a list."""
     lines = response.headers.getall(name, ())
     return [value.strip() for line in lines for value in line.split(",")]
-
-
-def read_number(written: str) -> float | None:
-    """Return a finite number that isn't negative; None if a text is no such number."""
-    try:
-        found = float(written)
-    except ValueError:
-        return None
-    return found if math.isfinite(found) and found >= 0.0 else None
--- a/src/tealcove/platform/callers.py
+++ b/src/tealcove/platform/callers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+import re
+from collections.abc import Iterable, Mapping
 
 import msgspec
 from aiohttp import web
@@ -21,6 +22,10 @@
 REPLACED_HEADERS = frozenset((names.DEADLINE_MS.lower(), names.LAST_EVENT_ID.lower()))
 # Decimal places of Retry-After, in seconds: callers accept fractions.
 RETRY_DECIMALS = 3
+# The parts of a prompt that are read, and the form of their ids: a caller may name as
+# many and as long ones as fit into a header.
+MAX_PARTS = 64
+PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 HTTP_UNAVAILABLE = 503
 HTTP_BAD_GATEWAY = 502
 HTTP_GATEWAY_TIMEOUT = 504
@@ -54,6 +59,7 @@
             key=headers.get(names.API_KEY),
             caller_timeout=None if deadline is None else deadline / MILLISECONDS,
             work=read_work(request),
+            parts=read_shared_parts(headers.getall(names.PREFIX_HASH, ())),
             last_event=None if last is None else int(last),
             resumes=ids.RequestId(headers.get(names.RESUMES, "")) or None,
         )
@@ -108,15 +114,22 @@
     return call.Work(prompt, output, min(expected, output))
 
 
+def read_shared_parts(lines: Iterable[str]) -> tuple[ids.PartId, ...]:
+    """Return the parts of a prompt but the last, which is the request's own.
+
+    A part that can't be read is left out: the prompt's servers may be able to.
+    """
+    listed = [entry for line in lines for entry in line.split(",")][:-1]
+    found = (entry.partition(":")[0].strip() for entry in listed[:MAX_PARTS])
+    known = (part.lower() for part in found if PART_ID.fullmatch(part))
+    return tuple(dict.fromkeys(map(ids.PartId, known)))
+
+
 def read_number(text: str | None, header: str) -> float | None:
     """Return a header's number, None without one; raises UnreadableError."""
     if text is None:
         return None
-    try:
-        # float() accepts underscores, which are valid only in Python.
-        found = math.nan if "_" in text else float(text)
-    except ValueError:
-        found = math.nan
-    if not (math.isfinite(found) and found >= 0):
+    found = count.read_number(text)
+    if found is None:
         raise call.UnreadableError(f"Write {header} as a number from 0 on.")
     return found
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 
-from tealcove import count, errors, ids
+from tealcove import checked, count, errors, ids
 from tealcove.catalog import declared
 from tealcove.limits import limit
 from tealcove.platform import names
@@ -209,7 +208,7 @@
     found = decode(content, WireServer)
     host, _, number = found.addr.rpartition(":")
     port = count.read(number)
-    if port is None or not 0 < port <= MAX_PORT or not is_ip(host):
+    if port is None or not 0 < port <= MAX_PORT or not checked.is_ip(host):
         raise unreadable(f"{found.addr!r} is no address")
     state = declared.ServerState.READY
     if found.state is WireServerState.DRAINING:
@@ -228,15 +227,6 @@
     )
 
 
-def is_ip(host: str) -> bool:
-    """Return whether a host is an IP address; names aren't resolved."""
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return True
-
-
 def decode(content: bytes, kind: type[T]) -> T:
     """Decode a document; raises PlatformError."""
     try:
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -9,6 +9,8 @@
 # Two numbers: prompt tokens and the maximum of output tokens.
 TOKEN_COUNT = "Tealcove-Token-Count"
 LENGTH_HINT = "Tealcove-Length-Hint"
+# The parts of the prompt in order, as comma-separated ID:TOKENS.
+PREFIX_HASH = "Tealcove-Prefix-Hash"
 LAST_EVENT_ID = "Last-Event-Id"
 # The request that brought the first event of the stream that is resumed.
 RESUMES = "Resumes"
--- a/src/tealcove/platform/tests/test_answers.py
+++ b/src/tealcove/platform/tests/test_answers.py
@@ -7,6 +7,7 @@
 import multidict
 import pytest
 
+from tealcove import count
 from tealcove.dispatch import statements
 from tealcove.platform import answers, names
 
@@ -32,7 +33,7 @@
 )
 def test_only_a_readable_limit_counts(written: str, rate: float | None) -> None:
     """A garbled header would stop a server."""
-    assert answers.read_number(written) == rate
+    assert count.read_number(written) == rate
 
 
 @pytest.mark.parametrize(
--- a/src/tealcove/platform/tests/test_callers.py
+++ b/src/tealcove/platform/tests/test_callers.py
@@ -89,3 +89,25 @@
 def test_the_attempt_that_a_stream_resumes_is_read(sent: str | None) -> None:
     found = read({} if sent is None else {names.RESUMES: sent})
     assert found.resumes == (sent or None)
+
+
+@pytest.mark.parametrize(
+    ("written", "parts"),
+    [
+        ("5C1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+        ("e440:250", ()),
+        ("", ()),
+        ("aa, bb ,aa:1,cc", ("aa", "bb")),
+        ("not-hex:1,aa:1,:,cc", ("aa",)),
+        ("a" * 65 + ":1,aa:x,cc", ("aa",)),
+    ],
+)
+def test_parts_of_a_prompt_but_the_last(written: str, parts: tuple[str, ...]) -> None:
+    assert read({names.PREFIX_HASH: written}).parts == parts
+
+
+@hypothesis.given(st.text(alphabet="0123456789abcXYZ:, ", max_size=200))
+def test_any_list_of_parts_is_read(written: str) -> None:
+    found = read({names.PREFIX_HASH: written}).parts
+    assert len(found) <= callers.MAX_PARTS
+    assert all(callers.PART_ID.fullmatch(part) for part in found)
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -79,7 +79,12 @@
         if self.marks.add_crash(ticket.digest, crash, now):
             verdict = self.marks.verdict(ticket.digest, now)
             log.warning(
-                "{} lost while running {}: {}", server, ticket.digest, verdict.value
+                "{} lost while running {} with parts {}: {}",
+                server,
+                ticket.digest,
+                " ".join(ticket.parts) or "none",
+                verdict.value,
+                extra={"request": ticket.request_id},
             )
             self.publish(ticket.digest, now)
 
