--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -111,6 +111,14 @@
         self.rejection_seconds = 0.0
         # How often it has fallen over.
         self.falls = 0
+        # It crashes when it begins to write an answer on one of these parts.
+        self.crashing_parts: frozenset[str] = frozenset()
+        # Seconds from a request to the first byte of its answer.
+        self.prefill_seconds = 0.0
+        # When it crashed.
+        self.crashed_at: ids.Instant | None = None
+        # When requests with a part that crashes it arrived.
+        self.crashing_arrivals: list[ids.Instant] = []
         # Whether it ends a request when its connection breaks.
         self.drops_unwanted = True
         # Set unless it is silent: until then it neither runs nor answers anything.
@@ -230,6 +238,15 @@
         for transport in list(self.transports):
             transport.abort()
 
+    async def crash(self) -> None:
+        """End as a process that is gone: break all connections, refuse new ones."""
+        if self.crashed_at is not None:
+            return
+        self.crashed_at = clock.now()
+        for transport in list(self.transports):
+            transport.abort()
+        await self.site.stop()
+
     async def recover(self) -> None:
         """Accept connections again after a fall."""
         await self.site.stop()
@@ -271,6 +288,14 @@
             names.SIGNATURE: f"signed by {self.name}",
         }
         headers.update(self.statement_headers())
+        is_crashing = not self.crashing_parts.isdisjoint(parts_of(request))
+        if is_crashing:
+            self.crashing_arrivals.append(clock.now())
+        await asyncio.sleep(self.prefill_seconds)
+        if is_crashing:
+            await self.crash()
+            request.transport.abort()
+            return web.Response()
         if fault is Fault.NO_ANSWER:
             await asyncio.Event().wait()
         if fault is Fault.RESET:
@@ -320,6 +345,12 @@
         return response
 
 
+def parts_of(request: web.Request) -> set[str]:
+    """Return the parts of a request's prompt."""
+    entries = request.headers.get(names.PREFIX_HASH, "").split(",")
+    return {entry.partition(":")[0].strip() for entry in entries}
+
+
 def event_of(number: int, version: str) -> bytes:
     """Return an event of a stream, which names the version that wrote it."""
     return f"id: {number}\ndata: piece {number} by {version}\n\n".encode()
