Quarantine: find the part of prompts that crashes servers, and refuse it everywhere

What callers saw: streams broke again and again, and requests were refused for lack of servers, while requests that share one part of their prompts crashed one server after the other.

Cause: evidence was kept by whole requests. No two of these are alike, so no digest ever reached the crashes of a quarantine. Each of them was also sent once more by the instance itself.

Change: a crash accuses the shared parts of what ran there, unless an answer on them that began within 2 s of it, or later, was written whole: a bad part crashes each server that begins to write. Three crashes one after the other, by two requests at least, convict a part. Requests with a part accused once run one after the other, with one accused twice alone on a server, so that the next crash tells something and costs no other request; a request isn't sent again then. A part that has been at each crash together with another one isn't convicted before five. Requests with the fewest suspected parts go first, whose answers tell the parts apart. A convicted part explains the crashes where it was: they accuse no other part and no other request. Records travel as changes, are compared by heartbeats, and are kept in the platform's store, now also those of whole requests.

Why it works: accusations need no two requests to be alike, and acquittals need only one answer.

--- a/bench/slopes/marks.py
+++ b/bench/slopes/marks.py
@@ -28,7 +28,7 @@
 def message_bytes(found: marks.Marks) -> int:
     """Return the bytes of a message with all marks."""
     shared = tuple(found.shared(digest, population.NOW) for digest in found.marks)
-    return len(msgspec.msgpack.encode(messages.MarksChanged(marks=shared)))
+    return len(msgspec.msgpack.encode(messages.MarksChanged(records=shared)))
 
 
 def main() -> None:
--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -119,7 +119,7 @@
             return [answer]
         usable = self.state.fleet.usable(ticket)
         predicted = choice.estimate(ticket, usable)
-        reason = self.refusal_reason(ticket, predicted)
+        reason = self.refusal_reason(ticket, predicted, now)
         if not usable and reason is None and not self.may_become_usable(ticket):
             reason = messages.RefusalReason.NO_BACKEND_SERVER
         if reason is not None:
@@ -133,10 +133,10 @@
         return [answer, *outgoing] if waiting.is_queued else outgoing
 
     def refusal_reason(
-        self, ticket: messages.Ticket, predicted: choice.Estimate
+        self, ticket: messages.Ticket, predicted: choice.Estimate, now: ids.Instant
     ) -> messages.RefusalReason | None:
         """Return the reason to refuse a new ticket, or None to queue it."""
-        if self.state.suspicion.is_quarantined(ticket.digest):
+        if self.state.suspicion.judge(ticket, now):
             return messages.RefusalReason.QUARANTINED
         # Time spent waiting at other dispatchers counts: a request that an idle fleet
         # could have completed in time isn't refused for its deadline.
@@ -178,6 +178,9 @@
         if server is not None:
             if done.outcome is messages.Outcome.COMPLETED:
                 running = server.running.get(done.ticket_id)
+                if running is not None and done.is_success:
+                    began = ids.Instant(now - done.writing_seconds)
+                    self.state.suspicion.answered(running.ticket, began, now)
                 stragglers.observe_completion(server, running, done, now)
             if done.outcome in paths.LOST_OUTCOMES:
                 self.state.record_unreachable(server, now)
@@ -295,7 +298,9 @@
             if running.orphaned_until is not None and not server.reachable:
                 # The entry that would have reported the crash is lost as well.
                 alone = server.isolated_ticket == ticket_id
-                self.state.suspicion.lost(running.ticket, server.name, alone, now)
+                self.state.suspicion.lost(
+                    running.ticket, server.name, alone, running.started, now
+                )
                 is_orphan = True
             # A lost entry refreshes nothing: its requests have `orphaned_until`.
             is_stale = running.orphaned_until is None and (
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -23,6 +23,7 @@
     retry,
     scheduler,
     shares,
+    suspectruns,
     suspicion,
     waitingline,
 )
@@ -51,6 +52,9 @@
         self.views = backendviews.BackendViews()
         self.line: dict[ids.TicketId, waitingline.Waiting] = {}
         self.suspicion: suspicion.Suspicion = suspicion.NoSuspicion()
+        # The suspicion's version by which the line was judged.
+        self.judged_version = 0
+        self.suspect_runs = suspectruns.SuspectRuns(self.views)
         self.exposure: exposure.Exposure = exposure.AnyVersion()
         self.paths: paths.Paths = paths.NoEvidence()
         self.inflow = inflow.Inflow()
@@ -65,7 +69,7 @@
 
     def use_suspicion(self, suspicion: suspicion.Suspicion) -> None:
         """See Scheduler."""
-        self.suspicion = suspicion
+        self.suspicion = self.suspect_runs.suspicion = suspicion
 
     def use_exposure(self, exposed: exposure.Exposure) -> None:
         """See Scheduler."""
@@ -143,14 +147,14 @@
         if server is not None:
             # The entry repeats the ticket because it didn't receive the grant.
             server.refresh(server.runs[ticket.ticket_id], now)
-            return [grant_message(ticket, server, self.revision)]
+            return [self.grant_message(ticket, server)]
         queued = messages.Queued(ticket_id=ticket.ticket_id)
         answer = scheduler.Outgoing(ticket.entry, queued)
         known = self.line.get(ticket.ticket_id)
         if known is not None:
             known.refreshed_at = now
             return [answer]
-        if self.suspicion.is_quarantined(ticket.digest):
+        if self.suspicion.judge(ticket, now):
             reason = messages.RefusalReason.QUARANTINED
             return [self.refusal(ticket, reason, retry.MAX_SECONDS, now)]
         self.line[ticket.ticket_id] = self.wait(ticket, now)
@@ -236,6 +240,9 @@
             if not is_path_lost:
                 self.exposure.record_end(view.spec, run.ticket.route, done)
             if done.outcome is messages.Outcome.COMPLETED:
+                if done.is_success:
+                    began = ids.Instant(now - done.writing_seconds)
+                    self.suspicion.answered(run.ticket, began, now)
                 view.learn_completion(run, done)
                 view.restrictions.record_service(run.started)
         return self.decide(now)
@@ -278,14 +285,31 @@
 
     def decide(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots in order, and refuse tickets that can't start in time."""
-        if not self.line or now < self.gather_until:
+        if not self.line:
             return []
-        outgoing = self.fill(now)
+        outgoing = self.refuse_quarantined(now)
+        if now < self.gather_until:
+            return outgoing
+        outgoing.extend(self.fill(now))
         if len(self.line) <= SHORT_LINE or now >= self.next_forecast:
             self.next_forecast = ids.Instant(now + FORECAST_INTERVAL)
             outgoing.extend(self.refuse_too_late(now))
         return outgoing
 
+    def refuse_quarantined(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """Refuse the tickets that must not run any more, once the suspicion changed."""
+        if self.suspicion.version == self.judged_version:
+            return []
+        tickets = [waiting.ticket for waiting in self.line.values()]
+        for ticket in tickets:
+            self.suspicion.judge(ticket, now)
+        self.judged_version = self.suspicion.version
+        refused = [one for one in tickets if self.suspicion.is_quarantined(one, now)]
+        for ticket in refused:
+            del self.line[ticket.ticket_id]
+        reason = messages.RefusalReason.QUARANTINED
+        return [self.refusal(one, reason, retry.MAX_SECONDS, now) for one in refused]
+
     def ordered(self, now: ids.Instant) -> list[waitingline.Waiting]:
         """Return the waiting tickets, sorted."""
         levels = self.shares.service_levels()
@@ -328,27 +352,42 @@
 
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
+        self.suspect_runs.release(self.line, now)
         free = with_free_slots(self.views.servers.values(), now)
-        receiving = self.receiving(free)
+        shared = self.suspect_runs.unreserved(free)
+        receiving = self.receiving(shared)
         outgoing = []
         # The line is sorted only if a slot is free: under overload, none is after most
         # events.
         for waiting in self.ordered(now) if free else ():
             if not free:
                 break
-            is_any = waiting.ticket.version is None
-            permitted = receiving if is_any else self.resuming(free)
-            if not permitted:
+            ticket = waiting.ticket
+            suspects = self.suspicion.suspects(ticket, now)
+            if suspects.keys and not self.may_start(waiting, now):
+                continue
+            permitted = receiving if ticket.version is None else self.resuming(shared)
+            if suspects.must_run_alone:
+                allowed = self.views.allowed(ticket, permitted, now)
+                server = self.suspect_runs.server_alone(ticket, allowed, now)
+            elif permitted:
+                allowed = self.views.allowed(ticket, permitted, now)
+                reached = self.paths.prefer_reached(ticket.entry, allowed, now)
+                server = placement.choose(waiting, reached, self.exposure, now)
+            else:
                 continue
-            allowed = self.views.allowed(waiting.ticket, permitted, now)
-            reached = self.paths.prefer_reached(waiting.ticket.entry, allowed, now)
-            server = placement.choose(waiting, reached, self.exposure, now)
             if server is not None:
                 outgoing.append(self.grant(waiting, server, now))
+            if server is not None or suspects.must_run_alone:
                 free = with_free_slots(free, now)
-                receiving = self.receiving(free)
+                shared = self.suspect_runs.unreserved(free)
+                receiving = self.receiving(shared)
         return outgoing
 
+    def may_start(self, waiting: waitingline.Waiting, now: ids.Instant) -> bool:
+        """Tell whether a ticket that may crash its server needn't wait for others."""
+        return self.suspect_runs.may_start(waiting, self.line.values(), now)
+
     def grant(
         self,
         waiting: waitingline.Waiting,
@@ -378,7 +417,27 @@
             revisions.text(self.revision),
             extra={"request": ticket.request_id},
         )
-        return grant_message(ticket, server, self.revision)
+        return self.grant_message(ticket, server)
+
+    def grant_message(
+        self, ticket: messages.Ticket, server: backendview.BackendView
+    ) -> scheduler.Outgoing:
+        """Return the message that grants a ticket its slot."""
+        run = server.runs[ticket.ticket_id]
+        grant = messages.Grant(
+            ticket_id=ticket.ticket_id,
+            cell=ticket.cell,
+            server=server.name,
+            host=server.spec.host,
+            port=server.spec.port,
+            alone=self.suspect_runs.is_alone(ticket),
+            first_seconds=server.announced_first_seconds(run),
+            start=server.spec.start,
+            revision=self.revision,
+            request_limit=server.restrictions.request_limit,
+            version=server.spec.version,
+        )
+        return scheduler.Outgoing(ticket.entry, grant)
 
     def refusal(
         self,
@@ -412,22 +471,3 @@
 ) -> list[backendview.BackendView]:
     """Return the servers that have a free slot."""
     return [server for server in servers if server.free_slots(now) > 0]
-
-
-def grant_message(
-    ticket: messages.Ticket, server: backendview.BackendView, revision: ids.Revision
-) -> scheduler.Outgoing:
-    """Return the message that grants a ticket its slot."""
-    grant = messages.Grant(
-        ticket_id=ticket.ticket_id,
-        cell=ticket.cell,
-        server=server.name,
-        host=server.spec.host,
-        port=server.spec.port,
-        first_seconds=server.announced_first_seconds(server.runs[ticket.ticket_id]),
-        start=server.spec.start,
-        revision=revision,
-        request_limit=server.restrictions.request_limit,
-        version=server.spec.version,
-    )
-    return scheduler.Outgoing(ticket.entry, grant)
--- a/src/tealcove/dispatch/isolation.py
+++ b/src/tealcove/dispatch/isolation.py
@@ -31,7 +31,7 @@
 
     def advance(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Reclassify the queue and grant a suspect its server once that is empty."""
-        outgoing = self.reclassify()
+        outgoing = self.reclassify(now)
         self.release()
         if self.server is None:
             self.choose_next(now)
@@ -40,7 +40,7 @@
             return outgoing
         return [*outgoing, self.state.grant(waiting, self.server, now)]
 
-    def reclassify(self) -> list[scheduler.Outgoing]:
+    def reclassify(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Classify the queued tickets again once the suspicion has changed.
 
         Without this, copies of a crashing request that were queued before the
@@ -49,14 +49,17 @@
         suspicion = self.state.suspicion
         if suspicion.version == self.applied_version:
             return []
+        queued = list(self.state.queue.tickets.values())
+        for waiting in queued:
+            suspicion.judge(waiting.ticket, now)
         self.applied_version = suspicion.version
         outgoing = []
-        for waiting in list(self.state.queue.tickets.values()):
-            digest = waiting.ticket.digest
-            if suspicion.is_quarantined(digest):
+        for waiting in queued:
+            is_suspect = bool(suspicion.suspects(waiting.ticket, now).keys)
+            if suspicion.is_quarantined(waiting.ticket, now):
                 reason = messages.RefusalReason.QUARANTINED
                 outgoing.append(self.state.refuse(waiting, reason))
-            elif suspicion.is_suspect(digest) != waiting.lane.is_suspect:
+            elif is_suspect != waiting.lane.is_suspect:
                 self.state.change_lane(waiting)
         return outgoing
 
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -222,3 +222,10 @@
     lost: tuple[ids.InstanceId, ...] = ()
     # Whether the server rejected the request, which it hasn't run.
     is_rejected: bool = False
+    # Whether the answer is a success, and whole.
+    is_success: bool = False
+
+    @property
+    def writing_seconds(self) -> float:
+        """Return the seconds from the first token to the end."""
+        return self.total_seconds - self.first_token_seconds
--- a/src/tealcove/dispatch/suspicion.py
+++ b/src/tealcove/dispatch/suspicion.py
@@ -4,43 +4,75 @@
 
 import abc
 
+import msgspec
+
 from tealcove import ids
 from tealcove.dispatch import messages
 
 
+class Suspects(msgspec.Struct, frozen=True):
+    """What of a request may crash its server."""
+
+    # Requests with one of these in common mustn't run concurrently.
+    keys: tuple[str, ...] = ()
+    # Whether no other request may run on the server meanwhile.
+    must_run_alone: bool = False
+
+
+NOTHING = Suspects()
+
+
 class Suspicion(abc.ABC):
-    """Identifies requests, by digest of content, that ran during a crash."""
+    """Identifies requests, by their content or a part of it, that crash servers."""
 
     # Changes whenever the result of a method may have changed.
     version: int = 0
 
     @abc.abstractmethod
-    def is_suspect(self, digest: str) -> bool:
-        """Tell whether a request must run alone on its server."""
+    def suspects(self, ticket: messages.Ticket, now: ids.Instant) -> Suspects:
+        """Return what of a request may crash its server."""
 
     @abc.abstractmethod
-    def is_quarantined(self, digest: str) -> bool:
+    def is_quarantined(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """Tell whether a request must not run for now."""
 
+    @abc.abstractmethod
+    def judge(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
+        """Decide whether a request must not run for now.
+
+        Called by dispatchers only, since they see the answers to all entries.
+        """
+
     @abc.abstractmethod
     def lost(
         self,
         ticket: messages.Ticket,
         server: ids.BackendServerId,
         alone: bool,
+        sent: ids.Instant,
         now: ids.Instant,
     ) -> None:
         """Record a request whose backend server was lost while running it."""
 
+    @abc.abstractmethod
+    def answered(
+        self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
+    ) -> None:
+        """Record a whole answer, which its server began to write at an instant."""
+
 
 class NoSuspicion(Suspicion):
     """Suspects nothing."""
 
-    def is_suspect(self, digest: str) -> bool:
+    def suspects(self, ticket: messages.Ticket, now: ids.Instant) -> Suspects:
+        """See Suspicion."""
+        return NOTHING
+
+    def is_quarantined(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """See Suspicion."""
         return False
 
-    def is_quarantined(self, digest: str) -> bool:
+    def judge(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """See Suspicion."""
         return False
 
@@ -49,6 +81,12 @@
         ticket: messages.Ticket,
         server: ids.BackendServerId,
         alone: bool,
+        sent: ids.Instant,
         now: ids.Instant,
     ) -> None:
         """See Suspicion."""
+
+    def answered(
+        self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
+    ) -> None:
+        """See Suspicion."""
--- a/src/tealcove/entry/admission_control.py
+++ b/src/tealcove/entry/admission_control.py
@@ -27,7 +27,7 @@
         self, sender: caller.Caller, digest: str, tokens: int, request: ids.RequestId
     ) -> admission.Charge:
         """Return the charge of the predicted tokens; raises ProblemError (not run)."""
-        if self.quarantine.is_quarantined(digest):
+        if self.quarantine.has_quarantined(digest, (), clock.now()):
             raise problem.not_run(
                 messages.RefusalReason.QUARANTINED,
                 self.remaining(digest),
@@ -42,10 +42,11 @@
 
     def remaining(self, digest: str) -> float:
         """Return the seconds until the quarantine of a content ends."""
-        return self.quarantine.remaining(digest, clock.now())
+        return self.quarantine.remaining(digest, (), clock.now())
 
     def report_server_lost(
         self, ticket: messages.Ticket, server: ids.BackendServerId, alone: bool
     ) -> None:
         """Report that a server refuses connections while it should run a request."""
-        self.quarantine.lost(ticket, server, alone, clock.now())
+        now = clock.now()
+        self.quarantine.lost(ticket, server, alone, now, now)
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -143,7 +143,7 @@
             self.mesh,
             self.members,
             self.heartbeats,
-            None,
+            storeadapter.StoreTable(self.store),
             found.quarantine.seconds,
             CRASHES_TO_QUARANTINE,
         )
@@ -189,6 +189,11 @@
             self.following.is_current,
         )
         self.origins.start()
+        self.metrics.add_observable_counter(
+            "tealcove.requests.quarantined",
+            "Requests refused to callers since they crash backend servers.",
+            lambda: self.quarantine.refused,
+        )
         self.metrics.add_observable_counter(
             "tealcove.streams.version_unknown",
             "Streams refused to callers since nobody knew their software version.",
@@ -247,6 +252,7 @@
                 ),
                 streams=self.streams,
                 origins=self.origins,
+                quarantine=self.quarantine,
             ),
             self.configuration,
             self.spread,
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -28,6 +28,7 @@
 )
 from tealcove.ingress import report as reporting
 from tealcove.origins import role as origins
+from tealcove.quarantine import role as quarantine_role
 
 log = logbook.Logger("ingress")
 
@@ -45,6 +46,7 @@
 MIN_SILENCE = 0.4
 # Size limit in bytes of a response that is buffered before it is forwarded.
 MAX_BODY_BYTES = 8 * 2**20
+HTTP_REDIRECTION = 300
 HTTP_SERVER_ERROR = 500
 
 
@@ -61,6 +63,7 @@
     entry: tickets.EntryInstance
     streams: hanging.HangingStreams
     origins: origins.OriginFinder
+    quarantine: quarantine_role.Quarantine
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -144,7 +147,9 @@
             try:
                 return await self.attempt(pending_ticket, grant)
             except errors.BackendError as error:
-                self.check_retry(grant.server, error, clock.now())
+                self.check_retry(
+                    pending_ticket.ticket, grant.server, error, clock.now()
+                )
 
     def end_with_problem(self, error: problem.ProblemError) -> web.StreamResponse:
         """End a request without a complete response; raises ProblemError."""
@@ -183,12 +188,29 @@
         except asyncio.CancelledError:
             self.services.tickets.abandon(pending_ticket)
             raise
+        ticket = pending_ticket.ticket
         if isinstance(found, messages.Refusal):
+            if found.reason is messages.RefusalReason.QUARANTINED:
+                raise self.quarantined(ticket)
             if self.runs:
                 raise self.lost_response(found.reason.value)
             raise problem.not_run(found.reason, found.retry_after)
+        if self.services.quarantine.is_quarantined(ticket, clock.now()):
+            # Found guilty since the slot was granted.
+            self.services.tickets.abandon(pending_ticket)
+            raise self.quarantined(ticket)
         return pending_ticket, found
 
+    def quarantined(self, ticket: messages.Ticket) -> problem.ProblemError:
+        """Return the problem for a request that crashes backend servers."""
+        reason = messages.RefusalReason.QUARANTINED
+        if self.runs:
+            return self.lost_response(reason.value)
+        quarantine = self.services.quarantine
+        quarantine.refused += 1
+        remaining = quarantine.remaining(ticket.digest, ticket.parts, clock.now())
+        return problem.not_run(reason, max(RETRY_AFTER, remaining))
+
     async def attempt(
         self, pending_ticket: pending.PendingTicket, grant: messages.Grant
     ) -> web.StreamResponse:
@@ -202,6 +224,7 @@
         self.events = 0
         try:
             response = await self.send(report, outbound)
+            report.is_success = response.status < HTTP_REDIRECTION
             outcome = messages.Outcome.COMPLETED
             return response
         except engine.NotDispatchedError:
@@ -365,7 +388,11 @@
         self.services.origins.record(self.accepted.service, request, self.version, now)
 
     def check_retry(
-        self, server: ids.BackendServerId, error: errors.BackendError, now: ids.Instant
+        self,
+        ticket: messages.Ticket,
+        server: ids.BackendServerId,
+        error: errors.BackendError,
+        now: ids.Instant,
     ) -> None:
         """Return if the request may be sent again; raises ProblemError otherwise."""
         self.excluded = (*self.excluded, server)
@@ -377,6 +404,9 @@
             self.not_run_responses += 1
             has_retry = self.not_run_responses < MAX_NOT_RUN
             has_retry = has_retry and self.retries.reserve(now)
+        elif self.services.quarantine.suspects(ticket, now).must_run_alone:
+            # Another crash by the same request would show nothing new.
+            has_retry = False
         else:
             has_retry = self.may_retry(now, self.runs) and self.retries.reserve(now)
         self.log_decision(
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -99,8 +99,11 @@
             raise refused(received, messages.RefusalReason.LEAVING, LEAVING_RETRY)
         accepted = acceptance.accept(received, self.configuration.current, arrived)
         observation.route = accepted.route.name
-        if self.quarantine.is_quarantined(accepted.digest):
-            remaining = self.quarantine.remaining(accepted.digest, clock.now())
+        if self.quarantine.has_quarantined(accepted.digest, received.parts, arrived):
+            remaining = self.quarantine.remaining(
+                accepted.digest, received.parts, arrived
+            )
+            self.quarantine.refused += 1
             reason = messages.RefusalReason.QUARANTINED
             raise refused(received, reason, remaining)
         log.info(
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -23,6 +23,7 @@
         self.first_at: ids.Instant | None = None
         self.trace = link.PathTrace([])
         self.is_rejected = False
+        self.is_success = False
         tickets.mark_running(pending_ticket, grant.server, grant.start)
 
     def dispatched(self, now: ids.Instant) -> None:
@@ -75,6 +76,7 @@
             reached=self.trace.reached or ids.InstanceId(""),
             lost=tuple(self.trace.lost),
             is_rejected=self.is_rejected,
+            is_success=self.is_success,
         )
         self.tickets.finish(self.pending_ticket, done)
         return done
--- a/src/tealcove/ingress/tests/test_exchange.py
+++ b/src/tealcove/ingress/tests/test_exchange.py
@@ -19,7 +19,7 @@
     """Return an exchange whose response has started."""
     accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
     http = unittest.mock.Mock()
-    services = exchange.Services(None, None, None, None, None, None)
+    services = exchange.Services(None, None, None, None, None, None, None)
     found = exchange.Exchange(services, accepted, ids.CellId("engines/0"), http)
     found.stream.response = web.StreamResponse()
     return found
@@ -45,7 +45,7 @@
     """Reservations of requests that ended without a slot blocked later retries."""
     allowed = budget.Allowance(ratio=0.0, slack=1.25, window=10.0)
     shared = builders.retry_budget(allowed, lambda now: 1, 0.0)
-    services = exchange.Services(None, None, shared, None, None, None)
+    services = exchange.Services(None, None, shared, None, None, None, None)
     accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
     found = exchange.Exchange(
         services, accepted, ids.CellId("engines/0"), unittest.mock.Mock()
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -59,6 +59,8 @@
     relay_port: int = 0
     # Whether the instance reaches backend servers, as far as it knows.
     reaches_servers: bool = True
+    # Checksum of the sender's records of parts of prompts, like `marks`.
+    parts: int = 0
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -191,8 +191,9 @@
         "withholds_servers",
         "relay_port",
         "reaches_servers",
+        "parts",
     )
     assert messages.Heartbeat.__struct_fields__[-len(new_fields) :] == new_fields
-    for missing in (2, 4):
+    for missing in (1, 3, 5):
         found = codec.decode(msgspec.msgpack.encode(fields[:-missing]))
         assert found == builders.heartbeat(1, revision=48)
--- a/src/tealcove/quarantine/marks.py
+++ b/src/tealcove/quarantine/marks.py
@@ -4,20 +4,18 @@
 
 import enum
 import hashlib
+from collections.abc import Callable, Container
 
 import msgspec
 
 from tealcove import ids
+from tealcove.quarantine import ledger
 
 # The maximum of marks at an instance; beyond it, the one that ends first is evicted.
 MAX_MARKS = 1000
 # The maximum of crashes recorded for one digest; two suffice for a quarantine.
 MAX_CRASHES = 16
 CRASHES_TO_QUARANTINE = 2
-# A mark with fewer seconds left than this isn't shared any more. Without the limit, two
-# instances would send an ending mark to each other for ever: each would have dropped
-# its own just before the other's copy arrives.
-MIN_SHARED_SECONDS = 5.0
 CHECKSUM_BYTES = 8
 
 
@@ -60,20 +58,19 @@
     cleared: set[ids.RequestId]
     until: ids.Instant
 
-    def verdict(self, crashes_to_quarantine: int) -> Verdict:
-        """Return the verdict by the number of crashes that aren't cleared."""
-        count = self.count()
-        if count >= crashes_to_quarantine:
-            return Verdict.QUARANTINED
-        return Verdict.SUSPECT if count else Verdict.CLEAR
+    def count(self, explained: Container[ids.BackendServerId]) -> int:
+        """Count the crashes that the request may have caused.
 
-    def count(self) -> int:
-        """Count the uncleared crashes that the request may have caused.
+        Neither those that are cleared, nor those that something else explains.
 
         Copies that ran concurrently on one server saw the same crash. If it were
         counted twice, one crash would quarantine every prompt that is sent often.
         """
-        uncleared = [c for c in self.crashes if c.request_id not in self.cleared]
+        uncleared = [
+            crash
+            for crash in self.crashes
+            if crash.request_id not in self.cleared and crash.server not in explained
+        ]
         alone = sum(1 for crash in uncleared if crash.alone)
         return alone + len({crash.server for crash in uncleared if not crash.alone})
 
@@ -89,26 +86,40 @@
         return f"{crashes}{sorted(self.cleared)}"
 
 
-class Marks:
-    """The marks of an instance; the order of merges doesn't change the result."""
+def nothing() -> Container[ids.BackendServerId]:
+    """Return no servers."""
+    return ()
+
+
+class Marks(ledger.Ledger[SharedMark]):
+    """The marks of an instance."""
 
     def __init__(
         self,
         quarantine_seconds: float,
         crashes_to_quarantine: int = CRASHES_TO_QUARANTINE,
+        explained: Callable[[], Container[ids.BackendServerId]] = nothing,
     ) -> None:
         self.quarantine_seconds = quarantine_seconds
         self.crashes_to_quarantine = crashes_to_quarantine
+        # Returns the servers whose crashes have another cause than the request.
+        self.explained = explained
         self.marks: dict[str, Mark] = {}
-        # Incremented when any mark changes.
         self.version = 0
 
     def verdict(self, digest: str, now: ids.Instant) -> Verdict:
         """Return the verdict on a digest."""
+        count = self.count(digest, now)
+        if count >= self.crashes_to_quarantine:
+            return Verdict.QUARANTINED
+        return Verdict.SUSPECT if count else Verdict.CLEAR
+
+    def count(self, digest: str, now: ids.Instant) -> int:
+        """Count the crashes that the requests with a digest may have caused."""
         mark = self.marks.get(digest)
         if mark is None or mark.until <= now:
-            return Verdict.CLEAR
-        return mark.verdict(self.crashes_to_quarantine)
+            return 0
+        return mark.count(self.explained())
 
     def remaining(self, digest: str, now: ids.Instant) -> float:
         """Return the seconds until a digest's mark ends."""
@@ -137,7 +148,7 @@
         return mark is not None and any(c.request_id == run for c in mark.crashes)
 
     def merge(self, shared: SharedMark, now: ids.Instant) -> bool:
-        """Merge a mark of a peer or a row; return False if it added nothing.
+        """See Ledger.
 
         Only a crash that is new here extends a mark. If every message did, its delay
         would prolong the mark, and instances that repeat it to each other would keep
@@ -168,16 +179,24 @@
             del self.marks[first]
 
     def sweep(self, now: ids.Instant) -> None:
-        """Remove the marks that have ended."""
+        """See Ledger."""
         for digest, mark in list(self.marks.items()):
             if mark.until <= now:
                 del self.marks[digest]
                 self.version += 1
 
+    def keys(self) -> list[str]:
+        """See Ledger."""
+        return sorted(self.marks)
+
+    def aged(self, shared: SharedMark, seconds: float) -> SharedMark:
+        """See Ledger."""
+        return msgspec.structs.replace(shared, remaining=shared.remaining - seconds)
+
     def shared(self, digest: str, now: ids.Instant) -> SharedMark | None:
-        """Return a mark to send or store, or None if it is absent or ends soon."""
+        """See Ledger."""
         mark = self.marks.get(digest)
-        if mark is None or mark.until - now < MIN_SHARED_SECONDS:
+        if mark is None or mark.until - now < ledger.MIN_SHARED_SECONDS:
             return None
         return SharedMark(
             digest=digest,
@@ -187,10 +206,10 @@
         )
 
     def checksum(self, now: ids.Instant) -> int:
-        """Return a checksum that is equal on instances with the same marks."""
+        """See Ledger."""
         found = 0
         for digest, mark in self.marks.items():
-            if mark.until - now >= MIN_SHARED_SECONDS:
+            if mark.until - now >= ledger.MIN_SHARED_SECONDS:
                 text = f"{digest}{mark.canonical_text()}".encode()
                 part = hashlib.blake2b(text, digest_size=CHECKSUM_BYTES).digest()
                 found ^= int.from_bytes(part)
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -5,19 +5,37 @@
 import asyncio
 
 import logbook
+import msgspec
 
-from tealcove import clock, ids, tasks
+from tealcove import ids, tasks
 from tealcove.dispatch import messages, suspicion
 from tealcove.membership import heartbeats, members
 from tealcove.peers import mesh
-from tealcove.quarantine import marks, persistence, sharing
+from tealcove.quarantine import (
+    marks,
+    partledger,
+    parts,
+    persistence,
+    sharing,
+)
+from tealcove.quarantine import messages as quarantine_messages
 from tealcove.storage import table
 
 log = logbook.Logger("quarantine")
 
+# Digits of a request's digest in the records of parts, which only count requests.
+DIGEST_DIGITS = 8
+# Seconds for which a server must have written an answer when it crashed, so that the
+# answer's parts aren't accused: a bad part crashes a server as it begins to write.
+WRITING_SECONDS = 1.0
+
 
 class Quarantine(suspicion.Suspicion):
-    """Marks requests that crashed a server, and shares the marks with all instances."""
+    """Marks what crashed a server, and shares the marks with all instances.
+
+    What crashes servers is a whole request, known by its digest, or one part that it
+    shares with others.
+    """
 
     def __init__(
         self,
@@ -28,18 +46,43 @@
         quarantine_seconds: float,
         crashes_to_quarantine: int = marks.CRASHES_TO_QUARANTINE,
     ) -> None:
-        self.marks = marks.Marks(quarantine_seconds, crashes_to_quarantine)
-        self.sharer = sharing.Sharer(transport, known, heartbeats, self.marks)
-        # Without a table, marks are lost when the last instance that has them stops.
-        self.store = None if rows is None else persistence.MarkStore(rows, self.marks)
+        self.parts = partledger.PartLedger(quarantine_seconds)
+        self.marks = marks.Marks(
+            quarantine_seconds, crashes_to_quarantine, lambda: self.parts.explained
+        )
+        self.sharer = sharing.Sharer(
+            transport,
+            known,
+            heartbeats,
+            self.marks,
+            quarantine_messages.MarksChanged,
+            "marks",
+        )
+        self.part_sharer = sharing.Sharer(
+            transport,
+            known,
+            heartbeats,
+            self.parts,
+            quarantine_messages.PartsChanged,
+            "parts",
+        )
+        # Without a table, records are lost when the last instance that has them stops.
+        self.store = self.part_store = None
+        if rows is not None:
+            self.store = persistence.store_of_marks(rows, self.marks)
+            self.part_store = persistence.store_of_parts(rows, self.parts)
         self.tasks: list[asyncio.Task[None]] = []
+        # Count of requests that this instance's callers were refused.
+        self.refused = 0
 
     def start(self) -> None:
-        """Start to share marks and to store them in the platform's table."""
-        self.sharer.start()
-        self.tasks = [tasks.start(self.sharer.run(), "sharing of marks")]
-        if self.store is not None:
-            self.tasks.append(tasks.start(self.store.run(), "persistence of marks"))
+        """Start to share records and to store them in the platform's table."""
+        for sharer in (self.sharer, self.part_sharer):
+            sharer.start()
+            self.tasks.append(tasks.start(sharer.run(), "sharing of marks"))
+        for store in (self.store, self.part_store):
+            if store is not None:
+                self.tasks.append(tasks.start(store.run(), "persistence of marks"))
 
     async def stop(self) -> None:
         """Stop all tasks."""
@@ -48,25 +91,74 @@
     @property
     def version(self) -> int:
         """See Suspicion."""
-        return self.marks.version
+        return self.marks.version + self.parts.version
 
-    def is_suspect(self, digest: str) -> bool:
+    def suspects(self, ticket: messages.Ticket, now: ids.Instant) -> suspicion.Suspects:
         """See Suspicion."""
-        return self.marks.verdict(digest, clock.now()) is marks.Verdict.SUSPECT
+        if not self.marks.marks and not self.parts.records:
+            return suspicion.NOTHING
+        found = {part: self.parts.events(part, now) for part in ticket.parts}
+        keys = [part for part, events in found.items() if events]
+        is_isolated = any(
+            events >= partledger.EVENTS_TO_ISOLATE for events in found.values()
+        )
+        crashes = self.marks.count(ticket.digest, now)
+        if crashes:
+            keys.append(ticket.digest)
+        # One more crash would quarantine it.
+        is_isolated |= crashes + 1 >= self.marks.crashes_to_quarantine
+        return suspicion.Suspects(tuple(keys), bool(keys) and is_isolated)
+
+    def is_quarantined(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
+        """See Suspicion."""
+        return self.has_quarantined(ticket.digest, ticket.parts, now)
+
+    def has_quarantined(
+        self, digest: str, shared: tuple[ids.PartId, ...], now: ids.Instant
+    ) -> bool:
+        """Tell whether a request with a digest and some parts must not run for now."""
+        if any(self.parts.is_convicted(part, now) for part in shared):
+            return True
+        return self.marks.verdict(digest, now) is marks.Verdict.QUARANTINED
 
-    def is_quarantined(self, digest: str) -> bool:
+    def judge(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """See Suspicion."""
-        return self.marks.verdict(digest, clock.now()) is marks.Verdict.QUARANTINED
+        for part in self.parts.judge(ticket.parts, now):
+            self.log_conviction(part, now)
+            self.publish_parts([part], now)
+        return self.is_quarantined(ticket, now)
 
-    def remaining(self, digest: str, now: ids.Instant) -> float:
-        """Return the seconds until a digest's quarantine ends."""
-        return self.marks.remaining(digest, now)
+    def remaining(
+        self, digest: str, shared: tuple[ids.PartId, ...], now: ids.Instant
+    ) -> float:
+        """Return the seconds until a request is no longer in quarantine."""
+        convicted = [
+            self.parts.records[part].convicted_until - now
+            for part in shared
+            if self.parts.is_convicted(part, now)
+        ]
+        return max([self.marks.remaining(digest, now), *convicted])
+
+    def convicted_count(self, now: ids.Instant) -> int:
+        """Return the number of parts that are refused."""
+        return sum(self.parts.is_convicted(part, now) for part in self.parts.records)
+
+    def decide(self, part: ids.PartId, is_convicted: bool, now: ids.Instant) -> None:
+        """Convict a part by an operator's order, or end its conviction."""
+        self.parts.decide(part, is_convicted, now)
+        log.warning(
+            "part {} is {} by an operator's order",
+            part,
+            "convicted" if is_convicted else "released",
+        )
+        self.publish_parts([part], now)
 
     def lost(
         self,
         ticket: messages.Ticket,
         server: ids.BackendServerId,
         alone: bool,
+        sent: ids.Instant,
         now: ids.Instant,
     ) -> None:
         """See Suspicion.
@@ -75,6 +167,7 @@
         fails the request: in the meantime the caller may send the same request to
         another entry.
         """
+        self.accuse(ticket, server, sent, now)
         crash = marks.Crash(ticket.request_id, server, alone)
         if self.marks.add_crash(ticket.digest, crash, now):
             verdict = self.marks.verdict(ticket.digest, now)
@@ -88,6 +181,36 @@
             )
             self.publish(ticket.digest, now)
 
+    def accuse(
+        self,
+        ticket: messages.Ticket,
+        server: ids.BackendServerId,
+        sent: ids.Instant,
+        now: ids.Instant,
+    ) -> None:
+        """Accuse the parts of a request whose server was lost."""
+        digest = ticket.digest[:DIGEST_DIGITS]
+        crash = parts.Crash(server, digest, sent, now)
+        changed = self.parts.accuse(ticket.parts, crash, now)
+        for part in changed:
+            log.warning(
+                "part {} accused of the crash of {}: {} events",
+                part,
+                server,
+                self.parts.events(part, now),
+                extra={"request": ticket.request_id},
+            )
+        self.publish_parts(changed, now)
+
+    def answered(
+        self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
+    ) -> None:
+        """See Suspicion."""
+        cleared = self.parts.answer(ticket.parts, began, now)
+        for part in cleared:
+            log.info("part {} cleared by {}", part, ticket.request_id)
+        self.publish_parts(cleared, now)
+
     def record_end(
         self,
         ticket: messages.Ticket,
@@ -96,16 +219,40 @@
         now: ids.Instant,
     ) -> None:
         """Record at the entry how a dispatched request ended."""
+        wrote = done.total_seconds - done.first_token_seconds
         if done.outcome is messages.Outcome.CRASHED:
-            self.lost(ticket, done.server, alone, now)
+            if wrote > WRITING_SECONDS:
+                ticket = msgspec.structs.replace(ticket, parts=())
+            sent = ids.Instant(now - done.total_seconds)
+            self.lost(ticket, done.server, alone, sent, now)
         elif done.outcome is messages.Outcome.COMPLETED:
+            if done.is_success:
+                self.answered(ticket, ids.Instant(now - wrote), now)
             survived = self.marks.has_crash(ticket.digest, ticket.request_id)
             if (alone or survived) and self.marks.clear(ticket.digest, now):
                 log.info("{} cleared", ticket.digest)
                 self.publish(ticket.digest, now)
 
+    def log_conviction(self, part: ids.PartId, now: ids.Instant) -> None:
+        """Log what a part was convicted of."""
+        crashes = self.parts.records[part].crashes.values()
+        log.warning(
+            "part {} convicted: it was there when servers crashed: {}",
+            part,
+            ", ".join(f"{one.server} {now - one.at:.1f} s ago" for one in crashes),
+        )
+
     def publish(self, digest: str, now: ids.Instant) -> None:
         """Share and store a mark that has changed here."""
         self.sharer.publish(digest, now)
         if self.store is not None:
             self.store.add(digest)
+
+    def publish_parts(self, changed: list[ids.PartId], now: ids.Instant) -> None:
+        """Share records of parts that have changed here, and store those in doubt."""
+        for part in changed:
+            self.part_sharer.publish(part, now)
+            is_doubtful = self.parts.events(part, now) >= partledger.EVENTS_TO_ISOLATE
+            is_ruled = self.parts.records[part].ruling.number > 0
+            if self.part_store is not None and (is_doubtful or is_ruled):
+                self.part_store.add(part)
--- a/src/tealcove/quarantine/tests/test_persistence.py
+++ b/src/tealcove/quarantine/tests/test_persistence.py
@@ -21,13 +21,13 @@
     """
     platform = memory.MemoryPlatform()
     before = builders.new_marks()
-    store = persistence.MarkStore(platform.table, before)
+    store = persistence.store_of_marks(platform.table, before)
     for number, server in enumerate(("s1", "s2")):
         before.add_crash(D, builders.crash(f"r{number}", server), T0)
     store.add(D)
     await store.step(T0, WALL)
     after = builders.new_marks()
-    later = persistence.MarkStore(platform.table, after)
+    later = persistence.store_of_marks(platform.table, after)
     await later.step(builders.at(7.0), WALL + 100.0)
     assert after.verdict(D, builders.at(7.0)) is marks.Verdict.QUARANTINED
     assert after.remaining(D, builders.at(7.0)) == builders.SECONDS - 100.0
@@ -41,7 +41,7 @@
     """
     platform = memory.MemoryPlatform()
     held = builders.new_marks()
-    store = persistence.MarkStore(platform.table, held)
+    store = persistence.store_of_marks(platform.table, held)
     await store.step(T0, WALL)
     held.add_crash(D, builders.crash("r1", "s1"), T0)
     store.add(D)
@@ -50,22 +50,22 @@
         await store.step(T0, WALL)
     platform.faults = faults.Faults()
     await store.step(T0, WALL)
-    assert len(await platform.table.scan(persistence.TABLE)) == 1
+    assert len(await platform.table.scan(persistence.MARKS_TABLE)) == 1
 
 
 async def test_rows_of_ended_marks_are_deleted_and_idle_stores_write_nothing() -> None:
     platform = memory.MemoryPlatform()
     held = builders.new_marks()
     held.add_crash(D, builders.crash("r1", "s1"), T0)
-    store = persistence.MarkStore(platform.table, held)
+    store = persistence.store_of_marks(platform.table, held)
     store.add(D)
     await store.step(T0, WALL)
     writes = platform.write_count
     await store.step(T0, WALL)
     assert platform.write_count == writes
     after = builders.new_marks()
-    await persistence.MarkStore(platform.table, after).step(
+    await persistence.store_of_marks(platform.table, after).step(
         T0, WALL + 2 * builders.SECONDS
     )
     assert after.marks == {}
-    assert await platform.table.scan(persistence.TABLE) == ()
+    assert await platform.table.scan(persistence.MARKS_TABLE) == ()
--- a/src/tealcove/quarantine/tests/test_sharing.py
+++ b/src/tealcove/quarantine/tests/test_sharing.py
@@ -66,10 +66,10 @@
     for number in range(2):
         ticket = dispatch_builders.ticket(digest=D)
         server = ids.BackendServerId(f"s{number}")
-        one.lost(ticket, server, False, EARLY)
+        one.lost(ticket, server, False, EARLY, EARLY)
     one.sharer.compare(two.sharer.members.own)
     assert len(sent.messages) == 1
-    two.sharer.handle_marks(ids.InstanceId("one"), sent.messages[0])
+    two.sharer.handle_records(ids.InstanceId("one"), sent.messages[0])
     assert two.marks.verdict(D, EARLY) is marks.Verdict.QUARANTINED
     one.sharer.next_sync = ids.Instant(0.0)
     one.sharer.compare(two.sharer.members.own)
@@ -79,7 +79,7 @@
 def test_a_complete_run_clears_a_digest_only_if_it_ran_alone() -> None:
     found, _ = new_quarantine("one")
     ticket = dispatch_builders.ticket(digest=D)
-    found.lost(ticket, ids.BackendServerId("s1"), False, EARLY)
+    found.lost(ticket, ids.BackendServerId("s1"), False, EARLY, EARLY)
     again = dispatch_builders.ticket(digest=D)
     done = messages.Done(
         ticket_id=again.ticket_id,
@@ -121,7 +121,7 @@
     scheduler.enqueue(waiting, EARLY)
     for number in range(2):
         lost = dispatch_builders.ticket(digest=D)
-        found.lost(lost, ids.BackendServerId(f"x{number}"), False, EARLY)
+        found.lost(lost, ids.BackendServerId(f"x{number}"), False, EARLY, EARLY)
     refused = dispatch_builders.messages_of(scheduler.tick(EARLY), messages.Refusal)
     assert [(r.ticket_id, r.reason) for r in refused] == [
         (waiting.ticket_id, QUARANTINED)
