A stream that ends before its first event has been broken off

What callers saw: an empty stream that looked complete, when a server ended right after the head of an answer that has neither a length nor chunks.

Cause: an answer's end was its connection's end, and a stream was broken off only inside an event.

Change: a new stream without any event is broken off, and goes on elsewhere like any other; nothing has been written to its caller. A stream that is resumed after its last event may bring none.

--- a/src/tealcove/front/addresses.py
+++ b/src/tealcove/front/addresses.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from tealcove import clock, ids
-from tealcove.membership import members, messages
-from tealcove.platform import directory
+from tealcove.membership import addresses, members, messages
 
 # An answer names only instances of the caller's data centre if there are this many:
 # one of them may have just crashed, and traffic between data centres is charged.
@@ -12,7 +11,7 @@
 MAX_ADDRESSES = 64
 
 
-class MemberAddresses(directory.AddressSource):
+class MemberAddresses(addresses.AddressSource):
     """Finds addresses and readiness in the membership."""
 
     def __init__(self, known: members.Members) -> None:
--- a/src/tealcove/ingress/stream.py
+++ b/src/tealcove/ingress/stream.py
@@ -31,6 +31,8 @@
         """End the response; raises BackendError for an incomplete last event."""
         if rest:
             raise failures.broken("it ended in the middle of an event")
+        if self.response is None and self.order.last is None:
+            raise failures.broken("it ended before its first event")
         if self.response is None:
             await self.write(head, b"")
         await self.response.write_eof()
--- a/src/tealcove/platform/directory.py
+++ b/src/tealcove/platform/directory.py
@@ -2,30 +2,17 @@
 
 from __future__ import annotations
 
-import abc
-
 import msgspec
 from aiohttp import web
 
 from tealcove import ids
+from tealcove.membership import addresses
 from tealcove.platform import names
 
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
 
-class AddressSource(abc.ABC):
-    """Provides the addresses of instances and this instance's readiness."""
-
-    @abc.abstractmethod
-    def addresses(self, data_centre: ids.DataCentreId) -> list[str]:
-        """Return the addresses ("ip:port") for callers in a data centre."""
-
-    @abc.abstractmethod
-    def is_ready(self) -> bool:
-        """Return whether this instance accepts requests."""
-
-
 class Resolved(msgspec.Struct):
     """Addresses to connect to, and the seconds for which they may be cached."""
 
@@ -36,7 +23,7 @@
 class Directory:
     """HTTP handlers for address lookup and the readiness check."""
 
-    def __init__(self, source: AddressSource, ttl_seconds: float) -> None:
+    def __init__(self, source: addresses.AddressSource, ttl_seconds: float) -> None:
         self.source = source
         self.ttl_seconds = ttl_seconds
 
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -115,10 +115,20 @@
         self.crashing_parts: frozenset[str] = frozenset()
         # Seconds from a request to the first byte of its answer.
         self.prefill_seconds = 0.0
-        # When it crashed.
-        self.crashed_at: ids.Instant | None = None
+        # Whether it is back at once after a crash, as another incarnation.
+        self.restarts_at_once = False
+        self.is_down = False
+        self.crash_times: list[ids.Instant] = []
         # When requests with a part that crashes it arrived.
         self.crashing_arrivals: list[ids.Instant] = []
+        # Whether its answers have neither a length nor chunks, but end with their
+        # connections; how many bytes of the body the next ones have, if not all, and
+        # whether these end by a reset.
+        self.is_unframed = False
+        self.unframed_sizes: collections.deque[int] = collections.deque()
+        self.resets_unframed = False
+        # The version in the status line of such answers.
+        self.http_version = "1.1"
         # Whether it ends a request when its connection breaks.
         self.drops_unwanted = True
         # Set unless it is silent: until then it neither runs nor answers anything.
@@ -240,11 +250,15 @@
 
     async def crash(self) -> None:
         """End as a process that is gone: break all connections, refuse new ones."""
-        if self.crashed_at is not None:
+        if self.is_down:
             return
-        self.crashed_at = clock.now()
+        self.crash_times.append(clock.now())
         for transport in list(self.transports):
             transport.abort()
+        if self.restarts_at_once:
+            self.name = f"{self.name}+"
+            return
+        self.is_down = True
         await self.site.stop()
 
     async def recover(self) -> None:
@@ -305,6 +319,8 @@
             headers[names.REQUEST_ID] = "another"
         if fault is Fault.UNFRAMED:
             return await self.break_unframed(request, headers)
+        if self.is_unframed:
+            return await self.answer_unframed(request, headers)
         if request.path.startswith("/stream/"):
             return await self.stream(request, headers, fault)
         await asyncio.sleep(self.call_seconds)
@@ -317,12 +333,36 @@
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         """Send part of an answer without a length, then reset the connection."""
-        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        request.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\nhalf".encode())
+        request.transport.write(self.unframed_head(headers) + b"half")
         await asyncio.sleep(PARTIAL_ANSWER_SECONDS)
         reset(request.transport)
         return web.Response()
 
+    def unframed_head(self, headers: dict[str, str]) -> bytes:
+        """Return the head of an answer with neither a length nor chunks."""
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        return f"HTTP/{self.http_version} 200 OK\r\n{lines}\r\n".encode()
+
+    async def answer_unframed(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send an answer that ends with its connection."""
+        body = f"from {self.name}".encode()
+        if request.path.startswith("/stream/"):
+            headers["Content-Type"] = EVENT_STREAM
+            last = int(request.headers.get(names.LAST_EVENT_ID, 0))
+            numbers = range(last + 1, self.event_count + 1)
+            body = b"".join(event_of(number, self.version) for number in numbers)
+        head = self.unframed_head(headers)
+        size = self.unframed_sizes.popleft() if self.unframed_sizes else None
+        request.transport.write(head + body[:size])
+        await asyncio.sleep(PARTIAL_ANSWER_SECONDS)
+        if self.resets_unframed and size is not None:
+            reset(request.transport)
+        else:
+            request.transport.close()
+        return web.Response()
+
     async def stream(
         self, request: web.Request, headers: dict[str, str], fault: Fault | None
     ) -> web.StreamResponse:
--- a/tests/crashing_parts.py
+++ b/tests/crashing_parts.py
@@ -75,14 +75,23 @@
     async def watch(self) -> None:
         """Replace servers that have crashed, until cancelled."""
         seen: set[str] = set()
+        listed = {server: server.name for server in self.servers}
         while True:
             for server in list(self.servers):
-                if server.crashed_at is not None and server.name not in seen:
+                if server.is_down and server.name not in seen:
                     seen.add(server.name)
                     if self.away is not None:
                         self.tasks.append(asyncio.create_task(self.replace(server)))
+                elif listed.setdefault(server, server.name) != server.name:
+                    await self.list_again(server, listed[server])
+                    listed[server] = server.name
             await asyncio.sleep(platform_site.POLL_SECONDS)
 
+    async def list_again(self, server: poolserver.PoolServer, before: str) -> None:
+        """List a server under the name of its new incarnation."""
+        await self.site.write(names.SERVERS_TABLE, before, None)
+        await self.site.write(names.SERVERS_TABLE, server.name, server.entry())
+
     async def replace(self, server: poolserver.PoolServer) -> None:
         """Start a new incarnation of a server that has crashed."""
         await asyncio.sleep(self.away)
@@ -156,8 +165,7 @@
 
     def crashes(self) -> list[ids.Instant]:
         """Return when servers crashed, in order."""
-        found = [one.crashed_at for one in self.servers if one.crashed_at is not None]
-        return sorted(found)
+        return sorted(at for one in self.servers for at in one.crash_times)
 
     def arrivals(self) -> list[ids.Instant]:
         """Return when requests with the part reached servers, in order."""
