A server that is back at once as another incarnation has crashed too

Cause: a crash was noticed only where the server refused connections right after the broken answer. One that was back by then was taken for a server that failed one answer.

Change: if connections are accepted, and no recent answer acquits the parts of the request, the instance asks the address for the incarnation that it had sent to; another one answers that it isn't meant (421). The call has no request id, so that no server runs it.

Evidence: test_servers_that_are_back_at_once_have_crashed_too failed before, and passes. With it come tests of first parts, kinds of requests, sites that have just started, replaced instances, a store that is away, and crashes of other causes, which convict no part (all pass, 18 of 18).

--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -241,7 +241,7 @@
             raise
         except engine.BrokenStreamError:
             outcome = messages.Outcome.FAILED
-            if await self.services.link.refuses_connections(outbound):
+            if await self.has_crashed(pending_ticket.ticket, outbound):
                 outcome = messages.Outcome.CRASHED
             raise
         except errors.BackendError:
@@ -250,6 +250,19 @@
         finally:
             self.report_end(report, outcome, clock.now())
 
+    async def has_crashed(
+        self, ticket: messages.Ticket, outbound: link.OutboundRequest
+    ) -> bool:
+        """Tell whether the server of an attempt that broke off has ended.
+
+        Whether it is back already is asked only if that may show what crashed it.
+        """
+        if await self.services.link.refuses_connections(outbound):
+            return True
+        if not self.services.quarantine.is_unproved(ticket, clock.now()):
+            return False
+        return await self.services.link.is_replaced(outbound)
+
     def report_end(
         self,
         report: reporting.AttemptReport,
--- a/src/tealcove/ingress/link.py
+++ b/src/tealcove/ingress/link.py
@@ -107,3 +107,7 @@
     @abc.abstractmethod
     async def refuses_connections(self, outbound: OutboundRequest) -> bool:
         """Tell whether the server of an attempt that broke off has no process."""
+
+    @abc.abstractmethod
+    async def is_replaced(self, outbound: OutboundRequest) -> bool:
+        """Tell whether another incarnation answers in place of an attempt's server."""
--- a/src/tealcove/platform/backendlink.py
+++ b/src/tealcove/platform/backendlink.py
@@ -9,7 +9,7 @@
 import multidict
 import yarl
 
-from tealcove import clock, stalls
+from tealcove import clock, errors, stalls
 from tealcove.backends import attempt as attempts
 from tealcove.backends import engine, reach, strict
 from tealcove.ingress import link
@@ -154,6 +154,16 @@
         """See RawLink."""
         return await reach.refuses_connections(server, self.stalls)
 
+    async def is_replaced(self, server: engine.Server) -> bool:
+        """See RawLink; without a request id, no server runs the call."""
+        headers = multidict.CIMultiDict({names.EXPECTED_INCARNATION: server.name})
+        call = raw.RawCall("GET", "/", headers, b"")
+        try:
+            async with self.open(server, call, CONNECT_TIMEOUT, ignore) as found:
+                return found.status == HTTP_MISDIRECTED
+        except errors.BackendError:
+            return False
+
 
 def ignore() -> None:
     """Do nothing when a check is sent, which isn't a dispatch."""
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -233,6 +233,10 @@
                 log.info("{} cleared", ticket.digest)
                 self.publish(ticket.digest, now)
 
+    def is_unproved(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
+        """Tell whether no recent answer acquits one of a request's parts."""
+        return any(not self.parts.answers.acquits(p, now) for p in ticket.parts)
+
     def log_conviction(self, part: ids.PartId, now: ids.Instant) -> None:
         """Log what a part was convicted of."""
         crashes = self.parts.records[part].crashes.values()
--- a/src/tealcove/relay/link.py
+++ b/src/tealcove/relay/link.py
@@ -228,6 +228,10 @@
                 return True
         return not self.paths.is_lost(self.own, server, clock.now())
 
+    async def is_replaced(self, outbound: link.OutboundRequest) -> bool:
+        """See BackendLink."""
+        return await self.backends.is_replaced(outbound.server)
+
     def record_other_path(
         self,
         helper: helpers.Helper,
--- a/src/tealcove/relay/raw.py
+++ b/src/tealcove/relay/raw.py
@@ -54,3 +54,7 @@
     @abc.abstractmethod
     async def is_refused(self, server: engine.Server) -> bool:
         """Tell whether a server refuses connections."""
+
+    @abc.abstractmethod
+    async def is_replaced(self, server: engine.Server) -> bool:
+        """Tell whether another incarnation answers at a server's address."""
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -14,6 +14,7 @@
 from tealcove import clock, ids, tasks
 from tealcove.platform import names
 
+HTTP_BAD_REQUEST = 400
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 HTTP_FAILED = 500
@@ -204,6 +205,8 @@
             return web.Response(
                 status=HTTP_MISDIRECTED, headers={names.INCARNATION: self.name}
             )
+        if names.REQUEST_ID not in request.headers:
+            return web.Response(status=HTTP_BAD_REQUEST, headers={names.NOT_RUN: "1"})
         fault = self.faults.popleft() if self.faults else None
         is_full = self.room is not None and self.running >= self.room
         if fault is Fault.FULL or self.rest is not None or is_full:
--- a/tests/crashing_parts.py
+++ b/tests/crashing_parts.py
@@ -54,7 +54,7 @@
     ) -> None:
         self.site = site
         self.random = random.Random(seed)
-        # None: crashed servers stay away.
+        # None: crashed servers stay away; 0: they are back at once, at their addresses.
         self.away = away
         self.parts = frozenset((BAD,))
         # Every server there ever was.
@@ -69,6 +69,7 @@
     def adopt(self, server: poolserver.PoolServer) -> None:
         """Let a server crash on the part."""
         server.crashing_parts = self.parts
+        server.restarts_at_once = self.away == 0.0
         server.prefill_seconds = PREFILL_SECONDS
         self.servers.append(server)
 
@@ -98,6 +99,28 @@
         await self.site.write(names.SERVERS_TABLE, server.name, None)
         self.adopt(await self.site.add_server(f"{server.name}+"))
 
+    async def replace_instances(self, share: float) -> None:
+        """End a share of the instances at once, and start as many new ones."""
+        count = int(share * len(self.site.instances))
+        for one in self.site.instances[-count:]:
+            await self.site.end(one)
+        for _ in range(count):
+            await self.site.add_instance()
+
+    async def crash_others(self, times: int, count: int, pause: float) -> None:
+        """Crash so many servers at once, whatever they run, every so often."""
+        for _ in range(times):
+            alive = [server for server in self.servers if not server.is_down]
+            for server in alive[:count]:
+                await server.crash()
+            await asyncio.sleep(pause)
+
+    def convicted(self) -> set[str]:
+        """Return the parts that some instance refuses."""
+        now = clock.now()
+        ledgers = [one.quarantine.parts for one in self.site.instances]
+        return {p for one in ledgers for p in one.records if one.is_convicted(p, now)}
+
     async def send(
         self, parts: Iterable[str], path: str, at: instance.Instance | None = None
     ) -> platform_site.Answer:
