Tests of parts, of the runs of suspects, and of the quarantine's role

Cause: the first two were covered by whole sites only. Writing them showed one fault: after a conviction had ended by time, the crashes that should bring it back counted as explained by it.

Change: a part explains crashes only while it is refused. The tests cover how crashes accuse, acquit and convict, that instances agree after any steps (hypothesis), the bounds, the store, and the runs one by one and alone of the goal scheduler.

--- a/src/tealcove/quarantine/ledger.py
+++ b/src/tealcove/quarantine/ledger.py
@@ -22,7 +22,7 @@
     version = 0
 
     @abc.abstractmethod
-    def keys(self) -> list[str]:
+    def all_keys(self) -> list[str]:
         """Return the keys of all records."""
 
     @abc.abstractmethod
--- a/src/tealcove/quarantine/marks.py
+++ b/src/tealcove/quarantine/marks.py
@@ -185,7 +185,7 @@
                 del self.marks[digest]
                 self.version += 1
 
-    def keys(self) -> list[str]:
+    def all_keys(self) -> list[str]:
         """See Ledger."""
         return sorted(self.marks)
 
--- a/src/tealcove/quarantine/partledger.py
+++ b/src/tealcove/quarantine/partledger.py
@@ -178,7 +178,7 @@
         self.explained = {
             server
             for record in self.records.values()
-            if record.ruling.is_convicted
+            if record.is_convicted(now)
             for server in record.crashes
         }
         self.evict_excess(now)
@@ -195,7 +195,7 @@
             return EVENTS_TO_CONVICT, record.until
         return min(self.count(record, now), EVENTS_TO_ISOLATE), record.until
 
-    def keys(self) -> list[str]:
+    def all_keys(self) -> list[str]:
         """See Ledger."""
         return sorted(self.records)
 
--- a/src/tealcove/quarantine/sharing.py
+++ b/src/tealcove/quarantine/sharing.py
@@ -114,7 +114,7 @@
 
     def next_keys(self) -> list[str]:
         """Return the keys of the next message, in rotation."""
-        keys = self.ledger.keys()
+        keys = self.ledger.all_keys()
         if self.sync_offset >= len(keys):
             self.sync_offset = 0
         chosen = keys[self.sync_offset : self.sync_offset + SYNC_RECORDS]
--- a/src/tealcove/quarantine/tests/builders.py
+++ b/src/tealcove/quarantine/tests/builders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove import ids
-from tealcove.quarantine import marks
+from tealcove.quarantine import marks, partledger, parts
 
 DIGEST = "d1"
 SECONDS = 600.0
@@ -22,3 +22,14 @@
 def new_marks() -> marks.Marks:
     """Return empty marks with a quarantine of SECONDS."""
     return marks.Marks(SECONDS)
+
+
+def part_crash(server: str, digest: str, at: float, ran: float = 0.1) -> parts.Crash:
+    """Return a crash of a server that had run a request for some seconds."""
+    sent = ids.Instant(at - ran)
+    return parts.Crash(ids.BackendServerId(server), digest, sent, ids.Instant(at))
+
+
+def new_parts() -> partledger.PartLedger:
+    """Return an empty ledger of parts with a quarantine of SECONDS."""
+    return partledger.PartLedger(SECONDS)
--- a/src/tealcove/quarantine/tests/test_sharing.py
+++ b/src/tealcove/quarantine/tests/test_sharing.py
@@ -10,6 +10,7 @@
 from tealcove.quarantine import marks, role
 from tealcove.quarantine import messages as quarantine_messages
 from tealcove.quarantine.tests import builders
+from tealcove.storage import table
 
 D = builders.DIGEST
 QUARANTINED = messages.RefusalReason.QUARANTINED
@@ -36,7 +37,9 @@
         return True
 
 
-def new_quarantine(name: str) -> tuple[role.Quarantine, RecordingMesh]:
+def new_quarantine(
+    name: str, rows: table.TableService | None = None
+) -> tuple[role.Quarantine, RecordingMesh]:
     """Return the quarantine of an instance, and its mesh."""
     own = membership_messages.Heartbeat(
         instance=ids.InstanceId(name),
@@ -51,7 +54,7 @@
     )
     sent = RecordingMesh()
     known = members.Members(own, suspect_after=1.0, forget_after=10.0)
-    found = role.Quarantine(sent, known, FakeHeart(), None, builders.SECONDS)
+    found = role.Quarantine(sent, known, FakeHeart(), rows, builders.SECONDS)
     return found, sent
 
 
