Operators see, add and lift convictions of parts of prompts

Cause: a part that is convicted wrongly, or known to be bad before it has crashed three servers, could be changed by nobody.

Change: the setting listen.admin_port opens a port on the loopback interface, at which the command `tealcove quarantine` lists all accused parts with their crashes, adds convictions and lifts them. A decision is shared and kept like those of the instances themselves; answers don't end it.

--- a/src/tealcove/cli.py
+++ b/src/tealcove/cli.py
@@ -18,6 +18,7 @@
     front,
     get,
     keys,
+    quarantine,
     request,
     serve,
     standin,
@@ -51,6 +52,7 @@
         | request.Request
         | entrypoints.EntryPoints
         | keys.Keys
+        | quarantine.Quarantine
         | standin.Standin
     ]
 
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -35,6 +35,7 @@
     rollouts,
     storeadapter,
 )
+from tealcove.quarantine import handlers
 from tealcove.quarantine import role as quarantine_role
 from tealcove.relay import helpers
 from tealcove.relay import link as relaying
@@ -85,6 +86,7 @@
         await self.start_ingress()
         await self.start_directory()
         await self.start_metrics()
+        await self.start_admin()
         self.heartbeats.start()
         self.mesh.start_receiving()
         self.start_following()
@@ -290,6 +292,13 @@
         except OSError as error:
             log.warning("metrics not served at port {}: {}", port, error)
 
+    async def start_admin(self) -> None:
+        """Listen for operators' commands on the loopback interface."""
+        port = self.settings.listen.admin_port
+        if port != 0:
+            shown = handlers.QuarantineHandlers(self.quarantine)
+            await self.serve(f"127.0.0.1:{port}", shown.routes())
+
     async def serve(self, address: str, routes: list[web.RouteDef]) -> None:
         """Serve handlers at an additional address."""
         self.runners.append(await factories.serve(address, routes))
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -29,6 +29,8 @@
     # For requests of instances that can't reach a backend server, on the IP number for
     # other instances; 0: this instance passes none on.
     relay_port: settings.Port = 0
+    # For operators' commands, on the loopback interface only; 0: takes none.
+    admin_port: settings.Port = 0
 
 
 class Store(settings.Group):
