Soak: servers that crash on one part of prompts, and for other reasons

Cause: no soak had requests with parts, incarnations that take the place of crashed servers, or crashes of other causes.

Servers also crash for other reasons, several at once; new incarnations take their places. Kills of one, several and all instances, freezes, cuts of the store and changes of the configuration overlap. Checked: late requests with the part at undisturbed instances, and the share of sound ones served there.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,7 @@
         found.paths,
         found.pauses,
         found.versions,
+        found.parts,
     )
 
 
@@ -53,6 +54,9 @@
     parser.add_argument(
         "--versions", action="store_true", help="mix servers of several versions"
     )
+    parser.add_argument(
+        "--parts", action="store_true", help="crash servers by a part of prompts"
+    )
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -77,6 +77,7 @@
         self.random = random.Random(seed)
         self.results: list[CallResult] = []
         self.count = 0
+        self.request_prefix = "r"
         self.is_stopping = False
         # The newest key that each process has accepted, by its instance and number.
         self.accepted: dict[tuple[str, int], int] = {}
@@ -106,7 +107,7 @@
     ) -> CallResult:
         """Send a request to a random instance; it takes a stream up that has broken."""
         self.count += 1
-        request_id = f"r-{self.count}"
+        request_id = f"{self.request_prefix}-{self.count}"
         member = self.random.choice(self.running.members)
         process = (member.name, member.process.pid)
         received, resumes = taken_up(before)
@@ -114,7 +115,12 @@
         sent_at = clock.now()
         key = self.key_at(member, sent_at)
         answer = await self.send(
-            session, member, request_id, path, key, resuming(received, resumes)
+            session,
+            member,
+            request_id,
+            path,
+            key,
+            {**self.more_headers(), **resuming(received, resumes)},
         )
         if answer.status == deployment.HTTP_OK and process[1] == member.process.pid:
             self.note_accepted(process, key)
@@ -132,6 +138,10 @@
         self.results.append(ended)
         return ended
 
+    def more_headers(self) -> dict[str, str]:
+        """Return the headers of this kind of callers."""
+        return {}
+
     def count_servers(self, received: bytes) -> int:
         """Return how many listed servers have the version of a begun stream."""
         version = version_of(received)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -112,7 +112,8 @@
         self.servers = [poolserver.PoolServer(f"s-{n}", "pool") for n in range(servers)]
         self.store_proxies: list[proxy.Proxy] = []
         self.server_proxies: list[proxy.Proxy] = []
-        # The proxy's address of each server, by name.
+        # The proxy of each server and its address, by name.
+        self.proxies: dict[str, proxy.Proxy] = {}
         self.addresses: dict[str, str] = {}
         # What the row of each server says, by name; None if it has none.
         self.states: dict[str, str | None] = {}
@@ -170,8 +171,13 @@
         forwarder = proxy.Proxy("127.0.0.1", server.port)
         self.server_proxies.append(forwarder)
         self.addresses[server.name] = await forwarder.start()
+        self.proxies[server.name] = forwarder
         await self.list_server(server, "ready")
 
+    async def close(self, server: poolserver.PoolServer) -> None:
+        """Refuse connections to a server that has crashed."""
+        await self.proxies[server.name].stop()
+
     async def list_server(
         self, server: poolserver.PoolServer, state: str | None
     ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from soak import (
+    crashingparts,
     deployment,
     disturbances,
     pathcuts,
@@ -34,6 +35,8 @@
 # The same for cuts of streams and replaced servers in a soak of software versions.
 STREAM_CUT_WEIGHT = 8
 REPLACEMENT_WEIGHT = 3
+# The same for crashes of other causes in a soak of parts that crash servers.
+CRASH_WEIGHT = 3
 
 # Seconds for which a sound server may be silent.
 SILENT_SECONDS = 1.0
@@ -73,6 +76,7 @@
         cuts_paths: bool = False,
         pauses_only: bool = False,
         mixes_versions: bool = False,
+        crashes_parts: bool = False,
     ) -> None:
         self.running = running
         self.restores_store = restores_store
@@ -118,6 +122,21 @@
                 self.store_fault,
                 self.server_faults,
             )
+        self.crasher = crashingparts.Crasher(running, self.random, self.disturbances)
+        self.crashes_parts = crashes_parts
+        if crashes_parts:
+            killing = versions.VersionChanger(running, self.random, self.disturbances)
+            self.kinds = (
+                *(self.crasher.crash,) * CRASH_WEIGHT,
+                killing.kill_all,
+                killing.kill_several,
+                self.kill,
+                self.freeze,
+                self.terminate,
+                self.cut_store,
+                self.store_fault,
+                self.change_configuration,
+            )
         if cuts_paths:
             self.mean_pause = MEAN_PAUSE_BETWEEN_CUTS
             self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
@@ -143,8 +162,13 @@
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
         # In a soak of lost paths, servers state only that they are brittle, and in one
-        # of pauses or of versions nothing.
-        is_silent = self.cuts_paths or self.pauses_only or self.mixes_versions
+        # of pauses, of versions or of parts nothing.
+        is_silent = (
+            self.cuts_paths
+            or self.pauses_only
+            or self.mixes_versions
+            or self.crashes_parts
+        )
         stating = [] if is_silent else [asyncio.create_task(self.stating.run())]
         if not self.restores_store:
             self.restoring.stopping.set()
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 
 from soak import (
     callers,
+    crashingparts,
     deployment,
     faults,
     leaving,
@@ -18,6 +19,7 @@
     resting,
     versions,
 )
+from tealcove import tasks
 
 MEMBERS = 3
 SERVERS = 3
@@ -56,6 +58,8 @@
     pauses: int
     # Streams that callers took up.
     taken_up: versions.TakenUp
+    # Requests with a part that crashes servers, and sound ones beside them.
+    parts: crashingparts.Counts
     broken: tuple[str, ...]
 
 
@@ -69,6 +73,7 @@
     cuts_paths: bool = False,
     pauses_only: bool = False,
     mixes_versions: bool = False,
+    crashes_parts: bool = False,
 ) -> Verdict:
     """Run one soak; its logs are kept in the folder.
 
@@ -77,13 +82,22 @@
     faults are lost paths, and the servers are brittle and state nothing else. With
     `pauses_only`, the only faults are short pauses of the instances' processes. With
     `mixes_versions`, the servers have several software versions, and streams break.
+    With `crashes_parts`, they crash on one part of prompts, and for other reasons.
     """
     created = deployment.Deployment(folder, members, servers)
     if mixes_versions:
         versions.mix(created)
+    if crashes_parts:
+        crashingparts.make_crashing(created)
     async with created as running:
         injector = faults.FaultInjector(
-            running, seed, restores_store, cuts_paths, pauses_only, mixes_versions
+            running,
+            seed,
+            restores_store,
+            cuts_paths,
+            pauses_only,
+            mixes_versions,
+            crashes_parts,
         )
         if cuts_paths:
             pathcuts.make_brittle(running)
@@ -91,7 +105,10 @@
             await running.until_serving()
         paths = callers.STREAM_PATHS if mixes_versions else callers.PATHS
         calling = callers.Callers(running, injector.disturbances, seed, paths)
+        if crashes_parts:
+            calling = crashingparts.PartCallers(running, injector.disturbances, seed)
         task = asyncio.create_task(calling.run())
+        replacing = asyncio.create_task(injector.crasher.run())
         await injector.run(seconds)
         for server in running.servers:
             server.faults.clear()
@@ -102,7 +119,13 @@
         after = calling.results[before:]
         calling.is_stopping = True
         await task
-        broken = callers.find_violations(running, calling.results)
+        await tasks.stop([replacing])
+        parts, bad = crashingparts.Counts(), []
+        if crashes_parts:
+            parts = crashingparts.count(running, injector.disturbances, calling)
+            bad = calling.bad.results
+        broken = callers.find_violations(running, [*calling.results, *bad])
+        broken.extend(crashingparts.violations(parts))
         watched, late = leaving.late_arrivals(running, injector, calling.results)
         broken.extend(late)
         limited, excessive = limiting.excessive_windows(
@@ -144,5 +167,6 @@
         cut_off=cut_off,
         pauses=injector.pausing.count,
         taken_up=versions.taken_up(injector.disturbances, calling.results),
+        parts=parts,
         broken=tuple(broken),
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,9 @@
 # The same with servers of several software versions.
 VERSION_SEEDS = {11: 12.0, 13: 12.0}
 VERSION_MEMBERS, VERSION_SERVERS = 4, 6
+# The same with servers that crash on one part of prompts.
+PART_SEEDS = {1: 14.0, 2: 14.0}
+PART_MEMBERS, PART_SERVERS = 4, 8
 # The same with short pauses of the instances as the only faults.
 PAUSE_SEEDS = {
     1: 8.0,
@@ -80,6 +83,19 @@
     assert verdict.returns > 0
 
 
+@pytest.mark.parametrize("seed", PART_SEEDS)
+async def test_a_part_that_crashes_servers_is_found(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Requests without anything in common but one part crashed all servers."""
+    verdict = await run.soak(
+        tmp_path, seed, PART_SEEDS[seed], PART_MEMBERS, PART_SERVERS, crashes_parts=True
+    )
+    assert verdict.broken == ()
+    assert verdict.parts.crashes > 0
+    assert verdict.parts.sound > 0
+
+
 @pytest.mark.parametrize("seed", PATH_SEEDS)
 async def test_callers_are_served_when_paths_are_lost(
     tmp_path: pathlib.Path, seed: int
