--- a/soak/crashingparts.py
+++ b/soak/crashingparts.py
@@ -109,9 +109,9 @@
         await asyncio.sleep(away)
         new = poolserver.PoolServer(f"{server.name}+", server.service)
         prepare(new)
-        self.running.servers.append(new)
         await self.running.list_server(server, None)
         await self.running.add(new)
+        self.running.servers.append(new)
 
     @contextlib.asynccontextmanager
     async def crash(self) -> AsyncIterator[str]:
