Prompts without named parts: their first blocks are parts

Change: the first 16 blocks but the last count as parts. The fair scheduler runs alone what the next crash would convict or quarantine, as before for whole prompts. The load tool gets the scenario "crashing part"; it had failed since the processes of a deployment became a list, which is mended. The stand-in of a server no longer logs a caller that is gone as an error.

Evidence: test_unlike_prompts_with_a_bad_beginning_cost_three_of_six_engines failed before (all engines gone, sound callers timed out) and passes.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import signal
 import sys
 
+import aiohttp
 import msgspec
 import psutil
 from tests import deployment
 
 from bench import engine, plans, tap
 from tealcove import bearer
+from tealcove.backends import prefixes
 from tealcove.resources import kinds
 
 # Step length of an engine stand-in; shorter steps cost more processor time
 # than the added precision is worth.
 TICK_SECONDS = 0.01
 CRASH_MARKER = "crash-marker"
+# Blocks of a bad prompt that no other one has.
+BAD_BLOCKS = 3
 ENTRY_POINTS_TTL = 2.0
 SERVICE_SLOTS = 16
 BEARER_KEY_PREFIX = "caller-key"
@@ -216,6 +221,23 @@
         async with self.session.post(url, json=body, headers=headers) as response:
             await response.read()
 
+    async def send_bad_prompt(self, number: int) -> None:
+        """Send an instance a prompt that begins with the bad block."""
+        beginning = f"{CRASH_MARKER} ".ljust(prefixes.BLOCK_BYTES, "x")
+        own = f"{number} ".ljust(BAD_BLOCKS * prefixes.BLOCK_BYTES, "y")
+        body = {"model": "m", "prompt": beginning + own, "max_tokens": 1}
+        instance = self.instances[number % len(self.instances)]
+        key = bearer_key(self.plan.accounts[0].name)
+        headers = {"Authorization": f"Bearer {key}"}
+        url = f"{instance.url}/v1/completions"
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self.session.post(url, json=body, headers=headers) as response:
+                await response.read()
+
+    def count_crashes(self) -> int:
+        """Return how often engines have crashed."""
+        return sum(len(self.counts_at_crash(process)) for process in self.engines)
+
     async def engine_counts(self) -> list[engine.Counts]:
         """Return the counts of all engines, also of those that crashed."""
         all_counts = []
@@ -275,11 +297,11 @@
     def cpu_seconds(self) -> dict[str, float]:
         """Return each running process's processor time in seconds."""
         spent = {}
-        for name, process in self.processes.items():
+        for process in self.processes:
             if process.process is None or process.process.returncode is not None:
                 continue
             times = psutil.Process(process.process.pid).cpu_times()
-            spent[name] = times.user + times.system
+            spent[process.name] = times.user + times.system
         return spent
 
     def drain_instance(self, number: int) -> None:
--- a/bench/load.py
+++ b/bench/load.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import enum
+import itertools
 import pathlib
 import sys
 import tempfile
@@ -26,6 +27,10 @@
 FAULT_SECONDS = 3.0
 STRAGGLER_SPEED = 0.2
 PROGRESS_INTERVAL = 5.0
+# Seconds between two requests with the bad block, and from a crash to the restart.
+BAD_INTERVAL = 0.3
+RESTART_SECONDS = 1.0
+RESTART_POLL_SECONDS = 0.1
 
 
 class Scenario(enum.Enum):
@@ -37,6 +42,8 @@
     ENGINE_CRASH = "engine crash"
     PLATFORM_OUTAGE = "platform outage"
     ENTRY_KILLED = "entry killed"
+    # Unlike requests whose prompts begin with the same bad block crash engines.
+    CRASHING_PART = "crashing part"
 
 
 class Run(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,6 +96,8 @@
     # Mean microseconds of a scheduler call.
     scheduler_call: float
     complaints: list[str]
+    # Engines that crashed.
+    crashes: int = 0
 
 
 class LoadRun:
@@ -203,6 +212,27 @@
         if scenario is Scenario.ENTRY_KILLED:
             victims = deployed.instances
             victims[self.run.seed % len(victims)].kill()
+        if scenario is Scenario.CRASHING_PART:
+            end = start + self.run.seconds
+            await asyncio.gather(self.send_bad_prompts(end), self.restart_engines(end))
+
+    async def send_bad_prompts(self, end: float) -> None:
+        """Send requests with the bad block until an end, to all instances."""
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                if time.monotonic() >= end:
+                    return
+                group.create_task(self.fleet.send_bad_prompt(number))
+                await asyncio.sleep(BAD_INTERVAL)
+
+    async def restart_engines(self, end: float) -> None:
+        """Restart the engines that have crashed until an end."""
+        while time.monotonic() < end:
+            for engine in self.fleet.engines:
+                if engine.process.returncode is not None:
+                    await asyncio.sleep(RESTART_SECONDS)
+                    await self.fleet.start(engine)
+            await asyncio.sleep(RESTART_POLL_SECONDS)
 
     async def crash_engine(self) -> None:
         """Crash the first engine, one of the fastest, and restart it later."""
@@ -277,6 +307,7 @@
             busy=self.busy,
             scheduler_call=scheduler_call_microseconds(records),
             complaints=self.fleet.warnings_and_errors()[:20],
+            crashes=self.fleet.count_crashes(),
         )
 
     def refusal_times(self, records: list[tap.Record]) -> list[float]:
--- a/src/tealcove/dispatch/cellstate.py
+++ b/src/tealcove/dispatch/cellstate.py
@@ -58,7 +58,7 @@
         )
         if is_short:
             self.fleet.short_seconds += predicted.loaded
-        if self.suspicion.suspects(ticket, now).keys:
+        if self.suspicion.suspects(ticket, now).must_run_alone:
             waiting.lane = queue.SUSPECTS
         self.add_to_queue(waiting)
         return waiting
--- a/src/tealcove/dispatch/isolation.py
+++ b/src/tealcove/dispatch/isolation.py
@@ -55,7 +55,7 @@
         self.applied_version = suspicion.version
         outgoing = []
         for waiting in queued:
-            is_suspect = bool(suspicion.suspects(waiting.ticket, now).keys)
+            is_suspect = suspicion.suspects(waiting.ticket, now).must_run_alone
             if suspicion.is_quarantined(waiting.ticket, now):
                 reason = messages.RefusalReason.QUARANTINED
                 outgoing.append(self.state.refuse(waiting, reason))
--- a/src/tealcove/dispatch/suspectruns.py
+++ b/src/tealcove/dispatch/suspectruns.py
@@ -70,7 +70,7 @@
     def is_any_running(self, keys: set[str], now: ids.Instant) -> bool:
         """Tell whether a run that may still crash its server has one of some keys."""
         return any(
-            not keys.isdisjoint((*run.ticket.parts, run.ticket.digest))
+            not keys.isdisjoint(self.suspicion.suspects(run.ticket, now).keys)
             and not is_writing(run, now)
             for server in self.views.servers.values()
             for run in server.runs.values()
@@ -80,9 +80,8 @@
         self, ticket: messages.Ticket, keys: set[str], now: ids.Instant
     ) -> bool:
         """Tell whether a ticket has some, but not all, of the keys, and no others."""
-        if keys.isdisjoint(ticket.parts):
-            return False
-        return set(self.suspicion.suspects(ticket, now).keys) < keys
+        own = set(self.suspicion.suspects(ticket, now).keys)
+        return bool(own) and own < keys
 
     def server_alone(
         self,
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -314,4 +314,5 @@
             output_tokens=usage.completion_tokens,
             first_token_seconds=first - self.dispatched_at,
             total_seconds=now - self.dispatched_at,
+            is_success=outcome is messages.Outcome.COMPLETED,
         )
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -25,6 +25,8 @@
 
 # Digits of a request's digest in the records of parts, which only count requests.
 DIGEST_DIGITS = 8
+# The first blocks of a prompt that are parts, where its caller names none.
+MAX_BLOCKS = 16
 # Seconds for which a server must have written an answer when it crashed, so that the
 # answer's parts aren't accused: a bad part crashes a server as it begins to write.
 WRITING_SECONDS = 1.0
@@ -97,7 +99,7 @@
         """See Suspicion."""
         if not self.marks.marks and not self.parts.records:
             return suspicion.NOTHING
-        found = {part: self.parts.events(part, now) for part in ticket.parts}
+        found = {part: self.parts.events(part, now) for part in parts_of(ticket)}
         keys = [part for part, events in found.items() if events]
         is_isolated = any(
             events >= partledger.EVENTS_TO_ISOLATE for events in found.values()
@@ -111,7 +113,7 @@
 
     def is_quarantined(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """See Suspicion."""
-        return self.has_quarantined(ticket.digest, ticket.parts, now)
+        return self.has_quarantined(ticket.digest, parts_of(ticket), now)
 
     def has_quarantined(
         self, digest: str, shared: tuple[ids.PartId, ...], now: ids.Instant
@@ -123,7 +125,7 @@
 
     def judge(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """See Suspicion."""
-        for part in self.parts.judge(ticket.parts, now):
+        for part in self.parts.judge(parts_of(ticket), now):
             self.log_conviction(part, now)
             self.publish_parts([part], now)
         return self.is_quarantined(ticket, now)
@@ -175,7 +177,7 @@
                 "{} lost while running {} with parts {}: {}",
                 server,
                 ticket.digest,
-                " ".join(ticket.parts) or "none",
+                " ".join(parts_of(ticket)) or "none",
                 verdict.value,
                 extra={"request": ticket.request_id},
             )
@@ -191,7 +193,7 @@
         """Accuse the parts of a request whose server was lost."""
         digest = ticket.digest[:DIGEST_DIGITS]
         crash = parts.Crash(server, digest, sent, now)
-        changed = self.parts.accuse(ticket.parts, crash, now)
+        changed = self.parts.accuse(parts_of(ticket), crash, now)
         for part in changed:
             log.warning(
                 "part {} accused of the crash of {}: {} events",
@@ -206,7 +208,7 @@
         self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
     ) -> None:
         """See Suspicion."""
-        cleared = self.parts.answer(ticket.parts, began, now)
+        cleared = self.parts.answer(parts_of(ticket), began, now)
         for part in cleared:
             log.info("part {} cleared by {}", part, ticket.request_id)
         self.publish_parts(cleared, now)
@@ -222,7 +224,7 @@
         wrote = done.total_seconds - done.first_token_seconds
         if done.outcome is messages.Outcome.CRASHED:
             if wrote > WRITING_SECONDS:
-                ticket = msgspec.structs.replace(ticket, parts=())
+                ticket = msgspec.structs.replace(ticket, parts=(), prefix=())
             sent = ids.Instant(now - done.total_seconds)
             self.lost(ticket, done.server, alone, sent, now)
         elif done.outcome is messages.Outcome.COMPLETED:
@@ -235,7 +237,7 @@
 
     def is_unproved(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """Tell whether no recent answer acquits one of a request's parts."""
-        return any(not self.parts.answers.acquits(p, now) for p in ticket.parts)
+        return any(not self.parts.answers.acquits(p, now) for p in parts_of(ticket))
 
     def log_conviction(self, part: ids.PartId, now: ids.Instant) -> None:
         """Log what a part was convicted of."""
@@ -257,6 +259,19 @@
         for part in changed:
             self.part_sharer.publish(part, now)
             is_doubtful = self.parts.events(part, now) >= partledger.EVENTS_TO_ISOLATE
-            is_ruled = self.parts.records[part].ruling.number > 0
+            record = self.parts.records.get(part)
+            is_ruled = record is not None and record.ruling.number > 0
             if self.part_store is not None and (is_doubtful or is_ruled):
                 self.part_store.add(part)
+
+
+def parts_of(ticket: messages.Ticket) -> tuple[ids.PartId, ...]:
+    """Return the parts of a prompt that other requests may share.
+
+    Without parts named by its caller, they are the prompt's first blocks. The last
+    complete block is left out, since it is usually the request's own.
+    """
+    if ticket.parts or not ticket.prefix:
+        return ticket.parts
+    shared = ticket.prefix[:-1][:MAX_BLOCKS]
+    return tuple(ids.PartId(f"{block:x}") for block in shared)
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -193,6 +193,9 @@
         self.transports.add(request.transport)
         try:
             return await self.answer(request)
+        except ConnectionResetError:
+            # A crash or a caller has broken the connection.
+            return web.Response()
         finally:
             self.transports.discard(request.transport)
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,6 +11,7 @@
 import msgspec
 import syrupy
 
+from tealcove.backends import prefixes
 from tealcove.standins import engine_counts
 from tests import callers, deployment
 
@@ -22,6 +23,12 @@
 BAD = f"a recipe with {MARKER} in it"
 
 
+# The beginning of prompts that crash engines, and what follows it, unlike each time.
+BAD_BEGINNING = f"{MARKER} ".ljust(prefixes.BLOCK_BYTES, "x")
+OWN_LENGTH = 3 * prefixes.BLOCK_BYTES
+MOST_CRASHES = 3
+
+
 class Crashed(msgspec.Struct):
     """The line that an engine prints when a prompt crashes it."""
 
@@ -120,3 +127,32 @@
         assert min(len(runs) for runs in lost_runs) == 1
         outcomes = [(reply.status, reply.outcome, reply.reason) for reply in session]
         assert outcomes == snapshot
+
+
+async def test_unlike_prompts_with_a_bad_beginning_cost_three_of_six_engines(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a quarantine that knows only whole prompts."""
+    async with deployment.Deployment(tmp_path) as running:
+        for _ in range(ENGINES):
+            await running.add_engine(
+                crash_marker=MARKER, decode_seconds_per_token=0.005
+            )
+        for _ in range(INSTANCES):
+            await running.add_instance()
+        await running.declare()
+        for instance in running.instances:
+            await running.wait_until_ready(instance)
+        await running.wait_for_members()
+        traffic = GoodTraffic(running)
+        good = [asyncio.create_task(traffic.call(n)) for n in range(GOOD_CALLERS)]
+        for number in range(ATTEMPTS):
+            await callers.complete(
+                running.session,
+                running.instances[number % INSTANCES].url,
+                BAD_BEGINNING + f"{number}".ljust(OWN_LENGTH, "y"),
+                extra={"Tealcove-Deadline": "10"},
+            )
+        traffic.ended.set()
+        await asyncio.gather(*good)
+        assert len(counts_of_crashed_engines(tmp_path)) <= MOST_CRASHES
