Parts: nothing is convicted while another part of the same requests is unproved

What callers could see: requests with a rare, sound part refused for minutes, after it had been in the same crashing requests as a part that turned bad a moment before.

Cause: an answer protects its parts for 2 s, so that the guilty part wasn't accused while the rare one was. Only parts that crashes accuse counted as other explanations.

Change: each crash keeps the other parts of its request; a part is convicted by three events only if servers have begun answers, since the last of them, on all other parts that were there each time. Until then, for at most 1 s, requests with it wait, so that no server is lost meanwhile. An answer protects for 1 s, and counts after half a second of writing, not only at its end: the dispatcher notes it. A crash accuses an answer only within that time.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -59,6 +59,10 @@
     first: float = 0.0
     total: float = 0.0
     has_first_token: bool = False
+    # When it was received; None: not known here.
+    first_token_at: ids.Instant | None = None
+    # Whether the answer was noted as being written for a while.
+    is_noted: bool = False
     # Granted by another dispatcher, so its timing isn't used for learning.
     is_adopted: bool = False
 
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -219,6 +219,7 @@
             return []
         run = server.runs[progress.ticket_id]
         run.has_first_token = True
+        run.first_token_at = now
         server.last_activity = now
         server.reported_at[run.ticket.entry] = now
         server.restrictions.record_service(run.started)
@@ -271,6 +272,7 @@
             return []
         self.next_review = ids.Instant(now + REVIEW_INTERVAL)
         self.expire_stale(now)
+        self.suspect_runs.note_writing(now)
         if now >= self.next_expiry:
             self.next_expiry = ids.Instant(now + EXPIRY_INTERVAL)
             self.attempts.expire(now)
@@ -364,7 +366,9 @@
                 break
             ticket = waiting.ticket
             suspects = self.suspicion.suspects(ticket, now)
-            if suspects.keys and not self.may_start(waiting, now):
+            if suspects.must_wait or (
+                suspects.keys and not self.may_start(waiting, now)
+            ):
                 continue
             permitted = receiving if ticket.version is None else self.resuming(shared)
             if suspects.must_run_alone:
--- a/src/tealcove/dispatch/suspectruns.py
+++ b/src/tealcove/dispatch/suspectruns.py
@@ -13,10 +13,6 @@
     waitingline,
 )
 
-# Seconds after its first token from which on a run doesn't keep others waiting. A bad
-# request crashes its server as that begins to write.
-WRITING_SECONDS = 1.0
-
 
 class SuspectRuns:
     """Limits the requests that may crash their server, for the goal scheduler.
@@ -48,6 +44,16 @@
         """Return those of some servers that aren't kept for a ticket."""
         return [server for server in servers if server is not self.reserved]
 
+    def note_writing(self, now: ids.Instant) -> None:
+        """Note the runs that show by now that their parts crash no server."""
+        for server in self.views.servers.values():
+            for run in server.runs.values():
+                if run.first_token_at is None or run.is_noted:
+                    continue
+                if is_writing(run, now):
+                    run.is_noted = True
+                    self.suspicion.answered(run.ticket, run.first_token_at, now)
+
     def may_start(
         self,
         waiting: waitingline.Waiting,
@@ -104,4 +110,7 @@
 
 def is_writing(run: backendview.Run, now: ids.Instant) -> bool:
     """Tell whether a run's server has been writing its answer for a while."""
-    return run.has_first_token and now - run.started > run.first + WRITING_SECONDS
+    if not run.has_first_token:
+        return False
+    since = run.started if run.first_token_at is None else run.first_token_at
+    return now - since > suspicion.WRITING_SECONDS
--- a/src/tealcove/dispatch/suspicion.py
+++ b/src/tealcove/dispatch/suspicion.py
@@ -9,6 +9,10 @@
 from tealcove import ids
 from tealcove.dispatch import messages
 
+# Seconds of writing an answer after which its parts don't crash their server any more:
+# a bad part crashes a server as it begins to write.
+WRITING_SECONDS = 0.5
+
 
 class Suspects(msgspec.Struct, frozen=True):
     """What of a request may crash its server."""
@@ -17,6 +21,8 @@
     keys: tuple[str, ...] = ()
     # Whether no other request may run on the server meanwhile.
     must_run_alone: bool = False
+    # Whether it must not run yet, since answers to others may decide on it.
+    must_wait: bool = False
 
 
 NOTHING = Suspects()
@@ -58,7 +64,10 @@
     def answered(
         self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
     ) -> None:
-        """Record a whole answer, which its server began to write at an instant."""
+        """Record an answer whose server began to write it at an instant, and lived on.
+
+        It has been written whole, or for WRITING_SECONDS.
+        """
 
 
 class NoSuspicion(Suspicion):
--- a/src/tealcove/quarantine/answers.py
+++ b/src/tealcove/quarantine/answers.py
@@ -1,4 +1,4 @@
-"""Whole answers by the parts of their prompts."""
+"""Answers by the parts of their prompts."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 MAX_PARTS = 4096
 # Seconds from an answer to a crash within which the answer acquits its parts. A part
 # may turn bad, and mustn't be protected for long by the answers of before.
-ACQUITTAL_SECONDS = 2.0
+ACQUITTAL_SECONDS = 1.0
 
 
 class Answers:
-    """When a server last began to write an answer on a part that it ended whole."""
+    """When a server last began to write an answer on a part, and lived on."""
 
     def __init__(self) -> None:
         self.began: collections.OrderedDict[ids.PartId, ids.Instant] = (
@@ -23,7 +23,7 @@
         )
 
     def add(self, parts: Iterable[ids.PartId], began: ids.Instant) -> None:
-        """Record an answer that a server has written whole."""
+        """Record an answer whose server has lived on."""
         for part in parts:
             known = self.began.get(part)
             self.began[part] = began if known is None else max(known, began)
@@ -35,3 +35,8 @@
         """Tell whether an answer shows that a part didn't cause a crash."""
         began = self.began.get(part)
         return began is not None and began + ACQUITTAL_SECONDS > at
+
+    def began_since(self, part: ids.PartId, at: ids.Instant) -> bool:
+        """Tell whether a server began to write an answer on a part after a crash."""
+        began = self.began.get(part)
+        return began is not None and began > at
--- a/src/tealcove/quarantine/partledger.py
+++ b/src/tealcove/quarantine/partledger.py
@@ -18,6 +18,8 @@
 # The same while another part was there at each of the crashes. Requests that hold the
 # fewest suspected parts run first, so that answers tell such parts apart.
 EVENTS_TO_CONVICT_TIED = 5
+# Seconds for which requests with the part wait then, before another one is tried.
+DECISION_SECONDS = 1.0
 # The maximum of crashes in a message about a change: the newest ones.
 MESSAGE_CRASHES = 8
 CHECKSUM_BYTES = 8
@@ -49,7 +51,8 @@
             if self.answers.acquits(part, crash.at) and part not in guilty:
                 continue
             record = self.records.setdefault(part, parts.PartRecord())
-            if record.add(crash):
+            company = frozenset(accused) - {part}
+            if record.add(msgspec.structs.replace(crash, company=company)):
                 self.extend(record, crash.at)
                 changed.append(part)
         self.apply(changed, now)
@@ -58,7 +61,7 @@
     def answer(
         self, answered: Iterable[ids.PartId], began: ids.Instant, now: ids.Instant
     ) -> list[ids.PartId]:
-        """Record a whole answer; return the parts that it has cleared."""
+        """Record an answer whose server lived on; return the parts it has cleared."""
         answered = tuple(answered)
         self.answers.add(answered, began)
         known = [part for part in answered if part in self.records]
@@ -137,8 +140,17 @@
         return count >= EVENTS_TO_CONVICT_TIED or not self.is_tied(part, now)
 
     def is_tied(self, part: ids.PartId, now: ids.Instant) -> bool:
-        """Tell whether another part may have caused all crashes of a part."""
-        mine = self.accusing_servers(self.records[part], now)
+        """Tell whether another part may have caused all crashes of a part.
+
+        Either crashes accuse it as well, or it was in all the requests and no answer
+        since shows that it is sound.
+        """
+        crashes = self.records[part].counted(self.explained, now)
+        last = max(crash.at for crash in crashes)
+        shared = frozenset.intersection(*(crash.company for crash in crashes))
+        if any(not self.answers.began_since(other, last) for other in shared):
+            return True
+        mine = {crash.server for crash in crashes}
         return any(
             other != part
             and not record.is_convicted(now)
@@ -146,6 +158,14 @@
             for other, record in self.records.items()
         )
 
+    def is_undecided(self, part: ids.PartId, now: ids.Instant) -> bool:
+        """Tell whether answers to other requests may soon decide on a part."""
+        record = self.records.get(part)
+        if record is None or self.events(part, now) < EVENTS_TO_CONVICT:
+            return False
+        crashes = record.counted(self.explained, now)
+        return bool(crashes) and now < crashes[-1].at + DECISION_SECONDS
+
     def accusing_servers(
         self, record: parts.PartRecord, now: ids.Instant
     ) -> set[ids.BackendServerId]:
@@ -280,11 +300,13 @@
 def shared_crash(crash: parts.Crash, now: ids.Instant) -> parts.SharedCrash:
     """Return a crash as it is sent to peers."""
     age, ran = now - crash.at, crash.at - crash.sent
-    return parts.SharedCrash(crash.server, crash.digest, age, ran)
+    company = tuple(sorted(crash.company))
+    return parts.SharedCrash(crash.server, crash.digest, age, ran, company)
 
 
 def crash_of(shared: parts.SharedCrash, now: ids.Instant) -> parts.Crash:
     """Return a crash by this process's clock."""
     at = now - shared.age
     sent = ids.Instant(at - shared.ran)
-    return parts.Crash(shared.server, shared.digest, sent, ids.Instant(at))
+    company = frozenset(shared.company)
+    return parts.Crash(shared.server, shared.digest, sent, ids.Instant(at), company)
--- a/src/tealcove/quarantine/parts.py
+++ b/src/tealcove/quarantine/parts.py
@@ -24,6 +24,8 @@
     # Seconds since the crash, and from the request's sending to the crash.
     age: float
     ran: float
+    # The other parts of the request.
+    company: tuple[ids.PartId, ...] = ()
 
 
 class Ruling(msgspec.Struct, frozen=True, array_like=True):
@@ -65,11 +67,17 @@
     # When the request was sent, and when its server was found to be gone.
     sent: ids.Instant
     at: ids.Instant
-
-    def earliest(self, other: Crash) -> Crash:
-        """Return the same crash with the earlier times of two reports."""
-        sent, at = min(self.sent, other.sent), min(self.at, other.at)
-        return msgspec.structs.replace(self, sent=sent, at=at)
+    # The other parts of the request, or of several ones.
+    company: frozenset[ids.PartId] = frozenset()
+
+    def joined(self, other: Crash) -> Crash:
+        """Return the same crash by two reports, with the earlier times."""
+        return msgspec.structs.replace(
+            self,
+            sent=min(self.sent, other.sent),
+            at=min(self.at, other.at),
+            company=self.company | other.company,
+        )
 
 
 class PartRecord(msgspec.Struct):
@@ -108,7 +116,7 @@
         """Record a crash; return False if it is known or there are too many."""
         known = self.crashes.get(crash.server)
         if known is not None:
-            self.crashes[crash.server] = known.earliest(crash)
+            self.crashes[crash.server] = known.joined(crash)
             return False
         if len(self.crashes) >= MAX_CRASHES:
             self.drop_acquitted()
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -27,9 +27,6 @@
 DIGEST_DIGITS = 8
 # The first blocks of a prompt that are parts, where its caller names none.
 MAX_BLOCKS = 16
-# Seconds for which a server must have written an answer when it crashed, so that the
-# answer's parts aren't accused: a bad part crashes a server as it begins to write.
-WRITING_SECONDS = 1.0
 
 
 class Quarantine(suspicion.Suspicion):
@@ -109,7 +106,12 @@
             keys.append(ticket.digest)
         # One more crash would quarantine it.
         is_isolated |= crashes + 1 >= self.marks.crashes_to_quarantine
-        return suspicion.Suspects(tuple(keys), bool(keys) and is_isolated)
+        must_wait = any(
+            self.parts.is_undecided(part, now)
+            for part, events in found.items()
+            if events
+        )
+        return suspicion.Suspects(tuple(keys), bool(keys) and is_isolated, must_wait)
 
     def is_quarantined(self, ticket: messages.Ticket, now: ids.Instant) -> bool:
         """See Suspicion."""
@@ -223,7 +225,7 @@
         """Record at the entry how a dispatched request ended."""
         wrote = done.total_seconds - done.first_token_seconds
         if done.outcome is messages.Outcome.CRASHED:
-            if wrote > WRITING_SECONDS:
+            if wrote > suspicion.WRITING_SECONDS:
                 ticket = msgspec.structs.replace(ticket, parts=(), prefix=())
             sent = ids.Instant(now - done.total_seconds)
             self.lost(ticket, done.server, alone, sent, now)
