The line of a refused request names its part and the crashes that convicted it

Cause: the line said `quarantined` only, so that nothing led from a refused request to its reason.

Change: one line for each refusal, kept when lines are dropped, with the part, the number of crashes and the servers and ages of the last three; the metric counts the same refusals.

--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -207,8 +207,9 @@
         if self.runs:
             return self.lost_response(reason.value)
         quarantine = self.services.quarantine
-        quarantine.refused += 1
-        remaining = quarantine.remaining(ticket.digest, ticket.parts, clock.now())
+        now = clock.now()
+        quarantine.record_refusal(ticket.request_id, ticket.digest, ticket.parts, now)
+        remaining = quarantine.remaining(ticket.digest, ticket.parts, now)
         return problem.not_run(reason, max(RETRY_AFTER, remaining))
 
     async def attempt(
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -103,7 +103,9 @@
             remaining = self.quarantine.remaining(
                 accepted.digest, received.parts, arrived
             )
-            self.quarantine.refused += 1
+            self.quarantine.record_refusal(
+                received.request_id, accepted.digest, received.parts, arrived
+            )
             reason = messages.RefusalReason.QUARANTINED
             raise refused(received, reason, remaining)
         log.info(
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -23,6 +23,8 @@
 
 log = logbook.Logger("quarantine")
 
+# Crashes that a log line names.
+DESCRIBED_CRASHES = 3
 # Digits of a request's digest in the records of parts, which only count requests.
 DIGEST_DIGITS = 8
 # The first blocks of a prompt that are parts, where its caller names none.
@@ -241,13 +243,36 @@
         """Tell whether no recent answer acquits one of a request's parts."""
         return any(not self.parts.answers.acquits(p, now) for p in parts_of(ticket))
 
+    def record_refusal(
+        self,
+        request: ids.RequestId,
+        digest: str,
+        shared: tuple[ids.PartId, ...],
+        now: ids.Instant,
+    ) -> None:
+        """Count a request that is refused to its caller, and log why."""
+        self.refused += 1
+        convicted = [part for part in shared if self.parts.is_convicted(part, now)]
+        reasons = [f"part {part}: {self.describe(part, now)}" for part in convicted]
+        log.info(
+            "quarantined for {}",
+            "; ".join(reasons) or f"its content {digest}",
+            extra={"request": request, "final": True},
+        )
+
     def log_conviction(self, part: ids.PartId, now: ids.Instant) -> None:
         """Log what a part was convicted of."""
-        crashes = self.parts.records[part].crashes.values()
-        log.warning(
-            "part {} convicted: it was there when servers crashed: {}",
-            part,
-            ", ".join(f"{one.server} {now - one.at:.1f} s ago" for one in crashes),
+        log.warning("part {} convicted: {}", part, self.describe(part, now))
+
+    def describe(self, part: ids.PartId, now: ids.Instant) -> str:
+        """Return the newest crashes that convicted a part, with their ages."""
+        record = self.parts.records[part]
+        if record.ruling.is_manual:
+            return "by an operator's order"
+        crashes = sorted(record.crashes.values(), key=lambda crash: -crash.at)
+        newest = crashes[:DESCRIBED_CRASHES]
+        return f"{len(crashes)} crashes, the last of " + ", ".join(
+            f"{one.server} {now - one.at:.1f} s ago" for one in newest
         )
 
     def publish(self, digest: str, now: ids.Instant) -> None:
--- a/src/tealcove/quarantine/tests/test_role.py
+++ b/src/tealcove/quarantine/tests/test_role.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logbook
 import msgspec
 import pytest
 
@@ -67,6 +68,26 @@
     assert not two.is_quarantined(ticket("new", COMMON), now)
 
 
+def test_the_line_of_a_refusal_names_the_part_and_its_crashes() -> None:
+    found, _ = test_sharing.new_quarantine("one")
+    for number in range(partledger.EVENTS_TO_CONVICT):
+        crash(found, number, BAD)
+    now = builders.at(START + 10.0)
+    found.judge(ticket("new", BAD), now)
+    with logbook.TestHandler() as lines:
+        request = ids.RequestId("r-7")
+        found.record_refusal(request, "new", (COMMON, BAD), now)
+        found.record_refusal(request, "alike", (COMMON,), now)
+    first, second = lines.records
+    assert first.message == (
+        "quarantined for part bad: 3 crashes, the last of s2 6.0 s ago, s1 8.0 s ago, "
+        "s0 10.0 s ago"
+    )
+    assert second.message == "quarantined for its content alike"
+    assert first.extra["request"] == request
+    assert found.refused == 2
+
+
 def test_an_answer_in_progress_when_its_server_crashes_accuses_nothing() -> None:
     """Guards against blaming the streams that a crash cuts off midway."""
     found, _ = test_sharing.new_quarantine("one")
