Crashes by a convicted part say nothing of their server's version

What operators could see: a sound new version rolled back, since requests that crash any server reached its servers.

Change: the ends of requests with a convicted part are no evidence in a roll-out. Until it is convicted they count, as those of a version on which every request crashes must.

Evidence: test_crashes_by_a_convicted_part_say_nothing_of_a_version, which failed before (2 in place of 1 told).

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -238,7 +238,9 @@
             outcomes.record(server, done, run, is_path_lost, now)
         if run is not None:
             view.reported_at[entry] = now
-            if not is_path_lost:
+            # A request that crashes any server says nothing of the server's version.
+            is_guilty = self.suspicion.is_quarantined(run.ticket, now)
+            if not is_path_lost and not is_guilty:
                 self.exposure.record_end(view.spec, run.ticket.route, done)
             if done.outcome is messages.Outcome.COMPLETED:
                 if done.is_success:
--- a/src/tealcove/dispatch/tests/test_suspectruns.py
+++ b/src/tealcove/dispatch/tests/test_suspectruns.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove import ids
-from tealcove.dispatch import goal, messages, suspicion
+from tealcove.dispatch import exposure, goal, messages, suspicion
 from tealcove.dispatch.tests import builders
 
 BAD, COMMON = ids.PartId("bad"), ids.PartId("common")
@@ -182,6 +182,29 @@
     assert [ticket.parts for ticket in listed.answers] == [(COMMON,)]
 
 
+class RecordingExposure(exposure.AnyVersion):
+    """Counts the ends of requests that it is told."""
+
+    def __init__(self) -> None:
+        self.ends = 0
+
+    def record_end(self, *arguments: object) -> None:
+        self.ends += 1
+
+
+def test_crashes_by_a_convicted_part_say_nothing_of_a_version() -> None:
+    """Guards against rolling a version back for requests that crash any server."""
+    found, listed = opened(4)
+    told = RecordingExposure()
+    found.use_exposure(told)
+    grants = [*enqueue(found, BAD), *enqueue(found, COMMON)]
+    listed.quarantined.add(BAD)
+    for grant in grants:
+        crashed = builders.done(grant, outcome=messages.Outcome.CRASHED)
+        found.done(crashed, builders.instant(0.5))
+    assert told.ends == 1
+
+
 def test_a_grant_that_is_sent_again_is_the_same() -> None:
     found, listed = opened(1)
     listed.isolated.add(BAD)
