Parts: crashes without a part ask for more crashes with it

What callers could see: requests with a rare, sound part refused while servers crash one after the other for other reasons.

Cause: three crashes were enough, however many servers were lost meanwhile without the part: a part that comes seldom may be there by chance.

Change: each server that is lost between the first and the last of a part's crashes, without it, asks for one event more, up to five. Dispatchers note all losses.

--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -185,6 +185,7 @@
             if done.outcome in paths.LOST_OUTCOMES:
                 self.state.record_unreachable(server, now)
             if done.outcome is messages.Outcome.CRASHED:
+                self.state.suspicion.note_loss(server.name, now)
                 server.index.reset()
         tokens = done.prompt_tokens - done.cached_tokens + done.output_tokens
         return self.end(done.ticket_id, tokens, now)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -233,6 +233,8 @@
         view, run = released or (None, None)
         entry = None if run is None else run.ticket.entry
         is_path_lost = self.paths.explains(entry, done, now)
+        if done.outcome is messages.Outcome.CRASHED:
+            self.suspicion.note_loss(done.server, now)
         server = self.views.servers.get(done.server)
         if server is not None and server.spec.start == done.start:
             outcomes.record(server, done, run, is_path_lost, now)
--- a/src/tealcove/dispatch/suspicion.py
+++ b/src/tealcove/dispatch/suspicion.py
@@ -60,6 +60,10 @@
     ) -> None:
         """Record a request whose backend server was lost while running it."""
 
+    @abc.abstractmethod
+    def note_loss(self, server: ids.BackendServerId, now: ids.Instant) -> None:
+        """Record that a backend server was lost, whatever it ran."""
+
     @abc.abstractmethod
     def answered(
         self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
@@ -99,3 +103,6 @@
         self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
     ) -> None:
         """See Suspicion."""
+
+    def note_loss(self, server: ids.BackendServerId, now: ids.Instant) -> None:
+        """See Suspicion."""
--- a/src/tealcove/quarantine/partledger.py
+++ b/src/tealcove/quarantine/partledger.py
@@ -20,6 +20,8 @@
 EVENTS_TO_CONVICT_TIED = 5
 # Seconds for which requests with the part wait then, before another one is tried.
 DECISION_SECONDS = 1.0
+# The maximum of lost servers that are remembered.
+MAX_LOSSES = 256
 # The maximum of crashes in a message about a change: the newest ones.
 MESSAGE_CRASHES = 8
 CHECKSUM_BYTES = 8
@@ -36,6 +38,8 @@
         self.quarantine_seconds = quarantine_seconds
         self.records: dict[ids.PartId, parts.PartRecord] = {}
         self.answers = answers.Answers()
+        # When servers were last lost, whatever the cause.
+        self.losses: dict[ids.BackendServerId, ids.Instant] = {}
         # The servers whose crashes are explained by a convicted part.
         self.explained: set[ids.BackendServerId] = set()
         self.version = 0
@@ -45,6 +49,7 @@
     ) -> list[ids.PartId]:
         """Record a crash seen here; return the parts whose records have changed."""
         accused = tuple(accused)
+        self.note_loss(crash.server, crash.at)
         guilty = [part for part in accused if self.is_convicted(part, now)]
         changed = []
         for part in guilty or accused:
@@ -58,6 +63,12 @@
         self.apply(changed, now)
         return changed
 
+    def note_loss(self, server: ids.BackendServerId, at: ids.Instant) -> None:
+        """Remember that a server was lost."""
+        self.losses.setdefault(server, at)
+        if len(self.losses) > MAX_LOSSES:
+            del self.losses[min(self.losses, key=self.losses.get)]
+
     def answer(
         self, answered: Iterable[ids.PartId], began: ids.Instant, now: ids.Instant
     ) -> list[ids.PartId]:
@@ -135,9 +146,24 @@
         if record is None or record.is_convicted(now):
             return False
         count = self.count(record, now)
-        if count < EVENTS_TO_CONVICT:
-            return False
-        return count >= EVENTS_TO_CONVICT_TIED or not self.is_tied(part, now)
+        if count >= EVENTS_TO_CONVICT_TIED:
+            return True
+        needed = EVENTS_TO_CONVICT + self.count_other_losses(record, now)
+        return count >= needed and not self.is_tied(part, now)
+
+    def count_other_losses(self, record: parts.PartRecord, now: ids.Instant) -> int:
+        """Count the servers that were lost between a part's crashes, without it.
+
+        While servers crash for other reasons, a sound part may be there by chance.
+        """
+        times = [crash.at for crash in record.counted(self.explained, now)]
+        if not times:
+            return 0
+        return sum(
+            times[0] < at < times[-1]
+            for server, at in self.losses.items()
+            if server not in record.crashes
+        )
 
     def is_tied(self, part: ids.PartId, now: ids.Instant) -> bool:
         """Tell whether another part may have caused all crashes of a part.
@@ -252,6 +278,8 @@
         record = self.records.get(shared.part) or parts.PartRecord()
         # Not a generator for any(): each crash must be added.
         added = [record.add(crash_of(one, now)) for one in shared.crashes]
+        for server, crash in record.crashes.items():
+            self.note_loss(server, crash.at)
         is_new = any(added)
         is_new |= record.acquit(shared.acquitted)
         if shared.ruling.supersedes(record.ruling):
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -187,6 +187,10 @@
             )
             self.publish(ticket.digest, now)
 
+    def note_loss(self, server: ids.BackendServerId, now: ids.Instant) -> None:
+        """See Suspicion."""
+        self.parts.note_loss(server, now)
+
     def accuse(
         self,
         ticket: messages.Ticket,
--- a/src/tealcove/quarantine/tests/test_parts.py
+++ b/src/tealcove/quarantine/tests/test_parts.py
@@ -121,6 +121,17 @@
     assert found.judge((COMMON, BAD, RARE), now) == []
 
 
+def test_crashes_without_a_part_ask_for_more_with_it() -> None:
+    """Guards against convicting a rare part by chance while many servers crash."""
+    found = builders.new_parts()
+    crash_in_turn(found, (RARE,), 1)
+    found.note_loss(ids.BackendServerId("other"), builders.at(T0 + 0.5))
+    now = crash_in_turn(found, (RARE,), 2, first=1)
+    assert found.judge((RARE,), now) == []
+    now = crash_in_turn(found, (RARE,), 1, first=3)
+    assert found.judge((RARE,), now) == [RARE]
+
+
 def test_undecided_parts_are_tried_again_after_a_while() -> None:
     found = builders.new_parts()
     now = crash_in_turn(found, (COMMON, BAD), 3)
