Parts: only requests that tell nothing wait; long answers accuse nothing anywhere

Reading the change showed four things.

- A request waited for answers to others although it lacked the other suspected part, so that a sound request which would have decided waited too, for a second.
It waits now only if it holds a part that may be the cause as well.
- Under tealcove serve, a server's loss was reported as if the request had been sent at that moment, and whatever it had written: losses at once counted one by one for a moment, and long answers accused their blocks.
The entry states both now.
- A request with many parts named all of them with each accusation, up to 64 times 63 ids; the first 16 are kept.
- A count that nothing used is gone.

--- a/bench/part_evidence.py
+++ b/bench/part_evidence.py
@@ -200,7 +200,8 @@
         if not self.way.runs_in_turn:
             return True
         now = ids.Instant(time)
-        if any(self.ledger.is_undecided(part, now) for part in request.parts):
+        present = request.parts
+        if any(self.ledger.is_undecided(part, present, now) for part in present):
             return False
         keys = {part for part in request.parts if self.ledger.events(part, now)}
         return not any(
--- a/src/tealcove/dispatch/fair.py
+++ b/src/tealcove/dispatch/fair.py
@@ -300,7 +300,12 @@
                 # The entry that would have reported the crash is lost as well.
                 alone = server.isolated_ticket == ticket_id
                 self.state.suspicion.lost(
-                    running.ticket, server.name, alone, running.started, now
+                    running.ticket,
+                    server.name,
+                    alone,
+                    running.started,
+                    now,
+                    running.has_first_token,
                 )
                 is_orphan = True
             # A lost entry refreshes nothing: its requests have `orphaned_until`.
--- a/src/tealcove/dispatch/suspicion.py
+++ b/src/tealcove/dispatch/suspicion.py
@@ -57,8 +57,12 @@
         alone: bool,
         sent: ids.Instant,
         now: ids.Instant,
+        is_writing: bool = False,
     ) -> None:
-        """Record a request whose backend server was lost while running it."""
+        """Record a request whose backend server was lost while running it.
+
+        `is_writing`: the server had been writing the answer for WRITING_SECONDS.
+        """
 
     @abc.abstractmethod
     def note_loss(self, server: ids.BackendServerId, now: ids.Instant) -> None:
@@ -96,6 +100,7 @@
         alone: bool,
         sent: ids.Instant,
         now: ids.Instant,
+        is_writing: bool = False,
     ) -> None:
         """See Suspicion."""
 
--- a/src/tealcove/entry/admission_control.py
+++ b/src/tealcove/entry/admission_control.py
@@ -45,8 +45,13 @@
         return self.quarantine.remaining(digest, (), clock.now())
 
     def report_server_lost(
-        self, ticket: messages.Ticket, server: ids.BackendServerId, alone: bool
+        self,
+        ticket: messages.Ticket,
+        server: ids.BackendServerId,
+        alone: bool,
+        sent: ids.Instant,
+        is_writing: bool,
     ) -> None:
         """Report that a server refuses connections while it should run a request."""
         now = clock.now()
-        self.quarantine.lost(ticket, server, alone, now, now)
+        self.quarantine.lost(ticket, server, alone, sent, now, is_writing)
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -10,7 +10,7 @@
 from tealcove import clock, errors, ids
 from tealcove.backends import engine
 from tealcove.claims import claim
-from tealcove.dispatch import messages, pending, requester
+from tealcove.dispatch import messages, pending, requester, suspicion
 from tealcove.entry import (
     admission_control,
     admitted,
@@ -139,10 +139,17 @@
         self, pending_ticket: pending.PendingTicket, server: engine.Server
     ) -> None:
         """Report that the server refuses connections, so the request is suspect."""
-        if self.admission_control is not None:
-            self.admission_control.report_server_lost(
-                pending_ticket.ticket, server.name, pending_ticket.alone
-            )
+        if self.admission_control is None:
+            return
+        now = clock.now()
+        wrote = now - (self.first_token_at or now)
+        self.admission_control.report_server_lost(
+            pending_ticket.ticket,
+            server.name,
+            pending_ticket.alone,
+            self.dispatched_at,
+            wrote > suspicion.WRITING_SECONDS,
+        )
 
     async def run_with_slot(self) -> None:
         """Obtain a slot and run the request; retry if the connection fails."""
--- a/src/tealcove/quarantine/partledger.py
+++ b/src/tealcove/quarantine/partledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import msgspec
 
@@ -20,6 +20,8 @@
 EVENTS_TO_CONVICT_TIED = 5
 # Seconds for which requests with the part wait then, before another one is tried.
 DECISION_SECONDS = 1.0
+# The first parts of a request that are kept with each of its accused parts.
+MAX_COMPANY = 16
 # The maximum of lost servers that are remembered.
 MAX_LOSSES = 256
 # The maximum of crashes in a message about a change: the newest ones.
@@ -56,7 +58,7 @@
             if self.answers.acquits(part, crash.at) and part not in guilty:
                 continue
             record = self.records.setdefault(part, parts.PartRecord())
-            company = frozenset(accused) - {part}
+            company = frozenset(accused[:MAX_COMPANY]) - {part}
             if record.add(msgspec.structs.replace(crash, company=company)):
                 self.extend(record, crash.at)
                 changed.append(part)
@@ -172,9 +174,7 @@
         since shows that it is sound.
         """
         crashes = self.records[part].counted(self.explained, now)
-        last = max(crash.at for crash in crashes)
-        shared = frozenset.intersection(*(crash.company for crash in crashes))
-        if any(not self.answers.began_since(other, last) for other in shared):
+        if self.unproved_company(crashes):
             return True
         mine = {crash.server for crash in crashes}
         return any(
@@ -184,13 +184,27 @@
             for other, record in self.records.items()
         )
 
-    def is_undecided(self, part: ids.PartId, now: ids.Instant) -> bool:
-        """Tell whether answers to other requests may soon decide on a part."""
+    def unproved_company(self, crashes: list[parts.Crash]) -> set[ids.PartId]:
+        """Return the parts that were at all crashes, with no answer begun since."""
+        last = max(crash.at for crash in crashes)
+        shared = frozenset.intersection(*(crash.company for crash in crashes))
+        return {one for one in shared if not self.answers.began_since(one, last)}
+
+    def is_undecided(
+        self, part: ids.PartId, present: Container[ids.PartId], now: ids.Instant
+    ) -> bool:
+        """Tell whether a request with a part should wait for answers to others.
+
+        `present` are all parts of the request. It tells nothing if it holds another
+        part that may be the cause, while requests without the part may acquit that.
+        """
         record = self.records.get(part)
         if record is None or self.events(part, now) < EVENTS_TO_CONVICT:
             return False
         crashes = record.counted(self.explained, now)
-        return bool(crashes) and now < crashes[-1].at + DECISION_SECONDS
+        if not crashes or now >= crashes[-1].at + DECISION_SECONDS:
+            return False
+        return any(other in present for other in self.unproved_company(crashes))
 
     def accusing_servers(
         self, record: parts.PartRecord, now: ids.Instant
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -5,7 +5,6 @@
 import asyncio
 
 import logbook
-import msgspec
 
 from tealcove import ids, tasks
 from tealcove.dispatch import messages, suspicion
@@ -109,7 +108,7 @@
         # One more crash would quarantine it.
         is_isolated |= crashes + 1 >= self.marks.crashes_to_quarantine
         must_wait = any(
-            self.parts.is_undecided(part, now)
+            self.parts.is_undecided(part, found, now)
             for part, events in found.items()
             if events
         )
@@ -145,10 +144,6 @@
         ]
         return max([self.marks.remaining(digest, now), *convicted])
 
-    def convicted_count(self, now: ids.Instant) -> int:
-        """Return the number of parts that are refused."""
-        return sum(self.parts.is_convicted(part, now) for part in self.parts.records)
-
     def decide(self, part: ids.PartId, is_convicted: bool, now: ids.Instant) -> None:
         """Convict a part by an operator's order, or end its conviction."""
         self.parts.decide(part, is_convicted, now)
@@ -166,6 +161,7 @@
         alone: bool,
         sent: ids.Instant,
         now: ids.Instant,
+        is_writing: bool = False,
     ) -> None:
         """See Suspicion.
 
@@ -173,7 +169,8 @@
         fails the request: in the meantime the caller may send the same request to
         another entry.
         """
-        self.accuse(ticket, server, sent, now)
+        if not is_writing:
+            self.accuse(ticket, server, sent, now)
         crash = marks.Crash(ticket.request_id, server, alone)
         if self.marks.add_crash(ticket.digest, crash, now):
             verdict = self.marks.verdict(ticket.digest, now)
@@ -229,12 +226,11 @@
         now: ids.Instant,
     ) -> None:
         """Record at the entry how a dispatched request ended."""
-        wrote = done.total_seconds - done.first_token_seconds
+        wrote = done.writing_seconds
         if done.outcome is messages.Outcome.CRASHED:
-            if wrote > suspicion.WRITING_SECONDS:
-                ticket = msgspec.structs.replace(ticket, parts=(), prefix=())
             sent = ids.Instant(now - done.total_seconds)
-            self.lost(ticket, done.server, alone, sent, now)
+            is_writing = wrote > suspicion.WRITING_SECONDS
+            self.lost(ticket, done.server, alone, sent, now, is_writing)
         elif done.outcome is messages.Outcome.COMPLETED:
             if done.is_success:
                 self.answered(ticket, ids.Instant(now - wrote), now)
--- a/src/tealcove/quarantine/tests/test_parts.py
+++ b/src/tealcove/quarantine/tests/test_parts.py
@@ -102,7 +102,8 @@
     found.answer((COMMON,), builders.at(now - 0.1), now)
     assert found.events(COMMON, now) == 0
     assert found.judge((COMMON, BAD), now) == []
-    assert found.is_undecided(BAD, now)
+    assert found.is_undecided(BAD, (COMMON, BAD), now)
+    assert not found.is_undecided(BAD, (BAD, RARE), now)
     found.answer((COMMON,), builders.at(now + 0.1), builders.at(now + 0.6))
     assert found.judge((COMMON, BAD), builders.at(now + 0.6)) == [BAD]
 
@@ -136,8 +137,8 @@
     found = builders.new_parts()
     now = crash_in_turn(found, (COMMON, BAD), 3)
     later = builders.at(now + partledger.DECISION_SECONDS)
-    assert found.is_undecided(BAD, now)
-    assert not found.is_undecided(BAD, later)
+    assert found.is_undecided(BAD, (COMMON, BAD), now)
+    assert not found.is_undecided(BAD, (COMMON, BAD), later)
     assert found.judge((COMMON, BAD), later) == []
 
 
