Quarantine: one message for all parts of a lost request, none for acquittals

Cause, by reading: each part of a lost request was told in a message of its own, which repeated those before it; each instance that had an answer on an accused part told all others; the checksum of all records was computed anew with each message.

Change: a change is one message, whatever the number of records. Acquittals are told to nobody, since dispatchers see the answers themselves, and aren't part of the checksum; only the end of a conviction is told. Each record keeps its part of the checksum.

--- a/src/tealcove/quarantine/partledger.py
+++ b/src/tealcove/quarantine/partledger.py
@@ -235,6 +235,9 @@
         if not changed:
             return
         self.version += 1
+        for part in changed:
+            if part in self.records:
+                self.records[part].fingerprint = fingerprint(part, self.records[part])
         self.explained = {
             server
             for record in self.records.values()
@@ -292,8 +295,8 @@
         record = self.records.get(shared.part) or parts.PartRecord()
         # Not a generator for any(): each crash must be added.
         added = [record.add(crash_of(one, now)) for one in shared.crashes]
-        for server, crash in record.crashes.items():
-            self.note_loss(server, crash.at)
+        for one in shared.crashes:
+            self.note_loss(one.server, ids.Instant(now - one.age))
         is_new = any(added)
         is_new |= record.acquit(shared.acquitted)
         if shared.ruling.supersedes(record.ruling):
@@ -331,14 +334,19 @@
     def checksum(self, now: ids.Instant) -> int:
         """See Ledger."""
         found = 0
-        for part, record in self.records.items():
+        for record in self.records.values():
             if record.until - now >= ledger.MIN_SHARED_SECONDS:
-                text = f"{part}{record.canonical_text()}".encode()
-                digest = hashlib.blake2b(text, digest_size=CHECKSUM_BYTES).digest()
-                found ^= int.from_bytes(digest)
+                found ^= record.fingerprint
         return found
 
 
+def fingerprint(part: ids.PartId, record: parts.PartRecord) -> int:
+    """Return a hash of what is known of a part."""
+    text = f"{part}{record.canonical_text()}".encode()
+    digest = hashlib.blake2b(text, digest_size=CHECKSUM_BYTES).digest()
+    return int.from_bytes(digest)
+
+
 def shared_crash(crash: parts.Crash, now: ids.Instant) -> parts.SharedCrash:
     """Return a crash as it is sent to peers."""
     age, ran = now - crash.at, crash.at - crash.sent
--- a/src/tealcove/quarantine/parts.py
+++ b/src/tealcove/quarantine/parts.py
@@ -89,6 +89,8 @@
     convicted_until: ids.Instant = ids.Instant(0.0)
     # When the record ends.
     until: ids.Instant = ids.Instant(0.0)
+    # Its part of the ledger's checksum, updated with each change.
+    fingerprint: int = 0
 
     def is_convicted(self, now: ids.Instant) -> bool:
         """Tell whether requests with the part are refused."""
@@ -140,10 +142,14 @@
         return bool(new)
 
     def canonical_text(self) -> str:
-        """Return a text that is equal for two records with the same content."""
+        """Return a text that is equal for two records with the same evidence.
+
+        Which crashes answers speak against isn't part of it: each dispatcher knows
+        that by itself.
+        """
         ruling = self.ruling
         return (
-            f"{sorted(self.crashes)}{sorted(self.acquitted)}"
+            f"{sorted(self.crashes)}"
             f"{ruling.number}{ruling.is_convicted}{ruling.is_manual}"
         )
 
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -213,10 +213,13 @@
         self, ticket: messages.Ticket, began: ids.Instant, now: ids.Instant
     ) -> None:
         """See Suspicion."""
-        cleared = self.parts.answer(parts_of(ticket), began, now)
-        for part in cleared:
+        shared = parts_of(ticket)
+        before = [part for part in shared if self.parts.is_convicted(part, now)]
+        for part in self.parts.answer(shared, began, now):
             log.info("part {} cleared by {}", part, ticket.request_id)
-        self.publish_parts(cleared, now)
+        # Dispatchers see the answers themselves; only the end of a conviction is news.
+        lifted = [part for part in before if not self.parts.is_convicted(part, now)]
+        self.publish_parts(lifted, now)
 
     def record_end(
         self,
@@ -277,14 +280,15 @@
 
     def publish(self, digest: str, now: ids.Instant) -> None:
         """Share and store a mark that has changed here."""
-        self.sharer.publish(digest, now)
+        self.sharer.publish((digest,), now)
         if self.store is not None:
             self.store.add(digest)
 
     def publish_parts(self, changed: list[ids.PartId], now: ids.Instant) -> None:
         """Share records of parts that have changed here, and store those in doubt."""
+        if changed:
+            self.part_sharer.publish(changed, now)
         for part in changed:
-            self.part_sharer.publish(part, now)
             is_doubtful = self.parts.events(part, now) >= partledger.EVENTS_TO_ISOLATE
             record = self.parts.records.get(part)
             is_ruled = record is not None and record.ruling.number > 0
--- a/src/tealcove/quarantine/sharing.py
+++ b/src/tealcove/quarantine/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from tealcove import clock, ids
 from tealcove.membership import heartbeats, members
@@ -60,16 +61,21 @@
             self.ledger.sweep(now)
             self.update_heartbeat(now)
 
-    def publish(self, key: str, now: ids.Instant) -> None:
-        """Send a record that has changed here to all peers."""
-        self.repeats[key] = REPEATS
-        self.repeat(now)
+    def publish(self, keys: Iterable[str], now: ids.Instant) -> None:
+        """Send records that have changed here to all peers."""
+        keys = tuple(keys)
+        self.send(keys, now)
+        self.repeats.update(dict.fromkeys(keys, REPEATS - 1))
         self.update_heartbeat(now)
 
     def repeat(self, now: ids.Instant) -> None:
         """Send every record with remaining sends to all peers."""
-        changed = [self.ledger.changed(key, now) for key in self.repeats]
+        self.send(self.repeats, now)
         self.repeats = {k: left - 1 for k, left in self.repeats.items() if left > 1}
+
+    def send(self, keys: Iterable[str], now: ids.Instant) -> None:
+        """Send some records in one message to all peers."""
+        changed = [self.ledger.changed(key, now) for key in keys]
         records = tuple(record for record in changed if record is not None)
         if not records:
             return
--- a/src/tealcove/quarantine/tests/test_sharing.py
+++ b/src/tealcove/quarantine/tests/test_sharing.py
@@ -143,3 +143,32 @@
     scheduler.report(ids.BackendServerId("s1"), None, EARLY)
     scheduler.tick(ids.Instant(EARLY + 0.5))
     assert found.marks.verdict(D, EARLY) is marks.Verdict.SUSPECT
+
+
+def test_a_crash_is_told_in_one_message_for_all_its_parts() -> None:
+    """Guards against messages that grow with each part of a lost request."""
+    one, sent = new_quarantine("one")
+    two, _ = new_quarantine("two")
+    one.sharer.members.record_heartbeat(two.sharer.members.own, EARLY)
+    parts = tuple(ids.PartId(f"p{number}") for number in range(5))
+    lost = dispatch_builders.ticket(digest=D, parts=parts)
+    one.lost(lost, ids.BackendServerId("s1"), False, EARLY, EARLY)
+    about_parts, about_marks = sent.messages
+    assert [record.part for record in about_parts.records] == list(parts)
+    assert [record.digest for record in about_marks.records] == [D]
+
+
+def test_an_answer_that_only_acquits_is_told_to_nobody() -> None:
+    """Guards against a message of each instance to each other after a crash."""
+    one, sent = new_quarantine("one")
+    two, _ = new_quarantine("two")
+    one.sharer.members.record_heartbeat(two.sharer.members.own, EARLY)
+    lost = dispatch_builders.ticket(digest=D, parts=(ids.PartId("p"),))
+    one.lost(lost, ids.BackendServerId("s1"), False, EARLY, EARLY)
+    sent.messages.clear()
+    checksum = one.sharer.members.own.parts
+    one.answered(lost, EARLY, EARLY)
+    assert one.parts.events(ids.PartId("p"), EARLY) == 0
+    assert sent.messages == []
+    one.part_sharer.update_heartbeat(EARLY)
+    assert one.sharer.members.own.parts == checksum
