Suspects of a ticket are found once for a grant; one set-up for two tests

Read again: the scheduler asked for a ticket's suspected keys and had them found once more to tell whether it may start; an operator's decision returned the part that it was given; two tests of crashing engines started their deployment with the same eleven lines.

Change: the keys are passed on, the return value is gone, and both tests use crashing_engines. Behaviour, checks and expectations are as they were.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -370,9 +370,7 @@
                 break
             ticket = waiting.ticket
             suspects = self.suspicion.suspects(ticket, now)
-            if suspects.must_wait or (
-                suspects.keys and not self.may_start(waiting, now)
-            ):
+            if suspects.must_wait or not self.may_start(waiting, suspects, now):
                 continue
             permitted = receiving if ticket.version is None else self.resuming(shared)
             if suspects.must_run_alone:
@@ -392,9 +390,16 @@
                 receiving = self.receiving(shared)
         return outgoing
 
-    def may_start(self, waiting: waitingline.Waiting, now: ids.Instant) -> bool:
-        """Tell whether a ticket that may crash its server needn't wait for others."""
-        return self.suspect_runs.may_start(waiting, self.line.values(), now)
+    def may_start(
+        self,
+        waiting: waitingline.Waiting,
+        suspects: suspicion.Suspects,
+        now: ids.Instant,
+    ) -> bool:
+        """Tell whether a ticket needn't wait for others that are suspected alike."""
+        keys = set(suspects.keys)
+        line = self.line.values()
+        return not keys or self.suspect_runs.may_start(waiting, keys, line, now)
 
     def grant(
         self,
--- a/src/tealcove/dispatch/suspectruns.py
+++ b/src/tealcove/dispatch/suspectruns.py
@@ -57,15 +57,15 @@
     def may_start(
         self,
         waiting: waitingline.Waiting,
+        keys: set[str],
         line: Iterable[waitingline.Waiting],
         now: ids.Instant,
     ) -> bool:
-        """Tell whether a ticket needn't wait for others with the same suspected key.
+        """Tell whether a ticket with suspected keys needn't wait for others with them.
 
         Tickets with fewer suspected keys go first: an answer to them tells the keys
         of the others apart.
         """
-        keys = set(self.suspicion.suspects(waiting.ticket, now).keys)
         if self.is_any_running(keys, now):
             return False
         return not any(
--- a/src/tealcove/quarantine/partledger.py
+++ b/src/tealcove/quarantine/partledger.py
@@ -116,15 +116,12 @@
         """Keep a record for as long again as a quarantine lasts."""
         record.until = ids.Instant(max(record.until, since + self.quarantine_seconds))
 
-    def decide(
-        self, part: ids.PartId, is_convicted: bool, now: ids.Instant
-    ) -> ids.PartId:
+    def decide(self, part: ids.PartId, is_convicted: bool, now: ids.Instant) -> None:
         """Convict a part by an operator's order, or end its conviction."""
         record = self.records.setdefault(part, parts.PartRecord())
         record.acquit(record.crashes)
         self.rule(record, is_convicted, now, is_manual=True)
         self.apply([part], now)
-        return part
 
     def judge(
         self, accused: Iterable[ids.PartId], now: ids.Instant
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import pathlib
+from collections.abc import AsyncIterator
 
 import aiohttp
 import msgspec
@@ -80,16 +81,12 @@
     return found
 
 
-async def test_one_bad_request_costs_two_of_six_engines(
-    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
-) -> None:
-    """Guards against one request that crashes every engine within a minute.
-
-    A prompt crashes the engine that runs it; its caller is told that a retry is
-    safe, and retries, each time at another entry. One engine after another would
-    crash, since no entry knows what the others have seen.
-    """
-    async with deployment.Deployment(tmp_path) as running:
+@contextlib.asynccontextmanager
+async def crashing_engines(
+    folder: pathlib.Path,
+) -> AsyncIterator[deployment.Deployment]:
+    """Run a deployment whose engines crash on the marker."""
+    async with deployment.Deployment(folder) as running:
         for _ in range(ENGINES):
             await running.add_engine(
                 crash_marker=MARKER, decode_seconds_per_token=0.005
@@ -100,6 +97,19 @@
         for instance in running.instances:
             await running.wait_until_ready(instance)
         await running.wait_for_members()
+        yield running
+
+
+async def test_one_bad_request_costs_two_of_six_engines(
+    tmp_path: pathlib.Path, snapshot: syrupy.SnapshotAssertion
+) -> None:
+    """Guards against one request that crashes every engine within a minute.
+
+    A prompt crashes the engine that runs it; its caller is told that a retry is
+    safe, and retries, each time at another entry. One engine after another would
+    crash, since no entry knows what the others have seen.
+    """
+    async with crashing_engines(tmp_path) as running:
         traffic = GoodTraffic(running)
         good = [asyncio.create_task(traffic.call(n)) for n in range(GOOD_CALLERS)]
         session = [
@@ -133,17 +143,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against a quarantine that knows only whole prompts."""
-    async with deployment.Deployment(tmp_path) as running:
-        for _ in range(ENGINES):
-            await running.add_engine(
-                crash_marker=MARKER, decode_seconds_per_token=0.005
-            )
-        for _ in range(INSTANCES):
-            await running.add_instance()
-        await running.declare()
-        for instance in running.instances:
-            await running.wait_until_ready(instance)
-        await running.wait_for_members()
+    async with crashing_engines(tmp_path) as running:
         traffic = GoodTraffic(running)
         good = [asyncio.create_task(traffic.call(n)) for n in range(GOOD_CALLERS)]
         for number in range(ATTEMPTS):
