Design of competing accounts and uneven load; interfaces for its parts

Change: the scheduler asks an AccountShares and an Admission, whose defaults decide as before. Waiting moves into a module of its own, since both need it. Settings groups for the parts, all off by default.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -10,6 +10,8 @@
 from tealcove import ids
 from tealcove.backends import engine
 from tealcove.dispatch import (
+    accountshares,
+    admission,
     backendview,
     backendviews,
     cells,
@@ -26,6 +28,7 @@
     suspectruns,
     suspicion,
     waitingline,
+    waitingticket,
 )
 from tealcove.storage import revisions
 
@@ -50,13 +53,15 @@
 
     def __init__(self) -> None:
         self.views = backendviews.BackendViews()
-        self.line: dict[ids.TicketId, waitingline.Waiting] = {}
+        self.line: dict[ids.TicketId, waitingticket.Waiting] = {}
         self.suspicion: suspicion.Suspicion = suspicion.NoSuspicion()
         # The suspicion's version by which the line was judged.
         self.judged_version = 0
         self.suspect_runs = suspectruns.SuspectRuns(self.views)
         self.exposure: exposure.Exposure = exposure.AnyVersion()
         self.paths: paths.Paths = paths.NoEvidence()
+        self.accounts: accountshares.AccountShares = accountshares.NoAccountShares()
+        self.admission: admission.Admission = admission.BY_DEADLINE
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.attempts = firstattempts.FirstAttempts()
@@ -79,6 +84,14 @@
         """See Scheduler."""
         self.paths = known
 
+    def use_accounts(self, accounts: accountshares.AccountShares) -> None:
+        """See Scheduler."""
+        self.accounts = accounts
+
+    def use_admission(self, policy: admission.Admission) -> None:
+        """See Scheduler."""
+        self.admission = policy
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -156,11 +169,12 @@
             return [answer]
         if self.suspicion.judge(ticket, now):
             reason = messages.RefusalReason.QUARANTINED
-            return [self.refusal(ticket, reason, retry.MAX_SECONDS, now)]
+            wait = retry.wait_seconds(ticket.ticket_id, retry.MAX_SECONDS)
+            return [self.refusal(ticket, reason, wait, now)]
         self.line[ticket.ticket_id] = self.wait(ticket, now)
         return [answer, *self.decide(now)]
 
-    def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingline.Waiting:
+    def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingticket.Waiting:
         """Return the line's record of a ticket and count its arrival."""
         estimate = self.views.estimate(ticket, now)
         slot_seconds = estimate.slot_seconds
@@ -177,7 +191,8 @@
         elif ticket.waited < inflow.FRESH_SECONDS:
             self.inflow.record(ticket.tier_rank, slot_seconds, now)
             self.shares.record_arrival(flow, slot_seconds, now)
-        return waitingline.Waiting(
+            self.accounts.record_arrival(ticket, slot_seconds, now)
+        return waitingticket.Waiting(
             ticket=ticket,
             since=ids.Instant(now - ticket.waited),
             refreshed_at=now,
@@ -314,9 +329,14 @@
         for ticket in refused:
             del self.line[ticket.ticket_id]
         reason = messages.RefusalReason.QUARANTINED
-        return [self.refusal(one, reason, retry.MAX_SECONDS, now) for one in refused]
-
-    def ordered(self, now: ids.Instant) -> list[waitingline.Waiting]:
+        return [
+            self.refusal(
+                one, reason, retry.wait_seconds(one.ticket_id, retry.MAX_SECONDS), now
+            )
+            for one in refused
+        ]
+
+    def ordered(self, now: ids.Instant) -> list[waitingticket.Waiting]:
         """Return the waiting tickets, sorted."""
         levels = self.shares.service_levels()
         return sorted(
@@ -331,25 +351,33 @@
         outgoing = []
         for found in self.forecasts(now):
             for waiting, seconds in found.too_late:
-                ticket = waiting.ticket
-                del self.line[ticket.ticket_id]
-                outgoing.append(self.refusal(ticket, found.reason, seconds, now))
+                del self.line[waiting.ticket.ticket_id]
+                wait = self.admission.retry_after(waiting, seconds, now)
+                outgoing.append(self.refusal(waiting.ticket, found.reason, wait, now))
         return outgoing
 
     def forecasts(self, now: ids.Instant) -> list[waitingline.Forecast]:
         """Return the forecasts of the line, and of the streams of each version."""
         line = []
-        bound: dict[ids.SoftwareVersion, list[waitingline.Waiting]] = {}
+        bound: dict[ids.SoftwareVersion, list[waitingticket.Waiting]] = {}
         for waiting in self.ordered(now):
             is_bound = self.views.is_bound(waiting.ticket)
             own = bound.setdefault(waiting.ticket.version, []) if is_bound else line
             own.append(waiting)
-        found = [waitingline.forecast(line, self.eligible_servers(), self.inflow, now)]
+        servers = self.eligible_servers()
+        found = [
+            waitingline.forecast(line, servers, self.inflow, now, policy=self.admission)
+        ]
         for version, streams in bound.items():
             servers = self.resuming_servers(version)
             if servers:
                 forecast = waitingline.forecast(
-                    streams, servers, self.inflow, now, is_bound=True
+                    streams,
+                    servers,
+                    self.inflow,
+                    now,
+                    is_bound=True,
+                    policy=self.admission,
                 )
             else:
                 forecast = waitingline.forecast_of_lost_version(streams)
@@ -392,7 +420,7 @@
 
     def may_start(
         self,
-        waiting: waitingline.Waiting,
+        waiting: waitingticket.Waiting,
         suspects: suspicion.Suspects,
         now: ids.Instant,
     ) -> bool:
@@ -403,7 +431,7 @@
 
     def grant(
         self,
-        waiting: waitingline.Waiting,
+        waiting: waitingticket.Waiting,
         server: backendview.BackendView,
         now: ids.Instant,
     ) -> scheduler.Outgoing:
@@ -456,25 +484,25 @@
         self,
         ticket: messages.Ticket,
         reason: messages.RefusalReason,
-        drain: float,
+        wait: float,
         now: ids.Instant,
     ) -> scheduler.Outgoing:
-        """Return the message that refuses a ticket, and log it."""
+        """Return the message that refuses a ticket for some seconds, and log it."""
         log.info(
             "refused: {}, tier {} urgency {}, {} waiting, {} running, "
-            "slot expected in {:.3f} s",
+            "may return in {:.3f} s",
             reason.value,
             ticket.tier_rank,
             ticket.urgency,
             len(self.line),
             len(self.views.server_by_ticket),
-            drain,
+            wait,
             extra={"request": ticket.request_id, "final": True},
         )
         refusal = messages.Refusal(
             ticket_id=ticket.ticket_id,
             reason=reason,
-            retry_after=retry.wait_seconds(ticket.ticket_id, drain),
+            retry_after=wait,
         )
         return scheduler.Outgoing(ticket.entry, refusal)
 
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from tealcove import ids
-from tealcove.dispatch import backendview, exposure, waitingline
+from tealcove.dispatch import backendview, exposure, waitingticket
 
 # A server that fails all requests counts as slower by this multiple of its time.
 FAILURE_PENALTY = 3.0
@@ -23,7 +23,7 @@
 
 
 def choose(
-    waiting: waitingline.Waiting,
+    waiting: waitingticket.Waiting,
     free: Iterable[backendview.BackendView],
     exposed: exposure.Exposure,
     now: ids.Instant,
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -10,6 +10,8 @@
 from tealcove import ids
 from tealcove.backends import engine
 from tealcove.dispatch import (
+    accountshares,
+    admission,
     backendview,
     cells,
     exposure,
@@ -61,6 +63,20 @@
         """
         return
 
+    def use_accounts(self, accounts: accountshares.AccountShares) -> None:
+        """Set how slots are shared among client accounts.
+
+        A scheduler that shares them in a way of its own keeps this empty default.
+        """
+        return
+
+    def use_admission(self, policy: admission.Admission) -> None:
+        """Set which tickets are refused under overload, and when they may return.
+
+        A scheduler that decides this by itself keeps this empty default.
+        """
+        return
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- a/src/tealcove/dispatch/suspectruns.py
+++ b/src/tealcove/dispatch/suspectruns.py
@@ -10,7 +10,7 @@
     backendviews,
     messages,
     suspicion,
-    waitingline,
+    waitingticket,
 )
 
 
@@ -56,9 +56,9 @@
 
     def may_start(
         self,
-        waiting: waitingline.Waiting,
+        waiting: waitingticket.Waiting,
         keys: set[str],
-        line: Iterable[waitingline.Waiting],
+        line: Iterable[waitingticket.Waiting],
         now: ids.Instant,
     ) -> bool:
         """Tell whether a ticket with suspected keys needn't wait for others with them.
--- a/src/tealcove/dispatch/tests/test_stated_leaving.py
+++ b/src/tealcove/dispatch/tests/test_stated_leaving.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tealcove import clock, ids
-from tealcove.dispatch import goal, messages, statements, waitingline
+from tealcove.dispatch import goal, messages, statements, waitingticket
 from tealcove.dispatch.tests import askers, builders
 from tealcove.resources import kinds
 
@@ -67,7 +67,7 @@
     leave(found, "s0")
     found.enqueue(builders.ticket(remaining=30.0), builders.instant(0.0))
     refused = refused_at(found, 5.0)
-    assert refused <= waitingline.NO_SERVER_SECONDS + 2 * STEP
+    assert refused <= waitingticket.NO_SERVER_SECONDS + 2 * STEP
 
 
 def test_callers_are_told_that_there_is_no_server() -> None:
@@ -77,7 +77,7 @@
     found.enqueue(builders.ticket(goal=0.5), builders.instant(0.0))
     (refusal,) = builders.refused(found.tick(builders.instant(1.0)))
     assert refusal.reason is messages.RefusalReason.NO_BACKEND_SERVER
-    assert refusal.retry_after >= waitingline.NO_SERVER_SECONDS
+    assert refusal.retry_after >= waitingticket.NO_SERVER_SECONDS
 
 
 def test_callers_wait_for_the_successor_of_a_listed_server_that_leaves() -> None:
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -10,13 +10,20 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import backendview, inflow, messages, releases, shares
+from tealcove.dispatch import (
+    admission,
+    backendview,
+    inflow,
+    messages,
+    releases,
+    shares,
+    waitingticket,
+)
 
 # Seconds between a predicted end and its deadline that are reserved for network delays
 # between instances and to the caller, and for the granularity of ticks.
@@ -24,47 +31,6 @@
 # Upper bound on the share of the slots that a forecast reserves for future arrivals:
 # the estimates of speeds and arrivals are never exact enough to leave no slot at all.
 MAX_ARRIVAL_SHARE = 0.9
-# Seconds after which callers are told to come back when no server is left, and for
-# which a ticket without a goal waits then.
-NO_SERVER_SECONDS = 1.0
-
-
-class Waiting(msgspec.Struct):
-    """A ticket that waits for a slot."""
-
-    ticket: messages.Ticket
-    since: ids.Instant
-    # When its entry last sent it.
-    refreshed_at: ids.Instant
-    # When the first event is wanted, counted from the first attempt; infinite if the
-    # request has no goal.
-    goal_at: ids.Instant
-    # The latest useful start.
-    start_by: ids.Instant
-    # The latest useful end.
-    end_by: ids.Instant
-    # Seconds to the first token on the fastest server while idle.
-    best_first: float
-    # Seconds for which it holds a slot, as a mean over the servers.
-    slot_seconds: float
-    flow: shares.Flow
-
-    def is_late(self, now: ids.Instant) -> bool:
-        """Tell whether the goal can no longer be met."""
-        return self.misses_goal(0.0, now)
-
-    def misses_goal(self, seconds: float, now: ids.Instant) -> bool:
-        """Tell whether the goal is missed by a start in so many seconds."""
-        return now + seconds + self.best_first > self.goal_at
-
-    def latest_in_time(self) -> float:
-        """Return the last instant at which a start meets the goal.
-
-        Without a goal, it is some time after its arrival.
-        """
-        if math.isinf(self.goal_at):
-            return self.since + NO_SERVER_SECONDS
-        return self.goal_at - self.best_first
 
 
 class SortKey(msgspec.Struct, frozen=True, order=True):
@@ -84,13 +50,13 @@
     """The result of simulating the line with the predicted ends of running requests."""
 
     # Tickets that would start too late, in order, each with the seconds to its start.
-    too_late: tuple[tuple[Waiting, float], ...]
+    too_late: tuple[tuple[waitingticket.Waiting, float], ...]
     # Why they are refused.
     reason: messages.RefusalReason = messages.RefusalReason.OVERLOAD
 
 
 def sort_key(
-    waiting: Waiting,
+    waiting: waitingticket.Waiting,
     levels: Mapping[shares.Flow, float],
     is_bound: bool,
     now: ids.Instant,
@@ -111,11 +77,12 @@
 
 
 def forecast(
-    line: Iterable[Waiting],
+    line: Iterable[waitingticket.Waiting],
     servers: Iterable[backendview.BackendView],
     arriving: inflow.Inflow,
     now: ids.Instant,
     is_bound: bool = False,
+    policy: admission.Admission = admission.BY_DEADLINE,
 ) -> Forecast:
     """Simulate the line, assigning to each ticket the slot that is released first.
 
@@ -125,6 +92,7 @@
     long only to be refused.
 
     `is_bound`: the line consists of streams that only these servers may go on with.
+    `policy` decides which tickets would start too late.
     """
     servers = list(servers)
     slots = releases.Releases(slot_releases(servers, now))
@@ -145,7 +113,8 @@
         seconds = free_in / remaining_share(tier, arriving, count, now) + rest
         if waiting.misses_goal(seconds, now):
             seconds = free_in / remaining_share(tier + 1, arriving, count, now) + rest
-        is_too_late = now + seconds > waiting.start_by
+        late_share = 1.0 - arriving.load_above(tier + 1, now) / count
+        is_too_late = policy.is_refused(waiting, seconds, late_share, now)
         # While all servers rest for one instance, another may serve the caller, so that
         # waiting beyond the goal gains nothing.
         if rest > 0.0 and not is_too_late:
@@ -179,7 +148,10 @@
 
 
 def forecast_of_unreachable(
-    line: Iterable[Waiting], pause: float, is_bound: bool, now: ids.Instant
+    line: Iterable[waitingticket.Waiting],
+    pause: float,
+    is_bound: bool,
+    now: ids.Instant,
 ) -> Forecast:
     """Return the tickets that shouldn't wait until a server is tried again.
 
@@ -197,7 +169,7 @@
 
 
 def forecast_without_servers(
-    line: Iterable[Waiting],
+    line: Iterable[waitingticket.Waiting],
     servers: list[backendview.BackendView],
     now: ids.Instant,
 ) -> Forecast:
@@ -210,16 +182,16 @@
         overdue = [(waiting, 0.0) for waiting in line if now > waiting.start_by]
         return Forecast(tuple(overdue))
     too_late = [
-        (waiting, NO_SERVER_SECONDS)
+        (waiting, waitingticket.NO_SERVER_SECONDS)
         for waiting in line
         if now > min(waiting.start_by, waiting.latest_in_time())
     ]
     return Forecast(tuple(too_late), messages.RefusalReason.NO_BACKEND_SERVER)
 
 
-def forecast_of_lost_version(line: Iterable[Waiting]) -> Forecast:
+def forecast_of_lost_version(line: Iterable[waitingticket.Waiting]) -> Forecast:
     """Return all tickets: no server is left that may go on with their streams."""
-    too_late = tuple((waiting, NO_SERVER_SECONDS) for waiting in line)
+    too_late = tuple((waiting, waitingticket.NO_SERVER_SECONDS) for waiting in line)
     return Forecast(too_late, messages.RefusalReason.NO_BACKEND_SERVER)
 
 
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -78,6 +78,41 @@
     enabled: bool = False
 
 
+class FairAccounts(settings.Group):
+    """Fair sharing of the servers' slots among client accounts."""
+
+    enabled: bool = False
+
+
+class Admission(settings.Group):
+    """Early refusals under overload, and planned returns of refused callers."""
+
+    enabled: bool = False
+    # The largest part of its remaining time that a refused caller waits as told.
+    return_share: settings.Share = 1 / 3
+
+
+class ServerLoad(settings.Group):
+    """Use of the load that backend servers state in their answers."""
+
+    enabled: bool = False
+
+
+class InstanceLoad(settings.Group):
+    """Distribution of callers by what each instance can carry at present."""
+
+    enabled: bool = False
+
+
+class Crossing(settings.Group):
+    """Limits on traffic between data centres."""
+
+    enabled: bool = False
+    # Bytes a second from one data centre to another that are spent on shorter waits;
+    # beyond them, only requests that would miss their goal cross.
+    bytes_per_second: Amount = 1_000_000.0
+
+
 class Machine(settings.Group):
     """The capacity of this instance's machine."""
 
@@ -86,6 +121,9 @@
     share: Amount = 1.0
     # Bandwidth of its network link in Mbit/s.
     link_mbps: Amount = 1000.0
+    # Memory in MB, and file descriptors; 0: not limited.
+    memory_mb: settings.Delay = 0.0
+    descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
 
     @property
     def link_bytes_per_second(self) -> float:
@@ -121,6 +159,11 @@
     account_limits: AccountLimits = AccountLimits()
     leaving: Leaving = Leaving()
     machine: Machine = Machine()
+    fair_accounts: FairAccounts = FairAccounts()
+    admission: Admission = Admission()
+    server_load: ServerLoad = ServerLoad()
+    instance_load: InstanceLoad = InstanceLoad()
+    crossing: Crossing = Crossing()
     rollouts: Rollouts = Rollouts()
     telemetry: settings.Telemetry = settings.Telemetry()
     log: Log = Log()
