Soak: one kind a run, and an account that floods another one's servers

Cause: the kinds of soaks were passed as five booleans through three functions, and no soak had accounts that compete.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from soak import run
+from soak import kinds, run
 
 
 async def one(
@@ -21,16 +21,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, current.cancel)
     return await run.soak(
-        folder,
-        seed,
-        found.seconds,
-        found.members,
-        found.servers,
-        found.restores,
-        found.paths,
-        found.pauses,
-        found.versions,
-        found.parts,
+        folder, seed, found.seconds, found.members, found.servers, found.kind
     )
 
 
@@ -42,21 +33,12 @@
     parser.add_argument("--seconds", type=float, default=10.0, help="of faults, each")
     parser.add_argument("--members", type=int, default=run.MEMBERS, help="instances")
     parser.add_argument("--servers", type=int, default=run.SERVERS, help="of a service")
-    parser.add_argument(
-        "--restores", action="store_true", help="bring the store back from copies"
-    )
-    parser.add_argument(
-        "--paths", action="store_true", help="cut instances off from servers"
-    )
-    parser.add_argument(
-        "--pauses", action="store_true", help="only stop instances for moments"
-    )
-    parser.add_argument(
-        "--versions", action="store_true", help="mix servers of several versions"
-    )
-    parser.add_argument(
-        "--parts", action="store_true", help="crash servers by a part of prompts"
-    )
+    add_kind(parser, kinds.Kind.RESTORES, "bring the store back from copies")
+    add_kind(parser, kinds.Kind.PATHS, "cut instances off from servers")
+    add_kind(parser, kinds.Kind.PAUSES, "only stop instances for moments")
+    add_kind(parser, kinds.Kind.VERSIONS, "mix servers of several versions")
+    add_kind(parser, kinds.Kind.PARTS, "crash servers by a part of prompts")
+    add_kind(parser, kinds.Kind.FLOODS, "let one account flood another's servers")
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
@@ -69,5 +51,17 @@
     return 1 if failed else 0
 
 
+def add_kind(parser: argparse.ArgumentParser, kind: kinds.Kind, text: str) -> None:
+    """Add the option that chooses a kind of soak."""
+    parser.add_argument(
+        f"--{kind.value}",
+        dest="kind",
+        action="store_const",
+        const=kind,
+        default=kinds.Kind.PLAIN,
+        help=text,
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -82,6 +82,11 @@
         # The newest key that each process has accepted, by its instance and number.
         self.accepted: dict[tuple[str, int], int] = {}
 
+    @property
+    def all_results(self) -> list[CallResult]:
+        """The results of these callers and of others that run with them."""
+        return self.results
+
     async def run(self) -> None:
         """Run all callers until `is_stopping` is set."""
         async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
--- a/soak/crashingparts.py
+++ b/soak/crashingparts.py
@@ -62,6 +62,11 @@
         self.bad.more_headers = lambda: prefix(self.random, BAD)
         self.more_headers = lambda: prefix(self.random)
 
+    @property
+    def all_results(self) -> list[callers.CallResult]:
+        """See Callers."""
+        return [*self.results, *self.bad.results]
+
     async def run(self) -> None:
         """Run all callers until `is_stopping` is set."""
         await asyncio.gather(super().run(), self.run_bad())
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -47,6 +47,8 @@
         }
         self.process: asyncio.subprocess.Process | None = None
         self.is_stopping = False
+        # Settings besides those that all soaks have.
+        self.more_settings: dict[str, object] = {}
 
     def write(self, store: str, seeds: list[str]) -> None:
         """Write the settings file."""
@@ -57,6 +59,7 @@
             "store": {"address": store},
             "seeds": seeds,
             "leaving": {"directory_ttl_seconds": 0.3, "grace_seconds": GRACE_SECONDS},
+            **self.more_settings,
         }
         self.path.write_bytes(msgspec.json.encode(found))
 
@@ -119,6 +122,14 @@
         self.states: dict[str, str | None] = {}
         # Milliseconds for which servers say that they are slow after their start.
         self.cold_left_ms = 0
+        # The declared client accounts; new keys are those of the first.
+        self.accounts = [
+            {
+                "name": platform_site.ACCOUNT,
+                "api_keys": [platform_site.KEY],
+                "unit": "token",
+            }
+        ]
         # Declared keys besides the first, and the time at which the store had each.
         self.keys: list[str] = []
         self.declared: dict[str, ids.Instant] = {}
@@ -139,7 +150,9 @@
         """Start all parts and wait until callers can connect."""
         await self.store.start()
         await self.store.put_row(
-            names.OPERATOR_TABLE, names.CONFIGURATION_KEY, platform_site.configuration()
+            names.OPERATOR_TABLE,
+            names.CONFIGURATION_KEY,
+            platform_site.configuration(tenants=self.accounts),
         )
         for server in self.servers:
             await self.add(server)
@@ -204,11 +217,11 @@
 
     async def write_configuration(self, keys: list[str]) -> None:
         """Write the configuration that adds the last of some keys."""
-        own = {
-            "name": platform_site.ACCOUNT,
-            "api_keys": [platform_site.KEY, *keys],
-        }
-        content = platform_site.configuration(version=len(keys) + 1, tenants=[own])
+        own, *others = self.accounts
+        own = {**own, "api_keys": [*own["api_keys"], *keys]}
+        content = platform_site.configuration(
+            version=len(keys) + 1, tenants=[own, *others]
+        )
         await self.store.put_row(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, content)
 
     @contextlib.asynccontextmanager
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
     crashingparts,
     deployment,
     disturbances,
+    kinds,
     pathcuts,
     pausing,
     proxy,
@@ -32,6 +33,8 @@
 # kind of fault.
 MEAN_PAUSE_BETWEEN_CUTS = 1.5
 CUT_WEIGHT = 12
+# The same beside floods, of which some must be undisturbed.
+MEAN_PAUSE_BESIDE_FLOODS = 3.0
 # The same for cuts of streams and replaced servers in a soak of software versions.
 STREAM_CUT_WEIGHT = 8
 REPLACEMENT_WEIGHT = 3
@@ -72,14 +75,10 @@
         self,
         running: deployment.Deployment,
         seed: int,
-        restores_store: bool = False,
-        cuts_paths: bool = False,
-        pauses_only: bool = False,
-        mixes_versions: bool = False,
-        crashes_parts: bool = False,
+        kind: kinds.Kind = kinds.Kind.PLAIN,
     ) -> None:
         self.running = running
-        self.restores_store = restores_store
+        self.kind = kind
         self.random = random.Random(seed)
         self.done: list[str] = []
         self.disturbances = disturbances.DisturbanceLog()
@@ -100,15 +99,12 @@
             self.server_faults,
             self.server_leaves,
         )
-        self.cuts_paths = cuts_paths
         self.mean_pause = MEAN_PAUSE_SECONDS
         self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
-        self.pauses_only = pauses_only
-        self.mixes_versions = mixes_versions
-        if pauses_only:
+        if kind is kinds.Kind.PAUSES:
             self.kinds = (self.pausing.pause,)
             self.mean_pause = pausing.MEAN_PAUSE_SECONDS
-        if mixes_versions:
+        if kind is kinds.Kind.VERSIONS:
             changing = versions.VersionChanger(running, self.random, self.disturbances)
             self.kinds = (
                 *(changing.cut_streams,) * STREAM_CUT_WEIGHT,
@@ -123,8 +119,7 @@
                 self.server_faults,
             )
         self.crasher = crashingparts.Crasher(running, self.random, self.disturbances)
-        self.crashes_parts = crashes_parts
-        if crashes_parts:
+        if kind is kinds.Kind.PARTS:
             killing = versions.VersionChanger(running, self.random, self.disturbances)
             self.kinds = (
                 *(self.crasher.crash,) * CRASH_WEIGHT,
@@ -137,7 +132,20 @@
                 self.store_fault,
                 self.change_configuration,
             )
-        if cuts_paths:
+        if kind is kinds.Kind.FLOODS:
+            killing = versions.VersionChanger(running, self.random, self.disturbances)
+            self.mean_pause = MEAN_PAUSE_BESIDE_FLOODS
+            self.kinds = (
+                killing.kill_all,
+                killing.kill_several,
+                self.kill,
+                self.freeze,
+                self.terminate,
+                self.cut_store,
+                self.store_fault,
+                self.change_configuration,
+            )
+        if kind is kinds.Kind.PATHS:
             self.mean_pause = MEAN_PAUSE_BETWEEN_CUTS
             self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
             self.kinds = (
@@ -156,21 +164,14 @@
 
         A soak of lost paths begins with a cut alone, which other faults can't hide.
         """
-        if self.cuts_paths:
+        if self.kind is kinds.Kind.PATHS:
             self.done.append(await self.cutting.cut_calmly())
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
-        # In a soak of lost paths, servers state only that they are brittle, and in one
-        # of pauses, of versions or of parts nothing.
-        is_silent = (
-            self.cuts_paths
-            or self.pauses_only
-            or self.mixes_versions
-            or self.crashes_parts
-        )
-        stating = [] if is_silent else [asyncio.create_task(self.stating.run())]
-        if not self.restores_store:
+        states = self.kind not in kinds.WITHOUT_STATEMENTS
+        stating = [asyncio.create_task(self.stating.run())] if states else []
+        if self.kind is not kinds.Kind.RESTORES:
             self.restoring.stopping.set()
         restoring_store = tasks.start(self.restoring.run(), "returns of the store")
         try:
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,10 @@
     callers,
     crashingparts,
     deployment,
+    disturbances,
     faults,
+    flooding,
+    kinds,
     leaving,
     limiting,
     pathcuts,
@@ -60,6 +63,8 @@
     taken_up: versions.TakenUp
     # Requests with a part that crashes servers, and sound ones beside them.
     parts: crashingparts.Counts
+    # Requests of a small account that were checked beside one that floods.
+    competing: int
     broken: tuple[str, ...]
 
 
@@ -69,44 +74,23 @@
     seconds: float,
     members: int = MEMBERS,
     servers: int = SERVERS,
-    restores_store: bool = False,
-    cuts_paths: bool = False,
-    pauses_only: bool = False,
-    mixes_versions: bool = False,
-    crashes_parts: bool = False,
+    kind: kinds.Kind = kinds.Kind.PLAIN,
 ) -> Verdict:
-    """Run one soak; its logs are kept in the folder.
-
-    A store that is restored again and again is disturbed for most of the time, so that
-    fewer requests show how instances act on what is written. With `cuts_paths`, most
-    faults are lost paths, and the servers are brittle and state nothing else. With
-    `pauses_only`, the only faults are short pauses of the instances' processes. With
-    `mixes_versions`, the servers have several software versions, and streams break.
-    With `crashes_parts`, they crash on one part of prompts, and for other reasons.
-    """
+    """Run one soak; its logs are kept in the folder."""
     created = deployment.Deployment(folder, members, servers)
-    if mixes_versions:
+    if kind is kinds.Kind.VERSIONS:
         versions.mix(created)
-    if crashes_parts:
+    if kind is kinds.Kind.PARTS:
         crashingparts.make_crashing(created)
+    if kind is kinds.Kind.FLOODS:
+        flooding.make_competing(created)
     async with created as running:
-        injector = faults.FaultInjector(
-            running,
-            seed,
-            restores_store,
-            cuts_paths,
-            pauses_only,
-            mixes_versions,
-            crashes_parts,
-        )
-        if cuts_paths:
+        injector = faults.FaultInjector(running, seed, kind)
+        if kind is kinds.Kind.PATHS:
             pathcuts.make_brittle(running)
-        if pauses_only:
+        if kind is kinds.Kind.PAUSES:
             await running.until_serving()
-        paths = callers.STREAM_PATHS if mixes_versions else callers.PATHS
-        calling = callers.Callers(running, injector.disturbances, seed, paths)
-        if crashes_parts:
-            calling = crashingparts.PartCallers(running, injector.disturbances, seed)
+        calling = new_callers(running, injector.disturbances, seed, kind)
         task = asyncio.create_task(calling.run())
         replacing = asyncio.create_task(injector.crasher.run())
         await injector.run(seconds)
@@ -120,11 +104,10 @@
         calling.is_stopping = True
         await task
         await tasks.stop([replacing])
-        parts, bad = crashingparts.Counts(), []
-        if crashes_parts:
+        parts = crashingparts.Counts()
+        if kind is kinds.Kind.PARTS:
             parts = crashingparts.count(running, injector.disturbances, calling)
-            bad = calling.bad.results
-        broken = callers.find_violations(running, [*calling.results, *bad])
+        broken = callers.find_violations(running, calling.all_results)
         broken.extend(crashingparts.violations(parts))
         watched, late = leaving.late_arrivals(running, injector, calling.results)
         broken.extend(late)
@@ -139,15 +122,19 @@
         rests, excessive = resting.excessive_rests(running, injector, calling.results)
         broken.extend(excessive)
         cut_off, unserved = 0, []
-        if cuts_paths:
+        if kind is kinds.Kind.PATHS:
             cut_off, unserved = pathcuts.unserved(
                 running, injector.disturbances, calling.results
             )
         broken.extend(unserved)
         broken.extend(versions.lost_streams(injector.disturbances, calling.results))
-        if pauses_only:
+        if kind is kinds.Kind.PAUSES:
             broken.extend(pausing.misjudgements(running))
             broken.extend(pausing.unserved(calling.results))
+        competing, unserved = 0, []
+        if kind is kinds.Kind.FLOODS:
+            competing, unserved = flooding.unserved(running, injector, calling)
+        broken.extend(unserved)
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -168,5 +155,22 @@
         pauses=injector.pausing.count,
         taken_up=versions.taken_up(injector.disturbances, calling.results),
         parts=parts,
+        competing=competing,
         broken=tuple(broken),
     )
+
+
+def new_callers(
+    running: deployment.Deployment,
+    log: disturbances.DisturbanceLog,
+    seed: int,
+    kind: kinds.Kind,
+) -> callers.Callers:
+    """Return the callers of a kind of soak."""
+    if kind is kinds.Kind.PARTS:
+        return crashingparts.PartCallers(running, log, seed)
+    if kind is kinds.Kind.FLOODS:
+        return flooding.FloodCallers(running, log, seed)
+    if kind is kinds.Kind.VERSIONS:
+        return callers.Callers(running, log, seed, callers.STREAM_PATHS)
+    return callers.Callers(running, log, seed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 
 import psutil
 import pytest
-from soak import deployment, faults, run
+from soak import deployment, faults, kinds, run
 
 from tests import deployment as networks
 
@@ -59,6 +59,8 @@
 # The same with servers that crash on one part of prompts.
 PART_SEEDS = {1: 14.0, 2: 14.0}
 PART_MEMBERS, PART_SERVERS = 4, 8
+# The same with an account that floods the servers of another one.
+FLOOD_SEEDS = {1: 10.0, 2: 10.0}
 # The same with short pauses of the instances as the only faults.
 PAUSE_SEEDS = {
     1: 8.0,
@@ -78,7 +80,9 @@
 async def test_promises_hold_when_the_store_is_restored(
     tmp_path: pathlib.Path, seed: int
 ) -> None:
-    verdict = await run.soak(tmp_path, seed, RESTORED_SEEDS[seed], restores_store=True)
+    verdict = await run.soak(
+        tmp_path, seed, RESTORED_SEEDS[seed], kind=kinds.Kind.RESTORES
+    )
     assert verdict.broken == ()
     assert verdict.returns > 0
 
@@ -89,7 +93,7 @@
 ) -> None:
     """Requests without anything in common but one part crashed all servers."""
     verdict = await run.soak(
-        tmp_path, seed, PART_SEEDS[seed], PART_MEMBERS, PART_SERVERS, crashes_parts=True
+        tmp_path, seed, PART_SEEDS[seed], PART_MEMBERS, PART_SERVERS, kinds.Kind.PARTS
     )
     assert verdict.broken == ()
     assert verdict.parts.crashes > 0
@@ -102,7 +106,7 @@
 ) -> None:
     """Callers of instances without a path failed, and those of others with them."""
     verdict = await run.soak(
-        tmp_path, seed, PATH_SEEDS[seed], PATH_MEMBERS, cuts_paths=True
+        tmp_path, seed, PATH_SEEDS[seed], PATH_MEMBERS, kind=kinds.Kind.PATHS
     )
     assert verdict.broken == ()
     assert verdict.cut_off > 0
@@ -113,11 +117,21 @@
     tmp_path: pathlib.Path, seed: int
 ) -> None:
     """An instance that had stood still took sound servers and paths for lost."""
-    verdict = await run.soak(tmp_path, seed, PAUSE_SEEDS[seed], pauses_only=True)
+    verdict = await run.soak(tmp_path, seed, PAUSE_SEEDS[seed], kind=kinds.Kind.PAUSES)
     assert verdict.broken == ()
     assert verdict.pauses > 0
 
 
+@pytest.mark.parametrize("seed", FLOOD_SEEDS)
+async def test_a_flooding_account_leaves_another_its_share(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """One account's flood took nearly all slots, also from accounts that ask little."""
+    verdict = await run.soak(tmp_path, seed, FLOOD_SEEDS[seed], kind=kinds.Kind.FLOODS)
+    assert verdict.broken == ()
+    assert verdict.competing > 0
+
+
 @pytest.mark.parametrize("seed", VERSION_SEEDS)
 async def test_streams_stay_at_the_version_that_began_them(
     tmp_path: pathlib.Path, seed: int
@@ -129,7 +143,7 @@
         VERSION_SEEDS[seed],
         VERSION_MEMBERS,
         VERSION_SERVERS,
-        mixes_versions=True,
+        kinds.Kind.VERSIONS,
     )
     assert verdict.broken == ()
     assert verdict.taken_up.went_on > 0
