Requests that would miss their goal are refused at once under overload

Cause: a ticket was refused only when it was forecast to miss its deadline. Late tickets took slots from those that could still meet their goal, and callers waited half a second and more for a refusal.

Change: with admission.enabled, a ticket that is forecast to start later than 0.8 of the time to its latest start in time is refused, unless the share of slots that arrivals leave starts it before its latest useful start. That share isn't bounded below, unlike the forecast's.

--- /dev/null
+++ b/src/tealcove/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests under overload: early refusals and planned returns."""
--- /dev/null
+++ b/src/tealcove/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission package."""
--- /dev/null
+++ b/src/tealcove/admission/tests/builders.py
@@ -0,0 +1,197 @@
+"""Arrivals at a goal scheduler in virtual time, and what became of them."""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+import statistics
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from tealcove import ids
+from tealcove.dispatch import goal, messages, scheduler
+from tealcove.dispatch.tests import builders
+
+SERVERS = (5, 5, 5, 5, 5, 5)
+SLOTS = sum(SERVERS)
+FIRST_SECONDS = 0.1
+TOTAL_SECONDS = 0.5
+# Requests a second that the servers complete.
+CAPACITY = SLOTS / TOTAL_SECONDS
+GOAL_SECONDS = 0.6
+REMAINING_SECONDS = 8.0
+RUN_SECONDS = 20.0
+TICK_SECONDS = 0.05
+SEEDS = (1, 2, 3)
+
+
+class Request(msgspec.Struct):
+    """A caller's request, with all its attempts."""
+
+    number: int
+    arrived: float
+    tier: int = 0
+    account: str = "account-0"
+    tickets: list[messages.Ticket] = []
+    first_event_at: float | None = None
+    granted_at: float | None = None
+    # For each refusal: when, the seconds since the attempt, and the time to return.
+    refusals: list[tuple[float, float, float]] = []
+    # Whether a refusal came while a slot was free.
+    had_free_slot: bool = False
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the first event came within the goal of the first attempt."""
+        at = self.first_event_at
+        return at is not None and at <= self.arrived + GOAL_SECONDS + 1e-9
+
+
+class Play:
+    """Plays requests against a scheduler; callers return `returns` times as told."""
+
+    def __init__(
+        self,
+        found: goal.GoalScheduler,
+        returns: int = 0,
+        keeps: Callable[[Request, float], float] = lambda request, wait: wait,
+    ) -> None:
+        self.scheduler = found
+        self.returns = returns
+        # Returns the seconds after which a caller that was told some really returns.
+        self.keeps = keeps
+        self.numbers = itertools.count()
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.requests: list[Request] = []
+        self.by_ticket: dict[ids.TicketId, Request] = {}
+        self.sent_at: dict[ids.TicketId, float] = {}
+        self.grants = collections.Counter()
+
+    def at(self, when: float, action: Callable[[float], None]) -> None:
+        """Schedule an action, called with its time."""
+        heapq.heappush(self.events, (when, next(self.numbers), action))
+
+    def add(self, arrived: float, tier: int = 0, account: str = "account-0") -> Request:
+        """Add a request's first attempt."""
+        request = Request(len(self.requests), arrived, tier, account)
+        self.requests.append(request)
+        self.at(arrived, lambda now: self.send(request, now))
+        return request
+
+    def add_poisson(
+        self, rate: float, begin: float, end: float, seed: int, **changes: object
+    ) -> None:
+        """Add Poisson arrivals at so many requests a second."""
+        chance = random.Random(seed)
+        when = begin + chance.expovariate(rate)
+        while when < end:
+            self.add(when, **changes)
+            when += chance.expovariate(rate)
+
+    def run(self, until: float) -> None:
+        """Play all events up to a time, with a tick every TICK_SECONDS."""
+        self.at(0.0, self.tick)
+        while self.events and self.events[0][0] <= until:
+            when, _, action = heapq.heappop(self.events)
+            action(when)
+
+    def tick(self, now: float) -> None:
+        """Advance the scheduler."""
+        self.apply(self.scheduler.tick(builders.instant(now)), now)
+        self.at(now + TICK_SECONDS, self.tick)
+
+    def send(self, request: Request, now: float) -> None:
+        """Send a request's next attempt."""
+        left = request.arrived + REMAINING_SECONDS - now
+        ticket = builders.ticket(
+            tier_rank=request.tier,
+            account=ids.AccountId(request.account),
+            remaining=left,
+            caller_remaining=left,
+            goal=GOAL_SECONDS,
+            digest=f"digest-{request.number}",
+        )
+        request.tickets.append(ticket)
+        self.by_ticket[ticket.ticket_id] = request
+        self.sent_at[ticket.ticket_id] = now
+        self.apply(self.scheduler.enqueue(ticket, builders.instant(now)), now)
+
+    def apply(self, outgoing: Iterable[scheduler.Outgoing], now: float) -> None:
+        """Let grants run, and callers of refused requests return."""
+        outgoing = list(outgoing)
+        for grant in builders.granted(outgoing):
+            self.start(grant, now)
+        for refusal in builders.refused(outgoing):
+            self.refuse(refusal, now)
+
+    def start(self, grant: messages.Grant, now: float) -> None:
+        """Run a granted request."""
+        request = self.by_ticket[grant.ticket_id]
+        request.granted_at = now
+        self.at(now + FIRST_SECONDS, lambda at: self.progress(request, grant, at))
+        self.at(now + TOTAL_SECONDS, lambda at: self.done(grant, at))
+
+    def progress(self, request: Request, grant: messages.Grant, now: float) -> None:
+        """Report the first event of a request."""
+        request.first_event_at = now
+        message = messages.Progress(
+            ticket_id=grant.ticket_id,
+            cell=builders.CELL,
+            first_token_seconds=FIRST_SECONDS,
+        )
+        self.apply(self.scheduler.progress(message, builders.instant(now)), now)
+
+    def done(self, grant: messages.Grant, now: float) -> None:
+        """Report the end of a request."""
+        message = builders.done(
+            grant, first_token_seconds=FIRST_SECONDS, total_seconds=TOTAL_SECONDS
+        )
+        self.apply(self.scheduler.done(message, builders.instant(now)), now)
+
+    def refuse(self, refusal: messages.Refusal, now: float) -> None:
+        """Record a refusal, and let the caller return if it may."""
+        request = self.by_ticket[refusal.ticket_id]
+        waited = now - self.sent_at[refusal.ticket_id]
+        request.refusals.append((now, waited, refusal.retry_after))
+        used = len(self.scheduler.views.server_by_ticket)
+        request.had_free_slot |= used < SLOTS
+        if len(request.refusals) <= self.returns:
+            wait = self.keeps(request, refusal.retry_after)
+            self.at(now + wait, lambda at: self.send(request, at))
+
+    def in_time(self) -> int:
+        """Return the number of requests whose first event met the goal."""
+        return sum(request.is_in_time for request in self.requests)
+
+    def served(self) -> int:
+        """Return the number of requests that were granted a slot."""
+        return sum(request.granted_at is not None for request in self.requests)
+
+    def refused_twice(self) -> int:
+        """Return the number of requests that were refused twice."""
+        return sum(len(request.refusals) > 1 for request in self.requests)
+
+    def refusal_waits(self) -> list[float]:
+        """Return the seconds for which refused attempts waited."""
+        return [waited for one in self.requests for _, waited, _ in one.refusals]
+
+    def median_refusal_wait(self) -> float:
+        """Return the median of the waits for a refusal; 0 if there were none."""
+        return statistics.median(self.refusal_waits() or [0.0])
+
+
+def overload(
+    found: goal.GoalScheduler,
+    load: float,
+    seed: int,
+    returns: int = 0,
+    seconds: float = RUN_SECONDS,
+) -> Play:
+    """Play Poisson arrivals at a multiple of the capacity."""
+    play = Play(found, returns)
+    play.add_poisson(load * CAPACITY, 0.0, seconds, seed)
+    play.run(seconds + REMAINING_SECONDS)
+    return play
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -10,6 +10,7 @@
 from tealcove import clock, ids, measuring, tasks
 from tealcove.backends import engine
 from tealcove.dispatch import (
+    admission,
     backendview,
     cells,
     exposure,
@@ -68,7 +69,9 @@
         source: measuring.Source | None = None,
         gather_seconds: float = GATHER_SECONDS,
         exposures: exposure.Exposures | None = None,
+        new_admission: Callable[[], admission.Admission] | None = None,
     ) -> None:
+        self.new_admission = new_admission
         self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
@@ -240,6 +243,8 @@
         held.scheduler.use_suspicion(self.suspicion)
         held.scheduler.use_paths(self.paths)
         held.scheduler.use_exposure(self.exposures.of_pool(cell.pool))
+        if self.new_admission is not None:
+            held.scheduler.use_admission(self.new_admission())
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,6 +17,7 @@
     stalls,
     tasks,
 )
+from tealcove.admission import policy as policy_of_goals
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
 from tealcove.front import addresses, factories, metrics, settings
@@ -175,6 +176,9 @@
             source=self.metrics,
             gather_seconds=GATHER_SECONDS,
             exposures=self.rollouts if found.rollouts.enabled else None,
+            new_admission=policy_of_goals.AdmitByGoal
+            if found.admission.enabled
+            else None,
         )
         if found.rollouts.enabled:
             self.rollouts.start()
