Requests are counted by account, kind, reason and data centre

Cause: operators couldn't see whose requests are served in time, late or refused, nor who waits; and requests that are rejected before they are accepted, or whose callers disconnect, left no line at the entry that says how they ended.

Change: the entry counts each request as it ends, by account, route, urgency, result and reason, with a histogram of the waits until the first grant. The counts are read at a scrape, so that nothing is counted per chunk; the longest pause of a stream costs a comparison. The last line of each request names account, route, urgency, and how it ended.

--- /dev/null
+++ b/src/tealcove/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts as operators see them: their counts and their ordered weights."""
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,6 +17,7 @@
     stalls,
     tasks,
 )
+from tealcove.accounts import tallies
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
 from tealcove.front import addresses, factories, metrics, settings
@@ -262,6 +263,7 @@
             self.quarantine,
             callers.CallerCodec(),
             self.metrics,
+            self.start_counts(),
         )
         self.listeners.append(
             await factories.listen_for_callers(found, self.ingress.routes())
@@ -271,6 +273,25 @@
                 await factories.listen_for_relays(found, self.relay.routes())
             )
 
+    def start_counts(self) -> tallies.Tallies:
+        """Return the counts of requests by account, which the metrics expose."""
+        self.counts = tallies.Tallies(ids.DataCentreId(self.settings.data_centre))
+        self.metrics.labelled_counters.append(
+            metrics.ObservableCounters(
+                "tealcove.accounts.requests",
+                "Requests by account, kind, how they ended, and why.",
+                self.counts.count_samples,
+            )
+        )
+        self.metrics.labelled_histograms.append(
+            metrics.ObservableHistograms(
+                "tealcove.accounts.waited",
+                "From a request's arrival until it was granted a slot.",
+                self.counts.wait_samples,
+            )
+        )
+        return self.counts
+
     async def start_directory(self) -> None:
         """Listen for queries of the directory and of readiness."""
         found = self.settings
--- a/src/tealcove/front/metrics.py
+++ b/src/tealcove/front/metrics.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-import bisect
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
 
 from tealcove import measuring, probes
 
@@ -30,30 +31,37 @@
         self.values[labels] = self.values.get(labels, 0.0) + amount
 
 
-class Series:
-    """The observations of one set of labels: counts by bucket, and their sum."""
-
-    def __init__(self) -> None:
-        self.counts = [0] * (len(measuring.SECONDS_BOUNDS) + 1)
-        self.sum = 0.0
-
-
 class Histogram:
     """A histogram of seconds with a series for each set of labels."""
 
     def __init__(self, name: str, description: str) -> None:
         self.name = name
         self.description = description
-        self.series: dict[Labels, Series] = {}
+        self.series: dict[Labels, measuring.Series] = {}
 
     def record(self, amount: float, attributes: dict[str, str]) -> None:
         """See measuring.Histogram."""
         labels = tuple(attributes.items())
         found = self.series.get(labels)
         if found is None:
-            found = self.series[labels] = Series()
-        found.counts[bisect.bisect_left(measuring.SECONDS_BOUNDS, amount)] += 1
-        found.sum += amount
+            found = self.series[labels] = measuring.Series()
+        found.record(amount)
+
+
+class ObservableCounters(msgspec.Struct, frozen=True):
+    """A counter with labels whose values are read at each scrape."""
+
+    name: str
+    description: str
+    read: Callable[[], Iterable[measuring.Sample[float]]]
+
+
+class ObservableHistograms(msgspec.Struct, frozen=True):
+    """A histogram with labels whose series are read at each scrape."""
+
+    name: str
+    description: str
+    read: Callable[[], Iterable[measuring.Sample[measuring.Series]]]
 
 
 class Registry(measuring.Source, probes.MetricsExporter):
@@ -64,6 +72,9 @@
         self.histograms: list[Histogram] = []
         # Counters read by callback at each scrape: name, description, callback.
         self.observable_counters: list[tuple[str, str, Callable[[], float]]] = []
+        # The same with labels.
+        self.labelled_counters: list[ObservableCounters] = []
+        self.labelled_histograms: list[ObservableHistograms] = []
 
     def counter(self, name: str, description: str) -> Counter:
         """See Source."""
@@ -97,6 +108,7 @@
 
         for name, description, read in self.observable_counters:
             yield core.CounterMetricFamily(exposed_name(name), description, read())
+        yield from self.collect_labelled()
         for counter in self.counters:
             family = core.CounterMetricFamily(
                 exposed_name(counter.name), counter.description
@@ -112,13 +124,34 @@
                 add_series(family, dict(labels), series)
             yield family
 
+    def collect_labelled(self) -> Iterator[object]:
+        """Yield the metrics with labels that are read at a scrape."""
+        from prometheus_client import core
+
+        for counter in self.labelled_counters:
+            family = core.CounterMetricFamily(
+                exposed_name(counter.name), counter.description
+            )
+            for sample in counter.read():
+                family.add_sample(f"{family.name}_total", sample.labels, sample.value)
+            yield family
+        for histogram in self.labelled_histograms:
+            family = core.HistogramMetricFamily(
+                f"{exposed_name(histogram.name)}_seconds", histogram.description
+            )
+            for sample in histogram.read():
+                add_series(family, sample.labels, sample.value)
+            yield family
+
 
 def exposed_name(name: str) -> str:
     """Return the name under which a metric is exposed."""
     return name.replace(".", "_")
 
 
-def add_series(family: object, labels: dict[str, str], series: Series) -> None:
+def add_series(
+    family: object, labels: dict[str, str], series: measuring.Series
+) -> None:
     """Add the samples of one set of labels to a histogram."""
     bounds = [*map(str, measuring.SECONDS_BOUNDS), "+Inf"]
     totals = itertools.accumulate(series.counts)
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -21,6 +21,7 @@
     failures,
     hanging,
     link,
+    observer,
     responses,
     retries,
     stream,
@@ -107,6 +108,9 @@
         # Events forwarded in the current attempt.
         self.events = 0
         self.outcome = problem.Outcome.COMPLETED.value
+        self.reason = ""
+        # Seconds from the arrival until the first slot was granted; None: none was.
+        self.waited: float | None = None
 
     def log_decision(self, message: str, *arguments: object) -> None:
         """Log a decision about this request."""
@@ -155,14 +159,16 @@
         """End a request without a complete response; raises ProblemError."""
         found = error.problem
         self.outcome = found.outcome.value
+        self.reason = found.reason
         self.log_failure(
-            "failed: {}, status {}, reason {}, {} sent, {} may have run, {:.3f} s",
+            "failed: {}, status {}, reason {}, {} sent, {} may have run, {:.3f} s, {}",
             found.outcome.value,
             found.status,
             found.reason,
             self.sent,
             self.runs,
             clock.now() - self.accepted.arrived,
+            self.accepted.description,
         )
         if self.stream.response is not None:
             responses.abort_connection(self.http)
@@ -199,6 +205,8 @@
             # Found guilty since the slot was granted.
             self.services.tickets.abandon(pending_ticket)
             raise self.quarantined(ticket)
+        if self.waited is None:
+            self.waited = clock.now() - self.accepted.arrived
         return pending_ticket, found
 
     def quarantined(self, ticket: messages.Ticket) -> problem.ProblemError:
@@ -273,13 +281,28 @@
         """Report the end of an attempt to the dispatcher and the log."""
         done = report.end(outcome, self.events * self.accepted.event_tokens, now)
         self.log_decision(
-            "{} at {}: first event {:.3f} s, total {:.3f} s, {} events, prompt {}",
+            "{} at {}: first event {:.3f} s, total {:.3f} s, {} events, prompt {}{}",
             outcome.value,
             done.server,
             done.first_token_seconds,
             done.total_seconds,
             self.events,
             done.prompt_tokens,
+            self.describe_service(outcome, now),
+        )
+
+    def describe_service(self, outcome: messages.Outcome, now: ids.Instant) -> str:
+        """Return how a served request met its goals, for its last log line."""
+        if outcome is not messages.Outcome.COMPLETED:
+            return ""
+        answered = self.stream.first_event_at or now
+        seconds = answered - self.accepted.arrived
+        pause = self.stream.longest_pause
+        is_in_time = observer.is_within(self.accepted.route, seconds, pause)
+        return (
+            f"; served {'in time' if is_in_time else 'late'}: "
+            f"{self.accepted.description}, waited {self.waited or 0.0:.3f} s, "
+            f"answered after {seconds:.3f} s, longest pause {pause:.3f} s"
         )
 
     def outbound(self, report: reporting.AttemptReport) -> link.OutboundRequest:
@@ -374,6 +397,7 @@
             completed = splitter.feed(part)
             if not completed:
                 continue
+            self.stream.end_pause(clock.now())
             self.stream.check(completed)
             if not self.events:
                 watched.limit.reschedule(None)
@@ -383,7 +407,7 @@
             # An event that was accepted must be written whole.
             watched.waits_since = None
             await self.stream.forward(head, completed)
-            watched.waits_since = clock.now()
+            watched.waits_since = self.stream.paused_at = clock.now()
         watched.waits_since = None
         return await self.stream.end(head, splitter.remainder)
 
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from tealcove import clock, ids, measuring
+from tealcove.accounts import tallies
 from tealcove.catalog import copies, declared
 from tealcove.dispatch import messages, spread
 from tealcove.entry import problem
@@ -43,6 +44,7 @@
         quarantine: quarantine_role.Quarantine,
         codec: responses.Codec,
         source: measuring.Source | None = None,
+        counts: tallies.Tallies | None = None,
     ) -> None:
         self.services = services
         self.configuration = configuration
@@ -50,7 +52,7 @@
         self.limits = limits
         self.quarantine = quarantine
         self.codec = codec
-        self.observer = observer.Observer(source)
+        self.observer = observer.Observer(source, counts)
         self.in_progress: set[asyncio.Task[None]] = set()
         # Set when this instance is leaving: callers' connections are closed after use.
         self.is_leaving = False
@@ -73,15 +75,20 @@
             response = await self.serve(request, arrived, observation)
         except problem.ProblemError as error:
             observation.outcome = error.problem.outcome.value
+            observation.reason = error.problem.reason
+            if not observation.is_explained:
+                log_rejection(error.problem, observation)
             response = self.codec.respond(error.problem)
             if not request.content.is_eof():
                 # A connection with an unread request body can't be reused.
                 response.force_close()
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionResetError):
             observation.outcome = problem.CALLER_GONE
             raise
         finally:
             self.in_progress.discard(task)
+            if observation.outcome == problem.CALLER_GONE:
+                log_gone(observation, clock.now())
             self.observer.end(observation, clock.now())
         if self.is_leaving and not response.prepared:
             response.force_close()
@@ -94,11 +101,9 @@
         observation: observer.Observation,
     ) -> web.StreamResponse:
         """Return the response to one request; raises ProblemError."""
+        observation.request_id = self.codec.request_id(request)
         received = await self.receive(request)
-        if self.is_closed:
-            raise refused(received, messages.RefusalReason.LEAVING, LEAVING_RETRY)
-        accepted = acceptance.accept(received, self.configuration.current, arrived)
-        observation.route = accepted.route.name
+        accepted = self.accept(received, observation)
         if self.quarantine.has_quarantined(accepted.digest, received.parts, arrived):
             remaining = self.quarantine.remaining(
                 accepted.digest, received.parts, arrived
@@ -107,7 +112,7 @@
                 received.request_id, accepted.digest, received.parts, arrived
             )
             reason = messages.RefusalReason.QUARANTINED
-            raise refused(received, reason, remaining)
+            raise refused(observation, reason, remaining)
         log.info(
             "accepted: route {}, service {}, account {}, tier {}, urgency {}, "
             "deadline in {:.3f} s, configuration revision {}, resumes {} after event "
@@ -124,18 +129,39 @@
             " ".join(received.parts) or "none",
             extra={"request": received.request_id},
         )
-        version = await self.find_version(accepted)
-        cell = self.find_cell(accepted, version)
-        charge = await self.charge(accepted)
+        version = await self.find_version(accepted, observation)
+        cell = self.find_cell(accepted, version, observation)
+        charge = await self.charge(accepted, observation)
         running = exchange.Exchange(self.services, accepted, cell, request, version)
         try:
             return await running.run()
         finally:
             observation.first_event_at = running.stream.first_event_at
+            observation.is_explained = True
             observation.outcome = running.outcome
+            observation.reason = running.reason
+            observation.waited = running.waited
+            observation.longest_pause = running.stream.longest_pause
             if not running.runs:
                 charge.settle(0.0)
 
+    def accept(
+        self, received: call.Call, observation: observer.Observation
+    ) -> tickets.AcceptedRequest:
+        """Return the request, whose caller and kind are noted; raises ProblemError."""
+        current = self.configuration.current
+        if self.is_closed:
+            observation.identify(received, current)
+            reason = messages.RefusalReason.LEAVING
+            raise refused(observation, reason, LEAVING_RETRY)
+        try:
+            accepted = acceptance.accept(received, current, observation.arrived)
+        except problem.ProblemError:
+            observation.identify(received, current)
+            raise
+        observation.note_accepted(accepted)
+        return accepted
+
     async def receive(self, request: web.Request) -> call.Call:
         """Return the request with its complete body; raises ProblemError."""
         current = self.configuration.current
@@ -164,7 +190,9 @@
                 HTTP_TIMEOUT, "The body came too slowly", f"Send it in {seconds:g} s."
             ) from error
 
-    async def charge(self, accepted: tickets.AcceptedRequest) -> admission.Charge:
+    async def charge(
+        self, accepted: tickets.AcceptedRequest, observation: observer.Observation
+    ) -> admission.Charge:
         """Charge the account; raises ProblemError beyond its limit."""
         cost = acceptance.cost(accepted)
         try:
@@ -173,10 +201,10 @@
             )
         except admission.OverLimitError as error:
             reason = messages.RefusalReason.ACCOUNT_LIMIT
-            raise refused(accepted.call, reason, error.retry_after) from error
+            raise refused(observation, reason, error.retry_after) from error
 
     async def find_version(
-        self, accepted: tickets.AcceptedRequest
+        self, accepted: tickets.AcceptedRequest, observation: observer.Observation
     ) -> ids.SoftwareVersion | None:
         """Return the only version that may run a request; None: any.
 
@@ -188,7 +216,7 @@
         found = await self.services.origins.find(accepted.service, received.resumes)
         if found.version is None:
             reason = messages.RefusalReason.VERSION_UNKNOWN
-            raise refused(received, reason, exchange.RETRY_AFTER)
+            raise refused(observation, reason, exchange.RETRY_AFTER)
         log.info(
             "stream {} goes on at version {}: {}",
             received.resumes,
@@ -199,32 +227,64 @@
         return found.version
 
     def find_cell(
-        self, accepted: tickets.AcceptedRequest, version: ids.SoftwareVersion | None
+        self,
+        accepted: tickets.AcceptedRequest,
+        version: ids.SoftwareVersion | None,
+        observation: observer.Observation,
     ) -> ids.CellId:
         """Return the cell whose dispatcher handles a request; raises ProblemError."""
         received = accepted.call
         pool = self.spread.copy.current.pool(accepted.service)
         if pool is None:
             reason = messages.RefusalReason.NO_BACKEND_SERVER
-            raise refused(received, reason, exchange.RETRY_AFTER)
+            raise refused(observation, reason, exchange.RETRY_AFTER)
         if version is None:
             return self.spread.choose(pool, received.request_id).cell_id
         cell = self.spread.choose_of_version(pool, received.request_id, version)
         if cell is None:
             self.lost_versions += 1
             reason = messages.RefusalReason.VERSION_GONE
-            raise refused(received, reason, exchange.RETRY_AFTER)
+            raise refused(observation, reason, exchange.RETRY_AFTER)
         return cell.cell_id
 
 
 def refused(
-    received: call.Call, reason: messages.RefusalReason, retry_after: float
+    observation: observer.Observation,
+    reason: messages.RefusalReason,
+    retry_after: float,
 ) -> problem.ProblemError:
     """Log a request that is refused on arrival, and return its problem."""
+    observation.is_explained = True
     log.info(
-        "refused on arrival: {}, retry after {:.3f} s",
+        "refused on arrival: {}, retry after {:.3f} s, {}",
         reason.value,
         retry_after,
-        extra={"request": received.request_id, "final": True},
+        observation.description,
+        extra={"request": observation.request_id, "final": True},
     )
     return problem.not_run(reason, retry_after)
+
+
+def log_rejection(found: problem.Problem, observation: observer.Observation) -> None:
+    """Log why a request was turned away before it was accepted."""
+    log.info(
+        "{}: status {}, {}, {}",
+        found.outcome.value,
+        found.status,
+        found.reason or found.title,
+        observation.description,
+        extra={"request": observation.request_id, "final": True},
+    )
+
+
+def log_gone(observation: observer.Observation, now: ids.Instant) -> None:
+    """Log a request whose caller disconnected before it had its answer."""
+    log.info(
+        "caller gone after {:.3f} s: {}, {}",
+        now - observation.arrived,
+        "no slot granted"
+        if observation.waited is None
+        else f"waited {observation.waited:.3f} s",
+        observation.description,
+        extra={"request": observation.request_id},
+    )
--- a/src/tealcove/ingress/responses.py
+++ b/src/tealcove/ingress/responses.py
@@ -7,6 +7,7 @@
 import multidict
 from aiohttp import web
 
+from tealcove import ids
 from tealcove.entry import problem
 from tealcove.ingress import call, link
 
@@ -18,6 +19,10 @@
     def read(self, request: web.BaseRequest, body: bytes) -> call.Call:
         """Decode a caller's request; raises call.UnreadableError."""
 
+    @abc.abstractmethod
+    def request_id(self, request: web.BaseRequest) -> ids.RequestId:
+        """Return the id of a caller's request, or "" if it has none."""
+
     @abc.abstractmethod
     def respond(self, found: problem.Problem) -> web.Response:
         """Return the response for a problem."""
--- a/src/tealcove/ingress/stream.py
+++ b/src/tealcove/ingress/stream.py
@@ -17,6 +17,19 @@
         # Started at the first event, with the head from the server that sent it.
         self.response: web.StreamResponse | None = None
         self.first_event_at: ids.Instant | None = None
+        # Since when the caller waits for its next event; None before the first one and
+        # while the caller itself is written to.
+        self.paused_at: ids.Instant | None = None
+        # Seconds of the longest such wait.
+        self.longest_pause = 0.0
+
+    def end_pause(self, now: ids.Instant) -> None:
+        """Note that an event arrived; costs a comparison, since it runs per chunk."""
+        if self.paused_at is not None:
+            pause = now - self.paused_at
+            if pause > self.longest_pause:
+                self.longest_pause = pause
+            self.paused_at = None
 
     def check(self, completed: list[events.Event]) -> None:
         """Raise BackendError unless these are the next events."""
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -58,6 +58,11 @@
         """Return the account's name; empty for callers of public routes."""
         return ids.AccountId("") if self.account is None else self.account.name
 
+    @property
+    def description(self) -> str:
+        """Return its account and kind, for log lines."""
+        return describe(self.account_name, self.route)
+
     @property
     def is_repeatable(self) -> bool:
         """Return whether it may run again after a lost response."""
@@ -70,6 +75,13 @@
         return is_resumable and bool(self.call.last_event)
 
 
+def describe(account: ids.AccountId | None, route: declared.Route | None) -> str:
+    """Return an account and a kind of requests, as far as known, for log lines."""
+    if route is None:
+        return f"account {account or 'none'}, route unknown"
+    return f"account {account or 'none'}, route {route.name}, urgency {route.rank}"
+
+
 def new_ticket(
     accepted: AcceptedRequest,
     cell: ids.CellId,
--- a/src/tealcove/platform/callers.py
+++ b/src/tealcove/platform/callers.py
@@ -40,7 +40,7 @@
     def read(self, request: web.BaseRequest, body: bytes) -> call.Call:
         """See Codec."""
         headers = request.headers
-        request_id = headers.get(names.REQUEST_ID, "")
+        request_id = self.request_id(request)
         if not request_id:
             raise call.UnreadableError(f"Send the header {names.REQUEST_ID}.")
         target = request.raw_path
@@ -49,7 +49,7 @@
         deadline = read_number(headers.get(names.DEADLINE_MS), names.DEADLINE_MS)
         last = read_number(headers.get(names.LAST_EVENT_ID), names.LAST_EVENT_ID)
         return call.Call(
-            request_id=ids.RequestId(request_id),
+            request_id=request_id,
             method=request.method,
             target=target,
             host=headers.get("Host", ""),
@@ -64,6 +64,10 @@
             resumes=ids.RequestId(headers.get(names.RESUMES, "")) or None,
         )
 
+    def request_id(self, request: web.BaseRequest) -> ids.RequestId:
+        """See Codec."""
+        return ids.RequestId(request.headers.get(names.REQUEST_ID, ""))
+
     def respond(self, found: problem.Problem) -> web.Response:
         """See Codec.
 
