Refused callers get a return time from a plan, and go first if they keep it

Cause: Retry-After came from the drain time of one ticket. Returns promised before weren't counted, a caller that waited as told counted as late like any other, and nearly all of them were refused again.

Change: the admission policy keeps a plan for each tier in intervals of 0.1 s over 5 s: what arriving work leaves of the slots, or 0.05 of what higher tiers leave if that's more. A refusal reserves the first time that fits, accounts within their share first, up to return_share of the caller's remaining time; without one the caller is told the end of that period. The time is kept with the request's first attempt. A return from 0.05 s before to 1 s after it goes first in its tier and isn't refused for its goal. Streams without a server of their version and tickets refused for another reason than overload are told a time as before. The log line of a refusal has the forecast, the late share and the promised time.

--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -1,11 +1,12 @@
-"""Refuses requests that would miss their goal when nothing is left for late work."""
+"""Refuses requests that would miss their goal, and promises returns to callers."""
 
 from __future__ import annotations
 
 import math
 
 from tealcove import ids
-from tealcove.dispatch import admission, waitingline, waitingticket
+from tealcove.admission import counts, returnplan
+from tealcove.dispatch import admission, inflow, retry, waitingline, waitingticket
 
 # Part of the time to the latest start in time that the forecast must leave unused. It
 # covers arrivals between two forecasts of a long line and the spread of service times:
@@ -14,7 +15,30 @@
 
 
 class AdmitByGoal(admission.Admission):
-    """Refuses a ticket that is forecast to miss its goal, unless late work fits."""
+    """Refuses a ticket that is forecast to miss its goal, unless late work fits.
+
+    `return_share` is the part of its remaining time that a caller waits as told.
+    """
+
+    def __init__(
+        self, return_share: float = 1 / 3, counted: counts.Counts | None = None
+    ) -> None:
+        self.return_share = return_share
+        self.counts = counts.Counts() if counted is None else counted
+        self.plan = returnplan.ReturnPlan()
+        # As of the last forecast.
+        self.slots = 0
+        self.arriving = inflow.Inflow()
+
+    def observe(self, slots: int, arriving: inflow.Inflow, now: ids.Instant) -> None:
+        """See Admission."""
+        self.slots = slots
+        self.arriving = arriving
+        self.plan.expire(now)
+
+    def record_arrival(self, waiting: waitingticket.Waiting, now: ids.Instant) -> None:
+        """See Admission."""
+        self.counts.kept += waiting.keeps_promise
 
     def is_refused(
         self,
@@ -26,17 +50,97 @@
         """See Admission."""
         if now + seconds > waiting.start_by:
             return True
-        if seconds <= 0.0 or not has_early_refusal(waiting):
+        if seconds <= 0.0 or waiting.keeps_promise or not has_early_refusal(waiting):
             return False
         if is_in_time(waiting, seconds, now):
             return False
         return now + late_seconds(seconds, late_share) > waiting.start_by
 
     def retry_after(
+        self,
+        waiting: waitingticket.Waiting,
+        seconds: float,
+        now: ids.Instant,
+        least: float = 0.0,
+    ) -> float:
+        """See Admission."""
+        if now + seconds <= waiting.start_by:
+            self.counts.refused_at_once += 1
+        period = self.return_share * caller_seconds(waiting, now)
+        if waiting.attempt is None or period <= 0.0:
+            return admission.BY_DEADLINE.retry_after(waiting, seconds, now, least)
+        drained = max(least, self.drain_seconds(waiting, seconds, now))
+        promised_at = self.promise(waiting, drained, period, now)
+        return period if promised_at is None else promised_at - now
+
+    def promise(
+        self,
+        waiting: waitingticket.Waiting,
+        seconds: float,
+        period: float,
+        now: ids.Instant,
+    ) -> ids.Instant | None:
+        """Return the time at which a refused caller is to return; None: not promised.
+
+        A caller that returned too early is told its time again.
+        """
+        latest = ids.Instant(
+            min(now + min(period, returnplan.HORIZON), waiting.start_by)
+        )
+        earliest = ids.Instant(now + max(retry.MIN_SECONDS, seconds))
+        known = waiting.attempt.promised_at
+        if known is not None and now < known <= latest:
+            return known
+        waiting.attempt.promised_at = self.plan.reserve(
+            waiting.flow.kind.tier,
+            waiting.slot_seconds,
+            self.return_slots(waiting.flow.kind.tier, now),
+            earliest,
+            latest,
+        )
+        self.counts.promised += waiting.attempt.promised_at is not None
+        return waiting.attempt.promised_at
+
+    def drain_seconds(
         self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
     ) -> float:
+        """Return the seconds until the tickets before a refused one have started.
+
+        Undoes the forecast's division by the share of the slots that arrivals leave,
+        since the plan divides the slots among returns by itself.
+        """
+        if not self.slots:
+            return seconds
+        tier = waiting.flow.kind.tier + waiting.misses_goal(seconds, now)
+        return seconds * waitingline.remaining_share(
+            tier, self.arriving, self.slots, now
+        )
+
+    def return_slots(self, tier: int, now: ids.Instant) -> float:
+        """Return the number of slots that returns of a tier may use."""
+        left_by_higher = max(0.0, self.slots - self.arriving.load_above(tier, now))
+        spare = self.slots - self.arriving.load_above(tier + 1, now)
+        return max(spare, returnplan.PROMISED_SHARE * left_by_higher)
+
+    def explain(
+        self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
+    ) -> str:
         """See Admission."""
-        return admission.BY_DEADLINE.retry_after(waiting, seconds, now)
+        tier = waiting.flow.kind.tier
+        load = self.arriving.load_above(tier + 1, now)
+        share = 1.0 - load / self.slots if self.slots else 0.0
+        at = None if waiting.attempt is None else waiting.attempt.promised_at
+        promised = "not promised" if at is None else f"promised in {at - now:.3f} s"
+        return (
+            f"start forecast in {seconds:.3f} s, goal in "
+            f"{waiting.goal_at - now:.3f} s, late share {share:.2f}, return {promised}"
+        )
+
+
+def caller_seconds(waiting: waitingticket.Waiting, now: ids.Instant) -> float:
+    """Return the seconds until a caller gives up; 0 if it hasn't stated them."""
+    stated = waiting.ticket.caller_remaining
+    return max(0.0, waiting.since + stated - now) if stated > 0.0 else 0.0
 
 
 def has_early_refusal(waiting: waitingticket.Waiting) -> bool:
--- a/src/tealcove/admission/tests/builders.py
+++ b/src/tealcove/admission/tests/builders.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import heapq
 import itertools
 import random
@@ -25,6 +24,8 @@
 REMAINING_SECONDS = 8.0
 RUN_SECONDS = 20.0
 TICK_SECONDS = 0.05
+# Part of its remaining time that a caller waits as told.
+RETURN_SHARE = 1 / 3
 SEEDS = (1, 2, 3)
 
 
@@ -68,7 +69,6 @@
         self.requests: list[Request] = []
         self.by_ticket: dict[ids.TicketId, Request] = {}
         self.sent_at: dict[ids.TicketId, float] = {}
-        self.grants = collections.Counter()
 
     def at(self, when: float, action: Callable[[float], None]) -> None:
         """Schedule an action, called with its time."""
@@ -159,7 +159,8 @@
         used = len(self.scheduler.views.server_by_ticket)
         request.had_free_slot |= used < SLOTS
         if len(request.refusals) <= self.returns:
-            wait = self.keeps(request, refusal.retry_after)
+            most = (request.arrived + REMAINING_SECONDS - now) * RETURN_SHARE
+            wait = self.keeps(request, min(most, refusal.retry_after))
             self.at(now + wait, lambda at: self.send(request, at))
 
     def in_time(self) -> int:
--- a/src/tealcove/dispatch/admission.py
+++ b/src/tealcove/dispatch/admission.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Iterable
 
 from tealcove import ids
-from tealcove.dispatch import retry, waitingticket
+from tealcove.dispatch import accountshares, inflow, retry, waitingticket
 
 
 class Admission(abc.ABC):
@@ -27,13 +28,32 @@
 
     @abc.abstractmethod
     def retry_after(
-        self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
+        self,
+        waiting: waitingticket.Waiting,
+        seconds: float,
+        now: ids.Instant,
+        least: float = 0.0,
     ) -> float:
         """Return the seconds after which the caller of a refused ticket may return.
 
-        `seconds` is the predicted time until it would have got a slot.
+        `seconds` is the predicted time until it would have got a slot, and `least` the
+        time until its account's use is within its share.
         """
 
+    def observe(self, slots: int, arriving: inflow.Inflow, now: ids.Instant) -> None:
+        """Record the number of slots and the arriving work, as of a forecast."""
+        return
+
+    def record_arrival(self, waiting: waitingticket.Waiting, now: ids.Instant) -> None:
+        """Record that a ticket has joined the line."""
+        return
+
+    def explain(
+        self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
+    ) -> str:
+        """Return what decided on a refused ticket, for its log line; may be empty."""
+        return ""
+
 
 class AdmitByDeadline(Admission):
     """Refuses a ticket only if it can't start before its latest useful start."""
@@ -49,10 +69,34 @@
         return now + seconds > waiting.start_by
 
     def retry_after(
-        self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
+        self,
+        waiting: waitingticket.Waiting,
+        seconds: float,
+        now: ids.Instant,
+        least: float = 0.0,
     ) -> float:
         """See Admission."""
-        return retry.wait_seconds(waiting.ticket.ticket_id, seconds)
+        return retry.wait_seconds(waiting.ticket.ticket_id, max(seconds, least))
 
 
 BY_DEADLINE = AdmitByDeadline()
+
+
+def in_fair_order(
+    refused: Iterable[tuple[waitingticket.Waiting, float]],
+    accounts: accountshares.AccountShares,
+    now: ids.Instant,
+) -> list[tuple[waitingticket.Waiting, float, float]]:
+    """Return refused tickets in the order in which their returns are planned.
+
+    Accounts within their share come first. Each ticket has the seconds until it would
+    have got a slot, and those until its account is within its share.
+    """
+    standings = [
+        (accounts.standing(waiting.ticket, now), waiting, seconds)
+        for waiting, seconds in refused
+    ]
+    standings.sort(key=lambda one: one[0].is_over)
+    return [
+        (waiting, seconds, standing.seconds) for standing, waiting, seconds in standings
+    ]
--- a/src/tealcove/dispatch/firstattempts.py
+++ b/src/tealcove/dispatch/firstattempts.py
@@ -11,6 +11,11 @@
 # deadline varies with network delays and is rounded to milliseconds. Two callers that
 # send the same content within that time are taken for one, and the later one for late.
 DEADLINE_TOLERANCE = 0.1
+# A return counts as kept from EARLY_SECONDS before to KEPT_SECONDS after its promised
+# time. Callers' clocks and their rounding vary by some hundredths; a caller that rounds
+# the time up to whole seconds is at most one late.
+EARLY_SECONDS = 0.05
+KEPT_SECONDS = 1.0
 # Upper bound on remembered attempts: 600 requests a second whose callers wait 15 s.
 MAX_REMEMBERED = 9000
 
@@ -26,6 +31,14 @@
     ends_at: ids.Instant
     # When its caller wants the first event.
     goal_at: ids.Instant
+    # When its refused caller was told to return; None if nothing is promised.
+    promised_at: ids.Instant | None = None
+
+    def is_due(self, now: ids.Instant) -> bool:
+        """Tell whether its caller keeps the promised time by returning now."""
+        if self.promised_at is None:
+            return False
+        return -EARLY_SECONDS <= now - self.promised_at <= KEPT_SECONDS
 
 
 class FirstAttempts:
@@ -50,17 +63,28 @@
 
         `goal_at` is the goal of this ticket, recorded if it's the first attempt.
         """
-        if ticket.caller_remaining <= 0.0 or not ticket.digest:
+        if not is_recognisable(ticket):
+            return None
+        earlier = self.find(ticket, now)
+        if earlier is None:
+            self.add(content_of(ticket), Attempt(ends_at(ticket, now), goal_at))
+        return earlier
+
+    def find(self, ticket: messages.Ticket, now: ids.Instant) -> Attempt | None:
+        """Return the remembered attempt of a ticket's request, be it this ticket."""
+        if not is_recognisable(ticket):
             return None
-        content = (ticket.digest, ticket.prompt_tokens, ticket.output_tokens)
-        ends_at = ids.Instant(now - ticket.waited + ticket.caller_remaining)
-        for attempt in self.attempts.get(content, ()):
-            if abs(attempt.ends_at - ends_at) < DEADLINE_TOLERANCE:
+        end = ends_at(ticket, now)
+        for attempt in self.attempts.get(content_of(ticket), ()):
+            if abs(attempt.ends_at - end) < DEADLINE_TOLERANCE:
                 return attempt
+        return None
+
+    def add(self, content: Content, attempt: Attempt) -> None:
+        """Remember an attempt, unless there are too many."""
         if self.count < MAX_REMEMBERED:
-            self.attempts.setdefault(content, []).append(Attempt(ends_at, goal_at))
+            self.attempts.setdefault(content, []).append(attempt)
             self.count += 1
-        return None
 
     def expire(self, now: ids.Instant) -> None:
         """Remove the attempts whose callers have given up."""
@@ -71,3 +95,18 @@
                 self.attempts[content] = kept
             else:
                 del self.attempts[content]
+
+
+def is_recognisable(ticket: messages.Ticket) -> bool:
+    """Tell whether a retry of a ticket's request could be recognised."""
+    return ticket.caller_remaining > 0.0 and bool(ticket.digest)
+
+
+def content_of(ticket: messages.Ticket) -> Content:
+    """Return what is the same in each retry of a ticket's request."""
+    return (ticket.digest, ticket.prompt_tokens, ticket.output_tokens)
+
+
+def ends_at(ticket: messages.Ticket, now: ids.Instant) -> ids.Instant:
+    """Return when the caller of a ticket that arrives now gives up."""
+    return ids.Instant(now - ticket.waited + ticket.caller_remaining)
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -171,7 +171,8 @@
             reason = messages.RefusalReason.QUARANTINED
             wait = retry.wait_seconds(ticket.ticket_id, retry.MAX_SECONDS)
             return [self.refusal(ticket, reason, wait, now)]
-        self.line[ticket.ticket_id] = self.wait(ticket, now)
+        waiting = self.line[ticket.ticket_id] = self.wait(ticket, now)
+        self.admission.record_arrival(waiting, now)
         return [answer, *self.decide(now)]
 
     def wait(self, ticket: messages.Ticket, now: ids.Instant) -> waitingticket.Waiting:
@@ -202,6 +203,8 @@
             best_first=estimate.first,
             slot_seconds=slot_seconds,
             flow=flow,
+            attempt=earlier or self.attempts.find(ticket, now),
+            keeps_promise=earlier is not None and earlier.is_due(now),
         )
 
     def withdraw(
@@ -350,10 +353,15 @@
         """Refuse the tickets that are forecast to start too late."""
         outgoing = []
         for found in self.forecasts(now):
-            for waiting, seconds in found.too_late:
+            is_overload = found.reason is messages.RefusalReason.OVERLOAD
+            policy = self.admission if is_overload else admission.BY_DEADLINE
+            refused = admission.in_fair_order(found.too_late, self.accounts, now)
+            for waiting, seconds, least in refused:
                 del self.line[waiting.ticket.ticket_id]
-                wait = self.admission.retry_after(waiting, seconds, now)
-                outgoing.append(self.refusal(waiting.ticket, found.reason, wait, now))
+                wait = policy.retry_after(waiting, seconds, now, least)
+                cause = policy.explain(waiting, seconds, now)
+                ticket = waiting.ticket
+                outgoing.append(self.refusal(ticket, found.reason, wait, now, cause))
         return outgoing
 
     def forecasts(self, now: ids.Instant) -> list[waitingline.Forecast]:
@@ -486,17 +494,19 @@
         reason: messages.RefusalReason,
         wait: float,
         now: ids.Instant,
+        cause: str = "",
     ) -> scheduler.Outgoing:
         """Return the message that refuses a ticket for some seconds, and log it."""
         log.info(
             "refused: {}, tier {} urgency {}, {} waiting, {} running, "
-            "may return in {:.3f} s",
+            "may return in {:.3f} s{}",
             reason.value,
             ticket.tier_rank,
             ticket.urgency,
             len(self.line),
             len(self.views.server_by_ticket),
             wait,
+            f": {cause}" if cause else "",
             extra={"request": ticket.request_id, "final": True},
         )
         refusal = messages.Refusal(
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -31,6 +31,8 @@
 # Upper bound on the share of the slots that a forecast reserves for future arrivals:
 # the estimates of speeds and arrivals are never exact enough to leave no slot at all.
 MAX_ARRIVAL_SHARE = 0.9
+# The score of a return that keeps its promised time, below any service level.
+PROMISED_SCORE = -1.0
 
 
 class SortKey(msgspec.Struct, frozen=True, order=True):
@@ -65,10 +67,13 @@
 
     Late tickets sort after those of their tier that can still meet their goal: under
     overload, ordering by deadline alone would make each ticket late in turn. Late
-    tickets are sorted by cost, since more short ones can be served.
+    tickets are sorted by cost, since more short ones can be served. Returns that keep
+    their promised time go first in their tier; the plan of returns bounds their number.
     """
     flow = waiting.flow
     tier = flow.kind.tier
+    if waiting.keeps_promise:
+        return SortKey(tier, not is_bound, False, PROMISED_SCORE, waiting.start_by)
     if waiting.is_late(now):
         cost = waiting.slot_seconds * (1 + flow.kind.urgency)
         return SortKey(tier, not is_bound, True, cost, waiting.start_by)
@@ -102,6 +107,8 @@
     if pause > 0.0:
         return forecast_of_unreachable(line, pause, is_bound, now)
     count = len(slots)
+    if not is_bound:
+        policy.observe(count, arriving, now)
     too_late = []
     for waiting in line:
         entry = waiting.ticket.entry
--- a/src/tealcove/dispatch/waitingticket.py
+++ b/src/tealcove/dispatch/waitingticket.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import messages, shares
+from tealcove.dispatch import firstattempts, messages, shares
 
 # Seconds after which callers are told to come back when no server is left, and for
 # which a ticket without a goal waits then.
@@ -33,6 +33,10 @@
     # Seconds for which it holds a slot, as a mean over the servers.
     slot_seconds: float
     flow: shares.Flow
+    # What is remembered of its request's first attempt; None if it can't be recognised.
+    attempt: firstattempts.Attempt | None = None
+    # Whether its caller was refused before, and returned at the time that it was told.
+    keeps_promise: bool = False
 
     def is_late(self, now: ids.Instant) -> bool:
         """Tell whether the goal can no longer be met."""
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,7 +17,8 @@
     stalls,
     tasks,
 )
-from tealcove.admission import policy as policy_of_goals
+from tealcove.admission import counts
+from tealcove.admission import policy as admission_policy
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
 from tealcove.front import addresses, factories, metrics, settings
@@ -73,6 +74,7 @@
         self.incarnation = ids.new_incarnation()
         self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
+        self.admission_counts = counts.Counts()
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
         self.runners: list[web.AppRunner] = []
@@ -176,9 +178,7 @@
             source=self.metrics,
             gather_seconds=GATHER_SECONDS,
             exposures=self.rollouts if found.rollouts.enabled else None,
-            new_admission=policy_of_goals.AdmitByGoal
-            if found.admission.enabled
-            else None,
+            new_admission=self.new_admission if found.admission.enabled else None,
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -216,6 +216,11 @@
             lambda: self.tickets.declined,
         )
 
+    def new_admission(self) -> admission_policy.AdmitByGoal:
+        """Return the admission of a cell that this instance begins to serve."""
+        share = self.settings.admission.return_share
+        return admission_policy.AdmitByGoal(share, self.admission_counts)
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
