Promised returns outlive the dispatcher that promised them

Cause: promises were known to their dispatcher alone. When it died, callers that came back as told were refused again by the next one.

Change: a refusal says whether slot time is reserved for the return (promised_seconds, last field of Refusal). The entry keeps it until a second after it is due, sends it at once to the instance next in rank, and sends what a dispatcher doesn't know ahead of the first ticket, on a change of members and when a dispatcher is silent. An instance that doesn't serve the cell yet keeps such returns until it does. A ticket that moves while it waits keeps its promise. Dispatchers that plan no returns ignore the message, and send none.

Ruled out: sending at a takeover alone. A caller may return at an entry that notices the death before the one that refused it, and the dispatcher's own process may be that one.

--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -6,7 +6,14 @@
 
 from tealcove import ids
 from tealcove.admission import counts, returnplan
-from tealcove.dispatch import admission, inflow, retry, waitingline, waitingticket
+from tealcove.dispatch import (
+    admission,
+    inflow,
+    messages,
+    retry,
+    waitingline,
+    waitingticket,
+)
 
 # Part of the time to the latest start in time that the forecast must leave unused. It
 # covers arrivals between two forecasts of a long line and the spread of service times:
@@ -122,6 +129,10 @@
         spare = self.slots - self.arriving.load_above(tier + 1, now)
         return max(spare, returnplan.PROMISED_SHARE * left_by_higher)
 
+    def restore(self, promised: messages.PromisedReturn, at: ids.Instant) -> None:
+        """See Admission."""
+        self.plan.add(promised.tier_rank, promised.slot_seconds, at)
+
     def explain(
         self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
     ) -> str:
--- a/src/tealcove/admission/tests/builders.py
+++ b/src/tealcove/admission/tests/builders.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tealcove import ids
+from tealcove.admission import keptreturns
 from tealcove.dispatch import goal, messages, scheduler
 from tealcove.dispatch.tests import builders
 
@@ -26,6 +27,8 @@
 TICK_SECONDS = 0.05
 # Part of its remaining time that a caller waits as told.
 RETURN_SHARE = 1 / 3
+# Seconds for which a new dispatcher gathers tickets.
+GATHER_SECONDS = 0.25
 SEEDS = (1, 2, 3)
 
 
@@ -41,6 +44,8 @@
     granted_at: float | None = None
     # For each refusal: when, the seconds since the attempt, and the time to return.
     refusals: list[tuple[float, float, float]] = []
+    # The time that its first refusal promised.
+    promised_at: float | None = None
     # Whether a refusal came while a slot was free.
     had_free_slot: bool = False
 
@@ -69,6 +74,9 @@
         self.requests: list[Request] = []
         self.by_ticket: dict[ids.TicketId, Request] = {}
         self.sent_at: dict[ids.TicketId, float] = {}
+        self.running: dict[ids.TicketId, messages.Grant] = {}
+        self.dispatcher: keptreturns.Holder = (ids.InstanceId("i-0"), None)
+        self.kept = keptreturns.KeptReturns()
 
     def at(self, when: float, action: Callable[[float], None]) -> None:
         """Schedule an action, called with its time."""
@@ -131,6 +139,7 @@
         """Run a granted request."""
         request = self.by_ticket[grant.ticket_id]
         request.granted_at = now
+        self.running[grant.ticket_id] = grant
         self.at(now + FIRST_SECONDS, lambda at: self.progress(request, grant, at))
         self.at(now + TOTAL_SECONDS, lambda at: self.done(grant, at))
 
@@ -146,6 +155,7 @@
 
     def done(self, grant: messages.Grant, now: float) -> None:
         """Report the end of a request."""
+        del self.running[grant.ticket_id]
         message = builders.done(
             grant, first_token_seconds=FIRST_SECONDS, total_seconds=TOTAL_SECONDS
         )
@@ -156,6 +166,12 @@
         request = self.by_ticket[refusal.ticket_id]
         waited = now - self.sent_at[refusal.ticket_id]
         request.refusals.append((now, waited, refusal.retry_after))
+        promised = keptreturns.promised_return(request.tickets[-1], refusal, waited)
+        if promised is not None:
+            if len(request.refusals) == 1:
+                request.promised_at = now + refusal.retry_after
+            instant = builders.instant(now)
+            self.kept.add(builders.CELL, promised, self.dispatcher, instant)
         used = len(self.scheduler.views.server_by_ticket)
         request.had_free_slot |= used < SLOTS
         if len(request.refusals) <= self.returns:
@@ -163,6 +179,32 @@
             wait = self.keeps(request, min(most, refusal.retry_after))
             self.at(now + wait, lambda at: self.send(request, at))
 
+    def replace(
+        self, found: goal.GoalScheduler, now: float, is_informed: bool = True
+    ) -> None:
+        """Let another dispatcher take over, which begins by gathering tickets.
+
+        `is_informed`: the entry sends it the promised returns.
+        """
+        instant = builders.instant(now)
+        line = list(self.scheduler.line.values())
+        self.scheduler = found
+        self.dispatcher = (ids.InstanceId("i-1"), None)
+        found.gather(ids.Instant(instant + GATHER_SECONDS))
+        returns = self.kept.hand_over(builders.CELL, self.dispatcher, instant)
+        found.restore_returns(returns if is_informed else (), instant)
+        for ticket_id, grant in self.running.items():
+            ticket = self.by_ticket[ticket_id].tickets[-1]
+            running = msgspec.structs.replace(ticket, running_on=grant.server)
+            self.apply(found.enqueue(running, instant), now)
+        for waiting in line:
+            ticket = waiting.ticket
+            waited = now - self.sent_at[ticket.ticket_id]
+            moved = msgspec.structs.replace(
+                ticket, waited=waited, remaining=ticket.remaining - waited
+            )
+            self.apply(found.enqueue(moved, instant), now)
+
     def in_time(self) -> int:
         """Return the number of requests whose first event met the goal."""
         return sum(request.is_in_time for request in self.requests)
--- a/src/tealcove/dispatch/admission.py
+++ b/src/tealcove/dispatch/admission.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from tealcove import ids
-from tealcove.dispatch import accountshares, inflow, retry, waitingticket
+from tealcove.dispatch import accountshares, inflow, messages, retry, waitingticket
 
 
 class Admission(abc.ABC):
@@ -48,6 +48,10 @@
         """Record that a ticket has joined the line."""
         return
 
+    def restore(self, promised: messages.PromisedReturn, at: ids.Instant) -> None:
+        """Record a return that another dispatcher has promised for an instant."""
+        return
+
     def explain(
         self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
     ) -> str:
--- /dev/null
+++ b/src/tealcove/dispatch/awaitedreturns.py
@@ -0,0 +1,51 @@
+"""Promised returns of cells that this instance doesn't serve, but may take over."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tealcove import ids
+from tealcove.dispatch import firstattempts, messages
+
+# Upper bound on the returns of one cell: 400 a second, each up to 5 s ahead.
+MAX_AWAITED = 2000
+
+
+class AwaitedReturn(msgspec.Struct, frozen=True):
+    """A return that another dispatcher promised, and when it is due here."""
+
+    promised: messages.PromisedReturn
+    received_at: ids.Instant
+
+    def is_over(self, now: ids.Instant) -> bool:
+        """Tell whether its caller can't keep the time any more."""
+        due = self.received_at + self.promised.due_in
+        return now > due + firstattempts.KEPT_SECONDS
+
+
+class AwaitedReturns:
+    """Awaited returns by cell."""
+
+    def __init__(self) -> None:
+        self.by_cell: dict[ids.CellId, list[AwaitedReturn]] = {}
+
+    def add(
+        self,
+        cell: ids.CellId,
+        returns: tuple[messages.PromisedReturn, ...],
+        now: ids.Instant,
+    ) -> None:
+        """Remember returns of a cell, and forget those that are over."""
+        kept = [one for one in self.by_cell.get(cell, ()) if not one.is_over(now)]
+        kept.extend(AwaitedReturn(one, now) for one in returns)
+        self.by_cell[cell] = kept[-MAX_AWAITED:]
+
+    def take(
+        self, cell: ids.CellId, now: ids.Instant
+    ) -> tuple[messages.PromisedReturn, ...]:
+        """Remove and return the returns of a cell, with their times from now."""
+        return tuple(
+            messages.shifted(one.promised, now - one.received_at)
+            for one in self.by_cell.pop(cell, ())
+            if not one.is_over(now)
+        )
--- a/src/tealcove/dispatch/firstattempts.py
+++ b/src/tealcove/dispatch/firstattempts.py
@@ -74,8 +74,11 @@
         """Return the remembered attempt of a ticket's request, be it this ticket."""
         if not is_recognisable(ticket):
             return None
-        end = ends_at(ticket, now)
-        for attempt in self.attempts.get(content_of(ticket), ()):
+        return self.find_ending(content_of(ticket), ends_at(ticket, now))
+
+    def find_ending(self, content: Content, end: ids.Instant) -> Attempt | None:
+        """Return the attempt of some content whose caller gives up at an instant."""
+        for attempt in self.attempts.get(content, ()):
             if abs(attempt.ends_at - end) < DEADLINE_TOLERANCE:
                 return attempt
         return None
@@ -86,6 +89,21 @@
             self.attempts.setdefault(content, []).append(attempt)
             self.count += 1
 
+    def restore(
+        self, promised: messages.PromisedReturn, now: ids.Instant
+    ) -> Attempt | None:
+        """Remember an attempt with its promised return; None if that is known."""
+        content = (promised.digest, promised.prompt_tokens, promised.output_tokens)
+        end = ids.Instant(now + promised.ends_in)
+        attempt = self.find_ending(content, end)
+        if attempt is None:
+            attempt = Attempt(end, ids.Instant(now + promised.goal_in))
+            self.add(content, attempt)
+        if attempt.promised_at is not None:
+            return None
+        attempt.promised_at = ids.Instant(now + promised.due_in)
+        return attempt
+
     def expire(self, now: ids.Instant) -> None:
         """Remove the attempts whose callers have given up."""
         for content, attempts in list(self.attempts.items()):
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -92,6 +92,15 @@
         """See Scheduler."""
         self.admission = policy
 
+    def restore_returns(
+        self, returns: tuple[messages.PromisedReturn, ...], now: ids.Instant
+    ) -> None:
+        """See Scheduler."""
+        for promised in returns:
+            attempt = self.attempts.restore(promised, now)
+            if attempt is not None:
+                self.admission.restore(promised, attempt.promised_at)
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -204,7 +213,7 @@
             slot_seconds=slot_seconds,
             flow=flow,
             attempt=earlier or self.attempts.find(ticket, now),
-            keeps_promise=earlier is not None and earlier.is_due(now),
+            keeps_promise=earlier is not None and earlier.is_due(now - ticket.waited),
         )
 
     def withdraw(
@@ -360,8 +369,15 @@
                 del self.line[waiting.ticket.ticket_id]
                 wait = policy.retry_after(waiting, seconds, now, least)
                 cause = policy.explain(waiting, seconds, now)
-                ticket = waiting.ticket
-                outgoing.append(self.refusal(ticket, found.reason, wait, now, cause))
+                refusal = self.refusal(
+                    waiting.ticket,
+                    found.reason,
+                    wait,
+                    now,
+                    cause,
+                    waiting.promised_seconds(now) if is_overload else 0.0,
+                )
+                outgoing.append(refusal)
         return outgoing
 
     def forecasts(self, now: ids.Instant) -> list[waitingline.Forecast]:
@@ -495,6 +511,7 @@
         wait: float,
         now: ids.Instant,
         cause: str = "",
+        promised: float = 0.0,
     ) -> scheduler.Outgoing:
         """Return the message that refuses a ticket for some seconds, and log it."""
         log.info(
@@ -513,6 +530,7 @@
             ticket_id=ticket.ticket_id,
             reason=reason,
             retry_after=wait,
+            promised_seconds=promised,
         )
         return scheduler.Outgoing(ticket.entry, refusal)
 
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -156,6 +156,44 @@
     reason: RefusalReason
     # Seconds after which a retry is worthwhile.
     retry_after: float
+    # Slot seconds reserved for its caller's return at that time; 0: none.
+    promised_seconds: float = 0.0
+
+
+class PromisedReturn(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A time at which a refused caller was told to return; times from the sending.
+
+    A new field must come last and have a default; see peers.message.Message.
+    """
+
+    # What is the same in each retry of the request.
+    digest: str
+    prompt_tokens: int
+    output_tokens: int
+    tier_rank: int
+    # For how long its slot is reserved.
+    slot_seconds: float
+    # Seconds until its caller gives up, until its goal, and until the promised time.
+    ends_in: float
+    goal_in: float
+    due_in: float
+
+
+class PromisedReturns(message.Message):
+    """Returns that another dispatcher of the cell has promised."""
+
+    cell: ids.CellId
+    returns: tuple[PromisedReturn, ...]
+
+
+def shifted(promised: PromisedReturn, seconds: float) -> PromisedReturn:
+    """Return a promised return with its times as of some seconds later."""
+    return msgspec.structs.replace(
+        promised,
+        ends_in=promised.ends_in - seconds,
+        goal_in=promised.goal_in - seconds,
+        due_in=promised.due_in - seconds,
+    )
 
 
 class Preempt(message.Message):
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from tealcove import clock, ids, tasks
-from tealcove.dispatch import cells, messages, pending, spread, statements
+from tealcove.dispatch import cells, messages, pending, promises, spread, statements
 from tealcove.membership import members, unresponsive
 from tealcove.peers import mesh, message
 from tealcove.storage import revisions
@@ -49,6 +49,7 @@
         self.stated = statements.Statements()
         # Called at the end of each dispatched request.
         self.listeners: list[Listener] = []
+        self.promises: promises.Promises = promises.NoPromises()
         self.refreshing: asyncio.Task[None] | None = None
         # Count of grants that were returned since their servers can't be used.
         self.declined = 0
@@ -124,6 +125,7 @@
             self.send(request, pending.withdrawal(request.ticket))
         loop = asyncio.get_running_loop()
         self.set_dispatcher(request, dispatcher)
+        self.promises.inform(request.ticket.cell, dispatcher, now)
         request.moved = loop.create_future()
         request.replied = loop.create_future()
         self.send(request, self.current(request, now))
@@ -211,6 +213,7 @@
         """
         now = clock.now()
         self.informed.clear()
+        self.promises.reassign(now)
         # Ranked once for each cell: ranking for each of hundreds of tickets would block
         # the event loop for as long as a caller may wait for a first token.
         first: dict[tuple[ids.CellId, ids.DataCentreId | None], list[ids.InstanceId]]
@@ -406,6 +409,7 @@
             and not request.answer.done()
         ):
             self.forget(request)
+            self.promises.record(request, refusal, clock.now())
             request.answer.set_result(refusal)
             request.set_replied()
 
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -11,6 +11,7 @@
 from tealcove.backends import engine
 from tealcove.dispatch import (
     admission,
+    awaitedreturns,
     backendview,
     cells,
     exposure,
@@ -91,6 +92,7 @@
         # The incarnation of each entry when it last sent a ticket.
         self.entries: dict[ids.InstanceId, ids.Incarnation] = {}
         self.held: dict[ids.CellId, servedcell.ServedCell] = {}
+        self.awaited = awaitedreturns.AwaitedReturns()
         self.has_cells = asyncio.Event()
         self.ticker: asyncio.Task[None] | None = None
         self.next_release = ids.Instant(clock.now() + RELEASE_INTERVAL)
@@ -104,6 +106,7 @@
         self.transport.handle(messages.StatementReport, self.handle_statement)
         self.transport.handle(messages.PathReport, self.handle_paths)
         self.transport.handle(holds.Hold, self.handle_hold)
+        self.transport.handle(messages.PromisedReturns, self.handle_promises)
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
 
@@ -192,6 +195,19 @@
             self.paths.record_reached(report.reached, report.server, at, now)
             self.send(held.scheduler.confirm_reachable(report.server, now))
 
+    def handle_promises(
+        self, sender: ids.InstanceId, sent: messages.PromisedReturns
+    ) -> None:
+        """Keep returns that another dispatcher has promised, if returns are planned."""
+        if self.new_admission is None:
+            return
+        now = clock.now()
+        held = self.held.get(sent.cell)
+        if held is None:
+            self.awaited.add(sent.cell, sent.returns, now)
+        else:
+            held.scheduler.restore_returns(sent.returns, now)
+
     def record_poll(
         self, server: ids.BackendServerId, is_reached: bool, now: ids.Instant
     ) -> None:
@@ -245,6 +261,8 @@
         held.scheduler.use_exposure(self.exposures.of_pool(cell.pool))
         if self.new_admission is not None:
             held.scheduler.use_admission(self.new_admission())
+            returns = self.awaited.take(cell.cell_id, now)
+            held.scheduler.restore_returns(returns, now)
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -77,6 +77,15 @@
         """
         return
 
+    def restore_returns(
+        self, returns: tuple[messages.PromisedReturn, ...], now: ids.Instant
+    ) -> None:
+        """Keep the returns that another dispatcher of the cell has promised.
+
+        A scheduler that promises none keeps this empty default.
+        """
+        return
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- a/src/tealcove/dispatch/waitingticket.py
+++ b/src/tealcove/dispatch/waitingticket.py
@@ -46,6 +46,13 @@
         """Tell whether the goal is missed by a start in so many seconds."""
         return now + seconds + self.best_first > self.goal_at
 
+    def promised_seconds(self, now: ids.Instant) -> float:
+        """Return the slot seconds reserved for its caller's return; 0: none."""
+        attempt = self.attempt
+        if attempt is None or attempt.promised_at is None or attempt.promised_at <= now:
+            return 0.0
+        return self.slot_seconds
+
     def latest_in_time(self) -> float:
         """Return the last instant at which a start meets the goal.
 
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,7 +17,7 @@
     stalls,
     tasks,
 )
-from tealcove.admission import counts
+from tealcove.admission import counts, entrypromises
 from tealcove.admission import policy as admission_policy
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
@@ -186,6 +186,8 @@
         self.tickets = requester.Requester(
             self.mesh, self.members, found.dispatch.ticket_timeout, self.spread
         )
+        if found.admission.enabled:
+            self.tickets.promises = entrypromises.EntryPromises(self.mesh, self.members)
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.record_end)
         self.origins = origins.OriginFinder(
