--- a/src/tealcove/dispatch/waitingticket.py
+++ b/src/tealcove/dispatch/waitingticket.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import messages, shares
+from tealcove.dispatch import firstattempts, messages, shares
 
 # Seconds after which callers are told to come back when no server is left, and for
 # which a ticket without a goal waits then.
@@ -33,6 +33,10 @@
     # Seconds for which it holds a slot, as a mean over the servers.
     slot_seconds: float
     flow: shares.Flow
+    # What is remembered of its request's first attempt; None if it can't be recognised.
+    attempt: firstattempts.Attempt | None = None
+    # Whether its caller was refused before, and returned at the time that it was told.
+    keeps_promise: bool = False
 
     def is_late(self, now: ids.Instant) -> bool:
         """Tell whether the goal can no longer be met."""
@@ -42,6 +46,13 @@
         """Tell whether the goal is missed by a start in so many seconds."""
         return now + seconds + self.best_first > self.goal_at
 
+    def promised_seconds(self, now: ids.Instant) -> float:
+        """Return the slot seconds reserved for its caller's return; 0: none."""
+        attempt = self.attempt
+        if attempt is None or attempt.promised_at is None or attempt.promised_at <= now:
+            return 0.0
+        return self.slot_seconds
+
     def latest_in_time(self) -> float:
         """Return the last instant at which a start meets the goal.
 
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -18,7 +18,8 @@
     tasks,
 )
 from tealcove.accounts import tallies
-from tealcove.admission import policy as policy_of_goals
+from tealcove.admission import counts, entrypromises
+from tealcove.admission import policy as admission_policy
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
 from tealcove.front import addresses, factories, metrics, settings
@@ -74,6 +75,7 @@
         self.incarnation = ids.new_incarnation()
         self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
+        self.admission_counts = counts.Counts()
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
         self.runners: list[web.AppRunner] = []
@@ -177,9 +179,7 @@
             source=self.metrics,
             gather_seconds=GATHER_SECONDS,
             exposures=self.rollouts if found.rollouts.enabled else None,
-            new_admission=policy_of_goals.AdmitByGoal
-            if found.admission.enabled
-            else None,
+            new_admission=self.new_admission if found.admission.enabled else None,
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -187,6 +187,8 @@
         self.tickets = requester.Requester(
             self.mesh, self.members, found.dispatch.ticket_timeout, self.spread
         )
+        if found.admission.enabled:
+            self.tickets.promises = entrypromises.EntryPromises(self.mesh, self.members)
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.record_end)
         self.origins = origins.OriginFinder(
@@ -217,6 +219,11 @@
             lambda: self.tickets.declined,
         )
 
+    def new_admission(self) -> admission_policy.AdmitByGoal:
+        """Return the admission of a cell that this instance begins to serve."""
+        share = self.settings.admission.return_share
+        return admission_policy.AdmitByGoal(share, self.admission_counts)
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
