The goal scheduler shares its slots among accounts

Cause: queue order ignores accounts, so that the account with the highest demand gets the most service.

A ticket over its share has a fixed addition to its service level and goes behind the others of its flow, and late ones behind late ones of other accounts. Accounts that are over are ordered by their excess. The wait of a refusal is at least the time until the account is within its share. BackendViews counts starts and releases. Without use_accounts nothing changes.

--- a/src/tealcove/dispatch/accountshares.py
+++ b/src/tealcove/dispatch/accountshares.py
@@ -3,25 +3,59 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable
 
 import msgspec
 
 from tealcove import ids
 from tealcove.dispatch import messages
+from tealcove.limits import limit
+
+# The weight of an account without a limit.
+DEFAULT_WEIGHT = 1.0
+
+FindLimit = Callable[[ids.AccountId], limit.Limit | None]
+# Returns the slots that can serve requests at an instant.
+CountSlots = Callable[[ids.Instant], float]
 
 
 class Standing(msgspec.Struct, frozen=True):
     """How an account's use of slots compares with its part of them."""
 
-    # Whether it uses more than its part while others need theirs.
-    is_over: bool = False
+    # Its use in relation to its part, if it uses more while others need theirs; else 0.
+    excess: float = 0.0
     # Seconds until its use is expected to be within its part again.
     seconds: float = 0.0
 
+    @property
+    def is_over(self) -> bool:
+        """Whether it uses more than its part while others need theirs."""
+        return self.excess > 0.0
+
 
 WITHIN = Standing()
 
 
+class AccountWeights(abc.ABC):
+    """The weights by which client accounts share slots."""
+
+    @abc.abstractmethod
+    def weight(self, account: ids.AccountId) -> float:
+        """Return the weight of an account; above 0."""
+
+
+class LimitWeights(AccountWeights):
+    """Weights equal to the rates of the accounts' limits in force."""
+
+    def __init__(self, find_limit: FindLimit) -> None:
+        self.find_limit = find_limit
+
+    def weight(self, account: ids.AccountId) -> float:
+        """See AccountWeights."""
+        found = self.find_limit(account)
+        return DEFAULT_WEIGHT if found is None or found.rate <= 0.0 else found.rate
+
+
 class AccountShares(abc.ABC):
     """Measures the demand and use of client accounts of one service."""
 
@@ -35,6 +69,18 @@
     def standing(self, ticket: messages.Ticket, now: ids.Instant) -> Standing:
         """Return the standing of a ticket's account in the ticket's tier."""
 
+    @abc.abstractmethod
+    def record_start(self, ticket: messages.Ticket) -> None:
+        """Count a slot that a ticket holds from now on."""
+
+    @abc.abstractmethod
+    def record_release(self, ticket: messages.Ticket) -> None:
+        """Stop counting the slot of a ticket, whatever the reason."""
+
+    @abc.abstractmethod
+    def use_capacity(self, count_slots: CountSlots) -> None:
+        """Set how the slots to be shared are counted."""
+
 
 class NoAccountShares(AccountShares):
     """Treats all accounts alike, whatever they use."""
@@ -47,3 +93,12 @@
     def standing(self, ticket: messages.Ticket, now: ids.Instant) -> Standing:
         """See AccountShares."""
         return WITHIN
+
+    def record_start(self, ticket: messages.Ticket) -> None:
+        """See AccountShares."""
+
+    def record_release(self, ticket: messages.Ticket) -> None:
+        """See AccountShares."""
+
+    def use_capacity(self, count_slots: CountSlots) -> None:
+        """See AccountShares."""
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -9,7 +9,14 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import backendview, cells, messages, prefill, scheduler
+from tealcove.dispatch import (
+    accountshares,
+    backendview,
+    cells,
+    messages,
+    prefill,
+    scheduler,
+)
 from tealcove.resources import kinds
 
 log = logbook.Logger("dispatch")
@@ -37,6 +44,22 @@
         self.server_by_ticket: dict[ids.TicketId, backendview.BackendView] = {}
         # The software versions of the listed servers.
         self.versions: frozenset[ids.SoftwareVersion] = frozenset()
+        self.accounts: accountshares.AccountShares = accountshares.NoAccountShares()
+
+    def use_accounts(self, accounts: accountshares.AccountShares) -> None:
+        """Set who is told which account holds how many slots."""
+        self.accounts = accounts
+        accounts.use_capacity(self.count_slots)
+
+    def count_slots(self, now: ids.Instant) -> float:
+        """Return the slots of the servers that requests are sent to now."""
+        return float(
+            sum(
+                server.open_slots(now)
+                for server in self.servers.values()
+                if server.is_serving and not server.pause.is_active(now)
+            )
+        )
 
     def configure(self, cell: cells.Cell, now: ids.Instant) -> None:
         """Apply a new list of servers, and drop the runs on removed ones."""
@@ -64,8 +87,9 @@
 
     def remove(self, name: ids.BackendServerId) -> None:
         """Remove a server with all its runs."""
-        for ticket_id in self.servers.pop(name).runs:
+        for ticket_id, run in self.servers.pop(name).runs.items():
             del self.server_by_ticket[ticket_id]
+            self.accounts.record_release(run.ticket)
 
     def create_view(
         self, spec: kinds.BackendServerSpec, now: ids.Instant
@@ -144,6 +168,7 @@
     ) -> backendview.Run:
         """Give a slot to a ticket."""
         self.server_by_ticket[ticket.ticket_id] = server
+        self.accounts.record_start(ticket)
         return server.start(ticket, now)
 
     def adopt(self, ticket: messages.Ticket, now: ids.Instant) -> None:
@@ -173,6 +198,7 @@
         if server is None:
             return None
         run = server.runs.pop(ticket_id)
+        self.accounts.record_release(run.ticket)
         if not is_answered:
             server.abandon(run)
         return server, run
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -87,6 +87,7 @@
     def use_accounts(self, accounts: accountshares.AccountShares) -> None:
         """See Scheduler."""
         self.accounts = accounts
+        self.views.use_accounts(accounts)
 
     def use_admission(self, policy: admission.Admission) -> None:
         """See Scheduler."""
@@ -342,7 +343,11 @@
         return sorted(
             self.line.values(),
             key=lambda w: waitingline.sort_key(
-                w, levels, self.views.is_bound(w.ticket), now
+                w,
+                levels,
+                self.views.is_bound(w.ticket),
+                now,
+                self.accounts.standing(w.ticket, now).excess,
             ),
         )
 
@@ -352,7 +357,8 @@
         for found in self.forecasts(now):
             for waiting, seconds in found.too_late:
                 del self.line[waiting.ticket.ticket_id]
-                wait = self.admission.retry_after(waiting, seconds, now)
+                turn = self.accounts.standing(waiting.ticket, now).seconds
+                wait = self.admission.retry_after(waiting, max(seconds, turn), now)
                 outgoing.append(self.refusal(waiting.ticket, found.reason, wait, now))
         return outgoing
 
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -31,6 +31,10 @@
 # Upper bound on the share of the slots that a forecast reserves for future arrivals:
 # the estimates of speeds and arrivals are never exact enough to leave no slot at all.
 MAX_ARRIVAL_SHARE = 0.9
+# Added to the service level of a ticket whose account is over its fair share, so that
+# it goes after the others of its flow. It then has the level of the next less urgent
+# kind that is served entirely: it yields to that one, but not to all kinds.
+OVER_SHARE_OFFSET = 1.0 / (1.0 - shares.YIELDED_SHARE) - 1.0
 
 
 class SortKey(msgspec.Struct, frozen=True, order=True):
@@ -40,8 +44,10 @@
     # Streams that can go on at one version only go first: they can't wait elsewhere.
     is_unbound: bool
     is_late: bool
-    # The flow's service level; for a late ticket, its cost in slot time.
-    score: float
+    # The flow's service level; for a late ticket, its account's excess.
+    first: float
+    # The account's excess; for a late ticket, its cost in slot time.
+    second: float
     # The goal; for a late ticket, the latest start.
     at: float
 
@@ -60,9 +66,13 @@
     levels: Mapping[shares.Flow, float],
     is_bound: bool,
     now: ids.Instant,
+    excess: float = 0.0,
 ) -> SortKey:
     """Return the sort key of a ticket; `is_bound`: only some servers may run it.
 
+    `excess`: the account's use in relation to its fair share if it's over that, else 0.
+    Accounts that are over are ordered by it: under overload, all large ones often are.
+
     Late tickets sort after those of their tier that can still meet their goal: under
     overload, ordering by deadline alone would make each ticket late in turn. Late
     tickets are sorted by cost, since more short ones can be served.
@@ -71,9 +81,9 @@
     tier = flow.kind.tier
     if waiting.is_late(now):
         cost = waiting.slot_seconds * (1 + flow.kind.urgency)
-        return SortKey(tier, not is_bound, True, cost, waiting.start_by)
-    level = levels.get(flow, 0.0)
-    return SortKey(tier, not is_bound, False, level, waiting.goal_at)
+        return SortKey(tier, not is_bound, True, excess, cost, waiting.start_by)
+    level = levels.get(flow, 0.0) + (OVER_SHARE_OFFSET if excess else 0.0)
+    return SortKey(tier, not is_bound, False, level, excess, waiting.goal_at)
 
 
 def forecast(
