--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -87,6 +87,7 @@
     def use_accounts(self, accounts: accountshares.AccountShares) -> None:
         """See Scheduler."""
         self.accounts = accounts
+        self.views.use_accounts(accounts)
 
     def use_admission(self, policy: admission.Admission) -> None:
         """See Scheduler."""
@@ -354,7 +355,11 @@
         return sorted(
             self.line.values(),
             key=lambda w: waitingline.sort_key(
-                w, levels, self.views.is_bound(w.ticket), now
+                w,
+                levels,
+                self.views.is_bound(w.ticket),
+                now,
+                self.accounts.standing(w.ticket, now).excess,
             ),
         )
 
