Callers are distributed by what each instance can carry

Cause: all serving instances of a data centre were advertised alike, whatever their machines and their load. An instance with half a core got as many callers as one with two.

Change: a slice `instances` measures event loop delay, memory, descriptors and traffic as fractions of what the machine has. Heartbeats carry capacity and headroom, last, with defaults; a changed headroom ranks and notifies nothing. The directory gives each caller two or three instances by weighted rendezvous hashing over its IP number. All behind `instance_load.enabled`, off by default.

The headroom falls in proportion once a second above 0.75 and rises by a tenth a second at most, if the load that is expected then is bearable; the threshold moves towards 0.9 as the peers' headroom falls. Ruled out, in simulations of 24 instances and 500 callers: raising by the present load alone (139 changes in 60 s at a demand of 0.65, without end); headroom 0 for an overloaded instance (at a demand of 0.7 all became overloaded in turn); a fixed threshold (at 0.7 all ended at the least headroom, some refusing).

At 0.8, 6 to 7% of requests are refused by all three addresses, and all headrooms are at the least: not good, and not solved.

The list of new fields in the test of older heartbeats got the two fields.

--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -23,9 +23,10 @@
     PLATFORM_DOWN = "platform_down"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
-    # Decided by entries only, since an older instance doesn't know these two.
+    # Decided by entries only, since an older instance doesn't know these.
     VERSION_UNKNOWN = "version_unknown"
     VERSION_GONE = "version_gone"
+    INSTANCE_OVERLOADED = "instance_overloaded"
 
 
 class Outcome(enum.Enum):
--- a/src/tealcove/front/factories.py
+++ b/src/tealcove/front/factories.py
@@ -12,6 +12,7 @@
 from tealcove.catalog import copies, follower, serverlist
 from tealcove.front import settings
 from tealcove.ingress import budget
+from tealcove.instances import capacity, measurement
 from tealcove.membership import heartbeats, members, messages
 from tealcove.peers import endpoint, mesh
 from tealcove.platform import names, store, storeadapter
@@ -32,6 +33,7 @@
 # Seconds for which changes of backend servers are collected: when dozens start within
 # seconds, each follower would otherwise make one call for each of them.
 GATHER_SECONDS = 0.25
+BYTES_IN_MB = 1_000_000
 # Timeout in seconds for connecting to the store: hundreds of times the usual duration,
 # and less than the pause between two attempts while the store fails.
 CONNECT_SECONDS = 0.5
@@ -78,6 +80,26 @@
     return math.floor(math.log2(found.machine.link_mbps / SLOWEST_MBPS))
 
 
+def capacity_of(found: settings.FrontSettings) -> int:
+    """Return the capacity that heartbeats state; 0 if it isn't used."""
+    machine = found.machine
+    if not found.instance_load.enabled:
+        return 0
+    return capacity.of_machine(
+        machine.cores * machine.share / WEAKEST_CORES, machine.link_mbps / SLOWEST_MBPS
+    )
+
+
+def machine_limits(found: settings.FrontSettings) -> measurement.Limits:
+    """Return what the load of this instance is compared with."""
+    machine = found.machine
+    return measurement.Limits(
+        link_bytes_per_second=machine.link_bytes_per_second,
+        memory_bytes=machine.memory_mb * BYTES_IN_MB,
+        descriptors=machine.descriptors,
+    )
+
+
 def initial_heartbeat(
     found: settings.FrontSettings, transport: mesh.Mesh, incarnation: ids.Incarnation
 ) -> messages.Heartbeat:
@@ -96,6 +118,7 @@
         strength=processor_class_of(found),
         link_class=link_class_of(found),
         relay_port=found.listen.relay_port,
+        capacity=capacity_of(found),
     )
 
 
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -19,8 +19,10 @@
 )
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
-from tealcove.front import addresses, factories, metrics, settings
+from tealcove.front import addresses, factories, loadmetrics, metrics, settings
 from tealcove.ingress import budget, exchange, hanging, http, tickets
+from tealcove.instances import figures, unread
+from tealcove.instances import role as instance_load
 from tealcove.limits import central, limit
 from tealcove.membership import members, messages
 from tealcove.origins import keeping
@@ -72,6 +74,8 @@
         self.incarnation = ids.new_incarnation()
         self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
+        # The load of this instance; None if callers aren't distributed by it.
+        self.load: instance_load.InstanceLoad | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
         self.runners: list[web.AppRunner] = []
@@ -84,6 +88,7 @@
         self.start_dispatcher()
         await self.start_link()
         await self.start_ingress()
+        self.start_load()
         await self.start_directory()
         await self.start_metrics()
         await self.start_admin()
@@ -271,11 +276,37 @@
                 await factories.listen_for_relays(found, self.relay.routes())
             )
 
+    def start_load(self) -> None:
+        """Start to measure this instance's load, if callers are distributed by it."""
+        found = self.settings
+        if not found.instance_load.enabled:
+            return
+        answers = unread.UnreadAnswers(lambda: self.listeners[0].open)
+        self.load = instance_load.InstanceLoad(
+            self.members,
+            figures.ProcessSource(answers.size, self.traffic),
+            factories.machine_limits(found),
+            answers,
+            clock.now(),
+        )
+        self.ingress.protection = self.load.protection
+        loadmetrics.add(self.metrics, self.load)
+        self.load.start()
+
+    def traffic(self) -> figures.Traffic:
+        """Return the bytes that callers, backend servers and peers sent and got."""
+        bodies = self.ingress.services.traffic
+        return figures.Traffic(
+            bodies.sent + self.mesh.sent_bytes,
+            bodies.received + self.mesh.received_bytes,
+        )
+
     async def start_directory(self) -> None:
         """Listen for queries of the directory and of readiness."""
         found = self.settings
         self.directory = directory.Directory(
-            addresses.MemberAddresses(self.members), found.leaving.directory_ttl_seconds
+            addresses.MemberAddresses(self.members, found.instance_load.enabled),
+            found.leaving.directory_ttl_seconds,
         )
         await self.serve(found.listen.directory, self.directory.routes())
         await self.serve(found.listen.ready, self.directory.ready_routes())
@@ -363,6 +394,9 @@
             strength=factories.processor_class_of(found),
             link_class=factories.link_class_of(found),
         )
+        if self.load is not None:
+            limits = factories.machine_limits(found)
+            self.load.reconfigure(factories.capacity_of(found), limits)
         self.directory.ttl_seconds = found.leaving.directory_ttl_seconds
         log.info("settings reloaded: {}", "changed" if before != found else "alike")
 
@@ -413,6 +447,8 @@
     async def stop(self) -> None:
         """End all tasks and close all sockets."""
         await tasks.stop(self.tasks)
+        if self.load is not None:
+            await self.load.stop()
         for listening in self.listeners:
             await listening.stop()
         for runner in self.runners:
--- /dev/null
+++ b/src/tealcove/front/loadmetrics.py
@@ -0,0 +1,31 @@
+"""The metrics of this instance's load."""
+
+from __future__ import annotations
+
+from tealcove.front import metrics
+from tealcove.instances import role
+
+
+def add(registry: metrics.Registry, load: role.InstanceLoad) -> None:
+    """Register the load's gauges and counters."""
+    for name in ("delay", "memory", "descriptors", "link"):
+        registry.add_observable_gauge(
+            f"tealcove.load.{name}",
+            f"Used fraction of what the machine has: {name}.",
+            lambda name=name: getattr(load.load, name),
+        )
+    registry.add_observable_gauge(
+        "tealcove.load.headroom",
+        "Part of this instance's capacity that callers are told of, in hundredths.",
+        lambda: load.headroom.value,
+    )
+    registry.add_observable_counter(
+        "tealcove.requests.instance_overloaded",
+        "Requests refused to callers since this instance is overloaded.",
+        lambda: load.protection.refused,
+    )
+    registry.add_observable_counter(
+        "tealcove.answers.unread",
+        "Connections ended since their callers didn't read while memory was scarce.",
+        lambda: load.answers.ended,
+    )
--- a/src/tealcove/front/metrics.py
+++ b/src/tealcove/front/metrics.py
@@ -64,6 +64,8 @@
         self.histograms: list[Histogram] = []
         # Counters read by callback at each scrape: name, description, callback.
         self.observable_counters: list[tuple[str, str, Callable[[], float]]] = []
+        # Gauges likewise.
+        self.observable_gauges: list[tuple[str, str, Callable[[], float]]] = []
 
     def counter(self, name: str, description: str) -> Counter:
         """See Source."""
@@ -81,6 +83,12 @@
         """Add a monotonic counter whose value is read by callback at each scrape."""
         self.observable_counters.append((name, description, read))
 
+    def add_observable_gauge(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Add a value that may fall, read by callback at each scrape."""
+        self.observable_gauges.append((name, description, read))
+
     def metrics_text(self) -> bytes:
         """See MetricsExporter."""
         # Imported here to shorten the start: few instances are scraped before they
@@ -97,6 +105,8 @@
 
         for name, description, read in self.observable_counters:
             yield core.CounterMetricFamily(exposed_name(name), description, read())
+        for name, description, read in self.observable_gauges:
+            yield core.GaugeMetricFamily(exposed_name(name), description, read())
         for counter in self.counters:
             family = core.CounterMetricFamily(
                 exposed_name(counter.name), counter.description
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -27,6 +27,7 @@
     tickets,
 )
 from tealcove.ingress import report as reporting
+from tealcove.instances import figures
 from tealcove.origins import role as origins
 from tealcove.quarantine import role as quarantine_role
 
@@ -46,6 +47,8 @@
 MIN_SILENCE = 0.4
 # Size limit in bytes of a response that is buffered before it is forwarded.
 MAX_BODY_BYTES = 8 * 2**20
+# Bytes of the headers of a request and of its response, for the estimate of traffic.
+HEADERS_BYTES = 1000
 HTTP_REDIRECTION = 300
 HTTP_SERVER_ERROR = 500
 
@@ -64,6 +67,8 @@
     streams: hanging.HangingStreams
     origins: origins.OriginFinder
     quarantine: quarantine_role.Quarantine
+    # Counts the bodies that are passed on in either direction.
+    traffic: figures.Traffic = msgspec.field(default_factory=figures.Traffic)
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -316,6 +321,7 @@
             self.retries.record_sending(clock.now())
             self.sent += 1
             self.runs += 1
+            self.services.traffic.forward(len(accepted.call.body) + HEADERS_BYTES)
             self.log_decision(
                 "dispatched to {} of version {} (run {}, route {}), first event "
                 "expected in {:.3f} s",
@@ -336,6 +342,7 @@
                     with self.services.streams.watched(watched):
                         return await self.relay_stream(head, parts, report, watched)
                 body = await read_body(server, parts)
+                self.services.traffic.forward(len(body))
         except TimeoutError:
             raise failures.silent(server) from None
         return self.finish_response(BufferedResponse(head, body), server)
@@ -371,6 +378,7 @@
         """Forward a stream event by event; raises BackendError when it breaks."""
         splitter = events.Splitter()
         async for part in parts:
+            self.services.traffic.forward(len(part))
             completed = splitter.feed(part)
             if not completed:
                 continue
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -19,6 +19,7 @@
     responses,
     tickets,
 )
+from tealcove.instances import protection
 from tealcove.limits import admission, central
 from tealcove.quarantine import role as quarantine_role
 from tealcove.storage import revisions
@@ -56,6 +57,8 @@
         self.is_leaving = False
         # Set when it refuses all new requests.
         self.is_closed = False
+        # Refuses new requests while this instance is overloaded; None: never.
+        self.protection: protection.Protection | None = None
         # Count of streams whose software version has no server left.
         self.lost_versions = 0
 
@@ -97,6 +100,10 @@
         received = await self.receive(request)
         if self.is_closed:
             raise refused(received, messages.RefusalReason.LEAVING, LEAVING_RETRY)
+        if self.protection is not None and self.protection.is_overloaded:
+            reason = messages.RefusalReason.INSTANCE_OVERLOADED
+            wait = self.protection.retry_after(received.request_id)
+            raise refused(received, reason, wait)
         accepted = acceptance.accept(received, self.configuration.current, arrived)
         observation.route = accepted.route.name
         if self.quarantine.has_quarantined(accepted.digest, received.parts, arrived):
--- /dev/null
+++ b/src/tealcove/instances/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measured load and the decisions by it."""
--- /dev/null
+++ b/src/tealcove/instances/tests/test_headroom.py
@@ -0,0 +1,178 @@
+"""Headroom by load, in steps and without oscillation."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import random
+
+from tealcove import ids
+from tealcove.instances import capacity, headroom, protection
+from tealcove.instances.tests import builders
+from tealcove.membership import ranking
+
+SAMPLE = 0.1
+
+
+def follow(found: headroom.Headroom, load: float, start: float, end: float) -> int:
+    """Apply a constant load for some time."""
+    now = start
+    while now < end:
+        found.update(load, False, builders.instant(now))
+        now += SAMPLE
+    return found.value
+
+
+def test_load_up_to_the_threshold_takes_no_headroom() -> None:
+    found = headroom.Headroom(builders.instant(0.0))
+    assert follow(found, headroom.HIGH_LOAD, 0.0, 20.0) == headroom.WHOLE
+
+
+def test_high_load_takes_headroom_in_steps() -> None:
+    """Guards against an instance that is known to be loaded only when it refuses."""
+    found = headroom.Headroom(builders.instant(0.0))
+    value = found.update(0.88, False, builders.instant(0.1))
+    assert value == 80
+    assert value % headroom.STEP == 0
+
+
+def test_an_overload_takes_headroom_at_once() -> None:
+    """Guards against callers that are sent where they are refused."""
+    found = headroom.Headroom(builders.instant(0.0))
+    assert found.update(0.8, False, builders.instant(0.1)) == 90
+    assert found.update(1.4, True, builders.instant(0.2)) == 40
+    assert found.update(1.4, True, builders.instant(0.3)) == 40
+    # While requests are refused the headroom doesn't rise.
+    assert found.update(0.85, True, builders.instant(1.4)) == 30
+
+
+def test_headroom_recovers_by_a_tenth_a_second() -> None:
+    """Guards against the return of all callers at once after an overload."""
+    found = headroom.Headroom(builders.instant(0.0))
+    found.update(9.0, True, builders.instant(0.0))
+    changes = [(0.0, headroom.LEAST)]
+    for number in range(1, 200):
+        at = number * SAMPLE
+        value = found.update(0.0, False, builders.instant(at))
+        if value != changes[-1][1]:
+            changes.append((at, value))
+    pairs = list(itertools.pairwise(changes))
+    assert all(b[0] - a[0] >= 1.0 - SAMPLE / 2 for a, b in pairs)
+    assert all(b[1] - a[1] == headroom.STEP for a, b in pairs)
+    assert changes[-1][1] == headroom.WHOLE
+
+
+def test_load_that_does_not_fall_with_callers_ends_the_reduction() -> None:
+    """Guards against an instance that stays idle since its memory doesn't shrink.
+
+    The resident memory of a process seldom falls after a peak. At the least headroom,
+    a rise to the next step would double the load, were it proportional to callers.
+    """
+    found = headroom.Headroom(builders.instant(0.0))
+    follow(found, 2.0, 0.0, 5.0)
+    assert found.value == headroom.LEAST
+    assert follow(found, 0.7, 5.0, 120.0) == headroom.WHOLE
+
+
+def test_memory_that_stays_high_keeps_the_least_headroom() -> None:
+    found = headroom.Headroom(builders.instant(0.0))
+    assert follow(found, 0.85, 0.0, 60.0) == headroom.LEAST
+
+
+class ClosedLoop:
+    """Callers that ask the directory each second, and 24 instances they load."""
+
+    def __init__(self, seed: int, demand: float) -> None:
+        self.random = random.Random(seed)
+        self.capacities = {
+            ids.InstanceId(f"i-{number}"): 430 if number < 8 else 254
+            for number in range(24)
+        }
+        # What the instances can do in truth, which their capacity states only roughly.
+        self.able = {
+            name: found * self.random.uniform(0.7, 1.1)
+            for name, found in self.capacities.items()
+        }
+        self.callers = [f"10.1.{n // 250}.{n % 250}" for n in range(500)]
+        self.asks_at = [self.random.random() for _ in self.callers]
+        self.demand = demand * sum(self.able.values()) / len(self.callers)
+        self.chosen: dict[str, list[ids.InstanceId]] = {}
+        start = builders.instant(0.0)
+        self.headroom = {name: headroom.Headroom(start) for name in self.capacities}
+        self.protection = {name: protection.Protection() for name in self.capacities}
+        self.load = dict.fromkeys(self.capacities, 0.0)
+        self.changes: list[tuple[float, ids.InstanceId, int]] = []
+        # Requests that all instances of a subset refused.
+        self.refused = 0
+
+    def run(self, seconds: float) -> None:
+        for number in range(round(seconds / SAMPLE)):
+            self.step(number * SAMPLE)
+
+    def step(self, at: float) -> None:
+        second = at % 1.0
+        for caller, asks_at in zip(self.callers, self.asks_at, strict=True):
+            if at == 0.0 or second <= asks_at < second + SAMPLE:
+                self.chosen[caller] = self.resolve(caller)
+        counts = collections.Counter(map(self.served_at, self.chosen.values()))
+        now = builders.instant(at)
+        for name, able in self.able.items():
+            offered = counts[name] * self.demand / able
+            offered *= self.random.uniform(0.95, 1.05)
+            self.load[name] += SAMPLE * (offered - self.load[name])
+            overloaded = self.protection[name].update(self.load[name], now)
+            before = self.headroom[name].value
+            value = self.headroom[name].update(
+                self.load[name], overloaded, now, self.peers_headroom(name)
+            )
+            if value != before:
+                self.changes.append((at, name, value - before))
+
+    def served_at(self, subset: list[ids.InstanceId]) -> ids.InstanceId | None:
+        """Return the first instance that doesn't refuse, or None."""
+        open_ones = [i for i in subset if not self.protection[i].is_overloaded]
+        self.refused += not open_ones
+        return open_ones[0] if open_ones else None
+
+    def peers_headroom(self, name: ids.InstanceId) -> float:
+        others = [one.value for key, one in self.headroom.items() if key != name]
+        return sum(others) / len(others)
+
+    def resolve(self, caller: str) -> list[ids.InstanceId]:
+        weights = {
+            name: found * max(capacity.MIN_HEADROOM, self.headroom[name].value)
+            for name, found in self.capacities.items()
+        }
+        return ranking.rank_by_weight(caller, weights)[:3]
+
+
+def test_callers_do_not_oscillate_between_instances() -> None:
+    """Guards against headroom that falls and rises for ever at a steady demand.
+
+    Callers learn of a changed headroom up to a second later. If it followed the load
+    at once in both directions, all instances would be full and empty in turn.
+    """
+    for seed in range(3):
+        loop = ClosedLoop(seed, demand=0.65)
+        loop.run(120.0)
+        early = sum(at < 30.0 for at, _, _ in loop.changes)
+        late = sum(at >= 90.0 for at, _, _ in loop.changes)
+        assert late <= early / 3
+        # Less than one change in a minute at each instance.
+        assert late <= 12
+        assert loop.refused == 0
+        assert max(loop.load.values()) < protection.OVERLOAD
+
+
+def test_a_common_high_load_leaves_differences_between_headrooms() -> None:
+    """Guards against weights that say nothing when all instances are loaded.
+
+    If each reduced its headroom for as long as its load is high, all would end at the
+    least, and the weaker ones would be overloaded as without any headroom.
+    """
+    loop = ClosedLoop(0, demand=0.7)
+    loop.run(120.0)
+    values = {one.value for one in loop.headroom.values()}
+    assert max(values) >= 80
+    assert min(values) <= 50
+    assert max(loop.load.values()) < protection.OVERLOAD
--- /dev/null
+++ b/src/tealcove/instances/unread.py
@@ -0,0 +1,99 @@
+"""Ends answers that callers don't read while memory is scarce."""
+
+from __future__ import annotations
+
+import typing
+from collections.abc import Callable, Hashable, Mapping
+
+import logbook
+import msgspec
+
+from tealcove import ids
+from tealcove.instances import measurement, protection
+
+log = logbook.Logger("load")
+
+# Seconds for which unsent bytes of a connection haven't decreased, from which on its
+# caller doesn't read: as long as callers themselves wait in silence for a server.
+UNREAD_SECONDS = 2.0
+
+
+class Transport(typing.Protocol):
+    """The connection to a caller; see asyncio.WriteTransport."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return the bytes that wait to be sent."""
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+
+
+class Waiting(msgspec.Struct):
+    """The unsent bytes of a connection, and since when they haven't decreased."""
+
+    size: int
+    since: ids.Instant
+
+
+class UnreadAnswers:
+    """Tracks unsent bytes by connection, and frees memory when it is scarce."""
+
+    def __init__(
+        self, read_open: Callable[[], Mapping[Hashable, Transport]] = dict
+    ) -> None:
+        # Returns the transports of the open connections.
+        self.read_open = read_open
+        self.waiting: dict[Hashable, Waiting] = {}
+        # Connections that were ended, for the metrics.
+        self.ended = 0
+
+    def size(self) -> float:
+        """Return the bytes that wait to be read by callers."""
+        return sum(one.get_write_buffer_size() for one in self.read_open().values())
+
+    def end_unread(
+        self, memory: float, limits: measurement.Limits, now: ids.Instant
+    ) -> None:
+        """End unread answers, the largest first, until enough memory is freed.
+
+        `memory` is the used fraction. Nothing is tracked below the threshold, where
+        it would only cost time.
+        """
+        if memory <= protection.OVERLOAD:
+            self.waiting.clear()
+            return
+        self.track(now)
+        excess = (memory - protection.OVERLOAD) * limits.memory_bytes
+        unread = [
+            (key, one)
+            for key, one in self.waiting.items()
+            if now - one.since >= UNREAD_SECONDS
+        ]
+        unread.sort(key=lambda found: found[1].size, reverse=True)
+        for key, one in unread:
+            if excess <= 0.0:
+                return
+            excess -= one.size
+            self.end(key, one)
+
+    def track(self, now: ids.Instant) -> None:
+        """Record since when each connection's unsent bytes haven't decreased."""
+        before, self.waiting = self.waiting, {}
+        for key, transport in self.read_open().items():
+            size = transport.get_write_buffer_size()
+            if size == 0:
+                continue
+            known = before.get(key)
+            if known is None or size < known.size:
+                known = Waiting(size, now)
+            known.size = size
+            self.waiting[key] = known
+
+    def end(self, key: Hashable, one: Waiting) -> None:
+        """Abort a connection."""
+        log.info("connection aborted: {} bytes unread while memory is scarce", one.size)
+        self.ended += 1
+        del self.waiting[key]
+        transport = self.read_open().get(key)
+        if transport is not None:
+            transport.abort()
--- a/src/tealcove/membership/addresses.py
+++ b/src/tealcove/membership/addresses.py
@@ -11,8 +11,11 @@
     """Provides the addresses of instances and this instance's readiness."""
 
     @abc.abstractmethod
-    def addresses(self, data_centre: ids.DataCentreId) -> list[str]:
-        """Return the addresses ("ip:port") for callers in a data centre."""
+    def addresses(self, data_centre: ids.DataCentreId, caller: str = "") -> list[str]:
+        """Return the addresses ("ip:port") for a caller in a data centre.
+
+        `caller` is the caller's IP number; empty if unknown.
+        """
 
     @abc.abstractmethod
     def is_ready(self) -> bool:
--- a/src/tealcove/membership/members.py
+++ b/src/tealcove/membership/members.py
@@ -23,6 +23,9 @@
 # machine's load.
 RELAYED_SUSPECT_FACTOR = 3.0
 
+# Fields of a heartbeat that change with the load, and rank no instance.
+UNRANKED_FIELDS = frozenset({"capacity", "headroom"})
+
 Ranked = tuple[str, ids.DataCentreId | None]
 
 
@@ -69,7 +72,8 @@
         """Change fields of this instance's own heartbeat."""
         change = self.own.change + 1
         self.own = msgspec.structs.replace(self.own, change=change, **changes)
-        self.rankings.clear()
+        if not changes.keys() <= UNRANKED_FIELDS:
+            self.rankings.clear()
 
     def record_heartbeat(self, heartbeat: messages.Heartbeat, now: ids.Instant) -> None:
         """Record a heartbeat of a peer, unless it is outdated."""
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -61,6 +61,11 @@
     reaches_servers: bool = True
     # Checksum of the sender's records of parts of prompts, like `marks`.
     parts: int = 0
+    # What the instance's processor and link can carry, in hundredths of the weakest
+    # machine's; 0: as its classes say.
+    capacity: int = 0
+    # The part of its capacity that it can use at present, in hundredths.
+    headroom: int = 100
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
--- a/src/tealcove/membership/ranking.py
+++ b/src/tealcove/membership/ranking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Iterable, Mapping
 
 from tealcove import ids
@@ -36,3 +37,22 @@
     ranked = rank(key, strengths)
     ranked.sort(key=lambda instance: strengths[instance], reverse=True)
     return ranked
+
+
+def rank_by_weight(
+    key: str, weights: Mapping[ids.InstanceId, float]
+) -> list[ids.InstanceId]:
+    """Return the instances such that each is first for its share of all keys.
+
+    The shares are those of the weights, which must be above 0. When one weight changes,
+    only keys that rank this instance differently change their order (weighted
+    rendezvous hashing, Schindelhauer and Schomaker 2005).
+    """
+    return sorted(
+        weights, key=lambda instance: -log_hash(key, instance) / weights[instance]
+    )
+
+
+def log_hash(key: str, instance: ids.InstanceId) -> float:
+    """Return the logarithm of an instance's hash for a key, as a part of 1."""
+    return math.log((weight(key, instance) + 0.5) / 2.0 ** (8 * WEIGHT_BYTES))
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -124,6 +124,30 @@
     assert round(at_seven.since, 3) == 0.4
 
 
+def test_a_changed_headroom_neither_ranks_nor_notifies() -> None:
+    """Guards against dispatchers that change, or hash anew, whenever a load changes.
+
+    The headroom of an instance changes every few seconds under load. Each change of
+    the set of serving instances makes entries send their tickets again.
+    """
+    found = builders.known()
+    now = ids.Instant(0.0)
+    found.record_heartbeat(builders.heartbeat(1), now)
+    found.notify_if_changed(now)
+    notified = []
+    found.listen(lambda: notified.append(True))
+    found.rank("pool/0", now)
+    cached = dict(found.rankings)
+    changed = msgspec.structs.replace(builders.heartbeat(1), headroom=40, change=1)
+    found.record_heartbeat(changed, now)
+    found.update_own(headroom=70)
+    found.notify_if_changed(now)
+    assert found.find(ids.InstanceId("i-1")).headroom == 40
+    assert found.own.headroom == 70
+    assert found.rankings == cached
+    assert not notified
+
+
 class MembershipMachine(stateful.RuleBasedStateMachine):
     """Heartbeats, silence and replacements in any order."""
 
@@ -192,8 +216,10 @@
         "relay_port",
         "reaches_servers",
         "parts",
+        "capacity",
+        "headroom",
     )
     assert messages.Heartbeat.__struct_fields__[-len(new_fields) :] == new_fields
-    for missing in (1, 3, 5):
+    for missing in (1, 2, 3, 5, 7):
         found = codec.decode(msgspec.msgpack.encode(fields[:-missing]))
         assert found == builders.heartbeat(1, revision=48)
--- a/src/tealcove/peers/mesh.py
+++ b/src/tealcove/peers/mesh.py
@@ -70,6 +70,7 @@
         self.dropped = 0
         self.sent = 0
         self.sent_bytes = 0
+        self.received_bytes = 0
 
     def handle(self, message_type: type[M], handler: Handler[M]) -> None:
         """Register the handler of a message type."""
@@ -221,6 +222,7 @@
                 return
             identity = frames[0].decode(errors="replace")
             sender = ids.InstanceId(identity.partition("|")[0])
+            self.received_bytes += len(frames[-1])
             self.deliver(sender, frames[-1])
         self.loop.call_soon(self.receive)
 
--- a/src/tealcove/platform/directory.py
+++ b/src/tealcove/platform/directory.py
@@ -38,7 +38,7 @@
     async def resolve(self, request: web.Request) -> web.Response:
         """Return addresses; 503 if none is known, so that callers ask elsewhere."""
         data_centre = ids.DataCentreId(request.query.get("zone", ""))
-        found = self.source.addresses(data_centre)
+        found = self.source.addresses(data_centre, request.remote or "")
         if not found:
             return web.Response(status=HTTP_UNAVAILABLE)
         body = msgspec.json.encode(Resolved(found, self.ttl_seconds))
