--- a/src/tealcove/front/metrics.py
+++ b/src/tealcove/front/metrics.py
@@ -75,6 +75,8 @@
         # The same with labels.
         self.labelled_counters: list[ObservableCounters] = []
         self.labelled_histograms: list[ObservableHistograms] = []
+        # Gauges likewise.
+        self.observable_gauges: list[tuple[str, str, Callable[[], float]]] = []
 
     def counter(self, name: str, description: str) -> Counter:
         """See Source."""
@@ -92,6 +94,12 @@
         """Add a monotonic counter whose value is read by callback at each scrape."""
         self.observable_counters.append((name, description, read))
 
+    def add_observable_gauge(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Add a value that may fall, read by callback at each scrape."""
+        self.observable_gauges.append((name, description, read))
+
     def metrics_text(self) -> bytes:
         """See MetricsExporter."""
         # Imported here to shorten the start: few instances are scraped before they
@@ -109,6 +117,8 @@
         for name, description, read in self.observable_counters:
             yield core.CounterMetricFamily(exposed_name(name), description, read())
         yield from self.collect_labelled()
+        for name, description, read in self.observable_gauges:
+            yield core.GaugeMetricFamily(exposed_name(name), description, read())
         for counter in self.counters:
             family = core.CounterMetricFamily(
                 exposed_name(counter.name), counter.description
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -20,6 +20,7 @@
     responses,
     tickets,
 )
+from tealcove.instances import protection
 from tealcove.limits import admission, central
 from tealcove.quarantine import role as quarantine_role
 from tealcove.storage import revisions
@@ -58,6 +59,8 @@
         self.is_leaving = False
         # Set when it refuses all new requests.
         self.is_closed = False
+        # Refuses new requests while this instance is overloaded; None: never.
+        self.protection: protection.Protection | None = None
         # Count of streams whose software version has no server left.
         self.lost_versions = 0
 
@@ -154,6 +157,11 @@
             observation.identify(received, current)
             reason = messages.RefusalReason.LEAVING
             raise refused(observation, reason, LEAVING_RETRY)
+        if self.protection is not None and self.protection.is_overloaded:
+            observation.identify(received, current)
+            reason = messages.RefusalReason.INSTANCE_OVERLOADED
+            wait = self.protection.retry_after(received.request_id)
+            raise refused(observation, reason, wait)
         try:
             accepted = acceptance.accept(received, current, observation.arrived)
         except problem.ProblemError:
