Operators order weights of accounts, in force on all instances

Cause: the weight by which an account shares the backend servers could be changed only with the operator's configuration, if at all.

Change: `tealcove accounts list|weight|reset` on `listen.admin_port`. An order is one row of the table `account_weights`, written if the row is unchanged since it was read, under a revision above that of the whole store; so of two orders the store decides which is newer. Instances with `listen.admin_port` or `fair_accounts.enabled` read the table once at their start, and tell each other orders as they do marks of the quarantine: three messages, then by a checksum in heartbeats. Others are sent nothing. The sharing of records has a hook for that; commands for the admin port share their call. `role.OrderedWeights.weight(account)` gives the ordered weight, else a fallback's.

--- /dev/null
+++ b/src/tealcove/accounts/role.py
@@ -0,0 +1,133 @@
+"""The weights of accounts on an instance: those ordered by operators, and others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from tealcove import clock, errors, ids, tasks
+from tealcove.accounts import orders, persistence, sharing
+from tealcove.limits import limit
+from tealcove.membership import heartbeats, members
+from tealcove.peers import mesh
+from tealcove.storage import table
+
+log = logbook.Logger("accounts")
+
+# The weight of an account without an order and without a limit.
+DEFAULT_WEIGHT = 1.0
+# Seconds from a failed read of the store to the next one, first and at most. Peers
+# send the orders meanwhile.
+FIRST_PAUSE = 2.0
+LONGEST_PAUSE = 32.0
+# Seconds from an order whose outcome isn't known to a read of the store. By then, the
+# store has carried out or dropped the write: its calls take .25 s at its slowest.
+RELOAD_PAUSE = 5.0
+# Seconds between two comparisons with the last heartbeats of all peers.
+COMPARE_INTERVAL = 2.0
+
+
+class OrderedWeights:
+    """Keeps operators' orders in the store and shares them with all instances."""
+
+    def __init__(
+        self,
+        transport: mesh.Mesh,
+        known: members.Members,
+        heart: heartbeats.HeartbeatService,
+        rows: table.TimedTable,
+        fallback: Callable[[ids.AccountId], float],
+    ) -> None:
+        self.orders = orders.Orders()
+        self.rows = persistence.OrderRows(rows)
+        # Returns the weight of an account without an order.
+        self.fallback = fallback
+        self.sharer = sharing.OrderSharer(transport, known, heart, self.orders)
+        self.tasks: list[asyncio.Task[None]] = []
+        # Set while the store may hold an order that isn't known here.
+        self.must_load = asyncio.Event()
+        self.must_load.set()
+
+    def start(self) -> None:
+        """Start to share orders, and read those in the store."""
+        self.sharer.start()
+        self.sharer.update_heartbeat(clock.now())
+        self.tasks.append(tasks.start(self.sharer.run(), "sharing of weights"))
+        self.tasks.append(tasks.start(self.run_loading(), "reading of weights"))
+        self.tasks.append(tasks.start(self.run_comparing(), "comparing of weights"))
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        await tasks.stop(self.tasks)
+
+    def weight(self, account: ids.AccountId) -> float:
+        """Return the weight of an account; it is above 0."""
+        ordered = self.orders.weight(account)
+        return self.fallback(account) if ordered is None else ordered
+
+    async def order(
+        self, account: ids.AccountId, weight: float | None
+    ) -> orders.WeightOrder:
+        """Carry out an operator's order on all instances; None takes the last one back.
+
+        Raises PlatformUnavailableError if nothing was changed, and OutcomeUnknownError.
+        """
+        is_new = account not in self.orders.orders
+        if is_new and len(self.orders.orders) >= persistence.MAX_ROWS:
+            raise errors.PlatformUnavailableError(
+                f"{persistence.MAX_ROWS} accounts have an order already",
+                f"Delete rows of the table {persistence.TABLE} that aren't needed, "
+                "and restart all instances.",
+            )
+        known = self.orders.revision(account)
+        try:
+            order = await self.rows.write(account, weight, known)
+        except errors.OutcomeUnknownError:
+            # If it was applied, all instances learn of it from this one.
+            asyncio.get_running_loop().call_later(RELOAD_PAUSE, self.must_load.set)
+            raise
+        now = clock.now()
+        self.orders.merge(order, now)
+        self.sharer.publish([account], now)
+        return order
+
+    async def run_loading(self) -> None:
+        """Read the store whenever it may hold an unknown order, until cancelled."""
+        pause = FIRST_PAUSE
+        while True:
+            await self.must_load.wait()
+            try:
+                await self.load(clock.now())
+                pause = FIRST_PAUSE
+            except errors.PlatformError as error:
+                log.debug("ordered weights can't be read: {}", error)
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, LONGEST_PAUSE)
+
+    async def load(self, now: ids.Instant) -> None:
+        """Merge the orders in the store; raises PlatformUnavailableError.
+
+        Peers with older ones are told after their next heartbeat.
+        """
+        self.must_load.clear()
+        try:
+            found = await self.rows.load()
+        except errors.PlatformError:
+            self.must_load.set()
+            raise
+        for order in found:
+            self.orders.merge(order, now)
+        self.sharer.update_heartbeat(now)
+
+    async def run_comparing(self) -> None:
+        """Compare with all peers periodically, until cancelled."""
+        while True:
+            await asyncio.sleep(COMPARE_INTERVAL)
+            self.sharer.compare_all(clock.now())
+
+
+def configured_weight(found: limit.Limit | None) -> float:
+    """Return the weight of an account without an order, by its limit."""
+    return DEFAULT_WEIGHT if found is None else found.rate
--- a/src/tealcove/cli.py
+++ b/src/tealcove/cli.py
@@ -9,6 +9,7 @@
 
 from tealcove import errors, version
 from tealcove.commands import (
+    accounts,
     apply,
     check,
     delete,
@@ -53,6 +54,7 @@
         | entrypoints.EntryPoints
         | keys.Keys
         | quarantine.Quarantine
+        | accounts.Accounts
         | standin.Standin
     ]
 
--- a/src/tealcove/commands/quarantine.py
+++ b/src/tealcove/commands/quarantine.py
@@ -6,14 +6,10 @@
 import enum
 from typing import Annotated
 
-import aiohttp
 import cappa
 
 from tealcove import errors
-from tealcove.commands import output
-
-TIMEOUT_SECONDS = 5.0
-HTTP_OK = 200
+from tealcove.commands import admin, output
 
 
 class Action(enum.Enum):
@@ -44,8 +40,11 @@
         str, cappa.Arg(default="", help="The part's id, for add and lift.")
     ] = ""
     port: Annotated[
-        int, cappa.Arg(long=True, default=7005, help="The instance's admin port.")
-    ] = 7005
+        int,
+        cappa.Arg(
+            long=True, default=admin.DEFAULT_PORT, help="The instance's admin port."
+        ),
+    ] = admin.DEFAULT_PORT
 
     async def __call__(self) -> None:
         """Send the order and print the answer; raises TealcoveError."""
@@ -61,22 +60,5 @@
         # Imported here so that other commands start without these modules.
         from tealcove.quarantine import handlers
 
-        path = f"{handlers.PATH}/{self.part}" if self.part else handlers.PATH
-        url = f"http://127.0.0.1:{self.port}{path}"
-        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
-        try:
-            async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
-                session.request(METHODS[self.action], url) as response,
-            ):
-                if response.status != HTTP_OK:
-                    raise errors.SettingsError(
-                        f"the instance answered {response.status}",
-                        (await response.text()).strip(),
-                    )
-                return await response.json()
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise errors.PlatformUnavailableError(
-                f"no instance answers at {url}: {error}",
-                "Set `listen.admin_port`, or name the port with --port.",
-            ) from error
+        method = METHODS[self.action]
+        return await admin.call(method, self.port, handlers.PATH, self.part)
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,6 +17,8 @@
     stalls,
     tasks,
 )
+from tealcove.accounts import handlers as account_handlers
+from tealcove.accounts import role as account_weights
 from tealcove.accounts import tallies
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
@@ -82,6 +84,7 @@
         self.stalls.start()
         self.start_mesh()
         self.start_catalog()
+        self.start_accounts()
         self.start_dispatcher()
         await self.start_link()
         await self.start_ingress()
@@ -139,6 +142,21 @@
         )
         self.sharing.start()
 
+    def start_accounts(self) -> None:
+        """Keep operators' orders for weights of accounts, where they are used."""
+        self.weights: account_weights.OrderedWeights | None = None
+        found = self.settings
+        if not found.listen.admin_port and not found.fair_accounts.enabled:
+            return
+        self.weights = account_weights.OrderedWeights(
+            self.mesh,
+            self.members,
+            self.heartbeats,
+            storeadapter.StoreTable(self.store),
+            lambda account: account_weights.configured_weight(self.find_limit(account)),
+        )
+        self.weights.start()
+
     def start_dispatcher(self) -> None:
         """Start the dispatcher, the requester, the limits and the quarantine."""
         found = self.settings
@@ -318,7 +336,11 @@
         port = self.settings.listen.admin_port
         if port != 0:
             shown = handlers.QuarantineHandlers(self.quarantine)
-            await self.serve(f"127.0.0.1:{port}", shown.routes())
+            accounts = account_handlers.AccountHandlers(
+                self.weights, self.counts, lambda: self.configuration.current
+            )
+            routes = [*shown.routes(), *accounts.routes()]
+            await self.serve(f"127.0.0.1:{port}", routes)
 
     async def serve(self, address: str, routes: list[web.RouteDef]) -> None:
         """Serve handlers at an additional address."""
@@ -445,6 +467,8 @@
         await self.origins.stop()
         await self.dispatcher.stop()
         await self.quarantine.stop()
+        if self.weights is not None:
+            await self.weights.stop()
         await self.tickets.stop()
         await self.mesh.stop()
         await self.link.stop()
--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -61,6 +61,9 @@
     reaches_servers: bool = True
     # Checksum of the sender's records of parts of prompts, like `marks`.
     parts: int = 0
+    # Checksum of the ordered weights of accounts that the sender keeps; 0: it keeps
+    # none, by its settings or release, and isn't sent any.
+    weights: int = 0
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -192,6 +192,7 @@
         "relay_port",
         "reaches_servers",
         "parts",
+        "weights",
     )
     assert messages.Heartbeat.__struct_fields__[-len(new_fields) :] == new_fields
     for missing in (1, 3, 5):
--- a/src/tealcove/quarantine/sharing.py
+++ b/src/tealcove/quarantine/sharing.py
@@ -8,7 +8,7 @@
 from tealcove import clock, ids
 from tealcove.membership import heartbeats, members
 from tealcove.membership import messages as membership_messages
-from tealcove.peers import mesh
+from tealcove.peers import mesh, message
 from tealcove.quarantine import ledger, messages
 
 # Seconds between two sends of a changed record, and the number of sends. With a single
@@ -20,7 +20,8 @@
 SYNC_INTERVAL = 1.0
 SYNC_RECORDS = 64
 
-MessageType = type[messages.MarksChanged] | type[messages.PartsChanged]
+# Messages with a tuple of records named `records`.
+RecordsMessage = messages.MarksChanged | messages.PartsChanged
 
 
 class Sharer:
@@ -32,7 +33,7 @@
         known: members.Members,
         heartbeats: heartbeats.HeartbeatService,
         held: ledger.Ledger,
-        message_type: MessageType,
+        message_type: type[message.Message],
         checksum_field: str,
     ) -> None:
         self.transport = transport
@@ -81,9 +82,14 @@
             return
         sent = self.message_type(records=records)
         for heartbeat in self.members.alive(now):
-            if heartbeat.instance != self.members.own.instance:
+            is_own = heartbeat.instance == self.members.own.instance
+            if not is_own and self.takes_part(heartbeat):
                 self.transport.send(heartbeat.endpoint, sent)
 
+    def takes_part(self, heartbeat: membership_messages.Heartbeat) -> bool:
+        """Tell whether an instance keeps such records; by default, all do."""
+        return True
+
     def checksum_of(self, heartbeat: membership_messages.Heartbeat) -> int:
         """Return the checksum of an instance's records."""
         return getattr(heartbeat, self.checksum_field)
@@ -97,7 +103,7 @@
     def handle_records(
         self,
         sender: ids.InstanceId,
-        changed: messages.MarksChanged | messages.PartsChanged,
+        changed: RecordsMessage,
     ) -> None:
         """Merge a peer's records."""
         now = clock.now()
@@ -109,7 +115,7 @@
         """Send records to a peer whose checksum differs; the peer does the same."""
         now = clock.now()
         is_equal = self.checksum_of(heartbeat) == self.checksum_of(self.members.own)
-        if is_equal or now < self.next_sync:
+        if is_equal or now < self.next_sync or not self.takes_part(heartbeat):
             return
         shared = tuple(self.ledger.shared(key, now) for key in self.next_keys())
         found = tuple(record for record in shared if record is not None)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
@@ -104,6 +105,8 @@
         self.requests = 0
         # Instances are spread over so many data centres.
         self.data_centres = data_centres
+        # Whether instances that are added take operators' orders.
+        self.takes_orders = False
         # Each site has its own loopback network, so that concurrent sites can't
         # use the same port.
         self.network, self.network_socket = deployment.reserve_network()
@@ -124,6 +127,7 @@
         listen = settings.Listen(
             *(f"{host}:{port}" for port in range(FIRST_PORT, FIRST_PORT + 4)),
             relay_port=FIRST_PORT + 4,
+            admin_port=self.free_port() if self.takes_orders else 0,
         )
         seeds = tuple(one.settings.listen.peers for one in self.instances)
         seeds = () if is_isolated else seeds
@@ -144,6 +148,12 @@
             await until(lambda: is_serving(started))
         return started
 
+    def free_port(self) -> int:
+        """Return a free port of the loopback interface, for operators' commands."""
+        with socket.socket() as reserved:
+            reserved.bind(("127.0.0.1", 0))
+            return reserved.getsockname()[1]
+
     async def write(self, table: str, key: str, value: bytes | None) -> None:
         """Write a row on behalf of the operator or a backend server."""
         await self.store.put_row(table, key, value)
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -5,14 +5,16 @@
 import asyncio
 import contextlib
 import io
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
 import msgspec
 import pytest
 
-from tealcove import logs, settings
+from tealcove import clock, errors, logs, settings
+from tealcove.accounts import persistence
+from tealcove.commands import accounts
 from tealcove.front import instance
-from tealcove.platform import names
+from tealcove.platform import names, store
 from tests import platform_site
 
 NOT_FOUND = 404
@@ -112,3 +114,135 @@
     assert "wrong" not in lines.getvalue()
     assert lines.of("r-3")[-1].startswith("caller gone after")
     assert "account bakery, route safe, urgency 0" in lines.of("r-3")[-1]
+
+
+@pytest.fixture
+def table_calls(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Record the methods of all calls of the store about ordered weights."""
+    found: list[str] = []
+    original = store.StoreClient.call
+
+    async def record(
+        self: store.StoreClient,
+        method: str,
+        path: str,
+        params: dict[str, str],
+        content: bytes | None,
+        *arguments: object,
+    ) -> object:
+        is_read = params.get("table") == persistence.TABLE
+        if is_read or persistence.TABLE.encode() in (content or b""):
+            found.append(method)
+        return await original(self, method, path, params, content, *arguments)
+
+    monkeypatch.setattr(store.StoreClient, "call", record)
+    return found
+
+
+async def call(at: instance.Instance, *words: str) -> object:
+    """Run `tealcove accounts` on the machine of an instance."""
+    action, name, value = (*words, "", "")[:3]
+    port = at.settings.listen.admin_port
+    return await accounts.Accounts(accounts.Action(action), name, value, port).send()
+
+
+def weights(site: platform_site.Site) -> list[float]:
+    """Return the weight of the account at all instances."""
+    return [one.weights.weight(platform_site.ACCOUNT) for one in site.instances]
+
+
+async def restart_all(site: platform_site.Site) -> None:
+    """Replace all instances at once, as after a power failure."""
+    count = len(site.instances)
+    for one in list(site.instances):
+        await site.end(one)
+    for _ in range(count):
+        await site.add_instance()
+
+
+@contextlib.asynccontextmanager
+async def ordered_site(instances: int) -> AsyncIterator[platform_site.Site]:
+    """Run a site whose instances take orders."""
+    async with platform_site.connected_site(1, 0) as site:
+        site.takes_orders = True
+        for _ in range(instances):
+            await site.add_instance()
+        await platform_site.until(
+            lambda: all(
+                len(one.members.serving(clock.now())) == instances
+                for one in site.instances
+            )
+        )
+        yield site
+
+
+async def test_an_order_at_one_instance_is_in_force_at_all(
+    table_calls: list[str],
+) -> None:
+    """Guards against weights that differ, and against instances that poll the store.
+
+    Each instance reads the table once, when it starts; an order is a read and a write.
+    """
+    async with ordered_site(3) as site:
+        first, second, _ = site.instances
+        assert weights(site) == [1.0, 1.0, 1.0]
+        await platform_site.until(lambda: len(table_calls) == len(site.instances))
+        began = clock.now()
+        await call(first, "weight", platform_site.ACCOUNT, "2.5")
+        await platform_site.until(lambda: weights(site) == [2.5] * 3)
+        assert clock.now() - began < platform_site.TIMEOUT_SECONDS
+        await call(second, "weight", platform_site.ACCOUNT, "4")
+        await platform_site.until(lambda: weights(site) == [4.0] * 3)
+        await call(first, "reset", platform_site.ACCOUNT)
+        await platform_site.until(lambda: weights(site) == [1.0] * 3)
+        assert table_calls == ["GET"] * 3 + ["GET", "POST"] * 3
+
+
+async def test_orders_survive_the_replacement_of_all_instances() -> None:
+    """Guards against weights that are lost, or older ones that come back."""
+    async with ordered_site(2) as site:
+        await call(site.instances[0], "weight", platform_site.ACCOUNT, "2.5")
+        await call(site.instances[1], "weight", platform_site.ACCOUNT, "4")
+        await restart_all(site)
+        await platform_site.until(lambda: weights(site) == [4.0] * 2)
+        await call(site.instances[0], "reset", platform_site.ACCOUNT)
+        await restart_all(site)
+        shown = await call(site.instances[1], "list")
+        assert [(one["weight"], one["source"]) for one in shown] == [(1.0, "default")]
+
+
+async def test_instances_without_the_store_learn_orders_from_others() -> None:
+    """Guards against weights that differ while an instance is cut off."""
+    async with ordered_site(2) as site:
+        first, second = site.instances
+        url, second.store.url = second.store.url, "http://127.0.0.1:1"
+        await call(first, "weight", platform_site.ACCOUNT, "2.5")
+        await platform_site.until(lambda: weights(site) == [2.5] * 2)
+        with pytest.raises(
+            errors.PlatformUnavailableError, match="nothing was changed"
+        ):
+            await call(second, "weight", platform_site.ACCOUNT, "9")
+        second.store.url = url
+        assert weights(site) == [2.5] * 2
+
+
+async def test_bad_orders_name_field_and_remedy() -> None:
+    async with ordered_site(1) as site:
+        first = site.instances[0]
+        with pytest.raises(errors.SettingsError, match="above 0 and at most 1000"):
+            await call(first, "weight", platform_site.ACCOUNT, "0")
+        with pytest.raises(errors.SettingsError, match="no account 'butcher'"):
+            await call(first, "weight", "butcher", "2")
+        assert weights(site) == [1.0]
+
+
+async def test_without_the_settings_nothing_is_read_or_told(
+    table_calls: list[str],
+) -> None:
+    """Guards against calls of the store that nobody uses."""
+    async with platform_site.connected_site(1, 2) as site:
+        first, second = site.instances
+        assert first.weights is None
+        heartbeat = first.members.find(second.name)
+        assert heartbeat.weights == 0
+    assert not table_calls
