--- a/src/tealcove/accounts/persistence.py
+++ b/src/tealcove/accounts/persistence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated
 
 import logbook
@@ -16,6 +17,8 @@
 TABLE = "account_weights"
 # The maximum of rows that are read, and of accounts with an order.
 MAX_ROWS = 1000
+# The maximum of rows in one transaction.
+WRITE_ROWS = 32
 # How often an order is tried while others for the account come first.
 MAX_ATTEMPTS = 4
 # How often a write is sent again whose reply was lost.
@@ -79,13 +82,36 @@
             f"other orders for {account} came first", "Look at it, and order again."
         )
 
+    async def write_missing(self, known: Iterable[orders.WeightOrder]) -> None:
+        """Write the orders that the store lacks; raises PlatformError.
+
+        A row that changes meanwhile fails the whole transaction, and the caller tries
+        again.
+        """
+        rows = {row.key: row for row in await self.rows.scan(TABLE, limit=MAX_ROWS)}
+        missing = [
+            order
+            for order in known
+            if order.revision > stored_revision(rows.get(order.account))
+        ]
+        for start in range(0, len(missing), WRITE_ROWS):
+            written = missing[start : start + WRITE_ROWS]
+            conditions = tuple(
+                table.unchanged(rows.get(order.account), TABLE, order.account)
+                for order in written
+            )
+            puts = tuple(
+                table.Put(TABLE, order.account, encode(order)) for order in written
+            )
+            await self.rows.commit(table.Transaction(conditions, puts))
+
     async def put(self, order: orders.WeightOrder, row: table.Row | None) -> None:
         """Write an order's row if it is unchanged.
 
         A write whose reply was lost is sent again: under the same condition it can't be
         applied twice, and the answer tells whether it was.
         """
-        content = msgspec.json.encode(StoredOrder(order.weight, order.revision))
+        content = encode(order)
         lost: errors.OutcomeUnknownError | None = None
         for _ in range(1 + MAX_RESENDS):
             try:
@@ -101,6 +127,11 @@
         raise lost
 
 
+def encode(order: orders.WeightOrder) -> bytes:
+    """Return the content of an order's row."""
+    return msgspec.json.encode(StoredOrder(order.weight, order.revision))
+
+
 def decode(row: table.Row) -> orders.WeightOrder | None:
     """Return the order in a row, or None if it can't be read."""
     try:
--- a/src/tealcove/accounts/role.py
+++ b/src/tealcove/accounts/role.py
@@ -49,6 +49,8 @@
         # Set while the store may hold an order that isn't known here.
         self.must_load = asyncio.Event()
         self.must_load.set()
+        # Whether orders that the store lacks are written to it.
+        self.must_write = False
 
     def start(self) -> None:
         """Start to share orders, and read those in the store."""
@@ -107,19 +109,41 @@
                 pause = min(2 * pause, LONGEST_PAUSE)
 
     async def load(self, now: ids.Instant) -> None:
-        """Merge the orders in the store; raises PlatformUnavailableError.
+        """Merge the orders in the store; raises PlatformError.
 
         Peers with older ones are told after their next heartbeat.
         """
         self.must_load.clear()
         try:
             found = await self.rows.load()
+            for order in found:
+                self.orders.merge(order, now)
+            self.sharer.update_heartbeat(now)
+            if self.must_write:
+                await self.rows.write_missing(self.orders.orders.values())
+                self.must_write = False
         except errors.PlatformError:
             self.must_load.set()
             raise
-        for order in found:
-            self.orders.merge(order, now)
-        self.sharer.update_heartbeat(now)
+
+    def restore(self) -> None:
+        """Write what a store that came back from a copy lacks; one instance does it.
+
+        Otherwise older orders of the copy would come back as soon as all instances are
+        replaced.
+        """
+        if self.is_first(clock.now()):
+            self.must_write = True
+            self.must_load.set()
+
+    def is_first(self, now: ids.Instant) -> bool:
+        """Tell whether this instance acts for all that keep orders."""
+        known = self.sharer.members
+        for instance in known.rank(persistence.TABLE, now):
+            heartbeat = known.find(instance)
+            if heartbeat is not None and self.sharer.takes_part(heartbeat):
+                return instance == known.own.instance
+        return False
 
     async def run_comparing(self) -> None:
         """Compare with all peers periodically, until cancelled."""
--- a/src/tealcove/accounts/tests/test_role.py
+++ b/src/tealcove/accounts/tests/test_role.py
@@ -78,6 +78,35 @@
     assert fresh.weights.weight(builders.FLORIST) == builders.FALLBACK_WEIGHT
 
 
+async def test_a_store_that_came_back_from_a_copy_is_sent_what_it_lacks() -> None:
+    """Guards against old weights once all instances are replaced after a restore."""
+    inner = builders.new_table()
+    rows = builders.FailingTable(inner)
+    network, found = builders.new_group(3, rows)
+    await found[0].weights.order(builders.BAKERY, 2.5)
+    saved = inner.save()
+    await found[0].weights.order(builders.BAKERY, 4.0)
+    await found[1].weights.order(builders.FLORIST, 5.0)
+    network.deliver_all()
+    await inner.restore(saved)
+    before = rows.calls
+    for one in found:
+        one.weights.must_load.clear()
+        one.weights.restore()
+    (chosen,) = [one for one in found if one.weights.must_load.is_set()]
+    rows.lost = [False]
+    with pytest.raises(errors.OutcomeUnknownError):
+        await chosen.weights.load(builders.NOW)
+    await chosen.weights.load(builders.NOW)
+    await chosen.weights.load(builders.NOW)
+    # Two reads and a write, twice; then one read.
+    assert rows.calls == before + 7
+    _, (fresh,) = builders.new_group(1, rows)
+    await fresh.weights.load(builders.NOW)
+    assert fresh.weights.weight(builders.BAKERY) == 4.0
+    assert fresh.weights.weight(builders.FLORIST) == 5.0
+
+
 async def test_a_bad_row_leaves_the_last_good_order_in_force() -> None:
     """Guards against a weight that is lost since somebody damaged its row."""
     table = builders.new_table()
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -155,6 +155,7 @@
             storeadapter.StoreTable(self.store),
             lambda account: account_weights.configured_weight(self.find_limit(account)),
         )
+        self.servers.restoration.listeners.append(self.weights.restore)
         self.weights.start()
 
     def start_dispatcher(self) -> None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -161,9 +161,11 @@
 
 
 @contextlib.asynccontextmanager
-async def ordered_site(instances: int) -> AsyncIterator[platform_site.Site]:
+async def ordered_site(
+    instances: int, era: int | None = None
+) -> AsyncIterator[platform_site.Site]:
     """Run a site whose instances take orders."""
-    async with platform_site.connected_site(1, 0) as site:
+    async with platform_site.connected_site(1, 0, era) as site:
         site.takes_orders = True
         for _ in range(instances):
             await site.add_instance()
@@ -226,6 +228,30 @@
         assert weights(site) == [2.5] * 2
 
 
+async def test_orders_outlive_a_store_that_comes_back_from_a_copy() -> None:
+    """Guards against the older order of the copy, and against its revisions.
+
+    They are given out again, so that a newer order may get a lower number.
+    """
+    async with ordered_site(2, era=1) as site:
+        first, second = site.instances
+        table = site.store.memory.table
+        row = (persistence.TABLE, platform_site.ACCOUNT)
+        await call(first, "weight", platform_site.ACCOUNT, "2.5")
+        saved = table.save()
+        await call(second, "weight", platform_site.ACCOUNT, "3")
+        await call(second, "weight", platform_site.ACCOUNT, "4")
+        newest = table.rows[row].value
+        await platform_site.until(lambda: weights(site) == [4.0] * 2)
+        await site.store.restore(saved)
+        await platform_site.until(lambda: table.rows[row].value == newest)
+        assert weights(site) == [4.0] * 2
+        await restart_all(site)
+        await platform_site.until(lambda: weights(site) == [4.0] * 2)
+        await call(site.instances[0], "weight", platform_site.ACCOUNT, "5")
+        await platform_site.until(lambda: weights(site) == [5.0] * 2)
+
+
 async def test_bad_orders_name_field_and_remedy() -> None:
     async with ordered_site(1) as site:
         first = site.instances[0]
