--- a/src/tealcove/membership/messages.py
+++ b/src/tealcove/membership/messages.py
@@ -66,6 +66,9 @@
     capacity: int = 0
     # The part of its capacity that it can use at present, in hundredths.
     headroom: int = 100
+    # Checksum of the ordered weights of accounts that the sender keeps; 0: it keeps
+    # none, by its settings or release, and isn't sent any.
+    weights: int = 0
 
     @property
     def endpoint(self) -> endpoint.Endpoint:
--- a/src/tealcove/membership/tests/test_members.py
+++ b/src/tealcove/membership/tests/test_members.py
@@ -218,6 +218,7 @@
         "parts",
         "capacity",
         "headroom",
+        "weights",
     )
     assert messages.Heartbeat.__struct_fields__[-len(new_fields) :] == new_fields
     for missing in (1, 2, 3, 5, 7):
