Dispatchers exchange their accounts' use, and share slots by it when enabled

Cause: an account's use is known only to the dispatcher of its cell. After a takeover a flood began with a new share, and each cell of a service gave an account a share of its own.

Change: FairSharing sends AccountUse (slots, demand and use by tier and account; at most 64 accounts, the others summed up) twice a second while there is contention and once after it, to the two instances next in rank and to the dispatchers of the service's other cells. A new dispatcher goes on from the last message, unless it is older than 2 s, and from running tickets. Invalid figures are ignored and logged with the field's name. An instance without fair_accounts.enabled ignores these messages; its decisions are as before.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -27,6 +27,7 @@
     shares,
     suspectruns,
     suspicion,
+    turns,
     waitingline,
     waitingticket,
 )
@@ -339,16 +340,17 @@
 
     def ordered(self, now: ids.Instant) -> list[waitingticket.Waiting]:
         """Return the waiting tickets, sorted."""
+        return sorted(self.line.values(), key=self.sort_keys(now))
+
+    def sort_keys(self, now: ids.Instant) -> turns.SortKeyOf:
+        """Return the function that finds the sort key of a waiting ticket."""
         levels = self.shares.service_levels()
-        return sorted(
-            self.line.values(),
-            key=lambda w: waitingline.sort_key(
-                w,
-                levels,
-                self.views.is_bound(w.ticket),
-                now,
-                self.accounts.standing(w.ticket, now).excess,
-            ),
+        return lambda w: waitingline.sort_key(
+            w,
+            levels,
+            self.views.is_bound(w.ticket),
+            now,
+            self.accounts.standing(w.ticket, now).excess,
         )
 
     def refuse_too_late(self, now: ids.Instant) -> list[scheduler.Outgoing]:
@@ -399,7 +401,9 @@
         outgoing = []
         # The line is sorted only if a slot is free: under overload, none is after most
         # events.
-        for waiting in self.ordered(now) if free else ():
+        if not free:
+            return outgoing
+        for waiting in turns.in_turn(self.line.values(), self.sort_keys(now)):
             if not free:
                 break
             ticket = waiting.ticket
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -10,6 +10,7 @@
 from tealcove import clock, ids, measuring, tasks
 from tealcove.backends import engine
 from tealcove.dispatch import (
+    accountreports,
     backendview,
     cells,
     exposure,
@@ -68,7 +69,9 @@
         source: measuring.Source | None = None,
         gather_seconds: float = GATHER_SECONDS,
         exposures: exposure.Exposures | None = None,
+        sharing: accountreports.AccountSharing | None = None,
     ) -> None:
+        self.sharing = sharing or accountreports.NoSharing(transport)
         self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
@@ -101,6 +104,7 @@
         self.transport.handle(messages.StatementReport, self.handle_statement)
         self.transport.handle(messages.PathReport, self.handle_paths)
         self.transport.handle(holds.Hold, self.handle_hold)
+        self.sharing.start()
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
 
@@ -240,6 +244,7 @@
         held.scheduler.use_suspicion(self.suspicion)
         held.scheduler.use_paths(self.paths)
         held.scheduler.use_exposure(self.exposures.of_pool(cell.pool))
+        held.scheduler.use_accounts(self.sharing.of_cell(cell, now))
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
@@ -315,6 +320,7 @@
         self.drop_lost_entries(now)
         for held in self.held.values():
             self.send(held.scheduler.tick(now))
+        self.sharing.advance(now)
         if now >= self.next_release:
             self.next_release = ids.Instant(now + RELEASE_INTERVAL)
             self.release_cells(now)
@@ -334,6 +340,7 @@
             if now - held.needed_at < RELEASE_AFTER:
                 continue
             del self.held[cell_id]
+            self.sharing.forget(cell_id)
             held.stop()
 
     def handle_freeze(self, now: ids.Instant) -> None:
--- a/src/tealcove/dispatch/waterlevel.py
+++ b/src/tealcove/dispatch/waterlevel.py
@@ -21,13 +21,14 @@
     It is infinite if all demands fit: then there is nothing to divide.
     """
     ordered = sorted(claims, key=lambda claim: claim.demand / claim.weight)
-    if sum(claim.demand for claim in ordered) <= capacity:
+    if not ordered or sum(claim.demand for claim in ordered) <= capacity:
         return math.inf
     left = max(0.0, capacity)
     weight = sum(claim.weight for claim in ordered)
     for claim in ordered:
-        # The claims so far are below the level, and get all that they demand.
-        if claim.demand * weight >= left * claim.weight:
+        # The claims so far are below the level, and get all that they demand. The last
+        # one never is, whatever the rounding.
+        if claim is ordered[-1] or claim.demand * weight >= left * claim.weight:
             break
         left -= claim.demand
         weight -= claim.weight
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -18,7 +18,14 @@
     tasks,
 )
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
-from tealcove.dispatch import policy, requester, role, spread
+from tealcove.dispatch import (
+    accountreports,
+    accountshares,
+    policy,
+    requester,
+    role,
+    spread,
+)
 from tealcove.front import addresses, factories, metrics, settings
 from tealcove.ingress import budget, exchange, hanging, http, tickets
 from tealcove.limits import central, limit
@@ -175,6 +182,7 @@
             source=self.metrics,
             gather_seconds=GATHER_SECONDS,
             exposures=self.rollouts if found.rollouts.enabled else None,
+            sharing=self.new_sharing(),
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -212,6 +220,15 @@
             lambda: self.tickets.declined,
         )
 
+    def new_sharing(self) -> accountreports.AccountSharing | None:
+        """Return how slots are shared among accounts; None if they aren't."""
+        if not self.settings.fair_accounts.enabled:
+            return None
+        weights = accountshares.LimitWeights(self.find_limit)
+        return accountreports.FairSharing(
+            self.mesh, self.members, self.spread.find, weights
+        )
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
