--- a/src/tealcove/accounts/role.py
+++ b/src/tealcove/accounts/role.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import logbook
 
 from tealcove import clock, errors, ids, tasks
 from tealcove.accounts import orders, persistence, sharing
-from tealcove.limits import limit
+from tealcove.dispatch import accountshares
 from tealcove.membership import heartbeats, members
 from tealcove.peers import mesh
 from tealcove.storage import table
 
 log = logbook.Logger("accounts")
 
-# The weight of an account without an order and without a limit.
-DEFAULT_WEIGHT = 1.0
 # Seconds from a failed read of the store to the next one, first and at most. Peers
 # send the orders meanwhile.
 FIRST_PAUSE = 2.0
@@ -29,7 +26,7 @@
 COMPARE_INTERVAL = 2.0
 
 
-class OrderedWeights:
+class OrderedWeights(accountshares.AccountWeights):
     """Keeps operators' orders in the store and shares them with all instances."""
 
     def __init__(
@@ -38,11 +35,11 @@
         known: members.Members,
         heart: heartbeats.HeartbeatService,
         rows: table.TimedTable,
-        fallback: Callable[[ids.AccountId], float],
+        fallback: accountshares.AccountWeights,
     ) -> None:
         self.orders = orders.Orders()
         self.rows = persistence.OrderRows(rows)
-        # Returns the weight of an account without an order.
+        # The weights of accounts without an order.
         self.fallback = fallback
         self.sharer = sharing.OrderSharer(transport, known, heart, self.orders)
         self.tasks: list[asyncio.Task[None]] = []
@@ -65,9 +62,9 @@
         await tasks.stop(self.tasks)
 
     def weight(self, account: ids.AccountId) -> float:
-        """Return the weight of an account; it is above 0."""
+        """See AccountWeights."""
         ordered = self.orders.weight(account)
-        return self.fallback(account) if ordered is None else ordered
+        return self.fallback.weight(account) if ordered is None else ordered
 
     async def order(
         self, account: ids.AccountId, weight: float | None
@@ -150,8 +147,3 @@
         while True:
             await asyncio.sleep(COMPARE_INTERVAL)
             self.sharer.compare_all(clock.now())
-
-
-def configured_weight(found: limit.Limit | None) -> float:
-    """Return the weight of an account without an order, by its limit."""
-    return DEFAULT_WEIGHT if found is None else found.rate
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -10,6 +10,7 @@
 from tealcove import clock, ids, measuring, tasks
 from tealcove.backends import engine
 from tealcove.dispatch import (
+    accountreports,
     admission,
     awaitedreturns,
     backendview,
@@ -71,8 +72,10 @@
         gather_seconds: float = GATHER_SECONDS,
         exposures: exposure.Exposures | None = None,
         new_admission: Callable[[], admission.Admission] | None = None,
+        sharing: accountreports.AccountSharing | None = None,
     ) -> None:
         self.new_admission = new_admission
+        self.sharing = sharing or accountreports.NoSharing(transport)
         self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
@@ -107,6 +110,7 @@
         self.transport.handle(messages.PathReport, self.handle_paths)
         self.transport.handle(holds.Hold, self.handle_hold)
         self.transport.handle(messages.PromisedReturns, self.handle_promises)
+        self.sharing.start()
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
 
@@ -263,6 +267,7 @@
             held.scheduler.use_admission(self.new_admission())
             returns = self.awaited.take(cell.cell_id, now)
             held.scheduler.restore_returns(returns, now)
+        held.scheduler.use_accounts(self.sharing.of_cell(cell, now))
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
@@ -338,6 +343,7 @@
         self.drop_lost_entries(now)
         for held in self.held.values():
             self.send(held.scheduler.tick(now))
+        self.sharing.advance(now)
         if now >= self.next_release:
             self.next_release = ids.Instant(now + RELEASE_INTERVAL)
             self.release_cells(now)
@@ -357,6 +363,7 @@
             if now - held.needed_at < RELEASE_AFTER:
                 continue
             del self.held[cell_id]
+            self.sharing.forget(cell_id)
             held.stop()
 
     def handle_freeze(self, now: ids.Instant) -> None:
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -23,7 +23,14 @@
 from tealcove.admission import counts, entrypromises
 from tealcove.admission import policy as admission_policy
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
-from tealcove.dispatch import policy, requester, role, spread
+from tealcove.dispatch import (
+    accountreports,
+    accountshares,
+    policy,
+    requester,
+    role,
+    spread,
+)
 from tealcove.front import addresses, factories, loadmetrics, metrics, settings
 from tealcove.ingress import budget, exchange, hanging, http, tickets
 from tealcove.instances import figures, unread
@@ -161,7 +168,7 @@
             self.members,
             self.heartbeats,
             storeadapter.StoreTable(self.store),
-            lambda account: account_weights.configured_weight(self.find_limit(account)),
+            accountshares.LimitWeights(self.find_limit),
         )
         self.servers.restoration.listeners.append(self.weights.restore)
         self.weights.start()
@@ -204,6 +211,7 @@
             gather_seconds=GATHER_SECONDS,
             exposures=self.rollouts if found.rollouts.enabled else None,
             new_admission=self.new_admission if found.admission.enabled else None,
+            sharing=self.new_sharing(),
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -248,6 +256,14 @@
         share = self.settings.admission.return_share
         return admission_policy.AdmitByGoal(share, self.admission_counts)
 
+    def new_sharing(self) -> accountreports.AccountSharing | None:
+        """Return how slots are shared among accounts; None if they aren't."""
+        if not self.settings.fair_accounts.enabled:
+            return None
+        return accountreports.FairSharing(
+            self.mesh, self.members, self.spread.find, self.weights
+        )
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
