Entries refuse what their dispatcher refuses entirely, and count it in the metrics

Cause: entries learnt nothing from refusals. Each request of a starved tier or account went to the dispatcher, only to be refused.

Change: a dispatcher without free slots notices requests of one tier, kind and account of which five and more were refused in a second and none was granted, and tells the entries that sent them (AdmissionNotice, at most four times a second with something to refuse): reserved return times, how many more they may refuse, and the marks of promised returns that are due. An entry refuses within that for 0.3 s, before a ticket is made, and reports it within 0.2 s (LocalRefusals). Three quarters of an entry's requests at most are refused so; the rest shows the dispatcher when there is capacity again. As soon as its line is empty, notices are withdrawn. Entries of an older release get none, since their tickets don't ask for them. Counters: requests refused at once, returns promised and kept, requests refused locally.

--- a/src/tealcove/admission/entrypromises.py
+++ b/src/tealcove/admission/entrypromises.py
@@ -37,11 +37,21 @@
         promised = keptreturns.promised_return(request.ticket, refusal, waited)
         if promised is None:
             return
-        cell = request.ticket.cell
-        holder = (request.dispatcher, request.incarnation)
-        self.kept.add(cell, promised, holder, now)
-        ranked = self.members.rank(cell, now, request.near)
-        standby = next((one for one in ranked if one != request.dispatcher), None)
+        self.keep(request.ticket.cell, promised, request.dispatcher, now)
+
+    def keep(
+        self,
+        cell: ids.CellId,
+        promised: messages.PromisedReturn,
+        dispatcher: ids.InstanceId,
+        now: ids.Instant,
+    ) -> None:
+        """Keep a return that a dispatcher has promised or is told by a report."""
+        heartbeat = self.members.find(dispatcher)
+        incarnation = None if heartbeat is None else heartbeat.incarnation
+        self.kept.add(cell, promised, (dispatcher, incarnation), now)
+        ranked = self.members.rank(cell, now)
+        standby = next((one for one in ranked if one != dispatcher), None)
         if standby is not None:
             self.send(cell, standby, (promised,))
 
--- a/src/tealcove/admission/keptreturns.py
+++ b/src/tealcove/admission/keptreturns.py
@@ -58,6 +58,10 @@
                 found.append(messages.shifted(kept.promised, now - kept.recorded_at))
         return tuple(found)
 
+    def has(self, cell: ids.CellId, digest: str) -> bool:
+        """Tell whether a return of a request with some content is promised."""
+        return any(one.promised.digest == digest for one in self.by_cell.get(cell, ()))
+
     def expire(self, now: ids.Instant) -> None:
         """Forget the returns that are over."""
         for cell, returns in list(self.by_cell.items()):
--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping, Sequence
 
 from tealcove import ids
-from tealcove.admission import counts, returnplan
+from tealcove.admission import counts, noticing, refusedflows, returnplan
 from tealcove.dispatch import (
     admission,
     inflow,
     messages,
+    notices,
     retry,
     waitingline,
     waitingticket,
@@ -33,6 +35,7 @@
         self.return_share = return_share
         self.counts = counts.Counts() if counted is None else counted
         self.plan = returnplan.ReturnPlan()
+        self.noticing = noticing.Noticing(self.plan)
         # As of the last forecast.
         self.slots = 0
         self.arriving = inflow.Inflow()
@@ -47,6 +50,29 @@
         """See Admission."""
         self.counts.kept += waiting.keeps_promise
 
+    def record_grant(self, waiting: waitingticket.Waiting, now: ids.Instant) -> None:
+        """See Admission."""
+        if not waiting.keeps_promise:
+            self.noticing.flows.record_grant(refusedflows.key_of(waiting.ticket), now)
+
+    def record_local_refusal(
+        self, ticket: messages.Ticket, promised_at: ids.Instant | None, now: ids.Instant
+    ) -> None:
+        """See Admission."""
+        key = refusedflows.key_of(ticket)
+        flows = self.noticing.flows
+        flows.record_refusal(ticket, True, now)
+        if promised_at is not None:
+            self.noticing.record_promise(key, ticket.digest, promised_at)
+
+    def notices(
+        self, has_free_slots: bool, now: ids.Instant
+    ) -> Mapping[ids.InstanceId, Sequence[notices.RefusedFlow]]:
+        """See Admission."""
+        if has_free_slots:
+            return self.noticing.withdraw()
+        return self.noticing.prepare(lambda tier: self.return_slots(tier, now), now)
+
     def is_refused(
         self,
         waiting: waitingticket.Waiting,
@@ -74,11 +100,17 @@
         if now + seconds <= waiting.start_by:
             self.counts.refused_at_once += 1
         period = self.return_share * caller_seconds(waiting, now)
+        key = refusedflows.key_of(waiting.ticket)
+        flow = self.noticing.flows.record_refusal(waiting.ticket, False, now)
+        flow.slot_seconds, flow.period = waiting.slot_seconds, period
         if waiting.attempt is None or period <= 0.0:
             return admission.BY_DEADLINE.retry_after(waiting, seconds, now, least)
         drained = max(least, self.drain_seconds(waiting, seconds, now))
         promised_at = self.promise(waiting, drained, period, now)
-        return period if promised_at is None else promised_at - now
+        if promised_at is None:
+            return period
+        self.noticing.record_promise(key, waiting.ticket.digest, promised_at)
+        return promised_at - now
 
     def promise(
         self,
--- a/src/tealcove/admission/tests/builders.py
+++ b/src/tealcove/admission/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import itertools
 import random
@@ -11,9 +12,10 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.admission import keptreturns
-from tealcove.dispatch import goal, messages, scheduler
+from tealcove.admission import counts, entrypromises, keptreturns, localrefusals
+from tealcove.dispatch import goal, messages, notices, scheduler
 from tealcove.dispatch.tests import builders
+from tealcove.peers import endpoint, message
 
 SERVERS = (5, 5, 5, 5, 5, 5)
 SLOTS = sum(SERVERS)
@@ -46,6 +48,8 @@
     refusals: list[tuple[float, float, float]] = []
     # The time that its first refusal promised.
     promised_at: float | None = None
+    # When entries refused it by themselves.
+    local: list[float] = []
     # Whether a refusal came while a slot was free.
     had_free_slot: bool = False
 
@@ -56,6 +60,46 @@
         return at is not None and at <= self.arrived + GOAL_SECONDS + 1e-9
 
 
+class Entry:
+    """An entry that refuses by notices; it stands for its mesh and members as well."""
+
+    def __init__(self, play: Play, name: ids.InstanceId) -> None:
+        self.play = play
+        self.name = name
+        self.local = localrefusals.LocalRefusals(
+            self,
+            self,
+            entrypromises.EntryPromises(self, self),
+            RETURN_SHARE,
+            counts.Counts(),
+            self.report_later,
+        )
+
+    def find(self, instance: ids.InstanceId) -> None:
+        """Return the heartbeat of an instance, which nobody needs here."""
+
+    def rank(self, cell: ids.CellId, now: ids.Instant) -> list[ids.InstanceId]:
+        """Return the dispatcher, which has no successor."""
+        return [self.play.dispatcher[0]]
+
+    def endpoint_of(self, instance: ids.InstanceId) -> endpoint.Endpoint:
+        """Return where an instance listens."""
+        return endpoint.Endpoint("127.0.0.1", 1)
+
+    def report_later(self, cell: ids.CellId) -> None:
+        """Schedule a report of the local refusals."""
+        self.play.at(
+            self.play.now + localrefusals.REPORT_SECONDS,
+            lambda now: self.local.report(cell, builders.instant(now)),
+        )
+
+    def send(self, peer: endpoint.Endpoint, sent: message.Message) -> None:
+        """Deliver a report to the dispatcher."""
+        self.play.count_message(sent)
+        now = builders.instant(self.play.now)
+        self.play.scheduler.record_local_refusals(self.name, sent, now)
+
+
 class Play:
     """Plays requests against a scheduler; callers return `returns` times as told."""
 
@@ -64,7 +108,15 @@
         found: goal.GoalScheduler,
         returns: int = 0,
         keeps: Callable[[Request, float], float] = lambda request, wait: wait,
+        entries: int = 0,
     ) -> None:
+        self.now = 0.0
+        names = [ids.InstanceId(f"entry-{number}") for number in range(entries)]
+        self.entries = {name: Entry(self, name) for name in names}
+        self.codec = message.Codec()
+        # Counts and bytes of the messages of admission, by type.
+        self.messages: collections.Counter[str] = collections.Counter()
+        self.bytes: collections.Counter[str] = collections.Counter()
         self.scheduler = found
         self.returns = returns
         # Returns the seconds after which a caller that was told some really returns.
@@ -104,11 +156,14 @@
         self.at(0.0, self.tick)
         while self.events and self.events[0][0] <= until:
             when, _, action = heapq.heappop(self.events)
+            self.now = when
             action(when)
 
     def tick(self, now: float) -> None:
         """Advance the scheduler."""
-        self.apply(self.scheduler.tick(builders.instant(now)), now)
+        instant = builders.instant(now)
+        self.apply(self.scheduler.tick(instant), now)
+        self.apply(self.scheduler.notices(instant), now)
         self.at(now + TICK_SECONDS, self.tick)
 
     def send(self, request: Request, now: float) -> None:
@@ -122,11 +177,53 @@
             goal=GOAL_SECONDS,
             digest=f"digest-{request.number}",
         )
+        if self.entries:
+            entry = self.choose_entry(request)
+            ticket = msgspec.structs.replace(
+                ticket, entry=entry.name, takes_notices=True
+            )
+            if self.refuse_locally(entry, request, ticket, now):
+                return
         request.tickets.append(ticket)
         self.by_ticket[ticket.ticket_id] = request
         self.sent_at[ticket.ticket_id] = now
         self.apply(self.scheduler.enqueue(ticket, builders.instant(now)), now)
 
+    def count_message(self, sent: message.Message) -> None:
+        """Count a message between an entry and the dispatcher."""
+        kind = type(sent).__name__
+        self.messages[kind] += 1
+        self.bytes[kind] += len(self.codec.encode(sent))
+
+    def choose_entry(self, request: Request) -> Entry:
+        """Return the entry of a request's next attempt; it differs for each."""
+        attempts = len(request.tickets) + len(request.local)
+        number = (request.number * 7 + attempts * 3) % len(self.entries)
+        return self.entries[ids.InstanceId(f"entry-{number}")]
+
+    def refuse_locally(
+        self, entry: Entry, request: Request, ticket: messages.Ticket, now: float
+    ) -> bool:
+        """Let an entry refuse a request by itself, if it may."""
+        arrival = localrefusals.Arrival(
+            request_id=ticket.request_id,
+            cell=builders.CELL,
+            tier_rank=ticket.tier_rank,
+            urgency=ticket.urgency,
+            account=ticket.account,
+            digest=ticket.digest,
+            prompt_tokens=ticket.prompt_tokens,
+            output_tokens=ticket.output_tokens,
+            goal=ticket.goal,
+            caller_remaining=ticket.caller_remaining,
+        )
+        wait = entry.local.refuse(arrival, builders.instant(now))
+        if wait is None:
+            return False
+        request.local.append(now)
+        self.note_refusal(request, 0.0, wait, now)
+        return True
+
     def apply(self, outgoing: Iterable[scheduler.Outgoing], now: float) -> None:
         """Let grants run, and callers of refused requests return."""
         outgoing = list(outgoing)
@@ -134,6 +231,12 @@
             self.start(grant, now)
         for refusal in builders.refused(outgoing):
             self.refuse(refusal, now)
+        for sent in outgoing:
+            if isinstance(sent.message, notices.AdmissionNotice):
+                self.count_message(sent.message)
+                local = self.entries[sent.entry].local
+                instant = builders.instant(now)
+                local.handle_notice(self.dispatcher[0], sent.message, instant)
 
     def start(self, grant: messages.Grant, now: float) -> None:
         """Run a granted request."""
@@ -162,21 +265,27 @@
         self.apply(self.scheduler.done(message, builders.instant(now)), now)
 
     def refuse(self, refusal: messages.Refusal, now: float) -> None:
-        """Record a refusal, and let the caller return if it may."""
+        """Apply a refusal by the dispatcher."""
         request = self.by_ticket[refusal.ticket_id]
         waited = now - self.sent_at[refusal.ticket_id]
-        request.refusals.append((now, waited, refusal.retry_after))
+        self.note_refusal(request, waited, refusal.retry_after, now)
         promised = keptreturns.promised_return(request.tickets[-1], refusal, waited)
         if promised is not None:
             if len(request.refusals) == 1:
                 request.promised_at = now + refusal.retry_after
             instant = builders.instant(now)
             self.kept.add(builders.CELL, promised, self.dispatcher, instant)
+
+    def note_refusal(
+        self, request: Request, waited: float, told: float, now: float
+    ) -> None:
+        """Record a refusal, and let the caller return if it may."""
+        request.refusals.append((now, waited, told))
         used = len(self.scheduler.views.server_by_ticket)
         request.had_free_slot |= used < SLOTS
         if len(request.refusals) <= self.returns:
             most = (request.arrived + REMAINING_SECONDS - now) * RETURN_SHARE
-            wait = self.keeps(request, min(most, refusal.retry_after))
+            wait = self.keeps(request, min(most, told))
             self.at(now + wait, lambda at: self.send(request, at))
 
     def replace(
--- a/src/tealcove/admission/tests/test_returns.py
+++ b/src/tealcove/admission/tests/test_returns.py
@@ -143,6 +143,24 @@
     assert all(request.is_in_time for request in high)
 
 
+def test_no_lower_tier_is_served_while_a_higher_one_is_refused() -> None:
+    """Guards against returns of a lower tier that take slots from a full higher one."""
+    play = builders.Play(admitting(policy.AdmitByGoal()), returns=1)
+    play.add_poisson(1.5 * builders.CAPACITY, 0.0, 10.0, 1, tier=1)
+    play.add_poisson(1.5 * builders.CAPACITY, 0.0, 10.0, 2, tier=0)
+    play.run(10.0)
+    refused_at = [
+        at for one in play.requests if one.tier == 0 for at, _, _ in one.refusals
+    ]
+    low_at = [
+        one.granted_at
+        for one in play.requests
+        if one.tier == 1 and one.granted_at is not None
+    ]
+    assert len(refused_at) > 100
+    assert not any(at > min(refused_at) for at in low_at)
+
+
 class OneIsOver(accountshares.NoAccountShares):
     """One account uses more than its share, for some seconds to come."""
 
--- a/src/tealcove/dispatch/admission.py
+++ b/src/tealcove/dispatch/admission.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 
 from tealcove import ids
-from tealcove.dispatch import accountshares, inflow, messages, retry, waitingticket
+from tealcove.dispatch import (
+    accountshares,
+    inflow,
+    messages,
+    notices,
+    retry,
+    waitingticket,
+)
 
 
 class Admission(abc.ABC):
@@ -48,6 +55,22 @@
         """Record that a ticket has joined the line."""
         return
 
+    def record_grant(self, waiting: waitingticket.Waiting, now: ids.Instant) -> None:
+        """Record that a ticket was granted a slot."""
+        return
+
+    def record_local_refusal(
+        self, ticket: messages.Ticket, promised_at: ids.Instant | None, now: ids.Instant
+    ) -> None:
+        """Record a refusal by an entry, and when its caller was promised a slot."""
+        return
+
+    def notices(
+        self, has_free_slots: bool, now: ids.Instant
+    ) -> Mapping[ids.InstanceId, Sequence[notices.RefusedFlow]]:
+        """Return what entries may refuse by themselves until they are told anew."""
+        return {}
+
     def restore(self, promised: messages.PromisedReturn, at: ids.Instant) -> None:
         """Record a return that another dispatcher has promised for an instant."""
         return
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -19,6 +19,7 @@
     firstattempts,
     inflow,
     messages,
+    notices,
     outcomes,
     paths,
     placement,
@@ -65,6 +66,7 @@
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.attempts = firstattempts.FirstAttempts()
+        self.cell_id = ids.CellId("")
         # Revision of the pool that decisions are based on.
         self.revision = ids.Revision(0)
         self.gather_until = ids.Instant(0.0)
@@ -101,6 +103,39 @@
             if attempt is not None:
                 self.admission.restore(promised, attempt.promised_at)
 
+    def notices(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """See Scheduler."""
+        if now < self.gather_until:
+            return []
+        has_free_slots = bool(with_free_slots(self.views.servers.values(), now))
+        return self.notices_if(has_free_slots, now)
+
+    def notices_if(
+        self, has_free_slots: bool, now: ids.Instant
+    ) -> list[scheduler.Outgoing]:
+        """Return the notices that entries are to be sent now."""
+        told = self.admission.notices(has_free_slots, now)
+        return [
+            scheduler.Outgoing(
+                entry, notices.AdmissionNotice(cell=self.cell_id, flows=tuple(flows))
+            )
+            for entry, flows in told.items()
+        ]
+
+    def record_local_refusals(
+        self, entry: ids.InstanceId, sent: notices.LocalRefusals, now: ids.Instant
+    ) -> None:
+        """See Scheduler."""
+        for refusal in sent.refusals:
+            ticket = notices.ticket_of(refusal, sent.cell, entry)
+            self.wait(ticket, now)
+            promised_at = None
+            attempt = self.attempts.find(ticket, now)
+            if refusal.is_promised and attempt is not None:
+                due_in = refusal.due_ms / notices.MILLISECONDS
+                promised_at = attempt.promised_at = ids.Instant(now + due_in)
+            self.admission.record_local_refusal(ticket, promised_at, now)
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -153,6 +188,7 @@
 
     def configure(self, cell: cells.Cell, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
+        self.cell_id = cell.cell_id
         self.revision = cell.revision
         self.views.configure(cell, now)
         return self.decide(now)
@@ -319,7 +355,8 @@
     def decide(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots in order, and refuse tickets that can't start in time."""
         if not self.line:
-            return []
+            # Entries mustn't refuse what could be granted at once.
+            return self.notices_if(True, now)
         outgoing = self.refuse_quarantined(now)
         if now < self.gather_until:
             return outgoing
@@ -464,6 +501,7 @@
         del self.line[ticket.ticket_id]
         run = self.views.start(ticket, server, now)
         server.record_grant(now)
+        self.admission.record_grant(waiting, now)
         self.exposure.record_grant(server.spec)
         if now + run.first <= waiting.goal_at:
             self.shares.record_grant(waiting.flow, now)
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -115,6 +115,8 @@
     version: ids.SoftwareVersion | None = None
     # The parts of its prompt that other requests may share, in order.
     parts: tuple[ids.PartId, ...] = ()
+    # Whether its entry reads notices of what is refused; an older one can't.
+    takes_notices: bool = False
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -49,6 +49,8 @@
         self.stated = statements.Statements()
         # Called at the end of each dispatched request.
         self.listeners: list[Listener] = []
+        # Whether this entry reads notices of what dispatchers refuse.
+        self.takes_notices = False
         self.promises: promises.Promises = promises.NoPromises()
         self.refreshing: asyncio.Task[None] | None = None
         # Count of grants that were returned since their servers can't be used.
@@ -280,7 +282,11 @@
     ) -> messages.Ticket:
         """Return a ticket as it is sent now, with the statements of its servers."""
         stated = self.stated.of_pool(cells.pool_of(request.ticket.cell), now)
-        return msgspec.structs.replace(pending.current(request, now), statements=stated)
+        return msgspec.structs.replace(
+            pending.current(request, now),
+            statements=stated,
+            takes_notices=self.takes_notices,
+        )
 
     def record_statement(
         self,
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -17,6 +17,7 @@
     exposure,
     holds,
     messages,
+    notices,
     pathevidence,
     paths,
     reading,
@@ -26,7 +27,7 @@
     suspicion,
 )
 from tealcove.membership import members
-from tealcove.peers import mesh
+from tealcove.peers import mesh, message
 from tealcove.storage import instances
 
 log = logbook.Logger("dispatch")
@@ -107,6 +108,7 @@
         self.transport.handle(messages.PathReport, self.handle_paths)
         self.transport.handle(holds.Hold, self.handle_hold)
         self.transport.handle(messages.PromisedReturns, self.handle_promises)
+        self.transport.handle(notices.LocalRefusals, self.handle_local_refusals)
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
 
@@ -208,6 +210,14 @@
         else:
             held.scheduler.restore_returns(sent.returns, now)
 
+    def handle_local_refusals(
+        self, sender: ids.InstanceId, sent: notices.LocalRefusals
+    ) -> None:
+        """Count what an entry has refused by itself."""
+        held = self.held.get(sent.cell)
+        if held is not None:
+            held.scheduler.record_local_refusals(sender, sent, clock.now())
+
     def record_poll(
         self, server: ids.BackendServerId, is_reached: bool, now: ids.Instant
     ) -> None:
@@ -338,6 +348,7 @@
         self.drop_lost_entries(now)
         for held in self.held.values():
             self.send(held.scheduler.tick(now))
+            self.send(held.scheduler.notices(now))
         if now >= self.next_release:
             self.next_release = ids.Instant(now + RELEASE_INTERVAL)
             self.release_cells(now)
@@ -404,7 +415,7 @@
 
     def record(
         self,
-        sent: messages.Grant | messages.Refusal | messages.Preempt | messages.Queued,
+        sent: message.Message,
     ) -> None:
         """Count a decision and close the ticket's span."""
         self.spans.answer(sent)
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -17,6 +17,7 @@
     exposure,
     holds,
     messages,
+    notices,
     paths,
     suspicion,
 )
@@ -32,7 +33,13 @@
     """A message to be sent to an entry."""
 
     entry: ids.InstanceId
-    message: messages.Grant | messages.Refusal | messages.Preempt | messages.Queued
+    message: (
+        messages.Grant
+        | messages.Refusal
+        | messages.Preempt
+        | messages.Queued
+        | notices.AdmissionNotice
+    )
 
 
 class Scheduler(abc.ABC):
@@ -86,6 +93,16 @@
         """
         return
 
+    def notices(self, now: ids.Instant) -> list[Outgoing]:
+        """Return what entries may refuse by themselves; called periodically."""
+        return []
+
+    def record_local_refusals(
+        self, entry: ids.InstanceId, sent: notices.LocalRefusals, now: ids.Instant
+    ) -> None:
+        """Record what an entry has refused by itself."""
+        return
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- a/src/tealcove/dispatch/spans.py
+++ b/src/tealcove/dispatch/spans.py
@@ -6,6 +6,7 @@
 
 from tealcove import ids, measuring
 from tealcove.dispatch import messages
+from tealcove.peers import message
 
 if typing.TYPE_CHECKING:
     from opentelemetry import trace
@@ -46,7 +47,7 @@
 
     def answer(
         self,
-        sent: messages.Grant | messages.Refusal | messages.Preempt | messages.Queued,
+        sent: message.Message,
     ) -> None:
         """Close the span of a ticket that is granted or refused."""
         if not self.open:
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -17,7 +17,7 @@
     stalls,
     tasks,
 )
-from tealcove.admission import counts, entrypromises
+from tealcove.admission import counts, entrypromises, localrefusals
 from tealcove.admission import policy as admission_policy
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
 from tealcove.dispatch import policy, requester, role, spread
@@ -75,6 +75,7 @@
         self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
         self.admission_counts = counts.Counts()
+        self.early: localrefusals.LocalRefusals | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
         self.runners: list[web.AppRunner] = []
@@ -187,7 +188,7 @@
             self.mesh, self.members, found.dispatch.ticket_timeout, self.spread
         )
         if found.admission.enabled:
-            self.tickets.promises = entrypromises.EntryPromises(self.mesh, self.members)
+            self.start_local_refusals()
         self.tickets.start()
         self.tickets.listeners.append(self.quarantine.record_end)
         self.origins = origins.OriginFinder(
@@ -197,6 +198,7 @@
             self.following.is_current,
         )
         self.origins.start()
+        self.show_admission()
         self.metrics.add_observable_counter(
             "tealcove.requests.quarantined",
             "Requests refused to callers since they crash backend servers.",
@@ -218,6 +220,44 @@
             lambda: self.tickets.declined,
         )
 
+    def show_admission(self) -> None:
+        """Add the counts of refusals under overload to the metrics."""
+        counted = self.admission_counts
+        self.metrics.add_observable_counter(
+            "tealcove.requests.refused_at_once",
+            "Requests refused since they would have missed their goal.",
+            lambda: counted.refused_at_once,
+        )
+        self.metrics.add_observable_counter(
+            "tealcove.returns.promised",
+            "Refusals with slot time reserved for the caller's return.",
+            lambda: counted.promised,
+        )
+        self.metrics.add_observable_counter(
+            "tealcove.returns.kept",
+            "Requests that returned at the time that was promised.",
+            lambda: counted.kept,
+        )
+        self.metrics.add_observable_counter(
+            "tealcove.requests.refused_locally",
+            "Requests refused on arrival, as their dispatcher refuses all like them.",
+            lambda: counted.refused_locally,
+        )
+
+    def start_local_refusals(self) -> None:
+        """Keep promised returns, and follow what dispatchers refuse."""
+        kept = entrypromises.EntryPromises(self.mesh, self.members)
+        self.tickets.promises = kept
+        self.tickets.takes_notices = True
+        self.early = localrefusals.LocalRefusals(
+            self.mesh,
+            self.members,
+            kept,
+            self.settings.admission.return_share,
+            self.admission_counts,
+        )
+        self.early.start()
+
     def new_admission(self) -> admission_policy.AdmitByGoal:
         """Return the admission of a cell that this instance begins to serve."""
         share = self.settings.admission.return_share
@@ -273,6 +313,7 @@
             self.quarantine,
             callers.CallerCodec(),
             self.metrics,
+            self.early,
         )
         self.listeners.append(
             await factories.listen_for_callers(found, self.ingress.routes())
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from tealcove import clock, ids, measuring
+from tealcove.admission import localrefusals
 from tealcove.catalog import copies, declared
 from tealcove.dispatch import messages, spread
 from tealcove.entry import problem
@@ -43,7 +44,9 @@
         quarantine: quarantine_role.Quarantine,
         codec: responses.Codec,
         source: measuring.Source | None = None,
+        early: localrefusals.LocalRefusals | None = None,
     ) -> None:
+        self.early = early
         self.services = services
         self.configuration = configuration
         self.spread = spreading
@@ -126,6 +129,7 @@
         )
         version = await self.find_version(accepted)
         cell = self.find_cell(accepted, version)
+        self.refuse_early(accepted, cell, version)
         charge = await self.charge(accepted)
         running = exchange.Exchange(self.services, accepted, cell, request, version)
         try:
@@ -164,6 +168,20 @@
                 HTTP_TIMEOUT, "The body came too slowly", f"Send it in {seconds:g} s."
             ) from error
 
+    def refuse_early(
+        self,
+        accepted: tickets.AcceptedRequest,
+        cell: ids.CellId,
+        version: ids.SoftwareVersion | None,
+    ) -> None:
+        """Refuse a request that its dispatcher would; raises ProblemError."""
+        if self.early is None or version is not None:
+            return
+        now = clock.now()
+        wait = self.early.refuse(tickets.arrival(accepted, cell, now), now)
+        if wait is not None:
+            raise problem.not_run(messages.RefusalReason.OVERLOAD, wait)
+
     async def charge(self, accepted: tickets.AcceptedRequest) -> admission.Charge:
         """Charge the account; raises ProblemError beyond its limit."""
         cost = acceptance.cost(accepted)
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from tealcove import ids
+from tealcove.admission import localrefusals
 from tealcove.catalog import declared
 from tealcove.dispatch import messages, pending
 from tealcove.ingress import call
@@ -119,6 +120,26 @@
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
 
+def arrival(
+    accepted: AcceptedRequest, cell: ids.CellId, now: ids.Instant
+) -> localrefusals.Arrival:
+    """Return what decides whether a request is refused before a ticket is made."""
+    work = accepted.call.work
+    return localrefusals.Arrival(
+        request_id=accepted.call.request_id,
+        cell=cell,
+        tier_rank=accepted.tier_rank,
+        urgency=accepted.route.rank,
+        account=accepted.account_name,
+        digest=accepted.digest,
+        prompt_tokens=work.prompt_tokens,
+        output_tokens=work.output_tokens,
+        goal=remaining_goal(accepted.route, now - accepted.arrived, False),
+        caller_remaining=caller_remaining(accepted, now),
+        resumes_stream=accepted.resumes_stream,
+    )
+
+
 def caller_remaining(accepted: AcceptedRequest, now: ids.Instant) -> float:
     """Return the seconds until the caller's own deadline; 0 if unknown."""
     if accepted.call.caller_timeout is None:
