--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -9,6 +9,7 @@
 
 from tealcove import clock, ids, measuring
 from tealcove.accounts import tallies
+from tealcove.admission import localrefusals
 from tealcove.catalog import copies, declared
 from tealcove.dispatch import messages, spread
 from tealcove.entry import problem
@@ -46,7 +47,9 @@
         codec: responses.Codec,
         source: measuring.Source | None = None,
         counts: tallies.Tallies | None = None,
+        early: localrefusals.LocalRefusals | None = None,
     ) -> None:
+        self.early = early
         self.services = services
         self.configuration = configuration
         self.spread = spreading
@@ -134,6 +137,7 @@
         )
         version = await self.find_version(accepted, observation)
         cell = self.find_cell(accepted, version, observation)
+        self.refuse_early(accepted, cell, version, observation)
         charge = await self.charge(accepted, observation)
         running = exchange.Exchange(self.services, accepted, cell, request, version)
         try:
@@ -198,6 +202,21 @@
                 HTTP_TIMEOUT, "The body came too slowly", f"Send it in {seconds:g} s."
             ) from error
 
+    def refuse_early(
+        self,
+        accepted: tickets.AcceptedRequest,
+        cell: ids.CellId,
+        version: ids.SoftwareVersion | None,
+        observation: observer.Observation,
+    ) -> None:
+        """Refuse a request that its dispatcher would; raises ProblemError."""
+        if self.early is None or version is not None:
+            return
+        now = clock.now()
+        wait = self.early.refuse(tickets.arrival(accepted, cell, now), now)
+        if wait is not None:
+            raise refused(observation, messages.RefusalReason.OVERLOAD, wait)
+
     async def charge(
         self, accepted: tickets.AcceptedRequest, observation: observer.Observation
     ) -> admission.Charge:
