Load that servers state is decoded, carried to the dispatcher and used

Cause: the header Tealcove-Instance-Load was dropped, so that requests kept coming to servers in a slow moment, slots that others use counted as free, and each slow moment spoiled the learned speeds.

Progress and Done carry it with its age. serverload.py keeps it for each server: the time factor (timefactor.py), by which first events and ends are predicted and learned speeds are normalised, relative to the server's usual factor, so that a constant one changes nothing; requests of others, which occupy slots; and evidence whether statements agree with what is measured (loadevidence.py). Urgent and long requests avoid servers that state a high load if another one meets the goal. Enabled by server_load.enabled; Ticket.gap is filled for later use.

Tests of dispatch, platform, ingress, front and test_replay.py pass; the rest was not run.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -12,6 +12,7 @@
     prefill,
     rejections,
     restrictions,
+    serverload,
     warmup,
 )
 from tealcove.resources import kinds
@@ -58,6 +59,13 @@
     # Predicted seconds to the first token and to the end.
     first: float = 0.0
     total: float = 0.0
+    # The same at the server's usual speed, and the seconds to the first token by the
+    # load that the server states, whether or not it is trusted.
+    usual_first: float = 0.0
+    usual_total: float = 0.0
+    stated_first: float = 0.0
+    # See serverload.Load.work_at, at its start.
+    work_at_start: float = 0.0
     has_first_token: bool = False
     # When it was received; None: not known here.
     first_token_at: ids.Instant | None = None
@@ -76,7 +84,10 @@
     """State and speed estimates of one backend server."""
 
     def __init__(
-        self, spec: kinds.BackendServerSpec, quadratic: prefill.QuadraticCost
+        self,
+        spec: kinds.BackendServerSpec,
+        quadratic: prefill.QuadraticCost,
+        load: serverload.Load = serverload.UNSTATED,
     ) -> None:
         self.name = ids.BackendServerId(spec.name)
         self.spec = spec
@@ -99,6 +110,7 @@
         self.warmup = warmup.Warmup()
         # What its answers have stated.
         self.restrictions = restrictions.Restrictions(self.name)
+        self.load = load
 
     def announced_first_seconds(self, run: Run) -> float:
         """Return the seconds to a run's first event that are sent to its entry."""
@@ -205,7 +217,7 @@
         """Return how many requests it may run at once; one if it may reject them."""
         may_reject = self.restrictions.may_reject(now)
         room = 1 if may_reject else self.restrictions.rejections.room_at(now)
-        return int(min(room, self.spec.slots))
+        return int(min(room, max(0, self.spec.slots - self.load.occupied(now))))
 
     def slot_available_at(self, place: int, at: ids.Instant, now: ids.Instant) -> float:
         """Return when a slot that is released at `at` can be granted.
@@ -251,8 +263,11 @@
 
     def pending(self, now: ids.Instant) -> float:
         """Return the remaining prefill work; see prefill.QuadraticCost."""
+        factor = self.load.factor(now)
         return sum(
-            self.prefill.remaining_work(run.ticket.prompt_tokens, now - run.started)
+            self.prefill.remaining_work(
+                run.ticket.prompt_tokens, (now - run.started) / factor
+            )
             for run in self.runs.values()
             if not run.has_first_token
         )
@@ -271,34 +286,57 @@
         """Return the seconds to a ticket's end."""
         return self.first_seconds(ticket, pending) + stream_seconds(ticket, self)
 
+    def predict(
+        self, ticket: messages.Ticket, pending: float, now: ids.Instant
+    ) -> serverload.Predicted:
+        """Return the seconds to a ticket's first token and end, if it starts now."""
+        first = self.first_seconds(ticket, pending)
+        total = first + stream_seconds(ticket, self)
+        return self.load.predict(first, total, now)
+
     def start(self, ticket: messages.Ticket, now: ids.Instant) -> Run:
         """Give a slot to a ticket."""
         pending = self.pending(now)
+        usual_first = self.first_seconds(ticket, pending)
+        usual_total = usual_first + stream_seconds(ticket, self)
+        predicted = self.load.predict(usual_first, usual_total, now)
         run = Run(
             ticket=ticket,
             started=now,
             refreshed_at=now,
             work=self.work(ticket, pending),
-            first=self.first_seconds(ticket, pending),
-            total=self.total_seconds(ticket, pending),
+            first=predicted.first,
+            total=predicted.total,
+            usual_first=usual_first,
+            usual_total=usual_total,
+            stated_first=self.load.stated_seconds(usual_first, now),
+            work_at_start=self.load.work_at(now),
         )
         self.runs[ticket.ticket_id] = run
         return run
 
-    def learn_first_token(self, run: Run, seconds: float) -> None:
-        """Learn from the time to a first token."""
-        if not run.is_adopted:
-            self.prefill.learn(run.ticket.prompt_tokens, run.work, seconds)
+    def learn_first_token(self, run: Run, seconds: float, now: ids.Instant) -> None:
+        """Learn from the time to a first token that was received now."""
+        if run.is_adopted:
+            return
+        self.load.record_first(run.usual_first, run.stated_first, seconds)
+        usual = self.load.usual_seconds(seconds, now)
+        self.prefill.learn(run.ticket.prompt_tokens, run.work, usual)
 
-    def learn_completion(self, run: Run, done: messages.Done) -> None:
-        """Learn from a completed request."""
+    def learn_completion(self, run: Run, done: messages.Done, now: ids.Instant) -> None:
+        """Learn from a request that completed now."""
         if run.is_adopted:
             return
         weight = self.weight()
         if run.ticket.prompt_tokens == 0:
-            self.call_seconds += weight * (done.total_seconds - self.call_seconds)
+            seconds = done.total_seconds
+            self.load.record_first(run.usual_first, run.stated_first, seconds)
+            usual = self.load.usual_seconds(seconds, now)
+            weight *= confidence(usual, seconds)
+            self.call_seconds += weight * (usual - self.call_seconds)
         elif done.output_tokens >= MIN_OUTPUT_TOKENS:
-            streamed = done.total_seconds - done.first_token_seconds
+            streamed = self.load.usual_seconds(done.writing_seconds, now)
+            weight *= confidence(streamed, done.writing_seconds)
             seen = streamed / done.output_tokens
             self.token_seconds += weight * (seen - self.token_seconds)
         self.observations += 1
@@ -324,6 +362,14 @@
         self.failed_in_row = 0
 
 
+def confidence(usual: float, measured: float) -> float:
+    """Return the weight of a time that was measured in a slow moment, up to 1.
+
+    When the moment began and ended within the time isn't known exactly.
+    """
+    return min(1.0, usual / measured) ** 2 if measured > 0.0 else 1.0
+
+
 def expected_tokens(ticket: messages.Ticket) -> int:
     """Return the expected output tokens of a ticket, or else its upper bound."""
     return ticket.expected_tokens or ticket.output_tokens
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -9,7 +9,14 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import backendview, cells, messages, prefill, scheduler
+from tealcove.dispatch import (
+    backendview,
+    cells,
+    messages,
+    prefill,
+    scheduler,
+    serverload,
+)
 from tealcove.resources import kinds
 
 log = logbook.Logger("dispatch")
@@ -34,6 +41,8 @@
         self.servers: dict[ids.BackendServerId, backendview.BackendView] = {}
         # Shared by all servers, since they run the same model.
         self.quadratic = prefill.QuadraticCost()
+        # How the load that servers state is used.
+        self.loads = serverload.Loads()
         self.server_by_ticket: dict[ids.TicketId, backendview.BackendView] = {}
         # The software versions of the listed servers.
         self.versions: frozenset[ids.SoftwareVersion] = frozenset()
@@ -71,7 +80,8 @@
         self, spec: kinds.BackendServerSpec, now: ids.Instant
     ) -> backendview.BackendView:
         """Return a new server's state, with the speed of the median known server."""
-        view = backendview.BackendView(spec, self.quadratic)
+        load = self.loads.of_server(ids.BackendServerId(spec.name), spec.slots)
+        view = backendview.BackendView(spec, self.quadratic, load)
         view.warmup.update(spec, now)
         known = [other for other in self.servers.values() if other.observations]
         if known:
@@ -162,6 +172,15 @@
         run.is_adopted = True
         run.has_first_token = True
 
+    def record_load(
+        self, reported: messages.Progress | messages.Done, now: ids.Instant
+    ) -> None:
+        """Record the load that a server stated in its answer to a running request."""
+        server = self.server_by_ticket.get(reported.ticket_id)
+        if server is not None and reported.load is not None:
+            at = ids.Instant(now - reported.load_age)
+            server.load.record(reported.load, at, server.runs.values())
+
     def release(
         self, ticket_id: ids.TicketId, is_answered: bool = False
     ) -> tuple[backendview.BackendView, backendview.Run] | None:
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -24,6 +24,7 @@
     placement,
     retry,
     scheduler,
+    serverload,
     shares,
     suspectruns,
     suspicion,
@@ -92,6 +93,10 @@
         """See Scheduler."""
         self.admission = policy
 
+    def use_server_load(self) -> None:
+        """See Scheduler."""
+        self.views.loads = serverload.StatedLoads()
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -232,17 +237,19 @@
         server = self.views.server_by_ticket.get(progress.ticket_id)
         if server is None:
             return []
+        self.views.record_load(progress, now)
         run = server.runs[progress.ticket_id]
         run.has_first_token = True
         run.first_token_at = now
         server.last_activity = now
         server.reported_at[run.ticket.entry] = now
         server.restrictions.record_service(run.started)
-        server.learn_first_token(run, progress.first_token_seconds)
+        server.learn_first_token(run, progress.first_token_seconds, now)
         return []
 
     def done(self, done: messages.Done, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
+        self.views.record_load(done, now)
         is_answered = done.is_rejected or done.outcome in outcomes.KNOWN_OUTCOMES
         released = self.views.release(done.ticket_id, is_answered)
         view, run = released or (None, None)
@@ -255,6 +262,7 @@
             outcomes.record(server, done, run, is_path_lost, now)
         if run is not None:
             view.reported_at[entry] = now
+            view.load.record_end(run.started, now)
             # A request that crashes any server says nothing of the server's version.
             is_guilty = self.suspicion.is_quarantined(run.ticket, now)
             if not is_path_lost and not is_guilty:
@@ -263,7 +271,7 @@
                 if done.is_success:
                     began = ids.Instant(now - done.writing_seconds)
                     self.suspicion.answered(run.ticket, began, now)
-                view.learn_completion(run, done)
+                view.learn_completion(run, done, now)
                 view.restrictions.record_service(run.started)
         return self.decide(now)
 
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -63,6 +63,20 @@
     rejection_limit_age: float = math.inf
 
 
+class StatedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The load that a backend server states in the head of a response.
+
+    A new field must come last and have a default; see peers.message.Message.
+    """
+
+    # Requests, of all instances together.
+    running: float
+    waiting: float
+    slots: float
+    # How long work takes on the server at this moment; 1 is normal, None: not stated.
+    time_factor: float | None = None
+
+
 class Ticket(message.Message):
     """A request's place in the queue of a cell; it carries no prompt."""
 
@@ -115,6 +129,8 @@
     version: ids.SoftwareVersion | None = None
     # The parts of its prompt that other requests may share, in order.
     parts: tuple[ids.PartId, ...] = ()
+    # Longest pause in seconds between two events that its route allows; 0: any.
+    gap: float = 0.0
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
@@ -181,6 +197,9 @@
     # The server, and the instance whose connection to it is used; empty: not stated.
     server: ids.BackendServerId = ids.BackendServerId("")
     reached: ids.InstanceId = ids.InstanceId("")
+    # The load that the head of the response stated, and its age in seconds.
+    load: StatedLoad | None = None
+    load_age: float = 0.0
 
 
 class StatementReport(message.Message, tag="LimitReport"):
@@ -224,6 +243,9 @@
     is_rejected: bool = False
     # Whether the answer is a success, and whole.
     is_success: bool = False
+    # The load that the head of the response stated, and its age in seconds.
+    load: StatedLoad | None = None
+    load_age: float = 0.0
 
     @property
     def writing_seconds(self) -> float:
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from tealcove import ids
-from tealcove.dispatch import backendview, exposure, waitingticket
+from tealcove.dispatch import backendview, exposure, messages, waitingticket
 
 # A server that fails all requests counts as slower by this multiple of its time.
 FAILURE_PENALTY = 3.0
@@ -21,6 +21,10 @@
 # never end.
 PREFERENCE_SECONDS = 1e6
 
+# A request that takes longer avoids loaded servers: it is still there when the load has
+# risen further, and can't be moved.
+LONG_SECONDS = 2.0
+
 
 def choose(
     waiting: waitingticket.Waiting,
@@ -32,15 +36,17 @@
 
     A ticket that would miss its goal on every free server, but could still meet it on
     another one, waits. A server on which it can't end in time is never chosen: a slow
-    engine would compute outputs that their callers never receive in full.
+    engine would compute outputs that their callers never receive in full. An urgent or
+    long request avoids servers that state a high load, if another one meets its goal.
     """
     ticket = waiting.ticket
-    best = None
-    best_cost = best_first = math.inf
+    best = unloaded = None
+    best_cost = best_first = unloaded_cost = math.inf
+    is_best_avoided = False
     for server in free:
         pending = server.pending(now)
-        first = server.first_seconds(ticket, pending)
-        cost = server.total_seconds(ticket, pending)
+        first, cost = server.predict(ticket, pending, now)
+        is_avoided = is_affected(ticket, cost) and server.load.is_high(now)
         if now + cost > waiting.end_by:
             continue
         cost *= 1.0 + FAILURE_PENALTY * server.failures
@@ -52,9 +58,19 @@
             cost -= PREFERENCE_SECONDS
         if cost < best_cost:
             best, best_cost, best_first = server, cost, first
+            is_best_avoided = is_avoided
+        if not is_avoided and cost < unloaded_cost and now + first <= waiting.goal_at:
+            unloaded, unloaded_cost = server, cost
     if best is None:
         return None
+    if is_best_avoided and unloaded is not None:
+        return unloaded
     misses_goal = now + best_first > waiting.goal_at
     if misses_goal and not waiting.is_late(now):
         return None
     return best
+
+
+def is_affected(ticket: messages.Ticket, seconds: float) -> bool:
+    """Tell whether a request of so many seconds avoids servers with a high load."""
+    return ticket.urgency == 0 or seconds >= LONG_SECONDS
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -77,6 +77,13 @@
         """
         return
 
+    def use_server_load(self) -> None:
+        """Use the load that servers state in their answers; called before `configure`.
+
+        A scheduler that ignores it keeps this empty default.
+        """
+        return
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- a/src/tealcove/dispatch/statements.py
+++ b/src/tealcove/dispatch/statements.py
@@ -46,6 +46,8 @@
     rest: float = 0.0
     # None if the answer says nothing of it.
     rejections: RejectionLimit | None = None
+    # None if the answer states no load, or none that can be read.
+    load: messages.StatedLoad | None = None
 
 
 NOTHING = Statement()
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -210,7 +210,7 @@
     for server in servers:
         if not server.is_serving:
             continue
-        ends = [max(now, run.started + run.total) for run in server.runs.values()]
+        ends = server.load.ends(server.runs.values(), now)
         ends.sort()
         slots = server.open_slots(now)
         free = max(0, slots - len(ends))
--- a/src/tealcove/front/factories.py
+++ b/src/tealcove/front/factories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -10,6 +11,7 @@
 from tealcove import ids, listener, stalls
 from tealcove import settings as limit_settings
 from tealcove.catalog import copies, follower, serverlist
+from tealcove.dispatch import policy, scheduler
 from tealcove.front import settings
 from tealcove.ingress import budget
 from tealcove.membership import heartbeats, members, messages
@@ -41,6 +43,21 @@
 RELAY_HEADER_BYTES = 4096
 
 
+def scheduler_factory(
+    found: settings.FrontSettings,
+) -> Callable[[], scheduler.Scheduler]:
+    """Return the function that creates the scheduler of a cell."""
+    new_scheduler = policy.find(found.dispatch.policy)
+
+    def create() -> scheduler.Scheduler:
+        created = new_scheduler()
+        if found.server_load.enabled:
+            created.use_server_load()
+        return created
+
+    return create
+
+
 def new_store(
     found: settings.FrontSettings, own_stalls: stalls.Stalls
 ) -> store.StoreClient:
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -18,7 +18,7 @@
     tasks,
 )
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
-from tealcove.dispatch import policy, requester, role, spread
+from tealcove.dispatch import requester, role, spread
 from tealcove.front import addresses, factories, metrics, settings
 from tealcove.ingress import budget, exchange, hanging, http, tickets
 from tealcove.limits import central, limit
@@ -168,7 +168,7 @@
             self.mesh,
             self.members,
             self.spread.find,
-            policy.find(found.dispatch.policy),
+            factories.scheduler_factory(found),
             None,
             0.0,
             self.quarantine,
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -24,6 +24,9 @@
         self.trace = link.PathTrace([])
         self.is_rejected = False
         self.is_success = False
+        # The load that the head of the response stated, and when it arrived.
+        self.load: messages.StatedLoad | None = None
+        self.load_at: ids.Instant = ids.Instant(0.0)
         tickets.mark_running(pending_ticket, grant.server, grant.start)
 
     def dispatched(self, now: ids.Instant) -> None:
@@ -32,6 +35,7 @@
 
     def answered(self, said: statements.Statement, now: ids.Instant) -> None:
         """Record what the server's answer states, and who reached the server."""
+        self.load, self.load_at = said.load, now
         if self.trace.lost and self.trace.reached is not None:
             report = messages.PathReport(
                 cell=self.pending_ticket.ticket.cell,
@@ -52,9 +56,15 @@
             first_token_seconds=now - self.sent_at,
             server=self.grant.server,
             reached=self.trace.reached or ids.InstanceId(""),
+            load=self.load,
+            load_age=self.load_age(now),
         )
         self.tickets.send(self.pending_ticket, progress)
 
+    def load_age(self, now: ids.Instant) -> float:
+        """Return the seconds since the server stated its load; 0 if it stated none."""
+        return 0.0 if self.load is None else now - self.load_at
+
     def end(
         self, outcome: messages.Outcome, tokens: int, now: ids.Instant
     ) -> messages.Done:
@@ -77,6 +87,8 @@
             lost=tuple(self.trace.lost),
             is_rejected=self.is_rejected,
             is_success=self.is_success,
+            load=self.load,
+            load_age=self.load_age(now),
         )
         self.tickets.finish(self.pending_ticket, done)
         return done
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -115,6 +115,7 @@
         caller_remaining=0.0 if has_events else caller_remaining(accepted, now),
         version=version,
         parts=accepted.call.parts,
+        gap=route.gap if route.is_stream else 0.0,
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
--- a/src/tealcove/platform/answers.py
+++ b/src/tealcove/platform/answers.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from tealcove import count
-from tealcove.dispatch import statements
+from tealcove.dispatch import statedload, statements
 from tealcove.platform import names
 
 HTTP_UNAVAILABLE = 503
@@ -30,6 +30,7 @@
         is_leaving=is_leaving(response),
         rest=stated_rest(response),
         rejections=stated_rejections(response),
+        load=statedload.decode(values_of(response, names.LOAD)),
     )
 
 
