--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -13,6 +13,7 @@
 
 from tealcove import clock, ids, tasks
 from tealcove.platform import names
+from tealcove.standins import pool_load
 
 HTTP_BAD_REQUEST = 400
 HTTP_MISDIRECTED = 421
@@ -116,6 +117,8 @@
         self.crashing_parts: frozenset[str] = frozenset()
         # Seconds from a request to the first byte of its answer.
         self.prefill_seconds = 0.0
+        # How it slows down under load, and what it states of it.
+        self.load = pool_load.PoolLoad()
         # Whether it is back at once after a crash, as another incarnation.
         self.restarts_at_once = False
         self.is_down = False
@@ -238,6 +241,7 @@
         await self.fall_if_overrun(clock.now())
         await asyncio.sleep(self.rejection_seconds)
         headers = {names.NOT_RUN: "1", **self.statement_headers()}
+        headers.update(self.load_headers())
         if self.rest is not None:
             headers[names.RETRY_AFTER] = self.rest
         return web.Response(status=HTTP_UNAVAILABLE, headers=headers)
@@ -282,6 +286,15 @@
         }
         return {name: value for name, value in found.items() if value is not None}
 
+    def load_headers(self) -> dict[str, str]:
+        """Return the header that states the load at this moment, if it does."""
+        stated = self.load.header(self.running, SLOTS, clock.now())
+        return {} if stated is None else {names.LOAD: stated}
+
+    async def work(self, seconds: float) -> None:
+        """Take as long as work of so many seconds takes under the present load."""
+        await asyncio.sleep(self.load.seconds(seconds, self.running))
+
     def record(self, request: web.Request, body: bytes) -> None:
         """Record a request that is run."""
         headers = request.headers
@@ -311,7 +324,7 @@
         is_crashing = not self.crashing_parts.isdisjoint(parts_of(request))
         if is_crashing:
             self.crashing_arrivals.append(clock.now())
-        await asyncio.sleep(self.prefill_seconds)
+        await self.work(self.prefill_seconds)
         if is_crashing:
             await self.crash()
             request.transport.abort()
@@ -329,7 +342,8 @@
             return await self.answer_unframed(request, headers)
         if request.path.startswith("/stream/"):
             return await self.stream(request, headers, fault)
-        await asyncio.sleep(self.call_seconds)
+        await self.work(self.call_seconds)
+        headers.update(self.load_headers())
         status = HTTP_FAILED if fault is Fault.FAILED else 200
         return web.Response(
             status=status, headers=headers, body=f"from {self.name}".encode()
@@ -374,7 +388,8 @@
     ) -> web.StreamResponse:
         """Send a stream, starting after the caller's last event."""
         last = int(request.headers.get(names.LAST_EVENT_ID, 0))
-        response = web.StreamResponse(headers={**headers, "Content-Type": EVENT_STREAM})
+        headers = {**headers, **self.load_headers(), "Content-Type": EVENT_STREAM}
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         half = self.event_count // 2 + 1
         cut_at = {Fault.CUT: half, Fault.CUT_EARLY: last + 2}.get(fault)
@@ -386,7 +401,7 @@
                 return response
             if fault is not Fault.SKIPPED_EVENT or number != half:
                 await response.write(event)
-            await asyncio.sleep(self.event_interval)
+            await self.work(self.event_interval)
         await response.write_eof()
         return response
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -95,7 +95,12 @@
 class Site:
     """The store, backend servers and instances of one deployment."""
 
-    def __init__(self, era: int | None = None, data_centres: int = 1) -> None:
+    def __init__(
+        self,
+        era: int | None = None,
+        data_centres: int = 1,
+        uses_server_load: bool = False,
+    ) -> None:
         self.store = platform.PlatformStandin(platform.PlatformSettings(era=era))
         self.era = ids.NO_ERA if era is None else ids.Era(era)
         self.servers: list[poolserver.PoolServer] = []
@@ -104,6 +109,8 @@
         self.requests = 0
         # Instances are spread over so many data centres.
         self.data_centres = data_centres
+        # Whether instances use the load that servers state.
+        self.uses_server_load = uses_server_load
         # Each site has its own loopback network, so that concurrent sites can't
         # use the same port.
         self.network, self.network_socket = deployment.reserve_network()
@@ -134,6 +141,7 @@
             store=settings.Store(f"127.0.0.1:{self.store.port}"),
             seeds=seeds,
             rollouts=settings.Rollouts(enabled=True),
+            server_load=settings.ServerLoad(enabled=self.uses_server_load),
         )
         started = await instance.start(found)
         # A process holds back retries for one window after its start.
@@ -248,9 +256,10 @@
     instances: int = 1,
     era: int | None = None,
     data_centres: int = 1,
+    uses_server_load: bool = False,
 ) -> AsyncIterator[Site]:
     """Run a site and stop it at the end."""
-    running = Site(era, data_centres)
+    running = Site(era, data_centres, uses_server_load)
     running.session = aiohttp.ClientSession()
     await running.store.start()
     try:
@@ -273,10 +282,14 @@
 
 @contextlib.asynccontextmanager
 async def connected_site(
-    servers: int, instances: int, era: int | None = None, data_centres: int = 1
+    servers: int,
+    instances: int,
+    era: int | None = None,
+    data_centres: int = 1,
+    uses_server_load: bool = False,
 ) -> AsyncIterator[Site]:
     """Run a site whose instances know each other."""
-    async with site(servers, instances, era, data_centres) as running:
+    async with site(servers, instances, era, data_centres, uses_server_load) as running:
         await until(
             lambda: all(
                 len(one.members.serving(clock.now())) == instances
