--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -226,7 +226,7 @@
             account=arrival.account,
             slot_ms=self.slot_ms,
             ends_ms=notices.milliseconds(arrival.caller_remaining - since),
-            goal_ms=notices.milliseconds(arrival.goal - since),
+            goal_left_ms=notices.milliseconds(arrival.goal - since),
             due_ms=notices.milliseconds(self.due - now),
             is_promised=self.is_promised,
         )
--- a/src/tealcove/dispatch/notices.py
+++ b/src/tealcove/dispatch/notices.py
@@ -59,7 +59,7 @@
     slot_ms: int
     # Until its caller gives up, its goal, and the time at which it may return.
     ends_ms: int
-    goal_ms: int
+    goal_left_ms: int
     due_ms: int
     is_promised: bool
 
@@ -102,7 +102,7 @@
         remaining=refusal.ends_ms / MILLISECONDS,
         digest=refusal.digest,
         # A goal of 0 would mean that it has none.
-        goal=max(1, refusal.goal_ms) / MILLISECONDS,
+        goal=max(1, refusal.goal_left_ms) / MILLISECONDS,
         urgency=refusal.urgency,
         caller_remaining=refusal.ends_ms / MILLISECONDS,
         takes_notices=True,
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -26,7 +26,6 @@
 from tealcove.dispatch import (
     accountreports,
     accountshares,
-    policy,
     requester,
     role,
     spread,
@@ -204,7 +203,7 @@
             self.mesh,
             self.members,
             self.spread.find,
-            policy.find(found.dispatch.policy),
+            factories.scheduler_factory(found),
             None,
             0.0,
             self.quarantine,
