Kept promises are neither refused by entries after a takeover nor for a forecast

Cause: tests with real instances showed two faults. A new dispatcher's notices named the returns that it had promised itself, so that entries refused those it had taken over. The forecast of a kept promise counted arriving work before it, ten times the line under overload, and refused callers with 3 s left.

Change: promised returns carry kind and account, and notices name all that are awaited, until they arrive. A kept promise is forecast in the place that it has in the line. The reserve below the goal is a part of the time that is left, so that a ticket about to start isn't refused. tests/platform_site.py takes settings for its instances.

--- a/src/tealcove/admission/keptreturns.py
+++ b/src/tealcove/admission/keptreturns.py
@@ -86,6 +86,8 @@
         prompt_tokens=ticket.prompt_tokens,
         output_tokens=ticket.output_tokens,
         tier_rank=ticket.tier_rank,
+        urgency=ticket.urgency,
+        account=ticket.account,
         slot_seconds=refusal.promised_seconds,
         ends_in=ticket.caller_remaining - waited,
         goal_in=ticket.goal - waited,
--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -177,6 +177,8 @@
                     prompt_tokens=arrival.prompt_tokens,
                     output_tokens=arrival.output_tokens,
                     tier_rank=arrival.tier_rank,
+                    urgency=arrival.urgency,
+                    account=arrival.account,
                     slot_seconds=slot_ms / notices.MILLISECONDS,
                     ends_in=arrival.caller_remaining,
                     goal_in=arrival.goal,
--- a/src/tealcove/admission/noticing.py
+++ b/src/tealcove/admission/noticing.py
@@ -34,6 +34,10 @@
         """Record a promised return, which entries must not refuse."""
         self.returning[key][notices.mark_of(digest)] = at
 
+    def forget_promise(self, key: refusedflows.FlowKey, digest: str) -> None:
+        """Forget a promised return, which has arrived."""
+        self.returning.get(key, {}).pop(notices.mark_of(digest), None)
+
     def prepare(
         self, return_slots: Callable[[int], float], now: ids.Instant
     ) -> dict[ids.InstanceId, list[notices.RefusedFlow]]:
--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -48,7 +48,10 @@
 
     def record_arrival(self, waiting: waitingticket.Waiting, now: ids.Instant) -> None:
         """See Admission."""
-        self.counts.kept += waiting.keeps_promise
+        if waiting.keeps_promise:
+            self.counts.kept += 1
+            key = refusedflows.key_of(waiting.ticket)
+            self.noticing.forget_promise(key, waiting.ticket.digest)
 
     def record_grant(self, waiting: waitingticket.Waiting, now: ids.Instant) -> None:
         """See Admission."""
@@ -150,7 +153,8 @@
         """
         if not self.slots:
             return seconds
-        tier = waiting.flow.kind.tier + waiting.misses_goal(seconds, now)
+        goes_last = waiting.misses_goal(seconds, now) and not waiting.keeps_promise
+        tier = waiting.flow.kind.tier + goes_last
         return seconds * waitingline.remaining_share(
             tier, self.arriving, self.slots, now
         )
@@ -164,6 +168,7 @@
     def restore(self, promised: messages.PromisedReturn, at: ids.Instant) -> None:
         """See Admission."""
         self.plan.add(promised.tier_rank, promised.slot_seconds, at)
+        self.noticing.record_promise(refusedflows.key_of(promised), promised.digest, at)
 
     def explain(
         self, waiting: waitingticket.Waiting, seconds: float, now: ids.Instant
@@ -199,7 +204,7 @@
 ) -> bool:
     """Tell whether a start in so many seconds meets the goal with a reserve."""
     latest = waiting.latest_in_time()
-    reserve = GOAL_RESERVE * (latest - waiting.since)
+    reserve = GOAL_RESERVE * (latest - now)
     return now + seconds <= latest - max(0.0, reserve)
 
 
--- a/src/tealcove/admission/refusedflows.py
+++ b/src/tealcove/admission/refusedflows.py
@@ -35,9 +35,9 @@
     account: ids.AccountId
 
 
-def key_of(ticket: messages.Ticket) -> FlowKey:
-    """Return the flow of a ticket."""
-    return FlowKey(ticket.tier_rank, ticket.urgency, ticket.account)
+def key_of(request: messages.Ticket | messages.PromisedReturn) -> FlowKey:
+    """Return the flow of a request."""
+    return FlowKey(request.tier_rank, request.urgency, request.account)
 
 
 class Refused(msgspec.Struct):
--- a/src/tealcove/admission/tests/test_returns.py
+++ b/src/tealcove/admission/tests/test_returns.py
@@ -161,6 +161,42 @@
     assert not any(at > min(refused_at) for at in low_at)
 
 
+def test_a_kept_promise_is_not_refused_for_a_deadline_that_it_meets() -> None:
+    """Guards against forecasts that let arriving work go before a kept promise.
+
+    Under overload they are ten times as long as the line, beyond the deadline of a
+    caller with 2 s left, although the return goes first.
+    """
+    found = dispatching.goal_scheduler(1)
+    found.use_admission(policy.AdmitByGoal())
+    now = dispatching.instant(0.0)
+    running = dispatching.ticket(tier_rank=0)
+    assert dispatching.granted(found.enqueue(running, now))
+    for number in range(20):
+        found.wait(dispatching.ticket(tier_rank=0, digest=f"other-{number}"), now)
+    found.restore_returns((promised_return(),), now)
+    ticket = dispatching.ticket(
+        tier_rank=0, digest="d", goal=0.6, remaining=3.0, caller_remaining=3.0
+    )
+    assert not dispatching.refused(found.enqueue(ticket, now))
+
+
+def promised_return() -> messages.PromisedReturn:
+    """Return a promise that is due now."""
+    return messages.PromisedReturn(
+        digest="d",
+        prompt_tokens=100,
+        output_tokens=100,
+        tier_rank=0,
+        urgency=0,
+        account=ids.AccountId("account-0"),
+        slot_seconds=builders.TOTAL_SECONDS,
+        ends_in=3.0,
+        goal_in=-1.0,
+        due_in=0.0,
+    )
+
+
 class OneIsOver(accountshares.NoAccountShares):
     """One account uses more than its share, for some seconds to come."""
 
--- a/src/tealcove/admission/tests/test_takeover.py
+++ b/src/tealcove/admission/tests/test_takeover.py
@@ -7,7 +7,7 @@
 from tealcove import clock, ids
 from tealcove.admission import entrypromises, keptreturns, policy
 from tealcove.admission.tests import builders
-from tealcove.dispatch import awaitedreturns, goal, messages, role
+from tealcove.dispatch import awaitedreturns, goal, messages, notices, role
 from tealcove.dispatch.tests import askers, transport
 from tealcove.dispatch.tests import builders as dispatching
 from tealcove.membership import members
@@ -75,6 +75,8 @@
         "prompt_tokens": 100,
         "output_tokens": 100,
         "tier_rank": 1,
+        "urgency": 0,
+        "account": ids.AccountId("account-0"),
         "slot_seconds": WORK,
         "ends_in": 6.0,
         "goal_in": -0.2,
@@ -104,6 +106,28 @@
     assert sum(found.admission.plan.reserved[1].values()) == WORK
 
 
+def test_entries_are_told_of_the_returns_that_a_new_dispatcher_awaits() -> None:
+    """Guards against entries that refuse a return which the last dispatcher promised.
+
+    The notices of the new one named its own promises alone.
+    """
+    found = admitting()
+    chosen = found.admission
+    found.restore_returns((promised_return(due_in=0.2),), dispatching.instant(0.0))
+    for _ in range(10):
+        refused = dispatching.ticket(takes_notices=True)
+        chosen.noticing.flows.record_refusal(refused, False, dispatching.instant(0.0))
+    ((flow,),) = chosen.notices(False, dispatching.instant(0.1)).values()
+    assert flow.returning == (notices.mark_of("d"),)
+    returned = dispatching.ticket(
+        goal=0.6, digest="d", caller_remaining=5.8, remaining=5.8
+    )
+    waiting = found.wait(returned, dispatching.instant(0.2))
+    chosen.record_arrival(waiting, dispatching.instant(0.2))
+    ((flow,),) = chosen.notices(False, dispatching.instant(0.4)).values()
+    assert flow.returning == ()
+
+
 def test_promises_are_kept_until_a_second_after_they_are_due() -> None:
     """Guards against promises that are lost early, and against their pile-up."""
     kept = keptreturns.KeptReturns()
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -173,6 +173,8 @@
     prompt_tokens: int
     output_tokens: int
     tier_rank: int
+    urgency: int
+    account: ids.AccountId
     # For how long its slot is reserved.
     slot_seconds: float
     # Seconds until its caller gives up, until its goal, and until the promised time.
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -118,7 +118,7 @@
         free_in = max(0.0, release.at - now)
         rest = max(0.0, usable.at - max(release.at, now))
         seconds = free_in / remaining_share(tier, arriving, count, now) + rest
-        if waiting.misses_goal(seconds, now):
+        if waiting.misses_goal(seconds, now) and not waiting.keeps_promise:
             seconds = free_in / remaining_share(tier + 1, arriving, count, now) + rest
         late_share = 1.0 - arriving.load_above(tier + 1, now) / count
         is_too_late = policy.is_refused(waiting, seconds, late_share, now)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -95,7 +95,11 @@
 class Site:
     """The store, backend servers and instances of one deployment."""
 
-    def __init__(self, era: int | None = None, data_centres: int = 1) -> None:
+    def __init__(
+        self, era: int | None = None, data_centres: int = 1, **changes: object
+    ) -> None:
+        # Settings of all instances that differ from the defaults.
+        self.changes = changes
         self.store = platform.PlatformStandin(platform.PlatformSettings(era=era))
         self.era = ids.NO_ERA if era is None else ids.Era(era)
         self.servers: list[poolserver.PoolServer] = []
@@ -134,6 +138,7 @@
             store=settings.Store(f"127.0.0.1:{self.store.port}"),
             seeds=seeds,
             rollouts=settings.Rollouts(enabled=True),
+            **self.changes,
         )
         started = await instance.start(found)
         # A process holds back retries for one window after its start.
@@ -248,9 +253,10 @@
     instances: int = 1,
     era: int | None = None,
     data_centres: int = 1,
+    **changes: object,
 ) -> AsyncIterator[Site]:
-    """Run a site and stop it at the end."""
-    running = Site(era, data_centres)
+    """Run a site and stop it at the end; `changes` are settings of its instances."""
+    running = Site(era, data_centres, **changes)
     running.session = aiohttp.ClientSession()
     await running.store.start()
     try:
@@ -273,10 +279,14 @@
 
 @contextlib.asynccontextmanager
 async def connected_site(
-    servers: int, instances: int, era: int | None = None, data_centres: int = 1
+    servers: int,
+    instances: int,
+    era: int | None = None,
+    data_centres: int = 1,
+    **changes: object,
 ) -> AsyncIterator[Site]:
     """Run a site whose instances know each other."""
-    async with site(servers, instances, era, data_centres) as running:
+    async with site(servers, instances, era, data_centres, **changes) as running:
         await until(
             lambda: all(
                 len(one.members.serving(clock.now())) == instances
