--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -97,11 +97,10 @@
     """The store, backend servers and instances of one deployment."""
 
     def __init__(
-        self,
-        era: int | None = None,
-        data_centres: int = 1,
-        uses_server_load: bool = False,
+        self, era: int | None = None, data_centres: int = 1, **changes: object
     ) -> None:
+        # Settings of all instances that differ from the defaults.
+        self.changes = changes
         self.store = platform.PlatformStandin(platform.PlatformSettings(era=era))
         self.era = ids.NO_ERA if era is None else ids.Era(era)
         self.servers: list[poolserver.PoolServer] = []
@@ -112,8 +111,6 @@
         self.data_centres = data_centres
         # Whether instances that are added take operators' orders.
         self.takes_orders = False
-        # Whether instances use the load that servers state.
-        self.uses_server_load = uses_server_load
         # Each site has its own loopback network, so that concurrent sites can't
         # use the same port.
         self.network, self.network_socket = deployment.reserve_network()
@@ -145,7 +142,7 @@
             store=settings.Store(f"127.0.0.1:{self.store.port}"),
             seeds=seeds,
             rollouts=settings.Rollouts(enabled=True),
-            server_load=settings.ServerLoad(enabled=self.uses_server_load),
+            **self.changes,
         )
         started = await instance.start(found)
         # A process holds back retries for one window after its start.
@@ -266,10 +263,10 @@
     instances: int = 1,
     era: int | None = None,
     data_centres: int = 1,
-    uses_server_load: bool = False,
+    **changes: object,
 ) -> AsyncIterator[Site]:
-    """Run a site and stop it at the end."""
-    running = Site(era, data_centres, uses_server_load)
+    """Run a site and stop it at the end; `changes` are settings of its instances."""
+    running = Site(era, data_centres, **changes)
     running.session = aiohttp.ClientSession()
     await running.store.start()
     try:
@@ -296,10 +293,10 @@
     instances: int,
     era: int | None = None,
     data_centres: int = 1,
-    uses_server_load: bool = False,
+    **changes: object,
 ) -> AsyncIterator[Site]:
     """Run a site whose instances know each other."""
-    async with site(servers, instances, era, data_centres, uses_server_load) as running:
+    async with site(servers, instances, era, data_centres, **changes) as running:
         await until(
             lambda: all(
                 len(one.members.serving(clock.now())) == instances
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tealcove.dispatch import timefactor
+from tealcove.front import settings
 from tealcove.platform import names
 from tealcove.standins import pool_load, poolserver
 from tests import platform_site
@@ -38,7 +39,7 @@
 async def test_a_stated_slow_moment_moves_requests_and_callers_never_see_it():
     """Dispatchers never learned that a server was slow: its header was dropped."""
     async with platform_site.connected_site(
-        servers=2, instances=2, uses_server_load=True
+        servers=2, instances=2, server_load=settings.ServerLoad(enabled=True)
     ) as running:
         for server in running.servers:
             server.load.stating = pool_load.Stating.TRULY
@@ -56,7 +57,7 @@
 async def test_requests_of_others_keep_requests_from_a_loaded_server():
     """A server that others had filled got as many requests as an empty one."""
     async with platform_site.connected_site(
-        servers=2, instances=1, uses_server_load=True
+        servers=2, instances=1, server_load=settings.ServerLoad(enabled=True)
     ) as running:
         for server in running.servers:
             server.load.stating = pool_load.Stating.TRULY
