Crossings between data centres are weighed by the wait they save

Change: with `crossing.enabled`, a local server that meets the goal is used unless it is 1.5 times as slow as a remote one; a remote one that saves wait is used within a token bucket of bytes for each pair of data centres, and saves more the emptier the bucket is; beyond the budget a ticket waits for the next local slots if they are predicted in time, and crosses otherwise. A ticket carries the length of its body, last, with a default. `placement.choose` is split so that the best local and the best remote server are found by the same rules. Off: the same choice as before.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -15,13 +15,13 @@
     backendview,
     backendviews,
     cells,
+    crossing,
     exposure,
     firstattempts,
     inflow,
     messages,
     outcomes,
     paths,
-    placement,
     retry,
     scheduler,
     shares,
@@ -62,6 +62,7 @@
         self.paths: paths.Paths = paths.NoEvidence()
         self.accounts: accountshares.AccountShares = accountshares.NoAccountShares()
         self.admission: admission.Admission = admission.BY_DEADLINE
+        self.crossing: crossing.Crossing = crossing.ConstantPenalty()
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.attempts = firstattempts.FirstAttempts()
@@ -92,6 +93,10 @@
         """See Scheduler."""
         self.admission = policy
 
+    def use_crossing(self, policy: crossing.Crossing) -> None:
+        """See Scheduler."""
+        self.crossing = policy
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -390,6 +395,7 @@
         free = with_free_slots(self.views.servers.values(), now)
         shared = self.suspect_runs.unreserved(free)
         receiving = self.receiving(shared)
+        self.crossing.begin(self.views.servers.values(), free, now)
         outgoing = []
         # The line is sorted only if a slot is free: under overload, none is after most
         # events.
@@ -397,6 +403,8 @@
             if not free:
                 break
             ticket = waiting.ticket
+            if self.crossing.holds(waiting, now):
+                continue
             suspects = self.suspicion.suspects(ticket, now)
             if suspects.must_wait or not self.may_start(waiting, suspects, now):
                 continue
@@ -407,7 +415,7 @@
             elif permitted:
                 allowed = self.views.allowed(ticket, permitted, now)
                 reached = self.paths.prefer_reached(ticket.entry, allowed, now)
-                server = placement.choose(waiting, reached, self.exposure, now)
+                server = self.crossing.choose(waiting, reached, self.exposure, now)
             else:
                 continue
             if server is not None:
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -116,6 +116,8 @@
     version: ids.SoftwareVersion | None = None
     # The parts of its prompt that other requests may share, in order.
     parts: tuple[ids.PartId, ...] = ()
+    # The length of the request's body in bytes; 0: not stated.
+    body_bytes: int = 0
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -5,6 +5,8 @@
 import math
 from collections.abc import Iterable
 
+import msgspec
+
 from tealcove import ids
 from tealcove.dispatch import backendview, exposure, waitingticket
 
@@ -22,6 +24,15 @@
 PREFERENCE_SECONDS = 1e6
 
 
+class Found(msgspec.Struct, frozen=True):
+    """A server with its predicted seconds to the first event and its cost."""
+
+    server: backendview.BackendView
+    first: float
+    # Predicted seconds to the end, with penalties and bonuses.
+    cost: float
+
+
 def choose(
     waiting: waitingticket.Waiting,
     free: Iterable[backendview.BackendView],
@@ -34,6 +45,28 @@
     another one, waits. A server on which it can't end in time is never chosen: a slow
     engine would compute outputs that their callers never receive in full.
     """
+    return accepted(waiting, cheapest(waiting, free, exposed, now), now)
+
+
+def accepted(
+    waiting: waitingticket.Waiting, found: Found | None, now: ids.Instant
+) -> backendview.BackendView | None:
+    """Return a server unless the ticket should wait for one that meets its goal."""
+    if found is None:
+        return None
+    misses_goal = now + found.first > waiting.goal_at
+    if misses_goal and not waiting.is_late(now):
+        return None
+    return found.server
+
+
+def cheapest(
+    waiting: waitingticket.Waiting,
+    free: Iterable[backendview.BackendView],
+    exposed: exposure.Exposure,
+    now: ids.Instant,
+) -> Found | None:
+    """Return the server of the lowest cost on which a ticket ends in time."""
     ticket = waiting.ticket
     best = None
     best_cost = best_first = math.inf
@@ -52,9 +85,4 @@
             cost -= PREFERENCE_SECONDS
         if cost < best_cost:
             best, best_cost, best_first = server, cost, first
-    if best is None:
-        return None
-    misses_goal = now + best_first > waiting.goal_at
-    if misses_goal and not waiting.is_late(now):
-        return None
-    return best
+    return None if best is None else Found(best, best_first, best_cost)
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -12,6 +12,7 @@
 from tealcove.dispatch import (
     backendview,
     cells,
+    crossing,
     exposure,
     holds,
     messages,
@@ -68,7 +69,9 @@
         source: measuring.Source | None = None,
         gather_seconds: float = GATHER_SECONDS,
         exposures: exposure.Exposures | None = None,
+        new_crossing: Callable[[], crossing.Crossing] = crossing.ConstantPenalty,
     ) -> None:
+        self.new_crossing = new_crossing
         self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
@@ -240,6 +243,7 @@
         held.scheduler.use_suspicion(self.suspicion)
         held.scheduler.use_paths(self.paths)
         held.scheduler.use_exposure(self.exposures.of_pool(cell.pool))
+        held.scheduler.use_crossing(self.new_crossing())
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -14,6 +14,7 @@
     admission,
     backendview,
     cells,
+    crossing,
     exposure,
     holds,
     messages,
@@ -77,6 +78,13 @@
         """
         return
 
+    def use_crossing(self, policy: crossing.Crossing) -> None:
+        """Set which tickets may use servers of other data centres.
+
+        A scheduler that ignores data centres keeps this empty default.
+        """
+        return
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -18,7 +18,7 @@
     tasks,
 )
 from tealcove.catalog import copies, declared, following, pools, serverlist, sharing
-from tealcove.dispatch import policy, requester, role, spread
+from tealcove.dispatch import budgets, crossing, policy, requester, role, spread
 from tealcove.front import addresses, factories, loadmetrics, metrics, settings
 from tealcove.ingress import budget, exchange, hanging, http, tickets
 from tealcove.instances import figures, unread
@@ -74,6 +74,8 @@
         self.incarnation = ids.new_incarnation()
         self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
+        # Shared by the cells that this instance dispatches.
+        self.budgets = budgets.Budgets(found.crossing.bytes_per_second)
         # The load of this instance; None if callers aren't distributed by it.
         self.load: instance_load.InstanceLoad | None = None
         self.tasks: list[asyncio.Task[None]] = []
@@ -180,6 +182,7 @@
             source=self.metrics,
             gather_seconds=GATHER_SECONDS,
             exposures=self.rollouts if found.rollouts.enabled else None,
+            new_crossing=self.new_crossing,
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -211,12 +214,19 @@
             "Streams refused to callers since no server of their version is left.",
             lambda: self.ingress.lost_versions,
         )
+        loadmetrics.add_crossings(self.metrics, self.budgets)
         self.metrics.add_observable_counter(
             "tealcove.grants.declined",
             "Grants given back since their backend servers have left.",
             lambda: self.tickets.declined,
         )
 
+    def new_crossing(self) -> crossing.Crossing:
+        """Return the policy of traffic between data centres for one cell."""
+        if self.settings.crossing.enabled:
+            return crossing.BudgetedCrossing(self.budgets)
+        return crossing.ConstantPenalty()
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
--- a/src/tealcove/front/loadmetrics.py
+++ b/src/tealcove/front/loadmetrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tealcove.dispatch import budgets
 from tealcove.front import metrics
 from tealcove.instances import role
 
@@ -29,3 +30,22 @@
         "Connections ended since their callers didn't read while memory was scarce.",
         lambda: load.answers.ended,
     )
+
+
+def add_crossings(registry: metrics.Registry, spent: budgets.Budgets) -> None:
+    """Register the counters of requests to servers in other data centres."""
+    registry.add_observable_counter(
+        "tealcove.crossings",
+        "Grants of servers in another data centre than the entry's.",
+        lambda: spent.crossings,
+    )
+    registry.add_observable_counter(
+        "tealcove.crossings.beyond_budget",
+        "Grants of such servers beyond the budget of bytes.",
+        lambda: spent.beyond,
+    )
+    registry.add_observable_counter(
+        "tealcove.crossings.bytes",
+        "Estimated bytes of requests and responses between data centres.",
+        lambda: spent.bytes,
+    )
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -115,6 +115,7 @@
         caller_remaining=0.0 if has_events else caller_remaining(accepted, now),
         version=version,
         parts=accepted.call.parts,
+        body_bytes=len(accepted.call.body),
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
