--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -214,7 +214,8 @@
             "Streams refused to callers since no server of their version is left.",
             lambda: self.ingress.lost_versions,
         )
-        loadmetrics.add_crossings(self.metrics, self.budgets)
+        if found.crossing.enabled:
+            loadmetrics.add_crossings(self.metrics, self.budgets)
         self.metrics.add_observable_counter(
             "tealcove.grants.declined",
             "Grants given back since their backend servers have left.",
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -102,6 +102,8 @@
         self.instances: list[instance.Instance] = []
         self.session: aiohttp.ClientSession | None = None
         self.requests = 0
+        # Settings of the instances that are added, beside those that all need.
+        self.settings: dict[str, object] = {}
         # Instances are spread over so many data centres.
         self.data_centres = data_centres
         # Each site has its own loopback network, so that concurrent sites can't
@@ -134,6 +136,7 @@
             store=settings.Store(f"127.0.0.1:{self.store.port}"),
             seeds=seeds,
             rollouts=settings.Rollouts(enabled=True),
+            **self.settings,
         )
         started = await instance.start(found)
         # A process holds back retries for one window after its start.
@@ -248,9 +251,11 @@
     instances: int = 1,
     era: int | None = None,
     data_centres: int = 1,
+    **changes: object,
 ) -> AsyncIterator[Site]:
-    """Run a site and stop it at the end."""
+    """Run a site and stop it at the end; `changes` are settings of its instances."""
     running = Site(era, data_centres)
+    running.settings = changes
     running.session = aiohttp.ClientSession()
     await running.store.start()
     try:
@@ -273,10 +278,14 @@
 
 @contextlib.asynccontextmanager
 async def connected_site(
-    servers: int, instances: int, era: int | None = None, data_centres: int = 1
+    servers: int,
+    instances: int,
+    era: int | None = None,
+    data_centres: int = 1,
+    **changes: object,
 ) -> AsyncIterator[Site]:
     """Run a site whose instances know each other."""
-    async with site(servers, instances, era, data_centres) as running:
+    async with site(servers, instances, era, data_centres, **changes) as running:
         await until(
             lambda: all(
                 len(one.members.serving(clock.now())) == instances
