Callers behind one IP number don't share one subset of instances

Cause: a subset is found by the caller's IP number. All callers behind an address translation would use the same two or three instances.

Change: a number that asks one directory more often than four callers do gets a subset for each question.

--- a/src/tealcove/front/addresses.py
+++ b/src/tealcove/front/addresses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tealcove import clock, ids
+from tealcove.front import sharednumbers
 from tealcove.instances import capacity
 from tealcove.membership import addresses, members, messages, ranking
 
@@ -27,13 +28,14 @@
         self.members = known
         # Whether each caller gets a subset by capacity and headroom, not all addresses.
         self.uses_weights = uses_weights
+        self.shared = sharednumbers.SharedNumbers()
 
     def addresses(self, data_centre: ids.DataCentreId, caller: str = "") -> list[str]:
         """See AddressSource."""
-        serving = self.members.serving(clock.now())
-        chosen = near(serving, data_centre)
+        now = clock.now()
+        chosen = near(self.members.serving(now), data_centre)
         if self.uses_weights:
-            chosen = subset(caller, chosen)
+            chosen = subset(self.shared.key(caller, now), chosen)
         return [f"{h.host}:{h.http_port}" for h in chosen[:MAX_ADDRESSES]]
 
     def is_ready(self) -> bool:
--- a/src/tealcove/front/tests/test_addresses.py
+++ b/src/tealcove/front/tests/test_addresses.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from tealcove import clock, ids
-from tealcove.front import addresses
+from tealcove.front import addresses, sharednumbers
 from tealcove.instances import capacity
 from tealcove.instances.tests import builders
 from tealcove.membership import members, messages
@@ -136,3 +136,37 @@
         found.record_heartbeat(builders.heartbeat(number), clock.now())
     source = addresses.MemberAddresses(found)
     assert len(source.addresses(ids.DataCentreId("dc-1"), "10.0.0.1")) == 6
+
+
+def test_callers_behind_one_number_are_spread_by_weights() -> None:
+    """Guards against two instances that get all callers of a data centre.
+
+    Callers behind one address translation have one IP number, and one subset.
+    """
+    serving = {heartbeat.instance: heartbeat for heartbeat in instances(2, 19)}
+    shared = sharednumbers.SharedNumbers()
+    counts: collections.Counter[int] = collections.Counter()
+    for number in range(2000):
+        # 500 callers that ask each second.
+        key = shared.key("10.0.0.1", builders.instant(number / 500))
+        first = addresses.subset(key, list(serving.values()))[0]
+        counts[first.capacity] += number >= 500
+    weights = 2 * STRONG / (2 * STRONG + 19 * WEAK)
+    assert counts[STRONG] / counts.total() == pytest.approx(weights, rel=0.15)
+
+
+def test_a_caller_that_asks_each_second_keeps_its_key() -> None:
+    """Guards against new connections of callers that ask again after a failure."""
+    shared = sharednumbers.SharedNumbers()
+    asked_at = [0.0, 0.1, 0.2, 1.0, 2.0, 2.1, 2.2, 2.3, 3.0, 60.0]
+    keys = {shared.key("10.0.0.1", builders.instant(at)) for at in asked_at}
+    assert keys == {"10.0.0.1"}
+
+
+def test_numbers_that_no_longer_ask_are_forgotten() -> None:
+    """Guards against memory that grows with every caller there ever was."""
+    shared = sharednumbers.SharedNumbers()
+    for number in range(100):
+        shared.key(f"10.0.0.{number}", builders.instant(0.0))
+    shared.key("10.0.0.1", builders.instant(60.0))
+    assert len(shared.counts) + len(shared.before) == 1
