--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -15,6 +15,7 @@
     backendview,
     backendviews,
     cells,
+    crossing,
     exposure,
     firstattempts,
     inflow,
@@ -22,7 +23,6 @@
     notices,
     outcomes,
     paths,
-    placement,
     retry,
     scheduler,
     serverload,
@@ -65,6 +65,7 @@
         self.paths: paths.Paths = paths.NoEvidence()
         self.accounts: accountshares.AccountShares = accountshares.NoAccountShares()
         self.admission: admission.Admission = admission.BY_DEADLINE
+        self.crossing: crossing.Crossing = crossing.ConstantPenalty()
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.attempts = firstattempts.FirstAttempts()
@@ -143,6 +144,10 @@
         """See Scheduler."""
         self.views.loads = serverload.StatedLoads()
 
+    def use_crossing(self, policy: crossing.Crossing) -> None:
+        """See Scheduler."""
+        self.crossing = policy
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -466,6 +471,7 @@
         free = with_free_slots(self.views.servers.values(), now)
         shared = self.suspect_runs.unreserved(free)
         receiving = self.receiving(shared)
+        self.crossing.begin(self.views.servers.values(), free, now)
         outgoing = []
         # The line is sorted only if a slot is free: under overload, none is after most
         # events.
@@ -475,6 +481,8 @@
             if not free:
                 break
             ticket = waiting.ticket
+            if self.crossing.holds(waiting, now):
+                continue
             suspects = self.suspicion.suspects(ticket, now)
             if suspects.must_wait or not self.may_start(waiting, suspects, now):
                 continue
@@ -485,7 +493,7 @@
             elif permitted:
                 allowed = self.views.allowed(ticket, permitted, now)
                 reached = self.paths.prefer_reached(ticket.entry, allowed, now)
-                server = placement.choose(waiting, reached, self.exposure, now)
+                server = self.crossing.choose(waiting, reached, self.exposure, now)
             else:
                 continue
             if server is not None:
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -134,6 +134,8 @@
     takes_notices: bool = False
     # Longest pause in seconds between two events that its route allows; 0: any.
     gap: float = 0.0
+    # The length of the request's body in bytes; 0: not stated.
+    body_bytes: int = 0
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 
+import msgspec
+
 from tealcove import ids
 from tealcove.dispatch import backendview, exposure, messages, waitingticket
 
@@ -20,12 +21,20 @@
 # time alone, a failing server would hardly get another request, and the trial would
 # never end.
 PREFERENCE_SECONDS = 1e6
-
 # A request that takes longer avoids loaded servers: it is still there when the load has
 # risen further, and can't be moved.
 LONG_SECONDS = 2.0
 
 
+class Found(msgspec.Struct, frozen=True):
+    """A server with its predicted seconds to the first event and its cost."""
+
+    server: backendview.BackendView
+    first: float
+    # Predicted seconds to the end, with penalties and bonuses.
+    cost: float
+
+
 def choose(
     waiting: waitingticket.Waiting,
     free: Iterable[backendview.BackendView],
@@ -39,9 +48,30 @@
     engine would compute outputs that their callers never receive in full. An urgent or
     long request avoids servers that state a high load, if another one meets its goal.
     """
+    return accepted(waiting, cheapest(waiting, free, exposed, now), now)
+
+
+def accepted(
+    waiting: waitingticket.Waiting, found: Found | None, now: ids.Instant
+) -> backendview.BackendView | None:
+    """Return a server unless the ticket should wait for one that meets its goal."""
+    if found is None:
+        return None
+    misses_goal = now + found.first > waiting.goal_at
+    if misses_goal and not waiting.is_late(now):
+        return None
+    return found.server
+
+
+def cheapest(
+    waiting: waitingticket.Waiting,
+    free: Iterable[backendview.BackendView],
+    exposed: exposure.Exposure,
+    now: ids.Instant,
+) -> Found | None:
+    """Return the server of the lowest cost on which a ticket ends in time."""
     ticket = waiting.ticket
     best = unloaded = None
-    best_cost = best_first = unloaded_cost = math.inf
     is_best_avoided = False
     for server in free:
         pending = server.pending(now)
@@ -54,21 +84,16 @@
             cost += REJECTION_PENALTY_SECONDS
         if ticket.data_centre not in ("", server.spec.data_centre):
             cost += REMOTE_PENALTY_SECONDS
-        if exposed.is_preferred(server.spec) and now + first <= waiting.goal_at:
+        is_in_time = now + first <= waiting.goal_at
+        if exposed.is_preferred(server.spec) and is_in_time:
             cost -= PREFERENCE_SECONDS
-        if cost < best_cost:
-            best, best_cost, best_first = server, cost, first
+        if best is None or cost < best.cost:
+            best = Found(server, first, cost)
             is_best_avoided = is_avoided
-        if not is_avoided and cost < unloaded_cost and now + first <= waiting.goal_at:
-            unloaded, unloaded_cost = server, cost
-    if best is None:
-        return None
-    if is_best_avoided and unloaded is not None:
-        return unloaded
-    misses_goal = now + best_first > waiting.goal_at
-    if misses_goal and not waiting.is_late(now):
-        return None
-    return best
+        is_cheaper = unloaded is None or cost < unloaded.cost
+        if not is_avoided and is_in_time and is_cheaper:
+            unloaded = Found(server, first, cost)
+    return unloaded if is_best_avoided and unloaded is not None else best
 
 
 def is_affected(ticket: messages.Ticket, seconds: float) -> bool:
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -15,6 +15,7 @@
     awaitedreturns,
     backendview,
     cells,
+    crossing,
     exposure,
     holds,
     messages,
@@ -74,9 +75,11 @@
         exposures: exposure.Exposures | None = None,
         new_admission: Callable[[], admission.Admission] | None = None,
         sharing: accountreports.AccountSharing | None = None,
+        new_crossing: Callable[[], crossing.Crossing] = crossing.ConstantPenalty,
     ) -> None:
         self.new_admission = new_admission
         self.sharing = sharing or accountreports.NoSharing(transport)
+        self.new_crossing = new_crossing
         self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
@@ -278,6 +281,7 @@
             returns = self.awaited.take(cell.cell_id, now)
             held.scheduler.restore_returns(returns, now)
         held.scheduler.use_accounts(self.sharing.of_cell(cell, now))
+        held.scheduler.use_crossing(self.new_crossing())
         self.held[ticket.cell] = held
         self.has_cells.set()
         if self.may_be_served_elsewhere(ticket, now):
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -26,6 +26,8 @@
 from tealcove.dispatch import (
     accountreports,
     accountshares,
+    budgets,
+    crossing,
     requester,
     role,
     spread,
@@ -86,6 +88,8 @@
         self.stalls = stalls.Stalls()
         self.metrics = metrics.Registry()
         self.admission_counts = counts.Counts()
+        # Shared by the cells that this instance dispatches.
+        self.budgets = budgets.Budgets(found.crossing.bytes_per_second)
         # The load of this instance; None if callers aren't distributed by it.
         self.load: instance_load.InstanceLoad | None = None
         self.early: localrefusals.LocalRefusals | None = None
@@ -212,6 +216,7 @@
             exposures=self.rollouts if found.rollouts.enabled else None,
             new_admission=self.new_admission if found.admission.enabled else None,
             sharing=self.new_sharing(),
+            new_crossing=self.new_crossing,
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -246,6 +251,8 @@
             "Streams refused to callers since no server of their version is left.",
             lambda: self.ingress.lost_versions,
         )
+        if found.crossing.enabled:
+            loadmetrics.add_crossings(self.metrics, self.budgets)
         self.metrics.add_observable_counter(
             "tealcove.grants.declined",
             "Grants given back since their backend servers have left.",
@@ -303,6 +310,12 @@
             self.mesh, self.members, self.spread.find, self.weights
         )
 
+    def new_crossing(self) -> crossing.Crossing:
+        """Return the policy of traffic between data centres for one cell."""
+        if self.settings.crossing.enabled:
+            return crossing.BudgetedCrossing(self.budgets)
+        return crossing.ConstantPenalty()
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -129,6 +129,7 @@
         version=version,
         parts=accepted.call.parts,
         gap=route.gap if route.is_stream else 0.0,
+        body_bytes=len(accepted.call.body),
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
