Waiting tickets count as demand; a flood doesn't push out others on a site

Cause: demand was measured by arrivals alone. Callers that send their next request after an answer never demand more than they get, so that their flood was seldom seen as contention; a flood of any kind was noticed only after some tenths of a second, and a new dispatcher without a message saw none at all.

Change: an account's demand is the higher of its arriving slot time and its running and waiting tickets. Arrivals beyond the capacity are contention, or 1.5 running and waiting tickets for each slot: with 1, a load of 0.95 loses 1% to 2% of its goals. Site takes groups of settings for its instances.

--- a/src/tealcove/dispatch/accountshares.py
+++ b/src/tealcove/dispatch/accountshares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -17,6 +17,8 @@
 FindLimit = Callable[[ids.AccountId], limit.Limit | None]
 # Returns the slots that can serve requests at an instant.
 CountSlots = Callable[[ids.Instant], float]
+# Returns the tickets that wait for a slot.
+FindWaiting = Callable[[], Iterable[messages.Ticket]]
 
 
 class Standing(msgspec.Struct, frozen=True):
@@ -81,6 +83,10 @@
     def use_capacity(self, count_slots: CountSlots) -> None:
         """Set how the slots to be shared are counted."""
 
+    @abc.abstractmethod
+    def use_line(self, find_waiting: FindWaiting) -> None:
+        """Set where the waiting tickets are found."""
+
 
 class NoAccountShares(AccountShares):
     """Treats all accounts alike, whatever they use."""
@@ -102,3 +108,6 @@
 
     def use_capacity(self, count_slots: CountSlots) -> None:
         """See AccountShares."""
+
+    def use_line(self, find_waiting: FindWaiting) -> None:
+        """See AccountShares."""
--- a/src/tealcove/dispatch/accounttier.py
+++ b/src/tealcove/dispatch/accounttier.py
@@ -15,6 +15,10 @@
 # Time constant in seconds of the average use, which matters for calls that are shorter
 # than a sample. A longer one holds an account back after its flood has ended.
 USE_SECONDS = 0.5
+# Running and waiting tickets for each slot from which on there is contention, whatever
+# arrives. With 1, a load of 0.95 of the capacity often counts as contention, and 1% to
+# 2% of its requests miss their goal for it.
+LINE_FACTOR = 1.5
 # An account with a demand and use below this many slots is forgotten.
 MIN_SLOTS = 0.001
 # Lower bound in slots of a share that a use is compared with: a tier may have none.
@@ -30,7 +34,10 @@
 class Account(msgspec.Struct):
     """What is known of an account within a tier; in slots."""
 
+    # The decayed slot time of arriving requests per second.
     demand: float = 0.0
+    # Tickets that wait for a slot.
+    waiting: int = 0
     # Slots held now, and their decayed average.
     held: int = 0
     average: float = 0.0
@@ -58,9 +65,23 @@
         """The slots that it uses at all dispatchers."""
         return self.use + self.use_elsewhere
 
+    @property
+    def wanted(self) -> float:
+        """Its demand here.
+
+        Callers that send their next request after an answer never demand more by their
+        arrivals than they get; what waits shows that they want more.
+        """
+        return max(self.demand, self.held + self.waiting)
+
     @property
     def total_demand(self) -> float:
         """Its demand at all dispatchers."""
+        return self.wanted + self.demand_elsewhere
+
+    @property
+    def total_arriving(self) -> float:
+        """Its demand at all dispatchers, by arrivals alone as far as known."""
         return self.demand + self.demand_elsewhere
 
     def is_idle(self) -> bool:
@@ -136,8 +157,7 @@
     def divide(self, capacity: float, weights: accountshares.AccountWeights) -> None:
         """Compute the level and the shares for so many slots."""
         capacity -= self.rest
-        demand = sum(one.total_demand for one in self.accounts.values())
-        if demand <= capacity:
+        if not self.exceeds(capacity):
             if self.level != math.inf:
                 self.level = math.inf
                 for account in self.accounts.values():
@@ -152,6 +172,17 @@
         for name, account in self.accounts.items():
             account.share = self.level * found[name]
 
+    def exceeds(self, capacity: float) -> bool:
+        """Tell whether its accounts want more than there is.
+
+        A short line alone is no contention: ordered by goal, its tickets are in time.
+        """
+        accounts = self.accounts.values()
+        if sum(one.total_arriving for one in accounts) > capacity:
+            return True
+        wanted = sum(one.total_demand for one in accounts)
+        return wanted > capacity * LINE_FACTOR
+
     def use(self) -> float:
         """Return the slots that its accounts use."""
         return sum(account.total_use for account in self.accounts.values())
--- a/src/tealcove/dispatch/accountuse.py
+++ b/src/tealcove/dispatch/accountuse.py
@@ -1,12 +1,13 @@
 """Demand and use of slots by client account, measured by the dispatcher of a cell.
 
-Demand is the slot time of arriving requests per second, use is the number of slots
-held; both are slots. Within a tier the slots that higher tiers leave are divided by
-water-filling, see `waterlevel`.
+Demand is the slot time of arriving requests per second, or the number of requests that
+run or wait if that is higher; use is the number of slots held. Both are slots. Within a
+tier the slots that higher tiers leave are divided by water-filling, see `waterlevel`.
 """
 
 from __future__ import annotations
 
+import collections
 import math
 from collections.abc import Iterable
 
@@ -42,6 +43,7 @@
         self.weights = weights
         self.tiers: dict[int, accounttier.Tier] = {}
         self.count_slots: accountshares.CountSlots = lambda now: 0.0
+        self.find_waiting: accountshares.FindWaiting = tuple
         # Slots of the cells of the service that other dispatchers serve.
         self.slots_elsewhere = 0.0
         self.updated = ids.Instant(0.0)
@@ -51,6 +53,10 @@
         """See AccountShares."""
         self.count_slots = count_slots
 
+    def use_line(self, find_waiting: accountshares.FindWaiting) -> None:
+        """See AccountShares."""
+        self.find_waiting = find_waiting
+
     def record_arrival(
         self, ticket: messages.Ticket, slot_seconds: float, now: ids.Instant
     ) -> None:
@@ -82,7 +88,9 @@
         if tier is None or tier.level == math.inf:
             return accountshares.WITHIN
         account = tier.accounts.get(ticket.account)
-        return accountshares.WITHIN if account is None else account.standing()
+        if account is None:
+            return accountshares.WITHIN
+        return account.found or account.standing()
 
     def tier(self, rank: int) -> accounttier.Tier:
         """Return a tier by its rank, a new one if it's unknown."""
@@ -100,6 +108,7 @@
         self.updated = now
         demand_part = math.exp(-seconds / DEMAND_SECONDS)
         use_part = math.exp(-seconds / accounttier.USE_SECONDS)
+        self.count_waiting()
         left = self.count_slots(now) + self.slots_elsewhere
         for rank in sorted(self.tiers):
             tier = self.tiers[rank]
@@ -108,6 +117,17 @@
             tier.log_change(self.cell, left, now)
             left = max(0.0, left - tier.use())
 
+    def count_waiting(self) -> None:
+        """Count the waiting tickets of each account."""
+        for tier in self.tiers.values():
+            for account in tier.accounts.values():
+                account.waiting = 0
+        counts = collections.Counter(
+            (ticket.tier_rank, ticket.account) for ticket in self.find_waiting()
+        )
+        for (rank, name), count in counts.items():
+            self.tier(rank).account(name).waiting = count
+
     def is_contended(self) -> bool:
         """Tell whether the accounts of a tier demand more than there is."""
         return any(tier.level != math.inf for tier in self.tiers.values())
@@ -115,10 +135,10 @@
     def figures(self) -> tuple[Figures, ...]:
         """Return the demand and use of all accounts at this dispatcher."""
         return tuple(
-            Figures(rank, name, account.demand, account.use)
+            Figures(rank, name, account.wanted, account.use)
             for rank, tier in self.tiers.items()
             for name, account in tier.accounts.items()
-            if max(account.demand, account.use) >= accounttier.MIN_SLOTS
+            if max(account.wanted, account.use) >= accounttier.MIN_SLOTS
         )
 
     def seed(
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -89,6 +89,7 @@
         """See Scheduler."""
         self.accounts = accounts
         self.views.use_accounts(accounts)
+        accounts.use_line(lambda: (one.ticket for one in self.line.values()))
 
     def use_admission(self, policy: admission.Admission) -> None:
         """See Scheduler."""
--- a/src/tealcove/dispatch/tests/test_accountshares.py
+++ b/src/tealcove/dispatch/tests/test_accountshares.py
@@ -108,6 +108,34 @@
         assert count(shared.of()) >= count(alike.of())
 
 
+@by_seed
+def test_a_load_that_nearly_fits_is_served_as_without_sharing(seed: int):
+    """Guards against an order by accounts that costs goals where nobody floods.
+
+    Arrivals by chance exceed the capacity for moments, at 0.95 of it on average.
+    """
+    demands = usual(*SMALL, rate=0.95 * accountload.CAPACITY / len(SMALL))
+    shared, alike = play(demands, seed), play_unshared(demands, seed)
+    in_time = accountload.count_in_time
+    assert in_time(shared.of()) >= 0.97 * in_time(alike.of())
+
+
+def test_callers_that_wait_for_their_answers_contend():
+    """Guards against a flood that is taken for a demand that fits.
+
+    Callers send their next request after an answer, so that no more requests arrive
+    than are served. What waits shows that they want more.
+    """
+    found = builders.goal_scheduler(4)
+    found.use_accounts(accountuse.MeasuredShares(builders.CELL, accountload.Weights()))
+    tickets = [builders.ticket(account="hot", waited=1.0) for _ in range(8)]
+    for ticket in tickets:
+        found.enqueue(ticket, builders.instant(0.0))
+    other = waits(found, 0.1, account="other", waited=1.0)
+    assert found.accounts.tiers[1].accounts["hot"].demand == 0.0
+    assert found.ordered(builders.instant(0.2))[0].ticket == other
+
+
 @by_seed
 def test_twice_the_weight_gets_twice_the_slots(seed: int):
     """Guards against weights that have no effect while accounts compete."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tealcove import clock, ids
+from tealcove import settings as core_settings
 from tealcove.front import instance, settings
 from tealcove.membership import messages
 from tealcove.platform import names
@@ -95,13 +96,20 @@
 class Site:
     """The store, backend servers and instances of one deployment."""
 
-    def __init__(self, era: int | None = None, data_centres: int = 1) -> None:
+    def __init__(
+        self,
+        era: int | None = None,
+        data_centres: int = 1,
+        groups: dict[str, core_settings.Group] | None = None,
+    ) -> None:
         self.store = platform.PlatformStandin(platform.PlatformSettings(era=era))
         self.era = ids.NO_ERA if era is None else ids.Era(era)
         self.servers: list[poolserver.PoolServer] = []
         self.instances: list[instance.Instance] = []
         self.session: aiohttp.ClientSession | None = None
         self.requests = 0
+        # Groups of the instances' settings that aren't the default.
+        self.groups = groups or {}
         # Instances are spread over so many data centres.
         self.data_centres = data_centres
         # Each site has its own loopback network, so that concurrent sites can't
@@ -134,6 +142,7 @@
             store=settings.Store(f"127.0.0.1:{self.store.port}"),
             seeds=seeds,
             rollouts=settings.Rollouts(enabled=True),
+            **self.groups,
         )
         started = await instance.start(found)
         # A process holds back retries for one window after its start.
@@ -248,9 +257,10 @@
     instances: int = 1,
     era: int | None = None,
     data_centres: int = 1,
+    **groups: core_settings.Group,
 ) -> AsyncIterator[Site]:
-    """Run a site and stop it at the end."""
-    running = Site(era, data_centres)
+    """Run a site and stop it at the end; `groups` are of its instances' settings."""
+    running = Site(era, data_centres, groups)
     running.session = aiohttp.ClientSession()
     await running.store.start()
     try:
@@ -273,10 +283,14 @@
 
 @contextlib.asynccontextmanager
 async def connected_site(
-    servers: int, instances: int, era: int | None = None, data_centres: int = 1
+    servers: int,
+    instances: int,
+    era: int | None = None,
+    data_centres: int = 1,
+    **groups: core_settings.Group,
 ) -> AsyncIterator[Site]:
     """Run a site whose instances know each other."""
-    async with site(servers, instances, era, data_centres) as running:
+    async with site(servers, instances, era, data_centres, **groups) as running:
         await until(
             lambda: all(
                 len(one.members.serving(clock.now())) == instances
