Messages of admission are bounded to fewer than 1,000 bytes a second

Cause: the tests' callers used 9 of 63 entries, so that notices were few. Spread over all, admission took up to 1,277 bytes a second and entry.

Change: an entry refuses at most 4 requests a second by itself and sends at most 3 promises a second ahead to the next dispatcher, the others at a takeover; notices leave out flows of which nothing may be refused, name three flows and two reserved times each, and have marks of 16 bits; reports carry digests as bytes.

--- a/src/tealcove/admission/entrypromises.py
+++ b/src/tealcove/admission/entrypromises.py
@@ -5,7 +5,7 @@
 import logbook
 
 from tealcove import ids
-from tealcove.admission import keptreturns
+from tealcove.admission import budget, keptreturns
 from tealcove.dispatch import messages, pending, promises
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -13,6 +13,11 @@
 log = logbook.Logger("admission")
 
 
+# Promises a second that are sent ahead to the next dispatcher, in some 120 bytes each;
+# further ones are sent when it takes over.
+MAX_AHEAD = 3.0
+
+
 class EntryPromises(promises.Promises):
     """Keeps the promises that passed through this entry.
 
@@ -25,6 +30,7 @@
         self.transport = transport
         self.members = known
         self.kept = keptreturns.KeptReturns()
+        self.budget = budget.Budget(MAX_AHEAD)
 
     def record(
         self,
@@ -50,9 +56,12 @@
         heartbeat = self.members.find(dispatcher)
         incarnation = None if heartbeat is None else heartbeat.incarnation
         self.kept.add(cell, promised, (dispatcher, incarnation), now)
+        if not self.budget.allows(now):
+            return
         ranked = self.members.rank(cell, now)
         standby = next((one for one in ranked if one != dispatcher), None)
         if standby is not None:
+            self.budget.use()
             self.send(cell, standby, (promised,))
 
     def inform(
--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from tealcove import clock, ids
-from tealcove.admission import counts, entrypromises, refusedflows
+from tealcove.admission import budget, counts, entrypromises, refusedflows
 from tealcove.dispatch import messages, notices
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -21,8 +21,10 @@
 VALID_SECONDS = 0.3
 # Seconds within which refusals are reported; the dispatcher counts them as demand.
 REPORT_SECONDS = 0.2
-# Upper bound on the refusals in one report; beyond it, requests are admitted.
-MAX_UNREPORTED = 200
+# Refusals a second that an entry may make by itself; further requests are admitted.
+# Each is reported in some 60 bytes, and all messages of admission together may take
+# 1,000 bytes a second.
+MAX_RATE = 4.0
 
 
 class Arrival(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,6 +88,7 @@
         self.senders: dict[ids.CellId, ids.InstanceId] = {}
         self.allowances: dict[ids.CellId, dict[refusedflows.FlowKey, Allowance]] = {}
         self.unreported: dict[ids.CellId, list[Unreported]] = {}
+        self.budget = budget.Budget(MAX_RATE)
 
     def start(self) -> None:
         """Register the message handler."""
@@ -125,7 +128,7 @@
             return None
         if not arrival.may_be_refused or self.is_returning(arrival, allowance, now):
             return None
-        if len(self.unreported.get(arrival.cell, ())) >= MAX_UNREPORTED:
+        if not self.budget.allows(now):
             return None
         period = self.return_share * arrival.caller_remaining
         if allowance.promised and allowance.promised[0] <= now + period:
@@ -156,6 +159,7 @@
         now: ids.Instant,
     ) -> None:
         """Log a refusal, keep what it promises, and report it soon."""
+        self.budget.use()
         self.counts.refused_locally += 1
         sender = self.senders[arrival.cell]
         log.info(
@@ -220,7 +224,7 @@
         since = now - self.refused_at
         arrival = self.arrival
         return notices.LocalRefusal(
-            digest=arrival.digest,
+            digest=bytes.fromhex(arrival.digest),
             prompt_tokens=arrival.prompt_tokens,
             output_tokens=arrival.output_tokens,
             tier_rank=arrival.tier_rank,
--- a/src/tealcove/admission/noticing.py
+++ b/src/tealcove/admission/noticing.py
@@ -61,7 +61,8 @@
                 found = self.refusals_of(
                     key, flow, entry, count, returning, return_slots(key.tier), now
                 )
-                told.setdefault(entry, []).append(found)
+                if found.promised_ms or found.unpromised:
+                    told.setdefault(entry, []).append(found)
         self.told = set(told)
         return told
 
--- a/src/tealcove/admission/refusedflows.py
+++ b/src/tealcove/admission/refusedflows.py
@@ -21,8 +21,8 @@
 NOTICE_INTERVAL = 0.25
 # Bounds on a notice, which is sent to each entry four times a second: flows, promised
 # returns and further refusals of one flow, and marks of returning requests.
-MAX_FLOWS = 4
-MAX_PROMISED = 4
+MAX_FLOWS = 3
+MAX_PROMISED = 2
 MAX_UNPROMISED = 20
 MAX_RETURNING = 8
 
--- a/src/tealcove/dispatch/notices.py
+++ b/src/tealcove/dispatch/notices.py
@@ -14,6 +14,8 @@
 from tealcove.peers import message
 
 MILLISECONDS = 1000
+# Number of different marks; one takes at most three bytes.
+MARKS = 2**16
 
 
 class RefusedFlow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -50,7 +52,8 @@
     A new field must come last and have a default; see peers.message.Message.
     """
 
-    digest: str
+    # The digest of its content; its hexadecimal form has twice the bytes.
+    digest: bytes
     prompt_tokens: int
     output_tokens: int
     tier_rank: int
@@ -76,7 +79,7 @@
 
     Two contents may have one mark; then a request is sent to the dispatcher.
     """
-    return zlib.crc32(digest.encode())
+    return zlib.crc32(digest.encode()) % MARKS
 
 
 def milliseconds(seconds: float) -> int:
@@ -100,7 +103,7 @@
         output_tokens=refusal.output_tokens,
         prefix=(),
         remaining=refusal.ends_ms / MILLISECONDS,
-        digest=refusal.digest,
+        digest=refusal.digest.hex(),
         # A goal of 0 would mean that it has none.
         goal=max(1, refusal.goal_ms) / MILLISECONDS,
         urgency=refusal.urgency,
