--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -66,6 +66,8 @@
     stated_first: float = 0.0
     # See serverload.Load.work_at, at its start.
     work_at_start: float = 0.0
+    # See serverload.Load.batch_area, at the first token.
+    area_at_first: float = 0.0
     has_first_token: bool = False
     # When it was received; None: not known here.
     first_token_at: ids.Instant | None = None
@@ -291,14 +293,22 @@
     ) -> serverload.Predicted:
         """Return the seconds to a ticket's first token and end, if it starts now."""
         first = self.first_seconds(ticket, pending)
-        total = first + stream_seconds(ticket, self)
+        total = first + self.batch_stream_seconds(ticket)
         return self.load.predict(first, total, now)
 
+    def batch_stream_seconds(self, ticket: messages.Ticket) -> float:
+        """Return the seconds from a ticket's first token to its end, if it starts now.
+
+        They are those in a batch with the requests that run now.
+        """
+        factor = self.load.batch_factor(len(self.runs) + 1)
+        return stream_seconds(ticket, self) * factor
+
     def start(self, ticket: messages.Ticket, now: ids.Instant) -> Run:
         """Give a slot to a ticket."""
         pending = self.pending(now)
         usual_first = self.first_seconds(ticket, pending)
-        usual_total = usual_first + stream_seconds(ticket, self)
+        usual_total = usual_first + self.batch_stream_seconds(ticket)
         predicted = self.load.predict(usual_first, usual_total, now)
         run = Run(
             ticket=ticket,
@@ -313,10 +323,12 @@
             work_at_start=self.load.work_at(now),
         )
         self.runs[ticket.ticket_id] = run
+        self.load.record_start(len(self.runs), now)
         return run
 
     def learn_first_token(self, run: Run, seconds: float, now: ids.Instant) -> None:
         """Learn from the time to a first token that was received now."""
+        run.area_at_first = self.load.batch_area(now)
         if run.is_adopted:
             return
         self.load.record_first(run.usual_first, run.stated_first, seconds)
@@ -338,9 +350,20 @@
             streamed = self.load.usual_seconds(done.writing_seconds, now)
             weight *= confidence(streamed, done.writing_seconds)
             seen = streamed / done.output_tokens
+            self.learn_batch(run, seen, weight, now)
             self.token_seconds += weight * (seen - self.token_seconds)
         self.observations += 1
 
+    def learn_batch(
+        self, run: Run, seen: float, weight: float, now: ids.Instant
+    ) -> None:
+        """Learn how the time per token depends on the number of requests."""
+        if run.first_token_at is None or now <= run.first_token_at:
+            return
+        area = self.load.batch_area(now) - run.area_at_first
+        batch = area / (now - run.first_token_at)
+        self.load.learn_batch(batch, seen / self.token_seconds, weight)
+
     def weight(self) -> float:
         """Return the weight of a new observation; 1 for the first."""
         return OBSERVATION_WEIGHT if self.observations else 1.0
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -262,7 +262,6 @@
             outcomes.record(server, done, run, is_path_lost, now)
         if run is not None:
             view.reported_at[entry] = now
-            view.load.record_end(run.started, now)
             # A request that crashes any server says nothing of the server's version.
             is_guilty = self.suspicion.is_quarantined(run.ticket, now)
             if not is_path_lost and not is_guilty:
@@ -273,6 +272,7 @@
                     self.suspicion.answered(run.ticket, began, now)
                 view.learn_completion(run, done, now)
                 view.restrictions.record_service(run.started)
+            view.load.record_end(run.started, len(view.runs), now)
         return self.decide(now)
 
     def report(
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -131,6 +131,8 @@
     parts: tuple[ids.PartId, ...] = ()
     # Longest pause in seconds between two events that its route allows; 0: any.
     gap: float = 0.0
+    # Output tokens in each event of its stream.
+    event_tokens: int = 1
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -6,7 +6,13 @@
 from collections.abc import Iterable
 
 from tealcove import ids
-from tealcove.dispatch import backendview, exposure, messages, waitingticket
+from tealcove.dispatch import (
+    backendview,
+    exposure,
+    marginal,
+    messages,
+    waitingticket,
+)
 
 # A server that fails all requests counts as slower by this multiple of its time.
 FAILURE_PENALTY = 3.0
@@ -37,18 +43,22 @@
     A ticket that would miss its goal on every free server, but could still meet it on
     another one, waits. A server on which it can't end in time is never chosen: a slow
     engine would compute outputs that their callers never receive in full. An urgent or
-    long request avoids servers that state a high load, if another one meets its goal.
+    long request avoids servers that state a high load, and any request those where a
+    stream would exceed its longest gap, if another one meets its goal.
     """
     ticket = waiting.ticket
     best = unloaded = None
     best_cost = best_first = unloaded_cost = math.inf
     is_best_avoided = False
+    is_late = waiting.is_late(now)
     for server in free:
         pending = server.pending(now)
         first, cost = server.predict(ticket, pending, now)
         is_avoided = is_affected(ticket, cost) and server.load.is_high(now)
+        is_avoided = is_avoided or marginal.exceeds_gap(server, ticket, now)
         if now + cost > waiting.end_by:
             continue
+        cost += marginal.delay_seconds(server, now)
         cost *= 1.0 + FAILURE_PENALTY * server.failures
         if server.restrictions.may_reject(now):
             cost += REJECTION_PENALTY_SECONDS
@@ -59,14 +69,15 @@
         if cost < best_cost:
             best, best_cost, best_first = server, cost, first
             is_best_avoided = is_avoided
-        if not is_avoided and cost < unloaded_cost and now + first <= waiting.goal_at:
+        is_fit = not is_avoided and (is_late or now + first <= waiting.goal_at)
+        if is_fit and cost < unloaded_cost:
             unloaded, unloaded_cost = server, cost
     if best is None:
         return None
     if is_best_avoided and unloaded is not None:
         return unloaded
     misses_goal = now + best_first > waiting.goal_at
-    if misses_goal and not waiting.is_late(now):
+    if misses_goal and not is_late:
         return None
     return best
 
--- a/src/tealcove/dispatch/serverload.py
+++ b/src/tealcove/dispatch/serverload.py
@@ -9,7 +9,7 @@
 import logbook
 
 from tealcove import ids
-from tealcove.dispatch import loadevidence, messages, timefactor
+from tealcove.dispatch import batchtimes, loadevidence, messages, timefactor
 
 log = logbook.Logger("dispatch")
 
@@ -52,8 +52,26 @@
     ) -> None:
         """Record a statement that was made at an instant, with the runs known now."""
 
-    def record_end(self, started: ids.Instant, now: ids.Instant) -> None:
-        """Record the end of a run that was started at an instant."""
+    def record_start(self, running: int, now: ids.Instant) -> None:
+        """Record the start of a run, with which so many run."""
+
+    def record_end(self, started: ids.Instant, running: int, now: ids.Instant) -> None:
+        """Record the end of a run that was started at an instant; so many go on."""
+
+    def batch_area(self, now: ids.Instant) -> float:
+        """Return the integral of the number of running requests up to now."""
+        return 0.0
+
+    def learn_batch(self, batch: float, ratio: float, weight: float) -> None:
+        """Learn from a stream in a batch of this mean size; see ServerBatch.learn."""
+
+    def batch_factor(self, running: int) -> float:
+        """Return the time per token with so many requests, relative to the learned."""
+        return 1.0
+
+    def batch_growth(self, running: int) -> float:
+        """Return by which part one more request slows down so many running ones."""
+        return 0.0
 
     def record_first(self, plain: float, stated: float, measured: float) -> None:
         """Record a measured time to a first event, with two predictions of it."""
@@ -98,13 +116,18 @@
     """What one server states, as far as it is fresh and agrees with measurements."""
 
     def __init__(
-        self, server: ids.BackendServerId, slots: int, fleet: loadevidence.Errors
+        self,
+        server: ids.BackendServerId,
+        slots: int,
+        fleet: loadevidence.Errors,
+        times: batchtimes.BatchTimes,
     ) -> None:
         self.server = server
         self.slots = slots
         self.time = timefactor.TimeFactor()
         self.factors = loadevidence.FactorEvidence(fleet)
         self.counts = loadevidence.CountEvidence()
+        self.batch = batchtimes.ServerBatch(times)
         # When the newest statement was made, and what it says.
         self.stated_at = -timefactor.FRESH_SECONDS
         self.waiting = 0.0
@@ -131,8 +154,29 @@
         if self.counts.record(count, own):
             log_trust(self.server, "counts of requests", self.counts.is_trusted)
 
-    def record_end(self, started: ids.Instant, now: ids.Instant) -> None:
+    def record_start(self, running: int, now: ids.Instant) -> None:
+        """See Load."""
+        self.batch.resize(running + self.occupied(now), now)
+
+    def batch_area(self, now: ids.Instant) -> float:
+        """See Load."""
+        return self.batch.area_at(now)
+
+    def learn_batch(self, batch: float, ratio: float, weight: float) -> None:
+        """See Load."""
+        self.batch.learn(batch, ratio, weight)
+
+    def batch_factor(self, running: int) -> float:
+        """See Load."""
+        return self.batch.factor(running)
+
+    def batch_growth(self, running: int) -> float:
+        """See Load."""
+        return self.batch.growth(running)
+
+    def record_end(self, started: ids.Instant, running: int, now: ids.Instant) -> None:
         """See Load."""
+        self.batch.resize(running + self.occupied(now), now)
         self.ended.append((started, now + END_SECONDS))
         while self.ended[0][1] < now - timefactor.FRESH_SECONDS:
             self.ended.popleft()
@@ -208,10 +252,13 @@
 
     def __init__(self) -> None:
         self.fleet = loadevidence.Errors(loadevidence.FLEET_DECAY)
+        # By number of slots.
+        self.times: dict[int, batchtimes.BatchTimes] = {}
 
     def of_server(self, server: ids.BackendServerId, slots: int) -> Load:
         """See Loads."""
-        return StatedLoad(server, slots, self.fleet)
+        times = self.times.setdefault(slots, batchtimes.BatchTimes(slots))
+        return StatedLoad(server, slots, self.fleet, times)
 
 
 def log_trust(server: ids.BackendServerId, what: str, is_trusted: bool) -> None:
--- a/src/tealcove/ingress/tests/test_tickets.py
+++ b/src/tealcove/ingress/tests/test_tickets.py
@@ -98,3 +98,17 @@
     assert ticket(False).patience == pytest.approx(2.4 - 1.0)
     assert ticket(True).goal == 0.25
     assert ticket(True).patience == pytest.approx(2.4)
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+async def test_a_stream_tells_the_longest_gap_that_its_route_allows(
+    is_stream: bool,
+) -> None:
+    """Dispatchers filled servers until the streams there missed their gaps."""
+    route = builders.route(is_stream=is_stream, gap=0.25)
+    accepted = builders.accepted(route=route)
+    found = tickets.new_ticket(
+        accepted, ids.CellId("c/0"), ENTRY, (), False, accepted.arrived
+    ).ticket
+    assert found.gap == (0.25 if is_stream else 0.0)
+    assert found.event_tokens == 4
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -116,6 +116,7 @@
         version=version,
         parts=accepted.call.parts,
         gap=route.gap if route.is_stream else 0.0,
+        event_tokens=max(1, accepted.event_tokens),
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
