Tiny stated factors can't make a server's usual factor 0

Cause: a server that always states a figure near 0 brings the mean of its factors to 0 after some thousand statements; predictions then divide by it, and the dispatcher's decisions fail.

Change: factors count as at least 0.01.

--- a/src/tealcove/dispatch/timefactor.py
+++ b/src/tealcove/dispatch/timefactor.py
@@ -16,6 +16,8 @@
 USUAL_SECONDS = 10.0
 # Statements that are kept for learning: those of the last seconds of a busy server.
 MAX_SAMPLES = 64
+# Smallest factor that counts: with smaller ones, the mean could become 0.
+MIN_FACTOR = 0.01
 # Bounds of the relative factor that is applied.
 MIN_RELATIVE = 0.1
 MAX_RELATIVE = 20.0
@@ -59,11 +61,12 @@
         if at <= self.at:
             return
         self.work = self.work_at(at) if self.samples else at
-        if factor is not None and self.samples:
+        stated = self.usual if factor is None else max(MIN_FACTOR, factor)
+        if self.samples:
             seconds = min(FRESH_SECONDS, at - self.at)
-            self.usual += seconds / USUAL_SECONDS * (factor - self.usual)
+            self.usual += seconds / USUAL_SECONDS * (stated - self.usual)
         self.at = at
-        self.samples.append(Sample(at, self.usual if factor is None else factor))
+        self.samples.append(Sample(at, stated))
         self.update()
 
     def trust(self, weight: float) -> None:
