--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -136,6 +136,8 @@
     gap: float = 0.0
     # The length of the request's body in bytes; 0: not stated.
     body_bytes: int = 0
+    # Output tokens in each event of its stream.
+    event_tokens: int = 1
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/dispatch/placement.py
+++ b/src/tealcove/dispatch/placement.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from tealcove import ids
-from tealcove.dispatch import backendview, exposure, messages, waitingticket
+from tealcove.dispatch import (
+    backendview,
+    exposure,
+    marginal,
+    messages,
+    waitingticket,
+)
 
 # A server that fails all requests counts as slower by this multiple of its time.
 FAILURE_PENALTY = 3.0
@@ -46,7 +52,8 @@
     A ticket that would miss its goal on every free server, but could still meet it on
     another one, waits. A server on which it can't end in time is never chosen: a slow
     engine would compute outputs that their callers never receive in full. An urgent or
-    long request avoids servers that state a high load, if another one meets its goal.
+    long request avoids servers that state a high load, and any request those where a
+    stream would exceed its longest gap, if another one meets its goal.
     """
     return accepted(waiting, cheapest(waiting, free, exposed, now), now)
 
@@ -73,12 +80,15 @@
     ticket = waiting.ticket
     best = unloaded = None
     is_best_avoided = False
+    is_late = waiting.is_late(now)
     for server in free:
         pending = server.pending(now)
         first, cost = server.predict(ticket, pending, now)
         is_avoided = is_affected(ticket, cost) and server.load.is_high(now)
+        is_avoided = is_avoided or marginal.exceeds_gap(server, ticket, now)
         if now + cost > waiting.end_by:
             continue
+        cost += marginal.delay_seconds(server, now)
         cost *= 1.0 + FAILURE_PENALTY * server.failures
         if server.restrictions.may_reject(now):
             cost += REJECTION_PENALTY_SECONDS
@@ -90,8 +100,8 @@
         if best is None or cost < best.cost:
             best = Found(server, first, cost)
             is_best_avoided = is_avoided
-        is_cheaper = unloaded is None or cost < unloaded.cost
-        if not is_avoided and is_in_time and is_cheaper:
+        is_fit = not is_avoided and (is_late or is_in_time)
+        if is_fit and (unloaded is None or cost < unloaded.cost):
             unloaded = Found(server, first, cost)
     return unloaded if is_best_avoided and unloaded is not None else best
 
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -130,6 +130,7 @@
         parts=accepted.call.parts,
         gap=route.gap if route.is_stream else 0.0,
         body_bytes=len(accepted.call.body),
+        event_tokens=max(1, accepted.event_tokens),
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
