Headroom keeps differences between instances at a common high load

Cause: in a closed loop of 24 instances at a demand of 0.8, headrooms sank together to the least one, and the weights then said nothing of the instances' unlike abilities.

Change: levels in nearly equal proportions in place of steps of 10, a rise as far as the expected load allows, and a threshold that moves towards 1.0 (0.9 before) as the peers' headroom falls. A rise is still ten hundredths a second at most.

--- a/src/tealcove/instances/headroom.py
+++ b/src/tealcove/instances/headroom.py
@@ -8,15 +8,18 @@
 # rises to the second value as theirs falls: if all went on to reduce theirs at a common
 # high load, all would end at the least one, and the weights would say nothing.
 HIGH_LOAD = 0.75
-HIGHEST_LOAD = 0.9
+HIGHEST_LOAD = 1.0
 # Distance below that, for the expected load with which an instance gets more callers:
 # what one caller changes, with some twenty callers for each instance.
 MARGIN = 0.05
-# Hundredths: the whole, a step, and the least. With 0 for an overloaded instance, its
-# callers overloaded one instance after the other, until all were in simulations.
-WHOLE = 100
+# Values of the headroom in hundredths, from the whole to the least. Each is about a
+# seventh below the one before: with equal steps, the last ones would halve the callers.
+# With 0 for an overloaded instance, its callers overloaded one instance after the
+# other, until all were in simulations.
+LEVELS = (100, 90, 80, 70, 61, 53, 46, 40, 35, 30, 26, 23, 20, 17, 15, 13, 11, 10)
+WHOLE, LEAST = LEVELS[0], LEVELS[-1]
+# The most that an increase adds.
 STEP = 10
-LEAST = 10
 # Seconds between two reductions. Callers ask the directory again after a second, and
 # until then a reduction has no effect on the load.
 REDUCTION_SECONDS = 1.0
@@ -90,13 +93,16 @@
             return self.reduced(load, high) if may_reduce else self.value
         if self.value == WHOLE or since < INCREASE_SECONDS * self.backoff:
             return self.value
-        raised = min(WHOLE, self.value + STEP)
-        is_bearable = load * raised <= (high - MARGIN) * self.value
-        is_trial = since >= TRIAL_SECONDS * self.backoff
-        return raised if is_bearable or is_trial else self.value
+        bearable = (high - MARGIN) * self.value / load if load > 0.0 else WHOLE
+        if since >= TRIAL_SECONDS * self.backoff:
+            bearable = WHOLE
+        return max(self.value, level_below(min(bearable, self.value + STEP)))
 
     def reduced(self, load: float, high: float) -> int:
         """Return the value with which the load is expected to be bearable."""
-        wanted = self.value * high / load
-        stepped = int(wanted // STEP) * STEP
-        return min(self.value, max(LEAST, stepped))
+        return min(self.value, level_below(self.value * high / load))
+
+
+def level_below(value: float) -> int:
+    """Return the highest level up to a value, or the least one."""
+    return next((level for level in LEVELS if level <= value), LEAST)
