Test of unread streams while memory is scarce, with real sockets

A caller opens a stream and doesn't read it; with injected memory above 0.9 its connection is closed and its request ends.

--- a/tests/test_instance_load.py
+++ b/tests/test_instance_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import aiohttp
 import msgspec
@@ -10,7 +11,7 @@
 
 from tealcove import ids
 from tealcove.front import instance, settings
-from tealcove.instances import measurement
+from tealcove.instances import measurement, unread
 from tealcove.instances.tests import builders
 from tealcove.platform import names
 from tests import platform_site
@@ -18,6 +19,12 @@
 MEMORY_MB = 400.0
 LOADED, IDLE = 0.96, 0.3
 CALLERS = 60
+# Bytes that the operating system keeps for a connection, at each end, and events that
+# exceed all buffers.
+SOCKET_BUFFER = 4096
+MANY_EVENTS = 100_000
+# Far longer than the test takes on a busy machine.
+STREAM_MS = 60_000
 CHANGES = {
     "instance_load": settings.InstanceLoad(enabled=True),
     "machine": settings.Machine(memory_mb=MEMORY_MB),
@@ -114,3 +121,49 @@
             f"{url}{names.RESOLVE_PATH}", params={"zone": "dc-1"}
         ) as response:
             assert len((await response.json())["addrs"]) == 3
+
+
+async def open_unread(site: platform_site.Site) -> socket.socket:
+    """Send a request for a stream, and return a connection that isn't read."""
+    listening = site.instances[0].listeners[0]
+    host, _, port = site.instances[0].settings.listen.callers.partition(":")
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (host, int(port)))
+    await platform_site.until(lambda: len(listening.open) == 1)
+    (transport,) = listening.open.values()
+    accepted = transport.get_extra_info("socket")
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER)
+    headers = {
+        "Host": platform_site.HOST,
+        names.REQUEST_ID: "unread",
+        names.API_KEY: platform_site.KEY,
+        names.DEADLINE_MS: str(STREAM_MS),
+        "Content-Length": "0",
+    }
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    await loop.sock_sendall(caller, f"POST /stream/1 HTTP/1.1\r\n{lines}\r\n".encode())
+    return caller
+
+
+async def test_an_unread_stream_is_ended_while_memory_is_scarce(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against slow readers whose responses fill the memory of an instance."""
+    monkeypatch.setattr(unread, "UNREAD_SECONDS", 0.3)
+    async with platform_site.connected_site(1, 1, **CHANGES) as site:
+        (only,) = site.instances
+        source = inject(only)
+        site.servers[0].event_count = MANY_EVENTS
+        long = platform_site.route("stream", "stream", timeout_ms=STREAM_MS)
+        await site.declare(platform_site.configuration(long))
+        caller = await open_unread(site)
+        await platform_site.until(lambda: only.load.answers.size() > 0)
+        assert only.load.answers.ended == 0
+        source.memory_bytes = LOADED * MEMORY_MB * 1e6
+        await platform_site.until(lambda: only.load.answers.ended == 1)
+        await platform_site.until(lambda: not only.ingress.in_progress)
+        assert only.load.answers.size() == 0
+        caller.close()
