Client accounts have a weight in the product's own interface

Cause: accounts of a tier shared the slots equally there, whatever they had paid for.

Change: the field `weight` of a client account, above 0 and at most 1000, 1 if unset. The entry puts it into the ticket; the queue's start tags are charged tokens divided by it, refunds too. Unset, it isn't written: instances of the release before reject fields that they don't know. A ticket without one takes a byte more, one with it nine. Lines about unknown routes and keys no longer count as final ones, so that a flood of them doesn't crowd out the lines of others.

--- a/src/tealcove/accounts/orders.py
+++ b/src/tealcove/accounts/orders.py
@@ -9,11 +9,12 @@
 
 from tealcove import errors, ids
 from tealcove.quarantine import ledger
+from tealcove.resources import kinds
 from tealcove.storage import revisions
 
 log = logbook.Logger("accounts")
 
-MAX_WEIGHT = 1000.0
+MAX_WEIGHT = kinds.MAX_ACCOUNT_WEIGHT
 CHECKSUM_BYTES = 4
 # The checksum without orders. It isn't 0, which is that of instances that keep none.
 EMPTY_CHECKSUM = 1
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -115,6 +115,9 @@
     version: ids.SoftwareVersion | None = None
     # The parts of its prompt that other requests may share, in order.
     parts: tuple[ids.PartId, ...] = ()
+    # The account's share of the slots beside that of others, above 0; None: 1, which
+    # takes a byte in place of nine.
+    weight: float | None = None
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
--- a/src/tealcove/dispatch/queue.py
+++ b/src/tealcove/dispatch/queue.py
@@ -61,7 +61,7 @@
 class Account(msgspec.Struct, eq=False):
     """The tickets of one client account in one tier."""
 
-    # Start tag of start-time fair queueing, in tokens.
+    # Start tag of start-time fair queueing, in tokens divided by the account's weight.
     start_tag: float
     # Heaps of (order, number, ticket); the number keeps tickets from being compared.
     lanes: dict[Lane, list[tuple[tuple[float, float], int, WaitingTicket]]]
@@ -165,14 +165,17 @@
         return waiting
 
     def charge(self, ticket: messages.Ticket, tokens: float) -> None:
-        """Charge tokens to a ticket's account; negative ones are a refund."""
+        """Charge tokens to a ticket's account; negative ones are a refund.
+
+        By its weight: an account of weight 2 is charged half for the same tokens.
+        """
         tier = self.tiers.get(ticket.tier_rank)
         account = None if tier is None else tier.accounts.get(ticket.account)
         if account is None:
             return
         if tokens > 0:
             tier.virtual_time = max(tier.virtual_time, account.start_tag)
-        account.start_tag = max(account.start_tag + tokens, 0.0)
+        account.start_tag = max(account.start_tag + tokens / weight_of(ticket), 0.0)
 
     def ranks(self) -> list[int]:
         """Return the tiers with queued tickets, highest first."""
@@ -191,3 +194,9 @@
         """Return the predicted seconds of service ahead of a tier's new ticket."""
         counted = (tier.queued_seconds for r, tier in self.tiers.items() if r <= rank)
         return max(0.0, sum(counted))
+
+
+def weight_of(ticket: messages.Ticket) -> float:
+    """Return the weight of a ticket's account; one that can't be used counts as 1."""
+    weight = 1.0 if ticket.weight is None else ticket.weight
+    return weight if 0.0 < weight < math.inf else 1.0
--- a/src/tealcove/dispatch/tests/test_order.py
+++ b/src/tealcove/dispatch/tests/test_order.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from tealcove.dispatch import fair, messages
+import math
+
+import pytest
+
+from tealcove.dispatch import fair, messages, queue
 from tealcove.dispatch.tests import builders
 
 NOW = builders.instant(1)
@@ -65,6 +69,38 @@
     assert [order[:4].count("big"), order[:8].count("big")] == [1, 2]
 
 
+def test_accounts_share_by_weight() -> None:
+    """Guards against a weight that is kept and shown, and changes nothing."""
+    fair_scheduler, grants = full_server()
+    names = {}
+    for _ in range(9):
+        names[enqueue(fair_scheduler, account="light")] = "light"
+        names[enqueue(fair_scheduler, account="heavy", weight=2.0)] = "heavy"
+    order = [names[ticket_id] for ticket_id in drain(fair_scheduler, grants)]
+    assert [order[:number].count("heavy") for number in (3, 6, 9, 12)] == [2, 4, 6, 8]
+
+
+def test_a_refund_counts_by_the_same_weight_as_the_charge() -> None:
+    """Guards against an account that gains or loses share with each request."""
+    waiting = queue.Queue()
+    tier = queue.Tier()
+    tier.accounts["a"] = queue.Account(0.0, {})
+    waiting.tiers[0] = tier
+    ticket = builders.ticket(account="a", tier_rank=0, weight=4.0)
+    waiting.charge(ticket, 600.0)
+    assert tier.accounts["a"].start_tag == 150.0
+    waiting.charge(ticket, -600.0)
+    assert tier.accounts["a"].start_tag == 0.0
+
+
+@pytest.mark.parametrize("weight", [None, 0.0, -1.0, math.nan, math.inf])
+def test_a_ticket_without_a_weight_that_can_be_used_counts_as_1(
+    weight: float | None,
+) -> None:
+    """Guards against a division by zero for what another release has sent."""
+    assert queue.weight_of(builders.ticket(weight=weight)) == 1.0
+
+
 def test_idle_account_earns_no_credit() -> None:
     fair_scheduler, grants = full_server()
     names = {}
--- a/src/tealcove/entry/admitted.py
+++ b/src/tealcove/entry/admitted.py
@@ -59,4 +59,5 @@
         adapter=request.work.adapter,
         digest=request.digest,
         excluded=excluded,
+        weight=request.caller.weight,
     )
--- a/src/tealcove/entry/caller.py
+++ b/src/tealcove/entry/caller.py
@@ -16,6 +16,8 @@
     tier: ids.TierId
     tier_rank: int
     default_deadline: float
+    # The account's share of the slots beside that of others; None: 1.
+    weight: float | None = None
 
 
 def authenticate(header: str | None, configuration: copy.Configuration) -> Caller:
@@ -34,10 +36,12 @@
         raise problem.rejected(
             401, "The key isn't known", "Ask the operator for a key of your account."
         )
+    weight = account.spec.weight
     tier = configuration.tiers[account.spec.tier]
     return Caller(
         account=ids.AccountId(account.metadata.name),
         tier=ids.TierId(tier.metadata.name),
         tier_rank=tier.spec.rank,
         default_deadline=tier.spec.default_deadline,
+        weight=None if weight is msgspec.UNSET else weight,
     )
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -266,14 +266,19 @@
 
 
 def log_rejection(found: problem.Problem, observation: observer.Observation) -> None:
-    """Log why a request was turned away before it was accepted."""
+    """Log why a request was turned away before it was accepted.
+
+    Only refusals count as final lines: a flood of requests with unknown keys would
+    otherwise crowd out the lines of others.
+    """
+    is_refusal = found.outcome is problem.Outcome.NOT_RUN
     log.info(
         "{}: status {}, {}, {}",
         found.outcome.value,
         found.status,
         found.reason or found.title,
         observation.description,
-        extra={"request": observation.request_id, "final": True},
+        extra={"request": observation.request_id, "final": is_refusal},
     )
 
 
--- a/src/tealcove/resources/accounts.py
+++ b/src/tealcove/resources/accounts.py
@@ -22,6 +22,8 @@
     key_hashes: tuple[bytes, ...]
     tokens_per_second: float | None
     burst_tokens: float | None
+    # None: it has none of its own, which takes a byte in place of nine.
+    weight: float | None = None
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -40,6 +42,7 @@
         key_hashes=tuple(bytes.fromhex(text) for text in spec.key_hashes),
         tokens_per_second=spec.tokens_per_second,
         burst_tokens=spec.burst_tokens,
+        weight=None if spec.weight is msgspec.UNSET else spec.weight,
     )
     return ENCODER.encode(packed)
 
@@ -58,6 +61,7 @@
         key_hashes=tuple(digest.hex() for digest in packed.key_hashes),
         tokens_per_second=packed.tokens_per_second,
         burst_tokens=packed.burst_tokens,
+        weight=msgspec.UNSET if packed.weight is None else packed.weight,
     )
     return kinds.Resource(kind=kinds.Kind.CLIENT_ACCOUNT, metadata=metadata, spec=spec)
 
--- a/src/tealcove/resources/kinds.py
+++ b/src/tealcove/resources/kinds.py
@@ -13,6 +13,9 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, lt=1)]
+# The largest weight of an account; it is also that of ordered ones.
+MAX_ACCOUNT_WEIGHT = 1000.0
+AccountWeight = Annotated[float, msgspec.Meta(gt=0, le=MAX_ACCOUNT_WEIGHT)]
 ByteCount = Annotated[int, msgspec.Meta(ge=0)]
 KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
@@ -46,6 +49,10 @@
     tokens_per_second: Positive | None = None
     # Tokens that may be used in a burst; None: ten seconds' worth of the rate.
     burst_tokens: Positive | None = None
+    # Share of the slots beside that of the tier's other accounts, where there aren't
+    # enough for all; unset: 1. It isn't written then, so that instances of a release
+    # without the field can read the account.
+    weight: AccountWeight | msgspec.UnsetType = msgspec.UNSET
 
 
 class ServiceTierSpec(Spec):
--- a/src/tealcove/resources/tests/test_copy.py
+++ b/src/tealcove/resources/tests/test_copy.py
@@ -4,11 +4,23 @@
 
 import asyncio
 
+import msgspec
+import pytest
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
 from tealcove import errors
-from tealcove.resources import accounts, compaction, copy, kinds, log, snapshots
+from tealcove.resources import (
+    accounts,
+    codec,
+    compaction,
+    copy,
+    edits,
+    kinds,
+    log,
+    refusals,
+    snapshots,
+)
 from tealcove.resources.tests import builders
 from tealcove.storage import memory
 
@@ -183,6 +195,36 @@
         key_hashes=(builders.key_hash(1), builders.key_hash(2)),
         tokens_per_second=1.5,
         burst_tokens=9.0,
+        weight=2.5,
     )
     resource = builders.change(7, ACCOUNT, "armor", spec).resource
     assert accounts.unpack(accounts.pack(resource)) == resource
+
+
+def test_an_account_without_a_weight_is_written_as_before():
+    """Guards against accounts that instances of the release before can't read.
+
+    They reject fields that they don't know, in rows as well as in orders.
+    """
+    resource = builders.change(7, ACCOUNT, "armor", builders.account()).resource
+    assert b"weight" not in codec.encode(resource)
+    unpacked = accounts.unpack(accounts.pack(resource))
+    assert codec.encode(unpacked) == codec.encode(resource)
+    packed = msgspec.msgpack.decode(accounts.pack(resource))
+    before = msgspec.msgpack.encode(packed[:-1])
+    assert accounts.unpack(before) == resource
+
+
+@pytest.mark.parametrize("weight", [0, -1, 1000.5, "2", True])
+def test_a_weight_that_can_t_be_used_is_refused_by_its_field(weight: object):
+    spec = msgspec.json.encode({"tier": "gold", "weight": weight})
+    with pytest.raises(refusals.InvalidFieldError) as raised:
+        codec.decode_spec(ACCOUNT, spec)
+    assert raised.value.field == "spec.weight"
+
+
+def test_a_weight_is_removed_by_a_merge_patch():
+    weighted = kinds.ClientAccountSpec(tier="gold", weight=2.0)
+    current = builders.change(7, ACCOUNT, "armor", weighted).resource
+    changed = edits.MergePatch({"weight": None}).spec_after(ACCOUNT, current)
+    assert changed == kinds.ClientAccountSpec(tier="gold")
