--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -138,6 +138,9 @@
     body_bytes: int = 0
     # Output tokens in each event of its stream.
     event_tokens: int = 1
+    # The account's share of the slots beside that of others, above 0; None: 1, which
+    # takes a byte in place of nine.
+    weight: float | None = None
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
