Tests: refusals meet accounts over their share first; successors are told

Cause: no test showed that a full line refuses a flood's tickets first, nor that the use reaches the next dispatchers over the real transport.

Change: one test in virtual time, and a condition in the takeover on a site.

--- a/src/tealcove/dispatch/tests/test_accountshares.py
+++ b/src/tealcove/dispatch/tests/test_accountshares.py
@@ -250,6 +250,24 @@
     assert [one.ticket for one in ordered] == [second, first]
 
 
+def test_an_account_over_its_share_is_refused_first():
+    """Guards against a line that is full of a flood's tickets when others arrive.
+
+    Four slots become free in time, for five waiting tickets.
+    """
+    found = contended("a", "a", "a", "b")
+    out = []
+    arriving = [
+        builders.ticket(account=account, remaining=1.3)
+        for account in ("a", "b", "b", "b", "b")
+    ]
+    for ticket in arriving:
+        out += found.enqueue(ticket, builders.instant(0.1))
+    out += found.tick(builders.instant(0.2))
+    refused = [refusal.ticket_id for refusal in builders.refused(out)]
+    assert refused == [arriving[0].ticket_id]
+
+
 def test_a_refusal_names_the_time_until_the_accounts_turn():
     """Guards against a caller that is told to return before its account's turn.
 
--- a/tests/test_fair_accounts.py
+++ b/tests/test_fair_accounts.py
@@ -107,6 +107,11 @@
     return next(one for one in running.instances if one.name == ranked[0])
 
 
+def heard_by(one: instance.Instance) -> set[tuple[ids.CellId, ids.InstanceId]]:
+    """Return the cells and instances whose use an instance was told."""
+    return set(one.dispatcher.sharing.heard)
+
+
 async def test_a_flood_does_not_push_out_another_account():
     """Guards against servers that are shared by the number of callers."""
     async with competition() as competing:
@@ -114,10 +119,18 @@
 
 
 async def test_a_flood_does_not_push_out_another_account_after_a_takeover():
-    """Guards against a dispatcher's death after which a flood gets all slots."""
+    """Guards against a dispatcher's death after which a flood gets all slots.
+
+    The instances that may take over are told the use before.
+    """
     async with competition() as competing:
         await competing.check()
-        await competing.site.end(dispatcher(competing.site))
+        first = dispatcher(competing.site)
+        others = [one for one in competing.site.instances if one is not first]
+        await platform_site.until(
+            lambda: all((CELL, first.name) in heard_by(one) for one in others)
+        )
+        await competing.site.end(first)
         await competing.check()
 
 
