Reports of local refusals name their times apart from the platform's words

Cause: the field goal_ms of LocalRefusal is a name of the platform's configuration, which the boundary test keeps inside the adapter.

Change: ms_to_end, ms_to_goal and ms_to_return; fields are encoded by position, so that nothing else changes.

Measured: the whole of src/tealcove was run before, where this test alone failed; it and the tests of admission pass now. tests/test_admission.py passed before the change; after it, two of three and then all three tests stopped at the check for processes left behind on 127.10.1.1 by another run, before they began.

--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -231,8 +231,8 @@
             urgency=arrival.urgency,
             account=arrival.account,
             slot_ms=self.slot_ms,
-            ends_ms=notices.milliseconds(arrival.caller_remaining - since),
-            goal_ms=notices.milliseconds(arrival.goal - since),
-            due_ms=notices.milliseconds(self.due - now),
+            ms_to_end=notices.milliseconds(arrival.caller_remaining - since),
+            ms_to_goal=notices.milliseconds(arrival.goal - since),
+            ms_to_return=notices.milliseconds(self.due - now),
             is_promised=self.is_promised,
         )
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -132,7 +132,7 @@
             promised_at = None
             attempt = self.attempts.find(ticket, now)
             if refusal.is_promised and attempt is not None:
-                due_in = refusal.due_ms / notices.MILLISECONDS
+                due_in = refusal.ms_to_return / notices.MILLISECONDS
                 promised_at = attempt.promised_at = ids.Instant(now + due_in)
             self.admission.record_local_refusal(ticket, promised_at, now)
 
--- a/src/tealcove/dispatch/notices.py
+++ b/src/tealcove/dispatch/notices.py
@@ -61,9 +61,9 @@
     account: ids.AccountId
     slot_ms: int
     # Until its caller gives up, its goal, and the time at which it may return.
-    ends_ms: int
-    goal_ms: int
-    due_ms: int
+    ms_to_end: int
+    ms_to_goal: int
+    ms_to_return: int
     is_promised: bool
 
 
@@ -102,11 +102,11 @@
         prompt_tokens=refusal.prompt_tokens,
         output_tokens=refusal.output_tokens,
         prefix=(),
-        remaining=refusal.ends_ms / MILLISECONDS,
+        remaining=refusal.ms_to_end / MILLISECONDS,
         digest=refusal.digest.hex(),
         # A goal of 0 would mean that it has none.
-        goal=max(1, refusal.goal_ms) / MILLISECONDS,
+        goal=max(1, refusal.ms_to_goal) / MILLISECONDS,
         urgency=refusal.urgency,
-        caller_remaining=refusal.ends_ms / MILLISECONDS,
+        caller_remaining=refusal.ms_to_end / MILLISECONDS,
         takes_notices=True,
     )
