--- a/src/tealcove/dispatch/statedload.py
+++ b/src/tealcove/dispatch/statedload.py
@@ -25,7 +25,7 @@
     running, waiting, slots, *times = figures
     if max(running, waiting, slots) > MAX_REQUESTS:
         return None
-    if not all(0.0 < time <= MAX_TIME for time in times):
+    if not all(0.0 < time / NORMAL_TIME <= MAX_TIME / NORMAL_TIME for time in times):
         return None
     factor = times[0] / NORMAL_TIME if times else None
     return messages.StatedLoad(running, waiting, slots, factor)
--- a/src/tealcove/dispatch/tests/test_serverload.py
+++ b/src/tealcove/dispatch/tests/test_serverload.py
@@ -187,6 +187,17 @@
     assert found.present(ids.Instant(60.0)) > 2.0
 
 
+@pytest.mark.parametrize("factor", [0.0, 1e-300, 1e-9, 100.0])
+def test_an_absurd_factor_that_never_ends_fails_no_decision(factor: float) -> None:
+    """A factor of 0 made a server's speed infinite, and decisions failed."""
+    found = timefactor.TimeFactor()
+    for number in range(20_000):
+        found.record(factor, number * 1.0)
+    now = ids.Instant(19_999.0)
+    assert 0.0 < found.stretch(1.0, now) < 100.0
+    assert 0.0 < found.present(now) < 100.0
+
+
 def learned(is_used: bool, has_slow_moments: bool) -> tuple[float, float]:
     """Return the seconds to a first event and end, right after a slow moment.
 
--- a/src/tealcove/dispatch/timefactor.py
+++ b/src/tealcove/dispatch/timefactor.py
@@ -59,11 +59,12 @@
         if at <= self.at:
             return
         self.work = self.work_at(at) if self.samples else at
-        if factor is not None and self.samples:
+        stated = self.usual if factor is None else factor
+        if self.samples:
             seconds = min(FRESH_SECONDS, at - self.at)
-            self.usual += seconds / USUAL_SECONDS * (factor - self.usual)
+            self.usual += seconds / USUAL_SECONDS * (stated - self.usual)
         self.at = at
-        self.samples.append(Sample(at, self.usual if factor is None else factor))
+        self.samples.append(Sample(at, stated))
         self.update()
 
     def trust(self, weight: float) -> None:
--- a/src/tealcove/platform/tests/test_stated_load.py
+++ b/src/tealcove/platform/tests/test_stated_load.py
@@ -27,6 +27,8 @@
         ("3,1", None),
         ("3,1,5,100,1", None),
         ("3,1,5,0", None),
+        # A hundredth of it is 0.
+        ("3,1,5,1e-323", None),
         ("3,1,5,-100", None),
         ("-3,1,5", None),
         ("3,1,5,", None),
