--- a/src/tealcove/dispatch/budgets.py
+++ b/src/tealcove/dispatch/budgets.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from tealcove import ids
+from tealcove.dispatch import backendview, messages
 
 # The entry's data centre and the server's.
 Pair = tuple[ids.DataCentreId, ids.DataCentreId]
@@ -12,6 +13,11 @@
 # Seconds of the rate that may be spent at once: as long as a burst of requests lasts
 # until slots become free again.
 BURST_SECONDS = 1.0
+# Estimates in bytes: of a token in a prompt and in a stream of events, and of the
+# headers of a request and its response.
+PROMPT_TOKEN_BYTES = 4
+EVENT_TOKEN_BYTES = 16
+HEADERS_BYTES = 1000
 
 
 class Bucket(msgspec.Struct):
@@ -67,3 +73,15 @@
         bucket.level = min(self.burst, bucket.level + elapsed * self.rate)
         bucket.refilled_at = now
         return bucket
+
+
+def pair_of(ticket: messages.Ticket, server: backendview.BackendView) -> Pair:
+    """Return the data centres of a ticket's entry and of a server."""
+    return ticket.data_centre, ids.DataCentreId(server.spec.data_centre)
+
+
+def size_of(ticket: messages.Ticket) -> float:
+    """Return the estimated bytes of a request and its response."""
+    body = ticket.body_bytes or PROMPT_TOKEN_BYTES * ticket.prompt_tokens
+    answer = EVENT_TOKEN_BYTES * backendview.expected_tokens(ticket)
+    return HEADERS_BYTES + body + answer
--- a/src/tealcove/dispatch/crossing.py
+++ b/src/tealcove/dispatch/crossing.py
@@ -13,7 +13,6 @@
     backendview,
     budgets,
     exposure,
-    messages,
     placement,
     waitingticket,
 )
@@ -32,11 +31,6 @@
 HOLD_SECONDS = 0.05
 # Recent failure rate above which a server isn't waited for or preferred.
 MAX_FAILURES = 0.25
-# Estimates in bytes: of a token in a prompt and in a stream of events, and of the
-# headers of a request and its response.
-PROMPT_TOKEN_BYTES = 4
-EVENT_TOKEN_BYTES = 16
-HEADERS_BYTES = 1000
 
 
 class Crossing(abc.ABC):
@@ -208,9 +202,9 @@
         now: ids.Instant,
     ) -> bool:
         """Tell whether the budget allows a crossing that saves some seconds."""
-        pair = pair_of(waiting.ticket, far.server)
+        pair = budgets.pair_of(waiting.ticket, far.server)
         left = self.budgets.left(pair, now)
-        size = size_of(waiting.ticket)
+        size = budgets.size_of(waiting.ticket)
         return self.budgets.allows(pair, size, now) and saved * left > MIN_SAVED_SECONDS
 
     def cross(
@@ -220,8 +214,8 @@
         now: ids.Instant,
     ) -> backendview.BackendView:
         """Return the remote server after charging the crossing to its budget."""
-        pair = pair_of(waiting.ticket, far.server)
-        self.budgets.spend(pair, size_of(waiting.ticket), now)
+        pair = budgets.pair_of(waiting.ticket, far.server)
+        self.budgets.spend(pair, budgets.size_of(waiting.ticket), now)
         return far.server
 
     def local_release(
@@ -300,17 +294,3 @@
     if run.first_token_at is not None:
         found = run.first_token_at + backendview.stream_seconds(run.ticket, server)
     return found if found >= now else now + (now - found)
-
-
-def pair_of(
-    ticket: messages.Ticket, server: backendview.BackendView
-) -> tuple[ids.DataCentreId, ids.DataCentreId]:
-    """Return the data centres of a ticket's entry and of a server."""
-    return ticket.data_centre, ids.DataCentreId(server.spec.data_centre)
-
-
-def size_of(ticket: messages.Ticket) -> float:
-    """Return the estimated bytes of a request and its response."""
-    body = ticket.body_bytes or PROMPT_TOKEN_BYTES * ticket.prompt_tokens
-    answer = EVENT_TOKEN_BYTES * backendview.expected_tokens(ticket)
-    return HEADERS_BYTES + body + answer
--- a/src/tealcove/dispatch/tests/test_crossing.py
+++ b/src/tealcove/dispatch/tests/test_crossing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from tealcove import ids
 from tealcove.dispatch import budgets, crossing, goal, messages
 from tealcove.dispatch.tests import builders, waves
+from tealcove.peers import message
 
 HERE, THERE = waves.CENTRES
 # Bytes a second: plenty, and next to nothing.
@@ -167,8 +169,22 @@
     """Guards against long prompts that count as much as short ones."""
     long = builders.ticket(body_bytes=50_000, prompt_tokens=0, expected_tokens=10)
     older = builders.ticket(prompt_tokens=10_000, expected_tokens=10)
-    assert crossing.size_of(long) > 50_000
-    assert crossing.size_of(older) > 40_000
+    assert budgets.size_of(long) > 50_000
+    assert budgets.size_of(older) > 40_000
+
+
+def test_a_ticket_of_the_release_before_is_understood() -> None:
+    """Guards against requests that are lost while instances are updated."""
+    codec = message.Codec()
+    codec.register(messages.Ticket)
+    ticket = builders.ticket(body_bytes=50_000)
+    fields = msgspec.msgpack.decode(codec.encode(ticket))
+    assert messages.Ticket.__struct_fields__[-1] == "body_bytes"
+    older = codec.decode(msgspec.msgpack.encode(fields[:-1]))
+    assert older == msgspec.structs.replace(ticket, body_bytes=0)
+    # One more field, as the release after this one may send.
+    newer = codec.decode(msgspec.msgpack.encode([*fields, 1]))
+    assert newer == ticket
 
 
 def test_a_budget_is_refilled_and_its_debt_is_bounded() -> None:
--- a/src/tealcove/dispatch/tests/waves.py
+++ b/src/tealcove/dispatch/tests/waves.py
@@ -13,6 +13,7 @@
 from tealcove import ids
 from tealcove.dispatch import (
     backendview,
+    budgets,
     crossing,
     exposure,
     goal,
@@ -162,7 +163,7 @@
         first, total = FIRST_SECONDS * factor, TOTAL_SECONDS * factor
         self.result.in_time += self.now + first - arrived <= GOAL_SECONDS
         if spec.data_centre != ticket.data_centre:
-            self.result.crossed_bytes += crossing.size_of(ticket)
+            self.result.crossed_bytes += budgets.size_of(ticket)
         progress = messages.Progress(
             ticket_id=grant.ticket_id, cell=builders.CELL, first_token_seconds=first
         )
