Channel of the load's log lines is the package's name

Cause: the channel `load` couldn't be enabled by `log.debug`, which names packages; found by test_loggers_have_the_names_of_their_packages.

--- a/src/tealcove/instances/role.py
+++ b/src/tealcove/instances/role.py
@@ -16,7 +16,7 @@
 )
 from tealcove.membership import members
 
-log = logbook.Logger("load")
+log = logbook.Logger("instances")
 
 # Seconds between two samples: ten for each averaging period.
 SAMPLE_SECONDS = 0.1
--- a/src/tealcove/instances/unread.py
+++ b/src/tealcove/instances/unread.py
@@ -11,7 +11,7 @@
 from tealcove import ids
 from tealcove.instances import measurement, protection
 
-log = logbook.Logger("load")
+log = logbook.Logger("instances")
 
 # Seconds for which unsent bytes of a connection haven't decreased, from which on its
 # caller doesn't read: as long as callers themselves wait in silence for a server.
