Weights of accounts are relative to the mean limit

Cause: without an order an account's weight was its limit's rate, so that an account without a limit, or with an ordered weight of 2, got next to nothing beside limits of thousands of tokens a second, and limits in tokens and in requests were compared.

Change: the rate in relation to the mean rate of the limits in the same unit; 1 without a limit.

Measured: tests of accounts, shares and catalogue pass. Shares among accounts with limits are the same.

--- a/bench/goalload.py
+++ b/bench/goalload.py
@@ -43,7 +43,7 @@
     )
     found = goal.GoalScheduler()
     if is_shared:
-        weights = accountshares.LimitWeights(lambda account: None)
+        weights = accountshares.ConfiguredWeights(lambda account: None)
         found.use_accounts(accountuse.MeasuredShares(CELL, weights))
     found.configure(cells.Cell(CELL, ids.PoolId("engines"), servers), ids.Instant(0.0))
     return found
--- a/src/tealcove/catalog/lookup.py
+++ b/src/tealcove/catalog/lookup.py
@@ -5,7 +5,7 @@
 import collections
 
 from tealcove import ids
-from tealcove.catalog import declared
+from tealcove.catalog import accountweights, declared
 
 
 class Lookup:
@@ -16,6 +16,8 @@
         self.revision = revision
         self.services = {service.name: service for service in catalog.services}
         self.accounts = {account.name: account for account in catalog.accounts}
+        # The weights of the accounts that have limits.
+        self.weights = accountweights.by_limits(catalog.accounts)
         self.has_tiers = any(one.rank is not None for one in catalog.accounts)
         # By host, then by prefix: a lookup tries each prefix of the request's path, so
         # its cost doesn't grow with the number of routes.
--- a/src/tealcove/dispatch/accountshares.py
+++ b/src/tealcove/dispatch/accountshares.py
@@ -9,12 +9,12 @@
 
 from tealcove import ids
 from tealcove.dispatch import messages
-from tealcove.limits import limit
 
 # The weight of an account without a limit.
 DEFAULT_WEIGHT = 1.0
 
-FindLimit = Callable[[ids.AccountId], limit.Limit | None]
+# Returns None for an account without a limit.
+FindWeight = Callable[[ids.AccountId], float | None]
 # Returns the slots that can serve requests at an instant.
 CountSlots = Callable[[ids.Instant], float]
 # Returns the tickets that wait for a slot.
@@ -46,16 +46,16 @@
         """Return the weight of an account; above 0."""
 
 
-class LimitWeights(AccountWeights):
-    """Weights equal to the rates of the accounts' limits in force."""
+class ConfiguredWeights(AccountWeights):
+    """The weights that the configuration in force implies."""
 
-    def __init__(self, find_limit: FindLimit) -> None:
-        self.find_limit = find_limit
+    def __init__(self, find_weight: FindWeight) -> None:
+        self.find_weight = find_weight
 
     def weight(self, account: ids.AccountId) -> float:
         """See AccountWeights."""
-        found = self.find_limit(account)
-        return DEFAULT_WEIGHT if found is None or found.rate <= 0.0 else found.rate
+        found = self.find_weight(account)
+        return DEFAULT_WEIGHT if found is None else found
 
 
 class AccountShares(abc.ABC):
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -172,7 +172,7 @@
             self.members,
             self.heartbeats,
             storeadapter.StoreTable(self.store),
-            accountshares.LimitWeights(self.find_limit),
+            accountshares.ConfiguredWeights(self.find_weight),
         )
         self.servers.restoration.listeners.append(self.weights.restore)
         self.weights.start()
@@ -532,6 +532,11 @@
             count,
         )
 
+    def find_weight(self, account: ids.AccountId) -> float | None:
+        """Return an account's weight by the configuration in force, if it has one."""
+        current = self.configuration.current
+        return None if current is None else current.weights.get(account)
+
     def find_limit(self, account: ids.AccountId) -> limit.Limit | None:
         """Return an account's limit by the configuration in force, if it has one."""
         current = self.configuration.current
