Callers that have returned once aren't refused again for their goal

Cause: a caller that had been refused and came back too early, or without a promise, was refused again at once while the overload lasted, though it had seconds left and room came soon.

Change: a request that was tried before waits behind those in time, and is refused by its deadline only.

Measured: tests of admission pass.

--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -86,7 +86,7 @@
         """See Admission."""
         if now + seconds > waiting.start_by:
             return True
-        if seconds <= 0.0 or waiting.keeps_promise or not has_early_refusal(waiting):
+        if seconds <= 0.0 or not has_early_refusal(waiting):
             return False
         if is_in_time(waiting, seconds, now):
             return False
@@ -194,9 +194,11 @@
 def has_early_refusal(waiting: waitingticket.Waiting) -> bool:
     """Tell whether a ticket may be refused because it would miss its goal.
 
-    A stream that goes on at one version is lost if it's refused.
+    A stream that goes on at one version is lost if it's refused, and most callers that
+    have returned once don't do so again. They wait behind those that are in time.
     """
-    return not math.isinf(waiting.goal_at) and waiting.ticket.version is None
+    has_goal = not math.isinf(waiting.goal_at)
+    return has_goal and waiting.ticket.version is None and not waiting.has_returned
 
 
 def is_in_time(
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -262,6 +262,7 @@
             slot_seconds=slot_seconds,
             flow=flow,
             attempt=earlier or self.attempts.find(ticket, now),
+            has_returned=earlier is not None,
             keeps_promise=earlier is not None and earlier.is_due(now - ticket.waited),
         )
 
--- a/src/tealcove/dispatch/waitingticket.py
+++ b/src/tealcove/dispatch/waitingticket.py
@@ -35,6 +35,8 @@
     flow: shares.Flow
     # What is remembered of its request's first attempt; None if it can't be recognised.
     attempt: firstattempts.Attempt | None = None
+    # Whether its request was tried before.
+    has_returned: bool = False
     # Whether its caller was refused before, and returned at the time that it was told.
     keeps_promise: bool = False
 
