--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -164,7 +164,7 @@
         sender = self.senders[arrival.cell]
         log.info(
             "refused on arrival: overload, as {} refuses all of tier {} urgency {} "
-            "account {}, may return in {:.3f} s, {}",
+            "account {}, retry after {:.3f} s, {}",
             sender,
             arrival.tier_rank,
             arrival.urgency,
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -215,7 +215,9 @@
         now = clock.now()
         wait = self.early.refuse(tickets.arrival(accepted, cell, now), now)
         if wait is not None:
-            raise refused(observation, messages.RefusalReason.OVERLOAD, wait)
+            # Its line is written where the refusal is decided.
+            observation.is_explained = True
+            raise problem.not_run(messages.RefusalReason.OVERLOAD, wait)
 
     async def charge(
         self, accepted: tickets.AcceptedRequest, observation: observer.Observation
