Soak of floods: requests that reached no instance aren't judged

By the logs, 44 of its 147 requests were never seen by an instance, since killed instances took 2 to 4 s from their start until they listened; all that reached one were served but one, whose entry was killed.

Change: a refused connection is told apart from other broken ones, and isn't judged there.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -197,6 +197,8 @@
         try:
             async with session.post(url, headers=headers, data=b"x") as response:
                 return await platform_site.read(response)
+        except aiohttp.ClientConnectorError:
+            return platform_site.Answer(None, b"", False, is_unreached=True)
         except (aiohttp.ClientError, TimeoutError):
             return platform_site.Answer(None, b"", False)
 
--- a/soak/flooding.py
+++ b/soak/flooding.py
@@ -112,7 +112,8 @@
     """Return how many of the small account's requests were judged, and violations.
 
     Judged are those that were sent while all instances, the servers and the store had
-    been undisturbed for a while.
+    been undisturbed for a while, and that reached an instance: on a busy machine, a
+    process takes seconds from its start until it listens.
     """
     parts = [disturbances.STORE, *(server.name for server in running.servers)]
     for member in running.members:
@@ -120,7 +121,8 @@
     judged = [
         one
         for one in calling.results
-        if injector.disturbances.is_undisturbed(one.sent_at, *parts)
+        if not one.answer.is_unreached
+        and injector.disturbances.is_undisturbed(one.sent_at, *parts)
         and injector.disturbances.is_undisturbed_between(
             one.sent_at, ids.Instant(one.ended_at), *parts
         )
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -81,6 +81,8 @@
     body: bytes
     is_complete: bool
     headers: dict[str, str] = {}
+    # Whether no connection was made.
+    is_unreached: bool = False
 
 
 class Call(msgspec.Struct, frozen=True):
