Soak: faults that most kinds share stand once; notices stop at the first free slot

Cause: five faults were listed anew for four kinds of soaks. At each tick the dispatcher listed all servers with a free slot only to know whether there is one, also where admission is off.

Change: one tuple of common faults; the search for a free slot ends with the first. Behaviour is the same.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -99,6 +99,14 @@
             self.server_faults,
             self.server_leaves,
         )
+        # Drawn in most kinds of soaks.
+        common = (
+            self.kill,
+            self.freeze,
+            self.terminate,
+            self.cut_store,
+            self.store_fault,
+        )
         self.mean_pause = MEAN_PAUSE_SECONDS
         self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
         if kind is kinds.Kind.PAUSES:
@@ -111,11 +119,7 @@
                 *(changing.replace_server,) * REPLACEMENT_WEIGHT,
                 changing.kill_all,
                 changing.kill_several,
-                self.kill,
-                self.freeze,
-                self.terminate,
-                self.cut_store,
-                self.store_fault,
+                *common,
                 self.server_faults,
             )
         self.crasher = crashingparts.Crasher(running, self.random, self.disturbances)
@@ -125,11 +129,7 @@
                 *(self.crasher.crash,) * CRASH_WEIGHT,
                 killing.kill_all,
                 killing.kill_several,
-                self.kill,
-                self.freeze,
-                self.terminate,
-                self.cut_store,
-                self.store_fault,
+                *common,
                 self.change_configuration,
             )
         if kind is kinds.Kind.FLOODS:
@@ -138,11 +138,7 @@
             self.kinds = (
                 killing.kill_all,
                 killing.kill_several,
-                self.kill,
-                self.freeze,
-                self.terminate,
-                self.cut_store,
-                self.store_fault,
+                *common,
                 self.change_configuration,
             )
         if kind is kinds.Kind.PATHS:
@@ -151,11 +147,7 @@
             self.kinds = (
                 *(self.cutting.cut,) * CUT_WEIGHT,
                 self.server_is_silent,
-                self.kill,
-                self.freeze,
-                self.terminate,
-                self.cut_store,
-                self.store_fault,
+                *common,
                 self.change_configuration,
             )
 
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -112,7 +112,8 @@
         """See Scheduler."""
         if now < self.gather_until:
             return []
-        has_free_slots = bool(with_free_slots(self.views.servers.values(), now))
+        servers = self.views.servers.values()
+        has_free_slots = any(server.free_slots(now) > 0 for server in servers)
         return self.notices_if(has_free_slots, now)
 
     def notices_if(
