Returns aren't promised before all entries know of them

What callers saw: a caller that returned at its promised time was refused again, with 503 overload.

Cause: an entry that refuses by a notice promises one of its return times, and reports that 0.2 s later. The times began 0.15 s after the notice, which is valid for 0.3 s, so that a caller could be told to return at once or within 0.2 s. Then neither the dispatcher nor other entries knew of it, and refused it as a new request that misses its goal. For the same reason a return that a dispatcher promises within 0.3 s of a notice could be refused by another entry.

Change: a notice reserves times from 0.9 s on, an entry promises none within 0.6 s, and a dispatcher none within 0.4 s of a notice that names the flow. Flows whose callers wait for less aren't named in notices, so that the dispatcher can promise them earlier times.

--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -17,10 +17,6 @@
 
 log = logbook.Logger("admission")
 
-# Seconds for which a notice is valid, a little longer than between two notices.
-VALID_SECONDS = 0.3
-# Seconds within which refusals are reported; the dispatcher counts them as demand.
-REPORT_SECONDS = 0.2
 # Refusals a second that an entry may make by itself; further requests are admitted.
 # Each is reported in some 60 bytes, and all messages of admission together may take
 # 1,000 bytes a second.
@@ -62,6 +58,12 @@
     unpromised: int
     returning: frozenset[int]
 
+    def drop_early(self, now: ids.Instant) -> None:
+        """Drop the times before which others can't know of a return."""
+        earliest = now + refusedflows.ENTRY_RETURN_SECONDS
+        while self.promised and self.promised[0] < earliest:
+            self.promised.popleft()
+
 
 class LocalRefusals:
     """Applies dispatchers' notices to arriving requests, and reports the refusals.
@@ -105,7 +107,7 @@
         self.senders[notice.cell] = sender
         self.allowances[notice.cell] = {
             refusedflows.FlowKey(flow.tier_rank, flow.urgency, flow.account): Allowance(
-                valid_until=ids.Instant(now + VALID_SECONDS - age),
+                valid_until=ids.Instant(now + refusedflows.VALID_SECONDS - age),
                 slot_ms=flow.slot_ms,
                 promised=collections.deque(
                     ids.Instant(now - age + due / notices.MILLISECONDS)
@@ -131,6 +133,7 @@
         if not self.budget.allows(now):
             return None
         period = self.return_share * arrival.caller_remaining
+        allowance.drop_early(now)
         if allowance.promised and allowance.promised[0] <= now + period:
             due = allowance.promised.popleft()
             is_promised = True
@@ -197,9 +200,11 @@
             self.schedule(arrival.cell)
 
     def report_later(self, cell: ids.CellId) -> None:
-        """Report the refusals of a cell's requests in REPORT_SECONDS."""
+        """Report the refusals of a cell's requests in some tenths of a second."""
         loop = asyncio.get_running_loop()
-        loop.call_later(REPORT_SECONDS, lambda: self.report(cell, clock.now()))
+        loop.call_later(
+            refusedflows.REPORT_SECONDS, lambda: self.report(cell, clock.now())
+        )
 
     def report(self, cell: ids.CellId, now: ids.Instant) -> None:
         """Report the refusals of a cell's requests to the notice's sender."""
--- a/src/tealcove/admission/noticing.py
+++ b/src/tealcove/admission/noticing.py
@@ -7,11 +7,14 @@
 
 from tealcove import ids
 from tealcove.admission import refusedflows, returnplan
-from tealcove.dispatch import firstattempts, notices, retry
+from tealcove.dispatch import firstattempts, notices
 
 # Seconds before its promised time from which on a return is exempt from refusals: a
 # notice is valid for 0.3 s, and a caller may be some hundredths early.
 RETURNING_AHEAD = 0.4
+# Seconds from a notice to the first return that it lets an entry promise; the entry may
+# use it until it expires.
+EARLIEST_IN_NOTICE = refusedflows.VALID_SECONDS + refusedflows.ENTRY_RETURN_SECONDS
 
 
 class Noticing:
@@ -27,6 +30,8 @@
         self.next_notice = ids.Instant(0.0)
         # The entries whose last notice lets them refuse something.
         self.told: set[ids.InstanceId] = set()
+        # When the last notice that names a flow was sent.
+        self.told_at: dict[refusedflows.FlowKey, ids.Instant] = {}
 
     def record_promise(
         self, key: refusedflows.FlowKey, digest: str, at: ids.Instant
@@ -38,6 +43,19 @@
         """Forget a promised return, which has arrived."""
         self.returning.get(key, {}).pop(notices.mark_of(digest), None)
 
+    def earliest_return(
+        self, key: refusedflows.FlowKey, now: ids.Instant
+    ) -> ids.Instant:
+        """Return from when on no entry refuses a return that is promised now.
+
+        An entry may have a notice from before the promise, which doesn't name it.
+        """
+        told_at = self.told_at.get(key)
+        if told_at is None:
+            return now
+        known_at = told_at + refusedflows.DISPATCHER_RETURN_SECONDS
+        return ids.Instant(max(now, known_at))
+
     def prepare(
         self, return_slots: Callable[[int], float], now: ids.Instant
     ) -> dict[ids.InstanceId, list[notices.RefusedFlow]]:
@@ -54,6 +72,9 @@
             returning = self.due_marks(key, now)
             if len(returning) > refusedflows.MAX_RETURNING:
                 continue
+            # Its callers don't wait until an entry could promise them a return.
+            if 0.0 < flow.period < EARLIEST_IN_NOTICE:
+                continue
             counts = collections.Counter(
                 one.entry for one in flow.refused if one.takes_notices
             )
@@ -63,6 +84,7 @@
                 )
                 if found.promised_ms or found.unpromised:
                     told.setdefault(entry, []).append(found)
+                    self.told_at[key] = now
         self.told = set(told)
         return told
 
@@ -94,7 +116,7 @@
         flow.credits[entry] = credit - int(credit)
         promised = []
         latest = ids.Instant(now + min(flow.period, returnplan.HORIZON))
-        earliest = ids.Instant(now + retry.MIN_SECONDS)
+        earliest = ids.Instant(now + EARLIEST_IN_NOTICE)
         while len(promised) < min(number, refusedflows.MAX_PROMISED):
             at = self.plan.reserve(
                 key.tier, flow.slot_seconds, return_slots, earliest, latest
@@ -121,6 +143,11 @@
 
     def expire(self, now: ids.Instant) -> None:
         """Forget the promised returns that are over."""
+        self.told_at = {
+            key: at
+            for key, at in self.told_at.items()
+            if now < at + refusedflows.DISPATCHER_RETURN_SECONDS
+        }
         over = now - firstattempts.KEPT_SECONDS
         for key, marks in list(self.returning.items()):
             kept = {mark: at for mark, at in marks.items() if at >= over}
--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -129,7 +129,9 @@
         latest = ids.Instant(
             min(now + min(period, returnplan.HORIZON), waiting.start_by)
         )
-        earliest = ids.Instant(now + max(retry.MIN_SECONDS, seconds))
+        key = refusedflows.key_of(waiting.ticket)
+        soonest = ids.Instant(now + max(retry.MIN_SECONDS, seconds))
+        earliest = ids.Instant(max(soonest, self.noticing.earliest_return(key, now)))
         known = waiting.attempt.promised_at
         if known is not None and now < known <= latest:
             return known
--- a/src/tealcove/admission/refusedflows.py
+++ b/src/tealcove/admission/refusedflows.py
@@ -19,6 +19,17 @@
 LOCAL_SHARE = 0.75
 # Seconds between two notices to an entry.
 NOTICE_INTERVAL = 0.25
+# Seconds for which a notice is valid, a little longer than between two notices.
+VALID_SECONDS = 0.3
+# Seconds within which an entry reports its refusals, which count as demand.
+REPORT_SECONDS = 0.2
+# Seconds for the way of a message between two busy instances.
+DELIVERY_SECONDS = 0.1
+# A return isn't promised for earlier than all entries are told of it: one with a notice
+# from before the promise may refuse it.
+DISPATCHER_RETURN_SECONDS = VALID_SECONDS + DELIVERY_SECONDS
+# The same after a refusal by an entry, of which the dispatcher is told by a report.
+ENTRY_RETURN_SECONDS = REPORT_SECONDS + DISPATCHER_RETURN_SECONDS
 # Bounds on a notice, which is sent to each entry four times a second: flows, promised
 # returns and further refusals of one flow, and marks of returning requests.
 MAX_FLOWS = 3
