Load that servers state can be used only where they share machines

Cause: with `server_load.enabled`, statements of all servers count. Deployments whose servers state three figures have nothing to gain, since these count only what the dispatcher knows already, and are to be served as before; those whose servers state how long work takes at the moment (the fourth figure) share their machines with others.

Change: `server_load.only_shared`. Until any server of a cell states a time factor, its statements aren't recorded, and batch sizes have no effect. The log says when it begins.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -142,9 +142,9 @@
                 promised_at = attempt.promised_at = ids.Instant(now + due_in)
             self.admission.record_local_refusal(ticket, promised_at, now)
 
-    def use_server_load(self) -> None:
+    def use_server_load(self, only_shared: bool = False) -> None:
         """See Scheduler."""
-        self.views.loads = serverload.StatedLoads()
+        self.views.loads = serverload.StatedLoads(only_shared)
 
     def use_crossing(self, policy: crossing.Crossing) -> None:
         """See Scheduler."""
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -104,9 +104,10 @@
         """Record what an entry has refused by itself."""
         return
 
-    def use_server_load(self) -> None:
+    def use_server_load(self, only_shared: bool = False) -> None:
         """Use the load that servers state in their answers; called before `configure`.
 
+        `only_shared`: only of services whose servers state that they share machines.
         A scheduler that ignores it keeps this empty default.
         """
         return
--- a/src/tealcove/dispatch/serverload.py
+++ b/src/tealcove/dispatch/serverload.py
@@ -119,13 +119,14 @@
         self,
         server: ids.BackendServerId,
         slots: int,
-        fleet: loadevidence.Errors,
+        cell: StatedLoads,
         times: batchtimes.BatchTimes,
     ) -> None:
+        self.cell = cell
         self.server = server
         self.slots = slots
         self.time = timefactor.TimeFactor()
-        self.factors = loadevidence.FactorEvidence(fleet)
+        self.factors = loadevidence.FactorEvidence(cell.errors)
         self.counts = loadevidence.CountEvidence()
         self.batch = batchtimes.ServerBatch(times)
         # When the newest statement was made, and what it says.
@@ -142,7 +143,8 @@
         runs: Iterable[OwnRun],
     ) -> None:
         """See Load."""
-        if at <= self.stated_at:
+        self.cell.record_factor(stated.time_factor)
+        if at <= self.stated_at or not self.cell.is_used:
             return
         self.stated_at = at
         self.time.record(stated.time_factor, at)
@@ -168,11 +170,11 @@
 
     def batch_factor(self, running: int) -> float:
         """See Load."""
-        return self.batch.factor(running)
+        return self.batch.factor(running) if self.cell.is_used else 1.0
 
     def batch_growth(self, running: int) -> float:
         """See Load."""
-        return self.batch.growth(running)
+        return self.batch.growth(running) if self.cell.is_used else 0.0
 
     def record_end(self, started: ids.Instant, running: int, now: ids.Instant) -> None:
         """See Load."""
@@ -248,17 +250,28 @@
 
 
 class StatedLoads(Loads):
-    """The loads of the servers of one cell, which share the evidence of falsehood."""
+    """The loads of the servers of one cell, which share the evidence of falsehood.
 
-    def __init__(self) -> None:
-        self.fleet = loadevidence.Errors(loadevidence.FLEET_DECAY)
+    `only_shared`: they aren't used before a server states how long work takes. Servers
+    that state counts alone run nothing that the dispatcher doesn't know of.
+    """
+
+    def __init__(self, only_shared: bool = False) -> None:
+        self.is_used = not only_shared
+        self.errors = loadevidence.Errors(loadevidence.FLEET_DECAY)
         # By number of slots.
         self.times: dict[int, batchtimes.BatchTimes] = {}
 
     def of_server(self, server: ids.BackendServerId, slots: int) -> Load:
         """See Loads."""
         times = self.times.setdefault(slots, batchtimes.BatchTimes(slots))
-        return StatedLoad(server, slots, self.fleet, times)
+        return StatedLoad(server, slots, self, times)
+
+    def record_factor(self, factor: float | None) -> None:
+        """Record the time factor of a statement; None: it has none."""
+        if factor is not None and not self.is_used:
+            log.info("the load that servers state is used, as they share machines")
+            self.is_used = True
 
 
 def log_trust(server: ids.BackendServerId, what: str, is_trusted: bool) -> None:
--- a/src/tealcove/dispatch/tests/test_serverload.py
+++ b/src/tealcove/dispatch/tests/test_serverload.py
@@ -17,11 +17,13 @@
 TIGHT_GOAL = 0.15
 
 
-def opened(*names: str, slots: int = 5, is_used: bool = True) -> goal.GoalScheduler:
+def opened(
+    *names: str, slots: int = 5, is_used: bool = True, only_shared: bool = False
+) -> goal.GoalScheduler:
     """Return a scheduler that uses what servers state."""
     found = goal.GoalScheduler()
     if is_used:
-        found.use_server_load()
+        found.use_server_load(only_shared)
     servers = [builders.server(name, slots) for name in names or ("s0", "s1")]
     found.configure(builders.cell(*servers), builders.instant(0.0))
     for place, view in enumerate(found.views.servers.values()):
@@ -88,6 +90,27 @@
     assert found.views.servers["s0"].free_slots(builders.instant(1.0)) == 4
 
 
+def test_counts_alone_have_no_effect_where_only_shared_servers_count():
+    """Guards against a change for services whose servers share no machines."""
+    found = opened(only_shared=True)
+    state(found, 0.0, None, running=5.0, waiting=3.0)
+    (view, _) = found.views.servers.values()
+    now = builders.instant(0.1)
+    assert view.load.occupied(now) == 0
+    assert not view.load.is_high(now)
+    assert chosen(found, 0.2) == "s0"
+
+
+def test_a_time_factor_of_any_server_has_all_statements_used():
+    """Guards against counts that stay unused where machines are shared."""
+    found = opened(only_shared=True)
+    state(found, 0.0, SLOW)
+    assert chosen(found, 0.1) == "s1"
+    other = found.views.servers["s1"].load
+    other.record(load(None, running=5.0), builders.instant(0.3), ())
+    assert other.occupied(builders.instant(0.35)) == 5
+
+
 def test_an_old_statement_replaces_no_newer_one():
     """A message from a far instance revived a moment that was over."""
     found = opened()
--- a/src/tealcove/front/factories.py
+++ b/src/tealcove/front/factories.py
@@ -54,7 +54,7 @@
     def create() -> scheduler.Scheduler:
         created = new_scheduler()
         if found.server_load.enabled:
-            created.use_server_load()
+            created.use_server_load(found.server_load.only_shared)
         return created
 
     return create
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -96,6 +96,9 @@
     """Use of the load that backend servers state in their answers."""
 
     enabled: bool = False
+    # Only of services whose servers state how long work takes there at the moment,
+    # since they share their machines with others.
+    only_shared: bool = False
 
 
 class InstanceLoad(settings.Group):
