The metrics of requests have a module of their own

Names, texts and values of the metrics are as before. Tests of front/ and tests/test_accounts.py pass.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -32,7 +32,14 @@
     role,
     spread,
 )
-from tealcove.front import addresses, factories, loadmetrics, metrics, settings
+from tealcove.front import (
+    addresses,
+    factories,
+    loadmetrics,
+    metrics,
+    requestmetrics,
+    settings,
+)
 from tealcove.ingress import budget, exchange, hanging, http, tickets
 from tealcove.instances import figures, unread
 from tealcove.instances import role as instance_load
@@ -235,53 +242,16 @@
             self.following.is_current,
         )
         self.origins.start()
-        self.show_admission()
-        self.metrics.add_observable_counter(
-            "tealcove.requests.quarantined",
-            "Requests refused to callers since they crash backend servers.",
-            lambda: self.quarantine.refused,
-        )
-        self.metrics.add_observable_counter(
-            "tealcove.streams.version_unknown",
-            "Streams refused to callers since nobody knew their software version.",
-            lambda: self.origins.counts[origins.Source.UNKNOWN],
-        )
-        self.metrics.add_observable_counter(
-            "tealcove.streams.version_gone",
-            "Streams refused to callers since no server of their version is left.",
+        requestmetrics.add_admission(self.metrics, self.admission_counts)
+        requestmetrics.add_refusals(
+            self.metrics,
+            self.quarantine,
+            self.origins,
             lambda: self.ingress.lost_versions,
         )
         if found.crossing.enabled:
             loadmetrics.add_crossings(self.metrics, self.budgets)
-        self.metrics.add_observable_counter(
-            "tealcove.grants.declined",
-            "Grants given back since their backend servers have left.",
-            lambda: self.tickets.declined,
-        )
-
-    def show_admission(self) -> None:
-        """Add the counts of refusals under overload to the metrics."""
-        counted = self.admission_counts
-        self.metrics.add_observable_counter(
-            "tealcove.requests.refused_at_once",
-            "Requests refused since they would have missed their goal.",
-            lambda: counted.refused_at_once,
-        )
-        self.metrics.add_observable_counter(
-            "tealcove.returns.promised",
-            "Refusals with slot time reserved for the caller's return.",
-            lambda: counted.promised,
-        )
-        self.metrics.add_observable_counter(
-            "tealcove.returns.kept",
-            "Requests that returned at the time that was promised.",
-            lambda: counted.kept,
-        )
-        self.metrics.add_observable_counter(
-            "tealcove.requests.refused_locally",
-            "Requests refused on arrival, as their dispatcher refuses all like them.",
-            lambda: counted.refused_locally,
-        )
+        requestmetrics.add_grants(self.metrics, self.tickets)
 
     def start_local_refusals(self) -> None:
         """Keep promised returns, and follow what dispatchers refuse."""
@@ -327,16 +297,7 @@
         self.relay = relay_server.RelayServer(
             self.link, self.name, self.tickets, evidence
         )
-        self.metrics.add_observable_counter(
-            "tealcove.requests.relayed",
-            "Requests sent to their backend servers through other instances.",
-            lambda: self.path_finder.relayed,
-        )
-        self.metrics.add_observable_counter(
-            "tealcove.requests.helped",
-            "Requests sent to backend servers for other instances.",
-            lambda: self.relay.helped,
-        )
+        requestmetrics.add_relays(self.metrics, self.path_finder, self.relay)
 
     async def start_ingress(self) -> None:
         """Listen for callers."""
@@ -380,20 +341,7 @@
     def start_counts(self) -> tallies.Tallies:
         """Return the counts of requests by account, which the metrics expose."""
         self.counts = tallies.Tallies(ids.DataCentreId(self.settings.data_centre))
-        self.metrics.labelled_counters.append(
-            metrics.ObservableCounters(
-                "tealcove.accounts.requests",
-                "Requests by account, kind, how they ended, and why.",
-                self.counts.count_samples,
-            )
-        )
-        self.metrics.labelled_histograms.append(
-            metrics.ObservableHistograms(
-                "tealcove.accounts.waited",
-                "From a request's arrival until it was granted a slot.",
-                self.counts.wait_samples,
-            )
-        )
+        requestmetrics.add_accounts(self.metrics, self.counts)
         return self.counts
 
     def start_load(self) -> None:
