bench/load: competing accounts and uneven servers, goodput by account

Cause: the load tool knew neither a flooding account nor engines of unlike and changing speed, and its results named tiers only, so that what one account costs the others could not be seen in `tealcove serve`.

Change: two scenarios. "competing accounts" divides each tier's share among five equal accounts, of which the first one sends 15 times its usual demand for 8 s. "uneven servers" gives two of three engines 0.68 of the usual time and one 3.0 times, and slows 15% of the engines by 2.5 for 0.6 s each, in turn. Their results have goodput and ends by account. Results of the other scenarios have the same fields as before.

Measured: with the same requests and random outcomes, the previous and the new module print the same bytes in 28 of 28 combinations of plan, scenario and `--alone`. The unit tests pass (21).

--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -12,6 +12,8 @@
 
 # Load added during a burst, as a multiple of the capacity.
 EXTRA_BURST_LOAD = 3.0
+# Demand of a flooding account, as a multiple of its usual one.
+FLOOD_FACTOR = 15.0
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -30,8 +32,8 @@
     path: str = "/v1/completions"
 
 
-class Burst(msgspec.Struct, frozen=True):
-    """A period in which all tiers but the highest send more requests."""
+class Period(msgspec.Struct, frozen=True):
+    """A period in which some accounts send more requests, in seconds into the run."""
 
     start: float
     stop: float
@@ -43,10 +45,12 @@
     seconds: float,
     seed: int,
     tiers: tuple[str, ...],
-    burst: Burst | None = None,
+    burst: Period | None = None,
 ) -> list[Request]:
     """Return the arrivals of a run in order of time.
 
+    In a burst, all tiers but the highest send more requests.
+
     Each account is a Poisson process with its own random generator, so that a
     tier's requests are the same whether or not other tiers send any.
     """
@@ -67,6 +71,16 @@
     return sorted(requests, key=lambda request: request.at)
 
 
+def generate_flood(
+    plan: plans.Plan, load: float, seed: int, flood: Period
+) -> list[Request]:
+    """Return what the plan's first account sends in a flood beyond its usual demand."""
+    account = plan.accounts[0]
+    rate = (FLOOD_FACTOR - 1.0) * load * plan.capacity() * account.share
+    span = (flood.start, flood.stop)
+    return account_arrivals(plan, account, rate, span, f"{seed}-flood")
+
+
 def account_arrivals(
     plan: plans.Plan,
     account: plans.Account,
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -52,6 +52,7 @@
     """A request and its outcome; times in seconds."""
 
     key: str
+    account: str = ""
     tier: str
     length: plans.Length
     at: float
@@ -141,6 +142,7 @@
             reply = Reply(Outcome.WRONG, request_id=reply.request_id)
         return SentRequest(
             key=request.key,
+            account=request.account,
             tier=request.tier,
             length=request.length,
             at=request.at,
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 
 import msgspec
 
@@ -16,6 +17,10 @@
 SPEEDS = {"g3": 1.0, "g2": 0.67, "g1": 0.4}
 # A client is a few milliseconds away from the entries of its own data centre.
 CLIENT_DELAY = 0.003
+# Accounts of each tier in a plan with equal accounts.
+EQUAL_ACCOUNTS = 5
+# Time factors of three engines in a row in a plan with uneven engines.
+UNEVEN_FACTORS = (0.68, 0.68, 3.0)
 
 
 class Length(enum.Enum):
@@ -48,11 +53,13 @@
     data_centre: str
     generation: str
     slots: int
+    # Time that work takes, as a multiple of what it takes on its generation.
+    time_factor: float = 1.0
 
     @property
     def speed(self) -> float:
-        """The speed as a fraction of the fastest generation's."""
-        return SPEEDS[self.generation]
+        """The speed as a fraction of the fastest generation's usual one."""
+        return SPEEDS[self.generation] / self.time_factor
 
     @property
     def full_step_seconds(self) -> float:
@@ -128,6 +135,29 @@
         return first.slot_seconds(self.shapes[length]) / self.mean_slot_seconds(first)
 
 
+def with_equal_accounts(plan: Plan) -> Plan:
+    """Return a plan in which several equal accounts divide each tier's share."""
+    shares = {tier: 0.0 for tier in plan.tiers}
+    for account in plan.accounts:
+        shares[account.tier] += account.share
+    accounts = tuple(
+        Account(f"{tier}-{number}", tier, shares[tier] / EQUAL_ACCOUNTS)
+        for tier in plan.tiers
+        for number in range(EQUAL_ACCOUNTS)
+    )
+    return msgspec.structs.replace(plan, accounts=accounts)
+
+
+def with_uneven_engines(plan: Plan) -> Plan:
+    """Return a plan in which two of three engines are fast and one is slow."""
+    factors = itertools.cycle(UNEVEN_FACTORS)
+    engines = tuple(
+        msgspec.structs.replace(engine, time_factor=factor)
+        for engine, factor in zip(plan.engines, factors, strict=False)
+    )
+    return msgspec.structs.replace(plan, engines=engines)
+
+
 def shapes(
     short: tuple[int, int, float], shared: int, long_deadline: float
 ) -> dict[Length, Shape]:
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -15,7 +15,7 @@
 import msgspec
 import psutil
 
-from bench import fleet, load, plans
+from bench import fleet, plans, runs
 
 LOADS = "0.7,1.0,1.5,3.0"
 SEEDS = "1,2,3"
@@ -35,7 +35,7 @@
     """A result and the source revision that was measured."""
 
     label: str
-    result: load.Result
+    result: runs.Result
 
 
 @dataclasses.dataclass
@@ -64,7 +64,7 @@
     return every if text == ALL else text.split(",")
 
 
-def planned_runs(arguments: Arguments) -> list[load.Run]:
+def planned_runs(arguments: Arguments) -> list[runs.Run]:
     """Return the runs that the arguments select."""
     table = itertools.product(
         [int(seed) for seed in arguments.seeds.split(",")],
@@ -73,7 +73,7 @@
         parse_names(arguments.policies, list(fleet.POLICIES)),
     )
     return [
-        load.Run(
+        runs.Run(
             plan=plan,
             policy=policy,
             load=multiple,
@@ -87,16 +87,16 @@
     ]
 
 
-def loads_and_scenarios(arguments: Arguments) -> list[tuple[float, load.Scenario]]:
+def loads_and_scenarios(arguments: Arguments) -> list[tuple[float, runs.Scenario]]:
     """Return the pairs of load and scenario that the arguments select."""
     if arguments.scenarios:
-        wrong = [s for s in load.Scenario if s is not load.Scenario.NONE]
+        wrong = [s for s in runs.Scenario if s is not runs.Scenario.NONE]
         return [(SCENARIO_LOAD, scenario) for scenario in wrong]
     loads = [float(multiple) for multiple in arguments.loads.split(",")]
-    return [(multiple, load.Scenario.NONE) for multiple in loads]
+    return [(multiple, runs.Scenario.NONE) for multiple in loads]
 
 
-async def run_undisturbed(run: load.Run, folder: str) -> load.Result | None:
+async def run_undisturbed(run: runs.Run, folder: str) -> runs.Result | None:
     """Repeat a run until it is undisturbed; return None when all attempts failed."""
     for _ in range(ATTEMPTS):
         await wait_until_idle()
@@ -116,7 +116,7 @@
             return
 
 
-async def run_once(run: load.Run, folder: str) -> load.Result | None:
+async def run_once(run: runs.Run, folder: str) -> runs.Result | None:
     """Execute a run in its own process; return None when it failed."""
     out = pathlib.Path(folder) / f"{time.monotonic_ns()}.json"
     arguments = [
@@ -141,10 +141,10 @@
     if process.returncode != 0:
         print(stderr.decode(errors="replace")[-2000:], file=sys.stderr)
         return None
-    return msgspec.json.decode(out.read_bytes(), type=load.Result)
+    return msgspec.json.decode(out.read_bytes(), type=runs.Result)
 
 
-def describe(result: load.Result) -> str:
+def describe(result: runs.Result) -> str:
     """Return a one-line summary of a result."""
     run = result.run
     shares = "/".join(f"{share.value:.2f}" for share in result.goodput.values())
@@ -160,7 +160,7 @@
     )
 
 
-def add_result(path: pathlib.Path, label: str, result: load.Result) -> None:
+def add_result(path: pathlib.Path, label: str, result: runs.Result) -> None:
     """Add a result to the file, replacing an earlier one of the same run."""
     results: list[LabelledResult] = []
     if path.exists():
@@ -180,7 +180,7 @@
     job_slots = asyncio.Semaphore(arguments.jobs)
     failed = 0
 
-    async def run_one(number: int, run: load.Run, folder: str) -> None:
+    async def run_one(number: int, run: runs.Run, folder: str) -> None:
         nonlocal failed
         async with job_slots:
             result = await run_undisturbed(run, folder)
--- a/bench/report.py
+++ b/bench/report.py
@@ -4,20 +4,19 @@
 
 import dataclasses
 import pathlib
-import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Annotated
 
 import cappa
 import msgspec
 from matplotlib import axes, figure
 
-from bench import cost, fleet, load, plans, policy, score
+from bench import accounts, cost, fleet, page, plans, policy, runs, score
 
 PAGE = "docs/MEASUREMENTS.md"
 OWN_POLICY = "tealcove"
 
-Results = list[load.Result]
+Results = list[runs.Result]
 
 
 def read_results(path: str, label: str) -> Results:
@@ -37,12 +36,12 @@
     ]
 
 
-def wasted_share(result: load.Result) -> float:
+def wasted_share(result: runs.Result) -> float:
     """Return the share of computed prefill tokens that was wasted."""
     return result.prefill_wasted / max(1, result.prefill_tokens)
 
 
-def share_of_bound(result: load.Result) -> float:
+def share_of_bound(result: runs.Result) -> float:
     """Return the good work as a fraction of its bound."""
     return result.work / result.bound if result.bound else 1.0
 
@@ -52,16 +51,6 @@
     return score.spread(r.goodput[tier].value for r in results if tier in r.goodput)
 
 
-def row(cells: Iterable[str]) -> str:
-    """Return a row of a Markdown table."""
-    return "| " + " | ".join(cells) + " |\n"
-
-
-def header(names: list[str]) -> str:
-    """Return the header lines of a Markdown table."""
-    return row(names) + row(["---"] * len(names))
-
-
 def run_cells(results: Results, plan: plans.Plan) -> list[str]:
     """Return the cells of the columns that all tables of runs share."""
     return [
@@ -90,15 +79,19 @@
     """Return a table of the policies at each load."""
     text = ""
     for plan in plans.PLANS.values():
-        text += f"\n{plan.name}\n\n" + header(["load", "policy", *run_columns(plan)])
+        text += f"\n{plan.name}\n\n" + page.header(
+            ["load", "policy", *run_columns(plan)]
+        )
         of_plan = select(
-            results, plan=plan.name, scenario=load.Scenario.NONE, alone=False
+            results, plan=plan.name, scenario=runs.Scenario.NONE, alone=False
         )
         for multiple in sorted({r.run.load for r in of_plan}):
             for name in fleet.POLICIES:
                 selected = select(of_plan, load=multiple, policy=name)
                 if selected:
-                    text += row([f"{multiple:g}", name, *run_cells(selected, plan)])
+                    text += page.row(
+                        [f"{multiple:g}", name, *run_cells(selected, plan)]
+                    )
     return text
 
 
@@ -106,22 +99,22 @@
     """Return a table of the policies under each scenario."""
     text = ""
     for plan in plans.PLANS.values():
-        text += f"\n{plan.name}\n\n" + header(
+        text += f"\n{plan.name}\n\n" + page.header(
             ["scenario", "policy", *run_columns(plan)]
         )
-        for scenario in load.Scenario:
+        for scenario in runs.Scenario:
             for name in fleet.POLICIES:
                 selected = select(
                     results, plan=plan.name, scenario=scenario, policy=name, alone=False
                 )
-                if selected and scenario is not load.Scenario.NONE:
-                    text += row([scenario.value, name, *run_cells(selected, plan)])
+                if selected and scenario is not runs.Scenario.NONE:
+                    text += page.row([scenario.value, name, *run_cells(selected, plan)])
     return text
 
 
 def target_table(results: Results) -> str:
     """Return a table of target and measured figures at 1.5 times the capacity."""
-    text = header(["wanted at 1.5 times the capacity", *plans.PLANS])
+    text = page.header(["wanted at 1.5 times the capacity", *plans.PLANS])
     targets = [
         ("highest tier, of what alone would fit: 0.99", ratio_to_alone),
         ("all tiers, work of the bound: 0.90", bound_figure),
@@ -133,13 +126,15 @@
         ("wrong answers: 0", lambda r, p: count(r, p, "wrong")),
     ]
     for name, measured in targets:
-        text += row([name, *(measured(results, plan) for plan in plans.PLANS.values())])
+        text += page.row(
+            [name, *(measured(results, plan) for plan in plans.PLANS.values())]
+        )
     return text
 
 
 def at_overload(results: Results, plan: plans.Plan, **more: object) -> Results:
     """Return the runs at 1.5 times the capacity without a scenario."""
-    criteria = {"scenario": load.Scenario.NONE, "alone": False, **more}
+    criteria = {"scenario": runs.Scenario.NONE, "alone": False, **more}
     return select(results, plan=plan.name, load=policy.SCENARIO_LOAD, **criteria)
 
 
@@ -202,10 +197,10 @@
     """Return a table of the figures of all runs of `bench.cost`."""
     costs = msgspec.json.decode(pathlib.Path(path).read_bytes(), type=list[cost.Cost])
     names = list(dict.fromkeys(name for one in costs for name in one.figures))
-    text = header(["figure", *(one.label for one in costs)])
+    text = page.header(["figure", *(one.label for one in costs)])
     for name in names:
         values = [one.figures.get(name) for one in costs]
-        text += row([name, *("-" if v is None else f"{v:g}" for v in values)])
+        text += page.row([name, *("-" if v is None else f"{v:g}" for v in values)])
     return text
 
 
@@ -215,7 +210,7 @@
     lines = canvas.subplots(2, 5, sharex=True)
     for line, plan in zip(lines, plans.PLANS.values(), strict=True):
         of_plan = select(
-            results, plan=plan.name, scenario=load.Scenario.NONE, alone=False
+            results, plan=plan.name, scenario=runs.Scenario.NONE, alone=False
         )
         for axis, tier in zip(line, plan.tiers, strict=False):
             axis.set_title(f"{plan.name}: goodput, {tier}")
@@ -232,7 +227,7 @@
 
 
 def draw_metric(
-    axis: axes.Axes, results: Results, value: Callable[[load.Result], float]
+    axis: axes.Axes, results: Results, value: Callable[[runs.Result], float]
 ) -> None:
     """Plot a metric for each policy: means as lines, ranges as error bars."""
     axis.set_ylim(0, 1.05)
@@ -249,19 +244,6 @@
             )
 
 
-def replace_tables(page: str, tables: dict[str, str]) -> str:
-    """Return a page with the tables between its HTML comments replaced."""
-
-    def replacement(match: re.Match[str]) -> str:
-        name = match.group(2)
-        if name not in tables:
-            return match.group(0)
-        return f"<!-- {name} -->\n{tables[name]}<!-- end -->"
-
-    pattern = re.compile(r"(<!-- ([a-z ]+) -->\n).*?(<!-- end -->)", re.DOTALL)
-    return pattern.sub(replacement, page)
-
-
 @dataclasses.dataclass
 class Arguments:
     """Write the tables into a page and draw the plot."""
@@ -283,15 +265,21 @@
         "loads": load_table(results),
         "scenarios": scenario_table(results),
         "wanted": target_table(results),
+        "competing": accounts.competing_table(results),
+        "competing accounts": accounts.account_table(
+            results, runs.Scenario.COMPETING_ACCOUNTS
+        ),
+        "uneven servers": accounts.account_table(results, runs.Scenario.UNEVEN_SERVERS),
     }
     if arguments.after:
         later = read_results(arguments.results, arguments.after)
         tables["after"] = load_table(later) + scenario_table(later)
     if pathlib.Path(arguments.costs).exists():
         tables["cost"] = cost_table(arguments.costs)
-    page = pathlib.Path(arguments.page)
-    page.write_text(replace_tables(page.read_text("utf-8"), tables), "utf-8")
-    plot(results, arguments.plot)
+    path = pathlib.Path(arguments.page)
+    path.write_text(page.replace_tables(path.read_text("utf-8"), tables), "utf-8")
+    if select(results, scenario=runs.Scenario.NONE):
+        plot(results, arguments.plot)
 
 
 if __name__ == "__main__":
--- a/bench/witness.py
+++ b/bench/witness.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from bench import callers, fleet, load, plans
+from bench import callers, evaluation, faults, fleet, load, plans, runs
 from bench.slopes import size
 
 # Number of killed entries, seconds between two kills and until the restart.
@@ -32,7 +32,7 @@
     """A load run during which entries are killed one after the other, or none."""
 
     def __init__(
-        self, run: load.Run, folder: pathlib.Path, timeout: float, deaths: int
+        self, run: runs.Run, folder: pathlib.Path, timeout: float, deaths: int
     ) -> None:
         super().__init__(run, folder)
         self.fleet.instance_settings = {
@@ -47,7 +47,7 @@
     async def inject_faults(self, start: float) -> None:
         """Kill entries and restart each later; count messages if none is killed."""
         for number in range(self.deaths):
-            at = start + load.FAULT_START + number * KILL_INTERVAL
+            at = start + faults.FAULT_START + number * KILL_INTERVAL
             await asyncio.sleep(at - time.monotonic())
             victim = self.fleet.instances[number]
             victim.kill()
@@ -71,7 +71,7 @@
 
     def evaluate(
         self, counts: list[fleet.engine.Counts], calls: list[dict[str, int]]
-    ) -> load.Result:
+    ) -> runs.Result:
         """Record the figures, most of them of engine requests only."""
         again = [sent for sent in self.sent if sent.attempts > 1]
         result = super().evaluate(counts, calls)
@@ -79,7 +79,7 @@
         self.figures |= {
             "requests": len(self.sent),
             "sent again": len(again),
-            "second dispatches": load.count_repeats([c.prompts for c in counts]),
+            "second dispatches": evaluation.count_repeats([c.prompts for c in counts]),
             "of those sent again, % in time": good_percent(again),
             "of all, % in time": good_percent(self.sent),
             "% of prefill wasted": 100 * result.prefill_wasted / result.prefill_tokens,
@@ -123,7 +123,7 @@
     arguments: argparse.Namespace, seed: int, timeout: float
 ) -> dict[str, float]:
     """Return the figures of one run."""
-    run = load.Run(
+    run = runs.Run(
         plan=arguments.plan,
         policy="tealcove",
         load=arguments.load,
@@ -146,8 +146,8 @@
             results[name].append(one)
             print(name, seed, msgspec.json.encode(one).decode(), file=sys.stderr)
     for figure in results["with"][0]:
-        for name, runs in results.items():
-            result = size.summarise([one[figure] for one in runs])
+        for name, own in results.items():
+            result = size.summarise([one[figure] for one in own])
             print(f"{figure}, {name}: {size.format_result(result, 3)}", flush=True)
 
 
