commands: one base class for the commands that call the admin port

Cause: `accounts` and `quarantine` had the port option, the printing of the answer and the description each in their own words.

Change: `admin.AdminCommand` has the port and the printing, `admin.description` the description.

Measured: `--help` of both commands is unchanged, byte for byte.

--- a/src/tealcove/accounts/tests/test_handlers.py
+++ b/src/tealcove/accounts/tests/test_handlers.py
@@ -31,7 +31,7 @@
 
     async def run(self, action: str, name: str = "", value: str = "") -> object:
         """Run the command; return what it prints."""
-        found = command.Accounts(command.Action(action), name, value, self.port)
+        found = command.Accounts(command.Action(action), name, value, port=self.port)
         return await found.send()
 
 
--- a/src/tealcove/commands/accounts.py
+++ b/src/tealcove/commands/accounts.py
@@ -9,7 +9,7 @@
 import cappa
 
 from tealcove import errors
-from tealcove.commands import admin, output
+from tealcove.commands import admin
 
 # Four calls of the store, each at its time-out.
 ORDER_SECONDS = 20.0
@@ -29,13 +29,10 @@
 @cappa.command(
     name="accounts",
     help="Show client accounts, and change their weights for fair sharing.",
-    description=(
-        "Run it on the machine of any instance whose `listen.admin_port` is set; all "
-        "instances apply what is ordered."
-    ),
+    description=admin.description("ordered"),
 )
 @dataclasses.dataclass
-class Accounts:
+class Accounts(admin.AdminCommand):
     """Arguments of `accounts`."""
 
     action: Annotated[Action, cappa.Arg(help="list, weight or reset.")]
@@ -46,16 +43,6 @@
         str,
         cappa.Arg(default="", help="The weight: above 0 and at most 1000."),
     ] = ""
-    port: Annotated[
-        int,
-        cappa.Arg(
-            long=True, default=admin.DEFAULT_PORT, help="The instance's admin port."
-        ),
-    ] = admin.DEFAULT_PORT
-
-    async def __call__(self) -> None:
-        """Send the order and print the answer; raises TealcoveError."""
-        print(output.pretty(await self.send()))
 
     async def send(self) -> object:
         """Send the order; return the decoded answer; raises TealcoveError."""
--- a/src/tealcove/commands/admin.py
+++ b/src/tealcove/commands/admin.py
@@ -1,13 +1,18 @@
-"""Calls to an instance's port for operators on the same machine."""
+"""Commands that call an instance's port for operators on the same machine."""
 
 from __future__ import annotations
 
+import abc
+import dataclasses
 import urllib.parse
+from typing import Annotated
 
 import aiohttp
+import cappa
 import yarl
 
 from tealcove import errors
+from tealcove.commands import output
 
 DEFAULT_PORT = 7005
 TIMEOUT_SECONDS = 5.0
@@ -16,6 +21,32 @@
 HTTP_UNKNOWN = 504
 
 
+@dataclasses.dataclass
+class AdminCommand(abc.ABC):
+    """Base class of commands that send an order to the port for operators."""
+
+    port: Annotated[
+        int,
+        cappa.Arg(long=True, default=DEFAULT_PORT, help="The instance's admin port."),
+    ] = dataclasses.field(default=DEFAULT_PORT, kw_only=True)
+
+    async def __call__(self) -> None:
+        """Send the order and print the answer; raises TealcoveError."""
+        print(output.pretty(await self.send()))
+
+    @abc.abstractmethod
+    async def send(self) -> object:
+        """Send the order; return the decoded answer; raises TealcoveError."""
+
+
+def description(done: str) -> str:
+    """Return a command's description; `done` is what happens to its subjects."""
+    return (
+        "Run it on the machine of any instance whose `listen.admin_port` is set; all "
+        f"instances apply what is {done}."
+    )
+
+
 async def call(
     method: str,
     port: int,
--- a/src/tealcove/commands/quarantine.py
+++ b/src/tealcove/commands/quarantine.py
@@ -9,7 +9,7 @@
 import cappa
 
 from tealcove import errors
-from tealcove.commands import admin, output
+from tealcove.commands import admin
 
 
 class Action(enum.Enum):
@@ -26,29 +26,16 @@
 @cappa.command(
     name="quarantine",
     help="Show, add or lift convictions of parts of prompts that crash servers.",
-    description=(
-        "Run it on the machine of any instance whose `listen.admin_port` is set; all "
-        "instances apply what is added or lifted."
-    ),
+    description=admin.description("added or lifted"),
 )
 @dataclasses.dataclass
-class Quarantine:
+class Quarantine(admin.AdminCommand):
     """Arguments of `quarantine`."""
 
     action: Annotated[Action, cappa.Arg(help="list, add or lift.")]
     part: Annotated[
         str, cappa.Arg(default="", help="The part's id, for add and lift.")
     ] = ""
-    port: Annotated[
-        int,
-        cappa.Arg(
-            long=True, default=admin.DEFAULT_PORT, help="The instance's admin port."
-        ),
-    ] = admin.DEFAULT_PORT
-
-    async def __call__(self) -> None:
-        """Send the order and print the answer; raises TealcoveError."""
-        print(output.pretty(await self.send()))
 
     async def send(self) -> object:
         """Send the order; return the decoded answer; raises TealcoveError."""
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -143,7 +143,8 @@
     """Run `tealcove accounts` on the machine of an instance."""
     action, name, value = (*words, "", "")[:3]
     port = at.settings.listen.admin_port
-    return await accounts.Accounts(accounts.Action(action), name, value, port).send()
+    command = accounts.Accounts(accounts.Action(action), name, value, port=port)
+    return await command.send()
 
 
 def weights(site: platform_site.Site) -> list[float]:
