bench: tables by account, and scenarios at any load

Cause: `bench.policy` ran all scenarios or none, and at one load; `bench.report` had no table for results by account.

Change: `--only NAMES` runs some scenarios at all loads.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -52,6 +52,8 @@
     seconds: Annotated[float, cappa.Arg(long=True)] = 14.0
     # Run each scenario at 1.5 times the capacity, in place of all loads.
     scenarios: Annotated[bool, cappa.Arg(long=True)] = False
+    # Run these scenarios, separated by commas, at all loads.
+    only: Annotated[str, cappa.Arg(long=True)] = ""
     # Send requests of the highest tier only.
     alone: Annotated[bool, cappa.Arg(long=True)] = False
     # Overrides the plans' share of slots reserved for short requests.
@@ -93,7 +95,9 @@
         wrong = [s for s in runs.Scenario if s is not runs.Scenario.NONE]
         return [(SCENARIO_LOAD, scenario) for scenario in wrong]
     loads = [float(multiple) for multiple in arguments.loads.split(",")]
-    return [(multiple, runs.Scenario.NONE) for multiple in loads]
+    names = arguments.only.split(",") if arguments.only else [runs.Scenario.NONE]
+    scenarios = [runs.Scenario(name) for name in names]
+    return list(itertools.product(loads, scenarios))
 
 
 async def run_undisturbed(run: runs.Run, folder: str) -> runs.Result | None:
--- a/bench/report.py
+++ b/bench/report.py
@@ -75,16 +75,14 @@
     ]
 
 
-def load_table(results: Results) -> str:
+def load_table(results: Results, scenario: runs.Scenario = runs.Scenario.NONE) -> str:
     """Return a table of the policies at each load."""
     text = ""
     for plan in plans.PLANS.values():
         text += f"\n{plan.name}\n\n" + page.header(
             ["load", "policy", *run_columns(plan)]
         )
-        of_plan = select(
-            results, plan=plan.name, scenario=runs.Scenario.NONE, alone=False
-        )
+        of_plan = select(results, plan=plan.name, scenario=scenario, alone=False)
         for multiple in sorted({r.run.load for r in of_plan}):
             for name in fleet.POLICIES:
                 selected = select(of_plan, load=multiple, policy=name)
@@ -265,12 +263,12 @@
         "loads": load_table(results),
         "scenarios": scenario_table(results),
         "wanted": target_table(results),
-        "competing": accounts.competing_table(results),
-        "competing accounts": accounts.account_table(
-            results, runs.Scenario.COMPETING_ACCOUNTS
-        ),
-        "uneven servers": accounts.account_table(results, runs.Scenario.UNEVEN_SERVERS),
+        "competing figures": accounts.competing_table(results),
     }
+    for scenario in runs.BY_ACCOUNT:
+        name = scenario.value
+        tables[name] = load_table(results, scenario)
+        tables[f"{name} by account"] = accounts.account_table(results, scenario)
     if arguments.after:
         later = read_results(arguments.results, arguments.after)
         tables["after"] = load_table(later) + scenario_table(later)
