Streams that run once go on from a copy after a crash

A stream whose route isn't resumable was lost with its backend server: a broken stream, or 502 before the first event.

With stream_copies.enabled, the dispatcher names a second server in the grant of such a stream, and the entry passes its address to the first one (Tealcove-Kv-Backup). If that has ended, the entry asks for the second server alone and sends the request with Kv-From and the last event. Ticket and Grant have new fields, last and with defaults. Stand-in servers keep copies, go on from them, and answer 503 not run without one.

Events of a part that arrives out of order are no longer counted as received by the caller, as none of them is forwarded. A response that isn't a success, of a server that goes on with a stream, is an error in place of a second head to the caller.

Two tests that list the last fields of a ticket list the new ones as well, in order; the other checks in them are as before.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -73,8 +73,11 @@
     first_token_at: ids.Instant | None = None
     # Whether the answer was noted as being written for a while.
     is_noted: bool = False
-    # Granted by another dispatcher, so its timing isn't used for learning.
+    # Granted by another dispatcher, or goes on from a copy: its timing isn't used for
+    # learning.
     is_adopted: bool = False
+    # The server that keeps a copy of it; None: there is none.
+    copy_at: ids.BackendServerId | None = None
 
     def is_overdue(self, now: ids.Instant) -> bool:
         """Tell whether the run has far exceeded its predicted time."""
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -189,6 +189,7 @@
         self.release(ticket.ticket_id)
         run = self.start(ticket, server, now)
         run.is_adopted = True
+        run.copy_at = ticket.copy_at
         run.has_first_token = True
 
     def record_load(
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -34,6 +34,7 @@
     waitingticket,
 )
 from tealcove.storage import revisions
+from tealcove.streamcopies import copying
 
 log = logbook.Logger("dispatch")
 
@@ -66,6 +67,7 @@
         self.accounts: accountshares.AccountShares = accountshares.NoAccountShares()
         self.admission: admission.Admission = admission.BY_DEADLINE
         self.crossing: crossing.Crossing = crossing.ConstantPenalty()
+        self.copies: copying.Copies = copying.NoCopies()
         self.inflow = inflow.Inflow()
         self.shares = shares.Shares()
         self.attempts = firstattempts.FirstAttempts()
@@ -150,6 +152,10 @@
         """See Scheduler."""
         self.crossing = policy
 
+    def use_copies(self, copies: copying.Copies) -> None:
+        """See Scheduler."""
+        self.copies = copies
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[scheduler.Outgoing]:
@@ -376,6 +382,7 @@
             # Entries mustn't refuse what could be granted at once.
             return self.notices_if(True, now)
         outgoing = self.refuse_quarantined(now)
+        outgoing.extend(self.continue_streams(now))
         if now < self.gather_until:
             return outgoing
         outgoing.extend(self.fill(now))
@@ -445,6 +452,9 @@
         line = []
         bound: dict[ids.SoftwareVersion, list[waitingticket.Waiting]] = {}
         for waiting in self.ordered(now):
+            if waiting.ticket.copy_at is not None:
+                # It takes no slot from the others.
+                continue
             is_bound = self.views.is_bound(waiting.ticket)
             own = bound.setdefault(waiting.ticket.version, []) if is_bound else line
             own.append(waiting)
@@ -468,6 +478,28 @@
             found.append(forecast)
         return found
 
+    def continue_streams(self, now: ids.Instant) -> list[scheduler.Outgoing]:
+        """Grant streams the servers with their copies, before all other tickets.
+
+        A server admits such a request first, so neither free slots nor the reports of
+        running requests are waited for.
+        """
+        line = [one for one in self.line.values() if one.ticket.copy_at is not None]
+        outgoing = []
+        for waiting in line:
+            ticket = waiting.ticket
+            server = self.views.servers.get(ticket.copy_at)
+            suspects = self.suspicion.suspects(ticket, now)
+            if server is None or suspects.must_run_alone:
+                del self.line[ticket.ticket_id]
+                reason = messages.RefusalReason.NO_BACKEND_SERVER
+                cause = f"can't go on from its copy at {ticket.copy_at}"
+                wait = waitingticket.NO_SERVER_SECONDS
+                outgoing.append(self.refusal(ticket, reason, wait, now, cause))
+            elif not suspects.must_wait and self.may_start(waiting, suspects, now):
+                outgoing.append(self.grant(waiting, server, now))
+        return outgoing
+
     def fill(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """Grant free slots to tickets in order."""
         self.suspect_runs.release(self.line, now)
@@ -484,7 +516,7 @@
             if not free:
                 break
             ticket = waiting.ticket
-            if self.crossing.holds(waiting, now):
+            if ticket.copy_at is not None or self.crossing.holds(waiting, now):
                 continue
             suspects = self.suspicion.suspects(ticket, now)
             if suspects.must_wait or not self.may_start(waiting, suspects, now):
@@ -529,13 +561,18 @@
         del self.line[ticket.ticket_id]
         run = self.views.start(ticket, server, now)
         server.record_grant(now)
+        if ticket.copy_at is not None:
+            run.is_adopted = True
+        elif ticket.wants_copy:
+            others = self.suspect_runs.unreserved(self.views.servers.values())
+            run.copy_at = self.copies.choose(ticket, server, others, now)
         self.admission.record_grant(waiting, now)
         self.exposure.record_grant(server.spec)
         if now + run.first <= waiting.goal_at:
             self.shares.record_grant(waiting.flow, now)
         log.info(
             "granted {} after {:.3f} s: tier {} urgency {}, {} waiting, {} of {} slots "
-            "used, first event in {:.3f} s, goal in {:.3f} s, pool revision {}",
+            "used, first event in {:.3f} s, goal in {:.3f} s, pool revision {}{}",
             server.name,
             now - waiting.since,
             ticket.tier_rank,
@@ -546,6 +583,7 @@
             run.first,
             waiting.goal_at - now,
             revisions.text(self.revision),
+            copying.describe(ticket, run),
             extra={"request": ticket.request_id},
         )
         return self.grant_message(ticket, server)
@@ -555,6 +593,7 @@
     ) -> scheduler.Outgoing:
         """Return the message that grants a ticket its slot."""
         run = server.runs[ticket.ticket_id]
+        copy = self.views.servers.get(run.copy_at)
         grant = messages.Grant(
             ticket_id=ticket.ticket_id,
             cell=ticket.cell,
@@ -567,6 +606,9 @@
             revision=self.revision,
             request_limit=server.restrictions.request_limit,
             version=server.spec.version,
+            copy_server=None if copy is None else copy.name,
+            copy_host="" if copy is None else copy.spec.host,
+            copy_port=0 if copy is None else copy.spec.port,
         )
         return scheduler.Outgoing(ticket.entry, grant)
 
--- a/src/tealcove/dispatch/messages.py
+++ b/src/tealcove/dispatch/messages.py
@@ -141,6 +141,12 @@
     # The account's share of the slots beside that of others, above 0; None: 1, which
     # takes a byte in place of nine.
     weight: float | None = None
+    # Whether its run should be copied to a second server: it is a stream that no other
+    # run can go on with.
+    wants_copy: bool = False
+    # The only server that may run it, since that has the copy of its interrupted run;
+    # while it runs, the server that keeps its copy. None: any server, no copy.
+    copy_at: ids.BackendServerId | None = None
 
     def may_run_on(self, version: ids.SoftwareVersion) -> bool:
         """Return whether a server of a software version may run the request."""
@@ -173,6 +179,10 @@
     request_limit: float | None = None
     # The software version of the server; None: not stated.
     version: ids.SoftwareVersion | None = None
+    # The server that the run is copied to, and its address; None: there is no copy.
+    copy_server: ids.BackendServerId | None = None
+    copy_host: str = ""
+    copy_port: int = 0
 
 
 class Refusal(message.Message):
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -306,10 +306,11 @@
         request: pending.PendingTicket,
         server: ids.BackendServerId,
         start: ids.ServerStart = ids.NO_START,
+        copy_at: ids.BackendServerId | None = None,
     ) -> None:
         """Record where a ticket's request runs, for a new dispatcher."""
         request.ticket = msgspec.structs.replace(
-            request.ticket, running_on=server, running_start=start
+            request.ticket, running_on=server, running_start=start, copy_at=copy_at
         )
 
     def handle_queued(self, sender: ids.InstanceId, queued: messages.Queued) -> None:
@@ -336,6 +337,10 @@
             seconds = self.usable_in(grant, clock.now())
             if not self.is_of_version(grant, request.ticket):
                 seconds = math.inf
+            copy_at = request.ticket.copy_at
+            if copy_at is not None:
+                # A server that leaves or rests still goes on with copied runs.
+                seconds = 0.0 if grant.server == copy_at else math.inf
             if seconds > 0.0:
                 self.decline(request, grant, seconds, clock.now())
             else:
@@ -394,8 +399,10 @@
         )
         self.stated.repeat_leaving(cells.pool_of(grant.cell), grant, now)
         self.send(request, pending.withdrawal(request.ticket))
-        if grant.server in request.ticket.excluded:
-            # The dispatcher has no other server.
+        has_copy = request.ticket.copy_at is not None
+        if has_copy or grant.server in request.ticket.excluded:
+            # The dispatcher has no other server, or is of an older release and would
+            # grant one server after the other that has no copy.
             self.forget(request)
             reason = messages.RefusalReason.NO_BACKEND_SERVER
             after = pending.RETRY_AFTER if math.isinf(seconds) else seconds
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -22,6 +22,7 @@
     paths,
     suspicion,
 )
+from tealcove.streamcopies import copying
 
 # Seconds after which a slot or ticket that its entry no longer refreshes is released.
 # Entries resend all their tickets every requester.REFRESH_INTERVAL, so three such
@@ -118,6 +119,13 @@
         """
         return
 
+    def use_copies(self, copies: copying.Copies) -> None:
+        """Set which streams are copied to a second server.
+
+        A scheduler that has no stream copied keeps this empty default.
+        """
+        return
+
     def confirm_reachable(
         self, server: ids.BackendServerId, now: ids.Instant
     ) -> list[Outgoing]:
--- a/src/tealcove/dispatch/tests/test_batchtimes.py
+++ b/src/tealcove/dispatch/tests/test_batchtimes.py
@@ -129,7 +129,8 @@
 def test_tokens_in_an_event_count_for_its_pause():
     """Events of many tokens were taken for as frequent as tokens."""
     ticket = messages.Ticket
-    assert ticket.__struct_fields__[-2:] == ("event_tokens", "weight")
+    last_fields = ("event_tokens", "weight", "wants_copy", "copy_at")
+    assert ticket.__struct_fields__[-4:] == last_fields
     found = opened(3, 0)
     found.views.servers["s1"].token_seconds = 0.02
     # With four requests a token takes .013 s, and an event of two more than GAP.
--- a/src/tealcove/dispatch/tests/test_crossing.py
+++ b/src/tealcove/dispatch/tests/test_crossing.py
@@ -188,6 +188,8 @@
         "body_bytes",
         "event_tokens",
         "weight",
+        "wants_copy",
+        "copy_at",
     )
     older = codec.decode(msgspec.msgpack.encode(fields[: -len(new_fields)]))
     assert older == msgspec.structs.replace(ticket, body_bytes=0)
--- a/src/tealcove/front/factories.py
+++ b/src/tealcove/front/factories.py
@@ -19,6 +19,8 @@
 from tealcove.peers import endpoint, mesh
 from tealcove.platform import names, store, storeadapter
 from tealcove.storage import instances, rowlist
+from tealcove.streamcopies import budget as copy_budget
+from tealcove.streamcopies import copying
 
 # Seconds between reads of the store's list of instances. Each read is charged, and
 # heartbeats announce new instances as well.
@@ -50,16 +52,26 @@
 ) -> Callable[[], scheduler.Scheduler]:
     """Return the function that creates the scheduler of a cell."""
     new_scheduler = policy.find(found.dispatch.policy)
+    copies = new_copies(found)
 
     def create() -> scheduler.Scheduler:
         created = new_scheduler()
         if found.server_load.enabled:
             created.use_server_load()
+        created.use_copies(copies)
         return created
 
     return create
 
 
+def new_copies(found: settings.FrontSettings) -> copying.Copies:
+    """Return which streams this instance's dispatcher has copied."""
+    if not found.stream_copies.enabled:
+        return copying.NoCopies()
+    rate = found.stream_copies.bytes_per_second
+    return copying.BudgetedCopies(copy_budget.CopyBudget(rate))
+
+
 def new_store(
     found: settings.FrontSettings, own_stalls: stalls.Stalls
 ) -> store.StoreClient:
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -33,7 +33,7 @@
     spread,
 )
 from tealcove.front import addresses, factories, loadmetrics, metrics, settings
-from tealcove.ingress import budget, exchange, hanging, http, tickets
+from tealcove.ingress import budget, exchange, hanging, http, streamcopy, tickets
 from tealcove.instances import figures, unread
 from tealcove.instances import role as instance_load
 from tealcove.limits import central, limit
@@ -92,6 +92,7 @@
         self.budgets = budgets.Budgets(found.crossing.bytes_per_second)
         # The load of this instance; None if callers aren't distributed by it.
         self.load: instance_load.InstanceLoad | None = None
+        self.copying = streamcopy.Copying(found.stream_copies.enabled)
         self.early: localrefusals.LocalRefusals | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
@@ -253,6 +254,7 @@
         )
         if found.crossing.enabled:
             loadmetrics.add_crossings(self.metrics, self.budgets)
+        loadmetrics.add_copies(self.metrics, self.copying)
         self.metrics.add_observable_counter(
             "tealcove.grants.declined",
             "Grants given back since their backend servers have left.",
@@ -359,6 +361,7 @@
                 streams=self.streams,
                 origins=self.origins,
                 quarantine=self.quarantine,
+                copying=self.copying,
             ),
             self.configuration,
             self.spread,
--- a/src/tealcove/front/loadmetrics.py
+++ b/src/tealcove/front/loadmetrics.py
@@ -4,6 +4,7 @@
 
 from tealcove.dispatch import budgets
 from tealcove.front import metrics
+from tealcove.ingress import streamcopy
 from tealcove.instances import role
 
 
@@ -49,3 +50,24 @@
         "Estimated bytes of requests and responses between data centres.",
         lambda: spent.bytes,
     )
+
+
+def add_copies(registry: metrics.Registry, copying: streamcopy.Copying) -> None:
+    """Register the counters of streams with a copy, if this instance asks for any."""
+    if not copying.is_enabled:
+        return
+    registry.add_observable_counter(
+        "tealcove.streams.copied",
+        "Streams sent to a backend server that copies them to another one.",
+        lambda: copying.copied,
+    )
+    registry.add_observable_counter(
+        "tealcove.streams.continued",
+        "Streams that went on from their copy after a crash.",
+        lambda: copying.continued,
+    )
+    registry.add_observable_counter(
+        "tealcove.streams.copy_lost",
+        "Streams that were lost with their server though a copy was started.",
+        lambda: copying.lost,
+    )
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -113,6 +113,15 @@
     bytes_per_second: Amount = 1_000_000.0
 
 
+class StreamCopies(settings.Group):
+    """Copies of running streams that can't be resumed, on a second server."""
+
+    enabled: bool = False
+    # Bytes a second of copies that this instance's dispatcher starts; beyond them,
+    # streams start without a copy.
+    bytes_per_second: Amount = 2_000_000_000.0
+
+
 class Machine(settings.Group):
     """The capacity of this instance's machine."""
 
@@ -164,6 +173,7 @@
     server_load: ServerLoad = ServerLoad()
     instance_load: InstanceLoad = InstanceLoad()
     crossing: Crossing = Crossing()
+    stream_copies: StreamCopies = StreamCopies()
     rollouts: Rollouts = Rollouts()
     telemetry: settings.Telemetry = settings.Telemetry()
     log: Log = Log()
--- a/src/tealcove/ingress/events.py
+++ b/src/tealcove/ingress/events.py
@@ -48,9 +48,13 @@
     def __init__(self, last: int | None) -> None:
         # Number of the last event that the caller received; None if there is none.
         self.last = last
+        # Whether all events had a number, so that `last` tells what the caller has.
+        self.is_numbered = True
 
     def accept(self, event: Event) -> bool:
         """Return whether an event is the next one, and record it if so."""
+        if event.number is None:
+            self.is_numbered = False
         if event.number is None or self.last is None:
             self.last = event.number if event.number is not None else self.last
             return True
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -25,6 +25,7 @@
     responses,
     retries,
     stream,
+    streamcopy,
     tickets,
 )
 from tealcove.ingress import report as reporting
@@ -70,6 +71,7 @@
     quarantine: quarantine_role.Quarantine
     # Counts the bodies that are passed on in either direction.
     traffic: figures.Traffic = msgspec.field(default_factory=figures.Traffic)
+    copying: streamcopy.Copying = msgspec.field(default_factory=streamcopy.Copying)
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -110,6 +112,7 @@
         # The last complete response with a server error.
         self.failure: BufferedResponse | None = None
         self.stream = stream.CallerStream(http, accepted.call.last_event)
+        self.copy = streamcopy.StreamCopy(services.copying, accepted.route)
         # Events forwarded in the current attempt.
         self.events = 0
         self.outcome = problem.Outcome.COMPLETED.value
@@ -165,6 +168,13 @@
         found = error.problem
         self.outcome = found.outcome.value
         self.reason = found.reason
+        if self.copy.server is not None:
+            self.copy.record_loss()
+            self.log_decision(
+                "doesn't go on from its copy at {}: {}",
+                self.copy.server,
+                self.copy.obstacle or found.reason,
+            )
         self.log_failure(
             "failed: {}, status {}, reason {}, {} sent, {} may have run, {:.3f} s, {}",
             found.outcome.value,
@@ -193,6 +203,8 @@
             self.stream.response is not None,
             now,
             self.version,
+            self.copy.is_wanted,
+            self.copy.server,
         )
         try:
             found = await self.services.tickets.obtain(pending_ticket)
@@ -233,6 +245,7 @@
         Raises BackendError if there is no response to forward.
         """
         report = reporting.AttemptReport(self.services.tickets, pending_ticket, grant)
+        self.copy.record_attempt()
         outbound = self.outbound(report)
         outcome = messages.Outcome.CANCELLED
         self.events = 0
@@ -250,13 +263,15 @@
         except link.NotRunError as error:
             # The server is healthy; it has no capacity, or has been replaced.
             report.answered(error.statement, clock.now())
-            report.is_rejected = error.is_rejection
+            # One that has no copy may still have room.
+            report.is_rejected = error.is_rejection and not outbound.is_continued
             outcome = messages.Outcome.CANCELLED
             raise
         except engine.BrokenStreamError:
             outcome = messages.Outcome.FAILED
             if await self.has_crashed(pending_ticket.ticket, outbound):
                 outcome = messages.Outcome.CRASHED
+                self.copy.record_crash(grant)
             raise
         except errors.BackendError:
             outcome = messages.Outcome.FAILED
@@ -269,11 +284,14 @@
     ) -> bool:
         """Tell whether the server of an attempt that broke off has ended.
 
-        Whether it is back already is asked only if that may show what crashed it.
+        Whether it is back already is asked only if that may show what crashed it, or
+        lets the stream go on from its copy.
         """
         if await self.services.link.refuses_connections(outbound):
             return True
-        if not self.services.quarantine.is_unproved(ticket, clock.now()):
+        has_copy = outbound.grant.copy_server is not None
+        is_unproved = self.services.quarantine.is_unproved(ticket, clock.now())
+        if not has_copy and not is_unproved:
             return False
         return await self.services.link.is_replaced(outbound)
 
@@ -322,6 +340,7 @@
             account=None if accepted.account is None else accepted.account.name,
             deadline=accepted.deadline,
             last_event=self.stream.order.last,
+            is_continued=self.copy.is_used,
         )
 
     async def send(
@@ -344,6 +363,7 @@
             self.retries.record_sending(clock.now())
             self.sent += 1
             self.runs += 1
+            self.copy.record_sending(report.grant)
             self.services.traffic.forward(len(accepted.call.body) + HEADERS_BYTES)
             self.log_decision(
                 "dispatched to {} of version {} (run {}, route {}), first event "
@@ -361,6 +381,7 @@
                 head = await anext(parts)
                 report.answered(head.statement, clock.now())
                 if accepted.route.is_stream and head.is_success:
+                    self.record_continuation(server)
                     watched = hanging.OpenStream(outbound, self.reserve_retry, silence)
                     with self.services.streams.watched(watched):
                         return await self.relay_stream(head, parts, report, watched)
@@ -385,8 +406,12 @@
     def finish_response(
         self, found: BufferedResponse, server: engine.Server
     ) -> web.StreamResponse:
-        """Return the response; raises BackendError for a server error."""
-        if found.head.status >= HTTP_SERVER_ERROR:
+        """Return the response; raises BackendError for a server error.
+
+        Once the stream to the caller has begun, any other response is one.
+        """
+        has_begun = self.stream.response is not None
+        if has_begun or found.head.status >= HTTP_SERVER_ERROR:
             self.failure = found
             raise failures.failed(server, found.head.status)
         return responses.buffered_response(found.head, found.body)
@@ -419,6 +444,17 @@
         watched.waits_since = None
         return await self.stream.end(head, splitter.remainder)
 
+    def record_continuation(self, server: engine.Server) -> None:
+        """Record that the server goes on with the stream, if it does so from a copy."""
+        if not self.copy.is_used:
+            return
+        self.copy.record_continuation()
+        self.log_decision(
+            "goes on from its copy at {} after event {}",
+            server.name,
+            self.stream.order.last,
+        )
+
     def record_origin(self, grant: messages.Grant, now: ids.Instant) -> None:
         """Record the version of the stream, to which all later attempts are bound."""
         if self.version is None:
@@ -442,7 +478,12 @@
     ) -> None:
         """Return if the request may be sent again; raises ProblemError otherwise."""
         self.excluded = (*self.excluded, server)
-        if isinstance(error, engine.NotDispatchedError):
+        if self.copy.server is not None:
+            if isinstance(error, link.NotRunError):
+                # The run that was interrupted remains.
+                self.runs -= 1
+            has_retry = self.may_continue(ticket, error, now)
+        elif isinstance(error, engine.NotDispatchedError):
             self.unreachable += 1
             has_retry = self.unreachable < MAX_UNREACHABLE
         elif isinstance(error, link.NotRunError):
@@ -465,6 +506,22 @@
         reason = messages.RefusalReason.NO_BACKEND_SERVER
         raise problem.not_run(reason, RETRY_AFTER)
 
+    def may_continue(
+        self, ticket: messages.Ticket, error: errors.BackendError, now: ids.Instant
+    ) -> bool:
+        """Tell whether the request may be sent to the server with its copy."""
+        found = self.copy.obstacle_after(error)
+        if not found and self.services.quarantine.suspects(ticket, now).must_run_alone:
+            found = "its content may have crashed its server"
+        if not found and not self.stream.order.is_numbered:
+            found = "one of its events had no number"
+        if not found and self.accepted.deadline - now <= link.MIN_REMAINING:
+            found = "no time is left"
+        if not found and not self.retries.reserve(now):
+            found = "the retry budget is used up"
+        self.copy.obstacle = found
+        return not found
+
     def may_retry(self, now: ids.Instant, runs: int) -> bool:
         """Return whether a request may run again after this many runs."""
         if self.stream.response is not None and self.version is None:
--- a/src/tealcove/ingress/link.py
+++ b/src/tealcove/ingress/link.py
@@ -65,11 +65,28 @@
     deadline: ids.Instant
     # Number of the last event that the caller received; None for a new stream.
     last_event: int | None
+    # Whether the granted server goes on from the copy that it has of the run.
+    is_continued: bool = False
 
     def remaining(self, now: ids.Instant) -> float:
         """Return the seconds until the deadline, or a little more than none."""
         return max(MIN_REMAINING, self.deadline - now)
 
+    @property
+    def copy_to(self) -> str | None:
+        """The address that the run is copied to; None: there is no copy."""
+        grant = self.grant
+        if grant.copy_server is None:
+            return None
+        return f"{grant.copy_host}:{grant.copy_port}"
+
+    @property
+    def copy_from(self) -> str | None:
+        """The address and the id of the copy to go on from; None: a new run."""
+        if not self.is_continued:
+            return None
+        return f"{self.grant.host}:{self.grant.port}/{self.call.request_id}"
+
     def is_over(self, now: ids.Instant) -> bool:
         """Tell whether it is too late for another way to the server."""
         return self.deadline - now <= MIN_REMAINING
--- a/src/tealcove/ingress/report.py
+++ b/src/tealcove/ingress/report.py
@@ -27,7 +27,9 @@
         # The load that the head of the response stated, and when it arrived.
         self.load: messages.StatedLoad | None = None
         self.load_at: ids.Instant = ids.Instant(0.0)
-        tickets.mark_running(pending_ticket, grant.server, grant.start)
+        tickets.mark_running(
+            pending_ticket, grant.server, grant.start, grant.copy_server
+        )
 
     def dispatched(self, now: ids.Instant) -> None:
         """Record that the request is about to be written."""
--- a/src/tealcove/ingress/stream.py
+++ b/src/tealcove/ingress/stream.py
@@ -33,7 +33,10 @@
 
     def check(self, completed: list[events.Event]) -> None:
         """Raise BackendError unless these are the next events."""
+        last = self.order.last
         if not all(self.order.accept(event) for event in completed):
+            # None of them is forwarded, so another run must bring them all again.
+            self.order.last = last
             raise failures.broken("an event arrived out of order")
 
     async def forward(self, head: link.Head, completed: list[events.Event]) -> None:
--- a/src/tealcove/ingress/tickets.py
+++ b/src/tealcove/ingress/tickets.py
@@ -91,12 +91,15 @@
     has_events: bool,
     now: ids.Instant,
     version: ids.SoftwareVersion | None = None,
+    wants_copy: bool = False,
+    copy_at: ids.BackendServerId | None = None,
 ) -> pending.PendingTicket:
     """Return a ticket for the next attempt of a request.
 
     `has_events` means that the caller already received part of its stream, so that
     the goal for the next gap applies in place of the goal for the first event.
     `version` is the one that began the stream; None: any may run the request.
+    `wants_copy` and `copy_at`: see messages.Ticket.
     """
     work = accepted.call.work
     route = accepted.route
@@ -125,12 +128,16 @@
         urgency=route.rank,
         expected_tokens=work.expected_tokens,
         # A resumed stream is measured from its last event, not from a first attempt.
-        caller_remaining=0.0 if has_events else caller_remaining(accepted, now),
+        caller_remaining=0.0
+        if has_events or copy_at is not None
+        else caller_remaining(accepted, now),
         version=version,
         parts=accepted.call.parts,
         gap=route.gap if route.is_stream else 0.0,
         body_bytes=len(accepted.call.body),
         event_tokens=max(1, accepted.event_tokens),
+        wants_copy=wants_copy,
+        copy_at=copy_at,
     )
     return pending.PendingTicket(ticket, accepted.deadline, None)
 
--- a/src/tealcove/platform/backendlink.py
+++ b/src/tealcove/platform/backendlink.py
@@ -172,18 +172,16 @@
 def raw_call(outbound: link.OutboundRequest) -> raw.RawCall:
     """Return a call with the headers that this system sets."""
     call = outbound.call
-    return raw.RawCall(call.method, call.target, headers_of(outbound), call.body)
-
-
-def headers_of(outbound: link.OutboundRequest) -> multidict.CIMultiDict[str]:
-    """Return a call's headers with those that this system sets."""
-    headers = multidict.CIMultiDict(outbound.call.headers)
-    headers[names.EXPECTED_INCARNATION] = outbound.server.name
-    if outbound.account is not None:
-        headers[names.ACCOUNT] = outbound.account
-    if outbound.last_event is not None:
-        headers[names.LAST_EVENT_ID] = str(outbound.last_event)
-    return headers
+    own = {
+        names.EXPECTED_INCARNATION: outbound.server.name,
+        names.ACCOUNT: outbound.account,
+        names.LAST_EVENT_ID: outbound.last_event,
+        names.KV_BACKUP: outbound.copy_to,
+        names.KV_FROM: outbound.copy_from,
+    }
+    headers = multidict.CIMultiDict(call.headers)
+    headers.update((name, str(own[name])) for name in own if own[name] is not None)
+    return raw.RawCall(call.method, call.target, headers, call.body)
 
 
 def read_head(
--- a/src/tealcove/platform/names.py
+++ b/src/tealcove/platform/names.py
@@ -18,6 +18,10 @@
 # Headers that this system sets for a backend server.
 ACCOUNT = "Tealcove-Tenant"
 EXPECTED_INCARNATION = "Tealcove-Expect-Instance"
+# IP:PORT of the server that the request's KV cache is copied to while it grows.
+KV_BACKUP = "Tealcove-Kv-Backup"
+# IP:PORT/ID: the server with the copy of an interrupted run, and the run's request id.
+KV_FROM = "Kv-From"
 
 # Headers of a backend server's response.
 SIGNATURE = "Tealcove-Response-Stamp"
@@ -43,9 +47,9 @@
         "Tealcove-Expect-Version",
         "Tealcove-Pin-Ms",
         "Tealcove-Hold",
-        "Tealcove-Kv-Backup",
+        KV_BACKUP,
         "Kv-Fetch",
-        "Kv-From",
+        KV_FROM,
         NOT_RUN,
         SIGNATURE,
         INCARNATION,
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -13,7 +13,7 @@
 
 from tealcove import clock, ids, tasks
 from tealcove.platform import names
-from tealcove.standins import pool_load
+from tealcove.standins import pool_copies, pool_load
 
 HTTP_BAD_REQUEST = 400
 HTTP_MISDIRECTED = 421
@@ -119,6 +119,8 @@
         self.prefill_seconds = 0.0
         # How it slows down under load, and what it states of it.
         self.load = pool_load.PoolLoad()
+        # The copies of runs that it keeps for other servers, and has them keep.
+        self.copies = pool_copies.PoolCopies()
         # Whether it is back at once after a crash, as another incarnation.
         self.restarts_at_once = False
         self.is_down = False
@@ -172,6 +174,7 @@
         """Stop listening and close all connections."""
         if self.recovery is not None:
             self.recovery.cancel()
+        await self.copies.stop()
         if self.runner is not None:
             await self.runner.cleanup()
             self.runner = None
@@ -211,11 +214,16 @@
             return web.Response(
                 status=HTTP_MISDIRECTED, headers={names.INCARNATION: self.name}
             )
+        if request.path.startswith(pool_copies.COPY_PATH):
+            return self.copies.receive(request, body)
         if names.REQUEST_ID not in request.headers:
             return web.Response(status=HTTP_BAD_REQUEST, headers={names.NOT_RUN: "1"})
         fault = self.faults.popleft() if self.faults else None
         is_full = self.room is not None and self.running >= self.room
-        if fault is Fault.FULL or self.rest is not None or is_full:
+        if names.KV_FROM in request.headers:
+            if self.copies.find(request, clock.now()) is None:
+                return await self.reject(request)
+        elif fault is Fault.FULL or self.rest is not None or is_full:
             return await self.reject(request)
         self.record(request, body)
         if self.drops_unwanted:
@@ -230,7 +238,8 @@
         """Run a request, which takes a slot meanwhile."""
         self.running += 1
         try:
-            return await self.run(request, fault)
+            async with self.copies.copied(request) as progress:
+                return await self.run(request, fault, progress)
         finally:
             self.running -= 1
 
@@ -263,6 +272,7 @@
         if self.is_down:
             return
         self.crash_times.append(clock.now())
+        self.copies.lose()
         for transport in list(self.transports):
             transport.abort()
         if self.restarts_at_once:
@@ -313,7 +323,10 @@
         )
 
     async def run(
-        self, request: web.Request, fault: Fault | None
+        self,
+        request: web.Request,
+        fault: Fault | None,
+        progress: pool_copies.Progress,
     ) -> web.StreamResponse:
         """Run a request, with its fault if there is one."""
         headers = {
@@ -324,7 +337,9 @@
         is_crashing = not self.crashing_parts.isdisjoint(parts_of(request))
         if is_crashing:
             self.crashing_arrivals.append(clock.now())
-        await self.work(self.prefill_seconds)
+        if not progress.is_prompt_read:
+            await self.work(self.prefill_seconds)
+        progress.is_prompt_read = True
         if is_crashing:
             await self.crash()
             request.transport.abort()
@@ -341,7 +356,7 @@
         if self.is_unframed:
             return await self.answer_unframed(request, headers)
         if request.path.startswith("/stream/"):
-            return await self.stream(request, headers, fault)
+            return await self.stream(request, headers, fault, progress)
         await self.work(self.call_seconds)
         headers.update(self.load_headers())
         status = HTTP_FAILED if fault is Fault.FAILED else 200
@@ -384,7 +399,11 @@
         return web.Response()
 
     async def stream(
-        self, request: web.Request, headers: dict[str, str], fault: Fault | None
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        fault: Fault | None,
+        progress: pool_copies.Progress,
     ) -> web.StreamResponse:
         """Send a stream, starting after the caller's last event."""
         last = int(request.headers.get(names.LAST_EVENT_ID, 0))
@@ -401,6 +420,7 @@
                 return response
             if fault is not Fault.SKIPPED_EVENT or number != half:
                 await response.write(event)
+            progress.events = number
             await self.work(self.event_interval)
         await response.write_eof()
         return response
--- /dev/null
+++ b/src/tealcove/streamcopies/copying.py
@@ -0,0 +1,71 @@
+"""Which streams are copied to a second server, and to which one."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Sequence
+
+from tealcove import ids
+from tealcove.dispatch import backendview, messages
+from tealcove.streamcopies import budget, choice
+
+
+class Copies(abc.ABC):
+    """Decides on the copy of each stream that a dispatcher grants."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        ticket: messages.Ticket,
+        granted: backendview.BackendView,
+        servers: Sequence[backendview.BackendView],
+        now: ids.Instant,
+    ) -> ids.BackendServerId | None:
+        """Return the server that a granted stream is copied to; None: to none."""
+
+
+class NoCopies(Copies):
+    """Copies nothing."""
+
+    def choose(
+        self,
+        ticket: messages.Ticket,
+        granted: backendview.BackendView,
+        servers: Sequence[backendview.BackendView],
+        now: ids.Instant,
+    ) -> ids.BackendServerId | None:
+        """See Copies."""
+        return None
+
+
+class BudgetedCopies(Copies):
+    """Copies each stream for which a server has room, within a budget of bytes."""
+
+    def __init__(self, shared: budget.CopyBudget) -> None:
+        self.budget = shared
+
+    def choose(
+        self,
+        ticket: messages.Ticket,
+        granted: backendview.BackendView,
+        servers: Sequence[backendview.BackendView],
+        now: ids.Instant,
+    ) -> ids.BackendServerId | None:
+        """See Copies."""
+        size = budget.size_of(ticket)
+        if not self.budget.allows(size, now):
+            return None
+        found = choice.choose(granted, servers, now)
+        if found is None:
+            return None
+        self.budget.spend(size)
+        return found.name
+
+
+def describe(ticket: messages.Ticket, run: backendview.Run) -> str:
+    """Return where the copy of a granted run is, for its log line."""
+    if ticket.copy_at is not None:
+        return ", goes on from its copy there"
+    if run.copy_at is not None:
+        return f", copied to {run.copy_at}"
+    return ", no copy" if ticket.wants_copy else ""
