--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -198,3 +198,52 @@
     assert [one.content.stated.rate for one in sent] == reports
     ticket = asking.requester.current(asking.another_pending_ticket(), now)
     assert [stated.rate for stated in ticket.statements] == carried
+
+
+@pytest.mark.parametrize("has_left", [False, True])
+async def test_only_the_server_with_the_copy_is_accepted(
+    asking: askers.Asking, has_left: bool
+) -> None:
+    """Guards against a second run by an older dispatcher that ignores the copy.
+
+    The server with the copy goes on with the stream also while it leaves.
+    """
+    has_copy = msgspec.structs.replace(
+        asking.pending_ticket.ticket, copy_at=ids.BackendServerId("t")
+    )
+    asking.pending_ticket.ticket = has_copy
+    asking.configure(1)
+    await asking.asked(asking.first, 1)
+    asking.configure(2, *(["t"] if has_left else []))
+    asking.grant_from(asking.first, "t", 1)
+    assert (await asking.obtaining).server == "t"
+
+
+async def test_a_grant_of_a_server_without_the_copy_ends_the_wait(
+    asking: askers.Asking,
+) -> None:
+    """Guards against a round through all servers of an older dispatcher."""
+    has_copy = msgspec.structs.replace(
+        asking.pending_ticket.ticket, copy_at=ids.BackendServerId("t")
+    )
+    asking.pending_ticket.ticket = has_copy
+    await asking.asked(asking.first, 1)
+    before = asking.returned_to(asking.first)
+    asking.grant_from(asking.first, "s", 1)
+    refusal = await asking.obtaining
+    assert refusal.reason is messages.RefusalReason.NO_BACKEND_SERVER
+    assert asking.returned_to(asking.first) == before + 1
+    assert not asking.requester.pending_tickets
+
+
+async def test_a_running_ticket_tells_where_its_copy_is(
+    asking: askers.Asking,
+) -> None:
+    """Guards against new dispatchers that crowd the servers with copies."""
+    asking.requester.mark_running(
+        asking.pending_ticket,
+        ids.BackendServerId("s"),
+        copy_at=ids.BackendServerId("t"),
+    )
+    ticket = asking.requester.current(asking.pending_ticket, clock.now())
+    assert (ticket.running_on, ticket.copy_at) == ("s", "t")
--- a/src/tealcove/ingress/tests/test_events.py
+++ b/src/tealcove/ingress/tests/test_events.py
@@ -62,3 +62,12 @@
     assert not order.accept(events.Event(b"", 7))
     assert order.last == 5
     assert order.accept(events.Event(b"", 6))
+
+
+def test_order_checker_knows_whether_its_number_tells_what_was_received() -> None:
+    """Guards against streams that go on after an event that is then sent twice."""
+    order = events.OrderChecker(None)
+    assert order.accept(events.Event(b"", 1))
+    assert order.is_numbered
+    assert order.accept(events.Event(b"", None))
+    assert (order.last, order.is_numbered) == (1, False)
