--- a/bench/dispatch_cost.py
+++ b/bench/dispatch_cost.py
@@ -1,7 +1,7 @@
 """Measures what a dispatcher's decisions cost: python -m bench.dispatch_cost.
 
 With --goal, the goal scheduler's at twice its capacity, without and with fair sharing
-among accounts.
+among accounts; with --copies in place of it, without and with copies of streams.
 """
 
 from __future__ import annotations
@@ -124,18 +124,22 @@
     return (time.process_time() - began) / count * 1e6
 
 
-def print_goal_cost(times: float, seconds: float, repeats: int) -> None:
-    """Print the goal scheduler's cost of a request without and with fair sharing."""
+def print_goal_cost(
+    times: float, seconds: float, repeats: int, is_for_copies: bool
+) -> None:
+    """Print the goal scheduler's cost of a request without and with one part."""
     print(f"{goalload.SERVERS} servers, {times:g} times their capacity")
-    print("sharing  us a request  (least - most)")
+    part = "copies" if is_for_copies else "sharing"
+    print(f"{part:7}  us a request  (least - most)")
     found: dict[bool, list[float]] = {False: [], True: []}
     # In turn, so that other work on the machine slows both alike.
     for seed in range(repeats):
-        for is_shared, costs in found.items():
-            costs.append(goalload.measure(times, is_shared, seconds, seed))
-    for is_shared, costs in found.items():
+        for is_on, costs in found.items():
+            is_shared, is_copied = is_on and not is_for_copies, is_on and is_for_copies
+            costs.append(goalload.measure(times, is_shared, seconds, seed, is_copied))
+    for is_on, costs in found.items():
         print(
-            f"{'on' if is_shared else 'off':7}  {statistics.median(costs):12.1f}"
+            f"{'on' if is_on else 'off':7}  {statistics.median(costs):12.1f}"
             f"  ({min(costs):.1f} - {max(costs):.1f})"
         )
     ratio = statistics.median(on / off for off, on in zip(*found.values(), strict=True))
@@ -149,12 +153,15 @@
     parser.add_argument("--repeats", type=int, default=3)
     parser.add_argument("--queued", type=int, nargs="+", default=[0, 100, 1000, 10000])
     parser.add_argument("--goal", action="store_true")
+    parser.add_argument("--copies", action="store_true")
     parser.add_argument("--times", type=float, default=2.0)
     parser.add_argument("--seconds", type=float, default=10.0)
     arguments = parser.parse_args()
-    if arguments.goal:
+    if arguments.goal or arguments.copies:
         with logbook.NullHandler().applicationbound():
-            print_goal_cost(arguments.times, arguments.seconds, arguments.repeats)
+            print_goal_cost(
+                arguments.times, arguments.seconds, arguments.repeats, arguments.copies
+            )
         return
     print("queued  us a ticket  (least - most)  us a tick  % of a core at 100/s")
     for queued in arguments.queued:
--- a/bench/goalload.py
+++ b/bench/goalload.py
@@ -18,6 +18,7 @@
     scheduler,
 )
 from tealcove.resources import kinds
+from tealcove.streamcopies import budget, copying
 
 CELL = ids.CellId("engines/0")
 SERVERS = 30
@@ -29,6 +30,8 @@
 GOAL_SECONDS = 0.6
 REMAINING_SECONDS = 8.0
 TICK_SECONDS = 0.05
+# Bytes a second of copies, more than there ever are.
+AMPLE = 1e12
 # Requests per second that the servers can serve.
 CAPACITY = SERVERS * SLOTS / TOTAL_SECONDS
 
@@ -52,8 +55,14 @@
 class Overload:
     """Poisson arrivals of ACCOUNTS accounts, the first of them with half of all."""
 
-    def __init__(self, times: float, is_shared: bool, seed: int) -> None:
+    def __init__(
+        self, times: float, is_shared: bool, seed: int, is_copied: bool = False
+    ) -> None:
         self.scheduler = create_scheduler(is_shared)
+        self.is_copied = is_copied
+        if is_copied:
+            ample = budget.CopyBudget(AMPLE)
+            self.scheduler.use_copies(copying.BudgetedCopies(ample))
         self.rate = times * CAPACITY
         self.chance = random.Random(seed)
         self.numbers = itertools.count()
@@ -110,6 +119,7 @@
             remaining=REMAINING_SECONDS,
             goal=GOAL_SECONDS,
             urgency=number % URGENCIES,
+            wants_copy=self.is_copied,
         )
         self.decide(self.scheduler.enqueue, at, ticket)
 
@@ -141,12 +151,14 @@
         self.decide(self.scheduler.tick, at)
 
 
-def measure(times: float, is_shared: bool, seconds: float, seed: int) -> float:
+def measure(
+    times: float, is_shared: bool, seconds: float, seed: int, is_copied: bool = False
+) -> float:
     """Return the processor time of all decisions for a request, in microseconds.
 
     The first part of the play, in which the line grows, isn't measured.
     """
-    played = Overload(times, is_shared, seed)
+    played = Overload(times, is_shared, seed, is_copied)
     played.run(seconds)
     played.arrived, played.seconds = 0, 0.0
     played.run(2.0 * seconds)
--- a/src/tealcove/ingress/streamcopy.py
+++ b/src/tealcove/ingress/streamcopy.py
@@ -31,6 +31,8 @@
         self.server: ids.BackendServerId | None = None
         # Whether that server was asked to go on.
         self.is_used = False
+        # Whether the stream was counted as copied.
+        self.is_copied = False
         # Why the stream doesn't go on; empty: it may.
         self.obstacle = ""
 
@@ -44,8 +46,12 @@
         self.is_used = self.server is not None
 
     def record_sending(self, grant: messages.Grant) -> None:
-        """Record that the request is sent to the server of a grant."""
-        if grant.copy_server is not None:
+        """Record that the request is sent to the server of a grant.
+
+        It may be sent again if another instance turns out to have passed nothing on.
+        """
+        if grant.copy_server is not None and not self.is_copied:
+            self.is_copied = True
             self.copying.copied += 1
 
     def record_crash(self, grant: messages.Grant) -> None:
--- a/src/tealcove/ingress/tests/test_streamcopy.py
+++ b/src/tealcove/ingress/tests/test_streamcopy.py
@@ -131,6 +131,14 @@
     assert (found.copy.server, found.copy.is_wanted) == (None, True)
 
 
+def test_a_stream_is_counted_once_as_copied() -> None:
+    """Guards against more copies than streams, by sendings that weren't made."""
+    found = crashed(copy_server=None)
+    for _ in range(2):
+        found.copy.record_sending(grant())
+    assert found.services.copying.copied == 1
+
+
 def test_events_out_of_order_are_not_counted_as_received() -> None:
     """Guards against a stream that goes on after an event that wasn't passed on."""
     found = crashed()
