--- a/src/tealcove/ingress/tests/test_tickets.py
+++ b/src/tealcove/ingress/tests/test_tickets.py
@@ -112,3 +112,20 @@
     ).ticket
     assert found.gap == (0.25 if is_stream else 0.0)
     assert found.event_tokens == 4
+
+
+async def test_a_stream_that_goes_on_is_no_return_of_a_refused_request():
+    """Guards against a continued run that takes the place of its own first attempt."""
+    accepted = builders.accepted()
+    copy_at = ids.BackendServerId("s-1")
+    found = tickets.new_ticket(
+        accepted,
+        ids.CellId("c/0"),
+        ENTRY,
+        (),
+        False,
+        accepted.arrived,
+        copy_at=copy_at,
+    ).ticket
+    assert (found.copy_at, found.wants_copy) == (copy_at, False)
+    assert found.caller_remaining == 0.0
--- a/src/tealcove/streamcopies/tests/test_choice.py
+++ b/src/tealcove/streamcopies/tests/test_choice.py
@@ -10,7 +10,7 @@
 from tealcove.dispatch.tests import builders
 from tealcove.peers import message
 from tealcove.resources import kinds
-from tealcove.streamcopies import choice
+from tealcove.streamcopies import choice, copying
 from tealcove.streamcopies.tests import builders as copies
 
 NOW = builders.instant(0.0)
@@ -105,6 +105,20 @@
     assert copies.granted(found, ticket) == grant
 
 
+def test_the_log_line_of_a_grant_tells_where_the_copy_is() -> None:
+    """Guards against lost streams whose copy can't be followed in the logs."""
+    found = opened(2)
+    ticket, other = copies.stream(), builders.ticket()
+    grant = copies.granted(found, ticket)
+    run = copies.view(found, grant.server).runs[ticket.ticket_id]
+    assert copying.describe(ticket, run) == f", copied to {grant.copy_server}"
+    run.copy_at = None
+    assert copying.describe(ticket, run) == ", no copy"
+    assert copying.describe(other, run) == ""
+    goes_on = msgspec.structs.replace(ticket, copy_at=FIRST)
+    assert copying.describe(goes_on, run) == ", goes on from its copy there"
+
+
 def test_nothing_is_copied_without_the_setting_or_the_request() -> None:
     """Guards against changes for instances that don't enable copies."""
     assert copies.granted(opened(2), builders.ticket()).copy_server is None
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -114,6 +114,10 @@
         assert int(continued.last_event) >= 1
         assert (continued.request_id, continued.body) == (begun.request_id, begun.body)
         assert run.counts() == (1, 1, 0)
+        shown = run.entry.metrics.metrics_text()
+        assert b"tealcove_streams_copied_total 1.0" in shown
+        assert b"tealcove_streams_continued_total 1.0" in shown
+        assert b"tealcove_streams_copy_lost_total 0.0" in shown
 
 
 async def test_half_an_event_is_not_counted_as_received():
@@ -252,6 +256,7 @@
         answer = await run.sending
         assert not answer.is_complete
         assert len(run.runs()) == 1
+        assert b"tealcove_streams_cop" not in run.entry.metrics.metrics_text()
 
 
 async def test_the_copy_of_a_stream_that_has_ended_is_dropped():
