Stand-ins send no part of a copy after its end

A part that was under way when its stream ended could arrive after the message that drops the copy, which was then kept, and the test that waits for its end failed by its time-out. Seen by reading, not in a run. Messages on one copy are sent one after the other.

Measured: the tests of copies over sockets pass, three runs in a row.

--- a/src/tealcove/standins/pool_copies.py
+++ b/src/tealcove/standins/pool_copies.py
@@ -99,27 +99,35 @@
         kept = self.kept.pop(run, None) if names.KV_FROM in request.headers else None
         progress = self.running[run] = Progress() if kept is None else kept.progress
         task = None
+        # Held while a message on the copy is sent: no part may arrive after its end.
+        lock = asyncio.Lock()
         if names.KV_BACKUP in request.headers:
-            task = tasks.start(self.send_parts(request, progress), "parts of a copy")
+            parts = self.send_parts(request, progress, lock)
+            task = tasks.start(parts, "parts of a copy")
             self.sending.add(task)
         try:
             yield progress
-            if task is not None and not task.cancelled():
-                await self.send("DELETE", request, b"")
+            if task is not None and not task.cancelling():
+                async with lock:
+                    task.cancel()
+                    await self.send("DELETE", request, b"")
         finally:
             self.running.pop(run, None)
             if task is not None:
                 task.cancel()
                 self.sending.discard(task)
 
-    async def send_parts(self, request: web.Request, progress: Progress) -> None:
+    async def send_parts(
+        self, request: web.Request, progress: Progress, lock: asyncio.Lock
+    ) -> None:
         """Send what has been added to a run's KV cache, again and again."""
         prompt, _, _ = request.headers.get(names.TOKEN_COUNT, "0").partition(",")
         sent = 0
         while True:
             await asyncio.sleep(SETUP_SECONDS)
-            size = progress.bytes_of(int(prompt))
-            await self.send("PUT", request, msgspec.json.encode(progress))
+            async with lock:
+                size = progress.bytes_of(int(prompt))
+                await self.send("PUT", request, msgspec.json.encode(progress))
             self.sent_bytes += size - sent
             sent = size
             await asyncio.sleep(PART_INTERVAL)
