--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -40,7 +40,7 @@
     requestmetrics,
     settings,
 )
-from tealcove.ingress import budget, exchange, hanging, http, tickets
+from tealcove.ingress import budget, exchange, hanging, http, streamcopy, tickets
 from tealcove.instances import figures, unread
 from tealcove.instances import role as instance_load
 from tealcove.limits import central, limit
@@ -99,6 +99,7 @@
         self.budgets = budgets.Budgets(found.crossing.bytes_per_second)
         # The load of this instance; None if callers aren't distributed by it.
         self.load: instance_load.InstanceLoad | None = None
+        self.copying = streamcopy.Copying(found.stream_copies.enabled)
         self.early: localrefusals.LocalRefusals | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[listener.Listener] = []
@@ -251,6 +252,7 @@
         )
         if found.crossing.enabled:
             loadmetrics.add_crossings(self.metrics, self.budgets)
+        loadmetrics.add_copies(self.metrics, self.copying)
         requestmetrics.add_grants(self.metrics, self.tickets)
 
     def start_local_refusals(self) -> None:
@@ -320,6 +322,7 @@
                 streams=self.streams,
                 origins=self.origins,
                 quarantine=self.quarantine,
+                copying=self.copying,
             ),
             self.configuration,
             self.spread,
