Promised returns hold while all instances are replaced

An entry that was itself next in rank after the dispatcher sent the copy of a promise to itself, so that both copies ended with it; an instance that was told a promise never passed it on when yet another instance became the dispatcher; and beyond three promises a second a leaving entry had no copy elsewhere.

Change: the copy goes to the next in rank other than the entry; an instance passes what it was told on to a new dispatcher; an entry that leaves sends all its promises to the next in rank, and later ones without a bound on their rate. The partition of tests/test_data_centre_cut.py moved to a module of its own.

Ruled out: a fault of fair sharing in a partition. None was found.

The three new unit tests fail without the change.

--- a/src/tealcove/admission/entrypromises.py
+++ b/src/tealcove/admission/entrypromises.py
@@ -8,13 +8,14 @@
 from tealcove.admission import budget, keptreturns
 from tealcove.dispatch import messages, pending, promises
 from tealcove.membership import members
+from tealcove.membership import messages as membership
 from tealcove.peers import mesh
 
 log = logbook.Logger("admission")
 
 
 # Promises a second that are sent ahead to the next dispatcher, in some 120 bytes each;
-# further ones are sent when it takes over.
+# further ones are sent when it takes over, or when this instance leaves.
 MAX_AHEAD = 3.0
 
 
@@ -55,15 +56,42 @@
         """Keep a return that a dispatcher has promised or is told by a report."""
         heartbeat = self.members.find(dispatcher)
         incarnation = None if heartbeat is None else heartbeat.incarnation
-        self.kept.add(cell, promised, (dispatcher, incarnation), now)
+        kept = self.kept.add(cell, promised, (dispatcher, incarnation), now)
+        if self.is_leaving():
+            self.copy_all(cell, dispatcher, now)
+            return
         if not self.budget.allows(now):
             return
-        ranked = self.members.rank(cell, now)
-        standby = next((one for one in ranked if one != dispatcher), None)
+        standby = self.standby(cell, dispatcher, now)
         if standby is not None:
             self.budget.use()
+            kept.is_copied = True
             self.send(cell, standby, (promised,))
 
+    def is_leaving(self) -> bool:
+        """Tell whether this entry ends soon, and with it what it alone knows."""
+        return self.members.own.lifecycle is membership.Lifecycle.LEAVING
+
+    def standby(
+        self, cell: ids.CellId, dispatcher: ids.InstanceId, now: ids.Instant
+    ) -> ids.InstanceId | None:
+        """Return the next in rank after a dispatcher.
+
+        It isn't this instance, with whose end both copies would be lost.
+        """
+        knowing = (dispatcher, self.members.own.instance)
+        ranked = self.members.rank(cell, now)
+        return next((one for one in ranked if one not in knowing), None)
+
+    def copy_all(
+        self, cell: ids.CellId, dispatcher: ids.InstanceId, now: ids.Instant
+    ) -> None:
+        """Send the promises that weren't sent ahead to the next in rank."""
+        standby = self.standby(cell, dispatcher, now)
+        returns = () if standby is None else self.kept.take_uncopied(cell, now)
+        if returns:
+            self.send(cell, standby, returns)
+
     def inform(
         self, cell: ids.CellId, dispatcher: ids.InstanceId, now: ids.Instant
     ) -> None:
@@ -84,6 +112,8 @@
         for cell in list(self.kept.by_cell):
             for first in self.members.rank(cell, now)[:1]:
                 self.inform(cell, first, now)
+                if self.is_leaving():
+                    self.copy_all(cell, first, now)
 
     def send(
         self,
--- a/src/tealcove/admission/keptreturns.py
+++ b/src/tealcove/admission/keptreturns.py
@@ -21,6 +21,8 @@
     recorded_at: ids.Instant
     # The process that knows of it.
     holder: Holder
+    # Whether the next in rank was told as well.
+    is_copied: bool = False
 
     def is_over(self, now: ids.Instant) -> bool:
         """Tell whether its caller can't keep the time any more."""
@@ -40,12 +42,25 @@
         promised: messages.PromisedReturn,
         holder: Holder,
         now: ids.Instant,
-    ) -> None:
+    ) -> KeptReturn:
         """Keep a return that a dispatcher has promised."""
         self.expire(now)
         kept = self.by_cell.setdefault(cell, [])
         kept.append(KeptReturn(promised, now, holder))
+        found = kept[-1]
         del kept[:-MAX_KEPT]
+        return found
+
+    def take_uncopied(
+        self, cell: ids.CellId, now: ids.Instant
+    ) -> tuple[messages.PromisedReturn, ...]:
+        """Return the returns that no other entry knows; they count as copied."""
+        found = []
+        for kept in self.by_cell.get(cell, ()):
+            if not kept.is_copied and not kept.is_over(now):
+                kept.is_copied = True
+                found.append(messages.shifted(kept.promised, now - kept.recorded_at))
+        return tuple(found)
 
     def hand_over(
         self, cell: ids.CellId, holder: Holder, now: ids.Instant
--- a/src/tealcove/admission/tests/builders.py
+++ b/src/tealcove/admission/tests/builders.py
@@ -21,6 +21,7 @@
 )
 from tealcove.dispatch import goal, messages, notices, scheduler
 from tealcove.dispatch.tests import builders
+from tealcove.membership.tests import builders as membership_builders
 from tealcove.peers import endpoint, message
 
 SERVERS = (5, 5, 5, 5, 5, 5)
@@ -73,6 +74,8 @@
     def __init__(self, play: Play, name: ids.InstanceId) -> None:
         self.play = play
         self.name = name
+        # An instance of its own, which is neither the dispatcher nor its successor.
+        self.own = membership_builders.heartbeat(9)
         self.local = localrefusals.LocalRefusals(
             self,
             self,
--- a/src/tealcove/admission/tests/test_takeover.py
+++ b/src/tealcove/admission/tests/test_takeover.py
@@ -11,6 +11,7 @@
 from tealcove.dispatch.tests import askers, transport
 from tealcove.dispatch.tests import builders as dispatching
 from tealcove.membership import members
+from tealcove.membership import messages as membership
 from tealcove.membership.tests import builders as membership_builders
 
 DEATH = 10.0
@@ -185,6 +186,92 @@
     assert not asking.mesh.to(first, messages.PromisedReturns)
 
 
+async def test_an_entry_that_leaves_sends_all_promises_ahead(
+    asking: askers.Asking,
+) -> None:
+    """Guards against promises beyond the rate that end with their only entry."""
+    found = entrypromises.EntryPromises(asking.mesh, asking.members)
+    second = asking.port(asking.second)
+
+    def told() -> int:
+        sent = asking.mesh.to(second, messages.PromisedReturns)
+        return sum(len(one.content.returns) for one in sent)
+
+    for number in range(10):
+        promised = promised_return(digest=str(number))
+        found.keep(askers.CELL, promised, asking.first, clock.now())
+    assert told() == entrypromises.MAX_AHEAD
+    asking.members.update_own(lifecycle=membership.Lifecycle.LEAVING)
+    found.reassign(clock.now())
+    assert told() == 10
+    found.keep(askers.CELL, promised_return(), asking.first, clock.now())
+    assert told() == 11
+
+
+async def test_a_promise_is_not_sent_ahead_to_its_own_entry() -> None:
+    """Guards against two copies of a promise that end with the same process."""
+    known = members.Members(
+        membership_builders.heartbeat(0), suspect_after=1000.0, forget_after=2000.0
+    )
+    candidates = [membership_builders.heartbeat(number) for number in range(1, 100)]
+    first = next(one for one in candidates if ranked_first(known.own, one))
+    last = next(one for one in candidates if not ranked_first(known.own, one))
+    for one in (first, last):
+        known.record_heartbeat(one, clock.now())
+    sent = transport.RecordingMesh()
+    found = entrypromises.EntryPromises(sent, known)
+    found.keep(dispatching.CELL, promised_return(), first.instance, clock.now())
+    assert (
+        len(sent.to(last.endpoint.port, messages.PromisedReturns))
+        == len(sent.sent)
+        == 1
+    )
+
+
+async def test_a_promise_outlives_all_who_told_it() -> None:
+    """Guards against promises that end with the last instance that sent them.
+
+    The next in rank was told; when another instance becomes the dispatcher, neither
+    the entry nor the former dispatcher may be left to inform it.
+    """
+    known = members.Members(
+        membership_builders.heartbeat(0), suspect_after=1000.0, forget_after=2000.0
+    )
+    told = transport.RecordingMesh()
+    standby = role.Dispatcher(
+        told,
+        known,
+        lambda cell: None,
+        goal.GoalScheduler,
+        None,
+        0.0,
+        new_admission=policy.AdmitByGoal,
+    )
+    standby.start()
+    sender = ids.InstanceId("gone")
+    sent = messages.PromisedReturns(cell=dispatching.CELL, returns=(promised_return(),))
+    standby.handle_promises(sender, sent)
+    assert not told.sent
+    number = next(
+        number
+        for number in range(1, 100)
+        if ranked_first(known.own, membership_builders.heartbeat(number))
+    )
+    first = membership_builders.heartbeat(number)
+    known.record_heartbeat(first, clock.now())
+    (passed_on,) = told.to(first.endpoint.port, messages.PromisedReturns)
+    (found,) = passed_on.content.returns
+    assert found.digest == promised_return().digest
+    await standby.stop()
+
+
+def ranked_first(own: membership.Heartbeat, other: membership.Heartbeat) -> bool:
+    """Tell whether an instance is the dispatcher rather than this one."""
+    known = members.Members(own, suspect_after=1000.0, forget_after=2000.0)
+    known.record_heartbeat(other, clock.now())
+    return known.rank(dispatching.CELL, clock.now())[0] == other.instance
+
+
 async def test_a_dispatcher_that_takes_over_restores_what_it_was_sent() -> None:
     """Guards against promises that arrive before the first ticket of their cell."""
     known = members.Members(
--- a/src/tealcove/dispatch/awaitedreturns.py
+++ b/src/tealcove/dispatch/awaitedreturns.py
@@ -1,4 +1,4 @@
-"""Promised returns of cells that this instance doesn't serve, but may take over."""
+"""Promised returns that this instance was told, for its own or another takeover."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 from tealcove import ids
 from tealcove.dispatch import firstattempts, messages
 
+# A dispatcher's process: its instance and incarnation.
+Holder = tuple[ids.InstanceId, ids.Incarnation | None]
 # Upper bound on the returns of one cell: 400 a second, each up to 5 s ahead.
 MAX_AWAITED = 2000
 
@@ -28,6 +30,8 @@
 
     def __init__(self) -> None:
         self.by_cell: dict[ids.CellId, list[AwaitedReturn]] = {}
+        # The process that knows the returns of a cell.
+        self.holders: dict[ids.CellId, Holder] = {}
 
     def add(
         self,
@@ -49,3 +53,16 @@
             for one in self.by_cell.pop(cell, ())
             if not one.is_over(now)
         )
+
+    def pass_on(
+        self, cell: ids.CellId, holder: Holder, now: ids.Instant
+    ) -> tuple[messages.PromisedReturn, ...]:
+        """Return what a cell's new dispatcher doesn't know; it counts as told."""
+        if self.holders.get(cell) == holder:
+            return ()
+        self.holders[cell] = holder
+        return tuple(
+            messages.shifted(one.promised, now - one.received_at)
+            for one in self.by_cell[cell]
+            if not one.is_over(now)
+        )
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -211,12 +211,35 @@
         if self.new_admission is None:
             return
         now = clock.now()
+        # Kept for the next dispatcher as well, as the senders may be gone by then.
+        self.awaited.add(sent.cell, sent.returns, now)
+        first = self.first_in_rank(sent.cell, now)
+        if first is not None:
+            self.awaited.holders.setdefault(sent.cell, first)
         held = self.held.get(sent.cell)
-        if held is None:
-            self.awaited.add(sent.cell, sent.returns, now)
-        else:
+        if held is not None:
             held.scheduler.restore_returns(sent.returns, now)
 
+    def first_in_rank(
+        self, cell: ids.CellId, now: ids.Instant
+    ) -> awaitedreturns.Holder | None:
+        """Return the process that dispatches a cell; None if no instance serves."""
+        for instance in self.members.rank(cell, now)[:1]:
+            return instance, self.members.find(instance).incarnation
+        return None
+
+    def pass_returns_on(self, now: ids.Instant) -> None:
+        """Send returns that this instance was told to the dispatchers that are new."""
+        for cell in self.awaited.by_cell:
+            first = self.first_in_rank(cell, now)
+            if first is None:
+                continue
+            returns = self.awaited.pass_on(cell, first, now)
+            if returns and first[0] != self.members.own.instance:
+                peer = self.members.endpoint_of(first[0])
+                sent = messages.PromisedReturns(cell=cell, returns=returns)
+                self.transport.send(peer, sent)
+
     def handle_local_refusals(
         self, sender: ids.InstanceId, sent: notices.LocalRefusals
     ) -> None:
@@ -280,6 +303,7 @@
             held.scheduler.use_admission(self.new_admission())
             returns = self.awaited.take(cell.cell_id, now)
             held.scheduler.restore_returns(returns, now)
+            self.awaited.add(cell.cell_id, returns, now)
         held.scheduler.use_accounts(self.sharing.of_cell(cell, now))
         held.scheduler.use_crossing(self.new_crossing())
         self.held[ticket.cell] = held
@@ -316,6 +340,7 @@
     def record_membership_change(self) -> None:
         """Record when the set of serving instances changed."""
         self.members_changed = clock.now()
+        self.pass_returns_on(self.members_changed)
 
     def reconfigure(self) -> None:
         """Apply the configuration in force to every served cell."""
--- a/tests/test_data_centre_cut.py
+++ b/tests/test_data_centre_cut.py
@@ -9,9 +9,8 @@
 import syrupy
 
 from tealcove import daemon, settings
-from tealcove.peers import endpoint, message
 from tealcove.resources import copy, decision, edits, kinds
-from tests import callers, deployment, embedded
+from tests import callers, deployment, embedded, partitions
 
 LENGTH = 4
 # Nothing listens on this address.
@@ -24,23 +23,11 @@
     """A partition of two groups that also cuts one of them off the platform."""
 
     def __init__(self, near: list[daemon.Instance], far: list[daemon.Instance]) -> None:
-        self.is_cut = False
+        self.partition = partitions.Partition(
+            (one.mesh for one in near), (one.mesh for one in far)
+        )
         self.far = far
         self.platform_url = far[0].platform.url
-        for group, others in ((near, far), (far, near)):
-            hidden = {other.mesh.listen for other in others}
-            for instance in group:
-                instance.mesh.send = self.wrap_send(instance.mesh.send, hidden)
-
-    def wrap_send(self, send: object, hidden: set[endpoint.Endpoint]) -> object:
-        """Return `send`, wrapped to drop messages to hidden peers during the cut."""
-
-        def send_unless_cut(peer: endpoint.Endpoint, sent: message.Message) -> bool:
-            if self.is_cut and peer in hidden:
-                return False
-            return send(peer, sent)
-
-        return send_unless_cut
 
     @contextlib.contextmanager
     def active(self) -> Iterator[None]:
@@ -53,7 +40,7 @@
 
     def set_cut(self, is_cut: bool, url: str) -> None:
         """Start or end the cut."""
-        self.is_cut = is_cut
+        self.partition.is_active = is_cut
         for instance in self.far:
             instance.platform.url = url
 
