The forecast of the line predicts servers by the batch that they will have

Cause: the choice of a server counts that one which is nearly full takes longer; the forecast of the line used each server's usual time, and ends of running streams by the batch at their start. Callers waited for slots that were released much later than predicted, and were refused then.

Change: each slot in the forecast names the batch that its use leads to, one more than now for a free slot and a full one for a slot that is used again. What a stream has done so far is counted over the batches that it ran in, and its rest is predicted for the full batch.

Ruled out: a full batch for each slot. Tickets beside free slots would seem to take twice as long as they do.

Conclusion: done as far as the length of slots goes. A ticket that could start in time in a small batch only still waits until its latest start, and the work of arriving requests is counted for the usual batch (docs/design/server-load.md).

--- a/bench/dispatch_cost.py
+++ b/bench/dispatch_cost.py
@@ -1,7 +1,8 @@
 """Measures what a dispatcher's decisions cost: python -m bench.dispatch_cost.
 
 With --goal, the goal scheduler's at twice its capacity, without and with fair sharing
-among accounts.
+among accounts; with --goal --server-load, with the load of servers that slow down when
+nearly full instead.
 """
 
 from __future__ import annotations
@@ -124,18 +125,21 @@
     return (time.process_time() - began) / count * 1e6
 
 
-def print_goal_cost(times: float, seconds: float, repeats: int) -> None:
-    """Print the goal scheduler's cost of a request without and with fair sharing."""
+def print_goal_cost(
+    part: goalload.Part, times: float, seconds: float, repeats: int
+) -> None:
+    """Print the goal scheduler's cost of a request without and with a part of it."""
     print(f"{goalload.SERVERS} servers, {times:g} times their capacity")
-    print("sharing  us a request  (least - most)")
-    found: dict[bool, list[float]] = {False: [], True: []}
+    print(f"{part.value}  us a request  (least - most)")
+    found: dict[goalload.Part, list[float]] = {goalload.Part.NONE: [], part: []}
     # In turn, so that other work on the machine slows both alike.
     for seed in range(repeats):
-        for is_shared, costs in found.items():
-            costs.append(goalload.measure(times, is_shared, seconds, seed))
-    for is_shared, costs in found.items():
+        for enabled, costs in found.items():
+            costs.append(goalload.measure(times, enabled, seconds, seed))
+    for enabled, costs in found.items():
+        state = "on" if enabled is part else "off"
         print(
-            f"{'on' if is_shared else 'off':7}  {statistics.median(costs):12.1f}"
+            f"{state:{len(part.value)}}  {statistics.median(costs):12.1f}"
             f"  ({min(costs):.1f} - {max(costs):.1f})"
         )
     ratio = statistics.median(on / off for off, on in zip(*found.values(), strict=True))
@@ -149,12 +153,16 @@
     parser.add_argument("--repeats", type=int, default=3)
     parser.add_argument("--queued", type=int, nargs="+", default=[0, 100, 1000, 10000])
     parser.add_argument("--goal", action="store_true")
+    parser.add_argument("--server-load", action="store_true")
     parser.add_argument("--times", type=float, default=2.0)
     parser.add_argument("--seconds", type=float, default=10.0)
     arguments = parser.parse_args()
     if arguments.goal:
         with logbook.NullHandler().applicationbound():
-            print_goal_cost(arguments.times, arguments.seconds, arguments.repeats)
+            part = goalload.Part.SHARING
+            if arguments.server_load:
+                part = goalload.Part.SERVER_LOAD
+            print_goal_cost(part, arguments.times, arguments.seconds, arguments.repeats)
         return
     print("queued  us a ticket  (least - most)  us a tick  % of a core at 100/s")
     for queued in arguments.queued:
--- a/bench/goalload.py
+++ b/bench/goalload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import heapq
 import itertools
 import random
@@ -12,6 +13,7 @@
 from tealcove.dispatch import (
     accountshares,
     accountuse,
+    batchtimes,
     cells,
     goal,
     messages,
@@ -29,12 +31,35 @@
 GOAL_SECONDS = 0.6
 REMAINING_SECONDS = 8.0
 TICK_SECONDS = 0.05
+# Relative time per token with one to five requests.
+BATCH_CURVE = (1.0, 1.0, 1.0, 1.3, 2.0)
+NORMAL_TIME = 100.0
 # Requests per second that the servers can serve.
 CAPACITY = SERVERS * SLOTS / TOTAL_SECONDS
 
 
-def create_scheduler(is_shared: bool) -> goal.GoalScheduler:
-    """Return the scheduler of a cell, which shares among accounts or doesn't."""
+class Part(enum.Enum):
+    """What of the scheduler is enabled."""
+
+    NONE = "none"
+    SHARING = "sharing"
+    SERVER_LOAD = "server load"
+
+
+class KnownTimes(batchtimes.BatchTimes):
+    """Tells batch sizes apart from the beginning, whatever is measured."""
+
+    def __init__(self) -> None:
+        super().__init__(SLOTS)
+        self.table = [1.0, *BATCH_CURVE]
+        self.differ = True
+
+    def learn(self, batch: float, ratio: float) -> None:
+        """See BatchTimes."""
+
+
+def create_scheduler(part: Part) -> goal.GoalScheduler:
+    """Return the scheduler of a cell with one part enabled."""
     servers = tuple(
         kinds.BackendServerSpec(
             name=f"s{n}", host="127.0.0.1", port=9000, data_centre="dc", slots=SLOTS
@@ -42,7 +67,10 @@
         for n in range(SERVERS)
     )
     found = goal.GoalScheduler()
-    if is_shared:
+    if part is Part.SERVER_LOAD:
+        found.use_server_load()
+        found.views.loads.times[SLOTS] = KnownTimes()
+    if part is Part.SHARING:
         weights = accountshares.ConfiguredWeights(lambda account: None)
         found.use_accounts(accountuse.MeasuredShares(CELL, weights))
     found.configure(cells.Cell(CELL, ids.PoolId("engines"), servers), ids.Instant(0.0))
@@ -52,8 +80,8 @@
 class Overload:
     """Poisson arrivals of ACCOUNTS accounts, the first of them with half of all."""
 
-    def __init__(self, times: float, is_shared: bool, seed: int) -> None:
-        self.scheduler = create_scheduler(is_shared)
+    def __init__(self, times: float, part: Part, seed: int) -> None:
+        self.scheduler = create_scheduler(part)
         self.rate = times * CAPACITY
         self.chance = random.Random(seed)
         self.numbers = itertools.count()
@@ -116,7 +144,10 @@
     def begin(self, grant: messages.Grant, at: float) -> None:
         """Report the first event of a request."""
         progress = messages.Progress(
-            ticket_id=grant.ticket_id, cell=CELL, first_token_seconds=FIRST_SECONDS
+            ticket_id=grant.ticket_id,
+            cell=CELL,
+            first_token_seconds=FIRST_SECONDS,
+            load=self.stated(grant),
         )
         self.decide(self.scheduler.progress, at, progress)
 
@@ -132,21 +163,27 @@
             output_tokens=100,
             first_token_seconds=FIRST_SECONDS,
             total_seconds=TOTAL_SECONDS,
+            load=self.stated(grant),
         )
         self.decide(self.scheduler.done, at, done)
 
+    def stated(self, grant: messages.Grant) -> messages.StatedLoad:
+        """Return what a server states, whose work takes its usual time."""
+        running = len(self.scheduler.views.servers[grant.server].runs)
+        return messages.StatedLoad(running, 0, SLOTS, NORMAL_TIME)
+
     def tick(self, at: float) -> None:
         """Advance the scheduler."""
         self.add(at + TICK_SECONDS, self.tick)
         self.decide(self.scheduler.tick, at)
 
 
-def measure(times: float, is_shared: bool, seconds: float, seed: int) -> float:
+def measure(times: float, part: Part, seconds: float, seed: int) -> float:
     """Return the processor time of all decisions for a request, in microseconds.
 
     The first part of the play, in which the line grows, isn't measured.
     """
-    played = Overload(times, is_shared, seed)
+    played = Overload(times, part, seed)
     played.run(seconds)
     played.arrived, played.seconds = 0, 0.0
     played.run(2.0 * seconds)
--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -64,10 +64,13 @@
     usual_first: float = 0.0
     usual_total: float = 0.0
     stated_first: float = 0.0
+    # Predicted seconds from the first token to the end, at the learned speed.
+    stream_seconds: float = 0.0
     # See serverload.Load.work_at, at its start.
     work_at_start: float = 0.0
-    # See serverload.Load.batch_area, at the first token.
+    # See serverload.Load.batch_area and progress_at, at the first token.
     area_at_first: float = 0.0
+    progress_at_first: float | None = None
     has_first_token: bool = False
     # When it was received; None: not known here.
     first_token_at: ids.Instant | None = None
@@ -231,9 +234,13 @@
             return at
         return max(at, self.restrictions.rate.available_at(place + 1, now))
 
-    def slot_seconds(self, ticket: messages.Ticket) -> float:
-        """Return the seconds from a grant of one of its slots until the next of it."""
-        seconds = self.total_seconds(ticket, 0.0)
+    def slot_seconds(self, ticket: messages.Ticket, batch: int) -> float:
+        """Return the seconds from a grant of one of its slots until the next of it.
+
+        So many requests run then, that one included.
+        """
+        stream = stream_seconds(ticket, self) * self.load.batch_factor(batch)
+        seconds = self.first_seconds(ticket, 0.0) + stream
         if self.restrictions.rate is None:
             return seconds
         return max(seconds, self.spec.slots / self.restrictions.rate.rate)
@@ -320,6 +327,7 @@
             usual_first=usual_first,
             usual_total=usual_total,
             stated_first=self.load.stated_seconds(usual_first, now),
+            stream_seconds=stream_seconds(ticket, self),
             work_at_start=self.load.work_at(now),
         )
         self.runs[ticket.ticket_id] = run
@@ -329,6 +337,7 @@
     def learn_first_token(self, run: Run, seconds: float, now: ids.Instant) -> None:
         """Learn from the time to a first token that was received now."""
         run.area_at_first = self.load.batch_area(now)
+        run.progress_at_first = self.load.progress_at(now)
         if run.is_adopted:
             return
         self.load.record_first(run.usual_first, run.stated_first, seconds)
--- a/src/tealcove/dispatch/batchtimes.py
+++ b/src/tealcove/dispatch/batchtimes.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import typing
+from collections.abc import Iterable
+
+from tealcove import ids
+
 # Weight of a new observation of one batch size, once there are enough of them.
 WEIGHT = 0.05
 # Bounds of one observation, so that a single stalled stream spoils nothing.
@@ -17,6 +22,23 @@
 SIGNIFICANT = 1.5
 
 
+class OwnRun(typing.Protocol):
+    """A request that this dispatcher granted."""
+
+    started: ids.Instant
+    is_adopted: bool
+    # Predicted seconds to the end: by the load at its start, and usually.
+    total: float
+    usual_first: float
+    usual_total: float
+    # From the first event to the end, at the learned speed of any batch.
+    stream_seconds: float
+    # What Load.work_at returned at its start.
+    work_at_start: float
+    # What Load.progress_at returned at the first event; None: not known.
+    progress_at_first: float | None
+
+
 class BatchTimes:
     """Relative time per token by batch size, shared by servers with as many slots.
 
@@ -80,16 +102,46 @@
         self.area = 0.0
         self.size = 0
         self.since = 0.0
+        # What each stream has advanced by then, in seconds at the learned speed, and
+        # the work of the server.
+        self.progress = 0.0
+        self.work = 0.0
 
-    def resize(self, size: int, now: float) -> None:
-        """Record the number of requests that run from now on."""
+    def resize(self, size: int, work: float, now: float) -> None:
+        """Record the number of requests that run from now on.
+
+        `work` is the work done by now, in seconds at the server's usual speed.
+        """
         self.area = self.area_at(now)
-        self.size, self.since = size, now
+        self.progress = self.progress_at(work)
+        self.size, self.since, self.work = size, now, work
+
+    def progress_at(self, work: float) -> float:
+        """Return what each stream has advanced once so much work is done."""
+        return self.progress + (work - self.work) / self.factor(self.size)
 
     def area_at(self, now: float) -> float:
         """Return the integral of the number of requests up to now."""
         return self.area + self.size * (now - self.since)
 
+    def seconds_left(
+        self, runs: Iterable[OwnRun], size: int, work: float
+    ) -> list[float]:
+        """Return the seconds at the usual speed until runs end in a batch."""
+        progress = self.progress_at(work)
+        factor = self.factor(size)
+        left = []
+        for run in runs:
+            if run.progress_at_first is None:
+                to_first = run.usual_first - (work - run.work_at_start)
+                # Of an adopted one, the first event was perhaps told elsewhere.
+                to_first = to_first if run.is_adopted else max(0.0, to_first)
+                left.append(to_first + run.stream_seconds * factor)
+            else:
+                advanced = progress - run.progress_at_first
+                left.append((run.stream_seconds - advanced) * factor)
+        return left
+
     def learn(self, batch: float, ratio: float, weight: float) -> None:
         """Learn from a stream in a batch of this mean size.
 
--- a/src/tealcove/dispatch/releases.py
+++ b/src/tealcove/dispatch/releases.py
@@ -19,6 +19,10 @@
     at: float
     number: int
     server: backendview.BackendView
+    # Requests that run on the server once the slot is used again, that one included,
+    # and once all of its slots are.
+    batch: int
+    full: int
 
 
 class Usable(typing.NamedTuple):
@@ -67,8 +71,9 @@
         return Usable(best, best_at, False)
 
     def use(self, usable: Usable, until: float) -> None:
-        """Use a slot until an instant."""
-        release = Release(until, usable.release.number, usable.release.server)
+        """Use a slot until an instant; all others of its server are busy then."""
+        _, number, server, _, full = usable.release
+        release = Release(until, number, server, full, full)
         if usable.is_queued:
             heapq.heapreplace(self.heap, release)
         else:
--- a/src/tealcove/dispatch/serverload.py
+++ b/src/tealcove/dispatch/serverload.py
@@ -22,18 +22,6 @@
 LOADED_SHARE = 0.5
 
 
-class OwnRun(typing.Protocol):
-    """A request that this dispatcher granted."""
-
-    started: ids.Instant
-    is_adopted: bool
-    # Predicted seconds to the end: by the load at its start, and usually.
-    total: float
-    usual_total: float
-    # What Load.work_at returned at its start.
-    work_at_start: float
-
-
 class Predicted(typing.NamedTuple):
     """Predicted seconds to a request's first event and to its end."""
 
@@ -48,7 +36,7 @@
         self,
         stated: messages.StatedLoad,
         at: ids.Instant,
-        runs: Iterable[OwnRun],
+        runs: Iterable[batchtimes.OwnRun],
     ) -> None:
         """Record a statement that was made at an instant, with the runs known now."""
 
@@ -96,8 +84,17 @@
         """Return the work done by now in seconds at the usual speed, from any zero."""
         return now
 
-    def ends(self, runs: Iterable[OwnRun], now: ids.Instant) -> list[float]:
-        """Return when runs are predicted to end, at the earliest now."""
+    def progress_at(self, now: ids.Instant) -> float:
+        """Return what each stream has advanced by now; see ServerBatch.progress_at."""
+        return now
+
+    def ends(
+        self, runs: Iterable[batchtimes.OwnRun], batch: int, now: ids.Instant
+    ) -> list[float]:
+        """Return when runs are predicted to end, at the earliest now.
+
+        `batch` requests are going to run, others' included.
+        """
         return [max(now, run.started + run.total) for run in runs]
 
     def factor(self, now: ids.Instant) -> float:
@@ -139,7 +136,7 @@
         self,
         stated: messages.StatedLoad,
         at: ids.Instant,
-        runs: Iterable[OwnRun],
+        runs: Iterable[batchtimes.OwnRun],
     ) -> None:
         """See Load."""
         if at <= self.stated_at:
@@ -156,7 +153,11 @@
 
     def record_start(self, running: int, now: ids.Instant) -> None:
         """See Load."""
-        self.batch.resize(running + self.occupied(now), now)
+        self.resize(running, now)
+
+    def resize(self, running: int, now: ids.Instant) -> None:
+        """Record the number of own requests that run from now on."""
+        self.batch.resize(running + self.occupied(now), self.work_at(now), now)
 
     def batch_area(self, now: ids.Instant) -> float:
         """See Load."""
@@ -176,7 +177,7 @@
 
     def record_end(self, started: ids.Instant, running: int, now: ids.Instant) -> None:
         """See Load."""
-        self.batch.resize(running + self.occupied(now), now)
+        self.resize(running, now)
         self.ended.append((started, now + END_SECONDS))
         while self.ended[0][1] < now - timefactor.FRESH_SECONDS:
             self.ended.popleft()
@@ -220,10 +221,19 @@
         """See Load."""
         return self.time.work_at(now)
 
-    def ends(self, runs: Iterable[OwnRun], now: ids.Instant) -> list[float]:
+    def progress_at(self, now: ids.Instant) -> float:
+        """See Load."""
+        return self.batch.progress_at(self.work_at(now))
+
+    def ends(
+        self, runs: Iterable[batchtimes.OwnRun], batch: int, now: ids.Instant
+    ) -> list[float]:
         """See Load."""
+        if self.batch.times.differ:
+            work = self.work_at(now)
+            return self.time.ends(self.batch.seconds_left(runs, batch, work), now)
         if not self.time.samples:
-            return super().ends(runs, now)
+            return super().ends(runs, batch, now)
         done = self.time.work_at(now)
         left = (run.usual_total - (done - run.work_at_start) for run in runs)
         return self.time.ends(left, now)
--- a/src/tealcove/dispatch/tests/loadsim.py
+++ b/src/tealcove/dispatch/tests/loadsim.py
@@ -220,13 +220,13 @@
             self.result.late += 1
         self.apply(self.scheduler.done(done, builders.instant(at)), at)
 
-    def arrive(self, at: float) -> None:
+    def arrive(self, at: float, remaining: float = DEADLINE_SECONDS) -> None:
         """Send a new request to the scheduler."""
         ticket = builders.ticket(
             prompt_tokens=PROMPT,
             output_tokens=TOKENS,
             expected_tokens=TOKENS,
-            remaining=DEADLINE_SECONDS,
+            remaining=remaining,
             goal=self.case.goal,
             gap=self.case.gap,
         )
--- a/src/tealcove/dispatch/tests/test_batchtimes.py
+++ b/src/tealcove/dispatch/tests/test_batchtimes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tealcove import ids
-from tealcove.dispatch import backendview, batchtimes, goal, messages
+from tealcove.dispatch import backendview, batchtimes, goal, messages, waitingline
 from tealcove.dispatch.tests import builders, loadsim
 
 SLOTS = 5
@@ -62,15 +62,22 @@
     found.use_server_load()
     servers = [builders.server(f"s{place}", SLOTS) for place in range(len(running))]
     found.configure(builders.cell(*servers), builders.instant(0.0))
-    found.views.loads.times[SLOTS].__dict__.update(taught().__dict__)
+    teach(found)
     for view, count in zip(found.views.servers.values(), running, strict=True):
-        view.token_seconds = 0.01
-        view.load.batch.usual = found.views.loads.times[SLOTS].ratio(1)
         for _ in range(count):
             add_stream(found, view)
     return found
 
 
+def teach(found: goal.GoalScheduler) -> None:
+    """Let a scheduler know the curve of its servers, and their speed when idle."""
+    times = found.views.loads.times[SLOTS]
+    times.__dict__.update(taught().__dict__)
+    for view in found.views.servers.values():
+        view.token_seconds = 0.01
+        view.load.batch.usual = times.ratio(1)
+
+
 def add_stream(found: goal.GoalScheduler, view: backendview.BackendView) -> None:
     """Let a stream run on a server that allows pauses of GAP."""
     ticket = builders.ticket(gap=GAP, output_tokens=1000)
@@ -157,3 +164,106 @@
 def test_more_streams_keep_their_gaps_on_servers_that_slow_down():
     """Servers were filled one after the other, until all their streams were slow."""
     assert in_time(is_used=True) > 1.05 * in_time(is_used=False)
+
+
+class Burst(loadsim.Simulation):
+    """Two sound servers with a known curve, and a burst of requests for them."""
+
+    def __init__(self, count: int, deadline: float) -> None:
+        # The goal is never missed, so that deadlines alone decide.
+        case = loadsim.Case(
+            stating=loadsim.Stating.NOTHING,
+            speeds=(1.0, 1.0),
+            goal=deadline,
+            slowdown=CURVE,
+        )
+        super().__init__(case)
+        self.count = count
+        self.deadline = deadline
+        self.refused_at: list[float] = []
+        teach(self.scheduler)
+        for view in self.scheduler.views.servers.values():
+            view.prefill.base = loadsim.FIRST_SECONDS
+
+    def play(self) -> loadsim.Result:
+        """Play the burst to its end."""
+        for _ in range(self.count):
+            self.arrive(0.0, self.deadline)
+        at = 0.0
+        while self.arrived:
+            at += loadsim.STEP_SECONDS
+            for name in self.names:
+                self.factors[name].append(1.0)
+                self.advance(name, 1.0, at)
+            self.apply(self.scheduler.tick(builders.instant(at)), at)
+        return self.result
+
+    def apply(self, outgoing: list, at: float) -> None:
+        """Record when requests are refused."""
+        self.refused_at += [at] * len(builders.refused(outgoing))
+        super().apply(outgoing, at)
+
+
+# Three waves of ten requests of 0.9 s each can end within it, or five of 0.5 s.
+BURST_DEADLINE = 3.0
+
+
+def test_tickets_that_full_servers_cant_serve_are_refused_at_once():
+    """Guards against callers who wait for servers that are slow when they are full.
+
+    Predicted by the batch that servers usually have, all tickets seemed to start in
+    time; ten of them were refused once that had proved wrong.
+    """
+    burst = Burst(40, BURST_DEADLINE)
+    found = burst.play()
+    assert (found.in_time, found.refused) == (30, 10)
+    # Before any slot is released.
+    assert max(burst.refused_at) < loadsim.FIRST_SECONDS + loadsim.STREAM_SECONDS
+
+
+def test_tickets_that_full_servers_can_serve_are_kept():
+    """Guards against refusals by a forecast that takes servers for too slow."""
+    burst = Burst(30, BURST_DEADLINE)
+    found = burst.play()
+    assert (found.in_time, found.refused) == (30, 0)
+
+
+def test_running_streams_end_later_on_a_server_that_fills_up():
+    """Guards against ends that are predicted by the batch at the start of a stream."""
+    found = opened(1)
+    (view,) = found.views.servers.values()
+    (run,) = view.runs.values()
+    view.learn_first_token(run, 0.1, builders.instant(0.5))
+    (alone,) = view.load.ends([run], 1, NOW)
+    for _ in range(4):
+        add_stream(found, view)
+    # All five run for most of the time, and each token takes twice as long.
+    (full,) = view.load.ends([run], 5, NOW)
+    assert full - NOW == pytest.approx(2.0 * (alone - NOW), rel=0.2)
+    (after,) = view.load.ends([run], 5, builders.instant(3.0))
+    assert after == pytest.approx(full)
+
+
+def test_an_adopted_stream_comes_to_its_end():
+    """Guards against streams that seem to last since their first event isn't known.
+
+    It was told to the former dispatcher. The slot of such a stream would seem to be
+    released later and later.
+    """
+    found = opened(1)
+    (view,) = found.views.servers.values()
+    (run,) = view.runs.values()
+    run.is_adopted = True
+    (now,) = view.load.ends([run], 1, NOW)
+    (later,) = view.load.ends([run], 1, builders.instant(3.0))
+    assert later == pytest.approx(now)
+
+
+def test_a_free_slot_is_forecast_for_the_batch_that_it_leads_to():
+    """Guards against tickets that are taken for slow since other slots are free."""
+    found = opened(2)
+    releases = waitingline.slot_releases(found.views.servers.values(), NOW)
+    assert [one.batch for one in releases] == [3, 4, 5, 5, 5]
+    (view,) = found.views.servers.values()
+    ticket = builders.ticket()
+    assert view.slot_seconds(ticket, 3) < view.slot_seconds(ticket, 5)
--- a/src/tealcove/dispatch/tests/test_serverload.py
+++ b/src/tealcove/dispatch/tests/test_serverload.py
@@ -143,10 +143,10 @@
     view = found.views.servers["s0"]
     grant = state(found, 1.0, 1.0)
     runs = [view.runs[grant.ticket_id]]
-    (before,) = view.load.ends(runs, builders.instant(1.1))
+    (before,) = view.load.ends(runs, 1, builders.instant(1.1))
     (second,) = grant_one(found, 1.09)
     progress(found, second, 1.1, load=load(SLOW, running=2.0))
-    (after,) = view.load.ends(runs, builders.instant(1.1))
+    (after,) = view.load.ends(runs, 1, builders.instant(1.1))
     assert after > before + 0.1
 
 
--- a/src/tealcove/dispatch/waitingline.py
+++ b/src/tealcove/dispatch/waitingline.py
@@ -141,7 +141,7 @@
             too_late.append((waiting, seconds))
             slots.pass_over(usable)
             continue
-        length = release.server.slot_seconds(waiting.ticket)
+        length = release.server.slot_seconds(waiting.ticket, release.batch)
         slots.use(usable, max(usable.at, now) + length)
     return Forecast(tuple(too_late))
 
@@ -227,13 +227,18 @@
     for server in servers:
         if not server.is_serving:
             continue
-        ends = server.load.ends(server.runs.values(), now)
-        ends.sort()
         slots = server.open_slots(now)
-        free = max(0, slots - len(ends))
+        free = max(0, slots - len(server.runs))
         start = max(now, server.tried_at)
+        # A free slot adds a request; one that is released later replaces one.
+        others = len(server.runs) + server.load.occupied(now)
+        full = others + free
+        ends = server.load.ends(server.runs.values(), full, now)
+        ends.sort()
         ends = [start] * free + ends[:slots]
         for place, at in enumerate(ends):
             available_at = server.slot_available_at(place, at, now)
-            found.append(releases.Release(available_at, len(found), server))
+            batch = min(full, others + place + 1)
+            release = releases.Release(available_at, len(found), server, batch, full)
+            found.append(release)
     return found
