--- a/bench/dispatch_cost.py
+++ b/bench/dispatch_cost.py
@@ -1,7 +1,8 @@
 """Measures what a dispatcher's decisions cost: python -m bench.dispatch_cost.
 
-With --goal, the goal scheduler's at twice its capacity, without and with fair sharing
-among accounts; with --copies in place of it, without and with copies of streams.
+With --goal PART, the goal scheduler's at twice its capacity, without and with a part:
+fair sharing among accounts, the load of servers that slow down when nearly full, or
+copies of streams.
 """
 
 from __future__ import annotations
@@ -125,21 +126,20 @@
 
 
 def print_goal_cost(
-    times: float, seconds: float, repeats: int, is_for_copies: bool
+    part: goalload.Part, times: float, seconds: float, repeats: int
 ) -> None:
-    """Print the goal scheduler's cost of a request without and with one part."""
+    """Print the goal scheduler's cost of a request without and with a part of it."""
     print(f"{goalload.SERVERS} servers, {times:g} times their capacity")
-    part = "copies" if is_for_copies else "sharing"
-    print(f"{part:7}  us a request  (least - most)")
-    found: dict[bool, list[float]] = {False: [], True: []}
+    print(f"{part.value}  us a request  (least - most)")
+    found: dict[goalload.Part, list[float]] = {goalload.Part.NONE: [], part: []}
     # In turn, so that other work on the machine slows both alike.
     for seed in range(repeats):
-        for is_on, costs in found.items():
-            is_shared, is_copied = is_on and not is_for_copies, is_on and is_for_copies
-            costs.append(goalload.measure(times, is_shared, seconds, seed, is_copied))
-    for is_on, costs in found.items():
+        for enabled, costs in found.items():
+            costs.append(goalload.measure(times, enabled, seconds, seed))
+    for enabled, costs in found.items():
+        state = "on" if enabled is part else "off"
         print(
-            f"{'on' if is_on else 'off':7}  {statistics.median(costs):12.1f}"
+            f"{state:{len(part.value)}}  {statistics.median(costs):12.1f}"
             f"  ({min(costs):.1f} - {max(costs):.1f})"
         )
     ratio = statistics.median(on / off for off, on in zip(*found.values(), strict=True))
@@ -152,16 +152,14 @@
     parser.add_argument("--count", type=int, default=2000)
     parser.add_argument("--repeats", type=int, default=3)
     parser.add_argument("--queued", type=int, nargs="+", default=[0, 100, 1000, 10000])
-    parser.add_argument("--goal", action="store_true")
-    parser.add_argument("--copies", action="store_true")
+    parser.add_argument("--goal", choices=["sharing", "server load", "copies"])
     parser.add_argument("--times", type=float, default=2.0)
     parser.add_argument("--seconds", type=float, default=10.0)
     arguments = parser.parse_args()
-    if arguments.goal or arguments.copies:
+    if arguments.goal:
         with logbook.NullHandler().applicationbound():
-            print_goal_cost(
-                arguments.times, arguments.seconds, arguments.repeats, arguments.copies
-            )
+            part = goalload.Part(arguments.goal)
+            print_goal_cost(part, arguments.times, arguments.seconds, arguments.repeats)
         return
     print("queued  us a ticket  (least - most)  us a tick  % of a core at 100/s")
     for queued in arguments.queued:
