Returns that overtake their promises aren't refused after a change of the members

The return looked like a new request that misses its goal.

Change: for 0.5 s after a change of the members a dispatcher refuses nothing for its goal and sends no notices; a ticket whose promise arrives while it waits keeps it.

--- a/src/tealcove/admission/policy.py
+++ b/src/tealcove/admission/policy.py
@@ -36,6 +36,8 @@
         self.counts = counts.Counts() if counted is None else counted
         self.plan = returnplan.ReturnPlan()
         self.noticing = noticing.Noticing(self.plan)
+        # Until when returns may arrive that other dispatchers have promised.
+        self.returns_until = ids.Instant(0.0)
         # As of the last forecast.
         self.slots = 0
         self.arriving = inflow.Inflow()
@@ -72,7 +74,7 @@
         self, has_free_slots: bool, now: ids.Instant
     ) -> Mapping[ids.InstanceId, Sequence[notices.RefusedFlow]]:
         """See Admission."""
-        if has_free_slots:
+        if has_free_slots or now < self.returns_until:
             return self.noticing.withdraw()
         return self.noticing.prepare(lambda tier: self.return_slots(tier, now), now)
 
@@ -86,6 +88,8 @@
         """See Admission."""
         if now + seconds > waiting.start_by:
             return True
+        if now < self.returns_until:
+            return False
         if seconds <= 0.0 or not has_early_refusal(waiting):
             return False
         if is_in_time(waiting, seconds, now):
@@ -167,6 +171,10 @@
         spare = self.slots - self.arriving.load_above(tier + 1, now)
         return max(spare, returnplan.PROMISED_SHARE * left_by_higher)
 
+    def expect_returns(self, until: ids.Instant) -> None:
+        """See Admission."""
+        self.returns_until = until
+
     def restore(self, promised: messages.PromisedReturn, at: ids.Instant) -> None:
         """See Admission."""
         self.plan.add(promised.tier_rank, promised.slot_seconds, at)
--- a/src/tealcove/admission/tests/test_takeover.py
+++ b/src/tealcove/admission/tests/test_takeover.py
@@ -99,6 +99,35 @@
     assert found.wait(ticket, dispatching.instant(2.5)).keeps_promise
 
 
+def test_a_return_that_arrives_before_its_promise_keeps_it() -> None:
+    """Guards against returns that overtake the message which tells of them."""
+    found = admitting()
+    now = dispatching.instant(0.0)
+    found.gather(dispatching.instant(1.0))
+    ticket = dispatching.ticket(goal=0.6, digest="d", caller_remaining=6.0)
+    found.enqueue(ticket, now)
+    found.restore_returns((promised_return(due_in=0.0),), now)
+    (waiting,) = found.line.values()
+    assert waiting.keeps_promise
+
+
+def test_nothing_is_refused_early_while_promises_may_arrive() -> None:
+    """Guards against refusals of returns that another dispatcher has promised.
+
+    After a partition a caller may return before the entry that refused it has told the
+    dispatcher of its promise.
+    """
+    found = admitting()
+    chosen = found.admission
+    now = dispatching.instant(0.0)
+    late = found.wait(dispatching.ticket(goal=0.6, remaining=6.0), now)
+    assert chosen.is_refused(late, 2.0, -1.0, now)
+    chosen.expect_returns(dispatching.instant(0.5))
+    assert not chosen.is_refused(late, 2.0, -1.0, dispatching.instant(0.4))
+    assert chosen.is_refused(late, 7.0, -1.0, dispatching.instant(0.4))
+    assert chosen.is_refused(late, 2.0, -1.0, dispatching.instant(0.6))
+
+
 def test_a_promise_that_is_known_is_not_reserved_again() -> None:
     """Guards against a plan filled by several entries that send the same promise."""
     found = admitting()
--- a/src/tealcove/dispatch/admission.py
+++ b/src/tealcove/dispatch/admission.py
@@ -71,6 +71,10 @@
         """Return what entries may refuse by themselves until they are told anew."""
         return {}
 
+    def expect_returns(self, until: ids.Instant) -> None:
+        """Expect promises of other dispatchers until an instant."""
+        return
+
     def restore(self, promised: messages.PromisedReturn, at: ids.Instant) -> None:
         """Record a return that another dispatcher has promised for an instant."""
         return
--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -109,6 +109,17 @@
             attempt = self.attempts.restore(promised, now)
             if attempt is not None:
                 self.admission.restore(promised, attempt.promised_at)
+                self.mark_returned(attempt)
+
+    def mark_returned(self, attempt: firstattempts.Attempt) -> None:
+        """Mark the ticket of a return that arrived before its promise."""
+        for waiting in self.line.values():
+            if waiting.attempt is attempt and attempt.is_due(waiting.since):
+                waiting.has_returned = waiting.keeps_promise = True
+
+    def expect_returns(self, until: ids.Instant) -> None:
+        """See Scheduler."""
+        self.admission.expect_returns(until)
 
     def notices(self, now: ids.Instant) -> list[scheduler.Outgoing]:
         """See Scheduler."""
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -45,6 +45,9 @@
 # SETTLED_AFTER ago, or if its first ticket has waited for WAITED_ELSEWHERE or more.
 SETTLED_AFTER = 5.0
 WAITED_ELSEWHERE = 0.1
+# Seconds after a change of the members in which a return may come before its promise:
+# entries learn of the change by heartbeats, and tell what they know then.
+RETURNS_SECONDS = 0.5
 # Seconds for which this process stood still between two ticks, from which on another
 # instance may have dispatched in its place.
 FROZEN_SECONDS = 0.7
@@ -304,6 +307,7 @@
             returns = self.awaited.take(cell.cell_id, now)
             held.scheduler.restore_returns(returns, now)
             self.awaited.add(cell.cell_id, returns, now)
+            self.expect_returns(held.scheduler)
         held.scheduler.use_accounts(self.sharing.of_cell(cell, now))
         held.scheduler.use_crossing(self.new_crossing())
         self.held[ticket.cell] = held
@@ -341,6 +345,12 @@
         """Record when the set of serving instances changed."""
         self.members_changed = clock.now()
         self.pass_returns_on(self.members_changed)
+        for held in self.held.values():
+            self.expect_returns(held.scheduler)
+
+    def expect_returns(self, created: scheduler.Scheduler) -> None:
+        """Let a scheduler expect promises of another one, if the members changed."""
+        created.expect_returns(ids.Instant(self.members_changed + RETURNS_SECONDS))
 
     def reconfigure(self) -> None:
         """Apply the configuration in force to every served cell."""
--- a/src/tealcove/dispatch/scheduler.py
+++ b/src/tealcove/dispatch/scheduler.py
@@ -105,6 +105,13 @@
         """Record what an entry has refused by itself."""
         return
 
+    def expect_returns(self, until: ids.Instant) -> None:
+        """Refuse no return that another dispatcher may have promised, until an instant.
+
+        A scheduler that plans no returns keeps this empty default.
+        """
+        return
+
     def use_server_load(self, only_shared: bool = False) -> None:
         """Use the load that servers state in their answers; called before `configure`.
 
