Instances that refuse say so and are left out of subsets

An instance that refused did so for 0.5 s at the least, in which its load fell from 0.9 to 0.55: all were out in turn, and together carried less than the demand. Directories went on to give them to callers meanwhile.

Change: an instance states headroom 0 for as long as it refuses. Directories leave it out while two others of the data centre have room; the second address is one of another data centre if a single one has, and callers get others beside one of theirs if all refuse. Log line and counter of answers with instances that refuse, counter of the seconds of refusing.

The test of the hysteresis looks within the least time, which is shorter.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -424,10 +424,10 @@
     async def start_directory(self) -> None:
         """Listen for queries of the directory and of readiness."""
         found = self.settings
-        self.directory = directory.Directory(
-            addresses.MemberAddresses(self.members, found.instance_load.enabled),
-            found.leaving.directory_ttl_seconds,
-        )
+        given = addresses.MemberAddresses(self.members, found.instance_load.enabled)
+        if found.instance_load.enabled:
+            loadmetrics.add_directory(self.metrics, given)
+        self.directory = directory.Directory(given, found.leaving.directory_ttl_seconds)
         await self.serve(found.listen.directory, self.directory.routes())
         await self.serve(found.listen.ready, self.directory.ready_routes())
 
--- a/src/tealcove/front/loadmetrics.py
+++ b/src/tealcove/front/loadmetrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove.dispatch import budgets
-from tealcove.front import metrics
+from tealcove.front import addresses, metrics
 from tealcove.instances import role
 
 
@@ -25,6 +25,11 @@
         "Requests refused to callers since this instance is overloaded.",
         lambda: load.protection.refused,
     )
+    registry.add_observable_counter(
+        "tealcove.load.refusing",
+        "Seconds in which this instance refused new requests and was left out.",
+        lambda: load.refusing_seconds,
+    )
     registry.add_observable_counter(
         "tealcove.answers.unread",
         "Connections ended since their callers didn't read while memory was scarce.",
@@ -32,6 +37,15 @@
     )
 
 
+def add_directory(registry: metrics.Registry, given: addresses.MemberAddresses) -> None:
+    """Register the counter of answers without enough instances."""
+    registry.add_observable_counter(
+        "tealcove.directory.without_room",
+        "Answers with instances that refuse, since too few others have room.",
+        lambda: given.without_room,
+    )
+
+
 def add_crossings(registry: metrics.Registry, spent: budgets.Budgets) -> None:
     """Register the counters of requests to servers in other data centres."""
     registry.add_observable_counter(
--- a/src/tealcove/instances/capacity.py
+++ b/src/tealcove/instances/capacity.py
@@ -9,6 +9,9 @@
 # Part of a weight that an instance without headroom keeps, in hundredths: if all are
 # overloaded, they still share callers by their capacity.
 MIN_HEADROOM = 1
+# What an instance states while it refuses new requests. Its own steps end above, and an
+# older release never states it.
+REFUSING = 0
 
 
 def of_machine(processor: float, link: float) -> int:
@@ -28,6 +31,11 @@
     return of_machine(2.0**lower, 2.0**lower)
 
 
+def has_room(heartbeat: messages.Heartbeat) -> bool:
+    """Tell whether an instance accepts new requests, as far as it has stated."""
+    return heartbeat.headroom > REFUSING
+
+
 def weight(heartbeat: messages.Heartbeat) -> int:
     """Return an instance's weight among others when callers are distributed."""
     return stated(heartbeat) * max(MIN_HEADROOM, heartbeat.headroom)
--- a/src/tealcove/instances/role.py
+++ b/src/tealcove/instances/role.py
@@ -8,6 +8,7 @@
 
 from tealcove import clock, ids, tasks
 from tealcove.instances import (
+    capacity,
     figures,
     headroom,
     measurement,
@@ -39,6 +40,9 @@
         self.protection = protection.Protection()
         self.answers = answers
         self.load = measurement.Load()
+        # Seconds in which new requests were refused, for the metrics.
+        self.refusing_seconds = 0.0
+        self.sampled_at = now
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -62,6 +66,8 @@
         """Take a sample, which is late by some seconds, and apply it."""
         self.load = self.measurement.sample(late, now)
         was_overloaded = self.protection.is_overloaded
+        self.refusing_seconds += was_overloaded * (now - self.sampled_at)
+        self.sampled_at = now
         is_overloaded = self.protection.update(self.load.refusing, now)
         if is_overloaded != was_overloaded:
             log.info(
@@ -77,7 +83,7 @@
         found = self.headroom.update(
             self.load.largest, is_overloaded, now, self.peers_headroom(now)
         )
-        self.announce(found)
+        self.announce(capacity.REFUSING if is_overloaded else found)
 
     def peers_headroom(self, now: ids.Instant) -> float:
         """Return the mean headroom of the other instances of the data centre."""
@@ -94,7 +100,10 @@
         return sum(found) / len(found) if found else headroom.WHOLE
 
     def announce(self, found: int) -> None:
-        """State the headroom in the heartbeats, if it has changed."""
+        """State the headroom in the heartbeats, if it has changed.
+
+        Directories leave an instance out of subsets for as long as it states none.
+        """
         if found != self.members.own.headroom:
             self.members.update_own(headroom=found)
 
--- a/src/tealcove/instances/tests/test_headroom.py
+++ b/src/tealcove/instances/tests/test_headroom.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import collections
+import functools
 import itertools
 import random
 
+import msgspec
+import pytest
+
 from tealcove import ids
+from tealcove.front import addresses
 from tealcove.instances import capacity, headroom, protection
 from tealcove.instances.tests import builders
 from tealcove.membership import ranking
@@ -14,6 +19,13 @@
 SAMPLE = 0.1
 
 
+@pytest.fixture(autouse=True)
+def _cache_hashes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Compute each hash once: callers ask again and again in the simulations."""
+    cached = functools.cache(ranking.log_hash)
+    monkeypatch.setattr(ranking, "log_hash", cached)
+
+
 def follow(found: headroom.Headroom, load: float, start: float, end: float) -> int:
     """Apply a constant load for some time."""
     now = start
@@ -84,7 +96,7 @@
 class ClosedLoop:
     """Callers that ask the directory each second, and 24 instances they load."""
 
-    def __init__(self, seed: int, demand: float) -> None:
+    def __init__(self, seed: int, demand: float, heartbeat_samples: int = 1) -> None:
         self.random = random.Random(seed)
         self.capacities = {
             ids.InstanceId(f"i-{number}"): 430 if number < 8 else 254
@@ -100,16 +112,27 @@
         self.demand = demand * sum(self.able.values()) / len(self.callers)
         self.chosen: dict[str, list[ids.InstanceId]] = {}
         start = builders.instant(0.0)
+        # What the directories know, by the last heartbeats.
+        self.heartbeat_samples = heartbeat_samples
+        self.known = {
+            ids.InstanceId(f"i-{number}"): builders.heartbeat(
+                number, self.capacities[ids.InstanceId(f"i-{number}")]
+            )
+            for number in range(24)
+        }
         self.headroom = {name: headroom.Headroom(start) for name in self.capacities}
         self.protection = {name: protection.Protection() for name in self.capacities}
         self.load = dict.fromkeys(self.capacities, 0.0)
         self.changes: list[tuple[float, ids.InstanceId, int]] = []
         # Requests that all instances of a subset refused.
         self.refused = 0
+        # Instances that don't answer, and fractions that don't depend on callers.
+        self.crashed: set[ids.InstanceId] = set()
+        self.memory: dict[ids.InstanceId, float] = {}
 
-    def run(self, seconds: float) -> None:
+    def run(self, seconds: float, start: float = 0.0) -> None:
         for number in range(round(seconds / SAMPLE)):
-            self.step(number * SAMPLE)
+            self.step(start + number * SAMPLE)
 
     def step(self, at: float) -> None:
         second = at % 1.0
@@ -122,30 +145,51 @@
             offered = counts[name] * self.demand / able
             offered *= self.random.uniform(0.95, 1.05)
             self.load[name] += SAMPLE * (offered - self.load[name])
-            overloaded = self.protection[name].update(self.load[name], now)
+            if name in self.crashed:
+                continue
+            found = max(self.load[name], self.memory.get(name, 0.0))
+            overloaded = self.protection[name].update(found, now)
             before = self.headroom[name].value
             value = self.headroom[name].update(
-                self.load[name], overloaded, now, self.peers_headroom(name)
+                found, overloaded, now, self.peers_headroom(name)
             )
             if value != before:
                 self.changes.append((at, name, value - before))
+        self.send_heartbeats(round(at / SAMPLE))
+
+    def send_heartbeats(self, sample: int) -> None:
+        """Let the instances whose heartbeat is due state their headroom."""
+        for number, (name, before) in enumerate(self.known.items()):
+            is_due = (sample + number) % self.heartbeat_samples == 0
+            if name in self.crashed or not is_due:
+                continue
+            is_refusing = self.protection[name].is_overloaded
+            value = capacity.REFUSING if is_refusing else self.headroom[name].value
+            if value != before.headroom:
+                self.known[name] = msgspec.structs.replace(before, headroom=value)
+
+    def forget(self, name: ids.InstanceId) -> None:
+        """Leave a crashed instance out, as its peers do once they suspect it."""
+        del self.known[name]
 
     def served_at(self, subset: list[ids.InstanceId]) -> ids.InstanceId | None:
         """Return the first instance that doesn't refuse, or None."""
-        open_ones = [i for i in subset if not self.protection[i].is_overloaded]
+        open_ones = [
+            name
+            for name in subset
+            if name not in self.crashed and not self.protection[name].is_overloaded
+        ]
         self.refused += not open_ones
         return open_ones[0] if open_ones else None
 
     def peers_headroom(self, name: ids.InstanceId) -> float:
-        others = [one.value for key, one in self.headroom.items() if key != name]
+        others = [one.headroom for key, one in self.known.items() if key != name]
         return sum(others) / len(others)
 
     def resolve(self, caller: str) -> list[ids.InstanceId]:
-        weights = {
-            name: found * max(capacity.MIN_HEADROOM, self.headroom[name].value)
-            for name, found in self.capacities.items()
-        }
-        return ranking.rank_by_weight(caller, weights)[:3]
+        group = list(self.known.values())
+        found = addresses.with_room(caller, group, group)
+        return [heartbeat.instance for heartbeat in found]
 
 
 def test_callers_do_not_oscillate_between_instances() -> None:
@@ -190,3 +234,51 @@
     assert min(values) <= 50
     assert loop.refused == 0
     assert max(loop.load.values()) < protection.OVERLOAD
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_no_request_is_refused_while_others_have_room(seed: int) -> None:
+    """Guards against instances that overload each other in turn.
+
+    At first the callers are distributed by the stated capacities, which are wrong by
+    up to 1.6 times, so that many instances refuse. What they refuse must fit on the
+    others.
+    """
+    loop = ClosedLoop(seed, demand=0.8)
+    loop.run(60.0)
+    assert loop.refused == 0
+    early = sum(at < 30.0 for at, _, _ in loop.changes)
+    assert sum(at >= 30.0 for at, _, _ in loop.changes) <= early / 2
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_old_heartbeats_leave_hardly_any_request_refused(seed: int) -> None:
+    """Guards against instances left out that have room again, and the reverse.
+
+    Heartbeats are up to 0.3 s old, and callers keep their subset for a second, so that
+    a few of them find all of it refusing.
+    """
+    loop = ClosedLoop(seed, demand=0.8, heartbeat_samples=3)
+    loop.run(60.0)
+    assert loop.refused <= 1e-4 * 60.0 / SAMPLE * len(loop.callers)
+
+
+def test_a_crash_while_an_instance_refuses_overloads_no_other() -> None:
+    """Guards against callers that stay with an instance that died of its overload.
+
+    It refuses, and so is left out already, when it crashes; its peers suspect it 1 s
+    later.
+    """
+    loop = ClosedLoop(0, demand=0.7, heartbeat_samples=3)
+    loop.run(40.0)
+    victim = next(iter(loop.known))
+    loop.memory[victim] = 0.95
+    loop.run(1.5, start=40.0)
+    assert loop.protection[victim].is_overloaded
+    loop.crashed.add(victim)
+    loop.run(1.0, start=41.5)
+    assert all(victim not in subset for subset in loop.chosen.values())
+    loop.forget(victim)
+    loop.run(20.0, start=42.5)
+    assert loop.refused == 0
+    assert max(loop.load.values()) <= protection.OVERLOAD
--- a/src/tealcove/instances/tests/test_protection.py
+++ b/src/tealcove/instances/tests/test_protection.py
@@ -20,7 +20,7 @@
     """Guards against an instance that accepts and refuses in turn."""
     found = protection.Protection()
     found.update(0.95, builders.instant(0.0))
-    assert found.update(0.1, builders.instant(0.1))
+    assert found.update(0.1, builders.instant(protection.MIN_SECONDS / 2))
     assert found.update(0.88, builders.instant(2.0))
     assert not found.update(0.84, builders.instant(3.0))
     assert not found.update(0.88, builders.instant(4.0))
--- a/tests/test_instance_load.py
+++ b/tests/test_instance_load.py
@@ -98,17 +98,38 @@
         served = await stream
         assert served.status == 200
         assert served.is_complete
-        await platform_site.until(lambda: headroom_at(other, weak) <= 20)
-        assert await count_callers(site, other, weak) <= before / 2
+        await platform_site.until(lambda: headroom_at(other, weak) == 0)
+        assert await count_callers(site, other, weak) == 0
         assert (await site.send("/safe/2", other)).status == 200
-        assert b"tealcove_requests_instance_overloaded_total" in (
-            weak.metrics.metrics_text()
-        )
+        for name in ("requests_instance_overloaded", "load_refusing"):
+            assert f"tealcove_{name}_total".encode() in weak.metrics.metrics_text()
+        assert b"tealcove_directory_without_room_total" in other.metrics.metrics_text()
 
         sources[0].memory_bytes = IDLE * MEMORY_MB * 1e6
         await platform_site.until(lambda: not weak.load.protection.is_overloaded)
         assert (await site.send("/safe/3", weak)).status == 200
         await platform_site.until(lambda: headroom_at(other, weak) >= 50)
+        await platform_site.until(lambda: headroom_at(other, weak) == 100)
+        assert await count_callers(site, other, weak) == before
+
+
+async def test_if_all_instances_refuse_their_callers_still_get_addresses() -> None:
+    """Guards against callers without an address, and an overload that never ends."""
+    async with platform_site.connected_site(1, 2, **CHANGES) as site:
+        one, other = site.instances
+        sources = [inject(instance) for instance in site.instances]
+        for source in sources:
+            source.memory_bytes = LOADED * MEMORY_MB * 1e6
+        await platform_site.until(lambda: headroom_at(one, other) == 0)
+        await platform_site.until(lambda: headroom_at(other, one) == 0)
+        # Each answer has two addresses, as checked there.
+        await count_callers(site, one, other)
+        assert (await site.send("/safe/1", one)).status == 503
+        for source in sources:
+            source.memory_bytes = IDLE * MEMORY_MB * 1e6
+        await platform_site.until(lambda: headroom_at(one, other) > 0)
+        await platform_site.until(lambda: headroom_at(other, one) > 0)
+        assert (await site.send("/safe/2", one)).status == 200
 
 
 async def test_without_the_settings_nothing_is_measured() -> None:
