One budget of bytes for a pair of data centres over all dispatchers

Cause: each dispatcher had the whole budget of crossing.bytes_per_second for itself, so that a service with several cells, or several services, spent it several times.

Change: dispatchers tell each other the bytes that they let cross in the last 2 s, by pair of data centres, twice a second while there are any (CrossingUse). Each takes the part of a budget that its use has of all use; a fifth of the budget is divided equally, or a dispatcher without use could never begin. The part of one that has been silent for 2 s is free. Gauge of the least part, log lines when parts are shared and when one is free. Without crossing.enabled messages are ignored and none is sent.

Ruled out: parts by use alone (the test of a dispatcher that begins late fails).

The new tests fail without the parts in rate and bucket, without the equal fifth, with messages that count for ever and with messages that count for 0.6 s.

--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -16,6 +16,7 @@
     backendview,
     cells,
     crossing,
+    crossingreports,
     exposure,
     holds,
     messages,
@@ -76,10 +77,12 @@
         new_admission: Callable[[], admission.Admission] | None = None,
         sharing: accountreports.AccountSharing | None = None,
         new_crossing: Callable[[], crossing.Crossing] = crossing.ConstantPenalty,
+        crossings: crossingreports.CrossingReports | None = None,
     ) -> None:
         self.new_admission = new_admission
         self.sharing = sharing or accountreports.NoSharing(transport)
         self.new_crossing = new_crossing
+        self.crossings = crossings or crossingreports.NoReports(transport)
         self.exposures = exposures or exposure.NoLimits()
         self.gather_seconds = gather_seconds
         self.transport = transport
@@ -115,6 +118,7 @@
         self.transport.handle(holds.Hold, self.handle_hold)
         self.transport.handle(messages.PromisedReturns, self.handle_promises)
         self.sharing.start()
+        self.crossings.start()
         self.transport.handle(notices.LocalRefusals, self.handle_local_refusals)
         self.members.listen(self.record_membership_change)
         self.ticker = tasks.start(self.tick(), "dispatcher tick")
@@ -359,6 +363,7 @@
             self.send(held.scheduler.tick(now))
             self.send(held.scheduler.notices(now))
         self.sharing.advance(now)
+        self.crossings.advance(now)
         if now >= self.next_release:
             self.next_release = ids.Instant(now + RELEASE_INTERVAL)
             self.release_cells(now)
--- a/src/tealcove/dispatch/tests/waves.py
+++ b/src/tealcove/dispatch/tests/waves.py
@@ -99,15 +99,23 @@
 
     def run(self) -> Result:
         """Play all requests to their ends."""
+        self.plan()
+        while self.events:
+            self.step()
+        return self.result
+
+    def plan(self) -> None:
+        """Plan all arrivals and ticks."""
         for phase, centre in enumerate(CENTRES):
             self.plan_arrivals(centre, phase * math.pi)
         ticks = round((self.seconds + DEADLINE_SECONDS) / TICK_SECONDS)
         for number in range(ticks):
             self.at(number * TICK_SECONDS, self.tick)
-        while self.events:
-            self.now, _, act = heapq.heappop(self.events)
-            act()
-        return self.result
+
+    def step(self) -> None:
+        """Play the next event."""
+        self.now, _, act = heapq.heappop(self.events)
+        act()
 
     def plan_arrivals(self, centre: ids.DataCentreId, phase: float) -> None:
         """Plan Poisson arrivals at a rate that follows the data centre's wave."""
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -27,7 +27,9 @@
     accountreports,
     accountshares,
     budgets,
+    cells,
     crossing,
+    crossingreports,
     requester,
     role,
     spread,
@@ -217,6 +219,7 @@
             new_admission=self.new_admission if found.admission.enabled else None,
             sharing=self.new_sharing(),
             new_crossing=self.new_crossing,
+            crossings=self.new_crossing_reports(),
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -316,6 +319,19 @@
             return crossing.BudgetedCrossing(self.budgets)
         return crossing.ConstantPenalty()
 
+    def new_crossing_reports(self) -> crossingreports.CrossingReports | None:
+        """Return how budgets of bytes are divided; None if there are none."""
+        if not self.settings.crossing.enabled:
+            return None
+        return crossingreports.SharedBudgets(
+            self.mesh, self.members, self.list_cells, self.budgets
+        )
+
+    def list_cells(self) -> list[cells.Cell]:
+        """Return the cells of all services."""
+        found = map(self.spread.divide, self.pools.found.values())
+        return [cell for division in found for cell in division.cells]
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
--- a/src/tealcove/front/loadmetrics.py
+++ b/src/tealcove/front/loadmetrics.py
@@ -53,6 +53,11 @@
         "Grants of servers in another data centre than the entry's.",
         lambda: spent.crossings,
     )
+    registry.add_observable_gauge(
+        "tealcove.crossings.share",
+        "Least part of a budget of bytes that this dispatcher has.",
+        lambda: spent.least_share,
+    )
     registry.add_observable_counter(
         "tealcove.crossings.beyond_budget",
         "Grants of such servers beyond the budget of bytes.",
--- a/src/tealcove/front/settings.py
+++ b/src/tealcove/front/settings.py
@@ -108,8 +108,8 @@
     """Limits on traffic between data centres."""
 
     enabled: bool = False
-    # Bytes a second from one data centre to another that are spent on shorter waits;
-    # beyond them, only requests that would miss their goal cross.
+    # Bytes a second from one data centre to another that all instances together spend
+    # on shorter waits; beyond them, only requests that would miss their goal cross.
     bytes_per_second: Amount = 1_000_000.0
 
 
