--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -27,7 +27,9 @@
     accountreports,
     accountshares,
     budgets,
+    cells,
     crossing,
+    crossingreports,
     requester,
     role,
     spread,
@@ -225,6 +227,7 @@
             new_admission=self.new_admission if found.admission.enabled else None,
             sharing=self.new_sharing(),
             new_crossing=self.new_crossing,
+            crossings=self.new_crossing_reports(),
         )
         if found.rollouts.enabled:
             self.rollouts.start()
@@ -288,6 +291,19 @@
             return crossing.BudgetedCrossing(self.budgets)
         return crossing.ConstantPenalty()
 
+    def new_crossing_reports(self) -> crossingreports.CrossingReports | None:
+        """Return how budgets of bytes are divided; None if there are none."""
+        if not self.settings.crossing.enabled:
+            return None
+        return crossingreports.SharedBudgets(
+            self.mesh, self.members, self.list_cells, self.budgets
+        )
+
+    def list_cells(self) -> list[cells.Cell]:
+        """Return the cells of all services."""
+        found = map(self.spread.divide, self.pools.found.values())
+        return [cell for division in found for cell in division.cells]
+
     async def start_link(self) -> None:
         """Open the ways to backend servers, one's own and those through others."""
         self.link = backendlink.HttpBackendLink(self.stalls)
@@ -375,10 +391,10 @@
     async def start_directory(self) -> None:
         """Listen for queries of the directory and of readiness."""
         found = self.settings
-        self.directory = directory.Directory(
-            addresses.MemberAddresses(self.members, found.instance_load.enabled),
-            found.leaving.directory_ttl_seconds,
-        )
+        given = addresses.MemberAddresses(self.members, found.instance_load.enabled)
+        if found.instance_load.enabled:
+            loadmetrics.add_directory(self.metrics, given)
+        self.directory = directory.Directory(given, found.leaving.directory_ttl_seconds)
         await self.serve(found.listen.directory, self.directory.routes())
         await self.serve(found.listen.ready, self.directory.ready_routes())
 
--- a/src/tealcove/front/loadmetrics.py
+++ b/src/tealcove/front/loadmetrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealcove.dispatch import budgets
-from tealcove.front import metrics
+from tealcove.front import addresses, metrics
 from tealcove.ingress import streamcopy
 from tealcove.instances import role
 
@@ -26,6 +26,11 @@
         "Requests refused to callers since this instance is overloaded.",
         lambda: load.protection.refused,
     )
+    registry.add_observable_counter(
+        "tealcove.load.refusing",
+        "Seconds in which this instance refused new requests and was left out.",
+        lambda: load.refusing_seconds,
+    )
     registry.add_observable_counter(
         "tealcove.answers.unread",
         "Connections ended since their callers didn't read while memory was scarce.",
@@ -33,6 +38,15 @@
     )
 
 
+def add_directory(registry: metrics.Registry, given: addresses.MemberAddresses) -> None:
+    """Register the counter of answers without enough instances."""
+    registry.add_observable_counter(
+        "tealcove.directory.without_room",
+        "Answers with instances that refuse, since too few others have room.",
+        lambda: given.without_room,
+    )
+
+
 def add_crossings(registry: metrics.Registry, spent: budgets.Budgets) -> None:
     """Register the counters of requests to servers in other data centres."""
     registry.add_observable_counter(
@@ -40,6 +54,11 @@
         "Grants of servers in another data centre than the entry's.",
         lambda: spent.crossings,
     )
+    registry.add_observable_gauge(
+        "tealcove.crossings.share",
+        "Least part of a budget of bytes that this dispatcher has.",
+        lambda: spent.least_share,
+    )
     registry.add_observable_counter(
         "tealcove.crossings.beyond_budget",
         "Grants of such servers beyond the budget of bytes.",
--- a/src/tealcove/front/tests/test_addresses.py
+++ b/src/tealcove/front/tests/test_addresses.py
@@ -88,6 +88,10 @@
     assert capacity.weight(older) == 400 * 100
 
 
+def address_of(one: messages.Heartbeat) -> str:
+    return f"{one.host}:{one.http_port}"
+
+
 @st.composite
 def groups(draw: st.DrawFn) -> members.Members:
     """Return instances of any state, two data centres and any headroom."""
@@ -121,13 +125,21 @@
     centre = ids.DataCentreId(centre)
     found = source.addresses(centre, caller)
     serving = known.serving(clock.now())
-    names = {f"{h.host}:{h.http_port}" for h in serving}
+    names = {address_of(h) for h in serving}
     assert set(found) <= names
     assert len(found) >= min(len(names), addresses.ENOUGH_LOCAL)
     assert found == source.addresses(centre, caller)
     local = [h for h in serving if h.data_centre == centre]
-    if len(local) >= addresses.ENOUGH_LOCAL:
-        assert set(found) <= {f"{h.host}:{h.http_port}" for h in local}
+    has_room = {address_of(h) for h in local if h.headroom > 0}
+    if len(has_room) >= addresses.ENOUGH_LOCAL:
+        assert set(found) <= has_room
+    elif len(local) >= addresses.ENOUGH_LOCAL:
+        assert has_room <= set(found)
+    elsewhere = [h for h in serving if h not in local and h.headroom > 0]
+    if len(local) >= addresses.ENOUGH_LOCAL and not elsewhere:
+        assert set(found) <= {address_of(h) for h in local}
+    if any(h.headroom > 0 for h in serving):
+        assert any(h.headroom > 0 for h in serving if address_of(h) in found)
 
 
 def test_without_weights_all_instances_of_the_data_centre_are_given() -> None:
