--- a/bench/report.py
+++ b/bench/report.py
@@ -79,10 +79,12 @@
     """Return a table of the policies at each load."""
     text = ""
     for plan in plans.PLANS.values():
+        of_plan = select(results, plan=plan.name, scenario=scenario, alone=False)
+        if not of_plan:
+            continue
         text += f"\n{plan.name}\n\n" + page.header(
             ["load", "policy", *run_columns(plan)]
         )
-        of_plan = select(results, plan=plan.name, scenario=scenario, alone=False)
         for multiple in sorted({r.run.load for r in of_plan}):
             for name in fleet.POLICIES:
                 selected = select(of_plan, load=multiple, policy=name)
