A false claim of speed no longer makes a server seem far slower

Cause: measured times are divided by the factor that a server states, relative to its usual one, down to a tenth. Servers that stated 20 instead of 100 while they worked as usual were learned as several times slower than they are, and once the statement had expired, calls with near deadlines found no server and were refused with 503.

Change: the relative factor is at least 0.5. The usual factor is a mean that contains the slow moments, so that a true factor is hardly less.

The new test fails with 0.1.

--- a/src/tealcove/dispatch/tests/test_serverload.py
+++ b/src/tealcove/dispatch/tests/test_serverload.py
@@ -232,6 +232,28 @@
         assert without > 1.2 * sound
 
 
+def test_a_false_claim_of_speed_does_not_make_a_server_seem_far_slower():
+    """Requests were refused while servers stated falsely that they were fast.
+
+    Measured times are divided by the stated factor. Once a statement had expired, a
+    server that had stated a fifth was predicted to take up to five times as long as it
+    did, and no request with a near deadline was sent to it.
+    """
+    found = opened("s0")
+    for number in range(10):
+        at = 1.0 + 0.7 * number
+        (grant,) = grant_one(found, at)
+        stated = load(0.2)
+        progress(found, grant, at + 0.1, first_token_seconds=0.1, load=stated)
+        ended = builders.done(grant, first_token_seconds=0.1, total_seconds=0.5)
+        found.done(ended, builders.instant(at + 0.5))
+    view = found.views.servers["s0"]
+    # The last statement has expired.
+    predicted = view.predict(builders.ticket(), 0.0, builders.instant(60.0))
+    assert 0.1 <= predicted.first <= 0.25
+    assert 0.5 <= predicted.total <= 1.25
+
+
 def test_requests_of_others_occupy_slots_while_the_statement_is_fresh():
     """Requests queued inside servers that others had filled."""
     found = opened("s0")
--- a/src/tealcove/dispatch/timefactor.py
+++ b/src/tealcove/dispatch/timefactor.py
@@ -18,8 +18,11 @@
 MAX_SAMPLES = 64
 # Smallest factor that counts: with smaller ones, the mean could become 0.
 MIN_FACTOR = 0.01
-# Bounds of the relative factor that is applied.
-MIN_RELATIVE = 0.1
+# Bounds of the relative factor that is applied. The usual factor is a mean that has the
+# slow moments in it, so that a true factor is hardly less than half of it. A false one
+# is divided out of learned times: with 0.1, servers that stated 20 instead of 100 were
+# predicted to take several times as long as they did, and requests were refused.
+MIN_RELATIVE = 0.5
 MAX_RELATIVE = 20.0
 # Smaller differences from the usual time are within what is measured.
 NEGLIGIBLE = 0.03
