Soak: false statements of load, and overloaded instances

Cause: the soaks had no servers that state their load falsely and no instances of little capacity, so that two parts for uneven load were tested only in the test process.

Change: `--lies` lets servers state constant, inverted or late figures, or nothing, in turn, and one server state for the whole time that it is full or slow, and one that it is idle. Calls at 0.75 of the capacity must be in time as without statements (nine of ten, since callers retry once), the server that seems unfit must get a part of them, and no server more than it has slots. Calls and rejections within 3 s of a standstill of an instance of half a second or more, by its own log, aren't judged: peers then suspect it, and two dispatchers grant the same slots, whatever is stated. `--swamped` lets half of the instances lack memory, descriptors or turns of their event loop for 3 to 7.5 s. Callers with addresses of the directory must be served (0.95), an overloaded instance must refuse within 3 s and serve again 3 s after, and no request with a 503 may have run, on any route. The faults of each kind of soak are now chosen in a module of their own; their order is unchanged, so that seeds draw the same.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -109,11 +109,15 @@
         session: aiohttp.ClientSession,
         path: str,
         before: CallResult | None = None,
+        member: deployment.Member | None = None,
     ) -> CallResult:
-        """Send a request to a random instance; it takes a stream up that has broken."""
+        """Send a request, to a random instance unless one is given.
+
+        It takes a stream up that has broken.
+        """
         self.count += 1
         request_id = f"{self.request_prefix}-{self.count}"
-        member = self.random.choice(self.running.members)
+        member = member or self.random.choice(self.running.members)
         process = (member.name, member.process.pid)
         received, resumes = taken_up(before)
         version_servers = self.count_servers(received)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 
@@ -15,12 +15,14 @@
     deployment,
     disturbances,
     kinds,
+    lying,
     pathcuts,
     pausing,
     proxy,
     restoring,
+    selection,
     statements,
-    versions,
+    swamping,
 )
 from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
@@ -29,18 +31,6 @@
 # overlap.
 MIN_SECONDS, MAX_SECONDS = 0.3, 2.5
 MEAN_PAUSE_SECONDS = 0.6
-# The same in a soak of lost paths, and how many of its faults are cuts for each other
-# kind of fault.
-MEAN_PAUSE_BETWEEN_CUTS = 1.5
-CUT_WEIGHT = 12
-# The same beside floods, of which some must be undisturbed.
-MEAN_PAUSE_BESIDE_FLOODS = 3.0
-# The same for cuts of streams and replaced servers in a soak of software versions.
-STREAM_CUT_WEIGHT = 8
-REPLACEMENT_WEIGHT = 3
-# The same for crashes of other causes in a soak of parts that crash servers.
-CRASH_WEIGHT = 3
-
 # Seconds for which a sound server may be silent.
 SILENT_SECONDS = 1.0
 # Seconds for which a server that left keeps serving before it is listed again.
@@ -51,7 +41,7 @@
     fault for fault in poolserver.Fault if fault is not poolserver.Fault.CUT_EARLY
 ]
 
-Step = Callable[[], Awaitable[None]]
+Drawn = Callable[[], contextlib.AbstractAsyncContextManager[str]]
 NETWORK = (
     proxy.ProxyFault.DELAYED,
     proxy.ProxyFault.SILENT,
@@ -99,65 +89,24 @@
             self.server_faults,
             self.server_leaves,
         )
-        # Drawn in most kinds of soaks.
-        common = (
-            self.kill,
-            self.freeze,
-            self.terminate,
-            self.cut_store,
-            self.store_fault,
-        )
         self.mean_pause = MEAN_PAUSE_SECONDS
         self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
-        if kind is kinds.Kind.PAUSES:
-            self.kinds = (self.pausing.pause,)
-            self.mean_pause = pausing.MEAN_PAUSE_SECONDS
-        if kind is kinds.Kind.VERSIONS:
-            changing = versions.VersionChanger(running, self.random, self.disturbances)
-            self.kinds = (
-                *(changing.cut_streams,) * STREAM_CUT_WEIGHT,
-                *(changing.replace_server,) * REPLACEMENT_WEIGHT,
-                changing.kill_all,
-                changing.kill_several,
-                *common,
-                self.server_faults,
-            )
         self.crasher = crashingparts.Crasher(running, self.random, self.disturbances)
-        if kind is kinds.Kind.PARTS:
-            killing = versions.VersionChanger(running, self.random, self.disturbances)
-            self.kinds = (
-                *(self.crasher.crash,) * CRASH_WEIGHT,
-                killing.kill_all,
-                killing.kill_several,
-                *common,
-                self.change_configuration,
-            )
-        if kind is kinds.Kind.FLOODS:
-            killing = versions.VersionChanger(running, self.random, self.disturbances)
-            self.mean_pause = MEAN_PAUSE_BESIDE_FLOODS
-            self.kinds = (
-                killing.kill_all,
-                killing.kill_several,
-                *common,
-                self.change_configuration,
-            )
-        if kind is kinds.Kind.PATHS:
-            self.mean_pause = MEAN_PAUSE_BETWEEN_CUTS
-            self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
-            self.kinds = (
-                *(self.cutting.cut,) * CUT_WEIGHT,
-                self.server_is_silent,
-                *common,
-                self.change_configuration,
-            )
+        self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
+        self.lying = lying.Liar(running, self.random, self.disturbances)
+        self.swamping = swamping.Swamper(running, self.random, self.disturbances)
+        selection.apply(self)
 
     async def run(self, seconds: float) -> None:
         """Inject faults for some seconds, then wait until all are removed.
 
-        A soak of lost paths begins with a cut alone, which other faults can't hide.
+        A soak of lost paths begins with a cut alone, which other faults can't hide, and
+        one of false statements without statements.
         """
         if self.kind is kinds.Kind.PATHS:
             self.done.append(await self.cutting.cut_calmly())
+        if self.kind is kinds.Kind.LIES:
+            self.done.append(await self.lying.begin())
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
@@ -178,6 +127,7 @@
         finally:
             # A remaining fault would start an instance after the deployment's end.
             await tasks.stop([*stating, restoring_store, *active])
+            await self.lying.end()
 
     async def inject(self, kind: Callable[..., object], duration: float) -> None:
         """Inject one fault, wait, and remove it."""
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -23,9 +23,11 @@
     PARTS = "parts"
     # One client account floods servers that another one uses too.
     FLOODS = "floods"
+    # Servers state their load falsely, or not at all.
+    LIES = "lies"
+    # Some instances have far less capacity than others, and are overloaded.
+    SWAMPED = "swamped"
 
 
 # In these soaks servers state nothing, or only what the kind is about.
-WITHOUT_STATEMENTS = frozenset(
-    (Kind.PATHS, Kind.PAUSES, Kind.VERSIONS, Kind.PARTS, Kind.FLOODS)
-)
+WITHOUT_STATEMENTS = frozenset(set(Kind) - {Kind.PLAIN, Kind.RESTORES})
--- /dev/null
+++ b/soak/lying.py
@@ -0,0 +1,248 @@
+"""Servers that state their load falsely, or not at all, in turn."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import random
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+from tests import platform_site
+
+from soak import callers, deployment, disturbances, injector, standstills
+from tealcove import clock, ids, tasks
+from tealcove.standins import pool_load, poolserver
+
+SEED_BITS = 64
+CALL_SECONDS = 0.4
+# The goal of calls: in a slow moment they take twice as long.
+GOAL_SECONDS = 1.0
+SLOW_FACTOR = 2.0
+SLOW_SECONDS = 0.6
+# Mean seconds between two slow moments, of any server: four are slow a tenth of the
+# time.
+MEAN_CALM_SECONDS = 0.9
+# Part of the servers' capacity that callers ask for. With the slow moments it is 0.83;
+# without one of four servers, calls would be too many.
+DEMAND = 0.75
+# Seconds without statements at the beginning, of which the first aren't judged.
+CALM_SECONDS = 6.0
+WARM_UP_SECONDS = 2.0
+# Mean seconds between the starts of two false statements; they overlap.
+MEAN_PAUSE_SECONDS = 0.5
+# The least share of calls in time, relative to that without statements. Callers retry
+# once: if nine of ten are served, one of a hundred fails.
+MIN_SHARE = 0.9
+# Fewer calls aren't judged.
+MIN_CALLS = 50
+# The least runs of a server that always says that it is full or slow, relative to the
+# mean of the others: half of what callers need of it, since others can run the rest.
+MIN_PART = 0.2
+SETTINGS = {"server_load": {"enabled": True}}
+
+
+class Lie(enum.Enum):
+    """What a server says of its load; constant values are those of the header."""
+
+    FULL = f"{poolserver.SLOTS},{poolserver.SLOTS},{poolserver.SLOTS},100"
+    SLOW = f"2,0,{poolserver.SLOTS},900"
+    IDLE = f"0,0,{poolserver.SLOTS},20"
+    INVERTED = "inverted"
+    LATE = "late"
+
+
+STATINGS = {
+    Lie.INVERTED: pool_load.Stating.FALSELY,
+    Lie.LATE: pool_load.Stating.LATE,
+}
+# What a server may say for the whole time, so that it seems unfit to run requests.
+UNFIT = (Lie.FULL, Lie.SLOW)
+
+
+class Counts(msgspec.Struct, frozen=True):
+    """Calls without statements and beside false ones, and runs of lasting liars."""
+
+    sent_before: int = 0
+    in_time_before: int = 0
+    sent: int = 0
+    in_time: int = 0
+    # Runs of the server that seems unfit, and the mean of the others.
+    unfit_runs: int = 0
+    mean_runs: float = 0.0
+    # Requests that were sent to servers without a free slot.
+    overfilled: int = 0
+
+
+def make_slow(running: deployment.Deployment) -> None:
+    """Declare slow calls with a goal, in a deployment that isn't started."""
+    goal_ms = int(GOAL_SECONDS * platform_site.MILLISECONDS)
+    running.routes = (platform_site.route("safe", "safe", goal_ms=goal_ms),)
+    for server in running.servers:
+        server.call_seconds = CALL_SECONDS
+        server.room = poolserver.SLOTS
+    for member in running.members:
+        member.more_settings = SETTINGS
+
+
+def tell(server: poolserver.PoolServer, lie: Lie | None) -> None:
+    """Let a server state something false, or nothing."""
+    stating = pool_load.Stating.NOT
+    if lie is not None:
+        stating = STATINGS.get(lie, pool_load.Stating.CONSTANTLY)
+        server.load.constant = lie.value
+    server.load.stating = stating
+
+
+class Liar(injector.Injector):
+    """Lets one server seem unfit and one seem idle all the time, and others in turn."""
+
+    def __init__(
+        self,
+        running: deployment.Deployment,
+        source: random.Random,
+        log: disturbances.DisturbanceLog,
+    ) -> None:
+        super().__init__(running, source, log)
+        self.lying: set[str] = set()
+        # How many false statements were begun, besides the lasting ones.
+        self.count = 0
+        self.warm_at = self.began = self.ended = ids.Instant(0.0)
+        self.unfit: poolserver.PoolServer | None = None
+        self.slowing: asyncio.Task[None] | None = None
+
+    async def begin(self) -> str:
+        """Wait without statements, then let two servers lie until the end."""
+        # Drawn apart, so that the timing of slow moments doesn't change later lies.
+        source = random.Random(self.random.getrandbits(SEED_BITS))
+        self.slowing = tasks.start(self.slow_servers(source), "slow moments")
+        self.warm_at = ids.Instant(clock.now() + WARM_UP_SECONDS)
+        await asyncio.sleep(CALM_SECONDS)
+        self.unfit, idle = self.random.sample(self.running.servers, 2)
+        lie = self.random.choice(UNFIT)
+        tell(self.unfit, lie)
+        tell(idle, Lie.IDLE)
+        self.lying |= {self.unfit.name, idle.name}
+        self.began = clock.now()
+        return f"{self.unfit.name} is always {lie.name}, {idle.name} always IDLE"
+
+    async def end(self) -> None:
+        """End the slow moments; the two servers go on to lie."""
+        self.ended = clock.now()
+        if self.slowing is not None:
+            await tasks.stop([self.slowing])
+            for server in self.running.servers:
+                server.load.time_factor = 1.0
+
+    async def slow_servers(self, source: random.Random) -> None:
+        """Let one server after the other be slow for a moment, until cancelled."""
+        while True:
+            await asyncio.sleep(source.uniform(0.0, 2 * MEAN_CALM_SECONDS))
+            load = source.choice(self.running.servers).load
+            load.time_factor = SLOW_FACTOR
+            await asyncio.sleep(SLOW_SECONDS)
+            load.time_factor = 1.0
+
+    @contextlib.asynccontextmanager
+    async def lie(self) -> AsyncIterator[str]:
+        """Let one of the other servers state something false for a while."""
+        lie = self.random.choice(list(Lie))
+        free = [s for s in self.running.servers if s.name not in self.lying]
+        if not free:
+            yield "nothing"
+            return
+        server = free[self.count % len(free)]
+        self.count += 1
+        self.lying.add(server.name)
+        tell(server, lie)
+        yield f"{server.name} says {lie.name}"
+        tell(server, None)
+        self.lying.discard(server.name)
+
+
+class LiedCallers(callers.Callers):
+    """Callers that ask for a part of the servers' capacity."""
+
+    def __init__(
+        self,
+        running: deployment.Deployment,
+        log: disturbances.DisturbanceLog,
+        seed: int,
+    ) -> None:
+        super().__init__(running, log, seed, ("/safe/x",))
+
+    async def run(self) -> None:
+        """Send requests without waiting for answers, until `is_stopping` is set."""
+        slots = len(self.running.servers) * poolserver.SLOTS
+        rate = DEMAND * slots / CALL_SECONDS
+        async with (
+            aiohttp.ClientSession(timeout=callers.TIMEOUT) as session,
+            asyncio.TaskGroup() as group,
+        ):
+            while not self.is_stopping:
+                group.create_task(self.try_once(session, self.paths[0]))
+                await asyncio.sleep(self.random.expovariate(rate))
+
+
+def count(
+    running: deployment.Deployment, liar: Liar, ended: list[callers.CallResult]
+) -> Counts:
+    """Count what callers and servers have seen while no instance stood still."""
+    standstills.record(running, liar.disturbances)
+    parts = [disturbances.process_of(member.name) for member in running.members]
+    judged = [
+        one
+        for one in ended
+        if liar.disturbances.is_undisturbed_between(
+            ids.Instant(one.sent_at - disturbances.SETTLE_SECONDS), one.ended_at, *parts
+        )
+    ]
+    before = [one for one in judged if liar.warm_at <= one.sent_at < liar.began]
+    beside = [one for one in judged if liar.began <= one.sent_at < liar.ended]
+    runs = {
+        server.name: sum(
+            liar.began <= run.arrived_at < liar.ended for run in server.runs
+        )
+        for server in running.servers
+    }
+    unfit = runs.pop(liar.unfit.name)
+    return Counts(
+        sent_before=len(before),
+        in_time_before=sum(map(is_in_time, before)),
+        sent=len(beside),
+        in_time=sum(map(is_in_time, beside)),
+        unfit_runs=unfit,
+        mean_runs=sum(runs.values()) / len(runs),
+        overfilled=sum(
+            rejection.arrived_at >= liar.began
+            and liar.disturbances.is_undisturbed(rejection.arrived_at, *parts)
+            for server in running.servers
+            for rejection in server.rejections
+        ),
+    )
+
+
+def is_in_time(one: callers.CallResult) -> bool:
+    """Tell whether a call was served within its goal."""
+    is_served = one.answer.status == deployment.HTTP_OK
+    return is_served and one.ended_at - one.sent_at <= GOAL_SECONDS
+
+
+def violations(found: Counts) -> list[str]:
+    """Return what false statements changed for callers and servers."""
+    broken = []
+    if min(found.sent_before, found.sent) >= MIN_CALLS:
+        before = found.in_time_before / found.sent_before
+        beside = found.in_time / found.sent
+        if beside < MIN_SHARE * before:
+            broken.append(f"{beside:.2f} in time, {before:.2f} without statements")
+    if found.unfit_runs < MIN_PART * found.mean_runs:
+        broken.append(
+            f"{found.unfit_runs} runs of a server that seems unfit, "
+            f"{found.mean_runs:.0f} of others"
+        )
+    if found.overfilled:
+        broken.append(f"{found.overfilled} requests to servers without a free slot")
+    return broken
--- a/soak/member.py
+++ b/soak/member.py
@@ -1,6 +1,7 @@
 """`python -m soak.member front --settings FILE`: an instance whose paths can be cut.
 
-The cut in force is read from the file that `cuts_path` names.
+The cut in force is read from the file that `cuts_path` names. An instance that measures
+its load can be burdened too.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import msgspec
 from tests import cuts
 
+from soak import burden
 from tealcove import cli, tasks
 from tealcove.front import instance, settings
 
@@ -90,6 +92,9 @@
         cut = cuts.Cut(running)
         apply(cut, read(settings_path))
         running.tasks.append(tasks.start(follow(cut, settings_path), "path cuts"))
+        if found.instance_load.enabled:
+            bearing = burden.follow(settings_path, found.machine)
+            running.tasks.append(tasks.start(bearing, "burdens"))
         return running
 
     instance.start = start_cuttable
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,18 +11,21 @@
     callers,
     crashingparts,
     deployment,
+    directed,
     disturbances,
     faults,
     flooding,
     kinds,
     leaving,
     limiting,
+    lying,
     pathcuts,
     pausing,
     resting,
+    swamping,
     versions,
 )
-from tealcove import tasks
+from tealcove import clock, tasks
 
 MEMBERS = 3
 SERVERS = 3
@@ -32,6 +35,15 @@
 WATCHED_SECONDS = 2.0
 MIN_SERVED_SHARE = 0.9
 
+# What a deployment needs, before it is started, for a kind of soak.
+PREPARATIONS = {
+    kinds.Kind.VERSIONS: versions.mix,
+    kinds.Kind.PARTS: crashingparts.make_crashing,
+    kinds.Kind.FLOODS: flooding.make_competing,
+    kinds.Kind.LIES: lying.make_slow,
+    kinds.Kind.SWAMPED: swamping.make_unequal,
+}
+
 
 class Verdict(msgspec.Struct, frozen=True):
     """The result of a soak."""
@@ -65,6 +77,10 @@
     parts: crashingparts.Counts
     # Requests of a small account that were checked beside one that floods.
     competing: int
+    # What callers and servers saw of servers that state their load falsely.
+    lies: lying.Counts
+    # What callers saw of overloaded instances.
+    swamped: directed.Counts
     broken: tuple[str, ...]
 
 
@@ -78,22 +94,19 @@
 ) -> Verdict:
     """Run one soak; its logs are kept in the folder."""
     created = deployment.Deployment(folder, members, servers)
-    if kind is kinds.Kind.VERSIONS:
-        versions.mix(created)
-    if kind is kinds.Kind.PARTS:
-        crashingparts.make_crashing(created)
-    if kind is kinds.Kind.FLOODS:
-        flooding.make_competing(created)
+    if kind in PREPARATIONS:
+        PREPARATIONS[kind](created)
     async with created as running:
         injector = faults.FaultInjector(running, seed, kind)
         if kind is kinds.Kind.PATHS:
             pathcuts.make_brittle(running)
-        if kind is kinds.Kind.PAUSES:
+        if kind in (kinds.Kind.PAUSES, kinds.Kind.LIES, kinds.Kind.SWAMPED):
             await running.until_serving()
         calling = new_callers(running, injector.disturbances, seed, kind)
         task = asyncio.create_task(calling.run())
         replacing = asyncio.create_task(injector.crasher.run())
         await injector.run(seconds)
+        without_faults_at = clock.now()
         for server in running.servers:
             server.faults.clear()
         await running.until_ready()
@@ -135,6 +148,14 @@
         if kind is kinds.Kind.FLOODS:
             competing, unserved = flooding.unserved(running, injector, calling)
         broken.extend(unserved)
+        lies = lying.Counts()
+        if kind is kinds.Kind.LIES:
+            lies = lying.count(running, injector.lying, calling.results)
+            broken.extend(lying.violations(lies))
+        swamped = directed.Counts()
+        if kind is kinds.Kind.SWAMPED:
+            swamped = directed.count(injector.swamping, calling, without_faults_at)
+            broken.extend(directed.violations(running, swamped, calling.all_results))
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -156,6 +177,8 @@
         taken_up=versions.taken_up(injector.disturbances, calling.results),
         parts=parts,
         competing=competing,
+        lies=lies,
+        swamped=swamped,
         broken=tuple(broken),
     )
 
@@ -167,10 +190,14 @@
     kind: kinds.Kind,
 ) -> callers.Callers:
     """Return the callers of a kind of soak."""
-    if kind is kinds.Kind.PARTS:
-        return crashingparts.PartCallers(running, log, seed)
-    if kind is kinds.Kind.FLOODS:
-        return flooding.FloodCallers(running, log, seed)
+    found = {
+        kinds.Kind.PARTS: crashingparts.PartCallers,
+        kinds.Kind.FLOODS: flooding.FloodCallers,
+        kinds.Kind.LIES: lying.LiedCallers,
+        kinds.Kind.SWAMPED: directed.DirectedCallers,
+    }
+    if kind in found:
+        return found[kind](running, log, seed)
     if kind is kinds.Kind.VERSIONS:
         return callers.Callers(running, log, seed, callers.STREAM_PATHS)
     return callers.Callers(running, log, seed)
--- a/src/tealcove/standins/pool_load.py
+++ b/src/tealcove/standins/pool_load.py
@@ -23,6 +23,8 @@
     LATE = "late"
     # Fast as slow and slow as fast, and idle as full.
     FALSELY = "falsely"
+    # The same figures all the time.
+    CONSTANTLY = "constantly"
 
 
 class PoolLoad(msgspec.Struct):
@@ -41,6 +43,8 @@
     slowdown: tuple[float, ...] = (1.0,)
     # Seconds by which statements are late.
     late_seconds: float = 1.0
+    # The value of the header of a server that always states the same.
+    constant: str = "0,0,0,100"
     # What would have been stated truly, and when.
     kept: collections.deque[tuple[float, str]] = msgspec.field(
         default_factory=lambda: collections.deque(maxlen=MAX_KEPT)
@@ -58,6 +62,8 @@
         self.kept.append((now, true))
         if self.stating is Stating.NOT:
             return None
+        if self.stating is Stating.CONSTANTLY:
+            return self.constant
         if self.stating is Stating.FALSELY:
             return self.written(max(0, slots - total), slots, 1.0 / self.time_factor)
         if self.stating is Stating.LATE:
--- a/src/tealcove/standins/tests/test_pool_load.py
+++ b/src/tealcove/standins/tests/test_pool_load.py
@@ -50,6 +50,14 @@
     assert found.seconds(0.1, running) == pytest.approx(0.1 * factor)
 
 
+def test_a_constant_statement_depends_on_nothing() -> None:
+    """Soaks of servers that always state the same tested statements that change."""
+    found = pool_load.PoolLoad(pool_load.Stating.CONSTANTLY, time_factor=2.5)
+    found.constant = "4,4,4,900"
+    stated = {found.header(n, 4, ids.Instant(float(n))) for n in range(5)}
+    assert stated == {"4,4,4,900"}
+
+
 @pytest.mark.parametrize("stating", pool_load.Stating)
 def test_whatever_is_stated_can_be_read(stating: pool_load.Stating) -> None:
     """The stand-in's statements were ignored, so that tests showed nothing."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,16 @@
 PART_MEMBERS, PART_SERVERS = 4, 8
 # The same with an account that floods the servers of another one.
 FLOOD_SEEDS = {1: 10.0, 2: 10.0}
+# The same with servers that state their load falsely, from 6 s on.
+LIE_SEEDS = {
+    # Servers that stated falsely that they were fast were then taken for slow ones.
+    2: 10.0,
+    3: 10.0,
+}
+LIE_MEMBERS, LIE_SERVERS = 3, 4
+# The same with instances of little capacity that are overloaded.
+SWAMP_SEEDS = {1: 12.0, 2: 12.0}
+SWAMP_MEMBERS = 4
 # The same with short pauses of the instances as the only faults.
 PAUSE_SEEDS = {
     1: 8.0,
@@ -132,6 +142,33 @@
     assert verdict.competing > 0
 
 
+@pytest.mark.parametrize("seed", LIE_SEEDS)
+async def test_false_statements_of_load_change_nothing_for_callers(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Requests were refused, and servers unused, for what servers stated falsely."""
+    verdict = await run.soak(
+        tmp_path, seed, LIE_SEEDS[seed], LIE_MEMBERS, LIE_SERVERS, kinds.Kind.LIES
+    )
+    assert verdict.broken == ()
+    assert verdict.lies.sent_before > 0
+    assert verdict.lies.sent > 0
+
+
+@pytest.mark.parametrize("seed", SWAMP_SEEDS)
+async def test_callers_of_overloaded_instances_are_served_by_others(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Instances took requests that they couldn't serve, or refused them ever after."""
+    verdict = await run.soak(
+        tmp_path, seed, SWAMP_SEEDS[seed], SWAMP_MEMBERS, kind=kinds.Kind.SWAMPED
+    )
+    assert verdict.broken == ()
+    assert verdict.swamped.sent > 0
+    assert verdict.swamped.refused > 0
+    assert verdict.swamped.returned > 0
+
+
 @pytest.mark.parametrize("seed", VERSION_SEEDS)
 async def test_streams_stay_at_the_version_that_began_them(
     tmp_path: pathlib.Path, seed: int
