Soak: two servers that seem unfit, and the part that callers need of them

Change: two servers seem unfit for the whole time, one of them full, and each must get 0.65 of the runs of the others, which callers need of it if the others are full.

Statements are made while the same number runs, so that its constant count agrees with it and stays trusted.

--- a/soak/lying.py
+++ b/soak/lying.py
@@ -39,8 +39,9 @@
 # Fewer calls aren't judged.
 MIN_CALLS = 50
 # The least runs of a server that always says that it is full or slow, relative to the
-# mean of the others: half of what callers need of it, since others can run the rest.
-MIN_PART = 0.2
+# mean of the others. Callers need 3.3 of four servers; if the two others are full, each
+# of these two must do 0.65 of their work.
+MIN_PART = 0.65
 SETTINGS = {"server_load": {"enabled": True}}
 
 
@@ -58,7 +59,9 @@
     Lie.INVERTED: pool_load.Stating.FALSELY,
     Lie.LATE: pool_load.Stating.LATE,
 }
-# What a server may say for the whole time, so that it seems unfit to run requests.
+# How many servers state something false for the whole time: one that is idle, and two
+# that seem unfit to run requests, of which one is full.
+LASTING = 3
 UNFIT = (Lie.FULL, Lie.SLOW)
 
 
@@ -69,7 +72,7 @@
     in_time_before: int = 0
     sent: int = 0
     in_time: int = 0
-    # Runs of the server that seems unfit, and the mean of the others.
+    # Least runs of a server that seems unfit, and the mean of those that don't.
     unfit_runs: int = 0
     mean_runs: float = 0.0
     # Requests that were sent to servers without a free slot.
@@ -97,7 +100,7 @@
 
 
 class Liar(injector.Injector):
-    """Lets one server seem unfit and one seem idle all the time, and others in turn."""
+    """Lets two servers seem unfit and one idle all the time, and others lie in turn."""
 
     def __init__(
         self,
@@ -110,23 +113,29 @@
         # How many false statements were begun, besides the lasting ones.
         self.count = 0
         self.warm_at = self.began = self.ended = ids.Instant(0.0)
-        self.unfit: poolserver.PoolServer | None = None
+        self.unfit: list[poolserver.PoolServer] = []
         self.slowing: asyncio.Task[None] | None = None
 
     async def begin(self) -> str:
-        """Wait without statements, then let two servers lie until the end."""
+        """Wait without statements, then let some servers lie until the end."""
         # Drawn apart, so that the timing of slow moments doesn't change later lies.
         source = random.Random(self.random.getrandbits(SEED_BITS))
         self.slowing = tasks.start(self.slow_servers(source), "slow moments")
         self.warm_at = ids.Instant(clock.now() + WARM_UP_SECONDS)
         await asyncio.sleep(CALM_SECONDS)
-        self.unfit, idle = self.random.sample(self.running.servers, 2)
-        lie = self.random.choice(UNFIT)
-        tell(self.unfit, lie)
+        # One server that seems full could be left out without harm in calm moments.
+        count = min(LASTING, len(self.running.servers))
+        idle, *self.unfit = self.random.sample(self.running.servers, count)
         tell(idle, Lie.IDLE)
-        self.lying |= {self.unfit.name, idle.name}
+        lies = [Lie.FULL, self.random.choice(UNFIT)]
+        for server, lie in zip(self.unfit, lies, strict=False):
+            tell(server, lie)
+        self.lying |= {idle.name, *(server.name for server in self.unfit)}
         self.began = clock.now()
-        return f"{self.unfit.name} is always {lie.name}, {idle.name} always IDLE"
+        said = ", ".join(
+            f"{s.name} {x.name}" for s, x in zip(self.unfit, lies, strict=False)
+        )
+        return f"always: {idle.name} IDLE, {said}"
 
     async def end(self) -> None:
         """End the slow moments; the two servers go on to lie."""
@@ -207,7 +216,7 @@
         )
         for server in running.servers
     }
-    unfit = runs.pop(liar.unfit.name)
+    unfit = min(runs.pop(server.name) for server in liar.unfit)
     return Counts(
         sent_before=len(before),
         in_time_before=sum(map(is_in_time, before)),
