Batch sizes aren't learned before statements are used

With `server_load.only_shared`, batch sizes were learned from the start, though their effect was held back in two places. The forecast of the line, which uses them too since the merge of batch sizes, would have changed at deployments whose servers share no machines. Nothing is learned now until a server states a time factor. The new test fails without the change.

--- a/src/tealcove/dispatch/serverload.py
+++ b/src/tealcove/dispatch/serverload.py
@@ -167,15 +167,16 @@
 
     def learn_batch(self, batch: float, ratio: float, weight: float) -> None:
         """See Load."""
-        self.batch.learn(batch, ratio, weight)
+        if self.cell.is_used:
+            self.batch.learn(batch, ratio, weight)
 
     def batch_factor(self, running: int) -> float:
         """See Load."""
-        return self.batch.factor(running) if self.cell.is_used else 1.0
+        return self.batch.factor(running)
 
     def batch_growth(self, running: int) -> float:
         """See Load."""
-        return self.batch.growth(running) if self.cell.is_used else 0.0
+        return self.batch.growth(running)
 
     def record_end(self, started: ids.Instant, running: int, now: ids.Instant) -> None:
         """See Load."""
--- a/src/tealcove/dispatch/tests/test_serverload.py
+++ b/src/tealcove/dispatch/tests/test_serverload.py
@@ -101,6 +101,20 @@
     assert chosen(found, 0.2) == "s0"
 
 
+def test_batch_sizes_are_learned_only_where_shared_servers_count():
+    """Guards against forecasts that change for services that share no machines."""
+    found = opened(only_shared=True)
+    view = found.views.servers["s0"]
+    for batch, ratio in ((1.0, 1.0), (5.0, 3.0)) * 50:
+        view.load.learn_batch(batch, ratio, 1.0)
+    assert not view.load.batch.times.differ
+    assert view.load.batch_factor(5) == 1.0
+    state(found, 0.0, SLOW)
+    for batch, ratio in ((1.0, 1.0), (5.0, 3.0)) * 50:
+        view.load.learn_batch(batch, ratio, 1.0)
+    assert view.load.batch.times.differ
+
+
 def test_a_time_factor_of_any_server_has_all_statements_used():
     """Guards against counts that stay unused where machines are shared."""
     found = opened(only_shared=True)
