The test of batch sizes that aren't learned gives them no weight on the server's speed

As committed before, it failed in its second half also with the change: a weight of 1 let the server's own speed follow each ratio, so that no sizes were told apart. It now fails without the change and passes with it.

--- a/src/tealcove/dispatch/tests/test_serverload.py
+++ b/src/tealcove/dispatch/tests/test_serverload.py
@@ -106,12 +106,12 @@
     found = opened(only_shared=True)
     view = found.views.servers["s0"]
     for batch, ratio in ((1.0, 1.0), (5.0, 3.0)) * 50:
-        view.load.learn_batch(batch, ratio, 1.0)
+        view.load.learn_batch(batch, ratio, 0.0)
     assert not view.load.batch.times.differ
     assert view.load.batch_factor(5) == 1.0
     state(found, 0.0, SLOW)
     for batch, ratio in ((1.0, 1.0), (5.0, 3.0)) * 50:
-        view.load.learn_batch(batch, ratio, 1.0)
+        view.load.learn_batch(batch, ratio, 0.0)
     assert view.load.batch.times.differ
 
 
