--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,8 +39,8 @@
     add_kind(parser, kinds.Kind.VERSIONS, "mix servers of several versions")
     add_kind(parser, kinds.Kind.PARTS, "crash servers by a part of prompts")
     add_kind(parser, kinds.Kind.FLOODS, "let one account flood another's servers")
-    add_kind(parser, kinds.Kind.LIES, "let servers state their load falsely")
-    add_kind(parser, kinds.Kind.SWAMPED, "overload instances of little capacity")
+    add_kind(parser, kinds.Kind.FALSE_LOADS, "let servers state their load falsely")
+    add_kind(parser, kinds.Kind.OVERLOADED, "overload instances of little capacity")
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
--- a/soak/directed.py
+++ b/soak/directed.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from soak import callers, deployment, disturbances, swamping
+from soak import callers, deployment, disturbances, overloading
 from tealcove import clock, ids
 from tealcove.platform import names
 
@@ -82,7 +82,7 @@
         async with asyncio.TaskGroup() as group:
             for number in range(CALLERS):
                 group.create_task(self.call_directed(number))
-            for member in swamping.weak(self.running):
+            for member in overloading.weak(self.running):
                 group.create_task(self.probe(member))
 
     async def call_directed(self, number: int) -> None:
@@ -145,11 +145,11 @@
 
 
 def count(
-    swamper: swamping.Swamper, calling: DirectedCallers, until: ids.Instant
+    overloader: overloading.Overloader, calling: DirectedCallers, until: ids.Instant
 ) -> Counts:
     """Count what callers saw until the end of the faults, and probes until theirs."""
     probes = calling.probes.results
-    periods = swamper.periods
+    periods = overloader.periods
     beyond = [one for one in probes if is_beyond(one, periods)]
     sound = [one for one in probes if is_sound(one, periods)]
     sent = [one for one in calling.requests if one.sent_at < until]
@@ -163,7 +163,7 @@
     )
 
 
-def is_beyond(one: callers.CallResult, periods: list[swamping.Swamped]) -> bool:
+def is_beyond(one: callers.CallResult, periods: list[overloading.Overload]) -> bool:
     """Tell whether an instance had been overloaded for a while, and stayed so."""
     return any(
         found.member == one.member
@@ -173,7 +173,7 @@
     )
 
 
-def is_sound(one: callers.CallResult, periods: list[swamping.Swamped]) -> bool:
+def is_sound(one: callers.CallResult, periods: list[overloading.Overload]) -> bool:
     """Tell whether an instance had not been overloaded for a while, and wasn't."""
     return not any(
         found.member == one.member
--- a/soak/lying.py
+++ b/soak/falseloads.py
@@ -45,7 +45,7 @@
 SETTINGS = {"server_load": {"enabled": True}}
 
 
-class Lie(enum.Enum):
+class FalseLoad(enum.Enum):
     """What a server says of its load; constant values are those of the header."""
 
     FULL = f"{poolserver.SLOTS},{poolserver.SLOTS},{poolserver.SLOTS},100"
@@ -56,17 +56,17 @@
 
 
 STATINGS = {
-    Lie.INVERTED: pool_load.Stating.FALSELY,
-    Lie.LATE: pool_load.Stating.LATE,
+    FalseLoad.INVERTED: pool_load.Stating.FALSELY,
+    FalseLoad.LATE: pool_load.Stating.LATE,
 }
 # How many servers state something false for the whole time: one that is idle, and two
 # that seem unfit to run requests, of which one is full.
 LASTING = 3
-UNFIT = (Lie.FULL, Lie.SLOW)
+UNFIT = (FalseLoad.FULL, FalseLoad.SLOW)
 
 
 class Counts(msgspec.Struct, frozen=True):
-    """Calls without statements and beside false ones, and runs of lasting liars."""
+    """Calls without statements and beside false ones, and runs of unfit servers."""
 
     sent_before: int = 0
     in_time_before: int = 0
@@ -90,17 +90,17 @@
         member.more_settings = SETTINGS
 
 
-def tell(server: poolserver.PoolServer, lie: Lie | None) -> None:
+def tell(server: poolserver.PoolServer, load: FalseLoad | None) -> None:
     """Let a server state something false, or nothing."""
     stating = pool_load.Stating.NOT
-    if lie is not None:
-        stating = STATINGS.get(lie, pool_load.Stating.CONSTANTLY)
-        server.load.constant = lie.value
+    if load is not None:
+        stating = STATINGS.get(load, pool_load.Stating.CONSTANTLY)
+        server.load.constant = load.value
     server.load.stating = stating
 
 
-class Liar(injector.Injector):
-    """Lets two servers seem unfit and one idle all the time, and others lie in turn."""
+class FalseStatements(injector.Injector):
+    """Lets two servers seem unfit and one idle all the time, and others in turn."""
 
     def __init__(
         self,
@@ -109,7 +109,7 @@
         log: disturbances.DisturbanceLog,
     ) -> None:
         super().__init__(running, source, log)
-        self.lying: set[str] = set()
+        self.false_servers: set[str] = set()
         # How many false statements were begun, besides the lasting ones.
         self.count = 0
         self.warm_at = self.began = self.ended = ids.Instant(0.0)
@@ -117,8 +117,8 @@
         self.slowing: asyncio.Task[None] | None = None
 
     async def begin(self) -> str:
-        """Wait without statements, then let some servers lie until the end."""
-        # Drawn apart, so that the timing of slow moments doesn't change later lies.
+        """Wait without statements, then let some servers state false loads."""
+        # Drawn apart: the timing of slow moments must not change later statements.
         source = random.Random(self.random.getrandbits(SEED_BITS))
         self.slowing = tasks.start(self.slow_servers(source), "slow moments")
         self.warm_at = ids.Instant(clock.now() + WARM_UP_SECONDS)
@@ -126,19 +126,19 @@
         # One server that seems full could be left out without harm in calm moments.
         count = min(LASTING, len(self.running.servers))
         idle, *self.unfit = self.random.sample(self.running.servers, count)
-        tell(idle, Lie.IDLE)
-        lies = [Lie.FULL, self.random.choice(UNFIT)]
-        for server, lie in zip(self.unfit, lies, strict=False):
-            tell(server, lie)
-        self.lying |= {idle.name, *(server.name for server in self.unfit)}
+        tell(idle, FalseLoad.IDLE)
+        loads = [FalseLoad.FULL, self.random.choice(UNFIT)]
+        for server, load in zip(self.unfit, loads, strict=False):
+            tell(server, load)
+        self.false_servers |= {idle.name, *(server.name for server in self.unfit)}
         self.began = clock.now()
         said = ", ".join(
-            f"{s.name} {x.name}" for s, x in zip(self.unfit, lies, strict=False)
+            f"{s.name} {x.name}" for s, x in zip(self.unfit, loads, strict=False)
         )
         return f"always: {idle.name} IDLE, {said}"
 
     async def end(self) -> None:
-        """End the slow moments; the two servers go on to lie."""
+        """End the slow moments; the lasting false statements go on."""
         self.ended = clock.now()
         if self.slowing is not None:
             await tasks.stop([self.slowing])
@@ -155,23 +155,23 @@
             load.time_factor = 1.0
 
     @contextlib.asynccontextmanager
-    async def lie(self) -> AsyncIterator[str]:
+    async def state_falsely(self) -> AsyncIterator[str]:
         """Let one of the other servers state something false for a while."""
-        lie = self.random.choice(list(Lie))
-        free = [s for s in self.running.servers if s.name not in self.lying]
+        load = self.random.choice(list(FalseLoad))
+        free = [s for s in self.running.servers if s.name not in self.false_servers]
         if not free:
             yield "nothing"
             return
         server = free[self.count % len(free)]
         self.count += 1
-        self.lying.add(server.name)
-        tell(server, lie)
-        yield f"{server.name} says {lie.name}"
+        self.false_servers.add(server.name)
+        tell(server, load)
+        yield f"{server.name} says {load.name}"
         tell(server, None)
-        self.lying.discard(server.name)
+        self.false_servers.discard(server.name)
 
 
-class LiedCallers(callers.Callers):
+class LoadCallers(callers.Callers):
     """Callers that ask for a part of the servers' capacity."""
 
     def __init__(
@@ -196,27 +196,29 @@
 
 
 def count(
-    running: deployment.Deployment, liar: Liar, ended: list[callers.CallResult]
+    running: deployment.Deployment,
+    stating: FalseStatements,
+    ended: list[callers.CallResult],
 ) -> Counts:
     """Count what callers and servers have seen while no instance stood still."""
-    standstills.record(running, liar.disturbances)
+    standstills.record(running, stating.disturbances)
     parts = [disturbances.process_of(member.name) for member in running.members]
     judged = [
         one
         for one in ended
-        if liar.disturbances.is_undisturbed_between(
+        if stating.disturbances.is_undisturbed_between(
             ids.Instant(one.sent_at - disturbances.SETTLE_SECONDS), one.ended_at, *parts
         )
     ]
-    before = [one for one in judged if liar.warm_at <= one.sent_at < liar.began]
-    beside = [one for one in judged if liar.began <= one.sent_at < liar.ended]
+    before = [one for one in judged if stating.warm_at <= one.sent_at < stating.began]
+    beside = [one for one in judged if stating.began <= one.sent_at < stating.ended]
     runs = {
         server.name: sum(
-            liar.began <= run.arrived_at < liar.ended for run in server.runs
+            stating.began <= run.arrived_at < stating.ended for run in server.runs
         )
         for server in running.servers
     }
-    unfit = min(runs.pop(server.name) for server in liar.unfit)
+    unfit = min(runs.pop(server.name) for server in stating.unfit)
     return Counts(
         sent_before=len(before),
         in_time_before=sum(map(is_in_time, before)),
@@ -225,8 +227,8 @@
         unfit_runs=unfit,
         mean_runs=sum(runs.values()) / len(runs),
         overfilled=sum(
-            rejection.arrived_at >= liar.began
-            and liar.disturbances.is_undisturbed(rejection.arrived_at, *parts)
+            rejection.arrived_at >= stating.began
+            and stating.disturbances.is_undisturbed(rejection.arrived_at, *parts)
             for server in running.servers
             for rejection in server.rejections
         ),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,15 +14,15 @@
     crashingparts,
     deployment,
     disturbances,
+    falseloads,
     kinds,
-    lying,
+    overloading,
     pathcuts,
     pausing,
     proxy,
     restoring,
     selection,
     statements,
-    swamping,
 )
 from tealcove import clock, ids, tasks
 from tealcove.standins import poolserver
@@ -93,8 +93,12 @@
         self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
         self.crasher = crashingparts.Crasher(running, self.random, self.disturbances)
         self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
-        self.lying = lying.Liar(running, self.random, self.disturbances)
-        self.swamping = swamping.Swamper(running, self.random, self.disturbances)
+        self.false_loads = falseloads.FalseStatements(
+            running, self.random, self.disturbances
+        )
+        self.overloading = overloading.Overloader(
+            running, self.random, self.disturbances
+        )
         selection.apply(self)
 
     async def run(self, seconds: float) -> None:
@@ -105,8 +109,8 @@
         """
         if self.kind is kinds.Kind.PATHS:
             self.done.append(await self.cutting.cut_calmly())
-        if self.kind is kinds.Kind.LIES:
-            self.done.append(await self.lying.begin())
+        if self.kind is kinds.Kind.FALSE_LOADS:
+            self.done.append(await self.false_loads.begin())
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         active: set[asyncio.Task[None]] = set()
@@ -127,7 +131,7 @@
         finally:
             # A remaining fault would start an instance after the deployment's end.
             await tasks.stop([*stating, restoring_store, *active])
-            await self.lying.end()
+            await self.false_loads.end()
 
     async def inject(self, kind: Callable[..., object], duration: float) -> None:
         """Inject one fault, wait, and remove it."""
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -24,9 +24,9 @@
     # One client account floods servers that another one uses too.
     FLOODS = "floods"
     # Servers state their load falsely, or not at all.
-    LIES = "lies"
+    FALSE_LOADS = "false-loads"
     # Some instances have far less capacity than others, and are overloaded.
-    SWAMPED = "swamped"
+    OVERLOADED = "overloaded"
 
 
 # In these soaks servers state nothing, or only what the kind is about.
--- a/soak/swamping.py
+++ b/soak/overloading.py
@@ -46,7 +46,7 @@
     DESCRIPTORS = "descriptors"
 
 
-class Swamped(msgspec.Struct, frozen=True):
+class Overload(msgspec.Struct, frozen=True):
     """The period in which an instance was overloaded."""
 
     member: str
@@ -69,7 +69,7 @@
     return running.members[-(len(running.members) // WEAK_PART) :]
 
 
-class Swamper(injector.Injector):
+class Overloader(injector.Injector):
     """Overloads one weak instance after the other; `periods` lists when."""
 
     def __init__(
@@ -79,27 +79,27 @@
         log: disturbances.DisturbanceLog,
     ) -> None:
         super().__init__(running, source, log)
-        self.swamped: set[str] = set()
-        self.periods: list[Swamped] = []
+        self.overloaded: set[str] = set()
+        self.periods: list[Overload] = []
 
     @contextlib.asynccontextmanager
-    async def swamp(self) -> AsyncIterator[str]:
+    async def overload(self) -> AsyncIterator[str]:
         """Overload a weak instance for some seconds."""
         resource = self.random.choice(list(Resource))
         seconds = self.random.uniform(MIN_SECONDS, MAX_SECONDS)
-        free = [one for one in weak(self.running) if one.name not in self.swamped]
+        free = [one for one in weak(self.running) if one.name not in self.overloaded]
         if not free:
             yield "nothing"
             return
         member = free[0]
-        self.swamped.add(member.name)
+        self.overloaded.add(member.name)
         since = clock.now()
         async with overloaded(member, resource):
             yield f"{member.name} without {resource.value}: {seconds:.1f} s more, after"
             await asyncio.sleep(seconds)
             until = clock.now()
-        self.swamped.discard(member.name)
-        self.periods.append(Swamped(member.name, resource, since, until))
+        self.overloaded.discard(member.name)
+        self.periods.append(Overload(member.name, resource, since, until))
 
 
 @contextlib.asynccontextmanager
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,16 +13,16 @@
     deployment,
     directed,
     disturbances,
+    falseloads,
     faults,
     flooding,
     kinds,
     leaving,
     limiting,
-    lying,
+    overloading,
     pathcuts,
     pausing,
     resting,
-    swamping,
     versions,
 )
 from tealcove import clock, tasks
@@ -40,8 +40,8 @@
     kinds.Kind.VERSIONS: versions.mix,
     kinds.Kind.PARTS: crashingparts.make_crashing,
     kinds.Kind.FLOODS: flooding.make_competing,
-    kinds.Kind.LIES: lying.make_slow,
-    kinds.Kind.SWAMPED: swamping.make_unequal,
+    kinds.Kind.FALSE_LOADS: falseloads.make_slow,
+    kinds.Kind.OVERLOADED: overloading.make_unequal,
 }
 
 
@@ -78,9 +78,9 @@
     # Requests of a small account that were checked beside one that floods.
     competing: int
     # What callers and servers saw of servers that state their load falsely.
-    lies: lying.Counts
+    false_loads: falseloads.Counts
     # What callers saw of overloaded instances.
-    swamped: directed.Counts
+    overloaded: directed.Counts
     broken: tuple[str, ...]
 
 
@@ -100,7 +100,7 @@
         injector = faults.FaultInjector(running, seed, kind)
         if kind is kinds.Kind.PATHS:
             pathcuts.make_brittle(running)
-        if kind in (kinds.Kind.PAUSES, kinds.Kind.LIES, kinds.Kind.SWAMPED):
+        if kind in (kinds.Kind.PAUSES, kinds.Kind.FALSE_LOADS, kinds.Kind.OVERLOADED):
             await running.until_serving()
         calling = new_callers(running, injector.disturbances, seed, kind)
         task = asyncio.create_task(calling.run())
@@ -148,14 +148,18 @@
         if kind is kinds.Kind.FLOODS:
             competing, unserved = flooding.unserved(running, injector, calling)
         broken.extend(unserved)
-        lies = lying.Counts()
-        if kind is kinds.Kind.LIES:
-            lies = lying.count(running, injector.lying, calling.results)
-            broken.extend(lying.violations(lies))
-        swamped = directed.Counts()
-        if kind is kinds.Kind.SWAMPED:
-            swamped = directed.count(injector.swamping, calling, without_faults_at)
-            broken.extend(directed.violations(running, swamped, calling.all_results))
+        false_loads = falseloads.Counts()
+        if kind is kinds.Kind.FALSE_LOADS:
+            false_loads = falseloads.count(
+                running, injector.false_loads, calling.results
+            )
+            broken.extend(falseloads.violations(false_loads))
+        overloaded = directed.Counts()
+        if kind is kinds.Kind.OVERLOADED:
+            overloaded = directed.count(
+                injector.overloading, calling, without_faults_at
+            )
+            broken.extend(directed.violations(running, overloaded, calling.all_results))
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -177,8 +181,8 @@
         taken_up=versions.taken_up(injector.disturbances, calling.results),
         parts=parts,
         competing=competing,
-        lies=lies,
-        swamped=swamped,
+        false_loads=false_loads,
+        overloaded=overloaded,
         broken=tuple(broken),
     )
 
@@ -193,8 +197,8 @@
     found = {
         kinds.Kind.PARTS: crashingparts.PartCallers,
         kinds.Kind.FLOODS: flooding.FloodCallers,
-        kinds.Kind.LIES: lying.LiedCallers,
-        kinds.Kind.SWAMPED: directed.DirectedCallers,
+        kinds.Kind.FALSE_LOADS: falseloads.LoadCallers,
+        kinds.Kind.OVERLOADED: directed.DirectedCallers,
     }
     if kind in found:
         return found[kind](running, log, seed)
--- a/soak/selection.py
+++ b/soak/selection.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from soak import kinds, lying, pausing, swamping, versions
+from soak import falseloads, kinds, overloading, pausing, versions
 
 if typing.TYPE_CHECKING:
     from soak import faults
@@ -101,16 +101,16 @@
     )
 
 
-def select_lies(injector: faults.FaultInjector) -> None:
+def select_false_loads(injector: faults.FaultInjector) -> None:
     """Select the faults of a soak of false statements."""
-    injector.kinds = (injector.lying.lie,)
-    injector.mean_pause = lying.MEAN_PAUSE_SECONDS
+    injector.kinds = (injector.false_loads.state_falsely,)
+    injector.mean_pause = falseloads.MEAN_PAUSE_SECONDS
 
 
-def select_swamped(injector: faults.FaultInjector) -> None:
+def select_overloaded(injector: faults.FaultInjector) -> None:
     """Select the faults of a soak of overloaded instances."""
-    injector.kinds = (injector.swamping.swamp,)
-    injector.mean_pause = swamping.MEAN_PAUSE_SECONDS
+    injector.kinds = (injector.overloading.overload,)
+    injector.mean_pause = overloading.MEAN_PAUSE_SECONDS
 
 
 SELECTIONS = {
@@ -119,6 +119,6 @@
     kinds.Kind.PARTS: select_parts,
     kinds.Kind.FLOODS: select_floods,
     kinds.Kind.PATHS: select_paths,
-    kinds.Kind.LIES: select_lies,
-    kinds.Kind.SWAMPED: select_swamped,
+    kinds.Kind.FALSE_LOADS: select_false_loads,
+    kinds.Kind.OVERLOADED: select_overloaded,
 }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,15 +62,15 @@
 # The same with an account that floods the servers of another one.
 FLOOD_SEEDS = {1: 10.0, 2: 10.0}
 # The same with servers that state their load falsely, from 6 s on.
-LIE_SEEDS = {
+FALSE_LOAD_SEEDS = {
     # Servers that stated falsely that they were fast were then taken for slow ones.
     2: 10.0,
     3: 10.0,
 }
-LIE_MEMBERS, LIE_SERVERS = 3, 4
+FALSE_LOAD_MEMBERS, FALSE_LOAD_SERVERS = 3, 4
 # The same with instances of little capacity that are overloaded.
-SWAMP_SEEDS = {1: 12.0, 2: 12.0}
-SWAMP_MEMBERS = 4
+OVERLOAD_SEEDS = {1: 12.0, 2: 12.0}
+OVERLOAD_MEMBERS = 4
 # The same with short pauses of the instances as the only faults.
 PAUSE_SEEDS = {
     1: 8.0,
@@ -142,31 +142,40 @@
     assert verdict.competing > 0
 
 
-@pytest.mark.parametrize("seed", LIE_SEEDS)
+@pytest.mark.parametrize("seed", FALSE_LOAD_SEEDS)
 async def test_false_statements_of_load_change_nothing_for_callers(
     tmp_path: pathlib.Path, seed: int
 ) -> None:
     """Requests were refused, and servers unused, for what servers stated falsely."""
     verdict = await run.soak(
-        tmp_path, seed, LIE_SEEDS[seed], LIE_MEMBERS, LIE_SERVERS, kinds.Kind.LIES
+        tmp_path,
+        seed,
+        FALSE_LOAD_SEEDS[seed],
+        FALSE_LOAD_MEMBERS,
+        FALSE_LOAD_SERVERS,
+        kinds.Kind.FALSE_LOADS,
     )
     assert verdict.broken == ()
-    assert verdict.lies.sent_before > 0
-    assert verdict.lies.sent > 0
+    assert verdict.false_loads.sent_before > 0
+    assert verdict.false_loads.sent > 0
 
 
-@pytest.mark.parametrize("seed", SWAMP_SEEDS)
+@pytest.mark.parametrize("seed", OVERLOAD_SEEDS)
 async def test_callers_of_overloaded_instances_are_served_by_others(
     tmp_path: pathlib.Path, seed: int
 ) -> None:
     """Instances took requests that they couldn't serve, or refused them ever after."""
     verdict = await run.soak(
-        tmp_path, seed, SWAMP_SEEDS[seed], SWAMP_MEMBERS, kind=kinds.Kind.SWAMPED
+        tmp_path,
+        seed,
+        OVERLOAD_SEEDS[seed],
+        OVERLOAD_MEMBERS,
+        kind=kinds.Kind.OVERLOADED,
     )
     assert verdict.broken == ()
-    assert verdict.swamped.sent > 0
-    assert verdict.swamped.refused > 0
-    assert verdict.swamped.returned > 0
+    assert verdict.overloaded.sent > 0
+    assert verdict.overloaded.refused > 0
+    assert verdict.overloaded.returned > 0
 
 
 @pytest.mark.parametrize("seed", VERSION_SEEDS)
