One token bucket for admission's messages, copies and crossings

Change: tokenbucket.TokenBucket serves all three; the bound of the debt, which only crossings have, is an argument. Behaviour is as before: bursts, full buckets for what is larger than a burst, and debts are the same. Each is still refilled at its former rate before that changes. limits/bucket.py and dispatch/requestrate.py stay: one enforces a limit with a spare bucket, the other begins empty and predicts when tokens become available.

--- a/bench/goalload.py
+++ b/bench/goalload.py
@@ -20,7 +20,7 @@
     scheduler,
 )
 from tealcove.resources import kinds
-from tealcove.streamcopies import budget, copying
+from tealcove.streamcopies import copying
 
 CELL = ids.CellId("engines/0")
 SERVERS = 30
@@ -75,7 +75,7 @@
         found.use_server_load()
         found.views.loads.times[SLOTS] = KnownTimes()
     if part is Part.COPIES:
-        found.use_copies(copying.BudgetedCopies(budget.CopyBudget(AMPLE)))
+        found.use_copies(copying.BudgetedCopies(AMPLE))
     if part is Part.SHARING:
         weights = accountshares.ConfiguredWeights(lambda account: None)
         found.use_accounts(accountuse.MeasuredShares(CELL, weights))
--- a/src/tealcove/admission/entrypromises.py
+++ b/src/tealcove/admission/entrypromises.py
@@ -4,8 +4,8 @@
 
 import logbook
 
-from tealcove import ids
-from tealcove.admission import budget, keptreturns
+from tealcove import ids, tokenbucket
+from tealcove.admission import keptreturns
 from tealcove.dispatch import messages, pending, promises
 from tealcove.membership import members
 from tealcove.membership import messages as membership
@@ -31,7 +31,7 @@
         self.transport = transport
         self.members = known
         self.kept = keptreturns.KeptReturns()
-        self.budget = budget.Budget(MAX_AHEAD)
+        self.budget = tokenbucket.TokenBucket(MAX_AHEAD)
 
     def record(
         self,
@@ -60,11 +60,11 @@
         if self.is_leaving():
             self.copy_all(cell, dispatcher, now)
             return
-        if not self.budget.allows(now):
+        if not self.budget.allows(1.0, now):
             return
         standby = self.standby(cell, dispatcher, now)
         if standby is not None:
-            self.budget.use()
+            self.budget.spend(1.0)
             kept.is_copied = True
             self.send(cell, standby, (promised,))
 
--- a/src/tealcove/admission/localrefusals.py
+++ b/src/tealcove/admission/localrefusals.py
@@ -9,8 +9,8 @@
 import logbook
 import msgspec
 
-from tealcove import clock, ids
-from tealcove.admission import budget, counts, entrypromises, refusedflows
+from tealcove import clock, ids, tokenbucket
+from tealcove.admission import counts, entrypromises, refusedflows
 from tealcove.dispatch import messages, notices
 from tealcove.membership import members
 from tealcove.peers import mesh
@@ -90,7 +90,7 @@
         self.senders: dict[ids.CellId, ids.InstanceId] = {}
         self.allowances: dict[ids.CellId, dict[refusedflows.FlowKey, Allowance]] = {}
         self.unreported: dict[ids.CellId, list[Unreported]] = {}
-        self.budget = budget.Budget(MAX_RATE)
+        self.budget = tokenbucket.TokenBucket(MAX_RATE)
 
     def start(self) -> None:
         """Register the message handler."""
@@ -130,7 +130,7 @@
             return None
         if not arrival.may_be_refused or self.is_returning(arrival, allowance, now):
             return None
-        if not self.budget.allows(now):
+        if not self.budget.allows(1.0, now):
             return None
         period = self.return_share * arrival.caller_remaining
         allowance.drop_early(now)
@@ -162,7 +162,7 @@
         now: ids.Instant,
     ) -> None:
         """Log a refusal, keep what it promises, and report it soon."""
-        self.budget.use()
+        self.budget.spend(1.0)
         self.counts.refused_locally += 1
         sender = self.senders[arrival.cell]
         log.info(
--- a/src/tealcove/dispatch/budgets.py
+++ b/src/tealcove/dispatch/budgets.py
@@ -4,16 +4,14 @@
 
 from collections.abc import Mapping
 
-import msgspec
-
-from tealcove import ids
+from tealcove import ids, tokenbucket
 from tealcove.dispatch import backendview, crossinguse, messages
 
 Pair = crossinguse.Pair
 
-# Seconds of the rate that may be spent at once: as long as a burst of requests lasts
-# until slots become free again.
-BURST_SECONDS = 1.0
+# Seconds of the rate to which the debt of needed crossings is limited, so that they
+# don't forbid useful ones for long.
+MAX_DEBT_SECONDS = 1.0
 # Estimates in bytes: of a token in a prompt and in a stream of events, and of the
 # headers of a request and its response.
 PROMPT_TOKEN_BYTES = 4
@@ -21,13 +19,6 @@
 HEADERS_BYTES = 1000
 
 
-class Bucket(msgspec.Struct):
-    """A token bucket; its level in bytes is below 0 after crossings beyond it."""
-
-    level: float
-    refilled_at: ids.Instant
-
-
 class Budgets:
     """The budget of each pair of data centres, for all cells of one dispatcher.
 
@@ -36,7 +27,7 @@
 
     def __init__(self, bytes_per_second: float) -> None:
         self.rate = bytes_per_second
-        self.buckets: dict[Pair, Bucket] = {}
+        self.buckets: dict[Pair, tokenbucket.TokenBucket] = {}
         # What this dispatcher spent lately, and its parts of budgets that others use.
         self.recent = crossinguse.RecentUse()
         self.shares: Mapping[Pair, float] = {}
@@ -47,9 +38,9 @@
 
     def divide(self, shares: Mapping[Pair, float], now: ids.Instant) -> None:
         """Apply the parts of the budgets that this dispatcher has from now on."""
-        for pair in self.buckets:
-            self.refilled(pair, now)
         self.shares = shares
+        for pair, bucket in self.buckets.items():
+            bucket.change(self.rate * self.share(pair), now)
 
     def share(self, pair: Pair) -> float:
         """Return the part of a budget that this dispatcher has."""
@@ -60,43 +51,32 @@
         """The least part of a budget that this dispatcher has, for the metrics."""
         return min(self.shares.values(), default=1.0)
 
-    def burst(self, pair: Pair) -> float:
-        """Return the bytes of a full bucket."""
-        return self.rate * self.share(pair) * BURST_SECONDS
-
     def left(self, pair: Pair, now: ids.Instant) -> float:
         """Return the part of a budget that is left, from 0 to 1."""
-        return max(0.0, self.refilled(pair, now).level / self.burst(pair))
+        bucket = self.refilled(pair, now)
+        return max(0.0, bucket.level / bucket.burst)
 
     def allows(self, pair: Pair, size: float, now: ids.Instant) -> bool:
         """Return whether a crossing is within the budget."""
-        # One that is larger than a full bucket is allowed when that is full.
-        return self.refilled(pair, now).level >= min(size, self.burst(pair))
+        return self.refilled(pair, now).allows(size, now)
 
     def spend(self, pair: Pair, size: float, now: ids.Instant) -> None:
-        """Charge a crossing, within the budget or beyond it.
-
-        The debt is limited to a full bucket, so that crossings that were needed don't
-        forbid useful ones for long.
-        """
+        """Charge a crossing, within the budget or beyond it."""
         bucket = self.refilled(pair, now)
-        self.beyond += not self.allows(pair, size, now)
+        self.beyond += not bucket.allows(size, now)
         self.crossings += 1
         self.bytes += size
         self.recent.add(pair, size, now)
-        bucket.level = max(-self.burst(pair), bucket.level - size)
+        bucket.spend(size)
 
-    def refilled(self, pair: Pair, now: ids.Instant) -> Bucket:
+    def refilled(self, pair: Pair, now: ids.Instant) -> tokenbucket.TokenBucket:
         """Return a pair's bucket as of now."""
         bucket = self.buckets.get(pair)
         if bucket is None:
-            bucket = self.buckets[pair] = Bucket(self.burst(pair), now)
-        rate = self.rate * self.share(pair)
-        burst = rate * BURST_SECONDS
-        gained = max(0.0, now - bucket.refilled_at) * rate
-        # A part that has become smaller bounds the debt as well.
-        bucket.level = max(-burst, min(burst, bucket.level + gained))
-        bucket.refilled_at = now
+            rate = self.rate * self.share(pair)
+            bucket = tokenbucket.TokenBucket(rate, MAX_DEBT_SECONDS)
+            self.buckets[pair] = bucket
+        bucket.refill(now)
         return bucket
 
 
--- a/src/tealcove/dispatch/tests/test_crossing.py
+++ b/src/tealcove/dispatch/tests/test_crossing.py
@@ -40,7 +40,8 @@
 def spend_budget(found: goal.GoalScheduler) -> None:
     """Use up the budget of the pair."""
     spent = found.crossing.budgets
-    spent.spend((HERE, THERE), spent.burst((HERE, THERE)), builders.instant(0.0))
+    now = builders.instant(0.0)
+    spent.spend((HERE, THERE), spent.refilled((HERE, THERE), now).burst, now)
 
 
 def call(found: goal.GoalScheduler, at: float = 0.0, **changes: object) -> str | None:
--- a/src/tealcove/front/factories.py
+++ b/src/tealcove/front/factories.py
@@ -19,7 +19,6 @@
 from tealcove.peers import endpoint, mesh
 from tealcove.platform import names, store, storeadapter
 from tealcove.storage import instances, rowlist
-from tealcove.streamcopies import budget as copy_budget
 from tealcove.streamcopies import copying
 
 # Seconds between reads of the store's list of instances. Each read is charged, and
@@ -68,8 +67,7 @@
     """Return which streams this instance's dispatcher has copied."""
     if not found.stream_copies.enabled:
         return copying.NoCopies()
-    rate = found.stream_copies.bytes_per_second
-    return copying.BudgetedCopies(copy_budget.CopyBudget(rate))
+    return copying.BudgetedCopies(found.stream_copies.bytes_per_second)
 
 
 def new_store(
--- a/src/tealcove/streamcopies/copying.py
+++ b/src/tealcove/streamcopies/copying.py
@@ -5,9 +5,12 @@
 import abc
 from collections.abc import Sequence
 
-from tealcove import ids
+from tealcove import ids, tokenbucket
 from tealcove.dispatch import backendview, messages
-from tealcove.streamcopies import budget, choice
+from tealcove.streamcopies import choice
+
+# Bytes of the KV cache for each token of a prompt or of generated text.
+TOKEN_BYTES = 18_432
 
 
 class Copies(abc.ABC):
@@ -39,10 +42,13 @@
 
 
 class BudgetedCopies(Copies):
-    """Copies each stream for which a server has room, within a budget of bytes."""
+    """Copies each stream for which a server has room, within a budget of bytes.
+
+    The budget is that of all cells which an instance dispatches.
+    """
 
-    def __init__(self, shared: budget.CopyBudget) -> None:
-        self.budget = shared
+    def __init__(self, bytes_per_second: float) -> None:
+        self.budget = tokenbucket.TokenBucket(bytes_per_second)
 
     def choose(
         self,
@@ -52,7 +58,7 @@
         now: ids.Instant,
     ) -> ids.BackendServerId | None:
         """See Copies."""
-        size = budget.size_of(ticket)
+        size = size_of(ticket)
         if not self.budget.allows(size, now):
             return None
         found = choice.choose(granted, servers, now)
@@ -62,6 +68,12 @@
         return found.name
 
 
+def size_of(ticket: messages.Ticket) -> float:
+    """Return the estimated bytes of the copy of a request's whole run."""
+    tokens = ticket.prompt_tokens + backendview.expected_tokens(ticket)
+    return float(TOKEN_BYTES * tokens)
+
+
 def describe(ticket: messages.Ticket, run: backendview.Run) -> str:
     """Return where the copy of a granted run is, for its log line."""
     if ticket.copy_at is not None:
--- a/src/tealcove/streamcopies/tests/builders.py
+++ b/src/tealcove/streamcopies/tests/builders.py
@@ -6,7 +6,7 @@
 from tealcove.dispatch import backendview, goal, messages
 from tealcove.dispatch.tests import builders
 from tealcove.resources import kinds
-from tealcove.streamcopies import budget, copying
+from tealcove.streamcopies import copying
 
 # Bytes a second that suffice for any test.
 AMPLE = 1e12
@@ -17,7 +17,7 @@
 ) -> goal.GoalScheduler:
     """Return a scheduler that has streams copied."""
     found = goal.GoalScheduler()
-    found.use_copies(copying.BudgetedCopies(budget.CopyBudget(rate)))
+    found.use_copies(copying.BudgetedCopies(rate))
     found.configure(builders.cell(*servers), builders.instant(0.0))
     return found
 
