Whether a backend server is available, failing or probed is asked in one place

Cause: "serves and isn't paused" stood in four places, one of them older, and the failure rate above which a server isn't used for crossings and copies was a constant in two modules.

Change: BackendView.is_available, is_failing and is_probed; MAX_FAILURES stands beside them. The former copies, and the older twin in suspectruns.py, ask them. Behaviour is as before.

--- a/src/tealcove/dispatch/backendview.py
+++ b/src/tealcove/dispatch/backendview.py
@@ -44,6 +44,8 @@
 OVERDUE_GRACE = 0.4
 # Consecutive failures after which a server only gets one request at a time.
 FAILURES_TO_PROBE = 4
+# Recent failure rate above which a server isn't waited for, preferred, or given copies.
+MAX_FAILURES = 0.25
 
 
 class Run(msgspec.Struct):
@@ -142,12 +144,25 @@
         """Tell whether its own speed was observed."""
         return self.observations > 0 or self.prefill.works > 0.0
 
+    def is_available(self, now: ids.Instant) -> bool:
+        """Tell whether it serves, and gets requests at present."""
+        return self.is_serving and not self.pause.is_active(now)
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether many requests failed on it lately."""
+        return self.failures > MAX_FAILURES
+
+    @property
+    def is_probed(self) -> bool:
+        """Whether it gets one request at a time, after failures."""
+        return self.failed_in_row >= FAILURES_TO_PROBE
+
     def free_slots(self, now: ids.Instant) -> int:
         """Return how many more requests it may receive now."""
-        if not self.is_serving or self.pause.is_active(now):
+        if not self.is_available(now):
             return 0
-        is_probed = self.failed_in_row >= FAILURES_TO_PROBE
-        slots = 1 if is_probed else self.open_slots(now)
+        slots = 1 if self.is_probed else self.open_slots(now)
         free = slots - len(self.runs)
         if free > 0 and self.restrictions.rate is not None:
             free = min(free, self.restrictions.rate.available(now))
--- a/src/tealcove/dispatch/backendviews.py
+++ b/src/tealcove/dispatch/backendviews.py
@@ -60,7 +60,7 @@
             sum(
                 server.open_slots(now)
                 for server in self.servers.values()
-                if server.is_serving and not server.pause.is_active(now)
+                if server.is_available(now)
             )
         )
 
--- a/src/tealcove/dispatch/crossing.py
+++ b/src/tealcove/dispatch/crossing.py
@@ -29,8 +29,6 @@
 # Seconds for which a ticket that waits for a local slot isn't compared again, unless
 # one is free: with thirty servers, comparing it at each event took 3 ms a request.
 HOLD_SECONDS = 0.05
-# Recent failure rate above which a server isn't waited for or preferred.
-MAX_FAILURES = 0.25
 
 
 class Crossing(abc.ABC):
@@ -270,17 +268,13 @@
 def is_sound(found: placement.Found) -> bool:
     """Tell whether a server isn't likely to fail or reject a request."""
     is_rejecting = found.cost >= placement.REJECTION_PENALTY_SECONDS
-    return not is_rejecting and found.server.failures <= MAX_FAILURES
+    return not is_rejecting and not found.server.is_failing
 
 
 def is_usable(server: backendview.BackendView, now: ids.Instant) -> bool:
     """Tell whether a server may be waited for."""
-    return (
-        server.is_serving
-        and not server.pause.is_active(now)
-        and not server.restrictions.may_reject(now)
-        and server.failures <= MAX_FAILURES
-    )
+    is_doubtful = server.is_failing or server.restrictions.may_reject(now)
+    return server.is_available(now) and not is_doubtful
 
 
 def released_at(
--- a/src/tealcove/dispatch/suspectruns.py
+++ b/src/tealcove/dispatch/suspectruns.py
@@ -33,7 +33,7 @@
         """End the reservation once its ticket neither waits nor runs."""
         if self.reserved is None or self.ticket_id in self.reserved.runs:
             return
-        is_usable = self.reserved.is_serving and not self.reserved.pause.is_active(now)
+        is_usable = self.reserved.is_available(now)
         is_known = self.views.servers.get(self.reserved.name) is self.reserved
         if self.ticket_id not in line or not is_usable or not is_known:
             self.reserved = self.ticket_id = None
--- a/src/tealcove/streamcopies/choice.py
+++ b/src/tealcove/streamcopies/choice.py
@@ -8,9 +8,6 @@
 from tealcove import ids
 from tealcove.dispatch import backendview
 
-# Recent failure rate above which a server gets no copies.
-MAX_FAILURES = 0.25
-
 
 def choose(
     granted: backendview.BackendView,
@@ -40,10 +37,9 @@
     return (
         server is not granted
         and server.spec.version == granted.spec.version
-        and server.is_serving
-        and not server.pause.is_active(now)
-        and server.failures <= MAX_FAILURES
-        and server.failed_in_row < backendview.FAILURES_TO_PROBE
+        and server.is_available(now)
+        and not server.is_failing
+        and not server.is_probed
     )
 
 
--- a/src/tealcove/streamcopies/tests/test_choice.py
+++ b/src/tealcove/streamcopies/tests/test_choice.py
@@ -85,7 +85,7 @@
     """Guards against copies on servers that have crashed themselves."""
     paused, failing, probed = opened(2), opened(2), opened(2)
     copies.view(paused, "s1").pause.begin(NOW)
-    copies.view(failing, "s1").failures = 2 * choice.MAX_FAILURES
+    copies.view(failing, "s1").failures = 2 * backendview.MAX_FAILURES
     copies.view(probed, "s1").failed_in_row = backendview.FAILURES_TO_PROBE
     assert [chosen(one) for one in (paused, failing, probed)] == [None] * 3
 
