Decisions don't look through the line for streams that go on from a copy

Cause: at each event the scheduler looked through the whole waiting line for tickets of continued streams, of which there are hardly any, also where no stream is copied. What an entry refused by itself was looked up twice among the first attempts.

Change: continued tickets are kept apart by their id; an entry's refusals use the attempt that counting their arrival has found. Behaviour is as before.

Tests of dispatch, streamcopies, admission and tests/test_stream_copies.py pass.

--- a/src/tealcove/dispatch/goal.py
+++ b/src/tealcove/dispatch/goal.py
@@ -58,6 +58,9 @@
     def __init__(self) -> None:
         self.views = backendviews.BackendViews()
         self.line: dict[ids.TicketId, waitingticket.Waiting] = {}
+        # Those of its tickets that go on from a copy; kept apart, since there are few
+        # and the line is long under overload. Ones that have left it are removed later.
+        self.continued: dict[ids.TicketId, waitingticket.Waiting] = {}
         self.suspicion: suspicion.Suspicion = suspicion.NoSuspicion()
         # The suspicion's version by which the line was judged.
         self.judged_version = 0
@@ -147,9 +150,9 @@
         """See Scheduler."""
         for refusal in sent.refusals:
             ticket = notices.ticket_of(refusal, sent.cell, entry)
-            self.wait(ticket, now)
+            # Counts its arrival.
+            attempt = self.wait(ticket, now).attempt
             promised_at = None
-            attempt = self.attempts.find(ticket, now)
             if refusal.is_promised and attempt is not None:
                 due_in = refusal.ms_to_return / notices.MILLISECONDS
                 promised_at = attempt.promised_at = ids.Instant(now + due_in)
@@ -248,6 +251,8 @@
             wait = retry.wait_seconds(ticket.ticket_id, retry.MAX_SECONDS)
             return [self.refusal(ticket, reason, wait, now)]
         waiting = self.line[ticket.ticket_id] = self.wait(ticket, now)
+        if ticket.copy_at is not None:
+            self.continued[ticket.ticket_id] = waiting
         self.admission.record_arrival(waiting, now)
         return [answer, *self.decide(now)]
 
@@ -495,9 +500,11 @@
         A server admits such a request first, so neither free slots nor the reports of
         running requests are waited for.
         """
-        line = [one for one in self.line.values() if one.ticket.copy_at is not None]
+        self.continued = {
+            name: one for name, one in self.continued.items() if name in self.line
+        }
         outgoing = []
-        for waiting in line:
+        for waiting in self.continued.values():
             ticket = waiting.ticket
             server = self.views.servers.get(ticket.copy_at)
             suspects = self.suspicion.suspects(ticket, now)
