Kept and awaited returns are one kind of record

Cause: the entry's kept returns and the standby's awaited ones repeated when a return is over, how its times are counted from now, and the type that names a dispatcher's process.

Change: KeptReturn is an AwaitedReturn with its holder; both shift their times in one place. Behaviour is as before. Tests of admission, of the dispatcher's role and tests/test_admission.py pass.

--- a/src/tealcove/admission/keptreturns.py
+++ b/src/tealcove/admission/keptreturns.py
@@ -2,33 +2,23 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from tealcove import ids
-from tealcove.dispatch import firstattempts, messages
+from tealcove.dispatch import awaitedreturns, messages
 
-# A dispatcher's process: its instance and incarnation.
-Holder = tuple[ids.InstanceId, ids.Incarnation | None]
+Holder = awaitedreturns.Holder
 # Upper bound on the returns of one cell. An entry of 150 requests a second, half of
 # them refused with a promise, keeps them for up to 6 s.
 MAX_KEPT = 500
 
 
-class KeptReturn(msgspec.Struct):
+class KeptReturn(awaitedreturns.AwaitedReturn):
     """A promised return of a caller that this entry has refused."""
 
-    promised: messages.PromisedReturn
-    recorded_at: ids.Instant
     # The process that knows of it.
     holder: Holder
     # Whether the next in rank was told as well.
     is_copied: bool = False
 
-    def is_over(self, now: ids.Instant) -> bool:
-        """Tell whether its caller can't keep the time any more."""
-        due = self.recorded_at + self.promised.due_in
-        return now > due + firstattempts.KEPT_SECONDS
-
 
 class KeptReturns:
     """Promised returns by cell, kept until a second after they are due."""
@@ -59,7 +49,7 @@
         for kept in self.by_cell.get(cell, ()):
             if not kept.is_copied and not kept.is_over(now):
                 kept.is_copied = True
-                found.append(messages.shifted(kept.promised, now - kept.recorded_at))
+                found.append(kept.as_of(now))
         return tuple(found)
 
     def hand_over(
@@ -70,7 +60,7 @@
         for kept in self.by_cell.get(cell, ()):
             if kept.holder != holder and not kept.is_over(now):
                 kept.holder = holder
-                found.append(messages.shifted(kept.promised, now - kept.recorded_at))
+                found.append(kept.as_of(now))
         return tuple(found)
 
     def has(self, cell: ids.CellId, digest: str) -> bool:
--- a/src/tealcove/dispatch/awaitedreturns.py
+++ b/src/tealcove/dispatch/awaitedreturns.py
@@ -13,17 +13,21 @@
 MAX_AWAITED = 2000
 
 
-class AwaitedReturn(msgspec.Struct, frozen=True):
-    """A return that another dispatcher promised, and when it is due here."""
+class AwaitedReturn(msgspec.Struct):
+    """A promised return, with its times as of an instant."""
 
     promised: messages.PromisedReturn
-    received_at: ids.Instant
+    recorded_at: ids.Instant
 
     def is_over(self, now: ids.Instant) -> bool:
         """Tell whether its caller can't keep the time any more."""
-        due = self.received_at + self.promised.due_in
+        due = self.recorded_at + self.promised.due_in
         return now > due + firstattempts.KEPT_SECONDS
 
+    def as_of(self, now: ids.Instant) -> messages.PromisedReturn:
+        """Return the promise with its times from now."""
+        return messages.shifted(self.promised, now - self.recorded_at)
+
 
 class AwaitedReturns:
     """Awaited returns by cell."""
@@ -49,9 +53,7 @@
     ) -> tuple[messages.PromisedReturn, ...]:
         """Remove and return the returns of a cell, with their times from now."""
         return tuple(
-            messages.shifted(one.promised, now - one.received_at)
-            for one in self.by_cell.pop(cell, ())
-            if not one.is_over(now)
+            one.as_of(now) for one in self.by_cell.pop(cell, ()) if not one.is_over(now)
         )
 
     def pass_on(
@@ -62,7 +64,5 @@
             return ()
         self.holders[cell] = holder
         return tuple(
-            messages.shifted(one.promised, now - one.received_at)
-            for one in self.by_cell[cell]
-            if not one.is_over(now)
+            one.as_of(now) for one in self.by_cell[cell] if not one.is_over(now)
         )
