Soak: injectors share one context, callers name their paths in their class

Cause: five injectors and the callers of false loads repeated a constructor of ten lines to pass the deployment, the source of random numbers and the log on.

Change: Injector takes a Context with the three; Callers has default_paths. Nothing else is drawn, checked or counted: constructors draw nothing.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -64,15 +64,17 @@
 class Callers:
     """Sends requests from several callers until `is_stopping` is set."""
 
+    default_paths = PATHS
+
     def __init__(
         self,
         running: deployment.Deployment,
         log: disturbances.DisturbanceLog,
         seed: int,
-        paths: tuple[str, ...] = PATHS,
+        paths: tuple[str, ...] | None = None,
     ) -> None:
         self.running = running
-        self.paths = paths
+        self.paths = paths or self.default_paths
         self.disturbances = log
         self.random = random.Random(seed)
         self.results: list[CallResult] = []
--- a/soak/falseloads.py
+++ b/soak/falseloads.py
@@ -102,13 +102,8 @@
 class FalseStatements(injector.Injector):
     """Lets two servers seem unfit and one idle all the time, and others in turn."""
 
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        source: random.Random,
-        log: disturbances.DisturbanceLog,
-    ) -> None:
-        super().__init__(running, source, log)
+    def __init__(self, context: injector.Context) -> None:
+        super().__init__(context)
         self.false_servers: set[str] = set()
         # How many false statements were begun, besides the lasting ones.
         self.count = 0
@@ -174,13 +169,7 @@
 class LoadCallers(callers.Callers):
     """Callers that ask for a part of the servers' capacity."""
 
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        log: disturbances.DisturbanceLog,
-        seed: int,
-    ) -> None:
-        super().__init__(running, log, seed, ("/safe/x",))
+    default_paths = ("/safe/x",)
 
     async def run(self) -> None:
         """Send requests without waiting for answers, until `is_stopping` is set."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
     deployment,
     disturbances,
     falseloads,
+    injector,
     kinds,
     overloading,
     pathcuts,
@@ -90,15 +91,12 @@
             self.server_leaves,
         )
         self.mean_pause = MEAN_PAUSE_SECONDS
-        self.pausing = pausing.PauseInjector(running, self.random, self.disturbances)
-        self.crasher = crashingparts.Crasher(running, self.random, self.disturbances)
-        self.cutting = pathcuts.PathCutter(running, self.random, self.disturbances)
-        self.false_loads = falseloads.FalseStatements(
-            running, self.random, self.disturbances
-        )
-        self.overloading = overloading.Overloader(
-            running, self.random, self.disturbances
-        )
+        self.context = injector.Context(running, self.random, self.disturbances)
+        self.pausing = pausing.PauseInjector(self.context)
+        self.crasher = crashingparts.Crasher(self.context)
+        self.cutting = pathcuts.PathCutter(self.context)
+        self.false_loads = falseloads.FalseStatements(self.context)
+        self.overloading = overloading.Overloader(self.context)
         selection.apply(self)
 
     async def run(self, seconds: float) -> None:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -4,18 +4,24 @@
 
 import random
 
+import msgspec
+
 from soak import deployment, disturbances
 
 
+class Context(msgspec.Struct, frozen=True):
+    """What all injectors of a soak share."""
+
+    running: deployment.Deployment
+    # Faults are drawn from it; the seed determines it.
+    random: random.Random
+    disturbances: disturbances.DisturbanceLog
+
+
 class Injector:
-    """Injects faults into a deployment, drawn from a source that a seed determines."""
-
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        source: random.Random,
-        log: disturbances.DisturbanceLog,
-    ) -> None:
-        self.running = running
-        self.random = source
-        self.disturbances = log
+    """Injects faults into a deployment."""
+
+    def __init__(self, context: Context) -> None:
+        self.running = context.running
+        self.random = context.random
+        self.disturbances = context.disturbances
--- a/soak/overloading.py
+++ b/soak/overloading.py
@@ -5,13 +5,12 @@
 import asyncio
 import contextlib
 import enum
-import random
 import socket
 from collections.abc import AsyncIterator
 
 import msgspec
 
-from soak import burden, deployment, disturbances, injector
+from soak import burden, deployment, injector
 from tealcove import clock, ids
 
 # The first of the instances, as one part of so many, have little capacity.
@@ -72,13 +71,8 @@
 class Overloader(injector.Injector):
     """Overloads one weak instance after the other; `periods` lists when."""
 
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        source: random.Random,
-        log: disturbances.DisturbanceLog,
-    ) -> None:
-        super().__init__(running, source, log)
+    def __init__(self, context: injector.Context) -> None:
+        super().__init__(context)
         self.overloaded: set[str] = set()
         self.periods: list[Overload] = []
 
--- a/soak/pathcuts.py
+++ b/soak/pathcuts.py
@@ -34,13 +34,8 @@
 class PathCutter(injector.Injector):
     """Cuts the ways of some instances, never of all."""
 
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        source: random.Random,
-        log: disturbances.DisturbanceLog,
-    ) -> None:
-        super().__init__(running, source, log)
+    def __init__(self, context: injector.Context) -> None:
+        super().__init__(context)
         self.cut_off: set[str] = set()
 
     @contextlib.asynccontextmanager
--- a/soak/pausing.py
+++ b/soak/pausing.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 import signal
 from collections.abc import AsyncIterator
 
@@ -29,13 +28,8 @@
 class PauseInjector(injector.Injector):
     """Stops instances and resumes them, again and again, never all of them."""
 
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        source: random.Random,
-        log: disturbances.DisturbanceLog,
-    ) -> None:
-        super().__init__(running, source, log)
+    def __init__(self, context: injector.Context) -> None:
+        super().__init__(context)
         self.paused: set[str] = set()
         self.count = 0
 
--- a/soak/selection.py
+++ b/soak/selection.py
@@ -42,9 +42,7 @@
 
 def changer(injector: faults.FaultInjector) -> versions.VersionChanger:
     """Return what replaces servers and kills instances together."""
-    return versions.VersionChanger(
-        injector.running, injector.random, injector.disturbances
-    )
+    return versions.VersionChanger(injector.context)
 
 
 def select_pauses(injector: faults.FaultInjector) -> None:
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -36,13 +35,8 @@
 class VersionChanger(injector.Injector):
     """Cuts streams, replaces servers by others, and kills instances together."""
 
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        source: random.Random,
-        log: disturbances.DisturbanceLog,
-    ) -> None:
-        super().__init__(running, source, log)
+    def __init__(self, context: injector.Context) -> None:
+        super().__init__(context)
         self.started = 0
 
     @contextlib.asynccontextmanager
