Unread connections are tracked in one place

Cause: instances/unread.py wrote again, for memory that is scarce, how the listener tracks since when a connection's write buffer hasn't shrunk.

Change: writebuffers.track serves both; each keeps its own limit, interval and order of closing. Behaviour is as before.

Measured: the tests of the listener, of instances, tests/test_instance_load.py and tests/test_whole_answers.py pass, unchanged.

--- a/src/tealcove/instances/unread.py
+++ b/src/tealcove/instances/unread.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Callable, Hashable, Mapping
 
 import logbook
-import msgspec
 
-from tealcove import ids
+from tealcove import ids, writebuffers
 from tealcove.instances import measurement, protection
 
 log = logbook.Logger("instances")
@@ -18,32 +16,15 @@
 UNREAD_SECONDS = 2.0
 
 
-class Transport(typing.Protocol):
-    """The connection to a caller; see asyncio.WriteTransport."""
-
-    def get_write_buffer_size(self) -> int:
-        """Return the bytes that wait to be sent."""
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-
-
-class Waiting(msgspec.Struct):
-    """The unsent bytes of a connection, and since when they haven't decreased."""
-
-    size: int
-    since: ids.Instant
-
-
 class UnreadAnswers:
     """Tracks unsent bytes by connection, and frees memory when it is scarce."""
 
     def __init__(
-        self, read_open: Callable[[], Mapping[Hashable, Transport]] = dict
+        self, read_open: Callable[[], Mapping[Hashable, writebuffers.Transport]] = dict
     ) -> None:
         # Returns the transports of the open connections.
         self.read_open = read_open
-        self.waiting: dict[Hashable, Waiting] = {}
+        self.waiting: dict[Hashable, writebuffers.Unread] = {}
         # Connections that were ended, for the metrics.
         self.ended = 0
 
@@ -62,7 +43,7 @@
         if memory <= protection.OVERLOAD:
             self.waiting.clear()
             return
-        self.track(now)
+        self.waiting = writebuffers.track(self.waiting, self.read_open(), now)
         excess = (memory - protection.OVERLOAD) * limits.memory_bytes
         unread = [
             (key, one)
@@ -76,20 +57,7 @@
             excess -= one.size
             self.end(key, one)
 
-    def track(self, now: ids.Instant) -> None:
-        """Record since when each connection's unsent bytes haven't decreased."""
-        before, self.waiting = self.waiting, {}
-        for key, transport in self.read_open().items():
-            size = transport.get_write_buffer_size()
-            if size == 0:
-                continue
-            known = before.get(key)
-            if known is None or size < known.size:
-                known = Waiting(size, now)
-            known.size = size
-            self.waiting[key] = known
-
-    def end(self, key: Hashable, one: Waiting) -> None:
+    def end(self, key: Hashable, one: writebuffers.Unread) -> None:
         """Abort a connection."""
         log.info("connection aborted: {} bytes unread while memory is scarce", one.size)
         self.ended += 1
--- a/src/tealcove/listener.py
+++ b/src/tealcove/listener.py
@@ -7,10 +7,9 @@
 from collections.abc import Awaitable, Callable
 
 import logbook
-import msgspec
 from aiohttp import web
 
-from tealcove import clock, ids, settings, tasks
+from tealcove import clock, ids, settings, tasks, writebuffers
 from tealcove.dispatch import messages
 from tealcove.entry import problem
 
@@ -39,13 +38,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-class Unread(msgspec.Struct):
-    """The unsent bytes of a connection, and since when they haven't decreased."""
-
-    size: int
-    since: ids.Instant
-
-
 class Connection(web.RequestHandler):
     """One connection, registered with its listener while it is open."""
 
@@ -114,7 +106,7 @@
             app, handler_cancellation=True, shutdown_timeout=STOP_SECONDS
         )
         self.open: dict[Connection, asyncio.Transport] = {}
-        self.unread: dict[Connection, Unread] = {}
+        self.unread: dict[Connection, writebuffers.Unread] = {}
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -202,24 +194,15 @@
     def drop_unread(self, now: ids.Instant) -> None:
         """Abort connections whose write buffer hasn't shrunk for `idle_seconds`.
 
-        The buffer of a caller that reads, however slowly, shrinks now and then, since
-        above the high-water mark nothing is added until it has shrunk. A caller that
-        doesn't read would keep its connection, the answer and the source of the answer
-        for ever: aiohttp's own timeout only applies while no answer is being sent.
+        A caller that doesn't read would keep its connection, the answer and the source
+        of the answer for ever: aiohttp's own timeout only applies while no answer is
+        being sent.
         """
-        before, self.unread = self.unread, {}
-        for connection, transport in list(self.open.items()):
-            size = transport.get_write_buffer_size()
-            if size == 0:
-                continue
-            known = before.get(connection)
-            if known is None or size < known.size:
-                known = Unread(size, now)
-            known.size = size
-            self.unread[connection] = known
-            if now - known.since >= self.limits.idle_seconds:
+        self.unread = writebuffers.track(self.unread, self.open, now)
+        for connection, one in self.unread.items():
+            if now - one.since >= self.limits.idle_seconds:
                 log.info("connection aborted: caller doesn't read its answer")
-                transport.abort()
+                self.open[connection].abort()
 
 
 def closing_response(error: problem.ProblemError) -> web.Response:
