Review: cases record when the instance exits, and wait for that

Cause: the records didn't show that the instance of case 2 exits long before its grace period ends, and case 1 killed it at that moment. Change: the exit is recorded, and given 2 s before the process is killed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -49,8 +48,7 @@
     await asyncio.sleep(0.5)
     stopped = record.now()
     if harness.has_trouble():
-        record.write("SIGTERM to", leaving.name)
-        leaving.send(signal.SIGTERM)
+        deployment.stop_gently(leaving)
     await asyncio.sleep(SECOND_AFTER)
     sent += [
         asyncio.create_task(harness.send(record, leaving, f"b{n}", DEADLINE_MS))
--- a/review/harness.py
+++ b/review/harness.py
@@ -39,6 +39,7 @@
 READY_SECONDS = 20.0
 # Time in which the instances find each other.
 SETTLE_SECONDS = 2.0
+EXIT_SECONDS = 2.0
 # How a request ended whose connection was closed without an answer.
 CLOSED = "closed without an answer"
 HELD = 0
@@ -574,6 +575,7 @@
             "attempts": 1,
             "priority": 0,
         }
+        self.watching: asyncio.Task[None] | None = None
         path = pathlib.Path(folder)
         self.instances = [Instance(f"front-{n}", path, self.store) for n in range(3)]
 
@@ -596,11 +598,25 @@
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
+        if self.watching is not None:
+            # One that was told to stop has some time to exit by itself.
+            await asyncio.wait((self.watching,), timeout=EXIT_SECONDS)
         for one in self.instances:
             await one.end()
         for server in (self.store, *self.engines):
             await server.stop()
 
+    def stop_gently(self, instance: Instance) -> None:
+        """Send SIGTERM to an instance, and record when it exits."""
+        self.record.write("SIGTERM to", instance.name)
+        instance.send(signal.SIGTERM)
+        self.watching = asyncio.create_task(self.watch(instance))
+
+    async def watch(self, instance: Instance) -> None:
+        """Record when an instance exits."""
+        code = await instance.process.wait()
+        self.record.write(instance.name, "exits with code", code)
+
     def run_of(self, request_id: str) -> tuple[float, float] | None:
         """Return when the run of a request began and ended; None: it hasn't run."""
         for engine in self.engines:
