Decoding: content that is nested too deep is unreadable, like any other

What callers saw: after another writer had put a deeply nested document into the table of servers, requests went on reaching a server that drained (DRAIN), new servers got none, and instances that started beside the row answered 503 to all.

Cause: msgspec raises RecursionError for deep nesting, in JSON and MessagePack and also in fields that a type doesn't have. It is no MsgspecError, so that the task that follows a table ended on it; the same held for every other place that decodes what others write. Text with a lone surrogate, as aiohttp makes of a header that isn't UTF-8, raised UnicodeEncodeError.

Rows of claims, of the configuration's head and of idempotency records, whose errors nobody expected, raise PlatformError now.

--- a/src/tealcove/accounts/handlers.py
+++ b/src/tealcove/accounts/handlers.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.accounts import orders, role, tallies
 from tealcove.catalog import lookup
 
@@ -80,7 +80,7 @@
     async def change(self, request: web.Request) -> web.Response:
         """Order the weight of an account."""
         try:
-            change = msgspec.json.decode(await request.read(), type=Change)
+            change = decoding.decode_json(await request.read(), Change)
             weight = orders.read_weight(str(change.weight))
         except msgspec.MsgspecError as error:
             remedy = 'Send a body such as {"weight": 2}.'
--- a/src/tealcove/accounts/persistence.py
+++ b/src/tealcove/accounts/persistence.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.accounts import orders
 from tealcove.storage import table
 
@@ -135,7 +135,7 @@
 def decode(row: table.Row) -> orders.WeightOrder | None:
     """Return the order in a row, or None if it can't be read."""
     try:
-        stored = msgspec.json.decode(row.value, type=StoredOrder)
+        stored = decoding.decode_json(row.value, StoredOrder)
     except msgspec.MsgspecError as error:
         problem = f"row {row.key} of table {TABLE}: {error}"
         log.warning("{}", orders.unusable(row.key, problem))
--- a/src/tealcove/backends/http_engine.py
+++ b/src/tealcove/backends/http_engine.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from tealcove import errors, ids, stalls, telemetry
+from tealcove import decoding, errors, ids, stalls, telemetry
 from tealcove.backends import connector, engine, events, http_orders, wire
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -35,7 +35,7 @@
         self.stalls = own_stalls or stalls.Stalls()
         self.session: aiohttp.ClientSession | None = None
         self.polling: aiohttp.ClientSession | None = None
-        self.event_decoder = msgspec.json.Decoder(wire.Event)
+        self.event_decoder = decoding.Decoder(msgspec.json.Decoder(wire.Event))
 
     async def start(self) -> None:
         """Open the sessions."""
@@ -284,7 +284,7 @@
 def decode_control(server: engine.Server, body: bytes, expected: type[T]) -> T:
     """Decode the body of a short call; raises BackendError."""
     try:
-        return msgspec.json.decode(body, type=expected)
+        return decoding.decode_json(body, expected)
     except msgspec.MsgspecError as error:
         raise errors.BackendError(
             f"{server.name} sent a body that can't be read: {error}",
--- a/src/tealcove/catalog/packing.py
+++ b/src/tealcove/catalog/packing.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from tealcove import errors
+from tealcove import decoding, errors
 
 T = TypeVar("T")
 
@@ -27,7 +27,7 @@
 def unpack(content: bytes, kind: type[T]) -> T:
     """Return the decoded object of a type; raises PlatformError."""
     try:
-        return msgspec.msgpack.decode(zlib.decompress(content), type=kind)
+        return decoding.decode_msgpack(zlib.decompress(content), kind)
     except (zlib.error, msgspec.MsgspecError) as error:
         raise errors.PlatformError(
             f"cannot decode a peer's copy: {error}",
--- a/src/tealcove/claims/claim.py
+++ b/src/tealcove/claims/claim.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import decoding, errors, ids
 
 TABLE = "claims"
 # Longer answers aren't stored: all rows of a batch are in one transaction.
@@ -70,5 +70,12 @@
 
 
 def decode(content: bytes) -> Claim:
-    """Decode the value of a row."""
-    return msgspec.msgpack.decode(content, type=Claim)
+    """Decode the value of a row; raises PlatformError."""
+    try:
+        return decoding.decode_msgpack(content, Claim)
+    except msgspec.MsgspecError as error:
+        raise errors.PlatformError(
+            f"a claim can't be decoded: {error}",
+            f"Find out who wrote the row in {TABLE}; delete it when no request has "
+            "that key.",
+        ) from error
--- a/src/tealcove/claims/claimer.py
+++ b/src/tealcove/claims/claimer.py
@@ -99,7 +99,7 @@
         else:
             self.active.discard(wanted.nonce)
         if found.verdict is messages.Verdict.CONFLICT:
-            raise TakenError(claim.decode(found.value))
+            raise conflict(found.value)
         raise UnavailableError(
             "The platform's table did not confirm the claim", "Send the request later."
         )
@@ -189,7 +189,12 @@
         """
         if verdict.value is None or verdict.change_id in self.active:
             return
-        if claim.decode(verdict.value).nonce == verdict.change_id:
+        try:
+            found = claim.decode(verdict.value)
+        except errors.PlatformError as error:
+            log.warning("a verdict on {} is ignored: {}", verdict.key, error)
+            return
+        if found.nonce == verdict.change_id:
             self.abandon(verdict.key, verdict.change_id)
 
     def abandon(self, key: str, nonce: str) -> None:
@@ -207,10 +212,14 @@
                 break
             except errors.PlatformError:
                 await asyncio.sleep(RETRY_INTERVAL)
-        if row is not None:
-            found = claim.decode(row.value)
-            if self.is_undispatched(found, nonce):
-                await self.release(HeldClaim(key, found, row.version))
+        try:
+            found = None if row is None else claim.decode(row.value)
+        except errors.PlatformError as error:
+            # Another writer's: this entry's own rows can be decoded.
+            log.warning("the row of claim {} is left: {}", key, error)
+            found = None
+        if found is not None and self.is_undispatched(found, nonce):
+            await self.release(HeldClaim(key, found, row.version))
         self.active.discard(nonce)
 
     def is_undispatched(self, found: claim.Claim, nonce: str) -> bool:
@@ -246,6 +255,14 @@
     return str(ids.new_incarnation())
 
 
+def conflict(content: bytes) -> TakenError | UnavailableError:
+    """Return the error for a claim whose row exists."""
+    try:
+        return TakenError(claim.decode(content))
+    except errors.PlatformError as error:
+        return UnavailableError(error.problem, error.remedy)
+
+
 def unsettled(change: messages.RowChange) -> messages.RowVerdict:
     """Return the verdict that a change's outcome is unknown."""
     return messages.RowVerdict(
--- a/src/tealcove/client.py
+++ b/src/tealcove/client.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from tealcove import connection, ids, resourcefiles
+from tealcove import connection, decoding, ids, resourcefiles
 from tealcove.entry import points
 from tealcove.resources import codec, documents, kinds, watch
 
@@ -214,7 +214,7 @@
 def decode(body: bytes, shape: type[T]) -> T:
     """Decode an answer; raises ClientError if it has another type."""
     try:
-        return msgspec.json.decode(body, type=shape)
+        return decoding.decode_json(body, shape)
     except msgspec.DecodeError as failure:
         raise connection.ClientError(
             f"The answer isn't understood: {failure}", NOT_JSON
--- a/src/tealcove/completion.py
+++ b/src/tealcove/completion.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from tealcove import connection
+from tealcove import connection, decoding
 
 PATH = "/v1/completions"
 DATA = b"data: "
@@ -78,14 +78,14 @@
             raise error_from_response(response.status, await read(response.read()))
         if not completion.stream:
             body = await read(response.read())
-            yield msgspec.json.decode(body, type=Part).choices[0].text
+            yield decoding.decode_json(body, Part).choices[0].text
             return
         complete = False
         while line := await read(response.content.readline()):
             content = line.removeprefix(DATA).strip()
             if not content or content == DONE:
                 continue
-            part = msgspec.json.decode(content, type=Part)
+            part = decoding.decode_json(content, Part)
             complete = complete or part.count is not None
             yield part.choices[0].text
         if not complete:
--- a/src/tealcove/connection.py
+++ b/src/tealcove/connection.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from tealcove import errors
+from tealcove import decoding, errors
 
 T = typing.TypeVar("T")
 
@@ -203,7 +203,7 @@
 def error_from_response(status: int, body: bytes) -> RefusedError:
     """Return the error for a refused call."""
     try:
-        problem = msgspec.json.decode(body, type=Problem)
+        problem = decoding.decode_json(body, Problem)
     except msgspec.DecodeError:
         problem = Problem(title=f"Status {status}")
     if problem.type == CONFLICT_TYPE:
--- a/src/tealcove/demonstration/callers.py
+++ b/src/tealcove/demonstration/callers.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from tealcove import clock, ids
+from tealcove import clock, decoding, ids
 from tealcove.demonstration import mix, parts
 from tealcove.standins import answers
 from tealcove.standins import service as service_standin
@@ -201,7 +201,7 @@
                 continue
             if first_token is None:
                 first_token = clock.now() - start
-            part = msgspec.json.decode(content, type=Part)
+            part = decoding.decode_json(content, Part)
             text += part.text()
             count = part.count
     except aiohttp.ClientPayloadError:
@@ -215,8 +215,8 @@
 def is_correct_answer(body: bytes, request: mix.Request, request_id: str) -> bool:
     """Tell whether a buffered answer is the complete one to this request."""
     if request.for_engine:
-        return msgspec.json.decode(body, type=Part).text() == expected(request)
-    found = msgspec.json.decode(body, type=service_standin.Answer)
+        return decoding.decode_json(body, Part).text() == expected(request)
+    found = decoding.decode_json(body, service_standin.Answer)
     content = body_of(request) or b""
     size = service_standin.DIGEST_BYTES
     digest = hashlib.blake2b(content, digest_size=size).hexdigest()
@@ -238,5 +238,5 @@
 
 def problem_answer(body: bytes, request_id: str) -> Answer:
     """Convert an error answer."""
-    found = msgspec.json.decode(body, type=Problem)
+    found = decoding.decode_json(body, Problem)
     return Answer(end=found.outcome, reason=found.reason, request_id=request_id)
--- a/src/tealcove/entry/call.py
+++ b/src/tealcove/entry/call.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from tealcove import decoding
 from tealcove.entry import problem
 
 DEFAULT_MAX_TOKENS = 256
@@ -85,7 +86,7 @@
 ) -> CompletionRequest | ChatRequest:
     """Decode a body; the error names the field and its expected type or range."""
     try:
-        return msgspec.json.decode(body, type=expected)
+        return decoding.decode_json(body, expected)
     except msgspec.MsgspecError as error:
         raise problem.rejected(
             400, "The body of the request can't be used", str(error)
--- a/src/tealcove/orders/intents.py
+++ b/src/tealcove/orders/intents.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.backends import engine
 from tealcove.storage import table
 
@@ -154,7 +154,7 @@
 def decode(row: table.Row) -> Record:
     """Return the record in a row; raises PlatformError."""
     try:
-        return msgspec.json.decode(row.value, type=Record)
+        return decoding.decode_json(row.value, Record)
     except msgspec.MsgspecError as error:
         raise errors.PlatformError(
             f"the orders of pool {row.key} can't be decoded: {error}",
--- a/src/tealcove/orders/lease.py
+++ b/src/tealcove/orders/lease.py
@@ -14,7 +14,7 @@
 import msgspec
 import transitions
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.storage import table
 
 TABLE = "leases"
@@ -283,7 +283,7 @@
 def decode(row: table.Row) -> LeaseRecord:
     """Return the record in a row; raises PlatformError."""
     try:
-        return msgspec.json.decode(row.value, type=LeaseRecord)
+        return decoding.decode_json(row.value, LeaseRecord)
     except msgspec.MsgspecError as error:
         raise errors.PlatformError(
             f"the row of lease {row.key!r} can't be decoded: {error}",
--- a/src/tealcove/origins/keeping.py
+++ b/src/tealcove/origins/keeping.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from tealcove import clock, errors, ids, tasks
+from tealcove import clock, decoding, errors, ids, tasks
 from tealcove.origins import known, messages
 from tealcove.storage import table
 
@@ -235,7 +235,7 @@
 def decode(value: bytes) -> list[messages.Origin]:
     """Return the origins in a row; none if it can't be decoded."""
     try:
-        return msgspec.msgpack.decode(value, type=list[messages.Origin])
+        return decoding.decode_msgpack(value, list[messages.Origin])
     except msgspec.MsgspecError as error:
         log.warning("a row with origins can't be decoded and is ignored: {}", error)
         return []
@@ -246,7 +246,7 @@
     if reading.row is None:
         return {}
     try:
-        return msgspec.msgpack.decode(reading.row.value, type=Versions)
+        return decoding.decode_msgpack(reading.row.value, Versions)
     except msgspec.MsgspecError as error:
         raise errors.PlatformError(
             f"the row of versions of {reading.row.key} can't be decoded: {error}",
--- a/src/tealcove/peers/message.py
+++ b/src/tealcove/peers/message.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tealcove import errors
+from tealcove import decoding, errors
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, kw_only=True, array_like=True):
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self.types: list[type[Message]] = []
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder: msgspec.msgpack.Decoder | None = None
+        self.decoder: decoding.Decoder | None = None
 
     def register(self, message_type: type[Message]) -> None:
         """Register a message type; the decoder is rebuilt on the next use."""
@@ -38,7 +38,7 @@
             union = self.types[0]
             for message_type in self.types[1:]:
                 union = union | message_type
-            self.decoder = msgspec.msgpack.Decoder(union)
+            self.decoder = decoding.Decoder(msgspec.msgpack.Decoder(union))
         try:
             return self.decoder.decode(content)
         except msgspec.MsgspecError as error:
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tealcove import checked, count, errors, ids
+from tealcove import checked, count, decoding, errors, ids
 from tealcove.catalog import declared
 from tealcove.limits import limit
 from tealcove.platform import names
@@ -230,7 +230,7 @@
 def decode(content: bytes, kind: type[T]) -> T:
     """Decode a document; raises PlatformError."""
     try:
-        return msgspec.json.decode(content, type=kind)
+        return decoding.decode_json(content, kind)
     except msgspec.MsgspecError as error:
         raise unreadable(str(error)) from error
 
--- a/src/tealcove/platform/rollouts.py
+++ b/src/tealcove/platform/rollouts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.platform import documents, names, storeadapter
 from tealcove.rollout import order
 from tealcove.storage import revisions, table
@@ -84,7 +84,7 @@
 def status_of(row: table.Row) -> order.Status | None:
     """Return a status; None if this system didn't write the row."""
     try:
-        found = msgspec.json.decode(row.value, type=WireStatus)
+        found = decoding.decode_json(row.value, WireStatus)
     except msgspec.MsgspecError:
         return None
     state = STATE_BY_VALUE.get(found.state)
--- a/src/tealcove/platform/wire.py
+++ b/src/tealcove/platform/wire.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tealcove import count, errors, ids
+from tealcove import count, decoding, errors, ids
 from tealcove.storage import feed, revisions
 
 T = TypeVar("T")
@@ -109,7 +109,7 @@
 def decode_read(content: bytes, kind: type[T]) -> T:
     """Decode the reply to a read; raises PlatformUnavailableError."""
     try:
-        return msgspec.json.decode(content, type=kind)
+        return decoding.decode_json(content, kind)
     except msgspec.MsgspecError as error:
         raise unavailable(f"a reply can't be understood: {error}") from error
 
@@ -117,7 +117,7 @@
 def decode_write(content: bytes, kind: type[T]) -> T:
     """Decode the reply to a write; raises OutcomeUnknownError."""
     try:
-        return msgspec.json.decode(content, type=kind)
+        return decoding.decode_json(content, kind)
     except msgspec.MsgspecError as error:
         raise unknown(f"a reply can't be understood: {error}") from error
 
--- a/src/tealcove/quarantine/persistence.py
+++ b/src/tealcove/quarantine/persistence.py
@@ -9,7 +9,7 @@
 import logbook
 import msgspec
 
-from tealcove import clock, errors, ids
+from tealcove import clock, decoding, errors, ids
 from tealcove.quarantine import ledger, marks, parts
 from tealcove.storage import table
 
@@ -56,7 +56,9 @@
         self.rows = rows
         self.table = name
         self.ledger = held
-        self.decoder = msgspec.msgpack.Decoder(StoredRecord[record_type])
+        self.decoder = decoding.Decoder(
+            msgspec.msgpack.Decoder(StoredRecord[record_type])
+        )
         # Keys to write, in the order in which the records changed.
         self.pending: dict[str, None] = {}
         self.loaded = False
--- a/src/tealcove/relay/wire.py
+++ b/src/tealcove/relay/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tealcove import errors
+from tealcove import decoding, errors
 from tealcove.dispatch import messages
 
 # Header of the request, and of an answer that isn't the server's.
@@ -46,7 +46,7 @@
 def decode(headers: Mapping[str, str]) -> Order:
     """Return the order in a request's headers; raises PeerError."""
     try:
-        return msgspec.json.decode(headers.get(ORDER, ""), type=Order)
+        return decoding.decode_json(headers.get(ORDER, ""), Order)
     except msgspec.MsgspecError as error:
         raise errors.PeerError(
             f"A request to pass on has no valid order: {error}",
--- a/src/tealcove/resources/accounts.py
+++ b/src/tealcove/resources/accounts.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import decoding, ids
 from tealcove.resources import kinds
 
 
@@ -27,7 +27,7 @@
 
 
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(PackedAccount)
+DECODER = decoding.Decoder(msgspec.msgpack.Decoder(PackedAccount))
 
 
 def pack(resource: kinds.Resource) -> bytes:
--- a/src/tealcove/resources/codec.py
+++ b/src/tealcove/resources/codec.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import decoding, ids
 from tealcove.resources import kinds, refusals
 
 # msgspec appends the path to its message: "Expected `int`, got `str` - at `$.port`".
@@ -64,7 +64,7 @@
 def decode_spec(kind: kinds.Kind, document: bytes | msgspec.Raw) -> kinds.Spec:
     """Decode a spec from JSON; raises InvalidFieldError."""
     try:
-        return msgspec.json.decode(document, type=kinds.SPECS[kind])
+        return decoding.decode_json(document, kinds.SPECS[kind])
     except msgspec.DecodeError as error:
         raise field_error(error, SPEC_PATH) from error
 
@@ -94,7 +94,7 @@
 def decode_resource(document: bytes) -> kinds.Resource:
     """Decode a resource from JSON; raises InvalidFieldError."""
     try:
-        stored = msgspec.json.decode(document, type=StoredResource)
+        stored = decoding.decode_json(document, StoredResource)
     except msgspec.DecodeError as error:
         raise field_error(error, "resource") from error
     return decode_stored_resource(stored)
@@ -103,7 +103,7 @@
 def decode_change(document: bytes) -> Change:
     """Decode a change from JSON; raises InvalidFieldError."""
     try:
-        stored = msgspec.json.decode(document, type=StoredChange)
+        stored = decoding.decode_json(document, StoredChange)
     except msgspec.DecodeError as error:
         raise field_error(error, "change") from error
     resource = None
--- a/src/tealcove/resources/documents.py
+++ b/src/tealcove/resources/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tealcove import ids
+from tealcove import decoding, ids
 from tealcove.resources import codec, edits, kinds, refusals, status
 
 
@@ -104,7 +104,7 @@
 def decode(content: bytes, shape: type[Any]) -> Any:
     """Decode a request body; raises BadRequestError, InvalidFieldError."""
     try:
-        return msgspec.json.decode(content, type=shape)
+        return decoding.decode_json(content, shape)
     except msgspec.ValidationError as error:
         raise codec.field_error(error, "") from error
     except msgspec.DecodeError as error:
--- a/src/tealcove/resources/log.py
+++ b/src/tealcove/resources/log.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.resources import codec, copy, kinds, refusals, snapshots
 from tealcove.storage import objects, table
 
@@ -64,12 +64,18 @@
         self.advance_lock = asyncio.Lock()
 
     async def read_head(self) -> HeadRow:
-        """Return the head; raises PlatformUnavailableError."""
+        """Return the head; raises PlatformError."""
         row = await self.rows.read(HEADS, HEAD_KEY)
         condition = table.unchanged(row, HEADS, HEAD_KEY)
         if row is None:
             return HeadRow(Head(), condition)
-        return HeadRow(msgspec.json.decode(row.value, type=Head), condition)
+        try:
+            return HeadRow(decoding.decode_json(row.value, Head), condition)
+        except msgspec.MsgspecError as error:
+            raise errors.PlatformError(
+                f"the head of the configuration can't be decoded: {error}",
+                f"Find out who wrote the row in {HEADS}, and restore it.",
+            ) from error
 
     async def change(self, revision: ids.Revision) -> codec.Change | None:
         """Return one change, or None; raises PlatformUnavailableError."""
--- a/src/tealcove/resources/snapshots.py
+++ b/src/tealcove/resources/snapshots.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.resources import accounts, codec, copy, kinds
 
 
@@ -36,7 +36,7 @@
 def decode(content: bytes) -> copy.Configuration:
     """Decode a configuration; raises ResourceError."""
     try:
-        snapshot = msgspec.msgpack.decode(content, type=Snapshot)
+        snapshot = decoding.decode_msgpack(content, Snapshot)
         table = accounts.AccountTable.from_packed(snapshot.client_accounts)
     except msgspec.DecodeError as error:
         raise errors.ResourceError(
--- a/src/tealcove/resources/store.py
+++ b/src/tealcove/resources/store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tealcove import errors, ids
+from tealcove import decoding, errors, ids
 from tealcove.resources import codec, copy, decision, kinds, log, refusals
 from tealcove.storage import objects, table
 
@@ -183,7 +183,13 @@
         row = await self.store.rows.read(log.IDEMPOTENCY, self.idempotency_row)
         if row is None:
             return None
-        recorded = msgspec.json.decode(row.value, type=StoredIdempotencyRecord)
+        try:
+            recorded = decoding.decode_json(row.value, StoredIdempotencyRecord)
+        except msgspec.MsgspecError as error:
+            raise errors.PlatformError(
+                f"the record of an earlier call can't be decoded: {error}",
+                f"Delete its row in {log.IDEMPOTENCY}, or draw a new Idempotency-Key.",
+            ) from error
         if recorded.fingerprint != self.fingerprint:
             raise refusals.IdempotencyMismatchError(
                 f"this Idempotency-Key was used for another change, revision "
--- a/src/tealcove/standins/engine.py
+++ b/src/tealcove/standins/engine.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import ids, tasks
+from tealcove import decoding, ids, tasks
 from tealcove.standins import (
     answers,
     backend,
@@ -267,7 +267,7 @@
         """Store a KV cache that another engine exported."""
         content = await request.read()
         try:
-            chain = msgspec.msgpack.decode(content, type=tuple[int, ...])
+            chain = decoding.decode_msgpack(content, tuple[int, ...])
         except msgspec.DecodeError as error:
             raise web.HTTPBadRequest(text="Send what an engine exported.") from error
         self.cache.store(chain, server.loop_time())
--- a/src/tealcove/standins/platform.py
+++ b/src/tealcove/standins/platform.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import errors
+from tealcove import decoding, errors
 from tealcove.platform import names, store, wire
 from tealcove.storage import (
     faults,
@@ -119,7 +119,7 @@
 
     async def transact(self, request: web.Request) -> web.Response:
         """Apply a transaction; 412 carries the rows of its conditions."""
-        body = msgspec.json.decode(await request.read(), type=wire.WireTransaction)
+        body = decoding.decode_json(await request.read(), wire.WireTransaction)
         if any(row.table in READ_ONLY_TABLES for row in (*body.puts, *body.drop)):
             return web.Response(status=FORBIDDEN, text="The operator's own table.")
         if len(body.expect_rev) + len(body.puts) + len(body.drop) > MAX_ENTRIES:
@@ -268,7 +268,7 @@
     async def replace_faults(self, request: web.Request) -> web.Response:
         """Replace all faults with those of the JSON body."""
         body = await request.read()
-        self.memory.faults = msgspec.json.decode(body, type=faults.Faults)
+        self.memory.faults = decoding.decode_json(body, faults.Faults)
         return web.Response(status=NO_CONTENT)
 
     async def show_counts(self, request: web.Request) -> web.Response:
@@ -280,7 +280,7 @@
     async def register(self, request: web.Request) -> web.Response:
         """Add or replace an entry of the instance list, given as JSON."""
         body = await request.read()
-        entry = msgspec.json.decode(body, type=instances.ListedInstance)
+        entry = decoding.decode_json(body, instances.ListedInstance)
         if entry.name != request.match_info["name"]:
             return web.Response(status=BAD_REQUEST, text="The names differ.")
         self.memory.instances.register(entry)
--- a/src/tealcove/standins/pool_copies.py
+++ b/src/tealcove/standins/pool_copies.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import clock, ids, tasks
+from tealcove import clock, decoding, ids, tasks
 from tealcove.platform import names
 
 # Path of the parts of copies that servers send to each other; a request id follows.
@@ -76,7 +76,7 @@
         if request.method == "DELETE":
             self.kept.pop(run, None)
         elif self.has_room:
-            progress = msgspec.json.decode(body, type=Progress)
+            progress = decoding.decode_json(body, Progress)
             self.kept[run] = Copy(progress, clock.now())
         return web.Response()
 
--- a/src/tealcove/standins/server.py
+++ b/src/tealcove/standins/server.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import ids, tasks
+from tealcove import decoding, ids, tasks
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Time after which handlers that are still running at shutdown are abandoned.
@@ -36,7 +36,7 @@
 async def decode_body(request: web.Request, shape: type[Decoded]) -> Decoded:
     """Decode a request's JSON body; raises HTTPBadRequest."""
     try:
-        return msgspec.json.decode(await request.read(), type=shape)
+        return decoding.decode_json(await request.read(), shape)
     except msgspec.DecodeError as error:
         raise web.HTTPBadRequest(text=str(error)) from error
 
--- a/src/tealcove/storage/rowlist.py
+++ b/src/tealcove/storage/rowlist.py
@@ -5,7 +5,7 @@
 import logbook
 import msgspec
 
-from tealcove import errors
+from tealcove import decoding, errors
 from tealcove.storage import instances, table
 
 log = logbook.Logger("storage")
@@ -60,7 +60,7 @@
 def decode(row: table.Row) -> instances.ListedInstance | None:
     """Return a row's entry, or None if it can't be decoded."""
     try:
-        return msgspec.json.decode(row.value, type=instances.ListedInstance)
+        return decoding.decode_json(row.value, instances.ListedInstance)
     except msgspec.MsgspecError as error:
         log.warning("the row of {} can't be decoded and is ignored: {}", row.key, error)
         return None
--- a/src/tealcove/storage/rowweights.py
+++ b/src/tealcove/storage/rowweights.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tealcove import errors
+from tealcove import decoding, errors
 from tealcove.storage import table, weights
 
 TABLE = "weights"
@@ -50,7 +50,7 @@
 def decode(row: table.Row) -> LoadSchedule:
     """Decode the row; raises PlatformUnavailableError."""
     try:
-        return msgspec.json.decode(row.value, type=LoadSchedule)
+        return decoding.decode_json(row.value, LoadSchedule)
     except msgspec.MsgspecError as error:
         raise errors.PlatformUnavailableError(
             f"the row {TABLE}/{KEY} can't be read: {error}", "Write it anew."
