Tasks: a loop that fails is started again; bad input costs itself alone

What callers saw: one exception that a loop's author hadn't foreseen ended following the store, heartbeats, the refresh of tickets or roll-outs for good, in all instances at once where the input is shared. A request whose id wasn't UTF-8 got a 500, and the process never refreshed a ticket again. SIGHUP in the first .15 s ended a process.

Cause: tasks.start logs the exception that ends a task, and nothing starts the task again. Requester.obtain left a ticket behind that can't be sent, and the refresh ended on it. The log raised on text that isn't Unicode, wherever it was called. The handler of SIGHUP came after the start of all roles.

A ticket, a service's rows of origins and a service's roll-out that fail hold up no others. SIGHUP is ignored from the program's first lines on, until its handler is there, which is before the settings are read.

--- a/src/tealcove/accounts/role.py
+++ b/src/tealcove/accounts/role.py
@@ -53,9 +53,9 @@
         """Start to share orders, and read those in the store."""
         self.sharer.start()
         self.sharer.update_heartbeat(clock.now())
-        self.tasks.append(tasks.start(self.sharer.run(), "sharing of weights"))
-        self.tasks.append(tasks.start(self.run_loading(), "reading of weights"))
-        self.tasks.append(tasks.start(self.run_comparing(), "comparing of weights"))
+        self.tasks.append(tasks.start_loop(self.sharer.run, "sharing of weights"))
+        self.tasks.append(tasks.start_loop(self.run_loading, "reading of weights"))
+        self.tasks.append(tasks.start_loop(self.run_comparing, "comparing of weights"))
 
     async def stop(self) -> None:
         """Stop all tasks."""
--- a/src/tealcove/catalog/copysender.py
+++ b/src/tealcove/catalog/copysender.py
@@ -45,7 +45,7 @@
 
     def start(self) -> None:
         """Start sending."""
-        self.task = tasks.start(self.run(), "telling peers of the catalog")
+        self.task = tasks.start_loop(self.run, "telling peers of the catalog")
 
     async def stop(self) -> None:
         """Stop the task."""
--- a/src/tealcove/catalog/following.py
+++ b/src/tealcove/catalog/following.py
@@ -53,8 +53,8 @@
     def start(self) -> None:
         """Start following; the first review of the group comes later."""
         self.start_followers(clock.now())
-        self.review_task = tasks.start(
-            self.review_periodically(), "who follows the store"
+        self.review_task = tasks.start_loop(
+            self.review_periodically, "who follows the store"
         )
 
     async def stop(self) -> None:
@@ -84,7 +84,8 @@
         if self.review_task is not None:
             log.info("following the store for {}", self.members.own.data_centre)
         self.tasks = [
-            tasks.start(one.run(), f"follower of {one.table}") for one in self.followers
+            tasks.start_loop(one.run, f"follower of {one.table}")
+            for one in self.followers
         ]
 
     def stop_followers(self) -> None:
--- a/src/tealcove/claims/writer.py
+++ b/src/tealcove/claims/writer.py
@@ -59,7 +59,7 @@
     def start(self) -> None:
         """Register the handler of changes and start to commit them."""
         self.transport.handle(messages.RowChange, self.handle_change)
-        self.task = tasks.start(self.run(), "batches of claims")
+        self.task = tasks.start_loop(self.run, "batches of claims")
 
     async def stop(self) -> None:
         """Stop the task; entries send unanswered changes to another writer."""
--- a/src/tealcove/commands/front.py
+++ b/src/tealcove/commands/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import signal
 from typing import Annotated
 
 import cappa
@@ -22,6 +23,8 @@
 
     async def __call__(self) -> None:
         """Read the settings and run the daemon."""
+        # Until its handler is installed, the signal would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         # Imported here so that other commands start without these modules.
         from tealcove.front import daemon
 
--- a/src/tealcove/commands/serve.py
+++ b/src/tealcove/commands/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import signal
 from typing import Annotated
 
 import cappa
@@ -24,6 +25,8 @@
 
     async def __call__(self) -> None:
         """Read the settings and run the daemon."""
+        # Until its handler is installed, the signal would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         found = settings_module.load(self.settings)
         # Imported here so that other commands start without these modules.
         from tealcove import daemon
--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -85,7 +85,7 @@
         self.configuration.start(self.heartbeats)
         self.mesh.start_receiving()
         monitor = readiness.Readiness(self.members, self.heartbeats, self.configuration)
-        self.tasks.append(tasks.start(monitor.run(), "readiness"))
+        self.tasks.append(tasks.start_loop(monitor.run, "readiness"))
 
     def start_mesh(self) -> None:
         """Listen for peers."""
@@ -215,6 +215,7 @@
         """Register the metrics of all roles."""
         instruments = gauges.Gauges(self.telemetry.meter)
         instruments.add_mesh(self.mesh)
+        instruments.add_restarts()
         instruments.add_platform(self.platform)
         instruments.add_members(self.members)
         instruments.add_configuration(self.configuration.copy)
--- a/src/tealcove/dispatch/requester.py
+++ b/src/tealcove/dispatch/requester.py
@@ -63,7 +63,7 @@
         self.transport.handle(messages.Refusal, self.handle_refusal)
         self.transport.handle(messages.Preempt, self.handle_preempt)
         self.members.listen(self.reassign_all)
-        self.refreshing = tasks.start(self.refresh(), "ticket refresh")
+        self.refreshing = tasks.start_loop(self.refresh, "ticket refresh")
 
     async def stop(self) -> None:
         """Stop the refresh."""
@@ -78,6 +78,17 @@
         """
         self.pending_tickets[request.ticket.ticket_id] = request
         self.spread.begin(request.ticket.cell)
+        try:
+            return await self.negotiate(request)
+        except Exception:
+            # The ticket couldn't be sent, and would be sent again and again.
+            self.forget(request)
+            raise
+
+    async def negotiate(
+        self, request: pending.PendingTicket
+    ) -> messages.Grant | messages.Refusal:
+        """Ask dispatchers until one answers or the deadline has passed."""
         attempt = None
         while not request.answer.done():
             now = clock.now()
@@ -271,11 +282,13 @@
             await asyncio.sleep(REFRESH_INTERVAL)
             now = clock.now()
             for request in list(self.pending_tickets.values()):
-                if (
-                    now - request.since >= REFRESH_INTERVAL
-                    and request.dispatcher is not None
-                ):
+                if now - request.since < REFRESH_INTERVAL or request.dispatcher is None:
+                    continue
+                try:
                     self.send(request, self.current(request, now))
+                except Exception:
+                    # One ticket that can't be sent mustn't hold up the others.
+                    log.exception("ticket {} not sent", request.ticket.ticket_id)
 
     def current(
         self, request: pending.PendingTicket, now: ids.Instant
--- a/src/tealcove/dispatch/role.py
+++ b/src/tealcove/dispatch/role.py
@@ -124,7 +124,7 @@
         self.crossings.start()
         self.transport.handle(notices.LocalRefusals, self.handle_local_refusals)
         self.members.listen(self.record_membership_change)
-        self.ticker = tasks.start(self.tick(), "dispatcher tick")
+        self.ticker = tasks.start_loop(self.tick, "dispatcher tick")
 
     async def stop(self) -> None:
         """End all tasks."""
--- a/src/tealcove/dispatch/servedcell.py
+++ b/src/tealcove/dispatch/servedcell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Callable
 
@@ -82,7 +83,9 @@
                 self.holdings.pop(name, None)
         for name, server in wanted.items():
             if name not in self.polls:
-                task = tasks.start(self.poll(server), f"poll of {name}")
+                task = tasks.start_loop(
+                    functools.partial(self.poll, server), f"poll of {name}"
+                )
                 self.polls[name] = Poll(server, task)
 
     async def poll(self, server: engine.Server) -> None:
--- a/src/tealcove/dispatch/tests/test_requester.py
+++ b/src/tealcove/dispatch/tests/test_requester.py
@@ -8,9 +8,10 @@
 import pytest
 
 from tealcove import clock, ids
-from tealcove.dispatch import messages, statements
+from tealcove.dispatch import messages, requester, statements
 from tealcove.dispatch.tests import askers
 from tealcove.membership.tests import builders
+from tealcove.peers import endpoint, message
 
 
 async def test_a_silent_dispatcher_is_skipped(asking: askers.Asking) -> None:
@@ -247,3 +248,35 @@
     )
     ticket = asking.requester.current(asking.pending_ticket, clock.now())
     assert (ticket.running_on, ticket.copy_at) == ("s", "t")
+
+
+async def test_a_ticket_that_cannot_be_sent_holds_up_no_other(
+    asking: askers.Asking, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests whose tickets nobody refreshes any more.
+
+    A ticket that raises when it is sent stays neither behind nor ends the refresh.
+    """
+    monkeypatch.setattr(requester, "REFRESH_INTERVAL", 0.01)
+    asking.requester.refreshing.cancel()
+    asking.requester.start()
+    bad = asking.another_pending_ticket()
+    text = b"r-\xe9".decode(errors="surrogateescape")
+    bad.ticket = msgspec.structs.replace(bad.ticket, request_id=ids.RequestId(text))
+    send = asking.mesh.send
+
+    def encode_and_send(peer: endpoint.Endpoint, sent: message.Message) -> bool:
+        msgspec.msgpack.encode(sent)
+        return send(peer, sent)
+
+    monkeypatch.setattr(asking.mesh, "send", encode_and_send)
+    with pytest.raises(UnicodeEncodeError):
+        await asking.requester.obtain(bad)
+    assert bad.ticket.ticket_id not in asking.requester.pending_tickets
+    # Also one that was sent before it couldn't be.
+    bad.dispatcher = asking.first
+    tickets = asking.requester.pending_tickets
+    asking.requester.pending_tickets = {bad.ticket.ticket_id: bad, **tickets}
+    asking.queue_at(asking.first)
+    times = len(asking.mesh.to(asking.port(asking.first), messages.Ticket))
+    await asking.asked(asking.first, times + 3)
--- a/src/tealcove/front/__main__.py
+++ b/src/tealcove/front/__main__.py
@@ -8,8 +8,13 @@
 
 import gc
 import os
+import signal
 import sys
 
+# Until its handler is installed, the signal would end the process. What it announces
+# isn't missed: the settings are read after that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # The objects that imports create live until the process ends; garbage collections
 # during the imports would take a tenth of the start time.
 gc.disable()
--- a/src/tealcove/front/daemon.py
+++ b/src/tealcove/front/daemon.py
@@ -21,12 +21,17 @@
     """Applies changes of the settings file to a running instance."""
 
     def __init__(
-        self, path: str, running: instance.Instance, handler: logs.JsonHandler
+        self,
+        path: str,
+        running: instance.Instance,
+        handler: logs.JsonHandler,
+        requested: asyncio.Event,
     ) -> None:
         self.path = path
         self.running = running
         self.handler = handler
-        self.requested = asyncio.Event()
+        # Set to reload even if the file seems unchanged.
+        self.requested = requested
         self.signature = file_signature(path)
 
     async def run(self) -> None:
@@ -70,17 +75,19 @@
 
 async def serve(path: str) -> None:
     """Run an instance until SIGTERM or SIGINT, then shut it down gracefully."""
+    loop = asyncio.get_running_loop()
+    # Before the file is read: a change that comes with the signal isn't missed.
+    hung_up = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hung_up.set)
     found = settings.load(path)
     handler = logs.install_rate_limited(found, found.log.most_lines_per_second)
     stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stopping.set)
     running = await instance.start(found)
     running.register_dropped_lines(lambda: handler.dropped)
-    reloader = Reloader(path, running, handler)
-    loop.add_signal_handler(signal.SIGHUP, reloader.requested.set)
-    reloading = tasks.start(reloader.run(), "settings")
+    reloader = Reloader(path, running, handler, hung_up)
+    reloading = tasks.start_loop(reloader.run, "settings")
     await stopping.wait()
     await running.leave()
     await tasks.stop([reloading])
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -257,6 +257,7 @@
             loadmetrics.add_crossings(self.metrics, self.budgets)
         loadmetrics.add_copies(self.metrics, self.copying)
         requestmetrics.add_grants(self.metrics, self.tickets)
+        requestmetrics.add_restarts(self.metrics)
 
     def start_local_refusals(self) -> None:
         """Keep promised returns, and follow what dispatchers refuse."""
@@ -428,7 +429,7 @@
     def start_following(self) -> None:
         """Start to follow the store and to run the periodic checks."""
         self.following.start()
-        self.tasks.append(tasks.start(self.run_checks(), "readiness"))
+        self.tasks.append(tasks.start_loop(self.run_checks, "readiness"))
 
     async def run_checks(self) -> None:
         """Check readiness and lapsed servers periodically until cancelled."""
--- a/src/tealcove/front/requestmetrics.py
+++ b/src/tealcove/front/requestmetrics.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from tealcove import tasks
 from tealcove.accounts import tallies
 from tealcove.admission import counts
 from tealcove.dispatch import requester
@@ -89,6 +90,15 @@
     )
 
 
+def add_restarts(registry: metrics.Registry) -> None:
+    """Register the counter of this process's loops that failed."""
+    registry.add_observable_counter(
+        "tealcove.tasks.restarted",
+        "Restarts of background loops that failed; the log has the causes.",
+        lambda: tasks.RESTARTS.count,
+    )
+
+
 def add_accounts(registry: metrics.Registry, counted: tallies.Tallies) -> None:
     """Register the counts of requests by account."""
     registry.labelled_counters.append(
--- a/src/tealcove/front/tests/test_daemon.py
+++ b/src/tealcove/front/tests/test_daemon.py
@@ -40,7 +40,7 @@
 def reloader(path: pathlib.Path) -> tuple[daemon.Reloader, FakeInstance]:
     running = FakeInstance()
     handler = logs.JsonHandler(settings.load(str(path)))
-    return daemon.Reloader(str(path), running, handler), running
+    return daemon.Reloader(str(path), running, handler, asyncio.Event()), running
 
 
 async def test_a_changed_file_is_noticed_without_a_signal(
--- a/src/tealcove/front/tests/test_main.py
+++ b/src/tealcove/front/tests/test_main.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 import pathlib
+import signal
 import subprocess
 import sys
+import time
+
+import msgspec
 
 from tealcove.commands import exits
+from tealcove.front.tests import builders
+
+# Signals from the first moment on, and the seconds between them.
+HANG_UPS = 100
+HANG_UP_INTERVAL = 0.01
 
 # Modules that an instance doesn't need; importing them would slow down its restart.
 NOT_NEEDED = (
@@ -84,3 +93,41 @@
         "print(gc.isenabled(), len(collections))"
     )
     assert run("-c", serving).stdout == "True 0\n"
+
+
+def test_hang_ups_are_ignored_before_anything_large_is_imported() -> None:
+    """Guards against a process that ends since its settings changed at its start."""
+    listing = (
+        "import signal, sys; found = {}; "
+        "sys.addaudithook(lambda event, details: event == 'import' and "
+        "found.setdefault(details[0], signal.getsignal(signal.SIGHUP))); "
+        "import tealcove.front.__main__; "
+        "print(found['asyncio'] is found['aiohttp'] is signal.SIG_IGN)"
+    )
+    assert run("-c", listing).stdout == "True\n"
+
+
+def test_a_hang_up_at_the_start_ends_no_instance(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that ends since its settings changed at its start."""
+    path = tmp_path / "i.json"
+    path.write_bytes(msgspec.json.encode(builders.settings_of_a_process()))
+    command = [sys.executable, "-m", "tealcove.front", "--settings", str(path)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as running:
+        try:
+            # Python itself starts before any line of the program can run.
+            while not is_ignored_or_handled(running.pid, signal.SIGHUP):
+                time.sleep(0.001)
+            for _ in range(HANG_UPS):
+                running.send_signal(signal.SIGHUP)
+                time.sleep(HANG_UP_INTERVAL)
+            assert any('"settings reloaded: ' in line for line in running.stdout)
+        finally:
+            running.kill()
+
+
+def is_ignored_or_handled(pid: int, number: signal.Signals) -> bool:
+    """Tell whether a signal no longer ends a process, by the kernel's masks."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = dict(line.split(":", 1) for line in status.splitlines())
+    mask = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(mask & 1 << (number - 1))
--- a/src/tealcove/gauges.py
+++ b/src/tealcove/gauges.py
@@ -11,7 +11,7 @@
 
 from opentelemetry import metrics
 
-from tealcove import clock
+from tealcove import clock, tasks
 from tealcove.claims import writer
 from tealcove.dispatch import requester, role
 from tealcove.membership import members
@@ -62,6 +62,14 @@
             lambda: transport.dropped,
         )
 
+    def add_restarts(self) -> None:
+        """Add the number of restarts of background loops that failed."""
+        self.add_counter(
+            "tealcove.tasks.restarted",
+            "Restarts of background loops that failed; the log has the causes.",
+            lambda: tasks.RESTARTS.count,
+        )
+
     def add_platform(self, platform: store.StoreClient) -> None:
         """Add the metrics of calls to the platform."""
         self.add_counter(
--- a/src/tealcove/instances/role.py
+++ b/src/tealcove/instances/role.py
@@ -52,7 +52,7 @@
 
     def start(self) -> None:
         """Start to measure."""
-        self.task = tasks.start(self.run(), "load")
+        self.task = tasks.start_loop(self.run, "load")
 
     async def stop(self) -> None:
         """Stop to measure."""
--- a/src/tealcove/limits/role.py
+++ b/src/tealcove/limits/role.py
@@ -52,7 +52,7 @@
             messages.Lending,
             lambda sender, lending: self.handle_lending(sender, lending, clock.now()),
         )
-        self.task = tasks.start(self.run(), "reports on accounts")
+        self.task = tasks.start_loop(self.run, "reports on accounts")
 
     async def stop(self) -> None:
         """Stop the periodic reports."""
--- a/src/tealcove/listener.py
+++ b/src/tealcove/listener.py
@@ -121,7 +121,7 @@
             backlog=BACKLOG,
             ssl_handshake_timeout=None if tls is None else self.limits.idle_seconds,
         )
-        self.sweeper = tasks.start(self.sweep(), "unread answers")
+        self.sweeper = tasks.start_loop(self.sweep, "unread answers")
         return self.server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/src/tealcove/logs.py
+++ b/src/tealcove/logs.py
@@ -73,7 +73,20 @@
             request=record.extra[REQUEST] or None,
             error=record.formatted_exception,
         )
-        return msgspec.json.encode(line)
+        try:
+            return msgspec.json.encode(line)
+        except UnicodeEncodeError:
+            return msgspec.json.encode(escaped(line))
+
+
+def escaped(line: Line) -> Line:
+    """Return a line whose text is valid, as that of a caller's header may not be."""
+    found = {
+        name: value.encode(errors="backslashreplace").decode()
+        for name, value in msgspec.structs.asdict(line).items()
+        if value is not None
+    }
+    return Line(**found)
 
 
 class RateLimitedHandler(JsonHandler):
--- a/src/tealcove/membership/heartbeats.py
+++ b/src/tealcove/membership/heartbeats.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 from collections.abc import Callable
 
@@ -89,8 +90,8 @@
         for seed in self.seeds:
             self.add_peer(seed)
         self.relaying.start()
-        self.tasks.append(tasks.start(self.sweep(), "membership sweep"))
-        self.tasks.append(tasks.start(self.poll_list(), "instance list"))
+        self.tasks.append(tasks.start_loop(self.sweep, "membership sweep"))
+        self.tasks.append(tasks.start_loop(self.poll_list, "instance list"))
 
     async def stop(self) -> None:
         """Announce to all peers that this instance is gone, and stop the tasks."""
@@ -137,8 +138,8 @@
     def start_sending(self, peer: endpoint.Endpoint) -> None:
         """Start the task that sends heartbeats to a peer."""
         if peer not in self.senders:
-            self.senders[peer] = tasks.start(
-                self.send_heartbeats(peer), f"heartbeats to {peer}"
+            self.senders[peer] = tasks.start_loop(
+                functools.partial(self.send_heartbeats, peer), f"heartbeats to {peer}"
             )
 
     def update_recipients(self, now: ids.Instant) -> None:
--- a/src/tealcove/membership/relaying.py
+++ b/src/tealcove/membership/relaying.py
@@ -35,7 +35,7 @@
         """Start receiving digests and, if selected, forwarding."""
         self.transport.handle(messages.Digest, self.handle_digest)
         self.transport.handle(messages.AskDigest, self.handle_ask_digest)
-        self.task = tasks.start(self.run(), "passing heartbeats on")
+        self.task = tasks.start_loop(self.run, "passing heartbeats on")
 
     async def stop(self) -> None:
         """Forward the last changes, and stop."""
--- a/src/tealcove/orders/steward.py
+++ b/src/tealcove/orders/steward.py
@@ -67,9 +67,9 @@
     def start(self) -> None:
         """Start the tasks; they act only while this instance is chosen."""
         self.tasks = [
-            tasks.start(self.keep_lease(), f"lease of {self.pool}"),
-            tasks.start(self.keep_holds(), f"holds of {self.pool}"),
-            tasks.start(self.run(), f"orders to {self.pool}"),
+            tasks.start_loop(self.keep_lease, f"lease of {self.pool}"),
+            tasks.start_loop(self.keep_holds, f"holds of {self.pool}"),
+            tasks.start_loop(self.run, f"orders to {self.pool}"),
         ]
 
     async def stop(self) -> None:
--- a/src/tealcove/origins/keeping.py
+++ b/src/tealcove/origins/keeping.py
@@ -112,7 +112,7 @@
 
     def start(self) -> None:
         """Start to write."""
-        self.task = tasks.start(self.run(), "origins of streams")
+        self.task = tasks.start_loop(self.run, "origins of streams")
 
     async def stop(self) -> None:
         """Stop writing."""
@@ -143,6 +143,8 @@
 
     async def run(self) -> None:
         """Write what is to be kept, until cancelled."""
+        # What was to be written when this loop failed, if it did.
+        self.has_work.set()
         while True:
             await self.has_work.wait()
             self.has_work.clear()
@@ -154,6 +156,10 @@
                 except errors.PlatformError as error:
                     log.info("origins of {} not kept yet: {}", found.service, error)
                     pause = RETRY_INTERVAL
+                except Exception:
+                    # A fault in one service's rows mustn't hold up the others'.
+                    log.exception("origins of {} can't be written", found.service)
+                    pause = RETRY_INTERVAL
             await asyncio.sleep(pause)
             if any(found.is_pending for found in self.services.values()):
                 self.has_work.set()
--- a/src/tealcove/origins/role.py
+++ b/src/tealcove/origins/role.py
@@ -82,7 +82,9 @@
         self.transport.handle(messages.OriginQuestion, self.handle_question)
         self.questions.start()
         self.members.listen(self.has_news.set)
-        self.reporting = tasks.start(self.report_periodically(), "reports of origins")
+        self.reporting = tasks.start_loop(
+            self.report_periodically, "reports of origins"
+        )
         self.keeper.start()
 
     async def stop(self) -> None:
@@ -136,6 +138,8 @@
 
     async def report_periodically(self) -> None:
         """Report origins while several versions serve, until cancelled."""
+        # News from before this loop failed, if it did.
+        self.has_news.set()
         while True:
             await self.has_news.wait()
             self.has_news.clear()
--- a/src/tealcove/quarantine/role.py
+++ b/src/tealcove/quarantine/role.py
@@ -79,10 +79,10 @@
         """Start to share records and to store them in the platform's table."""
         for sharer in (self.sharer, self.part_sharer):
             sharer.start()
-            self.tasks.append(tasks.start(sharer.run(), "sharing of marks"))
+            self.tasks.append(tasks.start_loop(sharer.run, "sharing of marks"))
         for store in (self.store, self.part_store):
             if store is not None:
-                self.tasks.append(tasks.start(store.run(), "persistence of marks"))
+                self.tasks.append(tasks.start_loop(store.run, "persistence of marks"))
 
     async def stop(self) -> None:
         """Stop all tasks."""
--- a/src/tealcove/resources/role.py
+++ b/src/tealcove/resources/role.py
@@ -73,8 +73,8 @@
         heartbeat_service.listeners.append(self.handle_heartbeat)
         self.members.listen(self.handle_membership_change)
         self.tasks = [
-            tasks.start(self.reader.run(), "reader of the configuration"),
-            tasks.start(self.compactor.run(), "compaction of the log"),
+            tasks.start_loop(self.reader.run, "reader of the configuration"),
+            tasks.start_loop(self.compactor.run, "compaction of the log"),
         ]
 
     async def stop(self) -> None:
--- a/src/tealcove/rollout/controller.py
+++ b/src/tealcove/rollout/controller.py
@@ -70,7 +70,7 @@
 
     def start(self) -> None:
         """Start the review task."""
-        self.task = tasks.start(self.run(), "roll-outs")
+        self.task = tasks.start_loop(self.run, "roll-outs")
 
     async def stop(self) -> None:
         """Stop the review task."""
@@ -95,6 +95,9 @@
                     log.debug(
                         "failed to read or write the rollout of {}: {}", service, error
                     )
+                except Exception:
+                    # A fault in one service's rollout mustn't hold up the others'.
+                    log.exception("the rollout of {} can't be reviewed", service)
             await asyncio.sleep(REVIEW_INTERVAL)
 
     async def review(
--- a/src/tealcove/tests/test_telemetry.py
+++ b/src/tealcove/tests/test_telemetry.py
@@ -111,3 +111,14 @@
             if channel != f'"{path.parent.name}"':
                 wrong.append(f"{path}: {channel}")
     assert wrong == []
+
+
+def test_a_line_with_text_that_is_no_unicode_is_written():
+    """Guards against requests and tasks that fail on logging a caller's header."""
+    stream = io.StringIO()
+    handler = logs.JsonHandler(settings.Settings("a", "b"), stream)
+    with handler.applicationbound():
+        text = b"caf\xe9".decode(errors="surrogateescape")
+        logbook.Logger("entry").info("from {}", text, extra={logs.REQUEST: text})
+    line = json.loads(stream.getvalue())
+    assert (line["message"], line["request"]) == ("from caf\\udce9", "caf\\udce9")
