Ingress: requests that wait at the end of the grace period are refused, not cut

What callers saw: a request that an instance had read whole before it was to stop, and that still waited for a slot .4 s before SIGKILL, had its connection closed without an answer (LOST), though it hadn't run and a 503 would have been true.

Cause: Instance.leave gives up waiting for the requests in progress shortly before the end, and the listener then cancels their handlers. Cancellation means that the caller has gone, so that nothing answers. The same held for a body that was still being read, a question for a stream's origin, an account's charge, a retry and a connection that was being made.

Change: at that moment, each request's current step times out (ingress/progress.py), on the path that a passed deadline takes: 503 `leaving` for one that hasn't run, 502 for one that may have, and a stream that has begun is aborted. Its charge is paid back as before.

--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -82,9 +82,13 @@
 CHECK_INTERVAL = 0.1
 # Some callers keep a directory answer for up to this many times its TTL.
 MAX_TTL_FACTOR = 3.0
-# Seconds before SIGKILL at which running requests are aborted, so that their callers
+# Seconds before SIGKILL at which running requests are ended, so that their callers
 # can still retry at another instance before their deadlines.
 KILL_MARGIN = 0.4
+# Seconds before SIGKILL at which the rest of the shutdown begins.
+STOP_MARGIN = 0.2
+# Seconds between two checks of whether all requests have been answered.
+DRAIN_INTERVAL = 0.05
 
 
 class Instance:
@@ -532,14 +536,18 @@
         leaving = self.settings.leaving
         await asyncio.sleep(MAX_TTL_FACTOR * leaving.directory_ttl_seconds)
         self.ingress.is_closed = True
-        end = began + leaving.grace_seconds - KILL_MARGIN
-        while clock.now() < end and (running := self.running_requests()):
-            await asyncio.wait(running, timeout=end - clock.now())
-        log.info("stopping: {} requests aborted", len(self.running_requests()))
-
-    def running_requests(self) -> set[asyncio.Task[None]]:
-        """Return the tasks of callers' requests and of those passed on for others."""
-        return self.ingress.in_progress | self.relay.in_progress
+        killed = began + leaving.grace_seconds
+        await self.drain(ids.Instant(killed - KILL_MARGIN))
+        log.info("stopping: {} requests ended early", len(self.ingress.in_progress))
+        self.ingress.end_requests()
+        await self.drain(ids.Instant(killed - STOP_MARGIN))
+
+    async def drain(self, end: ids.Instant) -> None:
+        """Wait until no request is in progress, or until a time."""
+        while clock.now() < end:
+            if not self.ingress.in_progress and not self.relay.in_progress:
+                return
+            await asyncio.sleep(DRAIN_INTERVAL)
 
     async def stop(self) -> None:
         """End all tasks and close all sockets."""
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -22,6 +22,7 @@
     hanging,
     link,
     observer,
+    progress,
     responses,
     retries,
     stream,
@@ -30,6 +31,7 @@
 )
 from tealcove.ingress import report as reporting
 from tealcove.instances import figures
+from tealcove.limits import admission
 from tealcove.origins import role as origins
 from tealcove.quarantine import role as quarantine_role
 
@@ -94,9 +96,14 @@
         accepted: tickets.AcceptedRequest,
         cell: ids.CellId,
         http: web.Request,
+        current: progress.Progress,
+        charge: admission.Charge,
         version: ids.SoftwareVersion | None = None,
     ) -> None:
         self.http = http
+        self.progress = current
+        # What the account was charged in advance.
+        self.charge = charge
         # The version that began the stream; None: any may run the request.
         self.version = version
         self.services = services
@@ -136,10 +143,10 @@
         A response that has started and can't be completed aborts the connection.
         """
         try:
-            async with asyncio.timeout(self.accepted.deadline - clock.now()):
+            async with self.progress.step(self.accepted.deadline - clock.now()):
                 return await self.serve()
         except TimeoutError:
-            return self.end_with_problem(self.deadline_exceeded())
+            return self.end_with_problem(self.out_of_time())
         except problem.ProblemError as error:
             return self.end_with_problem(error)
         except ConnectionResetError:
@@ -151,6 +158,8 @@
             return self.stream.response
         finally:
             self.retries.release()
+            if not self.runs:
+                self.charge.settle(0.0)
 
     async def serve(self) -> web.StreamResponse:
         """Send the request until a server responds; raises ProblemError."""
@@ -538,11 +547,14 @@
             return problem.interrupted(reason)
         return problem.unknown(reason)
 
-    def deadline_exceeded(self) -> problem.ProblemError:
-        """Return the problem for a request whose deadline has passed."""
+    def out_of_time(self) -> problem.ProblemError:
+        """Return the problem for a request whose deadline or instance has ended."""
+        reason = messages.RefusalReason.DEADLINE
+        if self.progress.is_ended:
+            reason = messages.RefusalReason.LEAVING
         if self.runs:
-            return self.lost_response(messages.RefusalReason.DEADLINE.value)
-        return problem.not_run(messages.RefusalReason.DEADLINE, RETRY_AFTER)
+            return self.lost_response(reason.value)
+        return problem.not_run(reason, RETRY_AFTER)
 
 
 async def read_body(server: engine.Server, parts: ResponseParts) -> bytes:
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -18,6 +18,7 @@
     call,
     exchange,
     observer,
+    progress,
     responses,
     tickets,
 )
@@ -57,7 +58,7 @@
         self.quarantine = quarantine
         self.codec = codec
         self.observer = observer.Observer(source, counts)
-        self.in_progress: set[asyncio.Task[None]] = set()
+        self.in_progress: set[progress.Progress] = set()
         # Set when this instance is leaving: callers' connections are closed after use.
         self.is_leaving = False
         # Set when it refuses all new requests.
@@ -73,12 +74,13 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Respond to one request."""
-        task = asyncio.current_task()
-        self.in_progress.add(task)
+        current = progress.Progress()
+        self.in_progress.add(current)
         arrived = clock.now()
         observation = self.observer.begin(arrived)
         try:
-            response = await self.serve(request, arrived, observation)
+            running = await self.admit(request, arrived, observation, current)
+            response = await self.run(running, observation)
         except problem.ProblemError as error:
             observation.outcome = error.problem.outcome.value
             observation.reason = error.problem.reason
@@ -92,7 +94,7 @@
             observation.outcome = problem.CALLER_GONE
             raise
         finally:
-            self.in_progress.discard(task)
+            self.in_progress.discard(current)
             if observation.outcome == problem.CALLER_GONE:
                 log_gone(observation, clock.now())
             self.observer.end(observation, clock.now())
@@ -100,13 +102,34 @@
             response.force_close()
         return response
 
-    async def serve(
+    def end_requests(self) -> None:
+        """End all requests in progress; those that haven't run are refused."""
+        for current in tuple(self.in_progress):
+            current.end()
+
+    async def admit(
         self,
         request: web.Request,
         arrived: ids.Instant,
         observation: observer.Observation,
-    ) -> web.StreamResponse:
-        """Return the response to one request; raises ProblemError."""
+        current: progress.Progress,
+    ) -> exchange.Exchange:
+        """Return the exchange of a request, not yet run; raises ProblemError."""
+        try:
+            async with current.step(None):
+                return await self.prepare(request, arrived, observation, current)
+        except TimeoutError:
+            reason = messages.RefusalReason.LEAVING
+            raise refused(observation, reason, LEAVING_RETRY) from None
+
+    async def prepare(
+        self,
+        request: web.Request,
+        arrived: ids.Instant,
+        observation: observer.Observation,
+        current: progress.Progress,
+    ) -> exchange.Exchange:
+        """Read, check and charge a request; raises ProblemError."""
         observation.request_id = self.codec.request_id(request)
         received = await self.receive(request)
         accepted = self.accept(received, observation)
@@ -139,7 +162,14 @@
         cell = self.find_cell(accepted, version, observation)
         self.refuse_early(accepted, cell, version, observation)
         charge = await self.charge(accepted, observation)
-        running = exchange.Exchange(self.services, accepted, cell, request, version)
+        return exchange.Exchange(
+            self.services, accepted, cell, request, current, charge, version
+        )
+
+    async def run(
+        self, running: exchange.Exchange, observation: observer.Observation
+    ) -> web.StreamResponse:
+        """Return the response of an exchange; raises ProblemError."""
         try:
             return await running.run()
         finally:
@@ -149,8 +179,6 @@
             observation.reason = running.reason
             observation.waited = running.waited
             observation.longest_pause = running.stream.longest_pause
-            if not running.runs:
-                charge.settle(0.0)
 
     def accept(
         self, received: call.Call, observation: observer.Observation
--- a/src/tealcove/ingress/tests/builders.py
+++ b/src/tealcove/ingress/tests/builders.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import unittest.mock
 from collections.abc import Callable
 
 from tealcove import ids
 from tealcove.catalog import declared
-from tealcove.ingress import budget, call, tickets
-from tealcove.limits import limit
+from tealcove.ingress import budget, call, exchange, progress, tickets
+from tealcove.limits import admission, limit
 
 SERVICE = ids.PoolId("engines")
 HOST = "callers.example"
@@ -81,6 +82,20 @@
     return tickets.AcceptedRequest(**{**found, **changes})
 
 
+def running(
+    services: exchange.Services, found: tickets.AcceptedRequest
+) -> exchange.Exchange:
+    """Return the exchange of a request, not yet run."""
+    return exchange.Exchange(
+        services,
+        found,
+        ids.CellId("engines/0"),
+        unittest.mock.Mock(),
+        progress.Progress(),
+        admission.Charge(None, 0.0),
+    )
+
+
 def retry_budget(
     allowed: budget.Allowance,
     instances: Callable[[ids.Instant], int],
--- a/src/tealcove/ingress/tests/test_exchange.py
+++ b/src/tealcove/ingress/tests/test_exchange.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import unittest.mock
-
 import aiohttp
 import pytest
 from aiohttp import web
@@ -18,9 +16,8 @@
 def running() -> exchange.Exchange:
     """Return an exchange whose response has started."""
     accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
-    http = unittest.mock.Mock()
     services = exchange.Services(None, None, None, None, None, None, None)
-    found = exchange.Exchange(services, accepted, ids.CellId("engines/0"), http)
+    found = builders.running(services, accepted)
     found.stream.response = web.StreamResponse()
     return found
 
@@ -47,9 +44,7 @@
     shared = builders.retry_budget(allowed, lambda now: 1, 0.0)
     services = exchange.Services(None, None, shared, None, None, None, None)
     accepted = builders.accepted(deadline=ids.Instant(clock.now() + 100.0))
-    found = exchange.Exchange(
-        services, accepted, ids.CellId("engines/0"), unittest.mock.Mock()
-    )
+    found = builders.running(services, accepted)
 
     async def serve() -> web.StreamResponse:
         found.sent = found.runs = 1
--- a/src/tealcove/ingress/tests/test_streamcopy.py
+++ b/src/tealcove/ingress/tests/test_streamcopy.py
@@ -49,9 +49,7 @@
     services = exchange.Services(None, None, shared, None, None, None, quarantine)
     services.copying.is_enabled = True
     accepted = builders.accepted(**{"route": ONCE, **changes})
-    found = exchange.Exchange(
-        services, accepted, ids.CellId("engines/0"), unittest.mock.Mock()
-    )
+    found = builders.running(services, accepted)
     found.copy.record_attempt()
     found.sent = found.runs = 1
     found.copy.record_crash(grant(copy_server))
