--- a/src/tealcove/ingress/call.py
+++ b/src/tealcove/ingress/call.py
@@ -46,3 +46,17 @@
 
 class UnreadableError(Exception):
     """A request has unusable headers; the text says what to send instead."""
+
+
+def check_text(found: Call) -> None:
+    """Raise UnreadableError for ids and a path that no message could hold."""
+    texts = {
+        "the request's id": found.request_id,
+        "the id of the request that began the stream": found.resumes or "",
+        "the request's path": found.target,
+    }
+    for name, text in texts.items():
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            raise UnreadableError(f"Write {name} in UTF-8.") from error
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -210,7 +210,9 @@
         try:
             async with asyncio.timeout(seconds):
                 body = await request.read()
-            return self.codec.read(request, body)
+            found = self.codec.read(request, body)
+            call.check_text(found)
+            return found
         except web.HTTPRequestEntityTooLarge as error:
             raise problem.rejected(
                 HTTP_TOO_LARGE, "The body is too long", "Send a shorter one."
--- a/src/tealcove/platform/callers.py
+++ b/src/tealcove/platform/callers.py
@@ -44,10 +44,6 @@
         if not request_id:
             raise call.UnreadableError(f"Send the header {names.REQUEST_ID}.")
         target = request.raw_path
-        resumes = headers.get(names.RESUMES, "")
-        check_text(request_id, names.REQUEST_ID)
-        check_text(resumes, names.RESUMES)
-        check_text(target, "the request's path")
         if not target.startswith("/"):
             raise call.UnreadableError("Begin the request's path with a slash.")
         deadline = read_number(headers.get(names.DEADLINE_MS), names.DEADLINE_MS)
@@ -65,7 +61,7 @@
             work=read_work(request),
             parts=read_shared_parts(headers.getall(names.PREFIX_HASH, ())),
             last_event=None if last is None else int(last),
-            resumes=ids.RequestId(resumes) or None,
+            resumes=ids.RequestId(headers.get(names.RESUMES, "")) or None,
         )
 
     def request_id(self, request: web.BaseRequest) -> ids.RequestId:
@@ -133,14 +129,6 @@
     return tuple(dict.fromkeys(map(ids.PartId, known)))
 
 
-def check_text(text: str, name: str) -> None:
-    """Raise UnreadableError for what isn't UTF-8: no message could hold it."""
-    try:
-        text.encode()
-    except UnicodeEncodeError as error:
-        raise call.UnreadableError(f"Write {name} in UTF-8.") from error
-
-
 def read_number(text: str | None, header: str) -> float | None:
     """Return a header's number, None without one; raises UnreadableError."""
     if text is None:
