Stopping: answers that are still being sent count as in progress

What callers saw: an instance that got SIGTERM exited some 3 s later, long before the end of its grace period, while callers were reading their answers; they got as much as the kernel held (LOST). Requests that were sent in one go on one connection were dropped once the first of them had been answered, as the answer closed the connection.

Cause: what counts as in progress ended with the handler, and aiohttp writes a buffered answer after that, as fast as the caller reads. While the instance leaves, each answer closed its connection, whatever had been read from it. `tealcove serve` waited for its requests' tasks alone, and cut what was left after drain_seconds.

Change: a connection is in progress while it has a handler, a request that waits for its turn, or unsent bytes (listener.has_work); both programs wait for all their listeners by that, until .2 s before SIGKILL or for drain_seconds. An answer closes its connection when no request waits on it. What `tealcove serve` has left is answered: not run, interrupted or unknown, reason `leaving`; claims are recorded as they end. Listeners are stopped together, before the tasks.

--- a/src/tealcove/daemon.py
+++ b/src/tealcove/daemon.py
@@ -43,6 +43,10 @@
 
 LOG = logbook.Logger("daemon")
 
+# Seconds in which the last answers are sent, to requests that were ended since the time
+# to finish them was over.
+SEND_SECONDS = 0.5
+
 
 class Instance:
     """Runs all roles of an instance; one process may run several instances."""
@@ -282,8 +286,18 @@
         shutdown = self.settings.shutdown
         await asyncio.sleep(shutdown.entry_points_ttl)
         self.members.update_own(lifecycle=messages.Lifecycle.GONE)
-        if self.entry.in_progress:
-            await asyncio.wait(self.entry.in_progress, timeout=shutdown.drain_seconds)
+        # Watches never end by themselves; watchers go on at another instance.
+        self.configuration.api.end_watches()
+        await listener.drain(
+            self.is_busy, ids.Instant(clock.now() + shutdown.drain_seconds)
+        )
+        self.entry.end_requests()
+        await listener.drain(self.is_busy, ids.Instant(clock.now() + SEND_SECONDS))
+
+    def is_busy(self) -> bool:
+        """Return whether a request or an answer is in progress."""
+        answering = listener.count_busy((self.listener.runner,))
+        return bool(self.entry.in_progress or answering)
 
     async def stop(self) -> None:
         """End all tasks and close all sockets."""
--- a/src/tealcove/entry/exchange.py
+++ b/src/tealcove/entry/exchange.py
@@ -50,6 +50,8 @@
         # Callers that read the answer; the entry cancels the task when none is left.
         self.readers = 0
         self.task: asyncio.Task[None] | None = None
+        # Whether it is ended since this instance stops.
+        self.is_leaving = False
         # None admits every request.
         self.admission_control: admission_control.AdmissionControl | None = None
         self.spans = spans.RequestSpans()
@@ -95,8 +97,11 @@
         except claiming.KeptAnswerError as error:
             self.answer.end(error)
         except asyncio.CancelledError:
-            self.answer.end(self.fail("cancelled"))
-            raise
+            if not self.is_leaving:
+                self.answer.end(self.fail("cancelled"))
+                raise
+            asyncio.current_task().uncancel()
+            self.answer.end(self.fail(messages.RefusalReason.LEAVING.value))
         except Exception:
             log.exception("request failed", extra={"request": self.request.request_id})
             self.answer.end(self.fail("internal_error"))
@@ -105,6 +110,11 @@
         if self.claim is not None:
             await self.claim.record_end(self.state.state, self.complete_answer)
 
+    def leave(self) -> None:
+        """End the request with an answer, since this instance stops."""
+        self.is_leaving = True
+        self.task.cancel()
+
     async def check_earlier_claim(self, refusal: problem.ProblemError) -> Exception:
         """Return the error for a request that ends with a problem."""
         if self.claim is None or refusal.problem.outcome is not problem.Outcome.NOT_RUN:
@@ -290,9 +300,10 @@
         if self.state.state in lifecycle.UNSENT:
             self.state.give_up()
         if self.state.state is lifecycle.State.NOT_RUN:
-            return problem.not_run(
-                messages.RefusalReason.NO_BACKEND_SERVER, retry_after, detail
-            )
+            refusal = messages.RefusalReason.NO_BACKEND_SERVER
+            if self.is_leaving:
+                refusal = messages.RefusalReason.LEAVING
+            return problem.not_run(refusal, retry_after, detail)
         if self.request.idempotent:
             if self.state.state is lifecycle.State.DISPATCHED:
                 self.state.interrupt()
--- a/src/tealcove/entry/http.py
+++ b/src/tealcove/entry/http.py
@@ -27,6 +27,7 @@
     observer,
     points,
     problem,
+    progress,
     sending,
     spans,
     witnessing,
@@ -73,7 +74,9 @@
         # Requests in progress by client account and idempotency key. A request with
         # the same key joins the one in progress instead of starting another.
         self.joinable: dict[tuple[str, str], exchange.Exchange] = {}
-        self.in_progress: set[asyncio.Task[None]] = set()
+        self.in_progress: set[exchange.Exchange] = set()
+        # Requests whose bodies are being read.
+        self.reading: set[progress.Progress] = set()
 
     def routes(self) -> list[web.RouteDef]:
         """Return the handlers to mount; the last is for all other paths."""
@@ -191,8 +194,10 @@
         connection and the memory of the received part indefinitely.
         """
         limits = self.settings.limits
+        current = progress.Progress()
+        self.reading.add(current)
         try:
-            async with asyncio.timeout(limits.idle_seconds):
+            async with current.step(limits.idle_seconds):
                 return await request.read()
         except web.HTTPRequestEntityTooLarge as error:
             raise problem.rejected(
@@ -205,11 +210,15 @@
                 "Its length or coding isn't what the headers say.",
             ) from error
         except TimeoutError as error:
+            if current.is_ended:
+                raise self.leaving() from error
             raise problem.rejected(
                 408,
                 "The body came too slowly",
                 f"Send it within {limits.idle_seconds:g} s.",
             ) from error
+        finally:
+            self.reading.discard(current)
 
     def check_accepting(self) -> None:
         """Refuse new requests when this instance isn't serving."""
@@ -219,9 +228,19 @@
                 messages.RefusalReason.NOT_READY, 1.0, self.alternatives()
             )
         if lifecycle is membership_messages.Lifecycle.GONE:
-            raise problem.not_run(
-                messages.RefusalReason.LEAVING, 0.0, self.alternatives()
-            )
+            raise self.leaving()
+
+    def leaving(self) -> problem.ProblemError:
+        """Return the error for a request that this instance no longer runs."""
+        reason = messages.RefusalReason.LEAVING
+        return problem.not_run(reason, 0.0, self.alternatives())
+
+    def end_requests(self) -> None:
+        """End all requests in progress; those that haven't run are refused."""
+        for current in tuple(self.reading):
+            current.end()
+        for running in tuple(self.in_progress):
+            running.leave()
 
     def alternatives(self) -> str:
         """Return a sentence with the addresses that a caller may try instead."""
@@ -278,10 +297,10 @@
         running.spans = self.spans
         task = asyncio.create_task(running.run())
         running.task = task
-        self.in_progress.add(task)
+        self.in_progress.add(running)
 
         def finished(ended: asyncio.Task[None]) -> None:
-            self.in_progress.discard(ended)
+            self.in_progress.discard(running)
             if self.joinable.get(key) is running:
                 del self.joinable[key]
 
--- a/src/tealcove/ingress/tests/test_progress.py
+++ b/src/tealcove/entry/tests/test_progress.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tealcove.ingress import progress
+from tealcove.entry import progress
 
 
 async def test_a_step_times_out_when_its_request_is_ended():
--- a/src/tealcove/front/instance.py
+++ b/src/tealcove/front/instance.py
@@ -85,10 +85,9 @@
 # Seconds before SIGKILL at which running requests are ended, so that their callers
 # can still retry at another instance before their deadlines.
 KILL_MARGIN = 0.4
-# Seconds before SIGKILL at which the rest of the shutdown begins.
+# Seconds before SIGKILL at which the rest of the shutdown begins, and answers that are
+# still being sent are cut.
 STOP_MARGIN = 0.2
-# Seconds between two checks of whether all requests have been answered.
-DRAIN_INTERVAL = 0.05
 
 
 class Instance:
@@ -537,27 +536,31 @@
         await asyncio.sleep(MAX_TTL_FACTOR * leaving.directory_ttl_seconds)
         self.ingress.is_closed = True
         killed = began + leaving.grace_seconds
-        await self.drain(ids.Instant(killed - KILL_MARGIN))
-        log.info("stopping: {} requests ended early", len(self.ingress.in_progress))
+        await listener.drain(self.count_busy, ids.Instant(killed - KILL_MARGIN))
+        ended = len(self.ingress.in_progress)
         self.ingress.end_requests()
-        await self.drain(ids.Instant(killed - STOP_MARGIN))
+        await listener.drain(self.count_busy, ids.Instant(killed - STOP_MARGIN))
+        log.info(
+            "stopping: {} requests ended early, {} connections cut",
+            ended,
+            self.count_busy(),
+        )
 
-    async def drain(self, end: ids.Instant) -> None:
-        """Wait until no request is in progress, or until a time."""
-        while clock.now() < end:
-            if not self.ingress.in_progress and not self.relay.in_progress:
-                return
-            await asyncio.sleep(DRAIN_INTERVAL)
+    def count_busy(self) -> int:
+        """Return the connections with a request or an answer in progress."""
+        own = (listening.runner for listening in self.listeners)
+        return listener.count_busy((*own, *self.runners))
 
     async def stop(self) -> None:
         """End all tasks and close all sockets."""
+        # Together, since each waits for handlers that don't end.
+        await asyncio.gather(
+            *(listening.stop() for listening in self.listeners),
+            *(runner.cleanup() for runner in self.runners),
+        )
         await tasks.stop(self.tasks)
         if self.load is not None:
             await self.load.stop()
-        for listening in self.listeners:
-            await listening.stop()
-        for runner in self.runners:
-            await runner.cleanup()
         await self.following.stop()
         await self.sharing.stop()
         await self.heartbeats.stop()
--- a/src/tealcove/ingress/exchange.py
+++ b/src/tealcove/ingress/exchange.py
@@ -14,7 +14,7 @@
 from tealcove.backends import engine
 from tealcove.catalog import declared
 from tealcove.dispatch import messages, pending, requester
-from tealcove.entry import problem
+from tealcove.entry import problem, progress
 from tealcove.ingress import (
     budget,
     events,
@@ -22,7 +22,6 @@
     hanging,
     link,
     observer,
-    progress,
     responses,
     retries,
     stream,
--- a/src/tealcove/ingress/http.py
+++ b/src/tealcove/ingress/http.py
@@ -7,18 +7,17 @@
 import logbook
 from aiohttp import web
 
-from tealcove import clock, ids, measuring
+from tealcove import clock, ids, listener, measuring
 from tealcove.accounts import tallies
 from tealcove.admission import localrefusals
 from tealcove.catalog import copies, declared
 from tealcove.dispatch import messages, spread
-from tealcove.entry import problem
+from tealcove.entry import problem, progress
 from tealcove.ingress import (
     acceptance,
     call,
     exchange,
     observer,
-    progress,
     responses,
     tickets,
 )
@@ -99,7 +98,7 @@
                 log_gone(observation, clock.now())
             self.observer.end(observation, clock.now())
         if self.is_leaving and not response.prepared:
-            response.force_close()
+            listener.close_after(request, response)
         return response
 
     def end_requests(self) -> None:
--- a/src/tealcove/ingress/tests/builders.py
+++ b/src/tealcove/ingress/tests/builders.py
@@ -7,7 +7,8 @@
 
 from tealcove import ids
 from tealcove.catalog import declared
-from tealcove.ingress import budget, call, exchange, progress, tickets
+from tealcove.entry import progress
+from tealcove.ingress import budget, call, exchange, tickets
 from tealcove.limits import admission, limit
 
 SERVICE = ids.PoolId("engines")
--- a/src/tealcove/listener.py
+++ b/src/tealcove/listener.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import logbook
 from aiohttp import web
@@ -28,6 +28,8 @@
 # Any further ones are closed at once.
 REJECTED_CONNECTIONS = 64
 RETRY_AFTER = 1.0
+# Seconds between two checks of whether all requests have been answered.
+DRAIN_INTERVAL = 0.05
 # Bytes of a header in addition to its name and value.
 SEPARATOR_BYTES = 4
 # Checks for unread answers within `idle_seconds`.
@@ -205,6 +207,37 @@
                 self.open[connection].abort()
 
 
+def has_work(connection: web.RequestHandler) -> bool:
+    """Return whether a connection has a request or an answer that isn't finished.
+
+    aiohttp writes an answer when its handler has ended, and the transport sends it as
+    fast as the caller reads. Requests that were sent in one go wait for their turn.
+    """
+    if connection._request_in_progress or connection._messages:
+        return True
+    transport = connection.transport
+    return transport is not None and transport.get_write_buffer_size() > 0
+
+
+def count_busy(runners: Iterable[web.AppRunner]) -> int:
+    """Return the number of connections with an unfinished request or answer."""
+    return sum(has_work(one) for runner in runners for one in runner.server.connections)
+
+
+async def drain(is_busy: Callable[[], object], end: ids.Instant) -> None:
+    """Wait until nothing is in progress, or until a time."""
+    while clock.now() < end:
+        if not is_busy():
+            return
+        await asyncio.sleep(DRAIN_INTERVAL)
+
+
+def close_after(request: web.Request, response: web.StreamResponse) -> None:
+    """Close a connection after a response, unless it has read further requests."""
+    if not request.protocol._messages:
+        response.force_close()
+
+
 def closing_response(error: problem.ProblemError) -> web.Response:
     """Return the response for a problem, which closes the connection."""
     response = problem.respond(error.problem)
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -99,6 +99,8 @@
         self.event_interval = 0.0
         # Duration of a call that isn't a stream.
         self.call_seconds = 0.0
+        # The least length of such a call's answer.
+        self.body_bytes = 0
         # The request limit that its answers name, in requests a second.
         self.limit: str | None = None
         # What its answers say of its leaving; None: nothing.
@@ -360,9 +362,8 @@
         await self.work(self.call_seconds)
         headers.update(self.load_headers())
         status = HTTP_FAILED if fault is Fault.FAILED else 200
-        return web.Response(
-            status=status, headers=headers, body=f"from {self.name}".encode()
-        )
+        body = f"from {self.name}".encode().ljust(self.body_bytes, b".")
+        return web.Response(status=status, headers=headers, body=body)
 
     async def break_unframed(
         self, request: web.Request, headers: dict[str, str]
--- a/src/tealcove/tests/test_listener.py
+++ b/src/tealcove/tests/test_listener.py
@@ -11,7 +11,7 @@
 import msgspec
 from aiohttp import web
 
-from tealcove import listener, settings
+from tealcove import clock, ids, listener, settings
 
 TIMEOUT_SECONDS = 30.0
 POLL = 0.01
@@ -187,3 +187,34 @@
             assert (await ask(port, GET + many + END))[0] == 400
     assert not any("secret" in record.message for record in handler.records)
     assert len(handler.records) == 2
+
+
+async def test_a_connection_is_busy_until_its_last_answer_has_been_read():
+    """Guards against answers that are cut since their handlers have ended."""
+    async with serving() as (server, port):
+
+        def busy() -> int:
+            return listener.count_busy((server.runner,))
+
+        reader, writer = await asyncio.open_connection(HOST, port, limit=1 << 16)
+        await until(lambda: server.open)
+        assert busy() == 0
+        # The second one waits until the caller has read the first answer.
+        writer.write(GET.replace(b"/", b"/long", 1) + END + GET + END)
+        await until(busy)
+        await asyncio.sleep(POLL)
+        assert busy() == 1
+        await reader.readuntil(END + END)
+        await reader.readexactly(1 << 25)
+        assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+        await until(lambda: not busy())
+        writer.close()
+
+
+async def test_draining_ends_at_its_time_or_when_nothing_is_in_progress():
+    """Guards against instances that are killed, or that stop too early."""
+    left = [True, True, False]
+    soon = ids.Instant(clock.now() + TIMEOUT_SECONDS)
+    await listener.drain(lambda: left.pop(0), soon)
+    assert left == []
+    await listener.drain(lambda: True, clock.now())
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -5,16 +5,23 @@
 import asyncio
 import socket
 
+import pytest
+
+from tealcove import settings as shared_settings
 from tealcove.front import instance, settings
 from tealcove.platform import names
-from tealcove.standins import poolserver
-from tests import platform_site
+from tealcove.standins import poolserver, service
+from tests import callers, embedded, platform_site
 
 TTL_SECONDS = 0.1
 # A time until SIGKILL that passes in a test, and one that doesn't.
 BRIEF_GRACE_SECONDS = 1.0
 LONG_GRACE_SECONDS = 60.0
+# More than sockets and transports hold for a caller that doesn't read.
+LARGE_BYTES = 6 * 2**20
 RECEIVE_BUFFER = 65_536
+# Seconds after the start of a stop at which callers may no longer use the instance.
+CLOSED_SECONDS = 3 * TTL_SECONDS + 0.3
 
 
 def leaving(grace_seconds: float) -> settings.Leaving:
@@ -55,12 +62,17 @@
 
 
 async def connect(one: instance.Instance) -> Connection:
-    """Connect to an instance, with little room for answers that aren't read."""
+    """Connect to an instance as a caller that reads only what the test reads."""
     host, _, port = one.settings.listen.callers.rpartition(":")
+    return await connect_to(host, int(port))
+
+
+async def connect_to(host: str, port: int) -> Connection:
+    """Connect to an address, with little room for answers that aren't read."""
     plain = socket.socket()
     plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
     plain.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(plain, (host, int(port)))
+    await asyncio.get_running_loop().sock_connect(plain, (host, port))
     return Connection(*await asyncio.open_connection(sock=plain, limit=RECEIVE_BUFFER))
 
 
@@ -102,6 +114,60 @@
         assert await caller.reader.read() == b""
 
 
+@pytest.mark.parametrize("path", ["/safe/a", "/stream/a"])
+async def test_an_instance_waits_for_answers_that_are_read_slowly(path: str):
+    """Guards against answers that are cut since the handlers have ended."""
+    async with platform_site.site(1, leaving=leaving(LONG_GRACE_SECONDS)) as running:
+        (server,) = running.servers
+        # Both kinds last longer than the usual timeout of their routes.
+        routes = [
+            platform_site.route(kind, kind, timeout_ms=1000 * LONG_GRACE_SECONDS)
+            for kind in ("safe", "stream")
+        ]
+        await running.declare(platform_site.configuration(*routes, version=2))
+        server.body_bytes = LARGE_BYTES
+        server.event_count = LARGE_BYTES // len(poolserver.event_of(1, "v1"))
+        one = running.instances.pop()
+        caller = await connect(one)
+        caller.send("r-1", path)
+        await platform_site.until(lambda: server.runs)
+        await platform_site.until(lambda: one.count_busy() == 1)
+        stopping = asyncio.create_task(stop(one))
+        await asyncio.sleep(CLOSED_SECONDS)
+        assert one.ingress.is_closed
+        assert not stopping.done()
+        found = await read_to_end(caller)
+        assert found.startswith(b"HTTP/1.1 200 OK\r\n")
+        assert len(found) > LARGE_BYTES or found.endswith(b"0\r\n\r\n")
+        # It ends as soon as the last answer has been read.
+        await asyncio.wait_for(stopping, platform_site.TIMEOUT_SECONDS)
+
+
+async def read_to_end(caller: Connection) -> bytes:
+    """Return all bytes until the instance closes the connection."""
+    async with asyncio.timeout(platform_site.TIMEOUT_SECONDS):
+        return await caller.reader.read()
+
+
+async def test_requests_that_were_sent_in_one_go_are_all_answered():
+    """Guards against requests that are dropped since one before them was answered."""
+    async with platform_site.site(1, leaving=leaving(LONG_GRACE_SECONDS)) as running:
+        (server,) = running.servers
+        server.call_seconds = 0.2
+        one = running.instances.pop()
+        caller = await connect(one)
+        for number in range(3):
+            caller.send(f"r-{number}", "/once/a")
+        await until_running(server, 1)
+        stopping = asyncio.create_task(stop(one))
+        answers = [await caller.read_answer() for _ in range(3)]
+        assert {status for status, *_ in answers} <= {200, 503}
+        assert answers[0][0] == 200
+        closing = [headers.get("Connection") for _, headers, _ in answers]
+        assert closing == [None, None, "close"]
+        await asyncio.wait_for(stopping, platform_site.TIMEOUT_SECONDS)
+
+
 async def test_an_idle_connection_holds_up_no_stop():
     """Guards against instances that are killed since a caller keeps its connection."""
     async with platform_site.site(1, leaving=leaving(LONG_GRACE_SECONDS)) as running:
@@ -111,3 +177,27 @@
         assert (await caller.read_answer())[0] == 200
         await asyncio.wait_for(stop(one), platform_site.TIMEOUT_SECONDS)
         assert await caller.reader.read() == b""
+
+
+async def test_a_served_instance_answers_the_requests_that_are_left(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against connections that are closed when the time to finish is over."""
+    stopping = shared_settings.Shutdown(TTL_SECONDS, BRIEF_GRACE_SECONDS)
+    async with embedded.pair(shutdown=stopping) as running:
+        began = asyncio.Event()
+
+        async def run(call: service.Answer) -> None:
+            began.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(running.service, "run", run)
+        headers = {"Authorization": f"Bearer {callers.CALLER_KEY}-high"}
+        url = f"{running.url(running.entry)}/prices"
+        calling = asyncio.create_task(running.session.get(url, headers=headers))
+        await began.wait()
+        await running.entry.leave()
+        async with asyncio.timeout(platform_site.TIMEOUT_SECONDS):
+            response = await calling
+            assert response.status == 502
+            assert (await response.json())["reason"] == "leaving"
