Soak: instances are stopped while callers keep their connections

Change: `--stops`: series of SIGTERM, SIGINT and SIGHUP that overlap, the store down, slow or cut off beside; each request must get a whole answer, unless it crosses the close of its connection and hasn't run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
     add_kind(parser, kinds.Kind.FLOODS, "let one account flood another's servers")
     add_kind(parser, kinds.Kind.FALSE_LOADS, "let servers state their load falsely")
     add_kind(parser, kinds.Kind.OVERLOADED, "overload instances of little capacity")
+    add_kind(parser, kinds.Kind.STOPS, "stop instances beside kept connections")
     parser.add_argument("--logs", type=pathlib.Path, required=True, help="a folder")
     found = parser.parse_args()
     failed = 0
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -27,6 +27,8 @@
     FALSE_LOADS = "false-loads"
     # Some instances have far less capacity than others, and are overloaded.
     OVERLOADED = "overloaded"
+    # Instances are stopped again and again while callers keep their connections.
+    STOPS = "stops"
 
 
 # In these soaks servers state nothing, or only what the kind is about.
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
     pathcuts,
     pausing,
     resting,
+    stopping,
     versions,
 )
 from tealcove import clock, tasks
@@ -42,6 +43,7 @@
     kinds.Kind.FLOODS: flooding.make_competing,
     kinds.Kind.FALSE_LOADS: falseloads.make_slow,
     kinds.Kind.OVERLOADED: overloading.make_unequal,
+    kinds.Kind.STOPS: stopping.make_slow,
 }
 
 
@@ -109,6 +111,8 @@
         without_faults_at = clock.now()
         for server in running.servers:
             server.faults.clear()
+        if kind is kinds.Kind.STOPS:
+            stopping.make_fast(running)
         await running.until_ready()
         await asyncio.sleep(RECOVERY_SECONDS)
         before = len(calling.results)
@@ -160,6 +164,8 @@
                 injector.overloading, calling, without_faults_at
             )
             broken.extend(directed.violations(running, overloaded, calling.all_results))
+        if kind is kinds.Kind.STOPS:
+            broken.extend(stopping.lost(running, calling))
     served_after = sum(one.answer.status == 200 for one in after)
     if served_after < MIN_SERVED_SHARE * len(after) or not after:
         broken.append(f"{served_after} of {len(after)} served after the recovery")
@@ -199,6 +205,7 @@
         kinds.Kind.FLOODS: flooding.FloodCallers,
         kinds.Kind.FALSE_LOADS: falseloads.LoadCallers,
         kinds.Kind.OVERLOADED: directed.DirectedCallers,
+        kinds.Kind.STOPS: stopping.KeptCallers,
     }
     if kind in found:
         return found[kind](running, log, seed)
--- a/soak/selection.py
+++ b/soak/selection.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from soak import falseloads, kinds, overloading, pausing, versions
+from soak import falseloads, kinds, overloading, pausing, stopping, versions
 
 if typing.TYPE_CHECKING:
     from soak import faults
@@ -111,6 +111,20 @@
     injector.mean_pause = overloading.MEAN_PAUSE_SECONDS
 
 
+def select_stops(injector: faults.FaultInjector) -> None:
+    """Select the disturbances of a soak of stops."""
+    stops = stopping.StopInjector(injector.context)
+    injector.kinds = (
+        stops.stop,
+        stops.stop,
+        stops.hang_up,
+        injector.change_configuration,
+        injector.store_fault,
+        injector.cut_store,
+    )
+    injector.mean_pause = stopping.MEAN_PAUSE_SECONDS
+
+
 SELECTIONS = {
     kinds.Kind.PAUSES: select_pauses,
     kinds.Kind.VERSIONS: select_versions,
@@ -119,4 +133,5 @@
     kinds.Kind.PATHS: select_paths,
     kinds.Kind.FALSE_LOADS: select_false_loads,
     kinds.Kind.OVERLOADED: select_overloaded,
+    kinds.Kind.STOPS: select_stops,
 }
--- a/src/tealcove/backends/connector.py
+++ b/src/tealcove/backends/connector.py
@@ -30,6 +30,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See asyncio.Protocol."""
         super().connection_made(transport)
+        # What asyncio's transports read at once.
         transport.max_size = READ_BYTES
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -71,6 +71,8 @@
 # The same with instances of little capacity that are overloaded.
 OVERLOAD_SEEDS = {1: 12.0, 2: 12.0}
 OVERLOAD_MEMBERS = 4
+# The same with instances that are stopped while callers keep their connections.
+STOP_SEEDS = {1: 8.0, 2: 8.0}
 # The same with short pauses of the instances as the only faults.
 PAUSE_SEEDS = {
     1: 8.0,
@@ -97,6 +99,15 @@
     assert verdict.returns > 0
 
 
+@pytest.mark.parametrize("seed", STOP_SEEDS)
+async def test_no_request_is_lost_when_instances_are_stopped(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    """Guards against requests without an answer on connections that callers keep."""
+    verdict = await run.soak(tmp_path, seed, STOP_SEEDS[seed], kind=kinds.Kind.STOPS)
+    assert verdict.broken == ()
+
+
 @pytest.mark.parametrize("seed", PART_SEEDS)
 async def test_a_part_that_crashes_servers_is_found(
     tmp_path: pathlib.Path, seed: int
