Soak: only an answer of the server itself tells that the server leaves

It counted any answer to a request that a leaving server had run as one that says that it leaves. Change: an answer counts if it bears that server's signature, which an instance's own answer and another server's don't. Nothing else of the check changes: every answer of the server that was passed on still binds its instance. A test has all three kinds of answers.

--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from tests import platform_site
+
 from soak import callers, deployment, disturbances, faults
 from tealcove import ids
+from tealcove.platform import names
+from tealcove.standins import poolserver
 
 # Seconds after the store's row from which a leaving server must get no requests.
 DRAIN_SECONDS = 2.0
@@ -72,7 +76,7 @@
         }
         told_at: dict[str, ids.Instant] = {}
         for one in sorted(ended, key=lambda one: one.ended_at):
-            if one.request_id in ran and one.answer.status is not None:
+            if one.request_id in ran and is_of(one.answer, leave.server):
                 told_at.setdefault(one.member, one.ended_at)
         for one in ended:
             told = told_at.get(one.member)
@@ -93,6 +97,14 @@
     return checked, found
 
 
+def is_of(answer: platform_site.Answer, server: str) -> bool:
+    """Tell whether an answer, or the head of a broken one, came from a server.
+
+    An instance answers itself if it got no answer, whatever the server has said.
+    """
+    return answer.headers.get(names.SIGNATURE) == poolserver.signature_of(server)
+
+
 def is_over(
     leave: faults.Leave, injector: faults.FaultInjector, at: ids.Instant
 ) -> bool:
--- a/src/tealcove/standins/poolserver.py
+++ b/src/tealcove/standins/poolserver.py
@@ -333,7 +333,7 @@
         """Run a request, with its fault if there is one."""
         headers = {
             names.REQUEST_ID: request.headers[names.REQUEST_ID],
-            names.SIGNATURE: f"signed by {self.name}",
+            names.SIGNATURE: signature_of(self.name),
         }
         headers.update(self.statement_headers())
         is_crashing = not self.crashing_parts.isdisjoint(parts_of(request))
@@ -427,6 +427,11 @@
         return response
 
 
+def signature_of(server: str) -> str:
+    """Return the signature of a server's answers."""
+    return f"signed by {server}"
+
+
 def parts_of(request: web.Request) -> set[str]:
     """Return the parts of a request's prompt."""
     entries = request.headers.get(names.PREFIX_HASH, "").split(",")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,13 +11,26 @@
 import subprocess
 import sys
 import time
+import unittest.mock
 from collections.abc import AsyncIterator, Callable
 
 import psutil
 import pytest
-from soak import deployment, faults, kinds, run
-
+from soak import (
+    callers,
+    deployment,
+    disturbances,
+    faults,
+    kinds,
+    leaving,
+    run,
+    statements,
+)
+
+from tealcove.platform import names
+from tealcove.standins import poolserver
 from tests import deployment as networks
+from tests import platform_site
 
 
 class EndedProcess:
@@ -282,6 +295,35 @@
     await member.end()
 
 
+@pytest.mark.parametrize(
+    ("signed_by", "late"), [("s-0", ["r-2"]), ("s-1", []), (None, [])]
+)
+def test_only_an_answer_of_the_server_tells_that_it_leaves(
+    signed_by: str | None, late: list[str]
+) -> None:
+    """Guards against a verdict on an instance whose server's answer was lost."""
+    answered = []
+    for number, sent_at in ((1, 10.0), (2, 13.0)):
+        headers = {names.SIGNATURE: poolserver.signature_of(signed_by or "")}
+        answer = platform_site.Answer(200, b"", True, headers if signed_by else {})
+        answered.append(
+            callers.CallResult(
+                f"r-{number}", "/safe/x", answer, "i-0", sent_at, sent_at + 0.1
+            )
+        )
+    server = poolserver.PoolServer("s-0", "pool")
+    server.runs = [
+        poolserver.Run(one.request_id, None, "", None, {}, None, b"", one.sent_at, 1)
+        for one in answered
+    ]
+    leave = statements.StatedLeave("s-0", 1, 9.0, 20.0)
+    injector = unittest.mock.Mock(disturbances=disturbances.DisturbanceLog())
+    injector.stating.leaves = [leave]
+    running = unittest.mock.Mock(servers=[server])
+    _, found = leaving.late_after_told(running, injector, answered)
+    assert [line.split()[0] for line in found] == late
+
+
 def test_a_process_left_behind_is_named_at_once() -> None:
     network, holder = networks.reserve_network()
     with socket.socket() as left:
