Documents: numbers beyond what a dispatcher bears can't be read

Cause: found by rows with extreme values of the right types. A row of another writer with a million slots made requests of all callers take some 2 s each, since dispatchers keep tables by slots; larger whole numbers in a row or a configuration fit into no message. Change: at most 10,000 slots, and whole numbers of 64 bits, in rows and in the numbers of the configuration that go into messages. Such a row names no server, such a configuration isn't put in force.

--- a/src/tealcove/catalog/declared.py
+++ b/src/tealcove/catalog/declared.py
@@ -9,6 +9,9 @@
 from tealcove import ids
 from tealcove.limits import limit
 
+# More requests at once than any backend server runs: tables by slots are kept of each.
+MAX_SLOTS = 10_000
+
 
 class Repeat(enum.Enum):
     """Whether a request may be retried after an incomplete answer."""
--- a/src/tealcove/checked.py
+++ b/src/tealcove/checked.py
@@ -1,9 +1,15 @@
-"""String types for addresses and keys, validated when they are decoded."""
+"""Types of numbers, addresses and keys, validated when they are decoded."""
 
 from __future__ import annotations
 
 import ipaddress
 import urllib.parse
+from typing import Annotated
+
+import msgspec
+
+# A number that messages between instances can hold.
+Whole = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 
 CURVE_KEY_LENGTH = 40
 LARGEST_PORT = 65535
--- a/src/tealcove/platform/documents.py
+++ b/src/tealcove/platform/documents.py
@@ -41,11 +41,11 @@
     type: str = ""
     timeout_ms: float = DEFAULT_TIMEOUT_MS
     goal_ms: float = 0.0
-    priority: int = DEFAULT_RANK
+    priority: checked.Whole = DEFAULT_RANK
     service: str = ""
     # Replaces `service`.
     split: tuple[WireShare, ...] = ()
-    attempts: int = 1
+    attempts: checked.Whole = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
@@ -55,7 +55,7 @@
     """Settings shared by the engines of a service."""
 
     # Output tokens per event of a stream.
-    stride: int = 1
+    stride: checked.Whole = 1
 
 
 class WireService(msgspec.Struct):
@@ -70,8 +70,8 @@
 class WireLimits(msgspec.Struct):
     """Limits on callers' requests."""
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: checked.Whole = 16 * 1024
+    max_body_bytes: checked.Whole = 4 * 1024 * 1024
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15_000.0
 
@@ -81,10 +81,10 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: checked.Whole | None = None
     # Unit of the rate and burst below: tokens if "token", otherwise requests.
     unit: str = ""
-    plain_tokens: int = 1
+    plain_tokens: checked.Whole = 1
     rate_per_s: float = 0.0
     burst: float = 0.0
 
@@ -120,12 +120,12 @@
     zone: str
     # The version of its software; unlike `born` it's the same after a restart.
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=declared.MAX_SLOTS)]
     state: WireServerState
     cold_left_ms: float
     seq: int
     # Unix time of its start in milliseconds; absent where servers don't restart.
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)] = 0
 
 
 def decode_configuration(content: bytes) -> declared.Catalog:
--- a/src/tealcove/platform/tests/test_rows.py
+++ b/src/tealcove/platform/tests/test_rows.py
@@ -43,6 +43,26 @@
     return True
 
 
+@pytest.mark.parametrize(
+    "extreme",
+    [{"slots": 10**6}, {"slots": 2**200}, {"slots": 0}, {"born": 2**80}, {"born": -1}],
+)
+def test_a_row_with_an_extreme_number_is_unreadable(extreme: dict[str, int]):
+    """Guards against dispatchers that one server's row keeps busy for seconds."""
+    with pytest.raises(errors.PlatformError):
+        documents.decode_server(
+            "a", msgspec.json.encode({**builders.WRITTEN, **extreme})
+        )
+
+
+@pytest.mark.parametrize("field", ["priority", "attempts"])
+def test_a_configuration_with_an_extreme_number_is_unreadable(field: str):
+    """Guards against tickets that can't be encoded, of all requests of a route."""
+    route = {"name": "r", "host": "h", "prefix": "/", field: 2**63}
+    with pytest.raises(errors.PlatformError):
+        documents.decode_configuration(msgspec.json.encode({"routes": [route]}))
+
+
 @pytest.mark.parametrize(
     "address", ["", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "name:80", "10.0.0:80"]
 )
