Tests: one module writes and reads callers' connections byte by byte

Cause: the soak of stops and tests/test_stopping.py each had their own way to connect with a small receive buffer, to write a request's head and to read an answer, and the soak kept each request twice, as Sent beside the CallResult that holds the same. Change: tests/connections.py serves both, and the soak's check reads the results.

--- a/soak/stopping.py
+++ b/soak/stopping.py
@@ -6,15 +6,12 @@
 import contextlib
 import random
 import signal
-import socket
 from collections.abc import AsyncIterator
 
-import msgspec
-from tests import platform_site
+from tests import connections, platform_site
 
 from soak import callers, deployment, disturbances, injector
-from tealcove import clock, ids
-from tealcove.platform import names
+from tealcove import clock
 
 # Seconds of a call, so that callers wait for slots when instances stop; the last ones
 # wait longer than the grace period.
@@ -26,10 +23,8 @@
 GOAL_MS = 6000
 # Length of an answer, and how it is read by slow callers: together some .7 s.
 ANSWER_BYTES = 2**20
-READ_BYTES = 64 * 2**10
 READ_PAUSE = 0.04
 SLOW_SHARE = 0.3
-RECEIVE_BUFFER = 2**16
 # Requests that are sent in one go at most.
 MAX_TOGETHER = 3
 # Seconds from a request to the close of its connection that crosses it.
@@ -38,7 +33,6 @@
 MEAN_PAUSE_SECONDS = 0.5
 # Seconds between the signals of a series.
 MAX_SIGNAL_PAUSE = 0.3
-HEAD_END = b"\r\n\r\n"
 
 
 def make_slow(running: deployment.Deployment) -> None:
@@ -95,22 +89,6 @@
         yield f"{member.name} gets SIGHUP"
 
 
-class Sent(msgspec.Struct, frozen=True):
-    """A request on a kept connection, and what became of it."""
-
-    request_id: str
-    member: str
-    sent_at: ids.Instant
-    ended_at: ids.Instant
-    # The whole answer; None if the connection ended before.
-    status: int | None
-
-    @property
-    def has_crossed(self) -> bool:
-        """Whether it was sent when its connection was being closed."""
-        return self.ended_at - self.sent_at <= CROSSING_SECONDS
-
-
 class KeptCallers(callers.Callers):
     """Callers that keep their connections, pipeline, and read slowly."""
 
@@ -122,7 +100,6 @@
     ) -> None:
         super().__init__(running, log, seed)
         self.random = random.Random(f"kept connections of {seed}")
-        self.sent: list[Sent] = []
 
     async def run(self) -> None:
         """Run all callers until `is_stopping` is set."""
@@ -133,7 +110,7 @@
         while not self.is_stopping:
             member = self.random.choice(self.running.members)
             try:
-                reader, writer = await connect(member)
+                reader, writer = await connections.connect(member.listen["callers"])
             except OSError:
                 await asyncio.sleep(callers.PAUSE)
                 continue
@@ -156,16 +133,15 @@
             self.count += 1
             path = self.random.choice(("/safe/x", "/once/x"))
             requests.append((f"k-{self.count}", path))
-        writer.write(b"".join(head_of(*one) for one in requests))
+        writer.write(
+            b"".join(connections.head_of(*one, DEADLINE_MS) for one in requests)
+        )
         sent_at = clock.now()
         is_open = True
         for request_id, path in requests:
             answer = await read_answer(reader, pause) if is_open else None
             ended_at = clock.now()
             is_open = answer is not None and answer.headers.get("Connection") != "close"
-            status = None if answer is None else answer.status
-            one = Sent(request_id, member.name, sent_at, ended_at, status)
-            self.sent.append(one)
             found = answer or platform_site.Answer(None, b"", False)
             self.results.append(
                 callers.CallResult(
@@ -175,53 +151,14 @@
         return is_open
 
 
-async def connect(
-    member: deployment.Member,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Connect to an instance, with little room for unread answers; raises OSError."""
-    host, _, port = member.listen["callers"].rpartition(":")
-    plain = socket.socket()
-    plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    plain.setblocking(False)
-    try:
-        await asyncio.get_running_loop().sock_connect(plain, (host, int(port)))
-        return await asyncio.open_connection(sock=plain, limit=RECEIVE_BUFFER)
-    except OSError:
-        plain.close()
-        raise
-
-
-def head_of(request_id: str, path: str) -> bytes:
-    """Return a request without a body."""
-    headers = {
-        "Host": platform_site.HOST,
-        names.REQUEST_ID: request_id,
-        names.API_KEY: platform_site.KEY,
-        names.DEADLINE_MS: DEADLINE_MS,
-    }
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return f"POST {path} HTTP/1.1\r\n{lines}Content-Length: 0\r\n\r\n".encode()
-
-
 async def read_answer(
     reader: asyncio.StreamReader, pause: float
 ) -> platform_site.Answer | None:
     """Return the next answer, read with pauses; None if the connection ends before."""
     try:
-        head = (await reader.readuntil(HEAD_END)).decode()
-        first, *lines = head.rstrip().split("\r\n")
-        headers = dict(line.split(": ", 1) for line in lines)
-        body = b""
-        length = int(headers["Content-Length"])
-        while len(body) < length:
-            part = await reader.read(min(READ_BYTES, length - len(body)))
-            if not part:
-                return None
-            body += part
-            await asyncio.sleep(pause)
+        return await connections.read_answer(reader, pause)
     except (OSError, asyncio.IncompleteReadError):
         return None
-    return platform_site.Answer(int(first.split()[1]), body, True, headers)
 
 
 def lost(running: deployment.Deployment, calling: KeptCallers) -> list[str]:
@@ -234,6 +171,12 @@
         f"{one.request_id} of {one.member} got no answer within "
         f"{one.ended_at - one.sent_at:.2f} s, "
         + ("run" if one.request_id in ran else "not run")
-        for one in calling.sent
-        if one.status is None and not (one.has_crossed and one.request_id not in ran)
+        for one in calling.results
+        if one.answer.status is None
+        and not (has_crossed(one) and one.request_id not in ran)
     ]
+
+
+def has_crossed(one: callers.CallResult) -> bool:
+    """Tell whether a request was sent when its connection was being closed."""
+    return one.ended_at - one.sent_at <= CROSSING_SECONDS
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 
@@ -11,7 +10,7 @@
 from tealcove.front import instance, settings
 from tealcove.platform import names
 from tealcove.standins import poolserver, service
-from tests import callers, embedded, platform_site
+from tests import callers, connections, embedded, platform_site
 
 TTL_SECONDS = 0.1
 # A time until SIGKILL that passes in a test, and one that doesn't.
@@ -19,7 +18,8 @@
 LONG_GRACE_SECONDS = 60.0
 # More than sockets and transports hold for a caller that doesn't read.
 LARGE_BYTES = 6 * 2**20
-RECEIVE_BUFFER = 65_536
+# What callers that write their requests themselves send as their deadline.
+DEADLINE_MS = 60_000
 # Seconds after the start of a stop at which callers may no longer use the instance.
 CLOSED_SECONDS = 3 * TTL_SECONDS + 0.3
 
@@ -45,35 +45,12 @@
 
     def send(self, request_id: str, path: str, length: int = 0) -> None:
         """Send the head of a request, without its body."""
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: {platform_site.HOST}\r\n"
-            f"{names.REQUEST_ID}: {request_id}\r\n{names.API_KEY}: {platform_site.KEY}"
-            f"\r\n{names.DEADLINE_MS}: 60000\r\nContent-Length: {length}\r\n\r\n"
-        )
-        self.writer.write(head.encode())
-
-    async def read_answer(self) -> tuple[int, dict[str, str], bytes]:
-        """Return the status, the headers and the whole body of the next answer."""
-        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
-        first, *lines = head.rstrip().split("\r\n")
-        headers = dict(line.split(": ", 1) for line in lines)
-        body = await self.reader.readexactly(int(headers["Content-Length"]))
-        return int(first.split()[1]), headers, body
+        self.writer.write(connections.head_of(request_id, path, DEADLINE_MS, length))
 
 
 async def connect(one: instance.Instance) -> Connection:
     """Connect to an instance as a caller that reads only what the test reads."""
-    host, _, port = one.settings.listen.callers.rpartition(":")
-    return await connect_to(host, int(port))
-
-
-async def connect_to(host: str, port: int) -> Connection:
-    """Connect to an address, with little room for answers that aren't read."""
-    plain = socket.socket()
-    plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    plain.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(plain, (host, port))
-    return Connection(*await asyncio.open_connection(sock=plain, limit=RECEIVE_BUFFER))
+    return Connection(*await connections.connect(one.settings.listen.callers))
 
 
 async def until_running(server: poolserver.PoolServer, count: int) -> None:
@@ -109,8 +86,8 @@
         caller.writer.write(b"half")
         await platform_site.until(lambda: one.ingress.in_progress)
         await stop(one)
-        status, headers, _ = await caller.read_answer()
-        assert (status, headers["Connection"]) == (503, "close")
+        answer = await connections.read_answer(caller.reader)
+        assert (answer.status, answer.headers["Connection"]) == (503, "close")
         assert await caller.reader.read() == b""
 
 
@@ -160,10 +137,10 @@
             caller.send(f"r-{number}", "/once/a")
         await until_running(server, 1)
         stopping = asyncio.create_task(stop(one))
-        answers = [await caller.read_answer() for _ in range(3)]
-        assert {status for status, *_ in answers} <= {200, 503}
-        assert answers[0][0] == 200
-        closing = [headers.get("Connection") for _, headers, _ in answers]
+        answers = [await connections.read_answer(caller.reader) for _ in range(3)]
+        assert {answer.status for answer in answers} <= {200, 503}
+        assert answers[0].status == 200
+        closing = [answer.headers.get("Connection") for answer in answers]
         assert closing == [None, None, "close"]
         await asyncio.wait_for(stopping, platform_site.TIMEOUT_SECONDS)
 
@@ -174,7 +151,7 @@
         one = running.instances.pop()
         caller = await connect(one)
         caller.send("r-1", "/safe/a")
-        assert (await caller.read_answer())[0] == 200
+        assert (await connections.read_answer(caller.reader)).status == 200
         await asyncio.wait_for(stop(one), platform_site.TIMEOUT_SECONDS)
         assert await caller.reader.read() == b""
 
