Review: an added machine knows no other once 500 rows of removed ones are listed

Cause: instances find each other by the first 500 rows of a table in the store, and rows of removed machines stay there for ever.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -362,6 +362,8 @@
         self.site = site
         self.name = f"front-{number}"
         self.zone = ZONE
+        # Where it finds others first; None: the first three instances.
+        self.seeds: list[str] | None = None
         self.host = f"{site.network}.{number + 1}"
         self.path = site.folder / f"{self.name}.json"
         self.log = site.folder / f"{self.name}.log"
@@ -377,7 +379,9 @@
             "peers": PEERS_PORT,
         }
         listen = {name: f"{self.host}:{port}" for name, port in ports.items()}
-        seeds = [f"{one.host}:{PEERS_PORT}" for one in self.site.instances[:3]]
+        seeds = self.seeds
+        if seeds is None:
+            seeds = [f"{one.host}:{PEERS_PORT}" for one in self.site.instances[:3]]
         return {
             "instance": self.name,
             "data_centre": self.zone,
@@ -432,14 +436,17 @@
             await self.process.wait()
 
     async def call(
-        self, target: str, body: bytes, name: str, deadline_ms: int = 4000
+        self, target: str, body: bytes, name: str, tokens: str = ""
     ) -> Answer | None:
-        """Send a client's request to it."""
+        """Send a client's request to it; `tokens` are stated unless they're empty."""
+        deadline_ms = 4000
         headers = {
             "Tealcove-Request-Id": name,
             "Api-Key": KEY,
             "Tealcove-Deadline-Ms": str(deadline_ms),
         }
+        if tokens:
+            headers["Tealcove-Token-Count"] = tokens
         seconds = deadline_ms / 1000
         at = (self.host, CALLERS_PORT)
         return await send(at, "POST", target, headers, body, seconds)
@@ -465,8 +472,10 @@
         await self.configure(routes)
         await self.start_instances()
 
-    async def configure(self, routes: list[dict[str, object]]) -> None:
-        """Write the operator's configuration."""
+    async def configure(
+        self, routes: list[dict[str, object]], rate: float = 0.0, burst: float = 0.0
+    ) -> None:
+        """Write the operator's configuration; a rate of 0: no limit."""
         content = {
             "version": 3,
             "routes": routes,
@@ -483,6 +492,8 @@
                     "api_keys": [KEY],
                     "unit": "token",
                     "plain_tokens": 200,
+                    "rate_per_s": rate,
+                    "burst": burst,
                 }
             ],
         }
@@ -490,9 +501,13 @@
 
     async def start_instances(self) -> None:
         """Start all instances, and wait until they serve and are in touch."""
-        for one in self.instances:
+        await self.start_some(self.instances)
+
+    async def start_some(self, instances: list[Instance]) -> None:
+        """Start some instances, and wait until they serve and are in touch."""
+        for one in instances:
             await one.start()
-        for one in self.instances:
+        for one in instances:
             await one.wait_until_ready()
         await asyncio.sleep(CONTACT_SECONDS + 1.0)
 
