Review: a bad version gets most requests while its dispatcher can't read the order

Cause: only the dispatcher reads orders of roll-outs, and one that can't read takes new servers for ordinary ones; their failures then count for the old version.

Change: review/6 shows it with three instances, of which the dispatching one is cut off from the store for 5.5 s.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,153 +1,193 @@
-"""Marks against a crashing request are lost once 101 old ones have ended."""
+"""A bad version gets most requests while its dispatcher can't read the order."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 import os
 import pathlib
+import random
 import sys
 import time
 
 import stand_ins
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-# Clients don't send it any more after so many retries that reached a server.
-ALLOWED_RETRIES = 3
-# Crashes after which the rule counts.
-CRASHES = 3
-SERVERS = 6
-# Seconds that a server is away after a crash, and between two retries of the client.
-DOWN_SECONDS = 1.5
-RETRY_SECONDS = 1.2
-# Retries of the client before and after each disruption.
-RETRIES = 6
-SECONDS_OF_MARKS = 600.0
-BAD_BODY = b"a recipe that crashes its server"
-KILLS = 2
+SERVICE = "label-app"
+# Servers of each version, their slots, and how long they work on a request.
+SERVERS, SLOTS = 4, 4
+OLD_SECONDS, NEW_SECONDS = 0.17, 0.06
+RATE = 80.0
+# The new version fails this part of the requests of one route, a fifth of all.
+FAILED = 0.7
+BAD_ROUTE_PART = 0.2
+# The cut of one machine from the store, and how long before the order it begins.
+CUT_SECONDS, AHEAD_SECONDS = 5.5, 0.3
+PERIOD_SECONDS = 15.0
+# The bounds of the rule.
+CANARY_SHARE, CANARY_SLACK = 0.1, 50
+ROLLBACK_SECONDS, BAD_ANSWERS = 5.0, 50
 
 
 class Case:
     """One run of the case."""
 
-    def __init__(self, has_trouble: bool, rows: int) -> None:
+    def __init__(self, has_trouble: bool) -> None:
         self.record = stand_ins.Record(FOLDER / "record.txt")
         self.has_trouble = has_trouble
-        self.rows = rows
-        self.site = stand_ins.Site()
-        # When the bad request reached a server, and each restart of all instances.
-        self.arrivals: list[float] = []
-        self.tasks: list[asyncio.Task[None]] = []
-        self.number = 0
-
-    async def add_server(self) -> None:
-        """Start a new incarnation of a server."""
-        self.number += 1
-        name = f"i-{self.number:04x}"
-        server = stand_ins.Server(name, "label-app", self.site.store)
-        server.hook = self.run_or_crash
-        self.site.servers.append(server)
-        await server.start()
-
-    async def run_or_crash(
+        self.site = stand_ins.Site(3)
+        # As the template has it where `bounds.canary_share` is set.
+        self.site.settings = {"rollouts": {"enabled": True}}
+        self.proxies: dict[str, stand_ins.Proxy] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.statuses: dict[str, int] = {}
+        self.bad: list[stand_ins.Request] = []
+        # When clients sent requests, and when bad answers were made.
+        self.sent: dict[str, float] = {}
+        self.bad_answers: list[float] = []
+
+    async def run_new(
         self,
         server: stand_ins.Server,
         request: stand_ins.Request,
         writer: asyncio.StreamWriter,
     ) -> bool | None:
-        """Crash as the bad request begins to run."""
-        if request.body != BAD_BODY:
-            return None
-        self.arrivals.append(time.monotonic())
-        self.record.add(f"{server.name} runs bad request {request.name} and crashes")
-        await asyncio.sleep(0.02)
-        server.crash()
-        self.site.servers.remove(server)
-        self.tasks.append(asyncio.create_task(self.replace()))
-        return False
-
-    async def replace(self) -> None:
-        """Bring a crashed server back, as a new incarnation."""
-        await asyncio.sleep(DOWN_SECONDS)
-        await self.add_server()
-
-    async def load_old_rows(self) -> None:
-        """Put the rows that instances wrote during earlier crashes into the store."""
-        found = json.loads((FOLDER / "rows.json").read_text(encoding="utf-8"))
-        for row in found[: self.rows]:
-            value = base64.b64decode(row["value"])
-            await self.site.store.put(row["table"], row["key"], value)
-        self.record.add(f"{min(self.rows, len(found))} old rows are in the store")
-
-    async def send_bad(self) -> None:
-        """Send the bad request again and again, at any instance."""
-        for number in range(RETRIES):
-            at = self.site.instances[number % len(self.site.instances)]
-            name = stand_ins.new_name()
-            self.record.add(f"bad request {name} sent to {at.name}")
-            answer = await at.call("/label/fetch", BAD_BODY, name)
-            status = "none" if answer is None else answer.status
-            self.record.add(f"bad request {name} answered: {status}")
-            await asyncio.sleep(RETRY_SECONDS)
-
-    async def send_sound(self) -> int:
-        """Send sound requests; return how many were served."""
-        served = 0
-        for number in range(6):
-            at = self.site.instances[number % len(self.site.instances)]
-            name = stand_ins.new_name()
-            answer = await at.call("/label/fetch", b"sound %d" % number, name)
-            served += answer is not None and answer.status == 200
-        return served
+        """Run a request at the new version."""
+        server.runs.append(request)
+        self.bad.append(request)
+        await asyncio.sleep(server.seconds)
+        if request.target.startswith("/status/") and random.random() < FAILED:
+            self.bad_answers.append(time.monotonic())
+            server.answer(writer, request, b"failed", "500 Internal Server Error")
+        else:
+            server.answer(writer, request, b"new")
+        return True
+
+    async def send_one(self, at: stand_ins.Instance) -> None:
+        """Send one request."""
+        route = "status" if random.random() < BAD_ROUTE_PART else "fetch"
+        name = stand_ins.new_name()
+        self.sent[name] = time.monotonic()
+        answer = await at.call(f"/{route}/x", b"label", name)
+        status = "none" if answer is None else str(answer.status)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    async def load(self, at: list[stand_ins.Instance], end: float) -> None:
+        """Send requests at some instances until an instant."""
+        while time.monotonic() < end:
+            task = asyncio.create_task(self.send_one(random.choice(at)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(1 / RATE)
+
+    def find_dispatcher(self) -> stand_ins.Instance:
+        """Return the instance that grants the slots of the service."""
+
+        def count(one: stand_ins.Instance) -> int:
+            return one.log.read_text(encoding="utf-8").count('"granted ')
+
+        return max(self.site.instances, key=count)
+
+    async def add_servers(self, version: str, seconds: float) -> None:
+        """Start the servers of a version."""
+        for number in range(SERVERS):
+            name = f"i-{version}-{number}"
+            server = stand_ins.Server(name, SERVICE, self.site.store, SLOTS)
+            server.version, server.seconds = version, seconds
+            if version != "v1":
+                server.hook = self.run_new
+            self.site.servers.append(server)
+            await server.start()
+
+    async def watch(self) -> None:
+        """Record the states that the system writes."""
+        before = None
+        while True:
+            row = self.site.store.rows.get(("status", "", f"rollout/{SERVICE}"))
+            found = None if row is None else json.loads(row[0])
+            if found is not None and found["state"] != before:
+                before = found["state"]
+                self.record.add(f"status: {found}")
+            await asyncio.sleep(0.05)
 
     async def run(self) -> int:
         """Return the exit code."""
+        site = self.site
         try:
-            await self.site.store.start()
-            await self.load_old_rows()
-            for _ in range(SERVERS):
-                await self.add_server()
-            await self.site.configure([stand_ins.route("label", "unsafe", "label-app")])
-            await self.site.start_instances()
-            if await self.send_sound() < 6:
-                raise stand_ins.CannotRunError("sound requests aren't served")
-            await self.send_bad()
-            for _ in range(KILLS):
-                if self.has_trouble:
-                    self.record.add("all instances are killed")
-                    await self.site.kill_instances()
-                    await self.site.start_instances()
-                await self.send_bad()
-            self.record.add(f"sound requests served: {await self.send_sound()} of 6")
-            return self.judge()
+            await site.store.start()
+            for one in site.instances:
+                proxy = self.proxies[one.name] = stand_ins.Proxy(site.store.port)
+                await proxy.start()
+                one.store_port = proxy.port
+            await self.add_servers("v1", OLD_SECONDS)
+            routes = [
+                stand_ins.route(name, "safe", SERVICE) for name in ("fetch", "status")
+            ]
+            await site.configure(routes)
+            await site.start_instances()
+            await self.load(site.instances, time.monotonic() + 3.0)
+            dispatcher = self.find_dispatcher()
+            others = [one for one in site.instances if one is not dispatcher]
+            if self.has_trouble:
+                self.record.add(f"{dispatcher.name} is cut off from the store")
+                proxy = self.proxies[dispatcher.name]
+                proxy.is_cut = True
+                loop = asyncio.get_running_loop()
+                loop.call_later(CUT_SECONDS, proxy.heal)
+            await self.load(others, time.monotonic() + AHEAD_SECONDS)
+            return await self.roll_out(others)
         finally:
-            for task in self.tasks:
+            for task in list(self.tasks):
                 task.cancel()
-            await self.site.stop()
-
-    def judge(self) -> int:
+            await site.stop()
+            for proxy in self.proxies.values():
+                proxy.stop()
+
+    async def roll_out(self, others: list[stand_ins.Instance]) -> int:
+        """Order the roll-out; return the exit code at its deadline."""
+        order = {"service": SERVICE, "to": "v2", "period_s": PERIOD_SECONDS}
+        key = f"rollout/{SERVICE}"
+        await self.site.store.put("op", key, json.dumps(order).encode())
+        ordered = time.monotonic()
+        self.record.add(f"order: {order}")
+        watching = asyncio.create_task(self.watch())
+        await self.add_servers("v2", NEW_SECONDS)
+        await self.load(others, ordered + PERIOD_SECONDS)
+        watching.cancel()
+        return self.judge(ordered)
+
+    def judge(self, ordered: float) -> int:
         """Return 1 if the rule was broken, otherwise 0."""
-        if len(self.arrivals) < CRASHES:
-            raise stand_ins.CannotRunError("the request hasn't crashed three servers")
-        since = self.arrivals[CRASHES - 1] + stand_ins.CONTACT_SECONDS
-        later = sum(at > since for at in self.arrivals)
-        refused = self.site.store.refused
-        self.record.add(f"transactions of over 100 entries: {refused}")
+        end = ordered + PERIOD_SECONDS
+        reached = [
+            request
+            for server in self.site.servers
+            for request in server.runs
+            if ordered <= request.at <= end
+        ]
+        if not reached:
+            raise stand_ins.CannotRunError("no request reached the service")
+        bad = [request for request in self.bad if request.at <= end]
+        allowed = CANARY_SHARE * len(reached) + CANARY_SLACK
+        late = 0
+        if len(self.bad_answers) >= BAD_ANSWERS:
+            since = self.bad_answers[BAD_ANSWERS - 1] + ROLLBACK_SECONDS
+            late = sum(self.sent.get(one.name, 0.0) > since for one in bad)
+        self.record.add(f"answers by status: {self.statuses}")
         self.record.add(
-            f"{later} retries reached servers later than contact_ms after the third "
-            f"crash, allowed {ALLOWED_RETRIES}"
+            f"{len(reached)} requests reached the service, {len(bad)} of them the bad "
+            f"version, allowed {allowed:.0f}; {len(self.bad_answers)} bad answers"
         )
-        return int(later > ALLOWED_RETRIES)
+        self.record.add(f"{late} were sent over 5 s after the 50th, allowed 0")
+        return int(len(bad) > allowed or late > 0)
 
 
 def main() -> int:
     """Run the case."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    rows = int(os.environ.get("ROWS", "1000"))
 
     async def run() -> int:
-        return await Case(has_trouble, rows).run()
+        return await Case(has_trouble).run()
 
     try:
         return asyncio.run(run())
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -229,6 +229,7 @@
         self.seconds = 0.05
         self.state = "ready"
         self.zone = ZONE
+        self.version = "v1"
         self.born = 0
         self.port = 0
         # All that reached it, and what it began to work on.
@@ -264,7 +265,7 @@
             "service": self.service,
             "addr": f"127.0.0.1:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_left_ms": 0,
@@ -304,7 +305,7 @@
         try:
             while await self.answer_one(reader, writer):
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -362,6 +363,8 @@
         self.site = site
         self.name = f"front-{number}"
         self.zone = ZONE
+        # Where it reaches the store; 0: directly.
+        self.store_port = 0
         # Where it finds others first; None: the first three instances.
         self.seeds: list[str] | None = None
         self.host = f"{site.network}.{number + 1}"
@@ -378,6 +381,7 @@
             "directory": DIRECTORY_PORT,
             "peers": PEERS_PORT,
         }
+        store_port = self.store_port or self.site.store.port
         listen = {name: f"{self.host}:{port}" for name, port in ports.items()}
         seeds = self.seeds
         if seeds is None:
@@ -386,7 +390,7 @@
             "instance": self.name,
             "data_centre": self.zone,
             "listen": {**listen, "relay_port": RELAY_PORT},
-            "store": {"address": f"127.0.0.1:{self.site.store.port}"},
+            "store": {"address": f"127.0.0.1:{store_port}"},
             "seeds": seeds,
             "repeats": {"ratio": 0.2, "slack": 56, "window_seconds": 10},
             "account_limits": {"slack": 190000},
@@ -399,6 +403,7 @@
             },
             "server_load": {"enabled": True, "only_shared": True},
             "leaving": {"grace_seconds": GRACE_SECONDS},
+            **self.site.settings,
         }
 
     async def start(self) -> None:
@@ -459,6 +464,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="tealcove-case-"))
         self.network = free_network(instances)
         self.store = Store()
+        # Settings of all instances beside the others.
+        self.settings: dict[str, object] = {}
         self.servers: list[Server] = []
         self.instances = []
         for number in range(instances):
@@ -537,6 +544,69 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Proxy:
+    """Passes bytes on to a port; while it is cut, nothing gets through or back."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.port = 0
+        self.is_cut = False
+        self.listening: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.listening = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.listening.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Stop listening, and break all connections."""
+        if self.listening is not None:
+            self.listening.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Pass bytes on again; connections of before are broken."""
+        self.is_cut = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass the bytes of one connection on, both ways."""
+        self.writers.add(writer)
+        opened = None
+        try:
+            if self.is_cut:
+                await reader.read(-1)
+                return
+            back, opened = await asyncio.open_connection("127.0.0.1", self.target)
+            self.writers.add(opened)
+            await asyncio.gather(
+                self.pass_on(reader, opened), self.pass_on(back, writer)
+            )
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for one in (writer, opened):
+                if one is not None:
+                    self.writers.discard(one)
+                    one.transport.abort()
+
+    async def pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass bytes on until there are no more; those of a cut are lost."""
+        while content := await reader.read(2**16):
+            if not self.is_cut:
+                writer.write(content)
+                await writer.drain()
+        if not self.is_cut:
+            writer.close()
+
+
 def free_network(hosts: int) -> str:
     """Return the first three bytes of loopback addresses whose ports are free."""
     for _ in range(100):
